Lay the workspace, the protocols and the first machines

Cause: nothing stood yet. Change: packages by concern, shared types, the peer protocol with its generated code, the platform's client, thin stand-ins, and the signatures of the ownership machines, so that several hands can build on the same words.

--- /dev/null
+++ b/goldcrestramp-config/src/lib.rs
@@ -0,0 +1,19 @@
+/*!
+Node settings, change tickets and their checks.
+
+Both are JSON with comments. Unknown fields, bad references and values out
+of range are refused, all at once, each with file, line, column and path.
+*/
+
+mod deployment;
+mod settings;
+
+pub use crate::{
+    deployment::{
+        CallerRules, DeploymentState, DomainRules, ServerRules, ServiceRules,
+    },
+    settings::{
+        LogFormat, LogSettings, NodeSettings, OperatorSettings,
+        PeerTlsSettings,
+    },
+};
--- /dev/null
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions under load: admission, fairness, retries, placement.
--- /dev/null
+++ b/goldcrestramp-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Actors and sockets that bind the pure parts into a daemon.
--- /dev/null
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -0,0 +1,41 @@
+/*!
+Pure state machines that keep one owner a slice.
+
+Nobody's permission outlives that of whom it came from:
+
+1. A [`StewardMachine`] acts only while a majority of its failure domain's
+   [`VoterRoster`] has confirmed its term within the last lease time.
+2. It permits each [`KeeperMachine`] for at most the rest of its own time.
+3. A keeper renews a server's grant for at most the rest of its permit.
+4. A server, here [`GrantHolder`], executes only until its grant's deadline
+   in its own clock.
+
+No machine reads a clock, opens a socket or draws a random number: the
+present moment and every message come in as arguments, effects go out as
+values.
+*/
+
+mod holder;
+mod keeper;
+mod message;
+mod plan;
+mod roster;
+mod steward;
+mod table;
+mod timing;
+mod voter;
+
+pub use crate::{
+    holder::GrantHolder,
+    keeper::{KeeperMachine, PassBook, PassRefusal, SendPass, ServerPasses},
+    message::{
+        ConfirmAnswer, ConfirmAsk, KeeperReport, PermitAnswer, ServerOrder,
+        ServerReport, SliceLoad,
+    },
+    plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
+    roster::{RosterVoter, VoterRoster},
+    steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
+    table::{DomainTable, ServiceTable, TableServer},
+    timing::TermTiming,
+    voter::VoterState,
+};
--- /dev/null
+++ b/goldcrestramp-standins/src/lib.rs
@@ -0,0 +1,13 @@
+/*!
+Small stand-ins for the platform, backend servers and callers.
+
+They speak the published protocols that `goldcrestramp-platform` and
+`goldcrestramp-wire` describe, and can be made to fail. Nothing here is part
+of the product; the demo, the load tool and the tests use it.
+*/
+
+mod listener;
+pub mod platform;
+pub mod server;
+
+pub use crate::listener::ListenerHandle;
--- /dev/null
+++ b/goldcrestramp-types/src/token.rs
@@ -0,0 +1,84 @@
+//! Numbers that order decisions: terms, fencing tokens, table versions.
+
+use serde::{Deserialize, Serialize};
+
+use crate::names::VmName;
+
+/// A term of a steward, ordered by number, then VM, then start.
+///
+/// The VM's name and the random number of its process start make two
+/// candidates with the same number differ, also when a VM is replaced by
+/// one with the same name.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+pub struct TermId {
+    /// Rises with every new steward of the failure domain.
+    pub number: u64,
+    /// A digest of the steward's VM name.
+    pub vm: u64,
+    /// A random number that the steward's process drew when it started.
+    pub start: u64,
+}
+
+impl TermId {
+    /// The term of the process `start` on `vm` with this number.
+    #[must_use]
+    pub fn new(number: u64, vm: &VmName, start: u64) -> Self {
+        let vm = xxhash_rust::xxh3::xxh3_64(vm.as_str().as_bytes());
+        Self { number, vm, start }
+    }
+}
+
+/// The fencing token of a grant: a server refuses what carries a lower
+/// one than it has seen for the slice.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+pub struct FenceToken {
+    /// The term of the steward that decided.
+    pub term: TermId,
+    /// Rises with every decision of that steward.
+    pub sequence: u64,
+}
+
+/// The version of a failure domain's routing table; ordered.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+pub struct TableVersion {
+    /// The term of the steward that published the table.
+    pub term: TermId,
+    /// Rises with every change within the term.
+    pub sequence: u64,
+}
--- /dev/null
+++ b/src/bin/goldcrestramp.rs
@@ -0,0 +1,3 @@
+//! The command of operators.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/goldcrestrampd.rs
@@ -0,0 +1,3 @@
+//! The daemon on an entry VM.
+
+fn main() {}
