Read settings and tell all faults at once

Cause: a daemon had settings but no reader; serde alone stops at the first fault and knows no place within nested values.

Change: a document becomes a tree with places; each field is taken from it and each fault noted with file, line, column and path. Listeners that clash, operators off loopback without a token and peers off loopback without TLS are refused.

--- a/goldcrestramp-config/src/lib.rs
+++ b/goldcrestramp-config/src/lib.rs
@@ -6,14 +6,16 @@
 */
 
 mod deployment;
+mod document;
 mod settings;
 
 pub use crate::{
     deployment::{
         CallerRules, DeploymentState, DomainRules, ServerRules, ServiceRules,
     },
+    document::{DocumentFault, FaultList, SourcePosition},
     settings::{
         LogFormat, LogSettings, NodeSettings, OperatorSettings,
-        PeerTlsSettings,
+        PeerTlsSettings, parse_settings, read_settings,
     },
 };
--- a/goldcrestramp-config/src/settings.rs
+++ b/goldcrestramp-config/src/settings/mod.rs
@@ -1,10 +1,14 @@
 //! The settings of one daemon, read when it starts.
 
+mod reader;
+
 use std::{net::SocketAddr, path::PathBuf};
 
 use goldcrestramp_types::{DomainName, RegionName, VmName};
 use serde::{Deserialize, Serialize};
 
+pub use self::reader::{parse_settings, read_settings};
+
 /// Everything that a daemon learns from its settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/goldcrestramp-config/src/settings/reader.rs
@@ -0,0 +1,302 @@
+//! Reads a settings file and checks it as a whole.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use goldcrestramp_types::{DomainName, RegionName, VmName};
+
+use super::{
+    LogFormat, LogSettings, NodeSettings, OperatorSettings, PeerTlsSettings,
+    default_body_bytes, default_deadline_ms, default_gateway_requests,
+};
+use crate::document::{
+    DocumentNode, FaultList, FieldReader, SourcePosition, open_document,
+};
+
+/// Requests under way at one gateway: each holds a body and two sockets.
+const GATEWAY_REQUESTS: std::ops::RangeInclusive<u32> = 1..=65_536;
+/// From one KiB to 64 MiB; a VM holds several bodies at once.
+const BODY_BYTES: std::ops::RangeInclusive<u32> = 1_024..=67_108_864;
+/// Up to an hour, the longest download that is expected.
+const DEADLINE_MS: std::ops::RangeInclusive<u64> = 1..=3_600_000;
+const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+/// Reads the settings in `file`.
+///
+/// # Errors
+///
+/// Every fault of the file at once, each with its place.
+pub fn read_settings(file: &Path) -> Result<NodeSettings, FaultList> {
+    let name = file.display().to_string();
+    match std::fs::read_to_string(file) {
+        Ok(text) => parse_settings(&name, &text),
+        Err(error) => {
+            let mut faults = FaultList::new(&name);
+            let message = format!("can't be read: {error}");
+            faults.add(SourcePosition::default(), "", message);
+            Err(faults)
+        }
+    }
+}
+
+/// Reads settings from `text`; `file` is named in the faults.
+///
+/// # Errors
+///
+/// Every fault of the text at once, each with its place.
+///
+/// # Example
+///
+/// ```
+/// use goldcrestramp_config::parse_settings;
+///
+/// let faults = parse_settings("node.jsonc", "{ \"vmm\": 3 } // typo")
+///     .expect_err("nearly all is missing");
+/// let first = faults.faults()[0].to_string();
+/// assert!(first.starts_with("node.jsonc:1:1: "));
+/// ```
+pub fn parse_settings(
+    file: &str,
+    text: &str,
+) -> Result<NodeSettings, FaultList> {
+    let mut faults = FaultList::new(file);
+    let node = open_document(text, &mut faults);
+    let settings = node.and_then(|node| settings(&node, &mut faults));
+    faults.or_value(settings)
+}
+
+fn settings(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<NodeSettings> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let deployment = fields.required::<String>("deployment", faults);
+    let vm = fields.required::<VmName>("vm", faults);
+    let domain = fields.required::<DomainName>("domain", faults);
+    let region = fields.required::<RegionName>("region", faults);
+    let callers_listen = fields.required("callers_listen", faults);
+    let peers_listen = fields.required("peers_listen", faults);
+    let peers_address = fields.optional("peers_address", faults);
+    let platform_url = fields.required::<String>("platform_url", faults);
+    let operators = fields.required_node("operators", faults);
+    let operators = operators.and_then(|node| operator_settings(node, faults));
+    let log = match fields.node("log") {
+        None => Some(LogSettings::default()),
+        Some(node) => log_settings(node, faults),
+    };
+    let peer_tls = match fields.node("peer_tls") {
+        None => Some(None),
+        Some(node) => peer_tls_settings(node, faults).map(Some),
+    };
+    let gateway_requests = fields.ranged(
+        "gateway_requests",
+        &GATEWAY_REQUESTS,
+        Some(default_gateway_requests()),
+        faults,
+    );
+    let body_bytes = fields.ranged(
+        "body_bytes",
+        &BODY_BYTES,
+        Some(default_body_bytes()),
+        faults,
+    );
+    let default_deadline_ms = fields.ranged(
+        "default_deadline_ms",
+        &DEADLINE_MS,
+        Some(default_deadline_ms()),
+        faults,
+    );
+    let places = SettingsPlaces::new(&fields);
+    fields.close(faults);
+    let settings = NodeSettings {
+        deployment: deployment?,
+        vm: vm?,
+        domain: domain?,
+        region: region?,
+        callers_listen: callers_listen?,
+        peers_listen: peers_listen?,
+        peers_address: peers_address?,
+        platform_url: platform_url?,
+        operators: operators?,
+        log: log?,
+        peer_tls: peer_tls?,
+        gateway_requests: gateway_requests?,
+        body_bytes: body_bytes?,
+        default_deadline_ms: default_deadline_ms?,
+    };
+    check_settings(&settings, &places, faults);
+    Some(settings)
+}
+
+fn operator_settings(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<OperatorSettings> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let listen = fields.required::<SocketAddr>("listen", faults);
+    let token_file = fields.optional::<PathBuf>("token_file", faults);
+    fields.close(faults);
+    let (listen, token_file) = (listen?, token_file?);
+    // Without a token anybody who reaches the port could apply a ticket.
+    if token_file.is_none() && !listen.ip().is_loopback() {
+        let path = format!("{}.token_file", node.path);
+        let message = "needed when operators are served off loopback";
+        faults.add(node.position, &path, message);
+    }
+    Some(OperatorSettings { listen, token_file })
+}
+
+fn log_settings(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<LogSettings> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let LogSettings { level, format } = LogSettings::default();
+    let level = fields.or_default("level", level, faults);
+    let format = fields.or_default::<LogFormat>("format", format, faults);
+    if level.as_ref().is_some_and(|l| !LOG_LEVELS.contains(&l.as_str())) {
+        let path = format!("{}.level", node.path);
+        let message = format!("must be one of {}", LOG_LEVELS.join(", "));
+        faults.add(fields.position("level"), &path, message);
+    }
+    fields.close(faults);
+    Some(LogSettings { level: level?, format: format? })
+}
+
+fn peer_tls_settings(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<PeerTlsSettings> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let authority_file = fields.required("authority_file", faults);
+    let certificate_file = fields.required("certificate_file", faults);
+    let key_file = fields.required("key_file", faults);
+    fields.close(faults);
+    Some(PeerTlsSettings {
+        authority_file: authority_file?,
+        certificate_file: certificate_file?,
+        key_file: key_file?,
+    })
+}
+
+/// Where the fields stand that are checked against each other.
+struct SettingsPlaces {
+    deployment: SourcePosition,
+    vm: SourcePosition,
+    domain: SourcePosition,
+    peers_listen: SourcePosition,
+    peers_address: SourcePosition,
+    platform_url: SourcePosition,
+    operators: SourcePosition,
+}
+
+impl SettingsPlaces {
+    fn new(fields: &FieldReader<'_>) -> Self {
+        Self {
+            deployment: fields.position("deployment"),
+            vm: fields.position("vm"),
+            domain: fields.position("domain"),
+            peers_listen: fields.position("peers_listen"),
+            peers_address: fields.position("peers_address"),
+            platform_url: fields.position("platform_url"),
+            operators: fields.position("operators"),
+        }
+    }
+}
+
+fn check_settings(
+    settings: &NodeSettings,
+    places: &SettingsPlaces,
+    faults: &mut FaultList,
+) {
+    check_names(settings, places, faults);
+    check_listeners(settings, places, faults);
+    check_peers(settings, places, faults);
+    if !settings.platform_url.starts_with("http://") {
+        let message = "must begin with `http://`";
+        faults.add(places.platform_url, "platform_url", message);
+    }
+}
+
+/// The three names stand as labels in the certificates of peers.
+fn check_names(
+    settings: &NodeSettings,
+    places: &SettingsPlaces,
+    faults: &mut FaultList,
+) {
+    if settings.deployment.is_empty() {
+        faults.add(places.deployment, "deployment", "may not be empty");
+    }
+    if settings.peer_tls.is_none() {
+        return;
+    }
+    let labels = [
+        ("deployment", settings.deployment.as_str(), places.deployment),
+        ("vm", settings.vm.as_str(), places.vm),
+        ("domain", settings.domain.as_str(), places.domain),
+    ];
+    for (path, label, place) in labels {
+        if !is_dns_label(label) {
+            let message = "with peer_tls only a-z, 0-9 and inner `-` may \
+                stand here, 63 at most";
+            faults.add(place, path, message);
+        }
+    }
+}
+
+fn is_dns_label(label: &str) -> bool {
+    let inner =
+        |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    (1..=63).contains(&label.len())
+        && label.bytes().all(inner)
+        && !label.starts_with('-')
+        && !label.ends_with('-')
+}
+
+/// Two listeners on one port: the second could not be bound.
+fn check_listeners(
+    settings: &NodeSettings,
+    places: &SettingsPlaces,
+    faults: &mut FaultList,
+) {
+    let callers = settings.callers_listen;
+    let peers = settings.peers_listen;
+    let operators = settings.operators.listen;
+    if clash(callers, peers) {
+        let message = format!("{peers} is taken by callers_listen");
+        faults.add(places.peers_listen, "peers_listen", message);
+    }
+    if clash(callers, operators) || clash(peers, operators) {
+        let message = format!("{operators} is taken by another listener");
+        faults.add(places.operators, "operators.listen", message);
+    }
+}
+
+/// Port 0 asks the system for any free port and so never clashes.
+fn clash(left: SocketAddr, right: SocketAddr) -> bool {
+    let same_port = left.port() == right.port() && left.port() != 0;
+    let (left, right) = (left.ip(), right.ip());
+    let overlap =
+        left == right || left.is_unspecified() || right.is_unspecified();
+    same_port && overlap
+}
+
+fn check_peers(
+    settings: &NodeSettings,
+    places: &SettingsPlaces,
+    faults: &mut FaultList,
+) {
+    let listen = settings.peers_listen.ip();
+    // Plain TCP off loopback would let anybody order a fence raised.
+    if settings.peer_tls.is_none() && !listen.is_loopback() {
+        let message = "off loopback peers need `peer_tls`";
+        faults.add(places.peers_listen, "peers_listen", message);
+    }
+    let told = settings.peers_address.unwrap_or(settings.peers_listen);
+    if told.ip().is_unspecified() {
+        let message = "peers need an address that they can reach";
+        faults.add(places.peers_address, "peers_address", message);
+    }
+}
--- /dev/null
+++ b/goldcrestramp-config/tests/settings.rs
@@ -0,0 +1,114 @@
+//! Settings files: what is read, and every fault told at once.
+
+use goldcrestramp_config::{FaultList, parse_settings};
+
+const GOOD: &str = r#"{
+  // who this daemon is
+  "deployment": "tiendalista",
+  "vm": "vm-1",
+  "domain": "sierra-a",
+  "region": "sierra",
+  "callers_listen": "127.0.0.1:8080",
+  "peers_listen": "127.0.0.1:8081",
+  "platform_url": "http://127.0.0.1:7000",
+  "operators": { "listen": "127.0.0.1:8082" }
+}"#;
+
+/// `GOOD` with one text put in place of another.
+fn changed(from: &str, to: &str) -> String {
+    assert!(GOOD.contains(from), "{from} stands in the fixture");
+    GOOD.replacen(from, to, 1)
+}
+
+fn faults_of(text: &str) -> FaultList {
+    parse_settings("node.jsonc", text).expect_err("a fault")
+}
+
+#[test]
+fn absent_fields_get_their_defaults() {
+    let settings = parse_settings("node.jsonc", GOOD).expect("good settings");
+
+    assert_eq!(settings.gateway_requests, 4_096);
+    assert_eq!(settings.body_bytes, 1_048_576);
+    assert_eq!(settings.log.level, "info");
+    assert_eq!(settings.peers_address, None);
+}
+
+#[test]
+fn all_faults_are_told_at_once_each_at_its_place() {
+    let text = r#"{
+  /* two lines
+     of comment */ "deployment": "x",
+  "vm": "vm 1",
+  "domain": 7,
+  "callers_listen": "localhost:80",
+  "peers_listen": "127.0.0.1:8081",
+  "platform_url": "http://127.0.0.1:7000",
+  "operators": { "listen": "10.0.0.1:8082", "colour": "red" },
+  "log": { "level": "loud", "format": "xml" },
+  "body_bytes": 3,
+  "body_byte": 3,
+  "vm": "vm-2"
+}"#;
+
+    let faults = faults_of(text).to_string();
+
+    insta::assert_snapshot!(faults, @r#"
+    node.jsonc:1:1: the field `region` is missing
+    node.jsonc:4:9: vm: a name may not hold ' '
+    node.jsonc:5:13: domain: invalid type: integer `7`, expected a string
+    node.jsonc:6:21: callers_listen: invalid socket address syntax
+    node.jsonc:9:16: operators.token_file: needed when operators are served off loopback
+    node.jsonc:9:45: operators.colour: unknown field; known are listen, token_file
+    node.jsonc:10:21: log.level: must be one of error, warn, info, debug, trace
+    node.jsonc:10:39: log.format: unknown variant `xml`, expected `text` or `json`
+    node.jsonc:11:17: body_bytes: 3 is not within 1024 to 67108864
+    node.jsonc:12:3: body_byte: unknown field; is `body_bytes` meant?
+    node.jsonc:13:3: vm: this field stands twice
+    "#);
+}
+
+#[test]
+fn each_single_fault_is_found_at_its_path() {
+    let cases = [
+        (changed("\"vm\"", "\"vm\" \"x\""), ""),
+        (changed("8081", "8080"), "peers_listen"),
+        (changed("127.0.0.1:8082", "127.0.0.1:8080"), "operators.listen"),
+        (changed("127.0.0.1:8082", "0.0.0.0:1"), "operators.token_file"),
+        (changed("127.0.0.1:8081", "10.0.0.1:8081"), "peers_listen"),
+        (changed("http://", "https://"), "platform_url"),
+        (changed("\"tiendalista\"", "\"\""), "deployment"),
+        (changed("{\n", "{ \"gateway_requests\": 0,\n"), "gateway_requests"),
+        (changed("{\n", "{ \"gateway_requests\": -1,\n"), "gateway_requests"),
+        (changed("{\n", "{ \"peer_tls\": [],\n"), "peer_tls"),
+    ];
+    for (text, path) in cases {
+        let faults = faults_of(&text);
+
+        let paths: Vec<_> = faults.faults().iter().map(|f| &f.path).collect();
+        assert_eq!(paths, [path], "{text}");
+    }
+}
+
+#[test]
+fn names_that_no_certificate_can_hold_are_refused_with_tls() {
+    let tls = r#"{ "peer_tls": { "authority_file": "a",
+        "certificate_file": "b", "key_file": "c" },"#;
+    let text = changed("{\n", tls).replace("sierra-a", "sierra.a");
+
+    let faults = faults_of(&text);
+
+    assert_eq!(faults.faults().len(), 1);
+    assert_eq!(faults.faults()[0].path, "domain");
+}
+
+#[test]
+fn a_peers_address_must_be_reachable() {
+    let tls = r#"{ "peer_tls": { "authority_file": "a",
+        "certificate_file": "b", "key_file": "c" },"#;
+    let text = changed("{\n", tls).replace("127.0.0.1:8081", "0.0.0.0:8081");
+
+    let faults = faults_of(&text);
+
+    assert_eq!(faults.faults()[0].path, "peers_address");
+}
