Give control messages a listener of their own

Cause: on one listener a full traffic runtime would delay confirmations and permits until leases lapse. Change: gRPC service Control beside Peer, and settings control_listen.

--- a/goldcrestramp-config/src/settings.rs
+++ b/goldcrestramp-config/src/settings.rs
@@ -19,10 +19,15 @@
     pub region: RegionName,
     /// Where callers are served (HTTP).
     pub callers_listen: SocketAddr,
-    /// Where peers are served (gRPC).
+    /// Where peers' requests for keys are served (gRPC).
     pub peers_listen: SocketAddr,
-    /// Where peers reach this VM; `peers_listen` when absent.
+    /// Where peers reach that; `peers_listen` when absent.
     pub peers_address: Option<SocketAddr>,
+    /// Where peers' control messages are served (gRPC), by a thread of its
+    /// own, so that traffic cannot delay them.
+    pub control_listen: SocketAddr,
+    /// Where peers reach that; `control_listen` when absent.
+    pub control_address: Option<SocketAddr>,
     /// The base URL of the platform's services.
     pub platform_url: String,
     /// The operators' listener.
--- a/goldcrestramp-ownership/src/message.rs
+++ b/goldcrestramp-ownership/src/message.rs
@@ -14,7 +14,7 @@
     pub domain: DomainName,
     /// The steward's VM.
     pub vm: VmName,
-    /// Where peers reach the steward.
+    /// The steward's control listener.
     pub address: Arc<str>,
     /// The steward's term.
     pub term: TermId,
@@ -81,7 +81,7 @@
 pub struct KeeperReport {
     /// The keeper's VM.
     pub vm: VmName,
-    /// Where peers reach it.
+    /// Where peers send it requests for keys.
     pub address: Arc<str>,
     /// A random number of its process start.
     pub start: u64,
--- a/goldcrestramp-ownership/src/roster.rs
+++ b/goldcrestramp-ownership/src/roster.rs
@@ -9,7 +9,7 @@
 pub struct RosterVoter {
     /// The voter's VM.
     pub vm: VmName,
-    /// Where peers reach it.
+    /// Its control listener.
     pub address: Arc<str>,
 }
 
--- a/goldcrestramp-platform/src/protocol.rs
+++ b/goldcrestramp-platform/src/protocol.rs
@@ -22,7 +22,7 @@
     pub domain: DomainName,
     /// Its region.
     pub region: RegionName,
-    /// Where its peers' listener is, `IP:port`.
+    /// Where its control listener is, `IP:port`.
     pub address: String,
     /// Live or leaving.
     pub state: VmState,
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -252,6 +252,7 @@
 pub struct TablesRequest {
     #[prost(string, tag = "1")]
     pub vm: ::prost::alloc::string::String,
+    /// The one domain asked for; empty: every domain that is known.
     #[prost(string, tag = "2")]
     pub domain: ::prost::alloc::string::String,
 }
@@ -300,11 +301,27 @@
     pub base: ::core::option::Option<Token>,
     #[prost(message, repeated, tag = "5")]
     pub services: ::prost::alloc::vec::Vec<ServiceTable>,
+    /// The configuration, as JSON, when this is the steward's own domain
+    /// and it changed; empty otherwise.
     #[prost(uint64, tag = "6")]
     pub config_version: u64,
+    #[prost(bytes = "bytes", tag = "7")]
+    pub config: ::prost::bytes::Bytes,
+    /// The slices of each service by failure domain, as the store has them.
+    #[prost(message, repeated, tag = "8")]
+    pub homes: ::prost::alloc::vec::Vec<ServiceDomains>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ServiceDomains {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub record: ::prost::bytes::Bytes,
 }
 /// Generated client implementations.
-pub mod peer_client {
+pub mod control_client {
     #![allow(
         unused_variables,
         dead_code,
@@ -314,11 +331,13 @@
     )]
     use tonic::codegen::*;
     use tonic::codegen::http::Uri;
+    /// Served by the control thread, on a listener of its own: traffic that
+    /// fills the other listener cannot delay a confirmation or a permit.
     #[derive(Debug, Clone)]
-    pub struct PeerClient<T> {
+    pub struct ControlClient<T> {
         inner: tonic::client::Grpc<T>,
     }
-    impl PeerClient<tonic::transport::Channel> {
+    impl ControlClient<tonic::transport::Channel> {
         /// Attempt to create a new client by connecting to a given endpoint.
         pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
         where
@@ -329,7 +348,7 @@
             Ok(Self::new(conn))
         }
     }
-    impl<T> PeerClient<T>
+    impl<T> ControlClient<T>
     where
         T: tonic::client::GrpcService<tonic::body::Body>,
         T::Error: Into<StdError>,
@@ -347,7 +366,7 @@
         pub fn with_interceptor<F>(
             inner: T,
             interceptor: F,
-        ) -> PeerClient<InterceptedService<T, F>>
+        ) -> ControlClient<InterceptedService<T, F>>
         where
             F: tonic::service::Interceptor,
             T::ResponseBody: Default,
@@ -361,7 +380,7 @@
                 http::Request<tonic::body::Body>,
             >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
         {
-            PeerClient::new(InterceptedService::new(inner, interceptor))
+            ControlClient::new(InterceptedService::new(inner, interceptor))
         }
         /// Compress requests with the given encoding.
         ///
@@ -409,11 +428,11 @@
                 })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static(
-                "/goldcrestramp.peer.v1.Peer/Confirm",
+                "/goldcrestramp.peer.v1.Control/Confirm",
             );
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Peer", "Confirm"));
+                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Control", "Confirm"));
             self.inner.unary(req, path, codec).await
         }
         /// A keeper reports what its servers hold and asks for its permit.
@@ -431,38 +450,13 @@
                 })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static(
-                "/goldcrestramp.peer.v1.Peer/Permit",
+                "/goldcrestramp.peer.v1.Control/Permit",
             );
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Peer", "Permit"));
+                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Control", "Permit"));
             self.inner.unary(req, path, codec).await
         }
-        /// Sends one request to the keeper of its key's owner.
-        pub async fn route(
-            &mut self,
-            request: impl tonic::IntoRequest<super::RouteRequest>,
-        ) -> std::result::Result<
-            tonic::Response<tonic::codec::Streaming<super::RouteFrame>>,
-            tonic::Status,
-        > {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
-            let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/goldcrestramp.peer.v1.Peer/Route",
-            );
-            let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Peer", "Route"));
-            self.inner.server_streaming(req, path, codec).await
-        }
         /// Streams routing tables: whole once, then changes.
         pub async fn tables(
             &mut self,
@@ -481,17 +475,17 @@
                 })?;
             let codec = tonic_prost::ProstCodec::default();
             let path = http::uri::PathAndQuery::from_static(
-                "/goldcrestramp.peer.v1.Peer/Tables",
+                "/goldcrestramp.peer.v1.Control/Tables",
             );
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Peer", "Tables"));
+                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Control", "Tables"));
             self.inner.server_streaming(req, path, codec).await
         }
     }
 }
 /// Generated server implementations.
-pub mod peer_server {
+pub mod control_server {
     #![allow(
         unused_variables,
         dead_code,
@@ -500,9 +494,9 @@
         clippy::let_unit_value,
     )]
     use tonic::codegen::*;
-    /// Generated trait containing gRPC methods that should be implemented for use with PeerServer.
+    /// Generated trait containing gRPC methods that should be implemented for use with ControlServer.
     #[async_trait]
-    pub trait Peer: std::marker::Send + std::marker::Sync + 'static {
+    pub trait Control: std::marker::Send + std::marker::Sync + 'static {
         /// Asks a voter to confirm a steward's term.
         async fn confirm(
             &self,
@@ -513,17 +507,6 @@
             &self,
             request: tonic::Request<super::PermitRequest>,
         ) -> std::result::Result<tonic::Response<super::PermitReply>, tonic::Status>;
-        /// Server streaming response type for the Route method.
-        type RouteStream: tonic::codegen::tokio_stream::Stream<
-                Item = std::result::Result<super::RouteFrame, tonic::Status>,
-            >
-            + std::marker::Send
-            + 'static;
-        /// Sends one request to the keeper of its key's owner.
-        async fn route(
-            &self,
-            request: tonic::Request<super::RouteRequest>,
-        ) -> std::result::Result<tonic::Response<Self::RouteStream>, tonic::Status>;
         /// Server streaming response type for the Tables method.
         type TablesStream: tonic::codegen::tokio_stream::Stream<
                 Item = std::result::Result<super::TableUpdate, tonic::Status>,
@@ -536,15 +519,17 @@
             request: tonic::Request<super::TablesRequest>,
         ) -> std::result::Result<tonic::Response<Self::TablesStream>, tonic::Status>;
     }
+    /// Served by the control thread, on a listener of its own: traffic that
+    /// fills the other listener cannot delay a confirmation or a permit.
     #[derive(Debug)]
-    pub struct PeerServer<T> {
+    pub struct ControlServer<T> {
         inner: Arc<T>,
         accept_compression_encodings: EnabledCompressionEncodings,
         send_compression_encodings: EnabledCompressionEncodings,
         max_decoding_message_size: Option<usize>,
         max_encoding_message_size: Option<usize>,
     }
-    impl<T> PeerServer<T> {
+    impl<T> ControlServer<T> {
         pub fn new(inner: T) -> Self {
             Self::from_arc(Arc::new(inner))
         }
@@ -595,9 +580,9 @@
             self
         }
     }
-    impl<T, B> tonic::codegen::Service<http::Request<B>> for PeerServer<T>
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for ControlServer<T>
     where
-        T: Peer,
+        T: Control,
         B: Body + std::marker::Send + 'static,
         B::Error: Into<StdError> + std::marker::Send + 'static,
     {
@@ -612,10 +597,10 @@
         }
         fn call(&mut self, req: http::Request<B>) -> Self::Future {
             match req.uri().path() {
-                "/goldcrestramp.peer.v1.Peer/Confirm" => {
+                "/goldcrestramp.peer.v1.Control/Confirm" => {
                     #[allow(non_camel_case_types)]
-                    struct ConfirmSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::ConfirmRequest>
+                    struct ConfirmSvc<T: Control>(pub Arc<T>);
+                    impl<T: Control> tonic::server::UnaryService<super::ConfirmRequest>
                     for ConfirmSvc<T> {
                         type Response = super::ConfirmReply;
                         type Future = BoxFuture<
@@ -628,7 +613,7 @@
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
-                                <T as Peer>::confirm(&inner, request).await
+                                <T as Control>::confirm(&inner, request).await
                             };
                             Box::pin(fut)
                         }
@@ -655,10 +640,10 @@
                     };
                     Box::pin(fut)
                 }
-                "/goldcrestramp.peer.v1.Peer/Permit" => {
+                "/goldcrestramp.peer.v1.Control/Permit" => {
                     #[allow(non_camel_case_types)]
-                    struct PermitSvc<T: Peer>(pub Arc<T>);
-                    impl<T: Peer> tonic::server::UnaryService<super::PermitRequest>
+                    struct PermitSvc<T: Control>(pub Arc<T>);
+                    impl<T: Control> tonic::server::UnaryService<super::PermitRequest>
                     for PermitSvc<T> {
                         type Response = super::PermitReply;
                         type Future = BoxFuture<
@@ -671,7 +656,7 @@
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
-                                <T as Peer>::permit(&inner, request).await
+                                <T as Control>::permit(&inner, request).await
                             };
                             Box::pin(fut)
                         }
@@ -698,26 +683,26 @@
                     };
                     Box::pin(fut)
                 }
-                "/goldcrestramp.peer.v1.Peer/Route" => {
+                "/goldcrestramp.peer.v1.Control/Tables" => {
                     #[allow(non_camel_case_types)]
-                    struct RouteSvc<T: Peer>(pub Arc<T>);
+                    struct TablesSvc<T: Control>(pub Arc<T>);
                     impl<
-                        T: Peer,
-                    > tonic::server::ServerStreamingService<super::RouteRequest>
-                    for RouteSvc<T> {
-                        type Response = super::RouteFrame;
-                        type ResponseStream = T::RouteStream;
+                        T: Control,
+                    > tonic::server::ServerStreamingService<super::TablesRequest>
+                    for TablesSvc<T> {
+                        type Response = super::TableUpdate;
+                        type ResponseStream = T::TablesStream;
                         type Future = BoxFuture<
                             tonic::Response<Self::ResponseStream>,
                             tonic::Status,
                         >;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::RouteRequest>,
+                            request: tonic::Request<super::TablesRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
-                                <T as Peer>::route(&inner, request).await
+                                <T as Control>::tables(&inner, request).await
                             };
                             Box::pin(fut)
                         }
@@ -728,7 +713,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = RouteSvc(inner);
+                        let method = TablesSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
@@ -744,26 +729,287 @@
                     };
                     Box::pin(fut)
                 }
-                "/goldcrestramp.peer.v1.Peer/Tables" => {
+                _ => {
+                    Box::pin(async move {
+                        let mut response = http::Response::new(
+                            tonic::body::Body::default(),
+                        );
+                        let headers = response.headers_mut();
+                        headers
+                            .insert(
+                                tonic::Status::GRPC_STATUS,
+                                (tonic::Code::Unimplemented as i32).into(),
+                            );
+                        headers
+                            .insert(
+                                http::header::CONTENT_TYPE,
+                                tonic::metadata::GRPC_CONTENT_TYPE,
+                            );
+                        Ok(response)
+                    })
+                }
+            }
+        }
+    }
+    impl<T> Clone for ControlServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "goldcrestramp.peer.v1.Control";
+    impl<T> tonic::server::NamedService for ControlServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
+/// Generated client implementations.
+pub mod peer_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    use tonic::codegen::http::Uri;
+    /// Served by the traffic threads.
+    #[derive(Debug, Clone)]
+    pub struct PeerClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl PeerClient<tonic::transport::Channel> {
+        /// Attempt to create a new client by connecting to a given endpoint.
+        pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
+        where
+            D: TryInto<tonic::transport::Endpoint>,
+            D::Error: Into<StdError>,
+        {
+            let conn = tonic::transport::Endpoint::new(dst)?.connect().await?;
+            Ok(Self::new(conn))
+        }
+    }
+    impl<T> PeerClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> PeerClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+                Response = http::Response<
+                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                >,
+            >,
+            <T as tonic::codegen::Service<
+                http::Request<tonic::body::Body>,
+            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            PeerClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        /// Sends one request to the keeper of its key's owner.
+        pub async fn route(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RouteRequest>,
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::RouteFrame>>,
+            tonic::Status,
+        > {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/goldcrestramp.peer.v1.Peer/Route",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Peer", "Route"));
+            self.inner.server_streaming(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod peer_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value,
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with PeerServer.
+    #[async_trait]
+    pub trait Peer: std::marker::Send + std::marker::Sync + 'static {
+        /// Server streaming response type for the Route method.
+        type RouteStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::RouteFrame, tonic::Status>,
+            >
+            + std::marker::Send
+            + 'static;
+        /// Sends one request to the keeper of its key's owner.
+        async fn route(
+            &self,
+            request: tonic::Request<super::RouteRequest>,
+        ) -> std::result::Result<tonic::Response<Self::RouteStream>, tonic::Status>;
+    }
+    /// Served by the traffic threads.
+    #[derive(Debug)]
+    pub struct PeerServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> PeerServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(
+            inner: T,
+            interceptor: F,
+        ) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for PeerServer<T>
+    where
+        T: Peer,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/goldcrestramp.peer.v1.Peer/Route" => {
                     #[allow(non_camel_case_types)]
-                    struct TablesSvc<T: Peer>(pub Arc<T>);
+                    struct RouteSvc<T: Peer>(pub Arc<T>);
                     impl<
                         T: Peer,
-                    > tonic::server::ServerStreamingService<super::TablesRequest>
-                    for TablesSvc<T> {
-                        type Response = super::TableUpdate;
-                        type ResponseStream = T::TablesStream;
+                    > tonic::server::ServerStreamingService<super::RouteRequest>
+                    for RouteSvc<T> {
+                        type Response = super::RouteFrame;
+                        type ResponseStream = T::RouteStream;
                         type Future = BoxFuture<
                             tonic::Response<Self::ResponseStream>,
                             tonic::Status,
                         >;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::TablesRequest>,
+                            request: tonic::Request<super::RouteRequest>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut = async move {
-                                <T as Peer>::tables(&inner, request).await
+                                <T as Peer>::route(&inner, request).await
                             };
                             Box::pin(fut)
                         }
@@ -774,7 +1020,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = TablesSvc(inner);
+                        let method = RouteSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
