Read the control listener's settings

Change: its two fields are read, and all four listeners are checked against each other in one loop. Conclusion: the package's tests pass.

--- a/goldcrestramp-config/src/document/tree.rs
+++ b/goldcrestramp-config/src/document/tree.rs
@@ -21,7 +21,6 @@
 #[derive(Debug)]
 pub(crate) enum NodeContent {
     Table(Vec<TableEntry>),
-    #[expect(dead_code, reason = "change tickets read lists")]
     List(Vec<DocumentNode>),
     Scalar,
 }
--- a/goldcrestramp-config/src/settings/reader.rs
+++ b/goldcrestramp-config/src/settings/reader.rs
@@ -79,6 +79,8 @@
     let callers_listen = fields.required("callers_listen", faults);
     let peers_listen = fields.required("peers_listen", faults);
     let peers_address = fields.optional("peers_address", faults);
+    let control_listen = fields.required("control_listen", faults);
+    let control_address = fields.optional("control_address", faults);
     let platform_url = fields.required::<String>("platform_url", faults);
     let operators = fields.required_node("operators", faults);
     let operators = operators.and_then(|node| operator_settings(node, faults));
@@ -118,6 +120,8 @@
         callers_listen: callers_listen?,
         peers_listen: peers_listen?,
         peers_address: peers_address?,
+        control_listen: control_listen?,
+        control_address: control_address?,
         platform_url: platform_url?,
         operators: operators?,
         log: log?,
@@ -187,7 +191,8 @@
     vm: SourcePosition,
     domain: SourcePosition,
     peers_listen: SourcePosition,
-    peers_address: SourcePosition,
+    callers_listen: SourcePosition,
+    control_listen: SourcePosition,
     platform_url: SourcePosition,
     operators: SourcePosition,
 }
@@ -199,7 +204,8 @@
             vm: fields.position("vm"),
             domain: fields.position("domain"),
             peers_listen: fields.position("peers_listen"),
-            peers_address: fields.position("peers_address"),
+            callers_listen: fields.position("callers_listen"),
+            control_listen: fields.position("control_listen"),
             platform_url: fields.position("platform_url"),
             operators: fields.position("operators"),
         }
@@ -261,16 +267,19 @@
     places: &SettingsPlaces,
     faults: &mut FaultList,
 ) {
-    let callers = settings.callers_listen;
-    let peers = settings.peers_listen;
-    let operators = settings.operators.listen;
-    if clash(callers, peers) {
-        let message = format!("{peers} is taken by callers_listen");
-        faults.add(places.peers_listen, "peers_listen", message);
-    }
-    if clash(callers, operators) || clash(peers, operators) {
-        let message = format!("{operators} is taken by another listener");
-        faults.add(places.operators, "operators.listen", message);
+    let listeners = [
+        ("callers_listen", settings.callers_listen, places.callers_listen),
+        ("peers_listen", settings.peers_listen, places.peers_listen),
+        ("control_listen", settings.control_listen, places.control_listen),
+        ("operators.listen", settings.operators.listen, places.operators),
+    ];
+    for (index, (path, address, place)) in listeners.iter().enumerate() {
+        let former = listeners.iter().take(index);
+        let taken = former.into_iter().find(|f| clash(f.1, *address));
+        if let Some((other, ..)) = taken {
+            let message = format!("{address} is taken by {other}");
+            faults.add(*place, path, message);
+        }
     }
 }
 
@@ -288,15 +297,21 @@
     places: &SettingsPlaces,
     faults: &mut FaultList,
 ) {
-    let listen = settings.peers_listen.ip();
-    // Plain TCP off loopback would let anybody order a fence raised.
-    if settings.peer_tls.is_none() && !listen.is_loopback() {
-        let message = "off loopback peers need `peer_tls`";
-        faults.add(places.peers_listen, "peers_listen", message);
-    }
-    let told = settings.peers_address.unwrap_or(settings.peers_listen);
-    if told.ip().is_unspecified() {
-        let message = "peers need an address that they can reach";
-        faults.add(places.peers_address, "peers_address", message);
+    let peers = (settings.peers_listen, settings.peers_address);
+    let control = (settings.control_listen, settings.control_address);
+    let both = [
+        ("peers", peers, places.peers_listen),
+        ("control", control, places.control_listen),
+    ];
+    for (name, (listen, address), place) in both {
+        // Plain TCP off loopback would let anybody order a fence raised.
+        if settings.peer_tls.is_none() && !listen.ip().is_loopback() {
+            let message = "off loopback peers need `peer_tls`";
+            faults.add(place, &format!("{name}_listen"), message);
+        }
+        if address.unwrap_or(listen).ip().is_unspecified() {
+            let message = "peers need an address that they can reach";
+            faults.add(place, &format!("{name}_address"), message);
+        }
     }
 }
--- a/goldcrestramp-config/tests/settings.rs
+++ b/goldcrestramp-config/tests/settings.rs
@@ -10,6 +10,7 @@
   "region": "sierra",
   "callers_listen": "127.0.0.1:8080",
   "peers_listen": "127.0.0.1:8081",
+  "control_listen": "127.0.0.1:8083",
   "platform_url": "http://127.0.0.1:7000",
   "operators": { "listen": "127.0.0.1:8082" }
 }"#;
@@ -43,6 +44,7 @@
   "domain": 7,
   "callers_listen": "localhost:80",
   "peers_listen": "127.0.0.1:8081",
+  "control_listen": "127.0.0.1:8083",
   "platform_url": "http://127.0.0.1:7000",
   "operators": { "listen": "10.0.0.1:8082", "colour": "red" },
   "log": { "level": "loud", "format": "xml" },
@@ -58,13 +60,13 @@
     node.jsonc:4:9: vm: a name may not hold ' '
     node.jsonc:5:13: domain: invalid type: integer `7`, expected a string
     node.jsonc:6:21: callers_listen: invalid socket address syntax
-    node.jsonc:9:16: operators.token_file: needed when operators are served off loopback
-    node.jsonc:9:45: operators.colour: unknown field; known are listen, token_file
-    node.jsonc:10:21: log.level: must be one of error, warn, info, debug, trace
-    node.jsonc:10:39: log.format: unknown variant `xml`, expected `text` or `json`
-    node.jsonc:11:17: body_bytes: 3 is not within 1024 to 67108864
-    node.jsonc:12:3: body_byte: unknown field; is `body_bytes` meant?
-    node.jsonc:13:3: vm: this field stands twice
+    node.jsonc:10:16: operators.token_file: needed when operators are served off loopback
+    node.jsonc:10:45: operators.colour: unknown field; known are listen, token_file
+    node.jsonc:11:21: log.level: must be one of error, warn, info, debug, trace
+    node.jsonc:11:39: log.format: unknown variant `xml`, expected `text` or `json`
+    node.jsonc:12:17: body_bytes: 3 is not within 1024 to 67108864
+    node.jsonc:13:3: body_byte: unknown field; is `body_bytes` meant?
+    node.jsonc:14:3: vm: this field stands twice
     "#);
 }
 
@@ -75,6 +77,7 @@
         (changed("8081", "8080"), "peers_listen"),
         (changed("127.0.0.1:8082", "127.0.0.1:8080"), "operators.listen"),
         (changed("127.0.0.1:8082", "0.0.0.0:1"), "operators.token_file"),
+        (changed("127.0.0.1:8083", "127.0.0.1:8081"), "control_listen"),
         (changed("127.0.0.1:8081", "10.0.0.1:8081"), "peers_listen"),
         (changed("http://", "https://"), "platform_url"),
         (changed("\"tiendalista\"", "\"\""), "deployment"),
