Start daemons and stand-ins as processes that tests can fail

Cause: proofs under failure need processes that can be killed, frozen and cut off, and nothing started any. Change: a stand-in program with the subcommands platform and server, and a harness in tests/process that starts programs, ends each by its id when its handle is dropped, freezes them, and puts relays that can fall silent in front of peers and platform. A server's behaviour is read from JSON. Conclusion: the daemons' own tests can be written on this harness.

--- a/goldcrestramp-standins/src/server.rs
+++ b/goldcrestramp-standins/src/server.rs
@@ -34,12 +34,19 @@
 }
 
 /// How a stand-in server behaves.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct ServerBehaviour {
     /// Whether it refuses old tokens.
     pub checks_fence: bool,
-    /// How long a request takes.
-    pub work: Duration,
+    /// How long a request takes, in milliseconds.
+    pub work_ms: u64,
+}
+
+impl Default for ServerBehaviour {
+    fn default() -> Self {
+        Self { checks_fence: true, work_ms: 1 }
+    }
 }
 
 #[derive(Debug)]
@@ -143,7 +150,8 @@
             .body("");
         return refused.map_or_else(|_| fault(), Reply::into_response);
     };
-    tokio::time::sleep(shared.behaviour.work).await;
+    let work = Duration::from_millis(shared.behaviour.work_ms);
+    tokio::time::sleep(work).await;
     let answer = Response::builder()
         .header(HEADER_REQUEST, request.as_str())
         .body(format!("{request} {} bytes\n", body.len()));
--- /dev/null
+++ b/src/bin/goldcrestramp-standin.rs
@@ -0,0 +1,89 @@
+//! Stand-ins of the platform and of backend servers, as programs.
+//!
+//! Tests and operators who try the system start these in place of the
+//! platform and of real servers. Each prints `listening ADDRESS` on its
+//! standard output once it can be reached, and runs until it is ended.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use eyre::{Context, OptionExt};
+use goldcrestramp_standins::{
+    platform::PlatformStandin,
+    server::{ServerBehaviour, ServerStandin},
+};
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("platform", matches)) => run_platform(matches).await,
+        Some(("server", matches)) => run_server(matches).await,
+        _ => Ok(()),
+    }
+}
+
+/// The command line.
+fn command() -> Command {
+    let listen = Arg::new("listen")
+        .long("listen")
+        .value_name("IP:PORT")
+        .help("Where to listen; port 0 takes any free one")
+        .default_value("127.0.0.1:0")
+        .value_parser(value_parser!(SocketAddr));
+    let behaviour = Arg::new("behaviour")
+        .long("behaviour")
+        .value_name("FILE")
+        .help("How the server behaves, as JSON; absent fields: defaults")
+        .value_parser(value_parser!(PathBuf));
+    Command::new("goldcrestramp-standin")
+        .about("Stand-ins of the platform and of backend servers")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("platform")
+                .about("Runs a key-value service with a VM list")
+                .arg(listen.clone()),
+        )
+        .subcommand(
+            Command::new("server")
+                .about("Runs a backend server")
+                .arg(listen)
+                .arg(behaviour),
+        )
+}
+
+async fn run_platform(matches: &ArgMatches) -> eyre::Result<()> {
+    let platform = PlatformStandin::bind(listen_address(matches)?).await?;
+    wait_for_end(platform.address()).await
+}
+
+async fn run_server(matches: &ArgMatches) -> eyre::Result<()> {
+    let behaviour = read_behaviour(matches)?;
+    let server =
+        ServerStandin::bind(listen_address(matches)?, behaviour).await?;
+    wait_for_end(server.address()).await
+}
+
+/// The behaviour from the file named on the command line, or the default.
+fn read_behaviour(matches: &ArgMatches) -> eyre::Result<ServerBehaviour> {
+    let Some(path) = matches.get_one::<PathBuf>("behaviour") else {
+        return Ok(ServerBehaviour::default());
+    };
+    let text = std::fs::read(path)
+        .wrap_err_with(|| format!("cannot read {}", path.display()))?;
+    serde_json::from_slice(&text)
+        .wrap_err_with(|| format!("no server behaviour: {}", path.display()))
+}
+
+fn listen_address(matches: &ArgMatches) -> eyre::Result<SocketAddr> {
+    let address = matches.get_one::<SocketAddr>("listen");
+    address.copied().ok_or_eyre("no address to listen on")
+}
+
+/// Tells who started this program where it listens, then waits.
+async fn wait_for_end(address: SocketAddr) -> eyre::Result<()> {
+    println!("listening {address}");
+    tokio::signal::ctrl_c().await?;
+    Ok(())
+}
--- /dev/null
+++ b/tests/process/deployment.rs
@@ -0,0 +1,214 @@
+//! A small deployment of separate processes on loopback.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::PathBuf,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+
+use super::{child::ChildProcess, relay::TcpRelay};
+
+/// Longer than anything a test waits for; only a failed test sees it.
+const WAIT_LIMIT: Duration = Duration::from_mins(1);
+/// How often a condition is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+
+/// The platform, servers and daemons of one test.
+#[derive(Debug)]
+pub struct ProcessDeployment {
+    /// The platform's process.
+    pub platform: ChildProcess,
+    /// Where the platform listens.
+    pub platform_address: SocketAddr,
+    http: reqwest::Client,
+    host: Ipv4Addr,
+}
+
+/// A running daemon and where its listeners are.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// The process.
+    pub process: ChildProcess,
+    /// The name of its VM.
+    pub vm: String,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where operators are served.
+    pub operators: SocketAddr,
+    /// What stands between it and its peers; the address they know.
+    pub peer_relay: TcpRelay,
+    /// What stands between it and the platform.
+    pub platform_relay: TcpRelay,
+    settings: PathBuf,
+}
+
+impl ProcessDeployment {
+    /// Starts the platform.
+    pub fn spawn() -> Self {
+        let program = env!("CARGO_BIN_EXE_goldcrestramp-standin");
+        let host = own_host();
+        let listen = format!("{host}:0");
+        let mut platform = ChildProcess::spawn(
+            program,
+            "platform",
+            &["platform", "--listen", &listen],
+        );
+        let platform_address = platform.listening();
+        let http = reqwest::Client::new();
+        Self { platform, platform_address, http, host }
+    }
+
+    /// Starts a backend server that behaves as the JSON says.
+    pub fn server(
+        &self,
+        name: &str,
+        behaviour: &Value,
+    ) -> (ChildProcess, SocketAddr) {
+        let path = self.temporary(&format!("{name}.json"));
+        std::fs::write(&path, behaviour.to_string()).expect("a file");
+        let listen = format!("{}:0", self.host);
+        let path = path.to_str().expect("a path in text");
+        let mut server = ChildProcess::spawn(
+            env!("CARGO_BIN_EXE_goldcrestramp-standin"),
+            name,
+            &["server", "--listen", &listen, "--behaviour", path],
+        );
+        let address = server.listening();
+        (server, address)
+    }
+
+    /// Starts a daemon; it may not serve yet when this returns.
+    pub async fn daemon(&self, vm: &str, domain: &str) -> DaemonProcess {
+        let [callers, peers, operators] = self.free_addresses();
+        let any = SocketAddr::from((self.host, 0));
+        let peer_relay = TcpRelay::bind(any, peers).await;
+        let platform_relay = TcpRelay::bind(any, self.platform_address).await;
+        let settings = json!({
+            "deployment": "process-test",
+            "vm": vm,
+            "domain": domain,
+            "region": "sierra",
+            "callers_listen": callers,
+            "peers_listen": peers,
+            "peers_address": peer_relay.address(),
+            "platform_url": format!("http://{}", platform_relay.address()),
+            "operators": { "listen": operators },
+        });
+        let path = self.temporary(&format!("{vm}.jsonc"));
+        std::fs::write(&path, settings.to_string()).expect("a file");
+        let process = spawn_daemon(vm, &path);
+        DaemonProcess {
+            process,
+            vm: vm.to_owned(),
+            callers,
+            operators,
+            peer_relay,
+            platform_relay,
+            settings: path,
+        }
+    }
+
+    /// The client that this deployment's tests share.
+    pub const fn http(&self) -> &reqwest::Client {
+        &self.http
+    }
+
+    /// Writes a first value into the platform's key-value service.
+    pub async fn put_first(&self, key: &str, value: &Value) {
+        let url = format!("http://{}/kv/{key}", self.platform_address);
+        let request = self.http.put(url).header("if-none-match", "*");
+        let answer = request.body(value.to_string()).send().await;
+        let status = answer.expect("the platform's answer").status();
+        assert!(status.is_success(), "{key}: {status}");
+    }
+
+    /// Replaces the platform's VM list.
+    pub async fn put_vms(&self, vms: &Value) {
+        let url = format!("http://{}/vms", self.platform_address);
+        let answer = self.http.put(url).json(vms).send().await;
+        let status = answer.expect("the platform's answer").status();
+        assert!(status.is_success(), "VM list: {status}");
+    }
+
+    /// What a server has executed, as its own log tells it.
+    pub async fn server_log(&self, server: SocketAddr) -> Value {
+        let url = format!("http://{server}/log");
+        let answer = self.http.get(url).send().await;
+        let answer = answer.expect("the server's answer");
+        answer.json().await.expect("the server's log")
+    }
+
+    /// Asks as a caller does; `headers` tell caller, id and class.
+    pub async fn ask(
+        &self,
+        daemon: &DaemonProcess,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> reqwest::Result<reqwest::Response> {
+        let url = format!("http://{}/v1/{path}", daemon.callers);
+        let mut request = self.http.post(url);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        request.send().await
+    }
+
+    /// Addresses on which nothing listens now.
+    ///
+    /// No other process binds ports of this host, so they stay free.
+    pub fn free_addresses<const N: usize>(&self) -> [SocketAddr; N] {
+        let listeners: [TcpListener; N] = std::array::from_fn(|_| {
+            TcpListener::bind((self.host, 0)).expect("a port")
+        });
+        listeners.map(|one| one.local_addr().expect("an address"))
+    }
+
+    /// A file of this deployment alone.
+    fn temporary(&self, name: &str) -> PathBuf {
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let port = self.platform_address.port();
+        directory.join(format!("{}-{port}-{name}", self.host))
+    }
+}
+
+impl DaemonProcess {
+    /// Starts the daemon again after it was killed: a replaced VM.
+    pub fn restart(&mut self) {
+        self.process = spawn_daemon(&self.vm, &self.settings);
+    }
+}
+
+/// Waits until `look` tells a value; fails the test after a minute.
+pub async fn wait_until<T>(
+    what: &str,
+    mut look: impl AsyncFnMut() -> Option<T>,
+) -> T {
+    let limit = Instant::now() + WAIT_LIMIT;
+    loop {
+        if let Some(value) = look().await {
+            return value;
+        }
+        assert!(Instant::now() < limit, "waited in vain: {what}");
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+fn spawn_daemon(vm: &str, settings: &std::path::Path) -> ChildProcess {
+    let settings = settings.to_str().expect("a path in text");
+    ChildProcess::spawn(
+        env!("CARGO_BIN_EXE_goldcrestrampd"),
+        vm,
+        &["--settings", settings],
+    )
+}
+
+/// A loopback address that only this test process uses.
+///
+/// Outgoing connections take 127.0.0.1, so a port that was free here stays
+/// free until a daemon of this test binds it.
+fn own_host() -> Ipv4Addr {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 + (high & 0x7f), low, 1)
+}
--- /dev/null
+++ b/tests/process/mod.rs
@@ -0,0 +1,21 @@
+//! Starts daemons and stand-ins as processes of their own, and makes them
+//! fail: kill, freeze, cut off.
+//!
+//! Every process is ended by its id when its handle is dropped, also when
+//! the test panics; its output is then printed.
+
+#![expect(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses a part of the harness"
+)]
+
+mod child;
+mod deployment;
+mod relay;
+
+pub use self::{
+    child::ChildProcess,
+    deployment::{DaemonProcess, ProcessDeployment, wait_until},
+    relay::TcpRelay,
+};
