Judge change tickets, and join states that grew apart

Cause: the deployment's state had no way to change.

Change: a ticket is read with all its faults at once and judged by a pure function: the same text again is accepted already; a number that was used, or that is not above the last for a thing it touches, dangling references, fixed properties, impossible capacity and a state beyond 900 kB are refused, each at its place in the text. The state keeps the last number of each thing (also of 1,024 removed ones) and the digests of 1,024 tickets. Its version now counts accepted tickets, because tickets of different things need no common order. A preview tells slots by domain and service and slices that move. merge_states joins a node's state with a store that came back older: each thing from the ticket with the higher number.

A first form of the oracle for one number used on both sides dropped the losing ticket whole; a trace showed that both are in force, in the order number, then digest. The oracle now demands that order of all of them.

--- a/goldcrestramp-config/src/deployment.rs
+++ b/goldcrestramp-config/src/deployment.rs
@@ -8,11 +8,13 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::ticket::{ConfiguredThing, ThingId, ThingKind, TicketMarks};
+
 /// The accepted configuration of a deployment.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DeploymentState {
-    /// The number of the last accepted ticket; rises with each.
+    /// Rises by one with each accepted ticket.
     pub version: u64,
     /// Failure domains.
     #[serde(default)]
@@ -26,6 +28,113 @@
     /// Callers that get another share than the default.
     #[serde(default)]
     pub callers: Vec<CallerRules>,
+    /// Which tickets have been accepted.
+    #[serde(default)]
+    pub tickets: TicketMarks,
+}
+
+impl DeploymentState {
+    /// The failure domain of this name.
+    #[must_use]
+    pub fn domain(&self, name: &DomainName) -> Option<&DomainRules> {
+        self.domains.iter().find(|domain| domain.name == *name)
+    }
+
+    /// The service of this name.
+    #[must_use]
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceRules> {
+        self.services.iter().find(|service| service.name == *name)
+    }
+
+    /// The server of this name.
+    #[must_use]
+    pub fn server(&self, name: &ServerName) -> Option<&ServerRules> {
+        self.servers.iter().find(|server| server.name == *name)
+    }
+
+    /// Whether `server` may own keys of `service`: the service's rules let
+    /// its place, and it is not draining.
+    ///
+    /// A domain that is declared lost still counts here; see
+    /// [`DomainRules::lost`].
+    #[must_use]
+    pub fn may_own(
+        &self,
+        service: &ServiceRules,
+        server: &ServerRules,
+    ) -> bool {
+        let domains = &service.domains;
+        let regions = &service.regions;
+        let region = self.domain(&server.domain).map(|d| &d.region);
+        let place = domains.is_empty() || domains.contains(&server.domain);
+        let region = regions.is_empty()
+            || region.is_some_and(|region| regions.contains(region));
+        service.name == server.service && place && region && !server.drain
+    }
+
+    pub(crate) fn contains(&self, thing: &ThingId) -> bool {
+        let name = &*thing.name;
+        match thing.kind {
+            ThingKind::Domain => {
+                self.domains.iter().any(|d| d.name.as_str() == name)
+            }
+            ThingKind::Service => {
+                self.services.iter().any(|s| s.name.as_str() == name)
+            }
+            ThingKind::Server => {
+                self.servers.iter().any(|s| s.name.as_str() == name)
+            }
+            ThingKind::Caller => {
+                self.callers.iter().any(|c| c.name.as_str() == name)
+            }
+        }
+    }
+
+    pub(crate) fn remove(&mut self, thing: &ThingId) {
+        let name = &*thing.name;
+        match thing.kind {
+            ThingKind::Domain => {
+                self.domains.retain(|d| d.name.as_str() != name);
+            }
+            ThingKind::Service => {
+                self.services.retain(|s| s.name.as_str() != name);
+            }
+            ThingKind::Server => {
+                self.servers.retain(|s| s.name.as_str() != name);
+            }
+            ThingKind::Caller => {
+                self.callers.retain(|c| c.name.as_str() != name);
+            }
+        }
+    }
+
+    /// A thing that refers to `thing`.
+    pub(crate) fn user_of(&self, thing: &ThingId) -> Option<ThingId> {
+        let name = &*thing.name;
+        match thing.kind {
+            ThingKind::Domain => {
+                let services = self.services.iter();
+                let mut services = services
+                    .filter(|s| s.domains.iter().any(|d| d.as_str() == name));
+                let mut servers = self.servers.iter();
+                let server = servers.find(|s| s.domain.as_str() == name);
+                let service = services.next().map(ConfiguredThing::id);
+                service.or_else(|| server.map(ConfiguredThing::id))
+            }
+            ThingKind::Service => {
+                let mut servers = self.servers.iter();
+                let server = servers.find(|s| s.service.as_str() == name);
+                server.map(ConfiguredThing::id)
+            }
+            ThingKind::Server | ThingKind::Caller => None,
+        }
+    }
+
+    pub(crate) fn trim_marks(&mut self) {
+        let mut marks = std::mem::take(&mut self.tickets);
+        marks.trim(|thing| self.contains(thing));
+        self.tickets = marks;
+    }
 }
 
 /// A failure domain.
--- a/goldcrestramp-config/src/document/fault.rs
+++ b/goldcrestramp-config/src/document/fault.rs
@@ -55,6 +55,14 @@
         Self { file: Arc::from(file), faults: Vec::new() }
     }
 
+    /// The one fault of a file that can't be read.
+    pub(crate) fn unreadable(file: &str, error: &std::io::Error) -> Self {
+        let mut faults = Self::new(file);
+        let message = format!("can't be read: {error}");
+        faults.add(SourcePosition::default(), "", message);
+        faults
+    }
+
     /// Notes a fault.
     pub fn add(
         &mut self,
--- a/goldcrestramp-config/src/document/fields.rs
+++ b/goldcrestramp-config/src/document/fields.rs
@@ -119,7 +119,6 @@
     }
 
     /// The items of a list; an absent list is empty.
-    #[expect(dead_code, reason = "change tickets read lists")]
     pub(crate) fn list<T>(
         &mut self,
         name: &'static str,
--- a/goldcrestramp-config/src/document/mod.rs
+++ b/goldcrestramp-config/src/document/mod.rs
@@ -11,6 +11,6 @@
 
 pub use self::fault::{DocumentFault, FaultList, SourcePosition};
 pub(crate) use self::{
-    fields::FieldReader,
-    tree::{DocumentNode, open_document},
+    fields::{FieldReader, leaf},
+    tree::{DocumentNode, NodeContent, open_document},
 };
--- a/goldcrestramp-config/src/lib.rs
+++ b/goldcrestramp-config/src/lib.rs
@@ -8,6 +8,7 @@
 mod deployment;
 mod document;
 mod settings;
+mod ticket;
 
 pub use crate::{
     deployment::{
@@ -18,4 +19,11 @@
         LogFormat, LogSettings, NodeSettings, OperatorSettings,
         PeerTlsSettings, parse_settings, read_settings,
     },
+    ticket::{
+        AcceptOutcome, CapacityPreview, ChangeTicket, RefusalReason,
+        RemovalList, STATE_BYTES, ServicePreview, ThingId, ThingKind,
+        TicketDocument, TicketMark, TicketMarks, TicketPreview, TicketRefusal,
+        accept_ticket, merge_states, parse_ticket, preview_ticket,
+        read_ticket,
+    },
 };
--- a/goldcrestramp-config/src/settings/reader.rs
+++ b/goldcrestramp-config/src/settings/reader.rs
@@ -32,12 +32,7 @@
     let name = file.display().to_string();
     match std::fs::read_to_string(file) {
         Ok(text) => parse_settings(&name, &text),
-        Err(error) => {
-            let mut faults = FaultList::new(&name);
-            let message = format!("can't be read: {error}");
-            faults.add(SourcePosition::default(), "", message);
-            Err(faults)
-        }
+        Err(error) => Err(FaultList::unreadable(&name, &error)),
     }
 }
 
--- /dev/null
+++ b/goldcrestramp-config/src/ticket/reader.rs
@@ -0,0 +1,210 @@
+//! Reads tickets, and finds the place of a path in one.
+
+use std::path::Path;
+
+use goldcrestramp_types::{FastMap, SliceCount};
+
+use super::{ChangeTicket, RemovalList, refusal::TicketRefusal};
+use crate::{
+    deployment::{CallerRules, DomainRules, ServerRules, ServiceRules},
+    document::{
+        DocumentNode, FaultList, FieldReader, NodeContent, SourcePosition,
+        leaf, open_document,
+    },
+};
+
+/// Numbers stay exact in every JSON reader up to 2^53 - 1.
+const TICKET_NUMBER: std::ops::RangeInclusive<u64> = 1..=9_007_199_254_740_991;
+/// Far above any server's slots or connections; catches a slip.
+const SERVER_COUNT: std::ops::RangeInclusive<u32> = 1..=65_536;
+const CALLER_WEIGHT: std::ops::RangeInclusive<u32> = 1..=1_000;
+
+/// A ticket with the place of each of its values.
+#[derive(Clone, Debug)]
+pub struct TicketDocument {
+    /// The ticket.
+    pub ticket: ChangeTicket,
+    file: String,
+    places: FastMap<String, SourcePosition>,
+}
+
+impl TicketDocument {
+    /// Places refusals in the text that the ticket was read from.
+    #[must_use]
+    pub fn locate(&self, refusals: &[TicketRefusal]) -> FaultList {
+        let mut faults = FaultList::new(&self.file);
+        for refusal in refusals {
+            let position = self.position(&refusal.path);
+            let message = refusal.reason.to_string();
+            faults.add(position, &refusal.path, message);
+        }
+        faults
+    }
+
+    /// The place of a value, or of what holds it when the text lacks it.
+    fn position(&self, path: &str) -> SourcePosition {
+        let mut path = path;
+        loop {
+            if let Some(position) = self.places.get(path) {
+                return *position;
+            }
+            let end = path.rfind(['.', '[']).unwrap_or(0);
+            path = path.get(..end).unwrap_or("");
+        }
+    }
+}
+
+/// Reads the ticket in `file`.
+///
+/// # Errors
+///
+/// Every fault of the file at once, each with its place.
+pub fn read_ticket(file: &Path) -> Result<TicketDocument, FaultList> {
+    let name = file.display().to_string();
+    match std::fs::read_to_string(file) {
+        Ok(text) => parse_ticket(&name, &text),
+        Err(error) => Err(FaultList::unreadable(&name, &error)),
+    }
+}
+
+/// Reads a ticket from `text`; `file` is named in the faults.
+///
+/// # Errors
+///
+/// Every fault of the text at once, each with its place. References to
+/// other things are judged by [`accept_ticket`](super::accept_ticket).
+pub fn parse_ticket(
+    file: &str,
+    text: &str,
+) -> Result<TicketDocument, FaultList> {
+    let mut faults = FaultList::new(file);
+    let document = open_document(text, &mut faults).and_then(|node| {
+        let ticket = ticket_from_node(&node, &mut faults)?;
+        let mut places = FastMap::default();
+        note_places(&node, &mut places);
+        Some(TicketDocument { ticket, file: file.to_owned(), places })
+    });
+    faults.or_value(document)
+}
+
+fn note_places(
+    node: &DocumentNode,
+    places: &mut FastMap<String, SourcePosition>,
+) {
+    places.insert(node.path.clone(), node.position);
+    match &node.content {
+        NodeContent::Table(entries) => {
+            for entry in entries {
+                note_places(&entry.value, places);
+            }
+        }
+        NodeContent::List(items) => {
+            for item in items {
+                note_places(item, places);
+            }
+        }
+        NodeContent::Scalar => {}
+    }
+}
+
+/// Reads a ticket that stands at `node` of a larger document.
+pub(super) fn ticket_from_node(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<ChangeTicket> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let ticket = fields.ranged("ticket", &TICKET_NUMBER, None, faults);
+    let domains = fields.list("domains", faults, domain_rules);
+    let services = fields.list("services", faults, service_rules);
+    let servers = fields.list("servers", faults, server_rules);
+    let callers = fields.list("callers", faults, caller_rules);
+    let remove = match fields.node("remove") {
+        None => Some(RemovalList::default()),
+        Some(node) => removal_list(node, faults),
+    };
+    fields.close(faults);
+    Some(ChangeTicket {
+        ticket: ticket?,
+        domains,
+        services,
+        servers,
+        callers,
+        remove: remove?,
+    })
+}
+
+fn domain_rules(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<DomainRules> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let name = fields.required("name", faults);
+    let region = fields.required("region", faults);
+    let lost = fields.or_default("lost", false, faults);
+    fields.close(faults);
+    Some(DomainRules { name: name?, region: region?, lost: lost? })
+}
+
+fn service_rules(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<ServiceRules> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let name = fields.required("name", faults);
+    let slices = fields.or_default("slices", SliceCount::DEFAULT, faults);
+    let domains = fields.list("domains", faults, leaf);
+    let regions = fields.list("regions", faults, leaf);
+    fields.close(faults);
+    Some(ServiceRules { name: name?, slices: slices?, domains, regions })
+}
+
+fn server_rules(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<ServerRules> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let name = fields.required("name", faults);
+    let service = fields.required("service", faults);
+    let domain = fields.required("domain", faults);
+    let address = fields.required("address", faults);
+    let slots = fields.ranged("slots", &SERVER_COUNT, None, faults);
+    let connections =
+        fields.ranged("connections", &SERVER_COUNT, None, faults);
+    let checks_fence = fields.required("checks_fence", faults);
+    let drain = fields.or_default("drain", false, faults);
+    fields.close(faults);
+    Some(ServerRules {
+        name: name?,
+        service: service?,
+        domain: domain?,
+        address: address?,
+        slots: slots?,
+        connections: connections?,
+        checks_fence: checks_fence?,
+        drain: drain?,
+    })
+}
+
+fn caller_rules(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<CallerRules> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let name = fields.required("name", faults);
+    let weight = fields.ranged("weight", &CALLER_WEIGHT, None, faults);
+    fields.close(faults);
+    Some(CallerRules { name: name?, weight: weight? })
+}
+
+fn removal_list(
+    node: &DocumentNode,
+    faults: &mut FaultList,
+) -> Option<RemovalList> {
+    let mut fields = FieldReader::open(node, faults)?;
+    let domains = fields.list("domains", faults, leaf);
+    let services = fields.list("services", faults, leaf);
+    let servers = fields.list("servers", faults, leaf);
+    let callers = fields.list("callers", faults, leaf);
+    fields.close(faults);
+    Some(RemovalList { domains, services, servers, callers })
+}
--- /dev/null
+++ b/goldcrestramp-config/src/ticket/thing.rs
@@ -0,0 +1,119 @@
+//! The kinds of things that tickets touch, seen alike.
+
+use std::{fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+use crate::deployment::{CallerRules, DomainRules, ServerRules, ServiceRules};
+
+/// A kind of thing.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum ThingKind {
+    /// A failure domain.
+    Domain,
+    /// A service.
+    Service,
+    /// A backend server.
+    Server,
+    /// A caller's share.
+    Caller,
+}
+
+impl ThingKind {
+    const ALL: [Self; 4] =
+        [Self::Domain, Self::Service, Self::Server, Self::Caller];
+
+    /// The stable code in marks and messages.
+    #[must_use]
+    pub const fn code(self) -> &'static str {
+        match self {
+            Self::Domain => "domain",
+            Self::Service => "service",
+            Self::Server => "server",
+            Self::Caller => "caller",
+        }
+    }
+
+    /// The name of the ticket's list of such things.
+    pub(crate) const fn plural(self) -> &'static str {
+        match self {
+            Self::Domain => "domains",
+            Self::Service => "services",
+            Self::Server => "servers",
+            Self::Caller => "callers",
+        }
+    }
+}
+
+/// One thing by kind and name; as text `server/NAME`.
+#[derive(
+    Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct ThingId {
+    /// Its kind.
+    pub kind: ThingKind,
+    /// Its name.
+    pub name: Arc<str>,
+}
+
+impl ThingId {
+    /// Names a thing.
+    #[must_use]
+    pub fn new(kind: ThingKind, name: &str) -> Self {
+        Self { kind, name: Arc::from(name) }
+    }
+}
+
+impl fmt::Display for ThingId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.code(), self.name)
+    }
+}
+
+impl From<ThingId> for String {
+    fn from(id: ThingId) -> Self {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for ThingId {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let (code, name) = text.split_once('/').ok_or("no kind/name")?;
+        let mut kinds = ThingKind::ALL.into_iter();
+        let kind = kinds.find(|kind| kind.code() == code);
+        Ok(Self::new(kind.ok_or("no such kind of thing")?, name))
+    }
+}
+
+/// What the four kinds have in common.
+pub(crate) trait ConfiguredThing: Clone {
+    /// The thing's kind and name.
+    fn id(&self) -> ThingId;
+}
+
+impl ConfiguredThing for DomainRules {
+    fn id(&self) -> ThingId {
+        ThingId::new(ThingKind::Domain, self.name.as_str())
+    }
+}
+
+impl ConfiguredThing for ServiceRules {
+    fn id(&self) -> ThingId {
+        ThingId::new(ThingKind::Service, self.name.as_str())
+    }
+}
+
+impl ConfiguredThing for ServerRules {
+    fn id(&self) -> ThingId {
+        ThingId::new(ThingKind::Server, self.name.as_str())
+    }
+}
+
+impl ConfiguredThing for CallerRules {
+    fn id(&self) -> ThingId {
+        ThingId::new(ThingKind::Caller, self.name.as_str())
+    }
+}
