Keep rosters, divisions and domain records in the store

Cause: nothing said how the store's values look, so no reader could tell a sound value from a half-written or damaged one.

Change: goldcrestramp-platform::records names the keys and gives each value a JSON form with bounds, read by StoreRecord::decode and refused whole when any part is malformed. A domain's record is kept in shards of 4,096 slices and a head that is written last; a shard older than its head says is refused. ServiceRecord (which domain holds each slice) stands in goldcrestramp-ownership. Names "." and ".." are refused, because HTTP clients resolve them in a key's path; tokens refuse unknown fields.

--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -19,6 +19,7 @@
 mod keeper;
 mod message;
 mod plan;
+mod planner;
 mod roster;
 mod steward;
 mod table;
@@ -33,6 +34,7 @@
         ServerReport, SliceLoad,
     },
     plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
+    planner::{ServiceRecord, SliceHolding},
     roster::{RosterVoter, VoterRoster},
     steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
     table::{DomainTable, ServiceTable, TableServer},
--- a/goldcrestramp-platform/src/lib.rs
+++ b/goldcrestramp-platform/src/lib.rs
@@ -20,6 +20,7 @@
 mod calls;
 mod client;
 mod protocol;
+pub mod records;
 mod store;
 
 pub use crate::{
--- a/goldcrestramp-types/src/names.rs
+++ b/goldcrestramp-types/src/names.rs
@@ -16,6 +16,8 @@
     TooLong,
     /// The text holds a character outside `a-z A-Z 0-9 . _ : @ -`.
     BadCharacter(char),
+    /// The text is `.` or `..`, which a URL's path would swallow.
+    OnlyDots,
 }
 
 impl fmt::Display for NameError {
@@ -28,6 +30,9 @@
             Self::BadCharacter(character) => {
                 write!(f, "a name may not hold {character:?}")
             }
+            Self::OnlyDots => {
+                write!(f, "a name may not be \".\" or \"..\"")
+            }
         }
     }
 }
@@ -42,6 +47,11 @@
     if text.len() > NAME_LIMIT {
         return Err(NameError::TooLong);
     }
+    // Names are path segments of the store's keys: HTTP clients resolve
+    // these two, so that one domain would read another key's value.
+    if text == "." || text == ".." {
+        return Err(NameError::OnlyDots);
+    }
     let bad = text
         .chars()
         .find(|c| !c.is_ascii_alphanumeric() && !"._:@-".contains(*c));
--- a/goldcrestramp-types/src/token.rs
+++ b/goldcrestramp-types/src/token.rs
@@ -22,6 +22,7 @@
     Serialize,
     Deserialize,
 )]
+#[serde(deny_unknown_fields)]
 pub struct TermId {
     /// Rises with every new steward of the failure domain.
     pub number: u64,
@@ -55,6 +56,7 @@
     Serialize,
     Deserialize,
 )]
+#[serde(deny_unknown_fields)]
 pub struct FenceToken {
     /// The term of the steward that decided.
     pub term: TermId,
@@ -76,6 +78,7 @@
     Serialize,
     Deserialize,
 )]
+#[serde(deny_unknown_fields)]
 pub struct TableVersion {
     /// The term of the steward that published the table.
     pub term: TermId,
