Give each server one queue with admission, fair shares and slot bounds

Cause: nothing decided yet who waits for a server's slots, for how long, and who is refused.

Change: `ServerQueue` in goldcrestramp-decisions. Start-time fair queuing over class, caller and key by slot time; earliest deadline first within a key; refusal on arrival of what would come too late in its fair order, and of what only lengthens a standing queue; long answers leave a slot to short ones, lent out when no short request comes. Tables are exact and bounded by what waits. The estimate of a slot time fades without samples, so a server that was slow is tried again.

--- /dev/null
+++ b/goldcrestramp-decisions/src/queue/admission.rs
@@ -0,0 +1,101 @@
+/*!
+Whether a request may wait, and when a refused caller should come back.
+
+The load: more arrives than the server can do, for a moment or for hours.
+An unbounded queue then serves every request late, and a queue bounded in
+length alone keeps each request for that length and then lets it fail.
+
+A request is refused on arrival when its place in the fair order comes too
+late for its deadline. In a burst the whole of its time may be spent in
+waiting. When something has waited without a break for [`STANDING_AFTER`],
+the queue is a standing one, and waiting no longer serves more requests, it
+only makes each of them later: then a quarter of the time is all that may be
+spent, except for a caller's first few, which fair shares need.
+*/
+
+use goldcrestramp_types::{LocalTime, NotRunReason, TimeSpan};
+
+use crate::queue::request::QueueRefusal;
+
+/// A queue that lasts longer than this stands: some 20 times the slot time
+/// of a lookup, the interval by which controlled delay tells them apart.
+const STANDING_AFTER: TimeSpan = TimeSpan::from_millis(100);
+
+/// The part of its time that a request may wait in a standing queue.
+const STANDING_PERCENT: u64 = 25;
+
+/// A standing queue is still as long as so many slot times, or slots would
+/// run dry between an answer and the next arrival.
+const STANDING_SLOT_TIMES: u64 = 4;
+
+/// A caller may have this many waiting whatever the standing queue: one
+/// whose turn it is, and one behind it, keep its share in use.
+pub(crate) const CALLER_MINIMUM: usize = 2;
+
+/// A refused caller is told at least and at most this.
+const RETRY_LEAST: TimeSpan = TimeSpan::from_millis(10);
+const RETRY_MOST: TimeSpan = TimeSpan::from_millis(30_000);
+
+/// What is known of a request's place when it arrives.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct WaitForecast {
+    /// The expected wait for its turn.
+    pub(crate) wait: TimeSpan,
+    /// The wait after which it could not end in time.
+    pub(crate) budget: TimeSpan,
+    /// The expected slot time of its class.
+    pub(crate) service: TimeSpan,
+    /// Since when something has waited without a break.
+    pub(crate) busy_since: Option<LocalTime>,
+    /// What its caller has waiting.
+    pub(crate) caller_waiting: usize,
+}
+
+/// How a forecast is judged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum WaitVerdict {
+    /// It may wait.
+    Admit,
+    /// Its turn comes too late for its deadline.
+    TooLate,
+    /// Its turn comes in time, but the queue stands.
+    Standing,
+}
+
+impl WaitForecast {
+    /// Whether the request may wait.
+    pub(crate) fn judge(&self, now: LocalTime) -> WaitVerdict {
+        if self.wait > self.budget {
+            return WaitVerdict::TooLate;
+        }
+        let standing = self
+            .busy_since
+            .is_some_and(|since| now.since(since) > STANDING_AFTER);
+        if !standing || self.caller_waiting < CALLER_MINIMUM {
+            return WaitVerdict::Admit;
+        }
+        let least = self.service.percent(100 * STANDING_SLOT_TIMES);
+        let most = self.budget.percent(STANDING_PERCENT).max(least);
+        if self.wait > most {
+            return WaitVerdict::Standing;
+        }
+        WaitVerdict::Admit
+    }
+
+    /// The refusal for `reason`, with the time until the wait that stands
+    /// now has been worked off, and up to as long again by `random`.
+    ///
+    /// Without the jitter, all who were refused in one burst would come
+    /// back as one burst.
+    pub(crate) fn refusal(
+        &self,
+        reason: NotRunReason,
+        random: u64,
+    ) -> QueueRefusal {
+        let least = self.wait.max(self.service).max(RETRY_LEAST);
+        let least = least.min(RETRY_MOST).as_micros();
+        let jitter = random % (least + 1);
+        let retry_after = TimeSpan::from_micros(least + jitter);
+        QueueRefusal { reason, retry_after }
+    }
+}
--- /dev/null
+++ b/goldcrestramp-decisions/src/queue/flow.rs
@@ -0,0 +1,98 @@
+//! One node of the tree of fair shares.
+
+use std::collections::BTreeSet;
+
+use goldcrestramp_types::{CallerName, LocalTime, RequestClass};
+use slotmap::new_key_type;
+
+use crate::queue::request::RequestKey;
+
+new_key_type! {
+    /// A flow of the tree.
+    pub(crate) struct FlowKey;
+}
+
+/// Virtual time of one microsecond of slot time at weight 1; the low bits
+/// keep the division by a weight from rounding to nothing.
+pub(crate) const TAG_SCALE: u64 = 1_024;
+
+/// What a flow stands for; unique in the tree.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum FlowName {
+    /// Everything at the server.
+    Root,
+    /// One class.
+    Class(RequestClass),
+    /// One caller within a class.
+    Caller(RequestClass, CallerName),
+    /// One key of a caller within a class.
+    Key(FlowKey, u64),
+}
+
+/// A flow: its share, and what waits and runs in it.
+#[derive(Clone, Debug)]
+pub(crate) struct Flow {
+    /// The flow that it shares with its siblings; none at the root.
+    pub(crate) parent: Option<FlowKey>,
+    pub(crate) name: FlowName,
+    pub(crate) weight: u64,
+    /// The virtual time at which its next request starts, in the clock
+    /// of the parent.
+    pub(crate) tag: u64,
+    /// The virtual time among its children.
+    pub(crate) clock: u64,
+    /// Children with something waiting, by tag.
+    pub(crate) ready: BTreeSet<(u64, FlowKey)>,
+    /// The sum of the weights in `ready`.
+    pub(crate) ready_weight: u64,
+    /// Waiting requests in it and below.
+    pub(crate) waiting: usize,
+    /// Their expected slot time in microseconds.
+    pub(crate) cost: u64,
+    /// Running requests in it and below.
+    pub(crate) running: usize,
+    /// The waiting requests of a key, the most urgent first.
+    pub(crate) queue: BTreeSet<(LocalTime, RequestKey)>,
+    /// Its place among the idle flows, if it is one.
+    pub(crate) idle_turn: Option<u64>,
+}
+
+impl Flow {
+    /// A flow with nothing in it.
+    pub(crate) const fn new(
+        parent: Option<FlowKey>,
+        name: FlowName,
+        weight: u64,
+    ) -> Self {
+        Self {
+            parent,
+            name,
+            weight,
+            tag: 0,
+            clock: 0,
+            ready: BTreeSet::new(),
+            ready_weight: 0,
+            waiting: 0,
+            cost: 0,
+            running: 0,
+            queue: BTreeSet::new(),
+            idle_turn: None,
+        }
+    }
+
+    /// Whether nothing waits or runs in it.
+    pub(crate) const fn is_idle(&self) -> bool {
+        self.waiting == 0 && self.running == 0
+    }
+
+    /// The virtual time that `cost` microseconds of slot time take.
+    pub(crate) const fn virtual_time(&self, cost: u64) -> u64 {
+        cost.saturating_mul(TAG_SCALE) / self.weight
+    }
+
+    /// The waiting requests for each unit of weight.
+    pub(crate) fn length(&self) -> u64 {
+        let waiting = u64::try_from(self.waiting).unwrap_or(u64::MAX);
+        waiting.saturating_mul(TAG_SCALE) / self.weight
+    }
+}
--- /dev/null
+++ b/goldcrestramp-decisions/src/queue/mod.rs
@@ -0,0 +1,447 @@
+/*!
+The one queue in front of a backend server.
+
+The load: bursts, hot callers, hot keys, long answers among short ones, and
+more work than the server can do. Without one queue that sees every slot,
+each gateway decides by its own part of the traffic: the server's slots are
+shared by chance, and what it cannot do waits at the server until it is
+worthless.
+
+- *Whom it serves*: [`tree`] gives classes, callers and keys their shares.
+- *Who waits how long*: within a key the earliest deadline goes first;
+  what can no longer end in time is given up at that moment.
+- *Who is refused*: [`admission`] refuses on arrival what would wait in
+  vain. When the queue is full, the caller with the most waiting for its
+  weight loses its least urgent request.
+- *Which slots*: [`slots`] keeps long answers from holding all of them.
+
+Every operation is a few insertions in ordered sets, logarithmic in what
+waits; nothing is scanned.
+*/
+
+mod admission;
+mod estimate;
+mod flow;
+mod request;
+mod slots;
+mod tree;
+
+use std::collections::BTreeSet;
+
+use goldcrestramp_types::{LocalTime, NotRunReason, RequestClass, TimeSpan};
+use slotmap::SlotMap;
+
+pub use crate::queue::request::{
+    CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent, QueueRefusal,
+    QueuedRequest, RequestKey,
+};
+use crate::queue::{
+    admission::{WaitForecast, WaitVerdict},
+    estimate::ServiceEstimate,
+    flow::{FlowKey, TAG_SCALE},
+    slots::SlotBook,
+    tree::{FlowEntry, FlowTree},
+};
+
+/// The bounds of a queue.
+#[derive(Clone, Copy, Debug)]
+pub struct QueueSettings {
+    /// The requests that the server runs at once.
+    pub slots: usize,
+    /// The most requests that wait; each takes about 1 KiB.
+    pub waiting_limit: usize,
+}
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug)]
+enum RequestPhase {
+    Waiting { give_up_at: LocalTime },
+    Running { since: LocalTime },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RequestEntry {
+    entry: FlowEntry,
+    class: RequestClass,
+    phase: RequestPhase,
+}
+
+/// The queue of one server.
+///
+/// # Example
+///
+/// ```
+/// use goldcrestramp_decisions::{
+///     OfferOutcome, QueueEvent, QueueSettings, QueuedRequest, ServerQueue,
+/// };
+/// use goldcrestramp_types::{CallerName, LocalTime, RequestClass};
+///
+/// let now = LocalTime::from_micros(0);
+/// let settings = QueueSettings { slots: 2, waiting_limit: 100 };
+/// let mut queue = ServerQueue::open(now, settings);
+/// let request = QueuedRequest {
+///     caller: CallerName::new("shop-17").expect("a valid name"),
+///     weight: 1,
+///     key_hash: 42,
+///     class: RequestClass::Lookup,
+///     deadline: LocalTime::from_micros(100_000),
+/// };
+/// let OfferOutcome::Waiting(key) = queue.offer(now, request, 7) else {
+///     panic!("an empty queue admits");
+/// };
+/// assert_eq!(queue.poll(now, 8), Some(QueueEvent::Start(key)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct ServerQueue {
+    settings: QueueSettings,
+    requests: SlotMap<RequestKey, RequestEntry>,
+    tree: FlowTree,
+    slots: SlotBook,
+    estimates: [ServiceEstimate; 3],
+    /// Waiting requests by the last moment that makes sense to start.
+    give_up: BTreeSet<(LocalTime, RequestKey)>,
+    /// Requests pushed out of a full queue, to be told so.
+    pushed_out: Vec<(RequestKey, QueueRefusal)>,
+    /// Since when each class has had something waiting.
+    busy_since: [Option<LocalTime>; 3],
+}
+
+impl ServerQueue {
+    /// Opens an empty queue.
+    #[must_use]
+    pub fn open(now: LocalTime, settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            requests: SlotMap::with_key(),
+            tree: FlowTree::new(),
+            slots: SlotBook::new(now, settings.slots),
+            estimates: RequestClass::ALL
+                .map(|class| ServiceEstimate::new(class, now)),
+            give_up: BTreeSet::new(),
+            pushed_out: Vec::new(),
+            busy_since: [None; 3],
+        }
+    }
+
+    /// Changes the number of slots; what runs goes on.
+    pub const fn set_slots(&mut self, slots: usize) {
+        self.slots.resize(slots);
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.tree.waiting()
+    }
+
+    /// Requests that hold a slot.
+    #[must_use]
+    pub const fn running(&self) -> usize {
+        self.slots.running()
+    }
+
+    /// Entries in the tables of fair shares: a measure of memory.
+    #[must_use]
+    pub fn flows(&self) -> usize {
+        self.tree.len()
+    }
+
+    /// The expected slot time of a class.
+    #[must_use]
+    pub fn service_time(
+        &self,
+        now: LocalTime,
+        class: RequestClass,
+    ) -> TimeSpan {
+        self.estimate(class).mean(now)
+    }
+
+    /// Takes a request in or refuses it, at once.
+    ///
+    /// `random` is a fresh random number, for the jitter of the time after
+    /// which a refused caller should come back. [`poll`](Self::poll) has to
+    /// follow.
+    pub fn offer(
+        &mut self,
+        now: LocalTime,
+        request: QueuedRequest,
+        random: u64,
+    ) -> OfferOutcome {
+        if request.class != RequestClass::Long {
+            self.slots.saw_short(now);
+        }
+        let QueuedRequest { caller, weight, key_hash, class, deadline } =
+            request;
+        let leaf = self.tree.leaf(class, &caller, weight, key_hash);
+        let forecast = self.forecast(now, leaf, class, deadline);
+        let reason =
+            self.refusal_reason(now, leaf, class, deadline, &forecast);
+        if let Some(reason) = reason {
+            self.tree.settle(leaf);
+            return OfferOutcome::Refused(forecast.refusal(reason, random));
+        }
+        if let Some(refused) = self.make_room(leaf, &forecast, random) {
+            self.tree.settle(leaf);
+            return OfferOutcome::Refused(refused);
+        }
+        OfferOutcome::Waiting(self.admit(now, leaf, class, deadline))
+    }
+
+    /// The next thing to do; called until it returns nothing.
+    pub fn poll(&mut self, now: LocalTime, random: u64) -> Option<QueueEvent> {
+        if let Some((key, refusal)) = self.pushed_out.pop() {
+            return Some(QueueEvent::GiveUp(key, refusal));
+        }
+        if let Some(key) = self.overdue(now) {
+            let entry = self.requests[key];
+            let leaf = entry.entry.leaf;
+            let deadline = entry.entry.deadline;
+            let forecast = self.forecast(now, leaf, entry.class, deadline);
+            self.withdraw(key);
+            let reason = NotRunReason::DeadlinePassed;
+            let refusal = forecast.refusal(reason, random);
+            return Some(QueueEvent::GiveUp(key, refusal));
+        }
+        self.start_next(now).map(QueueEvent::Start)
+    }
+
+    /// Takes the end of a started request and frees its slot.
+    ///
+    /// A request that the queue does not know as running is passed over.
+    pub fn finished(
+        &mut self,
+        now: LocalTime,
+        key: RequestKey,
+        outcome: CompletionOutcome,
+    ) {
+        let Some(entry) = self.requests.get(key).copied() else { return };
+        let RequestPhase::Running { since } = entry.phase else { return };
+        self.requests.remove(key);
+        self.slots.release(now, entry.class);
+        let used = now.since(since);
+        if outcome == CompletionOutcome::Answered {
+            self.estimate_mut(entry.class).record(now, used);
+        }
+        let FlowEntry { leaf, cost, .. } = entry.entry;
+        self.tree.finish(leaf, cost, used.as_micros());
+    }
+
+    /// Withdraws a request that its caller no longer wants.
+    pub fn cancel(&mut self, key: RequestKey) -> CancelOutcome {
+        match self.requests.get(key).map(|entry| entry.phase) {
+            Some(RequestPhase::Waiting { .. }) => {
+                self.withdraw(key);
+                CancelOutcome::Withdrawn
+            }
+            Some(RequestPhase::Running { .. }) => CancelOutcome::Running,
+            None => CancelOutcome::Unknown,
+        }
+    }
+
+    /// Withdraws everything that waits, when the server leaves or its
+    /// slices move; what runs goes on.
+    pub fn drain(&mut self) -> Vec<RequestKey> {
+        let keys: Vec<_> = self.give_up.iter().map(|(_, key)| *key).collect();
+        for key in &keys {
+            self.withdraw(*key);
+        }
+        keys
+    }
+
+    /// When to poll again if nothing else happens before.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<LocalTime> {
+        let overdue = self.give_up.first().map(|(time, _)| *time);
+        if !self.slots.has_free() {
+            return overdue;
+        }
+        let waits = self.tree.waiting_in(RequestClass::Long) > 0;
+        let long = self.estimate(RequestClass::Long).mean_unaged();
+        let lent = waits.then(|| self.slots.lent_at(long));
+        overdue.into_iter().chain(lent).min()
+    }
+
+    /// What is known of the place that a request would get.
+    fn forecast(
+        &self,
+        now: LocalTime,
+        leaf: FlowKey,
+        class: RequestClass,
+        deadline: LocalTime,
+    ) -> WaitForecast {
+        let estimate = self.estimate(class);
+        let long = self.estimate(RequestClass::Long).mean_unaged();
+        let ahead = self.tree.cost_ahead(leaf);
+        let service = estimate.mean(now);
+        let wait = self.slots.wait(now, class, ahead, service, long);
+        let caller = self.tree.flow(leaf).parent;
+        WaitForecast {
+            wait,
+            budget: (deadline - estimate.needed(now)).since(now),
+            service,
+            busy_since: self.busy_since[class as usize],
+            caller_waiting: caller
+                .map_or(0, |caller| self.tree.flow(caller).waiting),
+        }
+    }
+
+    /// Why a request may not wait, if so.
+    fn refusal_reason(
+        &self,
+        now: LocalTime,
+        leaf: FlowKey,
+        class: RequestClass,
+        deadline: LocalTime,
+        forecast: &WaitForecast,
+    ) -> Option<NotRunReason> {
+        if deadline <= now {
+            return Some(NotRunReason::DeadlinePassed);
+        }
+        // A free slot with nobody waiting for it is given to anyone: an
+        // estimate that has become too high can only be corrected so.
+        let long = self.estimate(RequestClass::Long).mean_unaged();
+        let free = self.slots.may_start(now, class, long);
+        if free && self.tree.waiting_in(class) == 0 {
+            return None;
+        }
+        match forecast.judge(now) {
+            WaitVerdict::Admit => None,
+            WaitVerdict::TooLate => {
+                let fallback = NotRunReason::DeadlineTooShort;
+                Some(self.share_reason(leaf).unwrap_or(fallback))
+            }
+            WaitVerdict::Standing => {
+                let fallback = NotRunReason::QueueFull;
+                Some(self.share_reason(leaf).unwrap_or(fallback))
+            }
+        }
+    }
+
+    /// The share that is exceeded by what already waits, if one is.
+    fn share_reason(&self, leaf: FlowKey) -> Option<NotRunReason> {
+        let key = self.tree.flow(leaf);
+        let caller_key = key.parent?;
+        let caller = self.tree.flow(caller_key);
+        let class = self.tree.flow(caller.parent?);
+        if exceeds(caller.cost, caller.weight, class.cost, class.ready_weight)
+        {
+            return Some(NotRunReason::CallerOverShare);
+        }
+        exceeds(key.cost, key.weight, caller.cost, caller.ready_weight)
+            .then_some(NotRunReason::KeyOverShare)
+    }
+
+    /// Pushes a request out of a full queue for one that joins `leaf`, or
+    /// refuses the latter if its caller has the most waiting.
+    fn make_room(
+        &mut self,
+        leaf: FlowKey,
+        forecast: &WaitForecast,
+        random: u64,
+    ) -> Option<QueueRefusal> {
+        if self.tree.waiting() < self.settings.waiting_limit {
+            return None;
+        }
+        let caller = self.tree.flow(leaf).parent?;
+        let caller = self.tree.flow(caller);
+        let length = caller.length() + TAG_SCALE / caller.weight;
+        match self.tree.longest() {
+            Some((longest, victim)) if longest > length => {
+                let reason = NotRunReason::CallerOverShare;
+                self.withdraw(victim);
+                let refusal = forecast.refusal(reason, random);
+                self.pushed_out.push((victim, refusal));
+                None
+            }
+            _ => Some(forecast.refusal(NotRunReason::QueueFull, random)),
+        }
+    }
+
+    /// Puts a request in the queue.
+    fn admit(
+        &mut self,
+        now: LocalTime,
+        leaf: FlowKey,
+        class: RequestClass,
+        deadline: LocalTime,
+    ) -> RequestKey {
+        let estimate = self.estimate(class);
+        let needed = estimate.needed(now);
+        let cost = estimate.mean(now).as_micros().max(1);
+        // A request that only just fits is still tried once.
+        let give_up_at =
+            (deadline - needed).max(now + TimeSpan::from_micros(1));
+        let give_up_at = give_up_at.min(deadline);
+        let phase = RequestPhase::Waiting { give_up_at };
+        let request = RequestKey::default();
+        let entry = FlowEntry { leaf, deadline, request, cost };
+        let key = self.requests.insert_with_key(|request| RequestEntry {
+            entry: FlowEntry { request, ..entry },
+            class,
+            phase,
+        });
+        self.tree.push(FlowEntry { request: key, ..entry });
+        self.give_up.insert((give_up_at, key));
+        let busy_since = &mut self.busy_since[class as usize];
+        *busy_since = busy_since.or(Some(now));
+        key
+    }
+
+    /// A waiting request whose time to start is over.
+    fn overdue(&self, now: LocalTime) -> Option<RequestKey> {
+        let (time, key) = self.give_up.first()?;
+        (*time <= now).then_some(*key)
+    }
+
+    /// Takes a waiting request out for good.
+    fn withdraw(&mut self, key: RequestKey) {
+        let Some(entry) = self.requests.remove(key) else { return };
+        if let RequestPhase::Waiting { give_up_at } = entry.phase {
+            self.give_up.remove(&(give_up_at, key));
+            self.tree.remove(entry.entry);
+        }
+        self.note_empty(entry.class);
+    }
+
+    /// Starts the request whose turn it is, if a slot is free for it.
+    fn start_next(&mut self, now: LocalTime) -> Option<RequestKey> {
+        let long = self.estimate(RequestClass::Long).mean_unaged();
+        let slots = &self.slots;
+        let key =
+            self.tree.first(|class| slots.may_start(now, class, long))?;
+        let entry = &mut self.requests[key];
+        if let RequestPhase::Waiting { give_up_at } = entry.phase {
+            self.give_up.remove(&(give_up_at, key));
+        }
+        entry.phase = RequestPhase::Running { since: now };
+        let (class, entry) = (entry.class, entry.entry);
+        self.slots.take(class);
+        self.tree.start(entry);
+        self.note_empty(class);
+        Some(key)
+    }
+
+    /// Ends the busy time of a class when nothing of it waits.
+    fn note_empty(&mut self, class: RequestClass) {
+        if self.tree.waiting_in(class) == 0 {
+            self.busy_since[class as usize] = None;
+        }
+    }
+
+    const fn estimate(&self, class: RequestClass) -> &ServiceEstimate {
+        &self.estimates[class as usize]
+    }
+
+    const fn estimate_mut(
+        &mut self,
+        class: RequestClass,
+    ) -> &mut ServiceEstimate {
+        &mut self.estimates[class as usize]
+    }
+}
+
+/// Whether `cost` is more than its part by weight of what waits in all.
+const fn exceeds(cost: u64, weight: u64, all: u64, weights: u64) -> bool {
+    weights > weight
+        && cost.saturating_mul(weights) > all.saturating_mul(weight)
+}
--- /dev/null
+++ b/goldcrestramp-decisions/src/queue/tree.rs
@@ -0,0 +1,351 @@
+/*!
+Fair shares of slot time among classes, callers and keys.
+
+The load: one caller, or one key of a caller, asks for many times what the
+others ask for. First-in-first-out would serve it in proportion to what it
+asks, so the others would get next to nothing.
+
+The answer is start-time fair queuing in three levels: class, caller, key.
+A flow's next request starts at its *tag*, a virtual time that rises by the
+slot time used divided by the flow's weight; the lowest tag goes first. The
+expected slot time is charged at the start and corrected at the end, so a
+flow pays for what it used. A flow that was idle joins at the present
+virtual time: it has no claim for the past, and one that used idle slots
+owes nothing for them.
+
+Memory: a flow exists while something of it waits or runs, and for at most
+[`IDLE_LIMIT`] flows after that. So the tables are exact, not a sketch, and
+their size depends on what waits and not on the number of callers or keys.
+The error: a flow that is evicted while idle forgets what it used beyond its
+share, which is at most the cost of its requests that started last, one for
+each slot.
+*/
+
+use std::collections::BTreeSet;
+
+use goldcrestramp_types::{CallerName, FastMap, LocalTime, RequestClass};
+use slotmap::SlotMap;
+
+use crate::queue::{
+    flow::{Flow, FlowKey, FlowName, TAG_SCALE},
+    request::RequestKey,
+};
+
+/// The idle flows that keep their tag: about 1 MiB at 250 bytes each, and
+/// a second of turnover at 4,096 requests a second.
+pub(crate) const IDLE_LIMIT: usize = 4_096;
+
+/// The shares of the classes while all of them wait. Orders count double,
+/// since a refused order is a person's loss. Lookups and long answers share
+/// evenly, which is one slot each on a server of two.
+const ORDER_WEIGHT: u64 = 2;
+const LOOKUP_WEIGHT: u64 = 1;
+const LONG_WEIGHT: u64 = 1;
+
+/// A waiting request and the flow of its key.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FlowEntry {
+    pub(crate) leaf: FlowKey,
+    pub(crate) deadline: LocalTime,
+    pub(crate) request: RequestKey,
+    /// The expected slot time in microseconds.
+    pub(crate) cost: u64,
+}
+
+/// All flows of one server.
+#[derive(Clone, Debug)]
+pub(crate) struct FlowTree {
+    flows: SlotMap<FlowKey, Flow>,
+    index: FastMap<FlowName, FlowKey>,
+    root: FlowKey,
+    /// Callers by waiting requests for each unit of weight.
+    lengths: BTreeSet<(u64, FlowKey)>,
+    idle: BTreeSet<(u64, FlowKey)>,
+    turn: u64,
+}
+
+impl FlowTree {
+    /// A tree with the root alone.
+    pub(crate) fn new() -> Self {
+        let mut flows = SlotMap::with_key();
+        let root = flows.insert(Flow::new(None, FlowName::Root, 1));
+        Self {
+            flows,
+            index: FastMap::default(),
+            root,
+            lengths: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            turn: 0,
+        }
+    }
+
+    /// The flow of a key, made if it is new.
+    ///
+    /// The flow may be empty; `settle` has to follow if it stays so.
+    pub(crate) fn leaf(
+        &mut self,
+        class: RequestClass,
+        caller: &CallerName,
+        weight: u32,
+        key_hash: u64,
+    ) -> FlowKey {
+        let class_weight = match class {
+            RequestClass::Lookup => LOOKUP_WEIGHT,
+            RequestClass::Order => ORDER_WEIGHT,
+            RequestClass::Long => LONG_WEIGHT,
+        };
+        let root = self.root;
+        let parent = self.child(root, FlowName::Class(class), class_weight);
+        let name = FlowName::Caller(class, caller.clone());
+        let parent = self.child(parent, name, u64::from(weight.max(1)));
+        self.child(parent, FlowName::Key(parent, key_hash), 1)
+    }
+
+    /// Waiting requests in all.
+    pub(crate) fn waiting(&self) -> usize {
+        self.flows[self.root].waiting
+    }
+
+    /// Waiting requests of a class.
+    pub(crate) fn waiting_in(&self, class: RequestClass) -> usize {
+        let flow = self.index.get(&FlowName::Class(class));
+        flow.map_or(0, |key| self.flows[*key].waiting)
+    }
+
+    /// The flow itself.
+    pub(crate) fn flow(&self, key: FlowKey) -> &Flow {
+        &self.flows[key]
+    }
+
+    /// The number of flows that take memory.
+    pub(crate) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    /// Adds a waiting request.
+    pub(crate) fn push(&mut self, entry: FlowEntry) {
+        let queue = &mut self.flows[entry.leaf].queue;
+        queue.insert((entry.deadline, entry.request));
+        self.change_waiting(entry.leaf, |flow| {
+            flow.waiting += 1;
+            flow.cost += entry.cost;
+        });
+    }
+
+    /// Takes out a waiting request that will not start.
+    pub(crate) fn remove(&mut self, entry: FlowEntry) {
+        let queue = &mut self.flows[entry.leaf].queue;
+        queue.remove(&(entry.deadline, entry.request));
+        self.change_waiting(entry.leaf, |flow| {
+            flow.waiting -= 1;
+            flow.cost = flow.cost.saturating_sub(entry.cost);
+        });
+        self.settle(entry.leaf);
+    }
+
+    /// The request whose turn it is, among the classes that may start.
+    pub(crate) fn first(
+        &self,
+        may_start: impl Fn(RequestClass) -> bool,
+    ) -> Option<RequestKey> {
+        let root = &self.flows[self.root];
+        let class = root.ready.iter().map(|(_, key)| *key).find(|key| {
+            matches!(self.flows[*key].name, FlowName::Class(class)
+                if may_start(class))
+        })?;
+        let caller = self.flows[class].ready.first()?.1;
+        let leaf = self.flows[caller].ready.first()?.1;
+        Some(self.flows[leaf].queue.first()?.1)
+    }
+
+    /// The least urgent request of the caller that has most waiting for
+    /// its weight, and that caller's length.
+    pub(crate) fn longest(&self) -> Option<(u64, RequestKey)> {
+        let (length, caller) = *self.lengths.last()?;
+        let leaf = self.flows[caller].ready.last()?.1;
+        Some((length, self.flows[leaf].queue.last()?.1))
+    }
+
+    /// Moves a request from waiting to running and charges its cost.
+    pub(crate) fn start(&mut self, entry: FlowEntry) {
+        let mut next = Some(entry.leaf);
+        while let Some(key) = next {
+            self.flows[key].running += 1;
+            self.advance_clock(key);
+            let charge = self.flows[key].virtual_time(entry.cost);
+            self.move_tag(key, |tag| tag.saturating_add(charge));
+            next = self.flows[key].parent;
+        }
+        self.remove(entry);
+    }
+
+    /// Ends a running request and charges what it really used.
+    pub(crate) fn finish(&mut self, leaf: FlowKey, expected: u64, used: u64) {
+        let mut next = Some(leaf);
+        while let Some(key) = next {
+            self.flows[key].running -= 1;
+            let paid = self.flows[key].virtual_time(expected);
+            let owed = self.flows[key].virtual_time(used);
+            self.move_tag(key, |tag| {
+                tag.saturating_add(owed).saturating_sub(paid)
+            });
+            next = self.flows[key].parent;
+        }
+        self.settle(leaf);
+    }
+
+    /// The slot time that goes to others or to itself before a request
+    /// that joins `leaf` now has its turn, in microseconds.
+    ///
+    /// At each level, a flow has its turn after `(tag - clock)` and its own
+    /// backlog in virtual time, in which its siblings use their shares too,
+    /// but no more than what waits in all of them.
+    pub(crate) fn cost_ahead(&self, leaf: FlowKey) -> u64 {
+        let mut ahead = 0;
+        let mut key = leaf;
+        let mut flow = &self.flows[key];
+        ahead += flow.cost;
+        while let Some(parent_key) = flow.parent {
+            let parent = &self.flows[parent_key];
+            let weight = if flow.waiting == 0 { flow.weight } else { 0 };
+            let weights = parent.ready_weight + weight;
+            let until = flow.tag.saturating_sub(parent.clock);
+            let span = until.saturating_add(flow.virtual_time(ahead));
+            let fair = span.saturating_mul(weights) / TAG_SCALE;
+            ahead = fair.min(parent.cost);
+            key = parent_key;
+            flow = &self.flows[key];
+        }
+        ahead
+    }
+
+    /// Forgets empty flows from `leaf` upwards, or sets them aside.
+    pub(crate) fn settle(&mut self, leaf: FlowKey) {
+        let mut next = Some(leaf);
+        while let Some(key) = next {
+            let Some(flow) = self.flows.get(key) else { return };
+            let Some(parent) = flow.parent else { return };
+            if !flow.is_idle() || flow.idle_turn.is_some() {
+                return;
+            }
+            next = Some(parent);
+            if matches!(flow.name, FlowName::Class(_)) {
+                return;
+            }
+            self.set_aside(key);
+        }
+    }
+
+    /// Finds a child or makes it.
+    fn child(
+        &mut self,
+        parent: FlowKey,
+        name: FlowName,
+        weight: u64,
+    ) -> FlowKey {
+        if let Some(key) = self.index.get(&name).copied() {
+            let flow = &mut self.flows[key];
+            if let Some(turn) = flow.idle_turn.take() {
+                self.idle.remove(&(turn, key));
+            }
+            return key;
+        }
+        let flow = Flow::new(Some(parent), name.clone(), weight);
+        let key = self.flows.insert(flow);
+        self.index.insert(name, key);
+        key
+    }
+
+    /// Applies a change of what waits to a flow and all above it.
+    fn change_waiting(&mut self, leaf: FlowKey, change: impl Fn(&mut Flow)) {
+        let mut next = Some(leaf);
+        while let Some(key) = next {
+            let flow = &mut self.flows[key];
+            let before = flow.length();
+            let was_waiting = flow.waiting > 0;
+            change(flow);
+            let after = flow.length();
+            let is_waiting = flow.waiting > 0;
+            if matches!(flow.name, FlowName::Caller(..)) {
+                self.lengths.remove(&(before, key));
+                if is_waiting {
+                    self.lengths.insert((after, key));
+                }
+            }
+            if was_waiting != is_waiting {
+                self.set_ready(key, is_waiting);
+            }
+            next = self.flows[key].parent;
+        }
+    }
+
+    /// Puts a flow among its parent's ready ones, or takes it out.
+    fn set_ready(&mut self, key: FlowKey, ready: bool) {
+        let Some(parent_key) = self.flows[key].parent else { return };
+        let clock = self.flows[parent_key].clock;
+        let flow = &mut self.flows[key];
+        if ready {
+            flow.tag = flow.tag.max(clock);
+        }
+        let (tag, weight) = (flow.tag, flow.weight);
+        let parent = &mut self.flows[parent_key];
+        if ready {
+            parent.ready.insert((tag, key));
+            parent.ready_weight += weight;
+        } else {
+            parent.ready.remove(&(tag, key));
+            parent.ready_weight -= weight;
+        }
+    }
+
+    /// Moves the parent's virtual time to the flow that starts.
+    fn advance_clock(&mut self, key: FlowKey) {
+        let Some(parent) = self.flows[key].parent else { return };
+        let tag = self.flows[key].tag;
+        let parent = &mut self.flows[parent];
+        parent.clock = parent.clock.max(tag);
+    }
+
+    /// Changes a flow's tag and its place among the ready ones.
+    fn move_tag(&mut self, key: FlowKey, change: impl Fn(u64) -> u64) {
+        let flow = &mut self.flows[key];
+        let (before, ready) = (flow.tag, flow.waiting > 0);
+        flow.tag = change(before);
+        let (after, parent) = (flow.tag, flow.parent);
+        if let (true, Some(parent)) = (ready, parent) {
+            let ready = &mut self.flows[parent].ready;
+            ready.remove(&(before, key));
+            ready.insert((after, key));
+        }
+    }
+
+    /// Keeps an empty flow's tag for a while if it is above the clock.
+    fn set_aside(&mut self, key: FlowKey) {
+        let flow = &self.flows[key];
+        let clock = flow.parent.map_or(0, |parent| self.flows[parent].clock);
+        if flow.tag <= clock && flow.clock == 0 {
+            self.forget(key);
+            return;
+        }
+        self.turn += 1;
+        self.flows[key].idle_turn = Some(self.turn);
+        self.idle.insert((self.turn, key));
+        self.evict();
+    }
+
+    /// Forgets the flows that became idle first beyond the limit.
+    ///
+    /// A key becomes idle before its caller, so it is evicted before.
+    fn evict(&mut self) {
+        while self.idle.len() > IDLE_LIMIT {
+            let Some((_, key)) = self.idle.pop_first() else { return };
+            self.forget(key);
+        }
+    }
+
+    fn forget(&mut self, key: FlowKey) {
+        if let Some(flow) = self.flows.remove(key) {
+            self.index.remove(&flow.name);
+        }
+    }
+}
