Write the two deployments, settings and tickets as examples

Cause: the demo and the load tool need one file for a whole deployment. Change: a file holds ticket 1, the entry VMs, the links and the mix of traffic; its reader tells all faults at once, those of the ticket too. Files of both sizes, settings of a lone and of an entry VM, and two tickets stand in examples/ and are read by tests.

--- a/goldcrestramp-config/src/document/mod.rs
+++ b/goldcrestramp-config/src/document/mod.rs
@@ -7,10 +7,12 @@
 
 mod fault;
 mod fields;
+mod places;
 mod tree;
 
 pub use self::fault::{DocumentFault, FaultList, SourcePosition};
 pub(crate) use self::{
     fields::{FieldReader, leaf},
-    tree::{DocumentNode, NodeContent, open_document},
+    places::PlaceIndex,
+    tree::{DocumentNode, open_document},
 };
--- a/goldcrestramp-config/src/lib.rs
+++ b/goldcrestramp-config/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod deployment;
 mod document;
+mod example;
 mod settings;
 mod ticket;
 
@@ -15,6 +16,10 @@
         CallerRules, DeploymentState, DomainRules, ServerRules, ServiceRules,
     },
     document::{DocumentFault, FaultList, SourcePosition},
+    example::{
+        EntryVm, ExampleDeployment, LinkFigures, TrafficMix, parse_example,
+        read_example,
+    },
     settings::{
         LogFormat, LogSettings, NodeSettings, OperatorSettings,
         PeerTlsSettings, parse_settings, read_settings,
--- a/goldcrestramp-config/src/ticket/mod.rs
+++ b/goldcrestramp-config/src/ticket/mod.rs
@@ -17,7 +17,6 @@
 use goldcrestramp_types::{CallerName, DomainName, ServerName, ServiceName};
 use serde::{Deserialize, Serialize};
 
-pub(crate) use self::thing::ConfiguredThing;
 pub use self::{
     accept::{AcceptOutcome, STATE_BYTES, accept_ticket},
     marks::{TicketMark, TicketMarks},
@@ -29,6 +28,7 @@
     refusal::{RefusalReason, TicketRefusal},
     thing::{ThingId, ThingKind},
 };
+pub(crate) use self::{reader::ticket_from_node, thing::ConfiguredThing};
 use crate::deployment::{CallerRules, DomainRules, ServerRules, ServiceRules};
 
 /// A numbered change to the deployment's configuration.
--- a/goldcrestramp-config/src/ticket/reader.rs
+++ b/goldcrestramp-config/src/ticket/reader.rs
@@ -2,14 +2,13 @@
 
 use std::path::Path;
 
-use goldcrestramp_types::{FastMap, SliceCount};
+use goldcrestramp_types::SliceCount;
 
 use super::{ChangeTicket, RemovalList, refusal::TicketRefusal};
 use crate::{
     deployment::{CallerRules, DomainRules, ServerRules, ServiceRules},
     document::{
-        DocumentNode, FaultList, FieldReader, NodeContent, SourcePosition,
-        leaf, open_document,
+        DocumentNode, FaultList, FieldReader, PlaceIndex, leaf, open_document,
     },
 };
 
@@ -25,7 +24,7 @@
     /// The ticket.
     pub ticket: ChangeTicket,
     file: String,
-    places: FastMap<String, SourcePosition>,
+    places: PlaceIndex,
 }
 
 impl TicketDocument {
@@ -34,24 +33,12 @@
     pub fn locate(&self, refusals: &[TicketRefusal]) -> FaultList {
         let mut faults = FaultList::new(&self.file);
         for refusal in refusals {
-            let position = self.position(&refusal.path);
+            let position = self.places.find(&refusal.path);
             let message = refusal.reason.to_string();
             faults.add(position, &refusal.path, message);
         }
         faults
     }
-
-    /// The place of a value, or of what holds it when the text lacks it.
-    fn position(&self, path: &str) -> SourcePosition {
-        let mut path = path;
-        loop {
-            if let Some(position) = self.places.get(path) {
-                return *position;
-            }
-            let end = path.rfind(['.', '[']).unwrap_or(0);
-            path = path.get(..end).unwrap_or("");
-        }
-    }
 }
 
 /// Reads the ticket in `file`.
@@ -80,35 +67,14 @@
     let mut faults = FaultList::new(file);
     let document = open_document(text, &mut faults).and_then(|node| {
         let ticket = ticket_from_node(&node, &mut faults)?;
-        let mut places = FastMap::default();
-        note_places(&node, &mut places);
+        let places = PlaceIndex::new(&node);
         Some(TicketDocument { ticket, file: file.to_owned(), places })
     });
     faults.or_value(document)
 }
 
-fn note_places(
-    node: &DocumentNode,
-    places: &mut FastMap<String, SourcePosition>,
-) {
-    places.insert(node.path.clone(), node.position);
-    match &node.content {
-        NodeContent::Table(entries) => {
-            for entry in entries {
-                note_places(&entry.value, places);
-            }
-        }
-        NodeContent::List(items) => {
-            for item in items {
-                note_places(item, places);
-            }
-        }
-        NodeContent::Scalar => {}
-    }
-}
-
 /// Reads a ticket that stands at `node` of a larger document.
-pub(super) fn ticket_from_node(
+pub(crate) fn ticket_from_node(
     node: &DocumentNode,
     faults: &mut FaultList,
 ) -> Option<ChangeTicket> {
