Sketch how the keeper's servers and running work are told

Cause: the traffic threads need each server's address and slots, and a release must wait for non-idempotent work. Change: two signatures, not yet written.

--- a/goldcrestramp-ownership/src/keeper.rs
+++ b/goldcrestramp-ownership/src/keeper.rs
@@ -9,7 +9,7 @@
 use goldcrestramp_wire::server::{GrantOrder, GrantReply};
 
 use crate::{
-    message::{KeeperReport, PermitAnswer},
+    message::{KeeperReport, PermitAnswer, ServerOrder},
     timing::TermTiming,
 };
 
@@ -144,6 +144,18 @@
         unimplemented!("written with the ownership machines")
     }
 
+    /// The servers that this VM keeps, as last ordered by the steward.
+    #[must_use]
+    pub fn servers(&self) -> Vec<Arc<ServerOrder>> {
+        unimplemented!("written with the ownership machines")
+    }
+
+    /// Tells on which slices of a server this VM has non-idempotent work
+    /// under way; they are not reported as released until it has ended.
+    pub fn set_running(&mut self, _server: &ServerName, _slices: SliceSet) {
+        unimplemented!("written with the ownership machines")
+    }
+
     /// What the traffic threads may do from now on.
     #[must_use]
     pub fn passes(&self, _now: LocalTime) -> PassBook {
