--- /dev/null
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -0,0 +1,533 @@
+//! The actor that owns all control state of a VM.
+
+use std::sync::Arc;
+
+use goldcrestramp_config::DeploymentState;
+use goldcrestramp_ownership::{
+    ConfirmAnswer, ConfirmAsk, KeeperMachine, KeeperReport, PermitAnswer,
+    StewardEffect, StewardEvent, StewardMachine, TermTiming, VoterState,
+};
+use goldcrestramp_platform::PlatformClient;
+use goldcrestramp_types::{LocalTime, VmName};
+use tokio::sync::watch;
+use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
+
+use crate::{
+    context::NodeContext,
+    control::{
+        grants,
+        links::ControlLinks,
+        messages::{
+            ConfigNotice, DrainedAsk, GrantNotice, HomesNotice, PermitAsk,
+            PermitNotice, RosterNotice, StatusAsk, StewardAsk, StewardNotice,
+            StewardPlace, TableNotice, TickNotice, VmsNotice, VoteAsk,
+        },
+        permits::StewardSearch,
+        plans, reader,
+        status::ControlStatus,
+        tables::TableHub,
+    },
+    keeper::KeeperView,
+};
+
+/// Steward, grants and voter of one VM, with all that they need.
+#[derive(Debug)]
+pub(crate) struct ControlActor {
+    context: Arc<NodeContext>,
+    steward: StewardMachine,
+    keeper: KeeperMachine,
+    voter: VoterState,
+    timing: TermTiming,
+    links: ControlLinks,
+    http: reqwest::Client,
+    store: PlatformClient,
+    hub: Arc<TableHub>,
+    search: StewardSearch,
+    address: Option<WeakAddress<Self>>,
+    ask_at: LocalTime,
+    asking: bool,
+    leading: watch::Sender<bool>,
+}
+
+impl ControlActor {
+    /// The actor of a VM whose daemon has just started.
+    pub(crate) fn new(
+        context: Arc<NodeContext>,
+        store: PlatformClient,
+        hub: Arc<TableHub>,
+        leading: watch::Sender<bool>,
+    ) -> Self {
+        let timing = TermTiming::default();
+        let now = context.now();
+        let steward = StewardMachine::new(
+            now,
+            context.domain().clone(),
+            context.vm().clone(),
+            context.control_address(),
+            context.start,
+            timing,
+        );
+        let keeper = KeeperMachine::new(
+            context.vm().clone(),
+            context.peers_address(),
+            context.start,
+            timing,
+        );
+        Self {
+            steward,
+            keeper,
+            voter: VoterState::new(now, timing),
+            timing,
+            links: ControlLinks::new(Arc::clone(&context)),
+            http: reqwest::Client::new(),
+            store,
+            hub,
+            search: StewardSearch::default(),
+            address: None,
+            ask_at: now,
+            asking: false,
+            leading,
+            context,
+        }
+    }
+
+    fn address(&self) -> Option<Address<Self>> {
+        self.address.as_ref()?.try_upgrade()
+    }
+
+    /// Hands an event to the steward and carries out what it wants.
+    fn steward_event(&mut self, event: StewardEvent) {
+        let now = self.context.now();
+        let effects = self.steward.handle(now, event);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+    }
+
+    fn carry_out(&mut self, effect: StewardEffect) {
+        match effect {
+            StewardEffect::AskVoter { voter, ask } => {
+                self.ask_voter(voter.vm, voter.address, ask);
+            }
+            StewardEffect::Publish(table) => {
+                self.hub.take_table(&table);
+            }
+            StewardEffect::SaveRoster(roster) => {
+                self.spawn_store(reader::save_roster(
+                    self.store.clone(),
+                    roster,
+                ));
+            }
+            StewardEffect::ReadRoster => {
+                let domain = self.context.domain().clone();
+                self.spawn_store(reader::read_roster(
+                    self.store.clone(),
+                    domain,
+                ));
+            }
+            StewardEffect::SaveRecord(record) => {
+                let domain = self.context.domain().clone();
+                self.spawn_store(reader::save_record(
+                    self.store.clone(),
+                    domain,
+                    record,
+                ));
+            }
+            StewardEffect::ReadRecord => {
+                let domain = self.context.domain().clone();
+                self.spawn_store(reader::read_record(
+                    self.store.clone(),
+                    domain,
+                ));
+            }
+        }
+    }
+
+    /// Runs a call to the store and hands its event to the steward.
+    fn spawn_store(
+        &self,
+        call: impl Future<Output = Option<StewardEvent>> + Send + 'static,
+    ) {
+        let Some(actor) = self.address() else {
+            return;
+        };
+        tokio::spawn(async move {
+            if let Some(event) = call.await {
+                drop(actor.send(StewardNotice(event)).await);
+            }
+        });
+    }
+
+    /// Asks a voter: this VM's own at once, others over the network.
+    fn ask_voter(&mut self, vm: VmName, address: Arc<str>, ask: ConfirmAsk) {
+        let sent = self.context.now();
+        if vm == *self.context.vm() {
+            let answer = self.vote(&ask);
+            let event = answered(vm, sent, &ask, answer);
+            self.steward_event(event);
+            return;
+        }
+        let Some(actor) = self.address() else {
+            return;
+        };
+        let links = self.links.clone();
+        tokio::spawn(async move {
+            let answer = links.confirm(&address, &ask).await;
+            if let Some(answer) = answer {
+                let event = answered(vm, sent, &ask, answer);
+                drop(actor.send(StewardNotice(event)).await);
+            }
+        });
+    }
+
+    fn vote(&mut self, ask: &ConfirmAsk) -> ConfirmAnswer {
+        let now = self.context.now();
+        let answer = self.voter.confirm(now, ask);
+        if answer == ConfirmAnswer::Confirmed {
+            let place = (ask.vm.clone(), Arc::clone(&ask.address));
+            self.search.take_steward(place.0, place.1);
+        }
+        answer
+    }
+
+    /// Asks for a permit when it is time and no question is under way.
+    fn ask_permit(&mut self) {
+        let now = self.context.now();
+        if self.asking || now < self.ask_at {
+            return;
+        }
+        self.ask_at = now + self.timing.renew_every;
+        let report = self.report(now);
+        if self.steward.status(now).leading {
+            let answer = self.steward.permit(now, report);
+            self.keeper.permitted(now, now, answer);
+            self.publish_view();
+            return;
+        }
+        let Some(address) = self.search.next() else {
+            return;
+        };
+        let Some(actor) = self.address() else {
+            return;
+        };
+        self.asking = true;
+        let links = self.links.clone();
+        let domain = self.context.domain().clone();
+        tokio::spawn(async move {
+            let answer = links.permit(&address, &domain, &report).await;
+            drop(actor.send(PermitNotice { sent: now, answer }).await);
+        });
+    }
+
+    fn report(&mut self, now: LocalTime) -> KeeperReport {
+        let mut report = self.keeper.report(now);
+        report.leaving = self.context.leaving();
+        report
+    }
+
+    fn send_orders(&mut self) {
+        let Some(actor) = self.address() else {
+            return;
+        };
+        let orders = self.keeper.orders(self.context.now());
+        for (server, address, order) in orders {
+            grants::send_order(
+                &self.context,
+                &self.http,
+                actor.clone(),
+                server,
+                &address,
+                &order,
+            );
+        }
+    }
+
+    /// Shows the traffic threads what they may send.
+    fn publish_view(&mut self) {
+        let passes = self.keeper.passes(self.context.now());
+        let view = KeeperView::new(passes, self.keeper.servers());
+        self.context.view.store(Arc::new(view));
+    }
+
+    /// Gives the steward its plan once configuration or records changed.
+    fn refresh_plan(&mut self) {
+        let set = self.hub.set();
+        let Some(config) = &set.config else {
+            return;
+        };
+        let domain = self.context.domain();
+        let plan = plans::domain_plan(domain, config, &set.homes);
+        self.steward_event(StewardEvent::PlanRead(Arc::new(plan)));
+    }
+
+    fn take_config(&mut self, state: &Arc<DeploymentState>) {
+        if self.hub.take_config(state) {
+            log::info!("store: configuration {} is in force", state.version);
+            self.refresh_plan();
+        }
+    }
+
+    /// Tells the keeper what must end before a slice is released.
+    fn tell_running(&mut self) {
+        for order in self.keeper.servers() {
+            let slices = self.context.running.slices(&order.server);
+            self.keeper.set_running(&order.server, slices);
+        }
+    }
+
+    fn show_leading(&mut self) {
+        let leading = self.steward.status(self.context.now()).leading;
+        self.context.metrics.set_leading(leading);
+        self.leading.send_if_modified(|shown| {
+            let changed = *shown != leading;
+            *shown = leading;
+            changed
+        });
+    }
+}
+
+fn answered(
+    voter: VmName,
+    sent: LocalTime,
+    ask: &ConfirmAsk,
+    answer: ConfirmAnswer,
+) -> StewardEvent {
+    StewardEvent::Answered {
+        voter,
+        sent,
+        term: ask.term,
+        roster: ask.roster,
+        answer,
+    }
+}
+
+impl Actor for ControlActor {
+    type Stop = ();
+
+    async fn started(&mut self, mailbox: &Mailbox<Self>) -> Result<(), ()> {
+        self.address = Some(mailbox.address());
+        Ok(())
+    }
+
+    async fn stopped(self) {}
+}
+
+impl Handler<TickNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: TickNotice, _: &mut Context<Self>) {
+        self.context.faults.wait().await;
+        if let Some((ask, at)) = self.voter.latest() {
+            let event = StewardEvent::StewardSeen { ask: ask.clone(), at };
+            self.steward_event(event);
+        }
+        self.steward_event(StewardEvent::Tick);
+        self.show_leading();
+        self.tell_running();
+        self.ask_permit();
+        self.send_orders();
+        self.publish_view();
+    }
+}
+
+impl Handler<VoteAsk> for ControlActor {
+    type Return = ConfirmAnswer;
+
+    async fn handle(
+        &mut self,
+        VoteAsk(ask): VoteAsk,
+        _: &mut Context<Self>,
+    ) -> ConfirmAnswer {
+        self.vote(&ask)
+    }
+}
+
+impl Handler<PermitAsk> for ControlActor {
+    type Return = PermitAnswer;
+
+    async fn handle(
+        &mut self,
+        PermitAsk(report): PermitAsk,
+        _: &mut Context<Self>,
+    ) -> PermitAnswer {
+        let now = self.context.now();
+        let answer = self.steward.permit(now, report);
+        if let PermitAnswer::NotSteward { steward: None } = &answer {
+            let steward = self.search.known().cloned();
+            return PermitAnswer::NotSteward { steward };
+        }
+        answer
+    }
+}
+
+impl Handler<StewardNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        StewardNotice(event): StewardNotice,
+        _: &mut Context<Self>,
+    ) {
+        if let StewardEvent::RosterRead(Some(roster))
+        | StewardEvent::RosterSaved(Ok(roster)) = &event
+        {
+            self.search.take_roster(roster);
+        }
+        self.steward_event(event);
+    }
+}
+
+impl Handler<PermitNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+&mut self, message: PermitNotice, _: &mut Context<Self>) {
+let PermitNotice { sent, answer } = message;
+        self.context.faults.wait().await;
+        self.asking = false;
+        self.search.learn(answer.as_ref());
+        let Some(answer) = answer else {
+            return;
+        };
+        let now = self.context.now();
+        if matches!(answer, PermitAnswer::NotSteward { .. }) {
+            self.ask_at = now + self.timing.renew_every.percent(25);
+        }
+        self.keeper.permitted(now, sent, answer);
+        self.send_orders();
+        self.publish_view();
+    }
+}
+
+impl Handler<GrantNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: GrantNotice, _: &mut Context<Self>) {
+let GrantNotice { server, sent, reply } = message;
+        self.context.faults.wait().await;
+        let now = self.context.now();
+        match reply {
+            Some(reply) => self.keeper.replied(now, sent, &server, &reply),
+            None => self.keeper.unanswered(now, sent, &server),
+        }
+        self.send_orders();
+        self.publish_view();
+    }
+}
+
+impl Handler<ConfigNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        ConfigNotice(state): ConfigNotice,
+        _: &mut Context<Self>,
+    ) {
+        self.take_config(&state);
+    }
+}
+
+impl Handler<HomesNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        HomesNotice(homes): HomesNotice,
+        _: &mut Context<Self>,
+    ) {
+        if self.hub.take_homes(homes) {
+            self.refresh_plan();
+        }
+    }
+}
+
+impl Handler<RosterNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        RosterNotice(roster): RosterNotice,
+        _: &mut Context<Self>,
+    ) {
+        if let Some(roster) = &roster {
+            self.search.take_roster(roster);
+        }
+        self.steward_event(StewardEvent::RosterRead(roster));
+    }
+}
+
+impl Handler<TableNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        TableNotice(table): TableNotice,
+        _: &mut Context<Self>,
+    ) {
+        self.hub.take_table(&table);
+    }
+}
+
+impl Handler<VmsNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        VmsNotice(vms): VmsNotice,
+        _: &mut Context<Self>,
+    ) {
+        let domain = self.context.domain();
+        let voters = reader::domain_voters(&vms, domain);
+        self.steward_event(StewardEvent::VmsRead(voters));
+    }
+}
+
+impl Handler<StatusAsk> for ControlActor {
+    type Return = ControlStatus;
+
+    async fn handle(
+        &mut self,
+        _: StatusAsk,
+        _: &mut Context<Self>,
+    ) -> ControlStatus {
+        let now = self.context.now();
+        let set = self.hub.set();
+        let seen = self.search.known().cloned();
+        let passes = self.keeper.passes(now);
+        let keeps = passes.servers.iter();
+        ControlStatus {
+            taken: now,
+            steward: self.steward.status(now),
+            steward_seen: seen.map(|(vm, at)| (vm.to_string(), at)),
+            config: set.config.clone(),
+            tables: set.domains.clone(),
+            keeps: keeps.map(|(s, p)| (s.clone(), p.until)).collect(),
+        }
+    }
+}
+
+impl Handler<DrainedAsk> for ControlActor {
+    type Return = bool;
+
+    async fn handle(&mut self, _: DrainedAsk, _: &mut Context<Self>) -> bool {
+        self.keeper.servers().is_empty()
+    }
+}
+
+impl Handler<StewardAsk> for ControlActor {
+    type Return = StewardPlace;
+
+    async fn handle(
+        &mut self,
+        _: StewardAsk,
+        _: &mut Context<Self>,
+    ) -> StewardPlace {
+        if self.steward.status(self.context.now()).leading {
+            return StewardPlace::Here;
+        }
+        match self.search.known() {
+            Some((vm, at)) => StewardPlace::There(vm.clone(), Arc::clone(at)),
+            None => StewardPlace::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestramp-node/src/control/links.rs
@@ -0,0 +1,95 @@
+//! Control messages to peers.
+
+use std::{sync::Arc, time::Duration};
+
+use goldcrestramp_ownership::{
+    ConfirmAnswer, ConfirmAsk, KeeperReport, PermitAnswer,
+};
+use goldcrestramp_types::DomainName;
+use goldcrestramp_wire::peer::control_client::ControlClient;
+use tonic::Request;
+
+use crate::{context::NodeContext, convert, peers::PeerChannels};
+
+/// A peer that has not answered for so long is asked again.
+///
+/// Below the lease's renewal interval plus one round trip between regions,
+/// so that a lost message costs one renewal and no more.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Sends control messages to peers; cheap to clone.
+#[derive(Clone, Debug)]
+pub(crate) struct ControlLinks {
+    context: Arc<NodeContext>,
+    channels: Arc<PeerChannels>,
+}
+
+impl ControlLinks {
+    pub(crate) fn new(context: Arc<NodeContext>) -> Self {
+        let channels = Arc::new(PeerChannels::new(Arc::clone(&context)));
+        Self { context, channels }
+    }
+
+    /// Asks the voter at `address`; `None`: it did not answer.
+    pub(crate) async fn confirm(
+        &self,
+        address: &Arc<str>,
+        ask: &ConfirmAsk,
+    ) -> Option<ConfirmAnswer> {
+        self.context.metrics.count_control("confirm");
+        let channel = self.channels.open(address).await.ok()?;
+        let mut client = ControlClient::new(channel);
+        let mut request = Request::new(convert::ask_out(ask));
+        request.set_timeout(ANSWER_TIMEOUT);
+        let call = client.confirm(request);
+        let reply = self.answered(address, call).await?;
+        Some(convert::confirm_in(&reply))
+    }
+
+    /// Asks the steward at `address`; `None`: it did not answer.
+    pub(crate) async fn permit(
+        &self,
+        address: &Arc<str>,
+        domain: &DomainName,
+        report: &KeeperReport,
+    ) -> Option<PermitAnswer> {
+        self.context.metrics.count_control("permit");
+        let channel = self.channels.open(address).await.ok()?;
+        let mut client = ControlClient::new(channel)
+            .max_decoding_message_size(MESSAGE_LIMIT);
+        let mut request = Request::new(convert::report_out(report, domain));
+        request.set_timeout(ANSWER_TIMEOUT);
+        let call = client.permit(request);
+        let reply = self.answered(address, call).await?;
+        convert::permit_in(reply).ok()
+    }
+
+    /// A channel for a stream of tables.
+    pub(crate) async fn stream(
+        &self,
+        address: &Arc<str>,
+    ) -> Option<ControlClient<tonic::transport::Channel>> {
+        let channel = self.channels.open(address).await.ok()?;
+        let client = ControlClient::new(channel);
+        Some(client.max_decoding_message_size(MESSAGE_LIMIT))
+    }
+
+    async fn answered<T>(
+        &self,
+        address: &Arc<str>,
+        call: impl Future<Output = Result<tonic::Response<T>, tonic::Status>>,
+    ) -> Option<T> {
+        match tokio::time::timeout(ANSWER_TIMEOUT, call).await {
+            Ok(Ok(response)) => Some(response.into_inner()),
+            Ok(Err(_status)) => {
+                self.channels.forget(address);
+                None
+            }
+            Err(_elapsed) => None,
+        }
+    }
+}
+
+/// The largest control message: a table of 65,536 slices, each a run of its
+/// own, is below 1 MiB a service.
+pub(crate) const MESSAGE_LIMIT: usize = 16 * 1_048_576;
--- /dev/null
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -0,0 +1,19 @@
+//! The control thread: steward, grants, voter, and their messages.
+
+mod actor;
+mod grants;
+mod links;
+mod messages;
+mod permits;
+mod plans;
+mod reader;
+mod service;
+mod status;
+mod tables;
+mod thread;
+
+pub use crate::control::status::ControlStatus;
+pub(crate) use crate::control::{
+    messages::{DrainedAsk, StatusAsk},
+    thread::ControlThread,
+};
--- /dev/null
+++ b/goldcrestramp-node/src/control/status.rs
@@ -0,0 +1,24 @@
+//! What operators are shown of a VM's control state.
+
+use std::sync::Arc;
+
+use goldcrestramp_config::DeploymentState;
+use goldcrestramp_ownership::{DomainTable, StewardStatus};
+use goldcrestramp_types::{DomainName, FastMap, LocalTime, ServerName};
+
+/// A VM's control state at one moment.
+#[derive(Clone, Debug)]
+pub struct ControlStatus {
+    /// When it was taken, in the clock of the VM.
+    pub taken: LocalTime,
+    /// The steward's part.
+    pub steward: StewardStatus,
+    /// Who is steward as far as this VM knows: VM and control listener.
+    pub steward_seen: Option<(String, Arc<str>)>,
+    /// The configuration in force here.
+    pub config: Option<Arc<DeploymentState>>,
+    /// The newest table of each failure domain.
+    pub tables: FastMap<DomainName, Arc<DomainTable>>,
+    /// The servers that this VM keeps, and until when.
+    pub keeps: Vec<(ServerName, LocalTime)>,
+}
--- /dev/null
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -0,0 +1,157 @@
+//! What this VM knows of every failure domain, and who is told.
+
+use std::sync::Arc;
+
+use goldcrestramp_config::DeploymentState;
+use goldcrestramp_ownership::DomainTable;
+use goldcrestramp_types::{DomainName, FastMap, ServiceName, TableVersion};
+use goldcrestramp_wire::peer::{ServiceDomains, TableUpdate};
+use tokio::sync::watch;
+
+use crate::{
+    context::NodeContext, control::plans::ServiceHomes, convert,
+    routing::RoutingTable,
+};
+
+/// Everything that streams from VM to VM.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TableSet {
+    pub(crate) domains: FastMap<DomainName, Arc<DomainTable>>,
+    pub(crate) config: Option<Arc<DeploymentState>>,
+    pub(crate) homes: FastMap<ServiceName, ServiceHomes>,
+}
+
+/// Holds the newest of everything and tells the streams.
+#[derive(Debug)]
+pub(crate) struct TableHub {
+    context: Arc<NodeContext>,
+    set: watch::Sender<Arc<TableSet>>,
+}
+
+impl TableHub {
+    pub(crate) fn new(context: Arc<NodeContext>) -> Self {
+        Self { context, set: watch::Sender::default() }
+    }
+
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Arc<TableSet>> {
+        self.set.subscribe()
+    }
+
+    pub(crate) fn set(&self) -> Arc<TableSet> {
+        Arc::clone(&self.set.borrow())
+    }
+
+    /// Takes a domain's table if it is newer than the one known.
+    ///
+    /// Streams race: an older table may come later by another way. Taking
+    /// it would send requests back to a former owner.
+    pub(crate) fn take_table(&self, table: &Arc<DomainTable>) -> bool {
+        let mut set = TableSet::clone(&self.set());
+        let known = set.domains.get(&table.domain);
+        if known.is_some_and(|known| known.version >= table.version) {
+            return false;
+        }
+        set.domains.insert(table.domain.clone(), Arc::clone(table));
+        let merged = RoutingTable::merge(set.domains.values());
+        self.context.table.store(Arc::new(merged));
+        self.context.table_changed.send_modify(|count| *count += 1);
+        self.set.send_replace(Arc::new(set));
+        true
+    }
+
+    /// Takes the configuration if it is newer: versions only rise.
+    pub(crate) fn take_config(&self, state: &Arc<DeploymentState>) -> bool {
+        let mut set = TableSet::clone(&self.set());
+        let known = set.config.as_ref();
+        if known.is_some_and(|known| known.version >= state.version) {
+            return false;
+        }
+        set.config = Some(Arc::clone(state));
+        self.set.send_replace(Arc::new(set));
+        true
+    }
+
+    /// Takes a service's division if it is newer.
+    pub(crate) fn take_homes(&self, homes: ServiceHomes) -> bool {
+        let mut set = TableSet::clone(&self.set());
+        let known = set.homes.get(&homes.service);
+        if known.is_some_and(|known| known.version >= homes.version) {
+            return false;
+        }
+        set.homes.insert(homes.service.clone(), homes);
+        self.set.send_replace(Arc::new(set));
+        true
+    }
+}
+
+/// What one subscriber has been sent already.
+#[derive(Debug, Default)]
+pub(crate) struct StreamCursor {
+    tables: FastMap<DomainName, TableVersion>,
+    config: u64,
+    homes: FastMap<ServiceName, u64>,
+}
+
+impl StreamCursor {
+    /// The updates that bring a subscriber up to `set`.
+    ///
+    /// `only`: the one domain that it asked for; others are left out.
+    pub(crate) fn updates(
+        &mut self,
+        set: &TableSet,
+        only: Option<&DomainName>,
+    ) -> Vec<TableUpdate> {
+        let mut updates = self.record_updates(set, only);
+        for (domain, table) in &set.domains {
+            if only.is_some_and(|only| only != domain) {
+                continue;
+            }
+            let before = self.tables.get(domain);
+            if before.is_some_and(|before| *before >= table.version) {
+                continue;
+            }
+            self.tables.insert(domain.clone(), table.version);
+            updates.push(convert::table_out(table));
+        }
+        updates
+    }
+
+    /// Configuration and divisions; only within a failure domain.
+    fn record_updates(
+        &mut self,
+        set: &TableSet,
+        only: Option<&DomainName>,
+    ) -> Vec<TableUpdate> {
+        if only.is_some() {
+            return Vec::new();
+        }
+        let mut update = TableUpdate::default();
+        if let Some(state) = &set.config
+            && state.version > self.config
+        {
+            self.config = state.version;
+            update.config_version = state.version;
+            update.config = json(state.as_ref());
+        }
+        for homes in set.homes.values() {
+            let before = self.homes.get(&homes.service).copied();
+            if before.is_some_and(|before| before >= homes.version) {
+                continue;
+            }
+            self.homes.insert(homes.service.clone(), homes.version);
+            update.homes.push(ServiceDomains {
+                service: homes.service.to_string(),
+                version: homes.version,
+                record: json(&homes.record),
+            });
+        }
+        if update.config.is_empty() && update.homes.is_empty() {
+            return Vec::new();
+        }
+        vec![update]
+    }
+}
+
+fn json<T: serde::Serialize>(value: &T) -> bytes::Bytes {
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
--- /dev/null
+++ b/goldcrestramp-node/src/convert.rs
@@ -0,0 +1,370 @@
+//! Between the machines' messages and those of the peer protocol.
+//!
+//! A message from a peer is checked here: what does not convert is dropped
+//! as a whole, with [`BadMessage`].
+
+use std::sync::Arc;
+
+use goldcrestramp_ownership::{
+    ConfirmAnswer, ConfirmAsk, DomainTable, KeeperReport, PermitAnswer,
+    ServerOrder, ServerReport, ServiceTable, SliceLoad, TableServer,
+};
+use goldcrestramp_types::{
+    DomainName, FenceToken, NameError, ServerName, ServiceName, SliceCount,
+    SliceIndex, SliceRange, SliceSet, TableVersion, TermId, TimeSpan, VmName,
+};
+use goldcrestramp_wire::peer;
+
+/// A peer's message that makes no sense.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct BadMessage;
+
+impl From<NameError> for BadMessage {
+    fn from(_error: NameError) -> Self {
+        Self
+    }
+}
+
+/// Refusal text of a voter that has just started.
+const SILENT: &str = "silent";
+/// Refusal text of a voter that follows another term.
+const REFUSED: &str = "refused";
+
+pub(crate) fn term_out(term: TermId) -> peer::Term {
+    peer::Term { number: term.number, vm: term.vm, start: term.start }
+}
+
+pub(crate) fn term_in(term: Option<peer::Term>) -> TermId {
+    let term = term.unwrap_or_default();
+    TermId { number: term.number, vm: term.vm, start: term.start }
+}
+
+pub(crate) fn token_out(token: FenceToken) -> peer::Token {
+    peer::Token { term: Some(term_out(token.term)), sequence: token.sequence }
+}
+
+pub(crate) fn token_in(token: Option<peer::Token>) -> FenceToken {
+    let token = token.unwrap_or_default();
+    FenceToken { term: term_in(token.term), sequence: token.sequence }
+}
+
+pub(crate) fn version_out(version: TableVersion) -> peer::Token {
+    peer::Token {
+        term: Some(term_out(version.term)),
+        sequence: version.sequence,
+    }
+}
+
+pub(crate) fn version_in(token: Option<peer::Token>) -> TableVersion {
+    let token = token.unwrap_or_default();
+    TableVersion { term: term_in(token.term), sequence: token.sequence }
+}
+
+fn slices_out(set: &SliceSet) -> Vec<peer::SliceRun> {
+    let runs = set.ranges().into_iter().map(|range| peer::SliceRun {
+        first: u32::from(range.first.get()),
+        last: u32::from(range.last.get()),
+    });
+    runs.collect()
+}
+
+/// Reads runs, which must rise: a peer cannot make this cost more than one
+/// pass over the slices that exist.
+fn slices_in(runs: &[peer::SliceRun]) -> Result<SliceSet, BadMessage> {
+    let mut ranges = Vec::new();
+    let mut next = 0;
+    for run in runs {
+        if run.first < next || run.last < run.first {
+            return Err(BadMessage);
+        }
+        let first = SliceIndex::new(run.first).ok_or(BadMessage)?;
+        let last = SliceIndex::new(run.last).ok_or(BadMessage)?;
+        next = run.last + 1;
+        ranges.push(SliceRange { first, last });
+    }
+    Ok(SliceSet::from(ranges))
+}
+
+pub(crate) fn ask_out(ask: &ConfirmAsk) -> peer::ConfirmRequest {
+    peer::ConfirmRequest {
+        domain: ask.domain.to_string(),
+        vm: ask.vm.to_string(),
+        address: ask.address.to_string(),
+        term: Some(term_out(ask.term)),
+        roster_version: ask.roster,
+    }
+}
+
+pub(crate) fn ask_in(
+    ask: peer::ConfirmRequest,
+) -> Result<ConfirmAsk, BadMessage> {
+    Ok(ConfirmAsk {
+        domain: DomainName::new(&ask.domain)?,
+        vm: VmName::new(&ask.vm)?,
+        address: Arc::from(ask.address),
+        term: term_in(ask.term),
+        roster: ask.roster_version,
+    })
+}
+
+pub(crate) fn confirm_out(answer: ConfirmAnswer) -> peer::ConfirmReply {
+    match answer {
+        ConfirmAnswer::Confirmed => peer::ConfirmReply {
+            confirmed: true,
+            ..peer::ConfirmReply::default()
+        },
+        ConfirmAnswer::Refused { highest } => peer::ConfirmReply {
+            confirmed: false,
+            highest: Some(term_out(highest)),
+            refusal: REFUSED.to_owned(),
+        },
+        ConfirmAnswer::Silent => peer::ConfirmReply {
+            confirmed: false,
+            highest: None,
+            refusal: SILENT.to_owned(),
+        },
+    }
+}
+
+pub(crate) fn confirm_in(reply: &peer::ConfirmReply) -> ConfirmAnswer {
+    if reply.confirmed {
+        return ConfirmAnswer::Confirmed;
+    }
+    if reply.refusal == SILENT {
+        return ConfirmAnswer::Silent;
+    }
+    ConfirmAnswer::Refused { highest: term_in(reply.highest) }
+}
+
+pub(crate) fn report_out(
+    report: &KeeperReport,
+    domain: &DomainName,
+) -> peer::PermitRequest {
+    peer::PermitRequest {
+        vm: report.vm.to_string(),
+        address: report.address.to_string(),
+        start: report.start,
+        domain: domain.to_string(),
+        leaving: report.leaving,
+        servers: report.servers.iter().map(server_report_out).collect(),
+        config_version: 0,
+    }
+}
+
+pub(crate) fn report_in(
+    request: &peer::PermitRequest,
+) -> Result<KeeperReport, BadMessage> {
+    let servers: Result<Vec<_>, _> =
+        request.servers.iter().map(server_report_in).collect();
+    Ok(KeeperReport {
+        vm: VmName::new(&request.vm)?,
+        address: Arc::from(request.address.as_str()),
+        start: request.start,
+        leaving: request.leaving,
+        servers: servers?,
+    })
+}
+
+fn server_report_out(report: &ServerReport) -> peer::ServerReport {
+    let loads = report.loads.iter().map(|load| peer::SliceLoad {
+        slice: u32::from(load.slice.get()),
+        busy_micros: load.busy.as_micros(),
+    });
+    peer::ServerReport {
+        server: report.server.to_string(),
+        run: report.run,
+        token: Some(token_out(report.token)),
+        fence: Some(token_out(report.fence)),
+        held: slices_out(&report.held),
+        released: slices_out(&report.released),
+        age_micros: report.age.as_micros(),
+        ends_micros: report.ends.as_micros(),
+        busy_micros: report.busy.as_micros(),
+        loads: loads.collect(),
+        reachable: report.reachable,
+        last: slices_out(&report.last),
+        lapsed: report.lapsed,
+    }
+}
+
+fn server_report_in(
+    report: &peer::ServerReport,
+) -> Result<ServerReport, BadMessage> {
+    let loads = report.loads.iter().filter_map(|load| {
+        let slice = SliceIndex::new(load.slice)?;
+        let busy = TimeSpan::from_micros(load.busy_micros);
+        Some(SliceLoad { slice, busy })
+    });
+    Ok(ServerReport {
+        server: ServerName::new(&report.server)?,
+        reachable: report.reachable,
+        run: report.run,
+        token: token_in(report.token),
+        fence: token_in(report.fence),
+        held: slices_in(&report.held)?,
+        last: slices_in(&report.last)?,
+        lapsed: report.lapsed,
+        released: slices_in(&report.released)?,
+        age: TimeSpan::from_micros(report.age_micros),
+        ends: TimeSpan::from_micros(report.ends_micros),
+        busy: TimeSpan::from_micros(report.busy_micros),
+        loads: loads.collect(),
+    })
+}
+
+pub(crate) fn permit_out(answer: &PermitAnswer) -> peer::PermitReply {
+    match answer {
+        PermitAnswer::Permitted { term, valid, orders } => peer::PermitReply {
+            permitted: true,
+            term: Some(term_out(*term)),
+            valid_micros: valid.as_micros(),
+            orders: orders.iter().map(order_out).collect(),
+            ..peer::PermitReply::default()
+        },
+        PermitAnswer::NotSteward { steward } => {
+            let (vm, address) = match steward {
+                Some((vm, address)) => (vm.to_string(), address.to_string()),
+                None => (String::new(), String::new()),
+            };
+            peer::PermitReply {
+                permitted: false,
+                steward: vm,
+                steward_address: address,
+                ..peer::PermitReply::default()
+            }
+        }
+    }
+}
+
+pub(crate) fn permit_in(
+    reply: peer::PermitReply,
+) -> Result<PermitAnswer, BadMessage> {
+    if reply.permitted {
+        let orders: Result<Vec<_>, _> =
+            reply.orders.iter().map(order_in).collect();
+        return Ok(PermitAnswer::Permitted {
+            term: term_in(reply.term),
+            valid: TimeSpan::from_micros(reply.valid_micros),
+            orders: orders?,
+        });
+    }
+    let steward = VmName::new(&reply.steward).ok();
+    let address = Arc::from(reply.steward_address);
+    Ok(PermitAnswer::NotSteward { steward: steward.map(|vm| (vm, address)) })
+}
+
+fn order_out(order: &ServerOrder) -> peer::ServerOrder {
+    peer::ServerOrder {
+        server: order.server.to_string(),
+        token: Some(token_out(order.token)),
+        slices: slices_out(&order.slices),
+        release: slices_out(&order.release),
+        extend_only: order.extend_only,
+        service: order.service.to_string(),
+        address: order.address.to_string(),
+        checks_fence: order.checks_fence,
+        slots: order.slots,
+        connections: order.connections,
+    }
+}
+
+fn order_in(order: &peer::ServerOrder) -> Result<ServerOrder, BadMessage> {
+    Ok(ServerOrder {
+        server: ServerName::new(&order.server)?,
+        service: ServiceName::new(&order.service)?,
+        address: Arc::from(order.address.as_str()),
+        checks_fence: order.checks_fence,
+        slots: order.slots,
+        connections: order.connections,
+        token: token_in(order.token),
+        extend_only: order.extend_only,
+        slices: slices_in(&order.slices)?,
+        release: slices_in(&order.release)?,
+    })
+}
+
+pub(crate) fn table_out(table: &DomainTable) -> peer::TableUpdate {
+    peer::TableUpdate {
+        domain: table.domain.to_string(),
+        version: Some(version_out(table.version)),
+        whole: true,
+        services: table.services.iter().map(service_out).collect(),
+        ..peer::TableUpdate::default()
+    }
+}
+
+pub(crate) fn table_in(
+    update: &peer::TableUpdate,
+) -> Result<DomainTable, BadMessage> {
+    let services: Result<Vec<_>, _> =
+        update.services.iter().map(service_in).collect();
+    Ok(DomainTable {
+        domain: DomainName::new(&update.domain)?,
+        version: version_in(update.version),
+        services: services?,
+    })
+}
+
+fn service_out(service: &ServiceTable) -> peer::ServiceTable {
+    let servers = service.servers.iter().map(|s| peer::TableServer {
+        server: s.server.to_string(),
+        vm: s.keeper.to_string(),
+        address: s.address.to_string(),
+    });
+    peer::ServiceTable {
+        service: service.service.to_string(),
+        slices: service.count.get(),
+        servers: servers.collect(),
+        runs: runs_out(&service.owners),
+    }
+}
+
+/// Neighbouring slices of one owner become one run.
+fn runs_out(owners: &[Option<u16>]) -> Vec<peer::TableRun> {
+    let mut runs: Vec<peer::TableRun> = Vec::new();
+    for (slice, owner) in (0_u32..).zip(owners) {
+        let owner = owner.map_or(0, |position| u32::from(position) + 1);
+        match runs.last_mut() {
+            Some(run) if run.owner == owner => run.last = slice,
+            _ => {
+                runs.push(peer::TableRun { first: slice, last: slice, owner });
+            }
+        }
+    }
+    runs.retain(|run| run.owner != 0);
+    runs
+}
+
+fn service_in(
+    service: &peer::ServiceTable,
+) -> Result<ServiceTable, BadMessage> {
+    let count = SliceCount::new(service.slices).ok_or(BadMessage)?;
+    let mut owners = vec![None; count.get() as usize];
+    for run in &service.runs {
+        let owner = run.owner.checked_sub(1).ok_or(BadMessage)?;
+        let owner = u16::try_from(owner).map_err(|_error| BadMessage)?;
+        if usize::from(owner) >= service.servers.len() {
+            return Err(BadMessage);
+        }
+        let run = run.first as usize..=run.last as usize;
+        let slots = owners.get_mut(run).ok_or(BadMessage)?;
+        slots.fill(Some(owner));
+    }
+    let servers: Result<Vec<_>, BadMessage> = service
+        .servers
+        .iter()
+        .map(|s| {
+            Ok(TableServer {
+                server: ServerName::new(&s.server)?,
+                keeper: VmName::new(&s.vm)?,
+                address: Arc::from(s.address.as_str()),
+            })
+        })
+        .collect();
+    Ok(ServiceTable {
+        service: ServiceName::new(&service.service)?,
+        count,
+        servers: servers?,
+        owners,
+    })
+}
--- /dev/null
+++ b/goldcrestramp-node/src/gateway/mod.rs
@@ -0,0 +1,11 @@
+//! The gateway: takes callers' requests over HTTP.
+
+mod answer;
+mod listener;
+mod request;
+mod route;
+mod routes;
+
+pub(crate) use crate::gateway::{
+    listener::CallerListener, routes::gateway_routes,
+};
--- /dev/null
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -0,0 +1,287 @@
+//! From a checked request to the keeper of its key's owner, and back.
+
+use std::{sync::Arc, time::Duration};
+
+use goldcrestramp_types::{
+    LocalTime, NotRunReason, RequestEffect, RetryReason, TimeSpan,
+    UnknownReason, slice_of,
+};
+use goldcrestramp_wire::peer::{
+    RouteFrame, RouteHead, RouteRequest, peer_client::PeerClient,
+    route_frame::Frame,
+};
+use tonic::Streaming;
+
+use crate::{
+    context::NodeContext, gateway::request::CallerRequest,
+    metrics::NodeMetrics, peers::PeerChannels,
+};
+
+/// The most times that one request is sent to a keeper.
+///
+/// Two moves of a slice at once cost four; more would be a loop.
+const SENDS_MOST: u32 = 8;
+/// A pause before a keeper that was out of reach is tried again, unless
+/// the table changes first.
+const PAUSE: Duration = Duration::from_millis(25);
+/// What a caller is told to wait when nobody owns its key: the lease time,
+/// after which a lost owner is replaced.
+const OWNER_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
+
+/// What became of a request.
+#[derive(Debug)]
+pub(crate) enum RouteAnswer {
+    /// The server answers; the frames end with an end mark if it is whole.
+    Done(Box<RouteDone>),
+    /// It did not run.
+    NotRun { reason: NotRunReason, retry_after: Option<TimeSpan> },
+    /// It may have run.
+    Unknown { reason: UnknownReason },
+}
+
+/// An answer that has begun.
+#[derive(Debug)]
+pub(crate) struct RouteDone {
+    pub(crate) head: RouteHead,
+    pub(crate) frames: RouteStream,
+}
+
+/// The frames of an answer that has begun.
+#[derive(Debug)]
+pub(crate) struct RouteStream {
+    frames: Streaming<RouteFrame>,
+    context: Arc<NodeContext>,
+}
+
+impl RouteStream {
+    /// The next frame; `None`: broken off.
+    pub(crate) async fn next(&mut self) -> Option<RouteFrame> {
+        self.frames.message().await.ok().flatten()
+    }
+
+    pub(crate) fn metrics(&self) -> &NodeMetrics {
+        &self.context.metrics
+    }
+}
+
+/// What one try came to.
+enum TryOutcome {
+    /// This is the caller's answer.
+    Answer(RouteAnswer),
+    /// It did not run; try again, at this address if one is named.
+    Again(RetryReason, Option<Arc<str>>),
+}
+
+/// Sends requests to keepers.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestRouter {
+    context: Arc<NodeContext>,
+    channels: Arc<PeerChannels>,
+}
+
+impl RequestRouter {
+    pub(crate) fn new(context: Arc<NodeContext>) -> Self {
+        let channels = Arc::new(PeerChannels::new(Arc::clone(&context)));
+        Self { context, channels }
+    }
+
+    /// Routes a request until it has an outcome or its deadline passes.
+    pub(crate) async fn route(&self, request: &CallerRequest) -> RouteAnswer {
+        let mut named = None;
+        let mut last = RetryReason::NoOwner;
+        for _ in 0..SENDS_MOST {
+            let address = match named.take() {
+                Some(address) => address,
+                None => match self.owner(request).await {
+                    Ok(address) => address,
+                    Err(reason) => return refused(reason),
+                },
+            };
+            match self.attempt(request, &address).await {
+                TryOutcome::Answer(answer) => return answer,
+                TryOutcome::Again(reason, elsewhere) => {
+                    self.context.metrics.count_retry(reason);
+                    last = reason;
+                    named = elsewhere;
+                }
+            }
+            if named.is_none() && !self.pause(request.deadline).await {
+                break;
+            }
+        }
+        refused(exhausted(last))
+    }
+
+    /// The keeper's address; waits for an owner until the deadline.
+    async fn owner(
+        &self,
+        request: &CallerRequest,
+    ) -> Result<Arc<str>, NotRunReason> {
+        let mut changes = self.context.table_changed.subscribe();
+        loop {
+            changes.borrow_and_update();
+            let table = self.context.table.load_full();
+            let routes = table
+                .service(&request.service)
+                .ok_or(NotRunReason::UnknownService)?;
+            let slice = slice_of(&request.key, routes.count);
+            if let Some(target) = routes.target(slice) {
+                return Ok(Arc::clone(&target.address));
+            }
+            let left = request.deadline.since(self.context.now());
+            let wait = tokio::time::timeout(left.to_std(), changes.changed());
+            if wait.await.is_err() {
+                return Err(NotRunReason::NoOwner);
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        request: &CallerRequest,
+        address: &Arc<str>,
+    ) -> TryOutcome {
+        let Ok(channel) = self.channels.open(address).await else {
+            return TryOutcome::Again(RetryReason::KeeperUnreachable, None);
+        };
+        let left = request.deadline.since(self.context.now());
+        if left == TimeSpan::ZERO {
+            let reason = NotRunReason::DeadlinePassed;
+            return TryOutcome::Answer(refused(reason));
+        }
+        let mut client = PeerClient::new(channel);
+        let call = async {
+            let message = route_request(request, left);
+            let response = client.route(message).await.ok()?;
+            let mut frames = response.into_inner();
+            let first = frames.message().await.ok()??;
+            Some((first.frame?, frames))
+        };
+        // The keeper answers by the deadline; the margin is for its way
+        // back, so that its own, truer answer is not missed.
+        let wait = left.plus(ANSWER_MARGIN);
+        match tokio::time::timeout(wait.to_std(), call).await {
+            Ok(Some((first, frames))) => self.first(first, frames),
+            Ok(None) => {
+                self.channels.forget(address);
+                lost(request)
+            }
+            Err(_elapsed) => {
+                let reason = UnknownReason::DeadlinePassed;
+                TryOutcome::Answer(RouteAnswer::Unknown { reason })
+            }
+        }
+    }
+
+    /// Reads the first frame, which tells the outcome.
+    fn first(
+        &self,
+        first: Frame,
+        frames: Streaming<RouteFrame>,
+    ) -> TryOutcome {
+        match first {
+            Frame::Head(head) => {
+                let context = Arc::clone(&self.context);
+                let frames = RouteStream { frames, context };
+                let done = Box::new(RouteDone { head, frames });
+                TryOutcome::Answer(RouteAnswer::Done(done))
+            }
+            Frame::Redirect(redirect) => {
+                let address = Arc::from(redirect.address);
+                TryOutcome::Again(RetryReason::Redirected, Some(address))
+            }
+            Frame::NotRun(not_run) => {
+                let reason = NotRunReason::from_code(&not_run.reason)
+                    .unwrap_or(NotRunReason::ServerRefused);
+                let wait = TimeSpan::from_micros(not_run.retry_after_micros);
+                declined(reason, wait)
+            }
+            Frame::Unknown(unknown) => {
+                let reason = UnknownReason::from_code(&unknown.reason)
+                    .unwrap_or(UnknownReason::ServerLost);
+                TryOutcome::Answer(RouteAnswer::Unknown { reason })
+            }
+            Frame::Data(_) | Frame::End(_) => {
+                let reason = UnknownReason::CrossedAnswer;
+                TryOutcome::Answer(RouteAnswer::Unknown { reason })
+            }
+        }
+    }
+
+    /// Waits for a new table or a moment; `false`: the deadline is over.
+    async fn pause(&self, deadline: LocalTime) -> bool {
+        let left = deadline.since(self.context.now());
+        if left == TimeSpan::ZERO {
+            return false;
+        }
+        let mut changes = self.context.table_changed.subscribe();
+        let wait = PAUSE.min(left.to_std());
+        // Either end of the wait is good for another try.
+        drop(tokio::time::timeout(wait, changes.changed()).await);
+        true
+    }
+}
+
+/// How long a keeper's answer may be on its way back.
+const ANSWER_MARGIN: TimeSpan = TimeSpan::from_millis(700);
+
+fn route_request(request: &CallerRequest, left: TimeSpan) -> RouteRequest {
+    RouteRequest {
+        service: request.service.to_string(),
+        key: request.key.clone(),
+        caller: request.caller.to_string(),
+        request: request.name.to_string(),
+        class: request.class.code().to_owned(),
+        left_micros: left.as_micros(),
+        resend: request.resend,
+        body: request.body.clone(),
+        ..RouteRequest::default()
+    }
+}
+
+/// The keeper went silent: only an idempotent request is sent again.
+fn lost(request: &CallerRequest) -> TryOutcome {
+    match request.class.effect() {
+        RequestEffect::Idempotent => {
+            TryOutcome::Again(RetryReason::BrokenOff, None)
+        }
+        RequestEffect::NonIdempotent => {
+            let reason = UnknownReason::KeeperLost;
+            TryOutcome::Answer(RouteAnswer::Unknown { reason })
+        }
+    }
+}
+
+/// A keeper's *not run*: the owner may only have moved.
+fn declined(reason: NotRunReason, wait: TimeSpan) -> TryOutcome {
+    match reason {
+        NotRunReason::NoOwner | NotRunReason::OwnerMoved => {
+            TryOutcome::Again(RetryReason::NoOwner, None)
+        }
+        NotRunReason::ServerUnreachable | NotRunReason::ServerRefused => {
+            TryOutcome::Again(RetryReason::ServerRefused, None)
+        }
+        _ => {
+            let retry_after = Some(wait);
+            TryOutcome::Answer(RouteAnswer::NotRun { reason, retry_after })
+        }
+    }
+}
+
+/// The refusal after the last try.
+const fn exhausted(last: RetryReason) -> NotRunReason {
+    match last {
+        RetryReason::Redirected => NotRunReason::OwnerMoved,
+        RetryReason::KeeperUnreachable => NotRunReason::KeeperUnreachable,
+        RetryReason::ServerRefused => NotRunReason::ServerRefused,
+        RetryReason::NoOwner | RetryReason::BrokenOff => NotRunReason::NoOwner,
+    }
+}
+
+const fn refused(reason: NotRunReason) -> RouteAnswer {
+    let retry_after = match reason {
+        NotRunReason::BadRequest | NotRunReason::UnknownService => None,
+        _ => Some(OWNER_WAIT),
+    };
+    RouteAnswer::NotRun { reason, retry_after }
+}
--- /dev/null
+++ b/goldcrestramp-node/src/gateway/routes.rs
@@ -0,0 +1,121 @@
+//! The HTTP routes that callers use.
+
+use std::sync::Arc;
+
+use bytes::Buf;
+use futures_util::Stream;
+use goldcrestramp_types::{NotRunReason, TimeSpan};
+use warp::{
+    Filter, Rejection, Reply,
+    http::{HeaderMap, Method},
+    reply::Response as WarpResponse,
+};
+
+use crate::{
+    context::NodeContext,
+    gateway::{
+        answer,
+        request::{self, BodyFault, CallerRequest, RequestFault},
+        route::RequestRouter,
+    },
+};
+
+/// `GET` and `POST /v1/SERVICE/KEY`.
+pub(crate) fn gateway_routes(
+    context: Arc<NodeContext>,
+) -> impl Filter<Extract = (WarpResponse,), Error = Rejection> + Clone {
+    let router = RequestRouter::new(Arc::clone(&context));
+    let shared = warp::any().map(move || (Arc::clone(&context), router.clone()));
+    let keyed = warp::path!("v1" / String / ..)
+        .and(warp::path::tail())
+        .and(warp::method())
+        .and(warp::header::headers_cloned())
+        .and(warp::body::stream())
+        .and(shared)
+        .then(take_request);
+    let other = warp::any().map(no_route);
+    keyed.or(other).unify().and_then(accept)
+}
+
+/// Gives the chain the error type that a listener expects.
+async fn accept(response: WarpResponse) -> Result<WarpResponse, Rejection> {
+    Ok(response)
+}
+
+fn no_route() -> WarpResponse {
+    let title = "requests go to /v1/SERVICE/KEY";
+    answer::not_run(NotRunReason::UnknownService, title, "", None)
+}
+
+async fn take_request<B: Buf>(
+    service: String,
+    key: warp::path::Tail,
+    method: Method,
+    headers: HeaderMap,
+    body: impl Stream<Item = Result<B, warp::Error>>,
+    (context, router): (Arc<NodeContext>, RequestRouter),
+) -> WarpResponse {
+    context.faults.wait().await;
+    let guard = context.request();
+    let settings = &context.settings;
+    if context.requests() > settings.gateway_requests as usize {
+        return refuse(&context, NotRunReason::GatewayFull, "", "");
+    }
+    let default = TimeSpan::from_millis(settings.default_deadline_ms);
+    let now = context.now();
+    let read = CallerRequest::read(
+        now,
+        &method,
+        &service,
+        key.as_str(),
+        &headers,
+        default,
+    );
+    let mut request = match read {
+        Ok(request) => request,
+        Err(RequestFault(title)) => {
+            return refuse(&context, NotRunReason::BadRequest, title, "");
+        }
+    };
+    let name = request.name.to_string();
+    let limit = settings.body_bytes as usize;
+    let left = request.deadline.since(now).to_std();
+    let body = request::read_body(body, limit);
+    request.body = match tokio::time::timeout(left, body).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(fault)) => return bad_body(&context, fault, &name),
+        Err(_elapsed) => {
+            let reason = NotRunReason::DeadlinePassed;
+            return refuse(&context, reason, "the body came late", &name);
+        }
+    };
+    let reply = router.route(&request).await;
+    answer::respond(reply, &name, &context.metrics, guard)
+}
+
+fn bad_body(
+    context: &NodeContext,
+    fault: BodyFault,
+    name: &str,
+) -> WarpResponse {
+    let title = match fault {
+        BodyFault::TooLarge => "the body is too large",
+        BodyFault::BrokenOff => "the body broke off",
+    };
+    refuse(context, NotRunReason::BadRequest, title, name)
+}
+
+fn refuse(
+    context: &NodeContext,
+    reason: NotRunReason,
+    title: &str,
+    name: &str,
+) -> WarpResponse {
+    context.metrics.count_not_run(reason);
+    let title = if title.is_empty() { reason.code() } else { title };
+    let wait = match reason {
+        NotRunReason::BadRequest => None,
+        _ => Some(TimeSpan::from_millis(1_000)),
+    };
+    answer::not_run(reason, title, name, wait).into_response()
+}
--- /dev/null
+++ b/goldcrestramp-node/src/handle.rs
@@ -0,0 +1,147 @@
+//! A running daemon.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use goldcrestramp_config::NodeSettings;
+use goldcrestramp_platform::{CallCounts, PlatformClient};
+use goldcrestramp_wire::peer::peer_server::PeerServer;
+use tokio::{net::TcpListener, task::JoinHandle};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::Server;
+
+use crate::{
+    context::NodeContext,
+    control::{ControlStatus, ControlThread, DrainedAsk, StatusAsk},
+    faults::NodeFaults,
+    gateway::{CallerListener, gateway_routes},
+    keeper::KeeperService,
+};
+
+/// How often a stopping daemon looks whether it is done.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+
+/// Where a running daemon listens.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NodeAddresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For peers' requests.
+    pub peers: SocketAddr,
+    /// For peers' control messages.
+    pub control: SocketAddr,
+}
+
+/// A running daemon; dropping it ends it at once, as a loss would.
+#[derive(Debug)]
+pub struct NodeHandle {
+    context: Arc<NodeContext>,
+    control: ControlThread,
+    callers: CallerListener,
+    peers: JoinHandle<()>,
+    addresses: NodeAddresses,
+    counts: Arc<CallCounts>,
+}
+
+impl NodeHandle {
+    /// Starts a daemon with these settings; it listens when this returns.
+    ///
+    /// Traffic runs on the present tokio runtime, control state on a thread
+    /// of its own.
+    ///
+    /// # Errors
+    ///
+    /// A report when a listener cannot be bound or the platform's URL is
+    /// not one.
+    pub async fn spawn(settings: NodeSettings) -> eyre::Result<Self> {
+        let faults = Arc::new(NodeFaults::default());
+        let store = PlatformClient::open(&settings.platform_url)?;
+        let counts = store.counts();
+        let context = Arc::new(NodeContext::new(settings, faults));
+        let peers = TcpListener::bind(context.settings.peers_listen).await?;
+        let peers_address = peers.local_addr()?;
+        let control =
+            ControlThread::spawn(Arc::clone(&context), store).await?;
+        let routes = gateway_routes(Arc::clone(&context));
+        let listen = context.settings.callers_listen;
+        let callers = CallerListener::bind(listen, routes).await?;
+        let addresses = NodeAddresses {
+            callers: callers.address(),
+            peers: peers_address,
+            control: control.address,
+        };
+        let peers = serve_peers(&context, peers);
+        log::info!("gateway: callers are served at {}.", addresses.callers);
+        Ok(Self { context, control, callers, peers, addresses, counts })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn addresses(&self) -> NodeAddresses {
+        self.addresses
+    }
+
+    /// Its settings, counters and fault switches.
+    #[must_use]
+    pub const fn context(&self) -> &Arc<NodeContext> {
+        &self.context
+    }
+
+    /// Its calls to the platform.
+    #[must_use]
+    pub const fn store_calls(&self) -> &Arc<CallCounts> {
+        &self.counts
+    }
+
+    /// What its control thread knows; `None`: the thread has ended.
+    pub async fn status(&self) -> Option<ControlStatus> {
+        self.control.actor.send(StatusAsk).await.ok()
+    }
+
+    /// Stops it without cutting a request: hands its servers to other VMs,
+    /// takes no new request and waits for those under way.
+    pub async fn drain(&mut self) {
+        self.context.leave();
+        self.wait_handed_over().await;
+        self.callers.drain().await;
+        while self.context.requests() > 0 {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
+    /// Waits until other VMs keep its servers.
+    async fn wait_handed_over(&self) {
+        loop {
+            match self.control.actor.send(DrainedAsk).await {
+                Ok(false) => tokio::time::sleep(DRAIN_POLL).await,
+                Ok(true) | Err(_) => return,
+            }
+        }
+    }
+}
+
+impl Drop for NodeHandle {
+    fn drop(&mut self) {
+        self.peers.abort();
+    }
+}
+
+fn serve_peers(
+    context: &Arc<NodeContext>,
+    listener: TcpListener,
+) -> JoinHandle<()> {
+    let service = KeeperService::new(Arc::clone(context));
+    let limit = context.settings.body_bytes as usize + MESSAGE_ROOM;
+    let service = PeerServer::new(service).max_decoding_message_size(limit);
+    let server = Server::builder()
+        .tcp_nodelay(true)
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener));
+    tokio::spawn(async move {
+        if let Err(error) = server.await {
+            log::error!("keeper: the listener ended: {error}.");
+        }
+    })
+}
+
+/// Room for the fields of a request besides its body, in bytes.
+const MESSAGE_ROOM: usize = 64 * 1_024;
--- /dev/null
+++ b/goldcrestramp-node/src/keeper/frames.rs
@@ -0,0 +1,45 @@
+//! Frames of the answer that a keeper gives a gateway.
+
+use goldcrestramp_types::{NotRunReason, TimeSpan, UnknownReason};
+use goldcrestramp_wire::peer::{
+    RouteEnd, RouteFrame, RouteHead, RouteNotRun, RouteRedirect, RouteUnknown,
+    route_frame::Frame,
+};
+
+use crate::routing::RouteTarget;
+
+const fn frame(frame: Frame) -> RouteFrame {
+    RouteFrame { frame: Some(frame) }
+}
+
+pub(crate) fn not_run(reason: NotRunReason, wait: TimeSpan) -> RouteFrame {
+    frame(Frame::NotRun(RouteNotRun {
+        reason: reason.code().to_owned(),
+        retry_after_micros: wait.as_micros(),
+    }))
+}
+
+pub(crate) fn unknown(reason: UnknownReason) -> RouteFrame {
+    let reason = reason.code().to_owned();
+    frame(Frame::Unknown(RouteUnknown { reason }))
+}
+
+pub(crate) fn redirect(target: &RouteTarget) -> RouteFrame {
+    frame(Frame::Redirect(RouteRedirect {
+        vm: target.keeper.to_string(),
+        address: target.address.to_string(),
+        table: None,
+    }))
+}
+
+pub(crate) const fn head(head: RouteHead) -> RouteFrame {
+    frame(Frame::Head(head))
+}
+
+pub(crate) const fn data(data: bytes::Bytes) -> RouteFrame {
+    frame(Frame::Data(data))
+}
+
+pub(crate) const fn end(length: u64) -> RouteFrame {
+    frame(Frame::End(RouteEnd { length }))
+}
--- /dev/null
+++ b/goldcrestramp-node/src/keeper/view.rs
@@ -0,0 +1,46 @@
+//! What the keeper may send, as the control thread last decided.
+
+use std::sync::Arc;
+
+use goldcrestramp_ownership::{PassBook, SendPass, ServerOrder};
+use goldcrestramp_types::{LocalTime, ServiceName, SliceIndex};
+
+/// An immutable snapshot for the traffic threads.
+#[derive(Debug, Default)]
+pub(crate) struct KeeperView {
+    passes: PassBook,
+    servers: Vec<Arc<ServerOrder>>,
+}
+
+/// A server that this VM keeps, and leave to send to it.
+#[derive(Clone, Debug)]
+pub(crate) struct KeptServer {
+    pub(crate) order: Arc<ServerOrder>,
+    pub(crate) pass: SendPass,
+}
+
+impl KeeperView {
+    pub(crate) const fn new(
+        passes: PassBook,
+        servers: Vec<Arc<ServerOrder>>,
+    ) -> Self {
+        Self { passes, servers }
+    }
+
+    /// The server of this VM that may run requests on `slice` now.
+    ///
+    /// A VM keeps a handful of servers, so they are looked through.
+    pub(crate) fn find(
+        &self,
+        now: LocalTime,
+        service: &ServiceName,
+        slice: SliceIndex,
+    ) -> Option<KeptServer> {
+        let servers = self.servers.iter();
+        let mut mine = servers.filter(|order| order.service == *service);
+        mine.find_map(|order| {
+            let pass = self.passes.pass(now, &order.server, slice).ok()?;
+            Some(KeptServer { order: Arc::clone(order), pass })
+        })
+    }
+}
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -1,1 +1,28 @@
-//! Actors and sockets that bind the pure parts into a daemon.
+/*!
+Actors and sockets that bind the pure parts into a daemon.
+
+A [`NodeHandle`] is one running daemon. Its control thread runs the steward,
+the keeper's grants and the voter; the traffic threads run the gateway, which
+takes callers' requests, and the keeper, which sends them to servers. Traffic
+reads what control decided from immutable snapshots in [`NodeContext`].
+*/
+
+mod context;
+mod control;
+mod convert;
+mod faults;
+mod gateway;
+mod handle;
+mod keeper;
+mod metrics;
+mod peers;
+mod routing;
+mod running;
+
+pub use crate::{
+    context::NodeContext,
+    control::ControlStatus,
+    faults::NodeFaults,
+    handle::{NodeAddresses, NodeHandle},
+    metrics::NodeMetrics,
+};
--- /dev/null
+++ b/goldcrestramp-node/src/metrics.rs
@@ -0,0 +1,143 @@
+//! Counters, one for each refusal and retry reason.
+
+use goldcrestramp_types::{NotRunReason, RetryReason, UnknownReason};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge},
+    registry::Registry,
+};
+
+/// The label of a counter that is kept by reason, kind or outcome.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// The stable code.
+    pub reason: &'static str,
+}
+
+/// The counters of one daemon.
+#[derive(Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    done: Counter,
+    cut: Counter,
+    not_run: Family<ReasonLabel, Counter>,
+    unknown: Family<ReasonLabel, Counter>,
+    retries: Family<ReasonLabel, Counter>,
+    store_calls: Family<ReasonLabel, Counter>,
+    control_messages: Family<ReasonLabel, Counter>,
+    leading: Gauge,
+}
+
+impl Default for NodeMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("goldcrestramp"),
+            done: Counter::default(),
+            cut: Counter::default(),
+            not_run: Family::default(),
+            unknown: Family::default(),
+            retries: Family::default(),
+            store_calls: Family::default(),
+            control_messages: Family::default(),
+            leading: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl NodeMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests_done",
+            "Requests that got their whole answer",
+            self.done.clone(),
+        );
+        registry.register(
+            "answers_broken_off",
+            "Answers that were broken off after they had begun",
+            self.cut.clone(),
+        );
+        registry.register(
+            "requests_not_run",
+            "Requests refused before they ran, by reason",
+            self.not_run.clone(),
+        );
+        registry.register(
+            "requests_unknown",
+            "Requests that may have run, by reason",
+            self.unknown.clone(),
+        );
+        registry.register(
+            "retries",
+            "Requests sent again or elsewhere, by reason",
+            self.retries.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the platform, by kind",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "control_messages",
+            "Control messages sent, by kind",
+            self.control_messages.clone(),
+        );
+        registry.register(
+            "steward_leading",
+            "1 while this VM is its failure domain's steward",
+            self.leading.clone(),
+        );
+    }
+
+    /// Counts a request that got its whole answer.
+    pub fn count_done(&self) {
+        self.done.inc();
+    }
+
+    /// Counts an answer that was broken off.
+    pub fn count_cut(&self) {
+        self.cut.inc();
+    }
+
+    /// Counts a request that did not run.
+    pub fn count_not_run(&self, reason: NotRunReason) {
+        self.not_run.get_or_create(&label(reason.code())).inc();
+    }
+
+    /// Counts a request that may have run.
+    pub fn count_unknown(&self, reason: UnknownReason) {
+        self.unknown.get_or_create(&label(reason.code())).inc();
+    }
+
+    /// Counts a retry.
+    pub fn count_retry(&self, reason: RetryReason) {
+        self.retries.get_or_create(&label(reason.code())).inc();
+    }
+
+    /// Counts a control message of this kind.
+    pub fn count_control(&self, kind: &'static str) {
+        self.control_messages.get_or_create(&label(kind)).inc();
+    }
+
+    /// Shows whether this VM is the steward.
+    pub fn set_leading(&self, leading: bool) {
+        self.leading.set(i64::from(leading));
+    }
+
+    /// All counters in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// [`std::fmt::Error`] if they can't be written as text.
+    pub fn encode(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+const fn label(reason: &'static str) -> ReasonLabel {
+    ReasonLabel { reason }
+}
--- /dev/null
+++ b/goldcrestramp-node/src/peers.rs
@@ -0,0 +1,81 @@
+//! Connections to peers, kept open and shared.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use goldcrestramp_types::FastMap;
+use tonic::transport::{Channel, Endpoint};
+
+use crate::context::NodeContext;
+
+/// A peer that takes no connection within this time is out of reach.
+///
+/// Thirty round trips between regions; a keeper is lost long before.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// How often an idle connection is probed, so that a dead peer is noticed.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// A probe without an answer for so long ends the connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Open channels to peers by address.
+#[derive(Debug)]
+pub(crate) struct PeerChannels {
+    context: Arc<NodeContext>,
+    channels: Mutex<FastMap<Arc<str>, Channel>>,
+}
+
+/// Why no message could be sent to a peer; none was.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct PeerUnreachable;
+
+impl PeerChannels {
+    pub(crate) fn new(context: Arc<NodeContext>) -> Self {
+        Self { context, channels: Mutex::default() }
+    }
+
+    /// An open channel to the peer at `address`.
+    ///
+    /// The connection stands when this returns, so a failure here proves
+    /// that nothing was sent.
+    pub(crate) async fn open(
+        &self,
+        address: &Arc<str>,
+    ) -> Result<Channel, PeerUnreachable> {
+        if self.context.faults.is_cut(address) {
+            self.forget(address);
+            return Err(PeerUnreachable);
+        }
+        let known = self.lock().get(address).cloned();
+        if let Some(channel) = known {
+            return Ok(channel);
+        }
+        let endpoint = endpoint(address).ok_or(PeerUnreachable)?;
+        let channel =
+            endpoint.connect().await.map_err(|_error| PeerUnreachable)?;
+        self.lock().insert(Arc::clone(address), channel.clone());
+        Ok(channel)
+    }
+
+    /// Drops the channel after a failure, so that the next is new.
+    pub(crate) fn forget(&self, address: &Arc<str>) {
+        self.lock().remove(address);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, FastMap<Arc<str>, Channel>> {
+        self.channels.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// How a peer is connected to.
+pub(crate) fn endpoint(address: &str) -> Option<Endpoint> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    let endpoint = endpoint
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(PROBE_EVERY)
+        .keep_alive_timeout(PROBE_TIMEOUT)
+        .keep_alive_while_idle(true);
+    Some(endpoint)
+}
--- a/goldcrestramp-types/src/time.rs
+++ b/goldcrestramp-types/src/time.rs
@@ -60,6 +60,12 @@
         Self(self.0.saturating_mul(percent) / 100)
     }
 
+    /// Both spans together.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
     /// The span as the standard library's duration.
     #[must_use]
     pub const fn to_std(self) -> std::time::Duration {
