Bind gateway, keeper and control state into a daemon

Cause: the packages had no process. The ownership machines are still sketches, so nothing is served yet and nothing was measured.

--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -380,9 +380,8 @@
 impl Handler<PermitNotice> for ControlActor {
     type Return = ();
 
-    async fn handle(
-&mut self, message: PermitNotice, _: &mut Context<Self>) {
-let PermitNotice { sent, answer } = message;
+    async fn handle(&mut self, message: PermitNotice, _: &mut Context<Self>) {
+        let PermitNotice { sent, answer } = message;
         self.context.faults.wait().await;
         self.asking = false;
         self.search.learn(answer.as_ref());
@@ -403,7 +402,7 @@
     type Return = ();
 
     async fn handle(&mut self, message: GrantNotice, _: &mut Context<Self>) {
-let GrantNotice { server, sent, reply } = message;
+        let GrantNotice { server, sent, reply } = message;
         self.context.faults.wait().await;
         let now = self.context.now();
         match reply {
--- a/goldcrestramp-node/src/gateway/routes.rs
+++ b/goldcrestramp-node/src/gateway/routes.rs
@@ -25,7 +25,8 @@
     context: Arc<NodeContext>,
 ) -> impl Filter<Extract = (WarpResponse,), Error = Rejection> + Clone {
     let router = RequestRouter::new(Arc::clone(&context));
-    let shared = warp::any().map(move || (Arc::clone(&context), router.clone()));
+    let shared =
+        warp::any().map(move || (Arc::clone(&context), router.clone()));
     let keyed = warp::path!("v1" / String / ..)
         .and(warp::path::tail())
         .and(warp::method())
--- a/src/bin/goldcrestrampd.rs
+++ b/src/bin/goldcrestrampd.rs
@@ -1,3 +1,10 @@
 //! The daemon on an entry VM.
 
-fn main() {}
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    goldcrestramp::daemon::run()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,8 @@
 ```
 */
 
+pub mod daemon;
+
 pub use goldcrestramp_config as config;
 pub use goldcrestramp_decisions as decisions;
 pub use goldcrestramp_node as node;
--- a/tests/process/deployment.rs
+++ b/tests/process/deployment.rs
@@ -39,6 +39,8 @@
     pub operators: SocketAddr,
     /// What stands between it and its peers; the address they know.
     pub peer_relay: TcpRelay,
+    /// What stands before its control listener; the address they know.
+    pub control_relay: TcpRelay,
     /// What stands between it and the platform.
     pub platform_relay: TcpRelay,
     settings: PathBuf,
@@ -81,9 +83,10 @@
 
     /// Starts a daemon; it may not serve yet when this returns.
     pub async fn daemon(&self, vm: &str, domain: &str) -> DaemonProcess {
-        let [callers, peers, operators] = self.free_addresses();
+        let [callers, peers, control, operators] = self.free_addresses();
         let any = SocketAddr::from((self.host, 0));
         let peer_relay = TcpRelay::bind(any, peers).await;
+        let control_relay = TcpRelay::bind(any, control).await;
         let platform_relay = TcpRelay::bind(any, self.platform_address).await;
         let settings = json!({
             "deployment": "process-test",
@@ -93,6 +96,8 @@
             "callers_listen": callers,
             "peers_listen": peers,
             "peers_address": peer_relay.address(),
+            "control_listen": control,
+            "control_address": control_relay.address(),
             "platform_url": format!("http://{}", platform_relay.address()),
             "operators": { "listen": operators },
         });
@@ -105,6 +110,7 @@
             callers,
             operators,
             peer_relay,
+            control_relay,
             platform_relay,
             settings: path,
         }
