--- a/goldcrestramp-config/src/deployment.rs
+++ b/goldcrestramp-config/src/deployment.rs
@@ -146,7 +146,7 @@
     /// Its region.
     pub region: RegionName,
     /// Declared lost by an operator: its slices may be taken from it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub lost: bool,
 }
 
@@ -186,7 +186,7 @@
     /// Whether it refuses orders that carry an old token.
     pub checks_fence: bool,
     /// Leaving: it gets no new work, and its slices move away.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub drain: bool,
 }
 
--- a/goldcrestramp-config/src/lib.rs
+++ b/goldcrestramp-config/src/lib.rs
@@ -28,7 +28,7 @@
         AcceptOutcome, CapacityPreview, ChangeTicket, RefusalReason,
         RemovalList, STATE_BYTES, ServicePreview, ThingId, ThingKind,
         TicketDocument, TicketMark, TicketMarks, TicketPreview, TicketRefusal,
-        accept_ticket, merge_states, parse_ticket, preview_ticket,
+        TouchMark, accept_ticket, merge_states, parse_ticket, preview_ticket,
         read_ticket,
     },
 };
--- a/goldcrestramp-config/src/ticket/accept.rs
+++ b/goldcrestramp-config/src/ticket/accept.rs
@@ -3,7 +3,7 @@
 use super::{
     ChangeTicket,
     check::check_change,
-    marks::TicketMark,
+    marks::{TicketMark, TouchMark},
     refusal::{RefusalReason, TicketRefusal},
     thing::{ConfiguredThing, ThingId},
 };
@@ -55,12 +55,12 @@
     ticket: &ChangeTicket,
 ) -> AcceptOutcome {
     let digest = ticket.digest();
-    if let Some(mark) = state.tickets.recent.get(&ticket.ticket) {
-        if mark.digest == digest {
-            let version = mark.version;
-            return AcceptOutcome::AcceptedAlready { version };
-        }
-        return refused("ticket", RefusalReason::NumberReused);
+    if let Some(marks) = state.tickets.recent.get(&ticket.ticket) {
+        let same = marks.iter().find(|mark| mark.digest == digest);
+        return same.map_or_else(
+            || refused("ticket", RefusalReason::NumberReused),
+            |mark| AcceptOutcome::AcceptedAlready { version: mark.version },
+        );
     }
     let mut refusals = check_numbers(state, ticket);
     let next = change_state(state, ticket, digest);
@@ -87,7 +87,7 @@
 ) -> Vec<TicketRefusal> {
     let things = ticket.things().into_iter();
     let late = things.filter_map(|(path, thing)| {
-        let last = state.tickets.last_for(&thing);
+        let last = state.tickets.last_for(&thing).0;
         let reason = RefusalReason::NumberTooLow { thing, last };
         (ticket.ticket <= last).then_some(TicketRefusal { path, reason })
     });
@@ -110,10 +110,11 @@
     put_all(&mut next.servers, &ticket.servers);
     put_all(&mut next.callers, &ticket.callers);
     for (_, thing) in ticket.things() {
-        next.tickets.last.insert(thing, ticket.ticket);
+        let mark = TouchMark::new(ticket.ticket, digest);
+        next.tickets.last.insert(thing, mark);
     }
     let mark = TicketMark { digest, version: next.version };
-    next.tickets.recent.insert(ticket.ticket, mark);
+    next.tickets.note(ticket.ticket, mark);
     next.trim_marks();
     next
 }
--- a/goldcrestramp-config/src/ticket/marks.rs
+++ b/goldcrestramp-config/src/ticket/marks.rs
@@ -24,6 +24,31 @@
     pub version: u64,
 }
 
+/// The ticket that touched a thing last: its number, then the upper half
+/// of its digest, which orders two tickets of one number.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+pub struct TouchMark(pub u64, pub u32);
+
+impl TouchMark {
+    /// The mark of the ticket with this number and digest.
+    #[must_use]
+    pub fn new(number: u64, digest: u64) -> Self {
+        let upper = u32::try_from(digest >> u32::BITS);
+        Self(number, upper.unwrap_or(u32::MAX))
+    }
+}
+
 /// The memory of accepted tickets, kept with the state they made.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,17 +58,34 @@
     pub floor: u64,
     /// The last ticket that touched each thing, removed ones among them.
     #[serde(default)]
-    pub last: BTreeMap<ThingId, u64>,
-    /// The accepted tickets with the highest numbers.
+    pub last: BTreeMap<ThingId, TouchMark>,
+    /// The accepted tickets with the highest numbers, sorted by digest.
+    ///
+    /// A number has one ticket, unless the store was restored from older
+    /// data and its operators used the number again; then each counts.
     #[serde(default)]
-    pub recent: BTreeMap<u64, TicketMark>,
+    pub recent: BTreeMap<u64, Vec<TicketMark>>,
 }
 
 impl TicketMarks {
     /// The last ticket that touched `thing`.
     #[must_use]
-    pub fn last_for(&self, thing: &ThingId) -> u64 {
-        self.last.get(thing).copied().unwrap_or(self.floor)
+    pub fn last_for(&self, thing: &ThingId) -> TouchMark {
+        let unknown = TouchMark(self.floor, 0);
+        self.last.get(thing).copied().unwrap_or(unknown)
+    }
+
+    /// Notes an accepted ticket; the same one again changes nothing but
+    /// that the higher version counts.
+    pub(super) fn note(&mut self, number: u64, mark: TicketMark) {
+        let marks = self.recent.entry(number).or_default();
+        match marks.binary_search_by_key(&mark.digest, |m| m.digest) {
+            Ok(place) => {
+                let known = &mut marks[place];
+                known.version = known.version.max(mark.version);
+            }
+            Err(place) => marks.insert(place, mark),
+        }
     }
 
     /// Forgets what is beyond the bounds; `present` tells what exists.
@@ -58,7 +100,7 @@
         }
         let removed = self.last.iter().filter(|(thing, _)| !present(thing));
         let mut removed: Vec<_> =
-            removed.map(|(thing, number)| (*number, thing.clone())).collect();
+            removed.map(|(thing, mark)| (mark.0, thing.clone())).collect();
         removed.sort_unstable();
         let excess = removed.len().saturating_sub(REMOVED_THINGS);
         for (number, thing) in removed.into_iter().take(excess) {
--- a/goldcrestramp-config/src/ticket/merge.rs
+++ b/goldcrestramp-config/src/ticket/merge.rs
@@ -17,7 +17,8 @@
 /// state joins both and writes the result back, so no accepted ticket is
 /// lost. Taking each thing from the higher number gives the same state as
 /// accepting all tickets in the order of their numbers, so no ticket is in
-/// force by half.
+/// force by half. Should both sides have accepted one number for different
+/// tickets, their digests decide their order.
 ///
 /// The result does not depend on the order of the arguments. Its version
 /// is above that of every state that differs from it.
@@ -67,34 +68,22 @@
 fn taken_from_right(left: &TicketMarks, right: &TicketMarks) -> Vec<ThingId> {
     let things: BTreeSet<&ThingId> =
         left.last.keys().chain(right.last.keys()).collect();
-    let better = things.into_iter().filter(|thing| {
-        let (of_left, of_right) = (rank(left, thing), rank(right, thing));
-        of_right > of_left
-    });
+    let better = things
+        .into_iter()
+        .filter(|thing| right.last_for(thing) > left.last_for(thing));
     better.cloned().collect()
 }
 
-/// The last ticket of a thing; its digest decides between two tickets
-/// that were accepted with one number on either side of a restore, and a
-/// mark of its own beats the floor.
-fn rank(marks: &TicketMarks, thing: &ThingId) -> (u64, u64, bool) {
-    let number = marks.last_for(thing);
-    let digest = marks.recent.get(&number).map_or(0, |mark| mark.digest);
-    (number, digest, marks.last.contains_key(thing))
-}
-
 fn merge_marks(left: &TicketMarks, right: &TicketMarks) -> TicketMarks {
     let mut merged = left.clone();
     merged.floor = left.floor.max(right.floor);
-    for (thing, number) in &right.last {
-        let last = merged.last.entry(thing.clone()).or_insert(*number);
-        *last = (*last).max(*number);
+    for (thing, mark) in &right.last {
+        let last = merged.last.entry(thing.clone()).or_insert(*mark);
+        *last = (*last).max(*mark);
     }
-    for (number, mark) in &right.recent {
-        let known = merged.recent.entry(*number).or_insert(*mark);
-        let larger = (mark.digest, mark.version);
-        if larger > (known.digest, known.version) {
-            *known = *mark;
+    for (number, marks) in &right.recent {
+        for mark in marks {
+            merged.note(*number, *mark);
         }
     }
     merged
--- a/goldcrestramp-config/src/ticket/mod.rs
+++ b/goldcrestramp-config/src/ticket/mod.rs
@@ -19,7 +19,7 @@
 
 pub use self::{
     accept::{AcceptOutcome, STATE_BYTES, accept_ticket},
-    marks::{TicketMark, TicketMarks},
+    marks::{TicketMark, TicketMarks, TouchMark},
     merge::merge_states,
     preview::{
         CapacityPreview, ServicePreview, TicketPreview, preview_ticket,
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod handle;
 mod keeper;
 mod metrics;
+mod operators;
 mod peers;
 mod routing;
 mod running;
@@ -25,4 +26,5 @@
     faults::NodeFaults,
     handle::{NodeAddresses, NodeHandle},
     metrics::NodeMetrics,
+    operators::{ApplyOutcome, apply_ticket, restore_config},
 };
