--- a/goldcrestramp-node/tests/apply.rs
+++ b/goldcrestramp-node/tests/apply.rs
@@ -371,3 +371,30 @@
     assert!(matches!(outcome, ApplyOutcome::NotApplied(_)), "{outcome:?}");
     assert!(store.value().starts_with(b"{ \"version\": 9"));
 }
+
+/// The store comes back without ticket 2. An operator applies ticket 1 of
+/// the same caller through a VM that still knows ticket 2: it is refused,
+/// and the next accepted ticket brings ticket 2 back into the store.
+#[test]
+fn a_store_with_older_data_is_judged_by_what_the_vm_knows() {
+    let store = StoreFake::default();
+    let empty = DeploymentState::default();
+    let two = ticket(2, &Weights::from([(0, 1)]));
+    let ApplyOutcome::Accepted(held) =
+        complete(apply_ticket(&store, &empty, &two))
+    else {
+        panic!("the first ticket");
+    };
+    store.go_back(1);
+
+    let late = ticket(1, &Weights::from([(0, 2)]));
+    let late = complete(apply_ticket(&store, &held, &late));
+    let other = ticket(3, &Weights::from([(1, 2)]));
+    let other = complete(apply_ticket(&store, &held, &other));
+
+    assert!(matches!(late, ApplyOutcome::Refused { .. }), "{late:?}");
+    let ApplyOutcome::Accepted(state) = other else { panic!("{other:?}") };
+    assert_eq!(state.callers.len(), 2);
+    assert_eq!(state.version, 2);
+    assert!(store.value().windows(8).any(|text| text == b"caller-0"));
+}
