Find out what became of an order whose keeper was lost

Cause: an order whose keeper went silent was answered unknown, though its server often knows. Change: the gateway asks the next keeper, which cancels the request at the server and answers not-run, the kept answer or unknown; a server run younger than the request proves nothing.

--- a/goldcrestramp-node/src/gateway/mod.rs
+++ b/goldcrestramp-node/src/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod listener;
+mod recover;
 mod request;
 mod route;
 mod routes;
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -65,7 +65,7 @@
 }
 
 /// What one try came to.
-enum TryOutcome {
+pub(super) enum TryOutcome {
     /// This is the caller's answer.
     Answer(RouteAnswer),
     /// It did not run; try again, at this address if one is named.
@@ -75,8 +75,8 @@
 /// Sends requests to keepers.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestRouter {
-    context: Arc<NodeContext>,
-    channels: Arc<PeerChannels>,
+    pub(super) context: Arc<NodeContext>,
+    pub(super) channels: Arc<PeerChannels>,
 }
 
 impl RequestRouter {
@@ -113,7 +113,7 @@
     }
 
     /// The keeper's address; waits for an owner until the deadline.
-    async fn owner(
+    pub(super) async fn owner(
         &self,
         request: &CallerRequest,
     ) -> Result<Arc<str>, NotRunReason> {
@@ -144,7 +144,7 @@
         let Ok(channel) = self.channels.open(address).await else {
             return TryOutcome::Again(RetryReason::KeeperUnreachable, None);
         };
-        let left = request.deadline.since(self.context.now());
+        let left = self.left(request);
         if left == TimeSpan::ZERO {
             let reason = NotRunReason::DeadlinePassed;
             return TryOutcome::Answer(refused(reason));
@@ -164,7 +164,7 @@
             Ok(Some((first, frames))) => self.first(first, frames),
             Ok(None) => {
                 self.channels.forget(address);
-                lost(request)
+                self.lost(request, left).await
             }
             Err(_elapsed) => {
                 let reason = UnknownReason::DeadlinePassed;
@@ -173,8 +173,30 @@
         }
     }
 
+    /// The keeper went silent: an idempotent request is sent again, of any
+    /// other it is found out what became of it.
+    async fn lost(
+        &self,
+        request: &CallerRequest,
+        left: TimeSpan,
+    ) -> TryOutcome {
+        match request.class.effect() {
+            RequestEffect::Idempotent => {
+                TryOutcome::Again(RetryReason::BrokenOff, None)
+            }
+            RequestEffect::NonIdempotent => {
+                let age = left.minus(self.left(request));
+                TryOutcome::Answer(self.recover(request, age).await)
+            }
+        }
+    }
+
+    fn left(&self, request: &CallerRequest) -> TimeSpan {
+        request.deadline.since(self.context.now())
+    }
+
     /// Reads the first frame, which tells the outcome.
-    fn first(
+    pub(super) fn first(
         &self,
         first: Frame,
         frames: Streaming<RouteFrame>,
@@ -209,7 +231,7 @@
     }
 
     /// Waits for a new table or a moment; `false`: the deadline is over.
-    async fn pause(&self, deadline: LocalTime) -> bool {
+    pub(super) async fn pause(&self, deadline: LocalTime) -> bool {
         let left = deadline.since(self.context.now());
         if left == TimeSpan::ZERO {
             return false;
@@ -225,7 +247,10 @@
 /// How long a keeper's answer may be on its way back.
 const ANSWER_MARGIN: TimeSpan = TimeSpan::from_millis(700);
 
-fn route_request(request: &CallerRequest, left: TimeSpan) -> RouteRequest {
+pub(super) fn route_request(
+    request: &CallerRequest,
+    left: TimeSpan,
+) -> RouteRequest {
     RouteRequest {
         service: request.service.to_string(),
         key: request.key.clone(),
@@ -239,19 +264,6 @@
     }
 }
 
-/// The keeper went silent: only an idempotent request is sent again.
-fn lost(request: &CallerRequest) -> TryOutcome {
-    match request.class.effect() {
-        RequestEffect::Idempotent => {
-            TryOutcome::Again(RetryReason::BrokenOff, None)
-        }
-        RequestEffect::NonIdempotent => {
-            let reason = UnknownReason::KeeperLost;
-            TryOutcome::Answer(RouteAnswer::Unknown { reason })
-        }
-    }
-}
-
 /// A keeper's *not run*: the owner may only have moved.
 fn declined(reason: NotRunReason, wait: TimeSpan) -> TryOutcome {
     match reason {
--- a/goldcrestramp-node/src/keeper/mod.rs
+++ b/goldcrestramp-node/src/keeper/mod.rs
@@ -3,6 +3,7 @@
 mod frames;
 mod gate;
 mod prove;
+mod recover;
 mod send;
 mod service;
 mod view;
--- /dev/null
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -0,0 +1,97 @@
+//! What became of a request whose former keeper was lost.
+//!
+//! By now this keeper's grant has raised the fence at the server, and the
+//! server is told to cancel the request, so that it cannot start any more.
+//! What the server then says is final.
+
+use std::time::Duration;
+
+use goldcrestramp_types::{NotRunReason, TimeSpan, UnknownReason};
+use goldcrestramp_wire::server::{
+    HEADER_REQUEST, RequestReport, RequestState,
+};
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
+
+use crate::keeper::{
+    frames, prove,
+    send::{self, FrameSender, ServerRequest},
+    view::KeptServer,
+};
+
+/// How often a server is asked whether a request has ended.
+const ASK_EVERY: Duration = Duration::from_millis(50);
+/// Clocks of two machines differ by at most 2% each.
+const CLOCK_PERCENT: u64 = 104;
+/// The request was on its way before its age was counted.
+const AGE_MARGIN: TimeSpan = TimeSpan::from_millis(100);
+
+/// Finds out what became of `request`, sent `age` ago, and answers.
+pub(crate) async fn recover(
+    http: &reqwest::Client,
+    kept: &KeptServer,
+    request: &ServerRequest,
+    age: TimeSpan,
+    left: TimeSpan,
+    frames: &FrameSender,
+) {
+    let end = tokio::time::Instant::now() + left.to_std();
+    loop {
+        let report = prove::cancel(http, kept, &request.id).await;
+        let state = report.filter(|r| predates(r, age)).map(|r| r.state);
+        match state {
+            // The server never starts what it has noted as cancelled.
+            Some(RequestState::NotStarted) => {
+                let reason = NotRunReason::Cancelled;
+                let frame = frames::not_run(reason, TimeSpan::ZERO);
+                send::give(frames, frame).await;
+                return;
+            }
+            Some(RequestState::Ended) => {
+                return kept_answer(http, kept, request, frames).await;
+            }
+            Some(RequestState::Running)
+                if tokio::time::Instant::now() < end =>
+            {
+                tokio::time::sleep(ASK_EVERY).await;
+            }
+            Some(RequestState::Running) => {
+                return unknown(frames, UnknownReason::StillRunning).await;
+            }
+            Some(RequestState::NotSeen) | None => {
+                return unknown(frames, UnknownReason::KeeperLost).await;
+            }
+        }
+    }
+}
+
+/// Whether the server's run is surely older than the request.
+///
+/// A younger run knows nothing of the request, though the run before it may
+/// have executed it: "not seen" would then be no proof.
+fn predates(report: &RequestReport, age: TimeSpan) -> bool {
+    report.age > age.percent(CLOCK_PERCENT).plus(AGE_MARGIN)
+}
+
+/// Passes on the answer that the server kept, if it still has it.
+async fn kept_answer(
+    http: &reqwest::Client,
+    kept: &KeptServer,
+    request: &ServerRequest,
+    frames: &FrameSender,
+) {
+    let id = utf8_percent_encode(&request.id, NON_ALPHANUMERIC);
+    let url = format!("http://{}/answer/{id}", kept.order.address);
+    let Ok(response) = http.get(url).send().await else {
+        return unknown(frames, UnknownReason::KeeperLost).await;
+    };
+    let echoed = response.headers().get(HEADER_REQUEST);
+    let same = echoed.is_some_and(|id| id.as_bytes() == request.id.as_bytes());
+    if !response.status().is_success() || !same {
+        return unknown(frames, UnknownReason::KeeperLost).await;
+    }
+    send::pass_on(response, request, frames).await;
+}
+
+async fn unknown(frames: &FrameSender, reason: UnknownReason) {
+    send::give(frames, frames::unknown(reason)).await;
+}
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -120,7 +120,7 @@
 }
 
 /// Streams the answer; it is marked whole only if it is.
-async fn pass_on(
+pub(crate) async fn pass_on(
     response: Response,
     request: &ServerRequest,
     frames: &FrameSender,
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -17,7 +17,7 @@
     keeper::{
         frames,
         gate::ServerGates,
-        prove,
+        prove, recover,
         send::{self, FrameSender, ServerRequest},
         view::KeptServer,
     },
@@ -58,11 +58,17 @@
 
     async fn decide(&self, request: RouteRequest, frames: &FrameSender) {
         let now = self.context.now();
+        let recovery = request.recover;
+        let age = TimeSpan::from_micros(request.age_micros);
         let Some(request) = self.check(now, request) else {
             let reason = NotRunReason::BadRequest;
             refuse(frames, reason).await;
             return;
         };
+        if recovery {
+            self.recover(&request, age, frames).await;
+            return;
+        }
         let Some(kept) = self.find(&request) else {
             send::give(frames, self.elsewhere(&request)).await;
             return;
@@ -87,6 +93,28 @@
         drop(slot);
     }
 
+    /// Finds out what became of a request that another keeper had.
+    async fn recover(
+        &self,
+        request: &ServerRequest,
+        age: TimeSpan,
+        frames: &FrameSender,
+    ) {
+        match self.find(request) {
+            Some(kept) => {
+                let deadline = request.deadline;
+                let left = deadline.since(self.context.now());
+                recover::recover(
+                    &self.http, &kept, request, age, left, frames,
+                )
+                .await;
+            }
+            None => {
+                send::give(frames, self.elsewhere(request)).await;
+            }
+        }
+    }
+
     async fn send(
         &self,
         kept: &KeptServer,
--- a/goldcrestramp-types/src/time.rs
+++ b/goldcrestramp-types/src/time.rs
@@ -54,6 +54,12 @@
         self.0 / 1_000
     }
 
+    /// What is left of the span after `other`; zero if that is longer.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
     /// The span times `percent` / 100, rounded down.
     #[must_use]
     pub const fn percent(self, percent: u64) -> Self {
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -184,6 +184,12 @@
     pub body: ::prost::bytes::Bytes,
     #[prost(string, tag = "12")]
     pub region: ::prost::alloc::string::String,
+    /// Find out what became of the request; never run it.
+    #[prost(bool, tag = "13")]
+    pub recover: bool,
+    /// Microseconds since the request was first sent, in a recovery.
+    #[prost(uint64, tag = "14")]
+    pub age_micros: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RouteFrame {
--- a/goldcrestramp-wire/src/server.rs
+++ b/goldcrestramp-wire/src/server.rs
@@ -11,7 +11,9 @@
 //! Every reply that carries a clock reading is also an acknowledgement of
 //! the order that it answers.
 
-use goldcrestramp_types::{FenceToken, ServerTime, ServiceName, SliceSet};
+use goldcrestramp_types::{
+    FenceToken, ServerTime, ServiceName, SliceSet, TimeSpan,
+};
 use serde::{Deserialize, Serialize};
 
 /// Header: the request's id, `caller/request`, in and out.
@@ -124,6 +126,10 @@
     pub state: RequestState,
     /// The server's run; another run than expected proves nothing.
     pub run: u64,
+    /// How long this run has lasted: one that is younger than a request
+    /// may have replaced the run that executed it.
+    #[serde(default)]
+    pub age: TimeSpan,
 }
 
 /// Writes a token as it stands in [`HEADER_TOKEN`].
