--- /dev/null
+++ b/goldcrestramp-node/tests/path.rs
@@ -0,0 +1,128 @@
+//! The whole path in one process: callers, daemons, servers, platform.
+
+use std::{net::SocketAddr, time::Duration};
+
+use goldcrestramp_config::NodeSettings;
+use goldcrestramp_node::NodeHandle;
+use goldcrestramp_platform::{VmEntry, VmState};
+use goldcrestramp_standins::{
+    platform::PlatformStandin,
+    server::{ServerBehaviour, ServerStandin},
+};
+use goldcrestramp_types::{DomainName, RegionName, VmName};
+use serde_json::json;
+
+const DOMAIN: &str = "sierra-a";
+/// Longer than anything here takes; only a failed test sees it.
+const LIMIT: Duration = Duration::from_secs(30);
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn settings(vm: &str, platform: SocketAddr) -> NodeSettings {
+    // Ports are drawn first, because peers must know them.
+    let port = || {
+        let listener =
+            std::net::TcpListener::bind(loopback()).expect("a port");
+        listener.local_addr().expect("an address")
+    };
+    let value = json!({
+        "deployment": "path",
+        "vm": vm,
+        "domain": DOMAIN,
+        "region": "sierra",
+        "callers_listen": port(),
+        "peers_listen": port(),
+        "control_listen": port(),
+        "platform_url": format!("http://{platform}"),
+        "operators": { "listen": "127.0.0.1:0" },
+    });
+    serde_json::from_value(value).expect("settings")
+}
+
+fn vm_entry(settings: &NodeSettings) -> VmEntry {
+    VmEntry {
+        name: VmName::new(settings.vm.as_str()).expect("a name"),
+        domain: DomainName::new(DOMAIN).expect("a name"),
+        region: RegionName::new("sierra").expect("a name"),
+        address: settings.control_listen.to_string(),
+        state: VmState::Live,
+    }
+}
+
+async fn put_config(platform: SocketAddr, servers: &[SocketAddr]) {
+    let servers: Vec<_> = (0..)
+        .zip(servers)
+        .map(|(number, address): (u32, _)| {
+            json!({
+                "name": format!("stock-{number}"),
+                "service": "stock",
+                "domain": DOMAIN,
+                "address": address,
+                "slots": 4,
+                "connections": 120,
+                "checks_fence": true,
+            })
+        })
+        .collect();
+    let state = json!({
+        "version": 1,
+        "domains": [{ "name": DOMAIN, "region": "sierra" }],
+        "services": [{ "name": "stock", "slices": 64 }],
+        "servers": servers,
+    });
+    let url = format!("http://{platform}/kv/config");
+    let put = reqwest::Client::new().put(url);
+    let put = put.header("if-none-match", "*").body(state.to_string());
+    let status = put.send().await.expect("an answer").status();
+    assert!(status.is_success());
+}
+
+async fn ask_until_served(url: &str) -> reqwest::Response {
+    let client = reqwest::Client::new();
+    let asking = async {
+        loop {
+            let answer = client.get(url).send().await.expect("an answer");
+            if answer.status().is_success() {
+                return answer;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, asking).await.expect("served in time")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lookup_is_served_through_any_gateway() {
+    let platform = PlatformStandin::bind(loopback()).await.expect("bound");
+    let address = platform.address();
+    let mut servers = Vec::new();
+    for _ in 0..2 {
+        let behaviour = ServerBehaviour::default();
+        let server = ServerStandin::bind(loopback(), behaviour).await;
+        servers.push(server.expect("bound"));
+    }
+    let listening: Vec<_> = servers.iter().map(|s| s.address()).collect();
+    put_config(address, &listening).await;
+    let all: Vec<_> = (0..3)
+        .map(|number| settings(&format!("vm-{number}"), address))
+        .collect();
+    platform.set_vms(all.iter().map(vm_entry).collect());
+    let mut nodes = Vec::new();
+    for settings in all {
+        nodes.push(NodeHandle::spawn(settings).await.expect("started"));
+    }
+
+    let mut bodies = Vec::new();
+    for node in &nodes {
+        let callers = node.addresses().callers;
+        let url = format!("http://{callers}/v1/stock/shop-17");
+        let answer = ask_until_served(&url).await;
+        assert_eq!(answer.headers()["goldcrestramp-outcome"], "done");
+        bodies.push(answer.text().await.expect("a whole body"));
+    }
+
+    assert_eq!(bodies.len(), 3);
+    assert!(bodies.iter().all(|body| !body.is_empty()));
+}
