Write the ownership machines

Voter, steward, keeper and holder now carry out the chain of deadlines: election by the roster's majority, takeover that extends first and moves a lease later, permits, grants, releases, placement of free slices, the routing table and the domain's record.

The messages change where sets would travel every 300 ms: a report leaves its state out when the steward has seen that version, an order with the token that the keeper works on carries no slices, and a server leaves its sets out of the reply to an extension that changed no token. Reports are numbered and an answer to an earlier one is dropped: the steward concludes from a report what the keeper no longer does.

Drift: two clocks may err in opposite ways, so spans are shortened to 96% and lengthened to 105%; 98% and 104% were too little for 2% each.

--- a/goldcrestramp-ownership/src/holder.rs
+++ b/goldcrestramp-ownership/src/holder.rs
@@ -3,6 +3,8 @@
 use goldcrestramp_types::{FenceToken, ServerTime, SliceIndex, SliceSet};
 use goldcrestramp_wire::server::{GrantOrder, GrantRefusal, GrantReply};
 
+use crate::safeguard::{Safeguard, Safeguards};
+
 /// What a server holds, and what it refuses.
 #[derive(Clone, Debug)]
 pub struct GrantHolder {
@@ -12,12 +14,24 @@
     fence: FenceToken,
     held: SliceSet,
     deadline: ServerTime,
+    safeguards: Safeguards,
 }
 
 impl GrantHolder {
     /// A server that has just started, with its run's random number.
     #[must_use]
     pub fn new(run: u64, checks_fence: bool) -> Self {
+        Self::with_safeguards(run, checks_fence, Safeguards::default())
+    }
+
+    /// A server without one of its safeguards, for tests.
+    #[doc(hidden)]
+    #[must_use]
+    pub fn with_safeguards(
+        run: u64,
+        checks_fence: bool,
+        safeguards: Safeguards,
+    ) -> Self {
         Self {
             run,
             checks_fence,
@@ -25,6 +39,7 @@
             fence: FenceToken::default(),
             held: SliceSet::new(),
             deadline: ServerTime::default(),
+            safeguards,
         }
     }
 
@@ -34,11 +49,21 @@
         now: ServerTime,
         order: &GrantOrder,
     ) -> GrantReply {
+        if is_question(order) {
+            return self.reply(now, None);
+        }
         let refusal = self.refusal(now, order);
+        let before = self.token;
         if refusal.is_none() {
             self.carry_out(order);
         }
-        self.reply(now, refusal)
+        let mut reply = self.reply(now, refusal);
+        let unchanged = order.slices.is_none() && before == self.token;
+        if refusal.is_none() && unchanged {
+            reply.held = None;
+            reply.last = None;
+        }
+        reply
     }
 
     /// Whether work on `slice` under `token` may start now.
@@ -49,7 +74,9 @@
         slice: SliceIndex,
         token: FenceToken,
     ) -> bool {
-        let fenced = self.checks_fence && token < self.fence;
+        let fenced = self.checks_fence
+            && token < self.fence
+            && self.safeguards.has(Safeguard::FenceCheck);
         !fenced && now < self.deadline && self.held.contains(slice)
     }
 
@@ -61,6 +88,7 @@
         refusal: Option<GrantRefusal>,
     ) -> GrantReply {
         let lapsed = now >= self.deadline;
+        let held = if lapsed { SliceSet::new() } else { self.held.clone() };
         GrantReply {
             accepted: refusal.is_none(),
             refusal,
@@ -68,8 +96,8 @@
             run: self.run,
             token: self.token,
             fence: self.fence,
-            held: if lapsed { SliceSet::new() } else { self.held.clone() },
-            last: self.held.clone(),
+            held: Some(held),
+            last: Some(self.held.clone()),
             busy: SliceSet::new(),
             deadline: self.deadline,
         }
@@ -80,30 +108,47 @@
         now: ServerTime,
         order: &GrantOrder,
     ) -> Option<GrantRefusal> {
-        order.slices.as_ref()?;
-        if order.run != self.run {
+        let on = |safeguard| self.safeguards.has(safeguard);
+        // The deadlines of another run are in a clock that has restarted:
+        // they could lie far ahead, and the grant would outlive its permit.
+        if order.run != self.run && on(Safeguard::RunNumber) {
             return Some(GrantRefusal::OtherRun);
         }
-        if self.checks_fence && order.token < self.fence {
+        // A former keeper's order would undo a release that was answered.
+        let old = self.checks_fence && order.token < self.fence;
+        if old && on(Safeguard::FenceCheck) {
             return Some(GrantRefusal::OldToken);
         }
-        if now >= order.deadline {
+        // An order that sat in a socket while this server was frozen: its
+        // slices may be with another server by now.
+        if now >= order.deadline && on(Safeguard::LateOrder) {
             return Some(GrantRefusal::Late);
         }
-        if order.accept_by.is_some_and(|by| now >= by) {
+        // After the lapse another server may have been granted the slices.
+        let late = order.accept_by.is_some_and(|by| now >= by);
+        // The keeper's knowledge may be older than the server's own.
+        let lapsed = order.slices.is_none() && now >= self.deadline;
+        if (late || lapsed) && on(Safeguard::AcceptBy) {
             return Some(GrantRefusal::Lapsed);
         }
         None
     }
 
     fn carry_out(&mut self, order: &GrantOrder) {
-        let Some(slices) = &order.slices else {
-            return;
-        };
-        self.held = slices.clone();
+        if let Some(slices) = &order.slices {
+            self.held = slices.clone();
+            self.token = order.token;
+            self.deadline = order.deadline;
+        } else {
+            self.token = self.token.max(order.token);
+            self.deadline = self.deadline.max(order.deadline);
+        }
         self.held.subtract(&order.release);
-        self.token = order.token;
         self.fence = self.fence.max(order.token);
-        self.deadline = order.deadline;
     }
 }
+
+/// Whether an order only asks for the server's state.
+const fn is_question(order: &GrantOrder) -> bool {
+    order.slices.is_none() && order.accept_by.is_none()
+}
--- /dev/null
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -0,0 +1,354 @@
+//! A keeper's conversation with one server.
+
+use std::sync::Arc;
+
+use goldcrestramp_types::{
+    FenceToken, LocalTime, ServerTime, SliceSet, TimeSpan,
+};
+use goldcrestramp_wire::server::{GrantOrder, GrantReply};
+
+use crate::{
+    keeper::pass::{SendPass, ServerPasses},
+    message::{ServerOrder, ServerReport, ServerState},
+    timing::TermTiming,
+};
+
+/// How long after a lost or refused message the next one goes out.
+const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(100);
+
+/// The most unanswered grants that are remembered one by one.
+///
+/// A grant repeated to a silent server adds one every 100 ms, each void
+/// within a lease; beyond this the keeper waits until some are void.
+const STRAY_LIMIT: usize = 16;
+
+/// A reading of the server's clock, and when it reached this process.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    clock: ServerTime,
+    received: LocalTime,
+}
+
+/// An order on its way, or lost on it.
+#[derive(Clone, Debug)]
+struct SentOrder {
+    sent: LocalTime,
+    /// What it may make the server hold; nothing for an extension.
+    slices: Option<SliceSet>,
+    /// When the server has surely passed the order's deadline.
+    void_at: LocalTime,
+}
+
+/// What a keeper knows of, and wants from, one server.
+#[derive(Clone, Debug)]
+pub(super) struct KeptServer {
+    order: ServerOrder,
+    reading: Option<ClockReading>,
+    run: u64,
+    token: FenceToken,
+    fence: FenceToken,
+    held: SliceSet,
+    last: SliceSet,
+    busy: SliceSet,
+    running: SliceSet,
+    deadline: ServerTime,
+    /// The reply's sets belong to `token`.
+    sets_known: bool,
+    under_way: Option<SentOrder>,
+    strays: Vec<SentOrder>,
+    /// When every order sent so far has surely ended at the server.
+    ends_at: LocalTime,
+    reachable: bool,
+    next_at: LocalTime,
+    state: ServerState,
+    version: u64,
+    slices: Arc<SliceSet>,
+}
+
+impl KeptServer {
+    pub(super) fn new(order: ServerOrder, version: u64) -> Self {
+        Self {
+            order,
+            reading: None,
+            run: 0,
+            token: FenceToken::default(),
+            fence: FenceToken::default(),
+            held: SliceSet::new(),
+            last: SliceSet::new(),
+            busy: SliceSet::new(),
+            running: SliceSet::new(),
+            deadline: ServerTime::default(),
+            sets_known: false,
+            under_way: None,
+            strays: Vec::new(),
+            ends_at: LocalTime::default(),
+            reachable: false,
+            next_at: LocalTime::default(),
+            state: ServerState::default(),
+            version,
+            slices: Arc::new(SliceSet::new()),
+        }
+    }
+
+    /// Takes the steward's newest order; true when it changes anything.
+    pub(super) fn instruct(&mut self, mut order: ServerOrder) -> bool {
+        let changed = order.token != self.order.token;
+        if !changed && order.extend_only {
+            order.slices = std::mem::take(&mut self.order.slices);
+            order.release = std::mem::take(&mut self.order.release);
+            order.extend_only = self.order.extend_only;
+        }
+        self.order = order;
+        if changed {
+            self.next_at = LocalTime::default();
+            self.refresh_slices();
+        }
+        changed
+    }
+
+    pub(super) fn set_running(&mut self, running: SliceSet) {
+        self.running = running;
+    }
+
+    /// Whether a retiring keeper has nothing more under way.
+    pub(super) fn is_done(&self, now: LocalTime) -> bool {
+        let void = self.strays.iter().all(|stray| now >= stray.void_at);
+        let idle = self.under_way.is_none() && self.running.is_empty();
+        self.order.retire && void && idle
+    }
+
+    /// The next order to send, if one is due.
+    pub(super) fn next_order(
+        &mut self,
+        now: LocalTime,
+        until: LocalTime,
+        timing: &TermTiming,
+    ) -> Option<(Arc<str>, GrantOrder)> {
+        let waiting = self.under_way.is_some() || now < self.next_at;
+        // Retiring: the grant lives on only as long as work runs under it.
+        let ended = self.order.retire && self.running.is_empty();
+        if waiting || ended || now >= until {
+            return None;
+        }
+        let order = self.compose(now, until, timing);
+        let slices = order.slices.clone();
+        let grants = slices.is_some() || order.accept_by.is_some();
+        let mut void_at = now;
+        if let Some(reading) = self.reading.filter(|_| grants) {
+            let span = order.deadline.since(reading.clock);
+            void_at = reading.received + timing.lengthened(span);
+            self.ends_at = self.ends_at.max(void_at);
+        }
+        self.under_way = Some(SentOrder { sent: now, slices, void_at });
+        self.next_at = now + timing.renew_every;
+        Some((Arc::clone(&self.order.address), order))
+    }
+
+    /// Chooses between a question, an extension and a grant.
+    fn compose(
+        &mut self,
+        now: LocalTime,
+        until: LocalTime,
+        timing: &TermTiming,
+    ) -> GrantOrder {
+        let mut order = GrantOrder {
+            service: Some(self.order.service.clone()),
+            token: self.order.token,
+            run: self.run,
+            ..GrantOrder::default()
+        };
+        let Some(reading) = self.reading.filter(|_| self.sets_known) else {
+            return order;
+        };
+        // The reading was taken at `received` at the latest, so counting
+        // from there ends the grant no later than the permit, however
+        // long the reply took.
+        let left = timing.shortened(until.since(reading.received));
+        order.deadline = reading.clock + left;
+        let alive = now < self.alive_until(reading, timing);
+        let applied = alive && self.token == self.order.token;
+        if self.order.extend_only || applied {
+            // A lapsed grant is not extended: its slices may have moved.
+            if alive {
+                order.accept_by = Some(self.deadline);
+            }
+            return order;
+        }
+        self.strays.retain(|stray| now < stray.void_at);
+        let grants = self.strays.iter().filter(|s| s.slices.is_some());
+        if grants.count() < STRAY_LIMIT {
+            order.slices = Some(self.order.slices.clone());
+            order.release = self.order.release.clone();
+        }
+        order
+    }
+
+    /// Until when the grant that the server spoke of may be alive.
+    fn alive_until(
+        &self,
+        reading: ClockReading,
+        timing: &TermTiming,
+    ) -> LocalTime {
+        let left = self.deadline.since(reading.clock);
+        reading.received + timing.lengthened(left)
+    }
+
+    /// Takes a reply; true when it answers the order under way.
+    pub(super) fn replied(
+        &mut self,
+        now: LocalTime,
+        sent: LocalTime,
+        reply: &GrantReply,
+        timing: &TermTiming,
+    ) -> bool {
+        let answered = |order: &SentOrder| sent >= order.sent;
+        if !self.under_way.as_ref().is_some_and(answered) {
+            return false;
+        }
+        self.under_way = None;
+        self.reachable = true;
+        let reading = ClockReading { clock: reply.clock, received: now };
+        if reply.run != self.run {
+            // Orders for the former run are refused by the new one.
+            self.strays.clear();
+            self.ends_at = now;
+            self.run = reply.run;
+            self.sets_known = false;
+        }
+        self.reading = Some(reading);
+        self.take_sets(reply);
+        self.deadline = reply.deadline;
+        self.busy = reply.busy.clone();
+        self.strays.retain(|stray| now < stray.void_at);
+        let told = self.alive_until(reading, timing);
+        let stray = self.strays.iter().map(|stray| stray.void_at).max();
+        self.ends_at = stray.map_or(told, |at| told.max(at));
+        let mut pause = TimeSpan::ZERO;
+        if !reply.accepted {
+            pause = RETRY_AFTER;
+            self.next_at = now + RETRY_AFTER;
+        }
+        if !self.sets_known || self.needs_grant() {
+            self.next_at = self.next_at.min(now + pause);
+        }
+        self.refresh_slices();
+        true
+    }
+
+    fn needs_grant(&self) -> bool {
+        !self.order.extend_only && self.token != self.order.token
+    }
+
+    fn take_sets(&mut self, reply: &GrantReply) {
+        if let (Some(held), Some(last)) = (&reply.held, &reply.last) {
+            self.held = held.clone();
+            self.last = last.clone();
+            self.sets_known = true;
+        } else if reply.token != self.token {
+            self.sets_known = false;
+        }
+        self.token = reply.token;
+        self.fence = reply.fence;
+    }
+
+    /// Notes that the order under way got no reply.
+    pub(super) fn unanswered(&mut self, now: LocalTime, sent: LocalTime) {
+        let Some(order) = self.under_way.take() else {
+            return;
+        };
+        if sent < order.sent {
+            self.under_way = Some(order);
+            return;
+        }
+        if order.void_at > order.sent {
+            self.strays.push(order);
+        }
+        self.reachable = false;
+        self.next_at = now + RETRY_AFTER;
+    }
+
+    fn refresh_slices(&mut self) {
+        let mut slices = self.held.clone();
+        if !self.order.extend_only {
+            slices.intersect_with(&self.order.slices);
+        }
+        slices.subtract(&self.order.release);
+        if *self.slices != slices {
+            self.slices = Arc::new(slices);
+        }
+    }
+
+    /// The state to report; a new version of it when it has changed.
+    pub(super) fn refresh_state(
+        &mut self,
+        now: LocalTime,
+        version: &mut u64,
+    ) -> bool {
+        self.strays.retain(|stray| now < stray.void_at);
+        let state = self.present_state(now);
+        if state == self.state {
+            return false;
+        }
+        *version += 1;
+        self.version = *version;
+        self.state = state;
+        true
+    }
+
+    fn present_state(&self, now: LocalTime) -> ServerState {
+        let told =
+            self.reading.is_none_or(|reading| reading.clock >= self.deadline);
+        let quiet = self.under_way.is_none() && self.strays.is_empty();
+        let lapsed = (told && quiet) || now >= self.ends_at;
+        let mut held = self.running.clone();
+        held.union_with(&self.busy);
+        if !lapsed {
+            held.union_with(&self.held);
+            let sent = self.strays.iter().chain(&self.under_way);
+            for slices in sent.filter_map(|order| order.slices.as_ref()) {
+                held.union_with(slices);
+            }
+        }
+        ServerState {
+            run: self.run,
+            token: self.token,
+            fence: self.fence,
+            held,
+            last: self.last.clone(),
+            lapsed,
+        }
+    }
+
+    pub(super) fn report(&self) -> ServerReport {
+        let seen = self.order.seen == self.version;
+        let state = (!seen).then(|| Box::new(self.state.clone()));
+        ServerReport {
+            server: self.order.server.clone(),
+            order: self.order.token,
+            reachable: self.reachable,
+            version: self.version,
+            state,
+            busy: TimeSpan::ZERO,
+            loads: Vec::new(),
+        }
+    }
+
+    /// What may be sent to the server until the permit's end.
+    pub(super) fn passes(&self, until: LocalTime) -> Option<ServerPasses> {
+        let reading = self.reading?;
+        let lapsed = reading.clock >= self.deadline;
+        if self.order.retire || lapsed || !self.sets_known {
+            return None;
+        }
+        let pass = SendPass {
+            token: self.token,
+            run: self.run,
+            start_by: self.deadline,
+            server_clock: reading.clock,
+            read_at: reading.received,
+        };
+        let left = self.deadline.since(reading.clock);
+        let until = until.min(reading.received + left);
+        Some(ServerPasses { slices: Arc::clone(&self.slices), pass, until })
+    }
+}
--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -20,6 +20,7 @@
 mod message;
 mod plan;
 mod roster;
+mod safeguard;
 mod steward;
 mod table;
 mod timing;
@@ -30,10 +31,11 @@
     keeper::{KeeperMachine, PassBook, PassRefusal, SendPass, ServerPasses},
     message::{
         ConfirmAnswer, ConfirmAsk, KeeperReport, PermitAnswer, ServerOrder,
-        ServerReport, SliceLoad,
+        ServerReport, ServerState, SliceLoad,
     },
     plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
     roster::{RosterVoter, VoterRoster},
+    safeguard::{Safeguard, Safeguards},
     steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
     table::{DomainTable, ServiceTable, TableServer},
     timing::TermTiming,
--- a/goldcrestramp-ownership/src/message.rs
+++ b/goldcrestramp-ownership/src/message.rs
@@ -20,6 +20,8 @@
     pub term: TermId,
     /// The version of the roster by which the steward counts.
     pub roster: u64,
+    /// Whether a majority confirms the term already.
+    pub established: bool,
 }
 
 /// A voter's answer.
@@ -46,30 +48,38 @@
 }
 
 /// What a keeper knows of one of its servers.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ServerReport {
-    /// The server.
-    pub server: ServerName,
-    /// Whether it has answered the keeper's last message.
-    pub reachable: bool,
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ServerState {
     /// A random number of the server's run; zero before its first answer.
     pub run: u64,
     /// The token of its grant.
     pub token: FenceToken,
     /// The lowest token that it accepts.
     pub fence: FenceToken,
-    /// What it holds.
+    /// All that it may hold: what it said, what an unanswered order may
+    /// still make it hold, and what non-idempotent work still runs on.
+    ///
+    /// A slice that is absent here has been released.
     pub held: SliceSet,
     /// What it held last, also after its grant lapsed.
     pub last: SliceSet,
-    /// Whether its grant has surely ended.
+    /// Whether its grant, and every order under way, has surely ended.
     pub lapsed: bool,
-    /// What it gave up, with nothing non-idempotent running on it.
-    pub released: SliceSet,
-    /// How old this knowledge is at most, by the keeper's clock.
-    pub age: TimeSpan,
-    /// The time after which its grant has surely ended, drift included.
-    pub ends: TimeSpan,
+}
+
+/// A keeper's knowledge of one server, as it travels.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServerReport {
+    /// The server.
+    pub server: ServerName,
+    /// The token of the steward's order that the keeper works on.
+    pub order: FenceToken,
+    /// Whether it has answered the keeper's last message.
+    pub reachable: bool,
+    /// Rises with each change of `state`; unique for a keeper's start.
+    pub version: u64,
+    /// Absent when the steward has seen this version already.
+    pub state: Option<Box<ServerState>>,
     /// Slot time used in the last interval.
     pub busy: TimeSpan,
     /// The heaviest slices, bounded.
@@ -85,6 +95,8 @@
     pub address: Arc<str>,
     /// A random number of its process start.
     pub start: u64,
+    /// Rises with each report; an answer to an earlier one is void.
+    pub sequence: u64,
     /// Whether the VM is leaving: it gets no new servers.
     pub leaving: bool,
     /// The servers that it keeps.
@@ -108,12 +120,19 @@
     pub connections: u32,
     /// The token of the order.
     pub token: FenceToken,
-    /// Extend whatever it holds, and change nothing.
+    /// The slices are absent.
+    ///
+    /// With the token that the keeper works on: carry on with that order.
+    /// With another token: extend whatever the server holds.
     pub extend_only: bool,
     /// What it is to hold.
     pub slices: SliceSet,
     /// What it is to give up.
     pub release: SliceSet,
+    /// Send it nothing more; report it until nothing is under way.
+    pub retire: bool,
+    /// The version of the keeper's knowledge that the steward has.
+    pub seen: u64,
 }
 
 /// A steward's answer to a keeper.
@@ -123,8 +142,12 @@
     Permitted {
         /// The steward's term.
         term: TermId,
+        /// The report that this answers.
+        sequence: u64,
         /// How long the permit lasts.
         valid: TimeSpan,
+        /// When to report again, from when this answer arrived.
+        again: TimeSpan,
         /// Every server that this VM keeps; it keeps no other.
         orders: Vec<ServerOrder>,
     },
--- /dev/null
+++ b/goldcrestramp-ownership/src/steward/identity.rs
@@ -0,0 +1,15 @@
+//! Who a steward is.
+
+use std::sync::Arc;
+
+use goldcrestramp_types::{DomainName, VmName};
+
+/// The process that may lead a failure domain.
+#[derive(Clone, Debug)]
+pub(super) struct StewardIdentity {
+    pub(super) domain: DomainName,
+    pub(super) vm: VmName,
+    pub(super) address: Arc<str>,
+    /// A random number of the process.
+    pub(super) start: u64,
+}
--- /dev/null
+++ b/goldcrestramp-ownership/src/steward/knowledge.rs
@@ -0,0 +1,93 @@
+//! What a steward knows in every role.
+
+use std::sync::Arc;
+
+use goldcrestramp_types::{LocalTime, SliceSet, TermId};
+
+use crate::{
+    message::ConfirmAsk,
+    plan::{DomainPlan, DomainRecord, ServicePlan},
+    roster::{RosterVoter, VoterRoster},
+};
+
+/// Who was last seen to lead, and when.
+#[derive(Clone, Debug)]
+pub(super) struct SeenSteward {
+    pub(super) ask: ConfirmAsk,
+    pub(super) at: LocalTime,
+}
+
+/// What outlives a change of role.
+#[derive(Clone, Debug, Default)]
+pub(super) struct StewardKnowledge {
+    pub(super) roster: Option<VoterRoster>,
+    pub(super) plan: Option<Arc<DomainPlan>>,
+    /// The newest record known, whether read or decided here.
+    pub(super) record: DomainRecord,
+    /// Whether the store has answered for the record.
+    pub(super) record_read: bool,
+    pub(super) vms: Vec<RosterVoter>,
+    /// The highest number of a term seen anywhere.
+    pub(super) highest: u64,
+    pub(super) seen: Option<SeenSteward>,
+}
+
+impl StewardKnowledge {
+    pub(super) fn note_term(&mut self, term: TermId) {
+        self.highest = self.highest.max(term.number);
+    }
+
+    /// Takes the store's record; true when the store's is older than ours.
+    ///
+    /// A store may come back with older data: what was acknowledged since
+    /// is then kept here and written again.
+    pub(super) fn take_record(&mut self, read: Option<DomainRecord>) -> bool {
+        let first = !std::mem::replace(&mut self.record_read, true);
+        let read = read.unwrap_or_default();
+        self.note_term(read.token.term);
+        let older = read.token < self.record.token;
+        let (mut newer, other) = if older {
+            (std::mem::take(&mut self.record), read)
+        } else {
+            (read, std::mem::take(&mut self.record))
+        };
+        // Decisions made before the first answer knew of no release.
+        for (service, slices) in other.released.iter().filter(|_| first) {
+            let entry = newer.released.entry(service.clone()).or_default();
+            entry.union_with(slices);
+        }
+        self.record = newer;
+        older
+    }
+
+    /// Takes a plan unless it is older than the one in force.
+    pub(super) fn take_plan(&mut self, plan: Arc<DomainPlan>) -> bool {
+        let known = self.plan.as_ref();
+        if known.is_some_and(|known| known.version > plan.version) {
+            return false;
+        }
+        if known.is_some_and(|known| *known == plan) {
+            return false;
+        }
+        for service in &plan.services {
+            let released = self.record.released.get_mut(&service.service);
+            if let Some(released) = released {
+                // What the service's record gives to another domain needs
+                // no protection against an old plan any more.
+                released.intersect_with(&service.slices);
+            }
+        }
+        self.plan = Some(plan);
+        true
+    }
+
+    /// The slices of a service that servers of this domain may hold.
+    pub(super) fn domain_slices(&self, service: &ServicePlan) -> SliceSet {
+        let mut slices = service.slices.clone();
+        slices.subtract(&service.leaving);
+        if let Some(released) = self.record.released.get(&service.service) {
+            slices.subtract(released);
+        }
+        slices
+    }
+}
--- /dev/null
+++ b/goldcrestramp-ownership/src/steward/leader.rs
@@ -0,0 +1,477 @@
+//! A steward that a majority has confirmed.
+
+use std::collections::BTreeMap;
+
+use goldcrestramp_types::{
+    FastMap, FenceToken, LocalTime, ServerName, ServiceName, SliceSet, VmName,
+};
+
+use crate::{
+    message::{KeeperReport, PermitAnswer, ServerReport},
+    plan::{DomainPlan, SliceMove},
+    safeguard::Safeguard,
+    steward::{
+        StewardEffect,
+        claim::TermClaim,
+        identity::StewardIdentity,
+        keepers::KeeperBook,
+        knowledge::StewardKnowledge,
+        led::LedServer,
+        placement::{place_service, take_move},
+        publish::{RecordKeeper, TablePublisher, note_decisions},
+        roster::RosterChange,
+    },
+    timing::TermTiming,
+};
+
+/// How far the takeover of the domain has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LeadPhase {
+    /// The former steward may still act: extend, move nothing.
+    Extending,
+    /// Its time is over: every server is asked again, then slices move.
+    Moving,
+}
+
+/// The state of a steward that leads.
+#[derive(Clone, Debug)]
+pub(super) struct LeadingSteward {
+    pub(super) claim: TermClaim,
+    timing: TermTiming,
+    phase: LeadPhase,
+    /// When the former steward's time is surely over.
+    move_at: LocalTime,
+    /// When servers that no keeper has claimed get one.
+    unclaimed_at: LocalTime,
+    sequence: u64,
+    pub(super) servers: BTreeMap<ServerName, LedServer>,
+    pub(super) keepers: KeeperBook,
+    /// Slices that this term has seen held, by service.
+    owned: FastMap<ServiceName, SliceSet>,
+    dirty: bool,
+    pub(super) roster: RosterChange,
+    table: TablePublisher,
+    pub(super) records: RecordKeeper,
+    pub(super) moved: u64,
+}
+
+impl LeadingSteward {
+    /// Takes the domain over, with a majority confirmed at `now`.
+    pub(super) fn new(
+        now: LocalTime,
+        claim: TermClaim,
+        plan: &DomainPlan,
+        timing: TermTiming,
+    ) -> Self {
+        // The former steward's last confirmation began before this
+        // majority; its time ends a lease after that at the latest.
+        let mut move_at = now + timing.lengthened(timing.lease);
+        if !timing.safeguards.has(Safeguard::MoveWait) {
+            move_at = now;
+        }
+        let mut leading = Self {
+            claim,
+            timing,
+            phase: LeadPhase::Extending,
+            move_at,
+            unclaimed_at: now + timing.renew_every,
+            sequence: 0,
+            servers: BTreeMap::new(),
+            keepers: KeeperBook::default(),
+            owned: FastMap::default(),
+            dirty: true,
+            roster: RosterChange::default(),
+            table: TablePublisher::default(),
+            records: RecordKeeper::default(),
+            moved: 0,
+        };
+        leading.take_plan(now, plan);
+        leading
+    }
+
+    /// Until when it may act.
+    pub(super) fn until(&self) -> LocalTime {
+        self.claim.until(&self.timing)
+    }
+
+    pub(super) fn may_move(&self) -> bool {
+        self.phase == LeadPhase::Moving
+    }
+
+    fn next_token(&mut self) -> FenceToken {
+        self.sequence += 1;
+        FenceToken { term: self.claim.term, sequence: self.sequence }
+    }
+
+    /// Follows a changed configuration.
+    pub(super) fn take_plan(&mut self, now: LocalTime, plan: &DomainPlan) {
+        for server in self.servers.values_mut() {
+            server.listed = false;
+        }
+        // In its first moments a former steward's keepers may still act.
+        let former = self.move_at.max(now);
+        for entry in &plan.servers {
+            if let Some(server) = self.servers.get_mut(&entry.server) {
+                server.listed = true;
+                server.plan = entry.clone();
+                continue;
+            }
+            let token = self.next_token();
+            let server = LedServer::new(entry.clone(), token, former);
+            self.servers.insert(entry.server.clone(), server);
+        }
+        self.dirty = true;
+    }
+
+    /// Does what time brings.
+    pub(super) fn tick(
+        &mut self,
+        now: LocalTime,
+        me: &StewardIdentity,
+        knowledge: &mut StewardKnowledge,
+    ) -> Vec<StewardEffect> {
+        self.claim.adopt_next(now, &self.timing);
+        if self.phase == LeadPhase::Extending && now >= self.move_at {
+            self.ask_all_again();
+        }
+        self.staff(now);
+        self.settle();
+        self.decide(knowledge);
+        let mut effects = self.claim.asks(now, me, true, &self.timing);
+        if self.may_move() {
+            let save = self.roster.next_change(
+                now,
+                me,
+                knowledge,
+                &self.claim,
+                &self.keepers,
+                &self.timing,
+            );
+            effects.extend(save.map(StewardEffect::SaveRoster));
+        }
+        self.publish(now, knowledge, &mut effects);
+        effects
+    }
+
+    /// The former steward's time is over: what servers hold from now on
+    /// only this one decides, once they have said what it is.
+    fn ask_all_again(&mut self) {
+        self.phase = LeadPhase::Moving;
+        let names: Vec<ServerName> = self.servers.keys().cloned().collect();
+        for name in names {
+            let token = self.next_token();
+            if let Some(server) = self.servers.get_mut(&name) {
+                server.ask_again(token);
+            }
+        }
+    }
+
+    /// Gives servers keepers, and takes them from silent ones.
+    fn staff(&mut self, now: LocalTime) {
+        let timing = self.timing;
+        let released = self.keepers.release(now, &mut self.servers, &timing);
+        let assigned = self.keepers.assign(
+            now,
+            self.unclaimed_at,
+            &mut self.servers,
+            &timing,
+        );
+        self.table.mark(released || assigned);
+    }
+
+    /// Settles lapses that a majority has confirmed since.
+    fn settle(&mut self) {
+        let begun = self.claim.begun().unwrap_or_default();
+        let mut waits = false;
+        for server in self.servers.values_mut() {
+            self.dirty |= server.settle_lapse(begun);
+            waits |= server.awaits_confirmation();
+        }
+        if waits {
+            self.claim.ask_soon();
+        }
+    }
+
+    /// Sets targets and orders, if anything has changed.
+    fn decide(&mut self, knowledge: &mut StewardKnowledge) {
+        let Some(plan) = knowledge.plan.clone() else {
+            return;
+        };
+        if !self.dirty || !self.may_move() {
+            return;
+        }
+        self.dirty = false;
+        for service in &plan.services {
+            let name = &service.service;
+            let owned = self.owned.entry(name.clone()).or_default();
+            place_service(service, knowledge, owned, &mut self.servers);
+            self.order_service(name);
+        }
+        self.drop_unlisted();
+        self.note_releases(&plan, knowledge);
+        let token =
+            FenceToken { term: self.claim.term, sequence: self.sequence };
+        note_decisions(token, &self.servers, knowledge);
+        self.table.mark(true);
+    }
+
+    /// Orders each server of a service what it may hold now.
+    ///
+    /// A slice that another server may hold is left out until that one has
+    /// released it, or its grant has surely lapsed.
+    fn order_service(&mut self, service: &ServiceName) {
+        let of_service =
+            |(_, s): &(&ServerName, &LedServer)| s.plan.service == *service;
+        let names: Vec<ServerName> = self
+            .servers
+            .iter()
+            .filter(of_service)
+            .map(|(name, _)| name.clone())
+            .collect();
+        let unsettled =
+            names.iter().filter(|name| !self.servers[*name].settled).count();
+        let claims = OverlapCount::of(names.iter().map(|n| &self.servers[n]));
+        for name in names {
+            let server = &self.servers[&name];
+            if !server.settled {
+                continue;
+            }
+            let mut slices = server.target.clone();
+            slices.subtract(&claims.others(&server.bound));
+            if unsettled > 0 {
+                slices.intersect_with(&server.bound);
+            }
+            if server.order.slices.as_ref() == Some(&slices) {
+                continue;
+            }
+            let token = self.next_token();
+            if let Some(server) = self.servers.get_mut(&name) {
+                let before = server.order.slices.take();
+                self.moved += gained(before.as_ref(), &slices);
+                server.instruct(token, slices);
+            }
+        }
+    }
+
+    /// Forgets servers that the configuration dropped and that are empty.
+    fn drop_unlisted(&mut self) {
+        self.servers.retain(|_, server| {
+            server.listed || !server.settled || !server.bound.is_empty()
+        });
+    }
+
+    /// Puts slices on record that have left the domain.
+    fn note_releases(
+        &mut self,
+        plan: &DomainPlan,
+        knowledge: &mut StewardKnowledge,
+    ) {
+        for service in plan.services.iter().filter(|s| !s.leaving.is_empty()) {
+            let mut gone = service.leaving.clone();
+            gone.intersect_with(&service.slices);
+            let of_service =
+                |s: &&LedServer| s.plan.service == service.service;
+            for server in self.servers.values().filter(of_service) {
+                if !server.settled {
+                    gone = SliceSet::new();
+                }
+                gone.subtract(&server.bound);
+            }
+            let released = &mut knowledge.record.released;
+            let entry = released.entry(service.service.clone()).or_default();
+            gone.subtract(entry);
+            if !gone.is_empty() {
+                entry.union_with(&gone);
+                self.sequence += 1;
+            }
+        }
+    }
+
+    fn publish(
+        &mut self,
+        now: LocalTime,
+        knowledge: &StewardKnowledge,
+        effects: &mut Vec<StewardEffect>,
+    ) {
+        let Some(plan) = &knowledge.plan else {
+            return;
+        };
+        let table = self.table.table(
+            self.claim.term,
+            plan,
+            &self.servers,
+            &self.keepers,
+            self.may_move(),
+        );
+        effects.extend(table.map(StewardEffect::Publish));
+        let record = self.records.due(now, knowledge);
+        effects.extend(record.map(StewardEffect::SaveRecord));
+    }
+
+    /// Answers a keeper; `None` when this steward's time is over.
+    pub(super) fn permit(
+        &mut self,
+        now: LocalTime,
+        report: KeeperReport,
+        knowledge: &mut StewardKnowledge,
+    ) -> Option<PermitAnswer> {
+        let mut until = self.until();
+        if now >= until {
+            return None;
+        }
+        if !self.keepers.note(now, &report, &mut self.servers) {
+            return None;
+        }
+        let (vm, sequence) = (report.vm.clone(), report.sequence);
+        self.end_retirements(&report);
+        for server in report.servers {
+            self.learn(now, &vm, server);
+        }
+        self.settle();
+        self.decide(knowledge);
+        if !self.timing.safeguards.has(Safeguard::PermitBound) {
+            until = now + self.timing.lease;
+        }
+        self.keepers.note_permit(&vm, until);
+        Some(self.answer(now, &vm, sequence, until))
+    }
+
+    fn answer(
+        &self,
+        now: LocalTime,
+        vm: &VmName,
+        sequence: u64,
+        until: LocalTime,
+    ) -> PermitAnswer {
+        let moving = self.may_move();
+        let kept = || {
+            let servers = self.servers.values();
+            servers.filter(|server| server.keeper.as_ref() == Some(vm))
+        };
+        let hurry = kept().any(|server| server.is_pending(moving));
+        let mut again = self.timing.renew_every;
+        if hurry {
+            again = self.timing.hurry_every;
+        }
+        PermitAnswer::Permitted {
+            term: self.claim.term,
+            sequence,
+            valid: until.since(now),
+            again,
+            orders: kept().map(LedServer::order_message).collect(),
+        }
+    }
+
+    /// A retiring keeper that reports a server no more has let go of it.
+    fn end_retirements(&mut self, report: &KeeperReport) {
+        for (name, server) in &mut self.servers {
+            let mine = server.keeper.as_ref() == Some(&report.vm);
+            if !mine || !server.retiring {
+                continue;
+            }
+            if report.servers.iter().all(|entry| entry.server != *name) {
+                server.lose_keeper(LocalTime::default());
+                self.table.mark(true);
+            }
+        }
+    }
+
+    fn learn(&mut self, now: LocalTime, vm: &VmName, report: ServerReport) {
+        let moving = self.may_move();
+        let Some(server) = self.servers.get_mut(&report.server) else {
+            return;
+        };
+        if server.is_claimable(now) {
+            server.staff(vm.clone());
+            self.table.mark(true);
+        }
+        if server.keeper.as_ref() != Some(vm) {
+            return;
+        }
+        let before = (server.settled, server.is_eligible());
+        let changed = server.learn(now, report, moving, &self.timing);
+        let after = (server.settled, server.is_eligible());
+        if !changed && before == after {
+            return;
+        }
+        let owned = self.owned.entry(server.plan.service.clone()).or_default();
+        owned.union_with(&server.bound);
+        if let Some(last) = server.last() {
+            owned.union_with(last);
+        }
+        adopt_holdings(server);
+        self.dirty = true;
+        self.table.mark(true);
+    }
+
+    /// Takes the moves that placement asks for.
+    pub(super) fn take_moves(&mut self, moves: &[SliceMove]) {
+        for wanted in moves {
+            self.dirty |= take_move(wanted, &mut self.servers);
+        }
+    }
+
+    /// Looks at everything again, after knowledge has changed.
+    pub(super) fn reconsider(&mut self) {
+        self.dirty = true;
+    }
+
+    /// A higher term that a server of this domain has seen, if any.
+    pub(super) fn outranked_by(&self) -> Option<u64> {
+        let shown = self.servers.values().map(|s| s.shown_token().term);
+        let highest = shown.max()?;
+        (highest > self.claim.term).then_some(highest.number)
+    }
+
+    /// The moves that are begun and not ended.
+    pub(super) fn moving(&self) -> usize {
+        let due = |server: &&LedServer| {
+            server.order.slices.as_ref() != Some(&server.target)
+        };
+        self.servers.values().filter(due).count()
+    }
+}
+
+/// A settled server keeps what it holds.
+fn adopt_holdings(server: &mut LedServer) {
+    if server.settled && server.order.slices.is_none() {
+        server.target = server.bound.clone();
+    }
+}
+
+fn gained(before: Option<&SliceSet>, after: &SliceSet) -> u64 {
+    let mut gained = after.clone();
+    if let Some(before) = before {
+        gained.subtract(before);
+        return u64::try_from(gained.len()).unwrap_or(u64::MAX);
+    }
+    0
+}
+
+/// Which slices may be held by one server, and which by several.
+struct OverlapCount {
+    any: SliceSet,
+    several: SliceSet,
+}
+
+impl OverlapCount {
+    fn of<'a>(servers: impl Iterator<Item = &'a LedServer>) -> Self {
+        let mut any = SliceSet::new();
+        let mut several = SliceSet::new();
+        for server in servers {
+            let mut both = any.clone();
+            both.intersect_with(&server.bound);
+            several.union_with(&both);
+            any.union_with(&server.bound);
+        }
+        Self { any, several }
+    }
+
+    /// What others than the server with this bound may hold.
+    fn others(&self, bound: &SliceSet) -> SliceSet {
+        let mut others = self.any.clone();
+        others.subtract(bound);
+        others.union_with(&self.several);
+        others
+    }
+}
--- a/goldcrestramp-ownership/src/timing.rs
+++ b/goldcrestramp-ownership/src/timing.rs
@@ -2,6 +2,8 @@
 
 use goldcrestramp_types::TimeSpan;
 
+use crate::safeguard::{Safeguard, Safeguards};
+
 /// The times of a failure domain, the same on all of its VMs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TermTiming {
@@ -17,8 +19,16 @@
     pub renew_every: TimeSpan,
     /// A voter that has not been asked for so long may confirm another.
     pub missed_after: TimeSpan,
+    /// How soon a keeper asks again while something of it is moving.
+    ///
+    /// A slice is unserved between its release and its grant; that gap is
+    /// about two of these.
+    pub hurry_every: TimeSpan,
     /// By how much a clock may run faster or slower, in percent.
     pub drift_percent: u64,
+    /// What a test may take out; everything is on otherwise.
+    #[doc(hidden)]
+    pub safeguards: Safeguards,
 }
 
 impl Default for TermTiming {
@@ -27,21 +37,35 @@
             lease: TimeSpan::from_millis(1_500),
             renew_every: TimeSpan::from_millis(300),
             missed_after: TimeSpan::from_millis(600),
+            hurry_every: TimeSpan::from_millis(20),
             drift_percent: 2,
+            safeguards: Safeguards::default(),
         }
     }
 }
 
 impl TermTiming {
     /// A span that is surely no longer than `span` on another clock.
+    ///
+    /// One clock may be fast while the other is slow, so twice the drift
+    /// is taken off: 0.98 / 1.02 is 0.9608, above 0.96.
     #[must_use]
     pub const fn shortened(&self, span: TimeSpan) -> TimeSpan {
-        span.percent(100 - self.drift_percent)
+        if !self.safeguards.has(Safeguard::DriftAllowance) {
+            return span;
+        }
+        span.percent(100 - 2 * self.drift_percent)
     }
 
     /// A span in which `span` has surely passed on another clock.
+    ///
+    /// 1.02 / 0.98 is 1.0409, a little more than twice the drift, hence
+    /// one percent on top.
     #[must_use]
     pub const fn lengthened(&self, span: TimeSpan) -> TimeSpan {
-        span.percent(100 + 2 * self.drift_percent)
+        if !self.safeguards.has(Safeguard::DriftAllowance) {
+            return span;
+        }
+        span.percent(100 + 2 * self.drift_percent + 1)
     }
 }
--- a/goldcrestramp-ownership/src/voter.rs
+++ b/goldcrestramp-ownership/src/voter.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     message::{ConfirmAnswer, ConfirmAsk},
+    safeguard::Safeguard,
     timing::TermTiming,
 };
 
@@ -13,6 +14,7 @@
     silent_until: LocalTime,
     timing: TermTiming,
     latest: Option<(ConfirmAsk, LocalTime)>,
+    roster: Option<u64>,
 }
 
 impl VoterState {
@@ -23,8 +25,23 @@
     /// to be stored.
     #[must_use]
     pub fn new(started: LocalTime, timing: TermTiming) -> Self {
-        let silent_until = started + timing.lengthened(timing.lease);
-        Self { silent_until, timing, latest: None }
+        let mut silent_until = started;
+        if timing.safeguards.has(Safeguard::SilentStart) {
+            silent_until = started + timing.lengthened(timing.lease);
+        }
+        Self { silent_until, timing, latest: None, roster: None }
+    }
+
+    /// Takes the roster version that the store has, after a start.
+    ///
+    /// A voter that forgot a newer roster could give a candidate with an
+    /// old one its majority, which need not meet the present one: two
+    /// stewards. So a voter that knows no version confirms only a steward
+    /// that a majority confirms already.
+    pub fn learn_roster(&mut self, version: u64) {
+        if self.roster.is_none() {
+            self.roster = Some(version);
+        }
     }
 
     /// Answers a steward that asks to be confirmed.
@@ -33,16 +50,13 @@
         now: LocalTime,
         ask: &ConfirmAsk,
     ) -> ConfirmAnswer {
-        if now < self.silent_until {
+        if now < self.silent_until || !self.knows_roster(ask) {
             return ConfirmAnswer::Silent;
         }
-        if let Some((latest, at)) = &self.latest {
-            let missed = now.since(*at) >= self.timing.missed_after;
-            let other = ask.term != latest.term;
-            if ask.term < latest.term || (other && !missed) {
-                return ConfirmAnswer::Refused { highest: latest.term };
-            }
+        if let Some(highest) = self.refusal(now, ask) {
+            return ConfirmAnswer::Refused { highest };
         }
+        self.roster = self.roster.max(Some(ask.roster));
         self.latest = Some((ask.clone(), now));
         ConfirmAnswer::Confirmed
     }
@@ -52,4 +66,29 @@
     pub fn latest(&self) -> Option<(&ConfirmAsk, LocalTime)> {
         self.latest.as_ref().map(|(ask, at)| (ask, *at))
     }
+
+    fn knows_roster(&self, ask: &ConfirmAsk) -> bool {
+        self.roster.is_some()
+            || ask.established
+            || !self.timing.safeguards.has(Safeguard::RosterStep)
+    }
+
+    /// The highest term known, if the question has to be refused.
+    fn refusal(
+        &self,
+        now: LocalTime,
+        ask: &ConfirmAsk,
+    ) -> Option<goldcrestramp_types::TermId> {
+        let latest = self.latest.as_ref();
+        let highest = latest.map(|(ask, _)| ask.term).unwrap_or_default();
+        // An old roster's majority need not meet the newest one's.
+        let old = self.roster.is_some_and(|version| ask.roster < version);
+        if old && self.timing.safeguards.has(Safeguard::RosterStep) {
+            return Some(highest);
+        }
+        let (confirmed, at) = latest?;
+        let missed = now.since(*at) >= self.timing.missed_after;
+        let other = ask.term != confirmed.term;
+        (ask.term < confirmed.term || (other && !missed)).then_some(highest)
+    }
 }
--- a/goldcrestramp-wire/src/server.rs
+++ b/goldcrestramp-wire/src/server.rs
@@ -35,8 +35,12 @@
 
 /// What a keeper tells a server to hold.
 ///
-/// A server that is asked only (`slices` absent) replies with its state
-/// and changes nothing.
+/// Three forms:
+///
+/// * a question (`slices` and `accept_by` absent): the server replies with
+///   its state and changes nothing;
+/// * an extension (`slices` absent): it goes on with what it holds then;
+/// * a grant (`slices` present): it holds these from now on.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GrantOrder {
@@ -44,7 +48,7 @@
     pub service: Option<ServiceName>,
     /// The fencing token of the order.
     pub token: FenceToken,
-    /// The slices to hold from now on; absent in a mere question.
+    /// The slices to hold from now on; absent in an extension.
     pub slices: Option<SliceSet>,
     /// The slices to give up: nothing new may start on them.
     pub release: SliceSet,
@@ -76,12 +80,15 @@
     /// The lowest token that it still accepts.
     pub fence: FenceToken,
     /// The slices it holds; empty once the grant has lapsed.
-    pub held: SliceSet,
+    ///
+    /// Absent, like `last`, after an extension that changed no token: a
+    /// renewal every 300 ms is not to carry thousands of slices.
+    pub held: Option<SliceSet>,
     /// The slices it held last, also when the grant has lapsed since.
     ///
     /// A failure domain that starts while the store is away learns from
     /// this which slices are its own.
-    pub last: SliceSet,
+    pub last: Option<SliceSet>,
     /// The slices on which non-idempotent work is still under way though
     /// they were given up.
     pub busy: SliceSet,
