--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -19,6 +19,7 @@
 mod keeper;
 mod message;
 mod plan;
+mod planner;
 mod roster;
 mod safeguard;
 mod steward;
@@ -34,6 +35,7 @@
         ServerReport, ServerState, SliceLoad,
     },
     plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
+    planner::{ServiceRecord, SliceHolding},
     roster::{RosterVoter, VoterRoster},
     safeguard::{Safeguard, Safeguards},
     steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
