--- a/goldcrestramp-ownership/src/keeper/mod.rs
+++ b/goldcrestramp-ownership/src/keeper/mod.rs
@@ -63,22 +63,20 @@
         self.leaving = leaving;
     }
 
-    /// Notes on which slices non-idempotent work of this VM is under way.
+    /// The servers that this VM keeps, as last ordered by the steward.
+    #[must_use]
+    pub fn servers(&self) -> Vec<Arc<ServerOrder>> {
+        self.servers.values().map(KeptServer::order).collect()
+    }
+
+    /// Tells on which slices of a server this VM has non-idempotent work
+    /// under way; they are not reported as released until it has ended.
     ///
-    /// A slice counts as released only when this work has ended, so that a
-    /// later owner's work cannot overlap it.
-    pub fn set_running(
-        &mut self,
-        now: LocalTime,
-        server: &ServerName,
-        running: SliceSet,
-    ) {
-        let Some(kept) = self.servers.get_mut(server) else {
-            return;
-        };
-        kept.set_running(running);
-        if kept.refresh_state(now, &mut self.versions) {
-            self.poll_at = now;
+    /// Otherwise a later owner's work could overlap it.
+    pub fn set_running(&mut self, server: &ServerName, slices: SliceSet) {
+        let kept = self.servers.get_mut(server);
+        if kept.is_some_and(|kept| kept.set_running(slices)) {
+            self.poll_at = LocalTime::default();
         }
     }
 
--- a/goldcrestramp-ownership/src/keeper/server.rs
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -42,7 +42,7 @@
 /// What a keeper knows of, and wants from, one server.
 #[derive(Clone, Debug)]
 pub(super) struct KeptServer {
-    order: ServerOrder,
+    order: Arc<ServerOrder>,
     reading: Option<ClockReading>,
     run: u64,
     token: FenceToken,
@@ -68,7 +68,7 @@
 impl KeptServer {
     pub(super) fn new(order: ServerOrder, version: u64) -> Self {
         Self {
-            order,
+            order: Arc::new(order),
             reading: None,
             run: 0,
             token: FenceToken::default(),
@@ -90,24 +90,34 @@
         }
     }
 
-    /// Takes the steward's newest order; true when it changes anything.
-    pub(super) fn instruct(&mut self, mut order: ServerOrder) -> bool {
-        let changed = order.token != self.order.token;
-        if !changed && order.extend_only {
-            order.slices = std::mem::take(&mut self.order.slices);
-            order.release = std::mem::take(&mut self.order.release);
-            order.extend_only = self.order.extend_only;
+    /// Takes the steward's newest order.
+    pub(super) fn instruct(&mut self, order: ServerOrder) {
+        if order.token == self.order.token && order.extend_only {
+            let known = Arc::make_mut(&mut self.order);
+            let slices = std::mem::take(&mut known.slices);
+            let release = std::mem::take(&mut known.release);
+            let extend_only = known.extend_only;
+            *known = ServerOrder { extend_only, slices, release, ..order };
+            return;
         }
-        self.order = order;
-        if changed {
+        if order.token != self.order.token {
             self.next_at = LocalTime::default();
-            self.refresh_slices();
         }
-        changed
+        self.order = Arc::new(order);
+        self.refresh_slices();
+    }
+
+    pub(super) fn order(&self) -> Arc<ServerOrder> {
+        Arc::clone(&self.order)
     }
 
-    pub(super) fn set_running(&mut self, running: SliceSet) {
-        self.running = running;
+    /// Takes the slices with work under way; whether a release waits.
+    pub(super) fn set_running(&mut self, running: SliceSet) -> bool {
+        let mut ended = std::mem::replace(&mut self.running, running);
+        ended.subtract(&self.running);
+        let releases = !self.order.extend_only || self.order.retire;
+        ended.subtract(&self.order.slices);
+        releases && !ended.is_empty()
     }
 
     /// Whether a retiring keeper has nothing more under way.
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -144,6 +144,8 @@
     role: StewardRole,
     /// Slices moved in former terms.
     moved: u64,
+    /// When a newer roster may be read for again.
+    read_again_at: LocalTime,
 }
 
 impl StewardMachine {
@@ -167,6 +169,7 @@
             knowledge: StewardKnowledge::default(),
             role: StewardRole::Follower { not_before },
             moved: 0,
+            read_again_at: LocalTime::default(),
         }
     }
 
@@ -341,11 +344,18 @@
             StewardRole::Candidate { claim, .. } => ask.term > claim.term,
             StewardRole::Leading(leading) => ask.term > leading.claim.term,
         };
+        let named = ask.roster;
         self.knowledge.seen = Some(SeenSteward { ask, at });
         if higher {
             self.follow(now);
         }
-        Vec::new()
+        let known = self.knowledge.roster.as_ref().map_or(0, |r| r.version);
+        if named <= known || now < self.read_again_at {
+            return Vec::new();
+        }
+        // Without the newest roster this VM could not follow the steward.
+        self.read_again_at = now + self.timing.lease;
+        vec![StewardEffect::ReadRoster]
     }
 
     fn answered(
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -36,6 +36,9 @@
     pub term: ::core::option::Option<Term>,
     #[prost(uint64, tag = "5")]
     pub roster_version: u64,
+    /// Whether a majority confirms the term already.
+    #[prost(bool, tag = "6")]
+    pub established: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfirmReply {
@@ -60,17 +63,9 @@
     pub token: ::core::option::Option<Token>,
     #[prost(message, optional, tag = "4")]
     pub fence: ::core::option::Option<Token>,
+    /// All that it may hold; what is absent has been released.
     #[prost(message, repeated, tag = "5")]
     pub held: ::prost::alloc::vec::Vec<SliceRun>,
-    /// Released and no longer executing.
-    #[prost(message, repeated, tag = "6")]
-    pub released: ::prost::alloc::vec::Vec<SliceRun>,
-    /// Microseconds since the report was true, by the keeper's clock.
-    #[prost(uint64, tag = "7")]
-    pub age_micros: u64,
-    /// Microseconds until the server's grant has surely ended.
-    #[prost(uint64, tag = "8")]
-    pub ends_micros: u64,
     /// Load of the last interval: busy slot time in microseconds.
     #[prost(uint64, tag = "9")]
     pub busy_micros: u64,
@@ -85,6 +80,16 @@
     /// Its grant has ended, or it holds none.
     #[prost(bool, tag = "13")]
     pub lapsed: bool,
+    /// The order that the keeper works on.
+    #[prost(message, optional, tag = "14")]
+    pub order: ::core::option::Option<Token>,
+    /// Rises with each change of what this message says of the server.
+    #[prost(uint64, tag = "15")]
+    pub version: u64,
+    /// False: run, tokens, slices and `lapsed` are left out, because the
+    /// steward has seen this version.
+    #[prost(bool, tag = "16")]
+    pub whole: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SliceLoad {
@@ -109,6 +114,9 @@
     pub servers: ::prost::alloc::vec::Vec<ServerReport>,
     #[prost(uint64, tag = "7")]
     pub config_version: u64,
+    /// Rises with each report; an answer to an earlier one is void.
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
 }
 /// What a keeper is to make one server hold.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -136,6 +144,12 @@
     pub slots: u32,
     #[prost(uint32, tag = "10")]
     pub connections: u32,
+    /// Send it nothing more, and report it until nothing is under way.
+    #[prost(bool, tag = "11")]
+    pub retire: bool,
+    /// The version of the report that the steward has.
+    #[prost(uint64, tag = "12")]
+    pub seen: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PermitReply {
@@ -153,6 +167,12 @@
     pub steward: ::prost::alloc::string::String,
     #[prost(string, tag = "6")]
     pub steward_address: ::prost::alloc::string::String,
+    /// The report that this answers.
+    #[prost(uint64, tag = "7")]
+    pub sequence: u64,
+    /// When to report again, from when this arrived.
+    #[prost(uint64, tag = "8")]
+    pub again_micros: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RouteRequest {
