--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -21,6 +21,7 @@
 mod plan;
 mod planner;
 mod roster;
+mod safeguard;
 mod steward;
 mod table;
 mod timing;
@@ -31,11 +32,12 @@
     keeper::{KeeperMachine, PassBook, PassRefusal, SendPass, ServerPasses},
     message::{
         ConfirmAnswer, ConfirmAsk, KeeperReport, PermitAnswer, ServerOrder,
-        ServerReport, SliceLoad,
+        ServerReport, ServerState, SliceLoad,
     },
     plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
     planner::{ServiceRecord, SliceHolding},
     roster::{RosterVoter, VoterRoster},
+    safeguard::{Safeguard, Safeguards},
     steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
     table::{DomainTable, ServiceTable, TableServer},
     timing::TermTiming,
