--- a/goldcrestramp-node/tests/path.rs
+++ b/goldcrestramp-node/tests/path.rs
@@ -103,7 +103,8 @@
         let server = ServerStandin::bind(loopback(), behaviour).await;
         servers.push(server.expect("bound"));
     }
-    let listening: Vec<_> = servers.iter().map(|s| s.address()).collect();
+    let listening: Vec<_> =
+        servers.iter().map(ServerStandin::address).collect();
     put_config(address, &listening).await;
     let all: Vec<_> = (0..3)
         .map(|number| settings(&format!("vm-{number}"), address))
