--- a/goldcrestramp-decisions/src/queue/flow.rs
+++ b/goldcrestramp-decisions/src/queue/flow.rs
@@ -39,6 +39,10 @@
     /// The virtual time at which its next request starts, in the clock
     /// of the parent.
     pub(crate) tag: u64,
+    /// What its ended requests used beyond what was charged for them (or
+    /// short of it, if negative), in virtual time; moved into `tag` at the
+    /// next start, to spare a move among the ready ones for each end.
+    pub(crate) debt: i64,
     /// The virtual time among its children.
     pub(crate) clock: u64,
     /// Children with something waiting, by tag.
@@ -53,6 +57,9 @@
     pub(crate) running: usize,
     /// The waiting requests of a key, the most urgent first.
     pub(crate) queue: BTreeSet<(LocalTime, RequestKey)>,
+    /// The length by which a caller is found in the tree's order of
+    /// lengths; the true one may have become less.
+    pub(crate) noted_length: u64,
     /// Its place among the idle flows, if it is one.
     pub(crate) idle_turn: Option<u64>,
 }
@@ -69,6 +76,7 @@
             name,
             weight,
             tag: 0,
+            debt: 0,
             clock: 0,
             ready: BTreeSet::new(),
             ready_weight: 0,
@@ -76,10 +84,17 @@
             cost: 0,
             running: 0,
             queue: BTreeSet::new(),
+            noted_length: 0,
             idle_turn: None,
         }
     }
 
+    /// Moves the debt into the tag.
+    pub(crate) fn settle_debt(&mut self) {
+        self.tag = self.tag.saturating_add_signed(self.debt);
+        self.debt = 0;
+    }
+
     /// Whether nothing waits or runs in it.
     pub(crate) const fn is_idle(&self) -> bool {
         self.waiting == 0 && self.running == 0
--- a/goldcrestramp-decisions/src/queue/tree.rs
+++ b/goldcrestramp-decisions/src/queue/tree.rs
@@ -8,8 +8,8 @@
 The answer is start-time fair queuing in three levels: class, caller, key.
 A flow's next request starts at its *tag*, a virtual time that rises by the
 slot time used divided by the flow's weight; the lowest tag goes first. The
-expected slot time is charged at the start and corrected at the end, so a
-flow pays for what it used. A flow that was idle joins at the present
+expected slot time is charged at the start; what was used beyond it counts
+from the flow's next start on, so a flow pays for what it used. A flow that was idle joins at the present
 virtual time: it has no claim for the past, and one that used idle slots
 owes nothing for them.
 
@@ -160,36 +160,57 @@
 
     /// The least urgent request of the caller that has most waiting for
     /// its weight, and that caller's length.
-    pub(crate) fn longest(&self) -> Option<(u64, RequestKey)> {
-        let (length, caller) = *self.lengths.last()?;
-        let leaf = self.flows[caller].ready.last()?.1;
-        Some((length, self.flows[leaf].queue.last()?.1))
+    pub(crate) fn longest(&mut self) -> Option<(u64, RequestKey)> {
+        loop {
+            let (noted, caller) = *self.lengths.last()?;
+            let flow = &mut self.flows[caller];
+            let length = flow.length();
+            if length == noted {
+                let leaf = flow.ready.last()?.1;
+                return Some((length, self.flows[leaf].queue.last()?.1));
+            }
+            flow.noted_length = length;
+            self.lengths.remove(&(noted, caller));
+            self.lengths.insert((length, caller));
+        }
     }
 
     /// Moves a request from waiting to running and charges its cost.
     pub(crate) fn start(&mut self, entry: FlowEntry) {
+        let queue = &mut self.flows[entry.leaf].queue;
+        queue.remove(&(entry.deadline, entry.request));
         let mut next = Some(entry.leaf);
         while let Some(key) = next {
-            self.flows[key].running += 1;
             self.advance_clock(key);
-            let charge = self.flows[key].virtual_time(entry.cost);
-            self.move_tag(key, |tag| tag.saturating_add(charge));
-            next = self.flows[key].parent;
+            self.set_ready(key, false);
+            let flow = &mut self.flows[key];
+            flow.waiting -= 1;
+            flow.cost = flow.cost.saturating_sub(entry.cost);
+            flow.running += 1;
+            flow.settle_debt();
+            flow.tag = flow.tag.saturating_add(flow.virtual_time(entry.cost));
+            next = flow.parent;
+            if flow.waiting > 0 {
+                self.set_ready(key, true);
+            } else {
+                self.drop_length(key);
+            }
         }
-        self.remove(entry);
     }
 
     /// Ends a running request and charges what it really used.
     pub(crate) fn finish(&mut self, leaf: FlowKey, expected: u64, used: u64) {
         let mut next = Some(leaf);
         while let Some(key) = next {
-            self.flows[key].running -= 1;
-            let paid = self.flows[key].virtual_time(expected);
-            let owed = self.flows[key].virtual_time(used);
-            self.move_tag(key, |tag| {
-                tag.saturating_add(owed).saturating_sub(paid)
-            });
-            next = self.flows[key].parent;
+            let flow = &mut self.flows[key];
+            flow.running -= 1;
+            let paid = flow.virtual_time(expected).cast_signed();
+            let owed = flow.virtual_time(used).cast_signed();
+            flow.debt = flow.debt.saturating_add(owed - paid);
+            if flow.waiting == 0 {
+                flow.settle_debt();
+            }
+            next = flow.parent;
         }
         self.settle(leaf);
     }
@@ -261,21 +282,42 @@
         let mut next = Some(leaf);
         while let Some(key) = next {
             let flow = &mut self.flows[key];
-            let before = flow.length();
             let was_waiting = flow.waiting > 0;
             change(flow);
-            let after = flow.length();
             let is_waiting = flow.waiting > 0;
-            if matches!(flow.name, FlowName::Caller(..)) {
-                self.lengths.remove(&(before, key));
-                if is_waiting {
-                    self.lengths.insert((after, key));
-                }
+            next = flow.parent;
+            if is_waiting {
+                self.raise_length(key);
+            } else {
+                self.drop_length(key);
             }
             if was_waiting != is_waiting {
                 self.set_ready(key, is_waiting);
             }
-            next = self.flows[key].parent;
+        }
+    }
+
+    /// Notes a caller's length if it is above the one noted.
+    ///
+    /// One that fell is noted when it is looked at, in `longest`: so most
+    /// requests come and go without a change of this order.
+    fn raise_length(&mut self, key: FlowKey) {
+        let flow = &mut self.flows[key];
+        let length = flow.length();
+        let is_caller = matches!(flow.name, FlowName::Caller(..));
+        if is_caller && length > flow.noted_length {
+            self.lengths.remove(&(flow.noted_length, key));
+            self.lengths.insert((length, key));
+            flow.noted_length = length;
+        }
+    }
+
+    /// Takes a caller with nothing waiting out of the order of lengths.
+    fn drop_length(&mut self, key: FlowKey) {
+        let flow = &mut self.flows[key];
+        if flow.noted_length > 0 {
+            self.lengths.remove(&(flow.noted_length, key));
+            flow.noted_length = 0;
         }
     }
 
@@ -306,19 +348,6 @@
         parent.clock = parent.clock.max(tag);
     }
 
-    /// Changes a flow's tag and its place among the ready ones.
-    fn move_tag(&mut self, key: FlowKey, change: impl Fn(u64) -> u64) {
-        let flow = &mut self.flows[key];
-        let (before, ready) = (flow.tag, flow.waiting > 0);
-        flow.tag = change(before);
-        let (after, parent) = (flow.tag, flow.parent);
-        if let (true, Some(parent)) = (ready, parent) {
-            let ready = &mut self.flows[parent].ready;
-            ready.remove(&(before, key));
-            ready.insert((after, key));
-        }
-    }
-
     /// Keeps an empty flow's tag for a while if it is above the clock.
     fn set_aside(&mut self, key: FlowKey) {
         let flow = &self.flows[key];
