Decide limits at servers, retries, gateways, the short link and resends

Cause: nothing decided yet what a cold, shedding, frozen or slow server is given, when a failed attempt is made again, whose requests fill a gateway, how a download crosses the short link, and what a second order with the same id meets.

Change: `ServerLimit` with `EjectionGuard`, `RetryPolicy` with budgets for each caller and service, `GatewayLimit` by dynamic thresholds, `LinkShare` with `LinkVolume`, `AttemptMemory`, `span_to_send`. The queue takes a hold from the limit: what cannot wait for the probe is refused at once.

Ruled out: hedged requests, since a key has one owner and the copy would join the same queue (reasons in the module).

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -6,12 +6,41 @@
 tested without a network. Each module tells which load it answers, what
 happens without it, and where its figures come from.
 
+- [`GatewayLimit`]: what a gateway may have under way, shared by caller.
 - [`ServerQueue`]: the one queue in front of a backend server.
+- [`ServerLimit`]: how many requests a server is given at once.
+- [`AttemptMemory`]: at most once across a caller's own resends.
+- [`RetryPolicy`]: whether a failed attempt is made again.
+- [`LinkShare`]: the short link between two regions.
+- [`span_to_send`]: a deadline that crosses to another process.
 */
 
+mod attempt;
+mod deadline;
+mod gateway;
+mod limit;
+mod link;
 mod queue;
+mod retry;
 
-pub use crate::queue::{
-    CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent, QueueRefusal,
-    QueueSettings, QueuedRequest, RequestKey, ServerQueue,
+pub use crate::{
+    attempt::{
+        ANSWER_LIMIT, AttemptId, AttemptMemory, AttemptOutcome, AttemptRecord,
+        AttemptVerdict, MemorySettings, SliceMemory, StoredAnswer,
+    },
+    deadline::span_to_send,
+    gateway::GatewayLimit,
+    limit::{
+        EjectionGuard, FleetLoad, HealthHint, LimitVerdict, OwnerAdvice,
+        ServerLimit, ServerSign,
+    },
+    link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
+    queue::{
+        CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent,
+        QueueRefusal, QueueSettings, QueuedRequest, RequestKey, ServerQueue,
+    },
+    retry::{
+        AttemptStart, FailedAttempt, REDIRECT_LIMIT, RetryDecision,
+        RetryPolicy,
+    },
 };
--- /dev/null
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -0,0 +1,296 @@
+/*!
+How many requests a server is given at once.
+
+The load: a server that is cold, sheds load, is slow, is frozen, or says on
+its health page that all is well while it is none of that. A fixed number
+of slots then fills with requests that wait for a frozen server, a cold one
+is flooded on its first second, and one that sheds is asked again and again
+only to refuse.
+
+What the keeper itself saw decides: answers, refusals, breaks and silence.
+The health page can call for caution, never for trust.
+
+- *Cold*: it starts with one request; the limit grows with its answers.
+- *Shedding*: a refusal halves the limit; a run of answers adds one.
+- *Failing or frozen*: nothing is sent for a time that doubles with each
+  failed probe; then one request goes as a probe, and its answer lets the
+  limit grow again by degrees.
+- *Slow*: it keeps its slots, since fewer would only serve less, but
+  [`OwnerAdvice::MoveAway`] tells the steward.
+
+The only owner of a key cannot be routed around. While it is held, the queue
+refuses at once what cannot wait for the next probe, and says when to come
+back; what can wait, waits. Moving the ownership is the steward's decision,
+under [`EjectionGuard`](crate::EjectionGuard).
+*/
+
+mod guard;
+mod pace;
+
+use goldcrestramp_types::{LocalTime, RequestClass, TimeSpan};
+
+pub use crate::limit::guard::{EjectionGuard, FleetLoad};
+use crate::limit::pace::ServerPace;
+
+/// Failures in a row after which a server is held: two may be chance, on
+/// a server of two slots one cut connection already breaks both.
+const FAILURE_LIMIT: u32 = 3;
+
+/// The first hold, and the longest: a restart takes seconds, and a key is
+/// to be served again within 2 s of a loss.
+const HOLD_FIRST: TimeSpan = TimeSpan::from_millis(100);
+const HOLD_MOST: TimeSpan = TimeSpan::from_millis(2_000);
+
+/// Answers for each present slot before one is added.
+const ANSWERS_PER_STEP: usize = 2;
+
+/// A limit is halved once in this time: the refusals of one burst are one
+/// sign, not many.
+const HALVE_PAUSE: TimeSpan = TimeSpan::from_millis(20);
+
+/// A hold that lasted this long with no answer calls for another owner.
+const HELD_TOO_LONG: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// What the keeper saw of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServerSign {
+    /// It answered a request of this class in this time.
+    Answered(RequestClass, TimeSpan),
+    /// It refused to start a request.
+    Refused,
+    /// A request broke off or timed out.
+    Broken,
+    /// No connection could be made.
+    Unreachable,
+}
+
+/// What its health page says.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HealthHint {
+    /// It claims to be well.
+    Good,
+    /// It claims to be unwell.
+    Bad,
+}
+
+/// What may be sent to a server now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitVerdict {
+    /// So many requests at once.
+    Open(usize),
+    /// Nothing before this moment.
+    Held(LocalTime),
+}
+
+/// What the steward is told.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OwnerAdvice {
+    /// The server does its work.
+    Keep,
+    /// Its keys would be served better elsewhere.
+    MoveAway,
+}
+
+/// How far a server is trusted.
+#[derive(Clone, Copy, Debug)]
+enum LimitStage {
+    /// It takes `limit` requests; `answers` count towards the next step.
+    Open { limit: usize, answers: usize },
+    /// It gets nothing; `tries` probes have failed.
+    Held { until: LocalTime, tries: u32 },
+    /// One request is to show whether it is back.
+    Probing { tries: u32 },
+}
+
+/// The limit of one server.
+///
+/// # Example
+///
+/// ```
+/// use goldcrestramp_decisions::{LimitVerdict, ServerLimit, ServerSign};
+/// use goldcrestramp_types::LocalTime;
+///
+/// let now = LocalTime::from_micros(0);
+/// let mut limit = ServerLimit::open(now, 4);
+/// assert_eq!(limit.verdict(now), LimitVerdict::Open(1));
+/// for _ in 0..3 {
+///     limit.started(now, goldcrestramp_types::RequestClass::Lookup);
+///     limit.finished(now, ServerSign::Broken, 0);
+/// }
+/// assert!(matches!(limit.verdict(now), LimitVerdict::Held(_)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct ServerLimit {
+    slots: usize,
+    stage: LimitStage,
+    pace: ServerPace,
+    failures: u32,
+    halved_at: LocalTime,
+    held_since: Option<LocalTime>,
+}
+
+impl ServerLimit {
+    /// The limit of a server of which nothing is known yet.
+    #[must_use]
+    pub fn open(now: LocalTime, slots: usize) -> Self {
+        Self {
+            slots: slots.max(1),
+            stage: LimitStage::Open { limit: 1, answers: 0 },
+            pace: ServerPace::new(now),
+            failures: 0,
+            halved_at: now,
+            held_since: None,
+        }
+    }
+
+    /// What may be sent now.
+    #[must_use]
+    pub fn verdict(&self, now: LocalTime) -> LimitVerdict {
+        match self.stage {
+            LimitStage::Open { limit, .. } => LimitVerdict::Open(limit),
+            LimitStage::Held { until, .. } if now < until => {
+                LimitVerdict::Held(until)
+            }
+            LimitStage::Held { .. } | LimitStage::Probing { .. } => {
+                LimitVerdict::Open(1)
+            }
+        }
+    }
+
+    /// What the steward should know.
+    #[must_use]
+    pub fn advice(&self, now: LocalTime) -> OwnerAdvice {
+        let held = self
+            .held_since
+            .is_some_and(|since| now.since(since) >= HELD_TOO_LONG);
+        if held || self.pace.is_slow(now) {
+            OwnerAdvice::MoveAway
+        } else {
+            OwnerAdvice::Keep
+        }
+    }
+
+    /// Notes that a request was sent.
+    pub fn started(&mut self, now: LocalTime, class: RequestClass) {
+        if let LimitStage::Held { tries, .. } = self.stage {
+            self.stage = LimitStage::Probing { tries };
+        }
+        self.pace.started(now, class);
+    }
+
+    /// Notes that a part of an answer came: the server is alive, and the
+    /// limit grows as by an answer, or one download at a cold server would
+    /// keep it at one request until its end.
+    pub fn progressed(&mut self, now: LocalTime) {
+        self.pace.progressed(now);
+        self.answered();
+    }
+
+    /// Notes how a request ended; `random` spreads the next probe.
+    pub fn finished(&mut self, now: LocalTime, sign: ServerSign, random: u64) {
+        self.pace.ended(now);
+        match sign {
+            ServerSign::Answered(class, span) => {
+                self.pace.record(now, class, span);
+                self.answered();
+            }
+            ServerSign::Refused => self.refused(now, random),
+            ServerSign::Broken | ServerSign::Unreachable => {
+                self.failed(now, random);
+            }
+        }
+    }
+
+    /// Takes what the health page says: a bad word from a server at work
+    /// takes it back to one request at a time, a good word does nothing.
+    ///
+    /// A page that is wrong for the worse costs a few answers' time.
+    pub const fn hinted(&mut self, hint: HealthHint) {
+        if let (HealthHint::Bad, LimitStage::Open { .. }) = (hint, self.stage)
+        {
+            self.stage = LimitStage::Open { limit: 1, answers: 0 };
+        }
+    }
+
+    /// Takes a new run of the server, which is cold again.
+    pub fn restarted(&mut self, now: LocalTime) {
+        *self = Self::open(now, self.slots);
+    }
+
+    /// Looks for silence; called at [`wake_at`](Self::wake_at) or before.
+    pub fn tick(&mut self, now: LocalTime, random: u64) {
+        if self.pace.silent_at().is_some_and(|time| time <= now) {
+            // The next silence counts from here, or each tick would
+            // double the hold for the same one.
+            self.pace.progressed(now);
+            self.hold(now, random);
+        }
+    }
+
+    /// When something changes without an event.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<LocalTime> {
+        let held = match self.stage {
+            LimitStage::Held { until, .. } => Some(until),
+            LimitStage::Open { .. } | LimitStage::Probing { .. } => None,
+        };
+        held.into_iter().chain(self.pace.silent_at()).min()
+    }
+
+    /// An answer ends any doubt, and lets the limit grow by degrees.
+    fn answered(&mut self) {
+        self.failures = 0;
+        self.held_since = None;
+        let LimitStage::Open { limit, answers } = self.stage else {
+            self.stage = LimitStage::Open { limit: 1, answers: 1 };
+            return;
+        };
+        let answers = answers + 1;
+        let grown = answers >= limit * ANSWERS_PER_STEP;
+        self.stage = if grown && limit < self.slots {
+            LimitStage::Open { limit: limit + 1, answers: 0 }
+        } else {
+            LimitStage::Open { limit, answers }
+        };
+    }
+
+    /// A refusal is a sign of life, yet of too much load.
+    fn refused(&mut self, now: LocalTime, random: u64) {
+        if let LimitStage::Open { limit, .. } = self.stage
+            && limit > 1
+        {
+            let due = now.since(self.halved_at) >= HALVE_PAUSE;
+            let limit = if due { limit / 2 } else { limit };
+            if due {
+                self.halved_at = now;
+            }
+            self.stage = LimitStage::Open { limit, answers: 0 };
+            return;
+        }
+        self.failed(now, random);
+    }
+
+    /// A failure at the end of a row, or of a probe, holds the server.
+    fn failed(&mut self, now: LocalTime, random: u64) {
+        self.failures += 1;
+        let probing = matches!(self.stage, LimitStage::Probing { .. });
+        if probing || self.failures >= FAILURE_LIMIT {
+            self.hold(now, random);
+        }
+    }
+
+    /// Stops sending, for a time that doubles with each failed probe.
+    fn hold(&mut self, now: LocalTime, random: u64) {
+        let tries = match self.stage {
+            LimitStage::Open { .. } => 0,
+            LimitStage::Probing { tries } => tries + 1,
+            // More requests of before the hold fail: no new knowledge.
+            LimitStage::Held { .. } => return,
+        };
+        let doubled = HOLD_FIRST.percent(100 << tries.min(8)).min(HOLD_MOST);
+        let jitter = random % (doubled.as_micros() / 4 + 1);
+        let until = now + doubled + TimeSpan::from_micros(jitter);
+        self.stage = LimitStage::Held { until, tries };
+        self.held_since = self.held_since.or(Some(now));
+    }
+}
--- a/goldcrestramp-decisions/src/queue/mod.rs
+++ b/goldcrestramp-decisions/src/queue/mod.rs
@@ -31,6 +31,7 @@
 use goldcrestramp_types::{LocalTime, NotRunReason, RequestClass, TimeSpan};
 use slotmap::SlotMap;
 
+use crate::limit::LimitVerdict;
 pub use crate::queue::request::{
     CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent, QueueRefusal,
     QueuedRequest, RequestKey,
@@ -123,9 +124,9 @@
         }
     }
 
-    /// Changes the number of slots; what runs goes on.
-    pub const fn set_slots(&mut self, slots: usize) {
-        self.slots.resize(slots);
+    /// Takes what may be sent to the server now; what runs goes on.
+    pub const fn set_limit(&mut self, verdict: LimitVerdict) {
+        self.slots.set_limit(verdict);
     }
 
     /// Requests that wait.
@@ -252,6 +253,9 @@
     #[must_use]
     pub fn wake_at(&self) -> Option<LocalTime> {
         let overdue = self.give_up.first().map(|(time, _)| *time);
+        if let (Some(until), Some(time)) = (self.slots.held_until(), overdue) {
+            return Some(time.min(until));
+        }
         if !self.slots.has_free() {
             return overdue;
         }
@@ -307,6 +311,9 @@
         match forecast.judge(now) {
             WaitVerdict::Admit => None,
             WaitVerdict::TooLate => {
+                if self.slots.hold(now).is_some() {
+                    return Some(NotRunReason::ServerUnreachable);
+                }
                 let fallback = NotRunReason::DeadlineTooShort;
                 Some(self.share_reason(leaf).unwrap_or(fallback))
             }
--- a/goldcrestramp-decisions/src/queue/slots.rs
+++ b/goldcrestramp-decisions/src/queue/slots.rs
@@ -14,6 +14,8 @@
 
 use goldcrestramp_types::{LocalTime, RequestClass, TimeSpan};
 
+use crate::limit::LimitVerdict;
+
 /// One slot in so many is reserved.
 const RESERVED_PART: usize = 4;
 
@@ -21,6 +23,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct SlotBook {
     slots: usize,
+    /// Nothing starts before this moment.
+    held_until: Option<LocalTime>,
     running: usize,
     running_long: usize,
     /// When a short request last came, waited or ended.
@@ -30,12 +34,34 @@
 impl SlotBook {
     /// A book with every slot free.
     pub(crate) const fn new(now: LocalTime, slots: usize) -> Self {
-        Self { slots, running: 0, running_long: 0, short_at: now }
+        Self {
+            slots,
+            held_until: None,
+            running: 0,
+            running_long: 0,
+            short_at: now,
+        }
+    }
+
+    /// Takes what may be sent to the server; what runs goes on.
+    pub(crate) const fn set_limit(&mut self, verdict: LimitVerdict) {
+        match verdict {
+            LimitVerdict::Open(slots) => {
+                self.slots = slots;
+                self.held_until = None;
+            }
+            LimitVerdict::Held(until) => self.held_until = Some(until),
+        }
+    }
+
+    /// The end of the time in which nothing may start, if it is not over.
+    pub(crate) fn hold(&self, now: LocalTime) -> Option<LocalTime> {
+        self.held_until.filter(|until| now < *until)
     }
 
-    /// Changes the number of slots; what runs goes on.
-    pub(crate) const fn resize(&mut self, slots: usize) {
-        self.slots = slots;
+    /// When the hold ends, over or not.
+    pub(crate) const fn held_until(&self) -> Option<LocalTime> {
+        self.held_until
     }
 
     /// Notes that short requests are about.
@@ -81,7 +107,7 @@
         if now >= self.lent_at(long) {
             return self.slots;
         }
-        self.slots - reserved
+        self.slots.saturating_sub(reserved)
     }
 
     /// When the reserve is lent out if no short request comes.
@@ -96,7 +122,7 @@
         class: RequestClass,
         long: TimeSpan,
     ) -> bool {
-        if !self.has_free() {
+        if !self.has_free() || self.hold(now).is_some() {
             return false;
         }
         class != RequestClass::Long
@@ -127,6 +153,8 @@
         };
         let total = ahead.saturating_add(next_end.as_micros());
         let serving = u64::try_from(serving.max(1)).unwrap_or(u64::MAX);
-        TimeSpan::from_micros(total / serving)
+        let held = self.hold(now).map_or(TimeSpan::ZERO, |t| t.since(now));
+        let wait = TimeSpan::from_micros(total / serving);
+        TimeSpan::from_micros(wait.as_micros() + held.as_micros())
     }
 }
--- /dev/null
+++ b/goldcrestramp-decisions/tests/limit.rs
@@ -0,0 +1,152 @@
+//! What a keeper sends to servers that are not well.
+
+use goldcrestramp_decisions::{
+    EjectionGuard, FleetLoad, HealthHint, LimitVerdict, OwnerAdvice,
+    ServerLimit, ServerSign,
+};
+use goldcrestramp_types::{LocalTime, RequestClass, TimeSpan};
+
+fn at(millis: u64) -> LocalTime {
+    LocalTime::from_micros(millis * 1_000)
+}
+
+fn answered(millis: u64) -> ServerSign {
+    ServerSign::Answered(RequestClass::Lookup, TimeSpan::from_millis(millis))
+}
+
+/// Sends one request at `now` that ends with `sign` after `millis`.
+fn run(limit: &mut ServerLimit, now: u64, millis: u64, sign: ServerSign) {
+    limit.started(at(now), RequestClass::Lookup);
+    limit.finished(at(now + millis), sign, 0);
+}
+
+/// A server of four slots that has answered for a second.
+fn warm() -> ServerLimit {
+    let mut limit = ServerLimit::open(at(0), 4);
+    for turn in 0..200 {
+        run(&mut limit, turn * 5, 5, answered(5));
+    }
+    limit
+}
+
+#[test]
+fn a_cold_server_is_given_more_by_degrees() {
+    let mut limit = ServerLimit::open(at(0), 4);
+    let mut seen = Vec::new();
+    for turn in 0..14 {
+        seen.push(limit.verdict(at(turn * 5)));
+        run(&mut limit, turn * 5, 5, answered(5));
+    }
+    let slots = [1, 1, 2, 2, 2, 2, 3, 3, 3, 3, 3, 3, 4, 4];
+    assert_eq!(seen, slots.map(LimitVerdict::Open));
+}
+
+#[test]
+fn a_download_at_a_cold_server_does_not_keep_it_cold() {
+    let mut limit = ServerLimit::open(at(0), 2);
+    limit.started(at(0), RequestClass::Long);
+    limit.progressed(at(10));
+    limit.progressed(at(20));
+    assert_eq!(limit.verdict(at(20)), LimitVerdict::Open(2));
+}
+
+#[test]
+fn a_shedding_server_is_given_half_once_a_burst() {
+    let mut limit = warm();
+    for _ in 0..4 {
+        limit.started(at(2_000), RequestClass::Lookup);
+    }
+    for _ in 0..4 {
+        limit.finished(at(2_001), ServerSign::Refused, 0);
+    }
+    assert_eq!(limit.verdict(at(2_001)), LimitVerdict::Open(2));
+    run(&mut limit, 2_050, 1, ServerSign::Refused);
+    assert_eq!(limit.verdict(at(2_051)), LimitVerdict::Open(1));
+}
+
+/// Every request sent to a frozen server is held until it wakes. The keeper
+/// sends none until a probe is due; each failed probe doubles the time.
+#[test]
+fn a_frozen_server_is_held_and_probed() {
+    let mut limit = warm();
+    for _ in 0..4 {
+        limit.started(at(2_000), RequestClass::Lookup);
+    }
+    let silent = limit.wake_at().expect("requests run");
+    assert_eq!(silent, at(2_300), "300 ms is the least silence");
+    limit.tick(silent, 0);
+    assert_eq!(limit.verdict(silent), LimitVerdict::Held(at(2_400)));
+    assert_eq!(limit.verdict(at(2_400)), LimitVerdict::Open(1));
+    limit.started(at(2_400), RequestClass::Lookup);
+    limit.tick(at(2_700), 0);
+    assert_eq!(limit.verdict(at(2_700)), LimitVerdict::Held(at(2_900)));
+    assert_eq!(limit.advice(at(3_299)), OwnerAdvice::Keep);
+    assert_eq!(limit.advice(at(3_300)), OwnerAdvice::MoveAway);
+}
+
+#[test]
+fn a_server_that_is_back_is_trusted_by_degrees() {
+    let mut limit = warm();
+    for turn in 0..3 {
+        run(&mut limit, 2_000 + turn, 1, ServerSign::Unreachable);
+    }
+    assert!(matches!(limit.verdict(at(2_003)), LimitVerdict::Held(_)));
+    run(&mut limit, 2_200, 5, answered(5));
+    assert_eq!(limit.verdict(at(2_205)), LimitVerdict::Open(1));
+    run(&mut limit, 2_205, 5, answered(5));
+    assert_eq!(limit.verdict(at(2_210)), LimitVerdict::Open(2));
+    assert_eq!(limit.advice(at(9_000)), OwnerAdvice::Keep);
+}
+
+#[test]
+fn a_slow_server_keeps_its_slots_and_its_owner_should_change() {
+    let mut limit = warm();
+    for turn in 0..40 {
+        run(&mut limit, 2_000 + turn * 50, 50, answered(50));
+    }
+    assert_eq!(limit.verdict(at(4_000)), LimitVerdict::Open(4));
+    assert_eq!(limit.advice(at(4_000)), OwnerAdvice::MoveAway);
+}
+
+/// The page says that a frozen server is well: it stays held. The page says
+/// that a server at work is unwell: it is asked with care, and its answers
+/// win.
+#[test]
+fn the_health_page_is_never_trusted() {
+    let mut held = warm();
+    for turn in 0..3 {
+        run(&mut held, 2_000 + turn, 1, ServerSign::Broken);
+    }
+    held.hinted(HealthHint::Good);
+    assert!(matches!(held.verdict(at(2_003)), LimitVerdict::Held(_)));
+    let mut well = warm();
+    well.hinted(HealthHint::Bad);
+    assert_eq!(well.verdict(at(2_000)), LimitVerdict::Open(1));
+    for turn in 0..12 {
+        run(&mut well, 2_000 + turn * 5, 5, answered(5));
+    }
+    assert_eq!(well.verdict(at(2_060)), LimitVerdict::Open(4));
+}
+
+#[test]
+fn a_new_run_of_a_server_is_cold() {
+    let mut limit = warm();
+    limit.restarted(at(2_000));
+    assert_eq!(limit.verdict(at(2_000)), LimitVerdict::Open(1));
+}
+
+#[test]
+fn ejection_stops_before_the_rest_fall_over() {
+    let cases = [
+        (9, 0, 36, 12_000, true, "room for all"),
+        (9, 2, 28, 12_000, true, "the third of nine"),
+        (9, 3, 24, 12_000, false, "more than a third"),
+        (9, 0, 36, 26_000, false, "32 slots at 81%"),
+        (1, 0, 4, 0, false, "the last one"),
+        (2, 0, 8, 100, false, "half of all"),
+    ];
+    for (servers, ejected, slots, used_millislots, expected, case) in cases {
+        let load = FleetLoad { servers, ejected, slots, used_millislots };
+        assert_eq!(EjectionGuard.may_eject(load, 4), expected, "{case}");
+    }
+}
--- /dev/null
+++ b/goldcrestramp-decisions/tests/link.rs
@@ -0,0 +1,127 @@
+//! Long answers and short ones on one short link.
+
+use goldcrestramp_decisions::{
+    LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume,
+};
+use goldcrestramp_types::{
+    CallerName, FastMap, LocalTime, NotRunReason, ServiceName,
+};
+
+/// 30 Mbit/s.
+const RATE: u64 = 3_750_000;
+
+fn at(millis: u64) -> LocalTime {
+    LocalTime::from_micros(millis * 1_000)
+}
+
+fn link() -> LinkShare {
+    let settings = LinkSettings { bytes_per_second: RATE, flow_limit: 3 };
+    LinkShare::open(at(0), settings)
+}
+
+fn caller(name: &str) -> CallerName {
+    CallerName::new(name).expect("a valid name")
+}
+
+fn open(link: &mut LinkShare, name: &str) -> LinkFlow {
+    let flow = link.open_flow(at(0), &caller(name), 0, at(1_000));
+    flow.expect("the link has room")
+}
+
+/// Lets flows send as they may for a second, with a short answer of
+/// `short` bytes each millisecond; tells the bytes of each flow.
+fn run_second(
+    link: &mut LinkShare,
+    flows: &[LinkFlow],
+    short: u64,
+) -> FastMap<LinkFlow, u64> {
+    let mut sent = FastMap::default();
+    for millis in 0..1_000 {
+        if short > 0 {
+            link.short_sent(at(millis), short);
+        }
+        for flow in flows {
+            link.offer_chunk(*flow, LINK_CHUNK);
+        }
+        let next = at(millis + 1);
+        while let Some(wake) = link.wake_at().filter(|wake| *wake < next)
+            && let Some(flow) = link.poll(wake.max(at(millis)))
+        {
+            *sent.entry(flow).or_default() += LINK_CHUNK;
+            link.offer_chunk(flow, LINK_CHUNK);
+        }
+    }
+    sent
+}
+
+#[test]
+fn a_long_answer_takes_the_whole_link_when_alone() {
+    let mut link = link();
+    let flow = open(&mut link, "a");
+    let sent = run_second(&mut link, &[flow], 0)[&flow];
+    assert!((RATE * 85 / 100..=RATE + LINK_CHUNK).contains(&sent), "{sent}");
+}
+
+#[test]
+fn long_answers_yield_to_short_ones() {
+    let cases = [(10, 75), (1_875, 50), (3_000, 20), (3_750, 0)];
+    for (short, percent) in cases {
+        let mut link = link();
+        let flow = open(&mut link, "a");
+        let sent = run_second(&mut link, &[flow], short);
+        let sent = sent.get(&flow).copied().unwrap_or(0);
+        let most = RATE * percent / 100 + 2 * LINK_CHUNK;
+        assert!(sent <= most, "{short} short bytes a ms: {sent}");
+        let least = most.saturating_sub(RATE * 15 / 100 + 3 * LINK_CHUNK);
+        assert!(sent >= least, "{short} short bytes a ms: {sent}");
+    }
+}
+
+#[test]
+fn the_link_is_shared_by_caller_and_not_by_flow() {
+    let mut link = link();
+    let flows = ["a", "a", "b"].map(|name| open(&mut link, name));
+    let sent = run_second(&mut link, &flows, 0);
+    let [first, second, other] = flows.map(|flow| sent[&flow]);
+    let both = first + second;
+    assert!(both.abs_diff(other) <= 2 * LINK_CHUNK, "{both} and {other}");
+    assert!(first.abs_diff(second) <= 2 * LINK_CHUNK);
+}
+
+#[test]
+fn what_the_link_cannot_carry_is_refused_before_it_starts() {
+    let mut link = link();
+    let late = link.open_flow(at(0), &caller("a"), 2 * RATE, at(1_000));
+    assert_eq!(late, Err(NotRunReason::LinkFull));
+    for _ in 0..3 {
+        open(&mut link, "a");
+    }
+    let full = link.open_flow(at(0), &caller("b"), 0, at(1_000));
+    assert_eq!(full, Err(NotRunReason::LinkFull));
+}
+
+#[test]
+fn a_flow_that_closed_leaves_its_part_to_the_rest() {
+    let mut link = link();
+    let flows = ["a", "b"].map(|name| open(&mut link, name));
+    link.offer_chunk(flows[0], LINK_CHUNK);
+    link.close_flow(flows[0]);
+    let sent = run_second(&mut link, &flows[1..], 0);
+    assert_eq!(sent.len(), 1);
+    assert!(sent[&flows[1]] >= RATE * 85 / 100);
+}
+
+#[test]
+fn every_byte_is_counted_also_beyond_the_table() {
+    let service = ServiceName::new("export").expect("a valid name");
+    let mut volume = LinkVolume::default();
+    for number in 0..5_000 {
+        volume.add(&service, &caller(&format!("c{number}")), 10);
+        volume.add(&service, &caller("c0"), 1);
+    }
+    let total: u64 = volume.totals().map(|(_, _, bytes)| bytes).sum();
+    let first = volume.totals().find(|(_, c, _)| *c == Some(&caller("c0")));
+    assert_eq!(total, 55_000);
+    assert_eq!(first.map(|(_, _, bytes)| bytes), Some(5_010));
+    assert!(volume.totals().count() <= 4_097);
+}
--- a/goldcrestramp-decisions/tests/queue.rs
+++ b/goldcrestramp-decisions/tests/queue.rs
@@ -1,8 +1,8 @@
 //! The queue of one server, decision by decision.
 
 use goldcrestramp_decisions::{
-    CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent, QueueRefusal,
-    QueueSettings, QueuedRequest, RequestKey, ServerQueue,
+    CancelOutcome, CompletionOutcome, LimitVerdict, OfferOutcome, QueueEvent,
+    QueueRefusal, QueueSettings, QueuedRequest, RequestKey, ServerQueue,
 };
 use goldcrestramp_types::{
     CallerName, FastMap, LocalTime, NotRunReason, RequestClass, TimeSpan,
@@ -285,3 +285,19 @@
     end(&mut queue, at(5), running);
     assert_eq!(queue.running(), 0);
 }
+
+/// A server is frozen and held for 100 ms. What cannot wait that long is
+/// told so at once, and when to come back; what can, waits for the probe.
+#[test]
+fn a_held_server_is_sent_nothing_before_its_probe() {
+    let mut queue = measured(2, 100);
+    queue.set_limit(LimitVerdict::Held(at(300)));
+    let refusal = refuse(&mut queue, at(200), lookup("a", at(290)));
+    let patient = admit(&mut queue, at(200), lookup("a", at(400)));
+    assert_eq!(refusal.reason, NotRunReason::ServerUnreachable);
+    assert!(refusal.retry_after >= TimeSpan::from_millis(100));
+    assert_eq!(poll_all(&mut queue, at(299)), []);
+    assert_eq!(queue.wake_at(), Some(at(300)));
+    queue.set_limit(LimitVerdict::Open(1));
+    assert_eq!(poll_all(&mut queue, at(300)), [QueueEvent::Start(patient)]);
+}
