Let the platform fail, and settle what its failures leave open

Cause: the stand-in platform never failed, and the client told a write that an intermediary answered with 502 as having had no effect.

Change: the stand-in refuses calls beyond its rates, is late, refuses or holds connections, loses the answer of a write that took effect, is restored to an older copy, and shows a late or wrong VM list, by methods or over HTTP at an address of its own.

Conclusion: no write's fate is guessed; not proved: a write still under way when it is read back as lost, which is safe to repeat only under the same condition.

--- a/goldcrestramp-platform/src/client.rs
+++ b/goldcrestramp-platform/src/client.rs
@@ -39,6 +39,7 @@
     pub fn open(base: &str) -> Result<Self, StoreError> {
         let http = Client::builder()
             .connect_timeout(CALL_TIMEOUT)
+            .no_proxy()
             .build()
             .map_err(|error| StoreError::Refused(error.to_string()))?;
         let base = Arc::from(base.trim_end_matches('/'));
@@ -65,6 +66,23 @@
         response.json().await.map_err(unavailable)
     }
 
+    /// Ends a lease, so that what is tied to it goes at once.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] when it can't be told; it then ends by
+    /// itself.
+    pub async fn end(&self, lease: u64) -> Result<(), StoreError> {
+        self.counts.add(CallKind::Lease);
+        let url = format!("{}/leases/{lease}", self.base);
+        let request = self.http.delete(url).timeout(CALL_TIMEOUT);
+        let response = request.send().await.map_err(unavailable)?;
+        match response.status() {
+            StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+            status => Err(refused(status)),
+        }
+    }
+
     fn url(&self, key: &str) -> String {
         format!("{}/kv/{key}", self.base)
     }
@@ -119,7 +137,7 @@
                 .map(PutOutcome::Written)
                 .ok_or_else(|| StoreError::Unknown("no version".into())),
             StatusCode::PRECONDITION_FAILED => Ok(PutOutcome::Conflict),
-            status => Err(refused(status)),
+            status => Err(refused_write(status)),
         }
     }
 
@@ -190,10 +208,25 @@
     }
 }
 
+/// A read that was refused; too many calls are as good as an outage.
 fn refused(status: StatusCode) -> StoreError {
-    if status.is_server_error() {
+    let busy = status == StatusCode::TOO_MANY_REQUESTS;
+    if busy || status.is_server_error() {
         StoreError::Unavailable(status.to_string())
     } else {
         StoreError::Refused(status.to_string())
     }
 }
+
+/// A write that was refused.
+///
+/// A server error, such as an intermediary's 502, may hide a write that
+/// took effect: taken for "no effect", an operator would be told that an
+/// accepted ticket was lost. Only a read tells.
+fn refused_write(status: StatusCode) -> StoreError {
+    if status.is_server_error() {
+        StoreError::Unknown(status.to_string())
+    } else {
+        refused(status)
+    }
+}
--- a/goldcrestramp-platform/src/records/mod.rs
+++ b/goldcrestramp-platform/src/records/mod.rs
@@ -25,6 +25,7 @@
 mod error;
 pub mod keys;
 mod lease;
+mod number;
 mod roster;
 mod runs;
 mod service;
@@ -35,4 +36,5 @@
     domain::{DomainHead, DomainShard, SHARD_SLICES, ShardMark},
     error::RecordError,
     lease::PlannerRecord,
+    number::NumberedRecord,
 };
--- /dev/null
+++ b/goldcrestramp-platform/tests/settle.rs
@@ -0,0 +1,135 @@
+//! A write whose answer was lost is read back, never guessed.
+
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use goldcrestramp_platform::{
+    PutCondition, PutOutcome, StoreAccess, StoreError, StoredValue, WriteFate,
+    settle_write,
+};
+use goldcrestramp_types::TimeSpan;
+
+/// What becomes of the next write in a [`FakeStore`].
+#[derive(Clone, Copy, Debug)]
+enum NextWrite {
+    Answered,
+    LostAfterEffect,
+    LostBeforeEffect,
+    LostAndOvertaken,
+}
+
+/// A store of one key that answers at once.
+#[derive(Debug)]
+struct FakeStore {
+    value: Mutex<Option<StoredValue>>,
+    next: NextWrite,
+    readable: bool,
+}
+
+fn stored(version: u64, value: &'static str) -> StoredValue {
+    StoredValue { version, value: Bytes::from_static(value.as_bytes()) }
+}
+
+fn store(next: NextWrite, readable: bool) -> FakeStore {
+    let value = Mutex::new(Some(stored(4, "old")));
+    FakeStore { value, next, readable }
+}
+
+impl StoreAccess for FakeStore {
+    async fn get(
+        &self,
+        _key: &str,
+    ) -> Result<Option<StoredValue>, StoreError> {
+        if !self.readable {
+            return Err(StoreError::Unavailable("outage".into()));
+        }
+        Ok(self.value.lock().expect("no panic").clone())
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        _seen: u64,
+        _wait: TimeSpan,
+    ) -> Result<Option<StoredValue>, StoreError> {
+        self.get(key).await
+    }
+
+    async fn put(
+        &self,
+        _key: &str,
+        condition: PutCondition,
+        value: Bytes,
+        _lease: Option<u64>,
+    ) -> Result<PutOutcome, StoreError> {
+        let mut present = self.value.lock().expect("no panic");
+        let version = present.as_ref().map_or(0, |p| p.version);
+        if condition != PutCondition::Version(version) {
+            return Ok(PutOutcome::Conflict);
+        }
+        let lost = Err(StoreError::Unknown("cut".into()));
+        let written = StoredValue { version: version + 1, value };
+        match self.next {
+            NextWrite::LostBeforeEffect => return lost,
+            NextWrite::LostAndOvertaken => *present = Some(stored(9, "other")),
+            _ => *present = Some(written),
+        }
+        match self.next {
+            NextWrite::Answered => Ok(PutOutcome::Written(version + 1)),
+            _ => lost,
+        }
+    }
+
+    async fn lease(&self, _ttl: TimeSpan) -> Result<u64, StoreError> {
+        Ok(1)
+    }
+
+    async fn renew(&self, _lease: u64) -> Result<bool, StoreError> {
+        Ok(true)
+    }
+}
+
+async fn write(
+    store: &FakeStore,
+    before: u64,
+) -> Result<WriteFate, StoreError> {
+    let condition = PutCondition::Version(before);
+    settle_write(store, "key", condition, Bytes::from_static(b"new"), None)
+        .await
+}
+
+#[tokio::test]
+async fn each_fate_is_told_from_what_is_stored() {
+    let other = WriteFate::Overtaken(Some(stored(9, "other")));
+    let cases = [
+        (NextWrite::Answered, WriteFate::Written(5)),
+        (NextWrite::LostAfterEffect, WriteFate::Written(5)),
+        (NextWrite::LostBeforeEffect, WriteFate::Lost),
+        (NextWrite::LostAndOvertaken, other),
+    ];
+    for (next, fate) in cases {
+        let store = store(next, true);
+        assert_eq!(write(&store, 4).await, Ok(fate), "{next:?}");
+    }
+}
+
+/// The caller's first try took effect but its answer was lost, so the
+/// second try meets a conflict. The conflict is the caller's own write.
+#[tokio::test]
+async fn a_conflict_with_the_own_write_is_told_as_written() {
+    let store = store(NextWrite::LostAfterEffect, true);
+    assert_eq!(write(&store, 4).await, Ok(WriteFate::Written(5)));
+
+    let again = write(&store, 4).await;
+
+    assert_eq!(again, Ok(WriteFate::Written(5)));
+}
+
+/// The store goes away right after the write: nothing is known, and
+/// nothing else is said.
+#[tokio::test]
+async fn a_write_that_cannot_be_read_back_stays_unknown() {
+    let store = store(NextWrite::LostAfterEffect, false);
+    let fate = write(&store, 4).await;
+    assert!(matches!(fate, Err(StoreError::Unknown(_))), "{fate:?}");
+}
--- /dev/null
+++ b/goldcrestramp-standins/src/platform/shared.rs
@@ -0,0 +1,63 @@
+//! What all calls of a stand-in platform share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use goldcrestramp_platform::VmEntry;
+use tokio::sync::watch;
+
+use super::{
+    faults::{OutageKind, PlatformFaults},
+    front::{LinkCutter, cutter},
+    state::PlatformState,
+};
+
+/// The state, and who is told of its changes.
+#[derive(Clone, Debug)]
+pub(super) struct PlatformShared {
+    state: Arc<Mutex<PlatformState>>,
+    pub(super) changes: watch::Sender<u64>,
+    pub(super) outage: watch::Sender<OutageKind>,
+    pub(super) cutter: LinkCutter,
+}
+
+impl PlatformShared {
+    pub(super) fn new() -> Self {
+        Self {
+            state: Arc::default(),
+            changes: watch::Sender::new(0),
+            outage: watch::Sender::new(OutageKind::None),
+            cutter: cutter(),
+        }
+    }
+
+    /// Locks the state; a poisoned lock still holds usable state.
+    pub(super) fn state(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn set_vms(&self, vms: Vec<VmEntry>) {
+        self.state().set_vms(vms);
+        self.changed();
+    }
+
+    pub(super) fn set_faults(&self, faults: PlatformFaults) {
+        let outage = faults.outage;
+        self.state().faults = faults;
+        // Told only of a change: connections end at each one.
+        self.outage.send_if_modified(|kind| {
+            let changed = *kind != outage;
+            *kind = outage;
+            changed
+        });
+    }
+
+    pub(super) fn restore(&self) {
+        self.state().restore();
+        self.changed();
+    }
+
+    /// Wakes the watches.
+    pub(super) fn changed(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+}
--- a/src/bin/goldcrestramp-standin.rs
+++ b/src/bin/goldcrestramp-standin.rs
@@ -31,6 +31,12 @@
         .help("Where to listen; port 0 takes any free one")
         .default_value("127.0.0.1:0")
         .value_parser(value_parser!(SocketAddr));
+    let admin = Arg::new("admin")
+        .long("admin")
+        .value_name("IP:PORT")
+        .help("Where faults are set; no outage reaches it")
+        .default_value("127.0.0.1:0")
+        .value_parser(value_parser!(SocketAddr));
     let behaviour = Arg::new("behaviour")
         .long("behaviour")
         .value_name("FILE")
@@ -43,7 +49,8 @@
         .subcommand(
             Command::new("platform")
                 .about("Runs a key-value service with a VM list")
-                .arg(listen.clone()),
+                .arg(listen.clone())
+                .arg(admin),
         )
         .subcommand(
             Command::new("server")
@@ -54,7 +61,10 @@
 }
 
 async fn run_platform(matches: &ArgMatches) -> eyre::Result<()> {
-    let platform = PlatformStandin::bind(listen_address(matches)?).await?;
+    let admin = matches.get_one::<SocketAddr>("admin");
+    let admin = admin.copied().ok_or_eyre("no address for faults")?;
+    let listen = listen_address(matches)?;
+    let platform = PlatformStandin::bind_with_admin(listen, admin).await?;
     wait_for_end(platform.address()).await
 }
 
