--- a/goldcrestramp-node/src/convert.rs
+++ b/goldcrestramp-node/src/convert.rs
@@ -7,7 +7,8 @@
 
 use goldcrestramp_ownership::{
     ConfirmAnswer, ConfirmAsk, DomainTable, KeeperReport, PermitAnswer,
-    ServerOrder, ServerReport, ServiceTable, SliceLoad, TableServer,
+    ServerOrder, ServerReport, ServerState, ServiceTable, SliceLoad,
+    TableServer,
 };
 use goldcrestramp_types::{
     DomainName, FenceToken, NameError, ServerName, ServiceName, SliceCount,
@@ -92,6 +93,7 @@
         address: ask.address.to_string(),
         term: Some(term_out(ask.term)),
         roster_version: ask.roster,
+        established: ask.established,
     }
 }
 
@@ -104,6 +106,7 @@
         address: Arc::from(ask.address),
         term: term_in(ask.term),
         roster: ask.roster_version,
+        established: ask.established,
     })
 }
 
@@ -148,6 +151,7 @@
         leaving: report.leaving,
         servers: report.servers.iter().map(server_report_out).collect(),
         config_version: 0,
+        sequence: report.sequence,
     }
 }
 
@@ -160,6 +164,7 @@
         vm: VmName::new(&request.vm)?,
         address: Arc::from(request.address.as_str()),
         start: request.start,
+        sequence: request.sequence,
         leaving: request.leaving,
         servers: servers?,
     })
@@ -170,23 +175,38 @@
         slice: u32::from(load.slice.get()),
         busy_micros: load.busy.as_micros(),
     });
+    let state = report.state.as_deref();
+    let known = state.cloned().unwrap_or_default();
     peer::ServerReport {
         server: report.server.to_string(),
-        run: report.run,
-        token: Some(token_out(report.token)),
-        fence: Some(token_out(report.fence)),
-        held: slices_out(&report.held),
-        released: slices_out(&report.released),
-        age_micros: report.age.as_micros(),
-        ends_micros: report.ends.as_micros(),
+        run: known.run,
+        token: state.map(|state| token_out(state.token)),
+        fence: state.map(|state| token_out(state.fence)),
+        held: slices_out(&known.held),
         busy_micros: report.busy.as_micros(),
         loads: loads.collect(),
         reachable: report.reachable,
-        last: slices_out(&report.last),
-        lapsed: report.lapsed,
+        last: slices_out(&known.last),
+        lapsed: known.lapsed,
+        order: Some(token_out(report.order)),
+        version: report.version,
+        whole: state.is_some(),
     }
 }
 
+fn server_state_in(
+    report: &peer::ServerReport,
+) -> Result<ServerState, BadMessage> {
+    Ok(ServerState {
+        run: report.run,
+        token: token_in(report.token),
+        fence: token_in(report.fence),
+        held: slices_in(&report.held)?,
+        last: slices_in(&report.last)?,
+        lapsed: report.lapsed,
+    })
+}
+
 fn server_report_in(
     report: &peer::ServerReport,
 ) -> Result<ServerReport, BadMessage> {
@@ -195,18 +215,13 @@
         let busy = TimeSpan::from_micros(load.busy_micros);
         Some(SliceLoad { slice, busy })
     });
+    let state = report.whole.then(|| server_state_in(report));
     Ok(ServerReport {
         server: ServerName::new(&report.server)?,
+        order: token_in(report.order),
         reachable: report.reachable,
-        run: report.run,
-        token: token_in(report.token),
-        fence: token_in(report.fence),
-        held: slices_in(&report.held)?,
-        last: slices_in(&report.last)?,
-        lapsed: report.lapsed,
-        released: slices_in(&report.released)?,
-        age: TimeSpan::from_micros(report.age_micros),
-        ends: TimeSpan::from_micros(report.ends_micros),
+        version: report.version,
+        state: state.transpose()?.map(Box::new),
         busy: TimeSpan::from_micros(report.busy_micros),
         loads: loads.collect(),
     })
@@ -214,13 +229,17 @@
 
 pub(crate) fn permit_out(answer: &PermitAnswer) -> peer::PermitReply {
     match answer {
-        PermitAnswer::Permitted { term, valid, orders } => peer::PermitReply {
-            permitted: true,
-            term: Some(term_out(*term)),
-            valid_micros: valid.as_micros(),
-            orders: orders.iter().map(order_out).collect(),
-            ..peer::PermitReply::default()
-        },
+        PermitAnswer::Permitted { term, sequence, valid, again, orders } => {
+            peer::PermitReply {
+                permitted: true,
+                term: Some(term_out(*term)),
+                valid_micros: valid.as_micros(),
+                orders: orders.iter().map(order_out).collect(),
+                sequence: *sequence,
+                again_micros: again.as_micros(),
+                ..peer::PermitReply::default()
+            }
+        }
         PermitAnswer::NotSteward { steward } => {
             let (vm, address) = match steward {
                 Some((vm, address)) => (vm.to_string(), address.to_string()),
@@ -244,7 +263,9 @@
             reply.orders.iter().map(order_in).collect();
         return Ok(PermitAnswer::Permitted {
             term: term_in(reply.term),
+            sequence: reply.sequence,
             valid: TimeSpan::from_micros(reply.valid_micros),
+            again: TimeSpan::from_micros(reply.again_micros),
             orders: orders?,
         });
     }
@@ -265,6 +286,8 @@
         checks_fence: order.checks_fence,
         slots: order.slots,
         connections: order.connections,
+        retire: order.retire,
+        seen: order.seen,
     }
 }
 
@@ -280,6 +303,8 @@
         extend_only: order.extend_only,
         slices: slices_in(&order.slices)?,
         release: slices_in(&order.release)?,
+        retire: order.retire,
+        seen: order.seen,
     })
 }
 
