Serve operators, and refuse whom the policy refuses

Cause: tickets, status and counters had no listener.

Change: routes over a trait that the daemon implements. Bearer token from a file that is read for each request, compared in constant time; off loopback no listener without one; a removed file locks it. A ticket is judged by its headers before its body is read and must come as application/json, because a web page can have an operator's browser post a form to loopback. Each refusal has a code and is counted.

--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -26,5 +26,10 @@
     faults::NodeFaults,
     handle::{NodeAddresses, NodeHandle},
     metrics::NodeMetrics,
-    operators::{ApplyOutcome, apply_ticket, restore_config},
+    operators::{
+        ApplyOutcome, DomainReport, ExplainReport, KeepReport, MoveReport,
+        OperatorControl, OperatorPolicy, OperatorRefusal, PolicyError,
+        RefusalLine, ServerReport, StatusReport, StewardReport, TicketAnswer,
+        TicketOutcome, apply_ticket, operator_routes, restore_config,
+    },
 };
--- a/goldcrestramp-node/src/operators/mod.rs
+++ b/goldcrestramp-node/src/operators/mod.rs
@@ -1,5 +1,31 @@
 //! What operators reach: tickets, status, metrics.
+//!
+//! | route | answer |
+//! | --- | --- |
+//! | `GET /healthz` | 200 while the daemon runs; needs no token |
+//! | `GET /readyz` | 200 when it may be sent callers; needs no token |
+//! | `GET /metrics` | all counters as Prometheus text |
+//! | `GET /status` | [`StatusReport`] as JSON |
+//! | `GET /explain?service=S&key=K` | [`ExplainReport`] as JSON |
+//! | `POST /tickets` | a ticket, JSON with comments; [`TicketAnswer`] |
+//!
+//! Every refusal is counted by its [`OperatorRefusal`].
 
+mod answer;
 mod apply;
+mod control;
+mod policy;
+mod report;
+mod routes;
 
-pub use self::apply::{ApplyOutcome, apply_ticket, restore_config};
+pub use self::{
+    answer::{RefusalLine, TicketAnswer, TicketOutcome},
+    apply::{ApplyOutcome, apply_ticket, restore_config},
+    control::{OperatorControl, OperatorRefusal},
+    policy::{OperatorPolicy, PolicyError},
+    report::{
+        DomainReport, ExplainReport, KeepReport, MoveReport, ServerReport,
+        StatusReport, StewardReport,
+    },
+    routes::operator_routes,
+};
