--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -34,7 +34,11 @@
         ServerReport, SliceLoad,
     },
     plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
-    planner::{ServiceRecord, SliceHolding},
+    planner::{
+        DomainMove, DomainShare, DomainView, PlannerRound, RecordDomain,
+        RecordStage, ServicePolicy, ServiceRecord, SliceHolding, ViewStage,
+        domain_plan,
+    },
     roster::{RosterVoter, VoterRoster},
     steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
     table::{DomainTable, ServiceTable, TableServer},
--- /dev/null
+++ b/goldcrestramp-ownership/src/planner/division.rs
@@ -0,0 +1,80 @@
+//! Slices in proportion to capacity.
+
+use goldcrestramp_types::DomainName;
+
+use super::{
+    policy::{DomainShare, ServicePolicy},
+    record::{ServiceRecord, SliceHolding},
+};
+
+/// How many slices each domain would have.
+#[derive(Clone, Debug)]
+pub(super) struct DivisionTally<'a> {
+    shares: Vec<(&'a DomainShare, u64)>,
+}
+
+impl<'a> DivisionTally<'a> {
+    /// A tally of what `record` gives to each domain, moves included.
+    pub(super) fn of(
+        policy: &'a ServicePolicy,
+        record: &ServiceRecord,
+    ) -> Self {
+        let mut counts = vec![0_u64; record.domains.len()];
+        for holding in &record.slices {
+            let place = holding.target.unwrap_or(holding.domain);
+            counts[usize::from(place)] += 1;
+        }
+        let shares = policy.shares.iter().map(|share| {
+            let position = record.position(&share.domain);
+            let held = position.map_or(0, |p| counts[usize::from(p)]);
+            (share, held)
+        });
+        Self { shares: shares.collect() }
+    }
+
+    /// Counts one more slice for the domain that has fewest for its
+    /// capacity, among those that `usable` lets.
+    ///
+    /// `None`: no such domain has any capacity.
+    pub(super) fn take(
+        &mut self,
+        usable: impl Fn(&DomainName) -> bool,
+    ) -> Option<DomainName> {
+        let able =
+            |share: &DomainShare| share.capacity > 0 && usable(&share.domain);
+        let shares = self.shares.iter_mut().filter(|(share, _)| able(share));
+        // (held + 1) / capacity, compared without division.
+        let (share, held) = shares.min_by(|(a, a_held), (b, b_held)| {
+            let left = (*a_held + 1) * u64::from(b.capacity);
+            let right = (*b_held + 1) * u64::from(a.capacity);
+            left.cmp(&right)
+        })?;
+        *held += 1;
+        Some(share.domain.clone())
+    }
+}
+
+/// The first division of a service: contiguous blocks, so that the record
+/// has few runs; `None` while no domain has any capacity.
+pub(super) fn divide(policy: &ServicePolicy) -> Option<ServiceRecord> {
+    let mut record = ServiceRecord {
+        service: policy.service.clone(),
+        revision: 1,
+        domains: Vec::new(),
+        slices: Vec::new(),
+    };
+    for share in &policy.shares {
+        record.domains.push(policy.record_domain(&share.domain));
+    }
+    let mut tally = DivisionTally::of(policy, &record);
+    for _ in policy.count.indices() {
+        tally.take(|_| true)?;
+    }
+    let blocks = (0_u16..).zip(tally.shares);
+    for (domain, (_, length)) in blocks {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        let holding = SliceHolding { domain, target: None };
+        record.slices.extend(std::iter::repeat_n(holding, length));
+    }
+    Some(record)
+}
--- /dev/null
+++ b/goldcrestramp-ownership/src/planner/policy.rs
@@ -0,0 +1,108 @@
+//! Which failure domains may hold a service's slices, and how many.
+
+use goldcrestramp_config::{
+    DeploymentState, ServiceRules, ThingId, ThingKind,
+};
+use goldcrestramp_types::{
+    DomainName, FastMap, FastSet, ServiceName, SliceCount,
+};
+
+use super::record::RecordDomain;
+
+/// A failure domain that may hold slices of a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct DomainShare {
+    /// The failure domain.
+    pub domain: DomainName,
+    /// The slots of the service's servers there that are not draining.
+    pub capacity: u32,
+}
+
+/// The rules of one service, as the planner needs them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServicePolicy {
+    /// The service.
+    pub service: ServiceName,
+    /// Its number of slices.
+    pub count: SliceCount,
+    /// The domains that may hold slices and are not lost, in the order of
+    /// the configuration.
+    pub shares: Vec<DomainShare>,
+    /// The domains that an operator has declared lost.
+    pub lost: FastSet<DomainName>,
+    /// The last ticket that touched each configured domain.
+    pub tickets: FastMap<DomainName, u64>,
+}
+
+impl ServicePolicy {
+    /// The rules of `service` in the accepted configuration.
+    #[must_use]
+    pub fn of(state: &DeploymentState, service: &ServiceRules) -> Self {
+        let allowed = state.domains.iter().filter(|domain| {
+            let place = service.domains.is_empty()
+                || service.domains.contains(&domain.name);
+            let region = service.regions.is_empty()
+                || service.regions.contains(&domain.region);
+            place && region && !domain.lost
+        });
+        let shares = allowed.map(|domain| DomainShare {
+            domain: domain.name.clone(),
+            capacity: capacity(state, service, &domain.name),
+        });
+        let tickets = state.domains.iter().map(|domain| {
+            (domain.name.clone(), last_ticket(state, &domain.name))
+        });
+        let lost = state.domains.iter().filter(|domain| domain.lost);
+        Self {
+            service: service.name.clone(),
+            count: service.slices,
+            shares: shares.collect(),
+            lost: lost.map(|domain| domain.name.clone()).collect(),
+            tickets: tickets.collect(),
+        }
+    }
+
+    /// The last ticket that touched `domain`; zero: none that is known.
+    #[must_use]
+    pub fn ticket_of(&self, domain: &DomainName) -> u64 {
+        self.tickets.get(domain).copied().unwrap_or(0)
+    }
+
+    /// `domain` as a record names it.
+    pub(super) fn record_domain(&self, domain: &DomainName) -> RecordDomain {
+        let ticket = self.ticket_of(domain);
+        RecordDomain { name: domain.clone(), ticket }
+    }
+
+    /// Whether `domain` may hold slices.
+    #[must_use]
+    pub fn allows(&self, domain: &DomainName) -> bool {
+        self.shares.iter().any(|share| share.domain == *domain)
+    }
+
+    /// Whether an operator has declared `domain` lost.
+    #[must_use]
+    pub fn is_lost(&self, domain: &DomainName) -> bool {
+        self.lost.contains(domain)
+    }
+}
+
+/// The last ticket that touched `domain`.
+pub(super) fn last_ticket(
+    state: &DeploymentState,
+    domain: &DomainName,
+) -> u64 {
+    state.tickets.last_for(&ThingId::new(ThingKind::Domain, domain.as_str()))
+}
+
+/// The slots of a service's servers in a domain.
+fn capacity(
+    state: &DeploymentState,
+    service: &ServiceRules,
+    domain: &DomainName,
+) -> u32 {
+    let servers = state.servers.iter().filter(|server| {
+        server.domain == *domain && state.may_own(service, server)
+    });
+    servers.fold(0, |sum, server| sum.saturating_add(server.slots))
+}
--- a/goldcrestramp-ownership/src/planner/record.rs
+++ b/goldcrestramp-ownership/src/planner/record.rs
@@ -15,6 +15,20 @@
     pub target: Option<u16>,
 }
 
+/// A failure domain in a service's record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RecordDomain {
+    /// Its name.
+    pub name: DomainName,
+    /// The last ticket that touched it, as far as the planner knew that
+    /// wrote the record.
+    ///
+    /// A domain that was declared lost and returns acts on the record only
+    /// once this names the ticket that brought it back: until then a
+    /// planner that knows only of the loss may still take its slices.
+    pub ticket: u64,
+}
+
 /// The division of one service's slices among failure domains.
 ///
 /// A slice has one holding, so two domains never hold it at once. The
@@ -27,7 +41,7 @@
     /// Rises by one with each change, also across a restored store.
     pub revision: u64,
     /// The failure domains that stand in `slices`, each once.
-    pub domains: Vec<DomainName>,
+    pub domains: Vec<RecordDomain>,
     /// One holding a slice, in the order of the slices.
     pub slices: Vec<SliceHolding>,
 }
@@ -50,14 +64,25 @@
     #[must_use]
     pub fn domain_of(&self, slice: SliceIndex) -> Option<&DomainName> {
         let holding = self.holding(slice)?;
-        self.domains.get(usize::from(holding.domain))
+        self.name_at(holding.domain)
     }
 
     /// The domain to which a slice is to move.
     #[must_use]
     pub fn target_of(&self, slice: SliceIndex) -> Option<&DomainName> {
         let target = self.holding(slice)?.target?;
-        self.domains.get(usize::from(target))
+        self.name_at(target)
+    }
+
+    /// The last ticket about `domain` that the record takes account of.
+    #[must_use]
+    pub fn ticket_of(&self, domain: &DomainName) -> Option<u64> {
+        let position = self.position(domain)?;
+        Some(self.domains[usize::from(position)].ticket)
+    }
+
+    fn name_at(&self, position: u16) -> Option<&DomainName> {
+        Some(&self.domains.get(usize::from(position))?.name)
     }
 
     /// Every slice that `domain` holds, leaving ones included.
@@ -83,7 +108,7 @@
     /// The position of `domain` in the record.
     #[must_use]
     pub fn position(&self, domain: &DomainName) -> Option<u16> {
-        let found = self.domains.iter().position(|name| name == domain);
+        let found = self.domains.iter().position(|d| d.name == *domain);
         u16::try_from(found?).ok()
     }
 
--- /dev/null
+++ b/goldcrestramp-ownership/tests/planner.rs
@@ -0,0 +1,308 @@
+//! Division of slices among failure domains, one case at a time.
+
+use std::sync::Arc;
+
+use goldcrestramp_config::{
+    DeploymentState, DomainRules, ServerRules, ServiceRules, ThingId,
+    ThingKind,
+};
+use goldcrestramp_ownership::{
+    DomainMove, DomainView, PlannerRound, ServicePolicy, ServiceRecord,
+    domain_plan,
+};
+use goldcrestramp_types::{
+    DomainName, FastMap, RegionName, ServerName, ServiceName, SliceCount,
+    SliceIndex, SliceSet,
+};
+
+const COUNT: u32 = 64;
+
+fn domain(name: &str) -> DomainName {
+    DomainName::new(name).expect("a valid name")
+}
+
+fn slice(number: u32) -> SliceIndex {
+    SliceIndex::new(number).expect("in range")
+}
+
+fn slices(numbers: impl IntoIterator<Item = u32>) -> SliceSet {
+    numbers.into_iter().map(slice).collect()
+}
+
+/// Domains `a` and `b` in region `sierra`, `c` in `costa`; the given
+/// number of 4-slot servers each.
+fn state(servers: [u16; 3]) -> DeploymentState {
+    let places = [("a", "sierra"), ("b", "sierra"), ("c", "costa")];
+    let mut state = DeploymentState { version: 1, ..Default::default() };
+    state.services.push(ServiceRules {
+        name: ServiceName::new("stock").expect("a valid name"),
+        slices: SliceCount::new(COUNT).expect("a power of two"),
+        domains: Vec::new(),
+        regions: Vec::new(),
+    });
+    for ((name, region), servers) in places.into_iter().zip(servers) {
+        state.domains.push(DomainRules {
+            name: domain(name),
+            region: RegionName::new(region).expect("a valid name"),
+            lost: false,
+        });
+        for number in 0..servers {
+            state.servers.push(server(name, number));
+        }
+    }
+    state
+}
+
+fn server(place: &str, number: u16) -> ServerRules {
+    let name = format!("{place}-{number}");
+    ServerRules {
+        name: ServerName::new(&name).expect("a valid name"),
+        service: ServiceName::new("stock").expect("a valid name"),
+        domain: domain(place),
+        address: ([127, 0, 0, 1], 7_000 + number).into(),
+        slots: 4,
+        connections: 120,
+        checks_fence: true,
+        drain: false,
+    }
+}
+
+fn policy(state: &DeploymentState) -> ServicePolicy {
+    ServicePolicy::of(state, &state.services[0])
+}
+
+/// Empty views of all three domains.
+fn views() -> FastMap<DomainName, DomainView> {
+    let names = ["a", "b", "c"].map(domain);
+    names.into_iter().map(|name| (name, DomainView::default())).collect()
+}
+
+fn view(released: SliceSet) -> DomainView {
+    DomainView { released, ..DomainView::default() }
+}
+
+fn decide(
+    record: Option<&ServiceRecord>,
+    views: FastMap<DomainName, DomainView>,
+    state: &DeploymentState,
+    asked: &[DomainMove],
+) -> Option<ServiceRecord> {
+    let round = PlannerRound::open(record.cloned());
+    round.viewed(views).decide(&policy(state), asked)
+}
+
+fn first(state: &DeploymentState) -> ServiceRecord {
+    decide(None, views(), state, &[]).expect("a first division")
+}
+
+fn held(record: &ServiceRecord) -> [usize; 3] {
+    ["a", "b", "c"].map(|name| record.held_by(&domain(name)).len())
+}
+
+fn to(number: u32, target: &str) -> DomainMove {
+    DomainMove { slice: slice(number), target: domain(target) }
+}
+
+/// A ticket of this number declares the domain lost or returned.
+fn set_lost(
+    state: &mut DeploymentState,
+    position: usize,
+    lost: bool,
+    ticket: u64,
+) {
+    let rules = &mut state.domains[position];
+    rules.lost = lost;
+    let thing = ThingId::new(ThingKind::Domain, rules.name.as_str());
+    state.tickets.last.insert(thing, ticket);
+    state.version += 1;
+}
+
+/// How many slices the plan of `a` has, if there is one.
+fn plan(state: &DeploymentState, record: &ServiceRecord) -> Option<usize> {
+    let records = [Arc::new(record.clone())];
+    let plan = domain_plan(state, &domain("a"), &records)?;
+    assert_eq!(plan.servers.len(), 2);
+    Some(plan.services[0].slices.len())
+}
+
+#[test]
+fn the_first_division_follows_capacity_and_rules() {
+    let cases: [([u16; 3], &[&str], [usize; 3]); 4] = [
+        ([1, 1, 2], &[], [16, 16, 32]),
+        ([3, 1, 0], &[], [48, 16, 0]),
+        ([1, 1, 2], &["sierra"], [32, 32, 0]),
+        ([5, 5, 1], &["costa"], [0, 0, 64]),
+    ];
+    for (servers, regions, expected) in cases {
+        let mut state = state(servers);
+        let regions = regions.iter().map(|name| RegionName::new(name));
+        state.services[0].regions =
+            regions.collect::<Result<_, _>>().expect("valid names");
+
+        let record = first(&state);
+
+        assert_eq!(held(&record), expected);
+        assert_eq!(record.revision, 1);
+    }
+}
+
+#[test]
+fn a_division_that_needs_no_change_stays() {
+    let state = state([1, 1, 1]);
+    let record = first(&state);
+    assert_eq!(decide(Some(&record), views(), &state, &[]), None);
+}
+
+/// A slice moves in three steps; nobody but its holder may grant it before
+/// the release is on the holder's record.
+#[test]
+fn a_move_waits_for_the_release() {
+    let state = state([2, 1, 1]);
+    let record = first(&state);
+
+    let begun = decide(Some(&record), views(), &state, &[to(0, "b")]);
+    let begun = begun.expect("a move begun");
+    let waiting = decide(Some(&begun), views(), &state, &[to(0, "c")]);
+    let mut after = views();
+    after.insert(domain("a"), view(slices([0])));
+    let ended = decide(Some(&begun), after, &state, &[]);
+    let ended = ended.expect("a move ended");
+
+    assert!(begun.held_by(&domain("a")).contains(slice(0)));
+    assert_eq!(begun.leaving(&domain("a")), slices([0]));
+    assert_eq!(waiting, None);
+    assert!(ended.held_by(&domain("b")).contains(slice(0)));
+    assert_eq!(ended.leaving(&domain("a")), SliceSet::new());
+    assert_eq!(ended.revision, record.revision + 2);
+}
+
+/// A domain is cut off from the store and serves on. Its slices stay its
+/// own, however long that lasts: nobody can tell it from a domain that is
+/// dead.
+#[test]
+fn a_domain_that_cannot_be_read_keeps_its_slices() {
+    let state = state([2, 1, 1]);
+    let record = first(&state);
+    let mut unread = views();
+    unread.remove(&domain("a"));
+
+    let change = decide(Some(&record), unread, &state, &[to(0, "b")]);
+
+    assert_eq!(change, None);
+}
+
+/// An operator declares a domain lost. Its slices go to the others in
+/// proportion to capacity. When the domain returns, its own record still
+/// lists them with its servers, but its steward's plan is empty.
+#[test]
+fn a_lost_domain_loses_its_slices_and_gets_an_empty_plan() {
+    let mut state = state([2, 1, 1]);
+    let record = first(&state);
+    set_lost(&mut state, 0, true, 2);
+
+    let taken = decide(Some(&record), views(), &state, &[]);
+    let taken = taken.expect("slices taken");
+    let lost_plan = plan(&state, &record);
+    set_lost(&mut state, 0, false, 3);
+    let noted = decide(Some(&taken), views(), &state, &[]);
+    let noted = noted.expect("the ticket noted");
+
+    assert_eq!(held(&taken), [0, 32, 32]);
+    assert_eq!(lost_plan, Some(0), "the ticket alone empties the plan");
+    assert_eq!(plan(&state, &taken), None, "not before it is noted");
+    assert_eq!(plan(&state, &noted), Some(0));
+    assert_eq!(decide(Some(&noted), views(), &state, &[]), None);
+}
+
+/// A domain is declared lost and soon returns. A planner that was paused
+/// knows only of the loss and wakes after the domain has begun to serve
+/// again: it must not take the slices. Its write fails because the record
+/// has changed, and reading again does not help it.
+#[test]
+fn a_paused_planner_does_not_take_from_a_returned_domain() {
+    let mut state = state([2, 1, 1]);
+    let record = first(&state);
+    set_lost(&mut state, 0, true, 2);
+    let outdated = state.clone();
+    set_lost(&mut state, 0, false, 3);
+
+    let waits = plan(&state, &record);
+    let noted = decide(Some(&record), views(), &state, &[]);
+    let noted = noted.expect("the ticket noted");
+    let late = decide(Some(&noted), views(), &outdated, &[]);
+
+    assert_eq!(waits, None, "a fresh steward waits for the planner");
+    assert_eq!(plan(&state, &noted), Some(32));
+    assert_eq!(late, None);
+}
+
+/// The target of a move is declared lost before the holder has released.
+/// The move turns to another domain; it is not called off, because the
+/// release may be under way.
+#[test]
+fn a_move_to_a_lost_domain_turns() {
+    let mut state = state([2, 1, 1]);
+    let record = first(&state);
+    let begun = decide(Some(&record), views(), &state, &[to(0, "b")]);
+    set_lost(&mut state, 1, true, 2);
+
+    let turned = decide(begun.as_ref(), views(), &state, &[]);
+
+    let turned = turned.expect("a change");
+    assert_eq!(turned.target_of(slice(0)), Some(&domain("c")));
+    assert_eq!(turned.domain_of(slice(0)), Some(&domain("a")));
+}
+
+/// A ticket takes a domain out of the service's rules. It still serves, so
+/// its slices leave by release, a bounded number at a time.
+#[test]
+fn slices_leave_a_domain_that_the_rules_exclude() {
+    let mut state = state([2, 1, 1]);
+    let record = first(&state);
+    state.services[0].domains = ["b", "c"].map(domain).into();
+
+    let change = decide(Some(&record), views(), &state, &[]);
+
+    let change = change.expect("moves begun");
+    assert_eq!(change.leaving(&domain("a")).len(), 32);
+    assert_eq!(held(&change), held(&record));
+}
+
+/// A slice went from `a` to `b` and came back. `a`'s record still shows
+/// the first release. A second move must not take it for its own: `a`'s
+/// servers hold the slice again.
+#[test]
+fn an_old_release_does_not_end_a_new_move() {
+    let state = state([2, 1, 1]);
+    let record = first(&state);
+    let mut aged = views();
+    aged.insert(domain("a"), view(slices([0])));
+
+    let out = decide(Some(&record), aged.clone(), &state, &[to(0, "b")]);
+    let back = decide(Some(&record), aged, &state, &[to(40, "a")]);
+
+    assert_eq!(out, None);
+    let back = back.expect("another slice may move to the domain");
+    assert_eq!(back.target_of(slice(40)), Some(&domain("a")));
+}
+
+/// The store came back without the service's record, but with the
+/// domains'. A new division would give away what servers hold.
+#[test]
+fn a_vanished_record_is_rebuilt_from_the_domains() {
+    let state = state([2, 1, 1]);
+    let mut held_views = views();
+    let held = DomainView { held: slices([63]), ..DomainView::default() };
+    held_views.insert(domain("a"), held.clone());
+    let mut doubled = held_views.clone();
+    doubled.insert(domain("b"), held);
+    let mut unread = held_views.clone();
+    unread.remove(&domain("c"));
+
+    let rebuilt = decide(None, held_views, &state, &[]);
+
+    let rebuilt = rebuilt.expect("a record");
+    assert_eq!(rebuilt.domain_of(slice(63)), Some(&domain("a")));
+    assert_eq!(decide(None, unread, &state, &[]), None);
+    assert_eq!(decide(None, doubled, &state, &[]), None);
+}
--- /dev/null
+++ b/goldcrestramp-ownership/tests/planner_history.rs
@@ -0,0 +1,304 @@
+//! Any order of planners' and stewards' steps keeps a slice in one domain.
+//!
+//! Two planners read, pause and write in any order, a store takes a write
+//! only over the version that was read, stewards act on plans that they
+//! read some time ago, and a domain is declared lost and returns. The
+//! oracle is the list of slices that each domain's servers hold.
+
+use goldcrestramp_ownership::{
+    DomainMove, DomainShare, DomainView, PlannerRound, RecordStage,
+    ServicePolicy, ServiceRecord, ViewStage,
+};
+use goldcrestramp_types::{
+    DomainName, FastMap, ServiceName, SliceCount, SliceIndex, SliceSet,
+};
+use proptest::prelude::*;
+
+const SLICES: u32 = 8;
+const DOMAINS: usize = 3;
+const PLANNERS: usize = 2;
+
+/// One step of one participant.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A planner reads the service's record.
+    ReadRecord(usize),
+    /// It reads the domains' records.
+    ReadViews(usize),
+    /// It decides, asked to move a slice to a domain, and writes.
+    Write(usize, u32, usize),
+    /// A steward reads the service's record.
+    Sync(usize),
+    /// It lets its servers release what is to leave.
+    Release(usize),
+    /// It lets its servers hold what is its own.
+    Grant(usize),
+    /// It writes its domain's record.
+    Save(usize),
+    /// It is replaced: the new one reads the record, servers hold on.
+    Replace(usize),
+    /// An operator declares the domain lost; its servers and VMs have
+    /// stopped.
+    Lose(usize),
+    /// An operator takes the declaration back; all start anew.
+    Return(usize),
+}
+
+/// How far a planner is.
+#[derive(Clone, Debug, Default)]
+enum PlannerStage {
+    #[default]
+    Idle,
+    Read(u64, ServicePolicy, RecordStage),
+    Viewed(u64, ServicePolicy, ViewStage),
+}
+
+/// A domain: its servers, its steward, its record in the store.
+#[derive(Clone, Debug, Default)]
+struct DomainModel {
+    held: SliceSet,
+    released: SliceSet,
+    plan: SliceSet,
+    leaving: SliceSet,
+    saved: DomainView,
+    lost: bool,
+    /// The last ticket that touched the domain.
+    ticket: u64,
+}
+
+#[derive(Debug, Default)]
+struct World {
+    version: u64,
+    record: Option<ServiceRecord>,
+    domains: [DomainModel; DOMAINS],
+    planners: [PlannerStage; PLANNERS],
+}
+
+fn name(domain: usize) -> DomainName {
+    DomainName::new(["a", "b", "c"][domain]).expect("a valid name")
+}
+
+impl World {
+    fn policy(&self) -> ServicePolicy {
+        let open = (0..DOMAINS).filter(|d| !self.domains[*d].lost);
+        let lost = (0..DOMAINS).filter(|d| self.domains[*d].lost);
+        let shares =
+            open.map(|d| DomainShare { domain: name(d), capacity: 4 });
+        ServicePolicy {
+            service: ServiceName::new("stock").expect("a valid name"),
+            count: SliceCount::new(SLICES).expect("a power of two"),
+            shares: shares.collect(),
+            lost: lost.map(name).collect(),
+            tickets: (0..DOMAINS)
+                .map(|d| (name(d), self.domains[d].ticket))
+                .collect(),
+        }
+    }
+
+    fn views(&self) -> FastMap<DomainName, DomainView> {
+        let domains = (0..DOMAINS).zip(&self.domains);
+        domains.map(|(d, model)| (name(d), model.saved.clone())).collect()
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::ReadRecord(planner) => {
+                let stage = PlannerRound::open(self.record.clone());
+                let policy = self.policy();
+                self.planners[planner] =
+                    PlannerStage::Read(self.version, policy, stage);
+            }
+            Step::ReadViews(planner) => self.read_views(planner),
+            Step::Write(planner, slice, target) => {
+                self.write(planner, slice, target);
+            }
+            Step::Sync(domain) => self.sync(domain),
+            Step::Release(domain) => self.domains[domain].release(),
+            Step::Grant(domain) => self.domains[domain].grant(),
+            Step::Save(domain) => self.domains[domain].save(),
+            Step::Replace(domain) => self.domains[domain].replace(),
+            Step::Lose(domain) => {
+                let others = self.domains.iter().filter(|d| !d.lost).count();
+                if others > 1 && !self.domains[domain].lost {
+                    self.domains[domain].stop();
+                }
+            }
+            Step::Return(domain) => {
+                let model = &mut self.domains[domain];
+                model.ticket += u64::from(model.lost);
+                model.lost = false;
+            }
+        }
+    }
+
+    fn read_views(&mut self, planner: usize) {
+        let stage = std::mem::take(&mut self.planners[planner]);
+        self.planners[planner] = match stage {
+            PlannerStage::Read(version, policy, stage) => {
+                let stage = stage.viewed(self.views());
+                PlannerStage::Viewed(version, policy, stage)
+            }
+            other => other,
+        };
+    }
+
+    fn write(&mut self, planner: usize, slice: u32, target: usize) {
+        let stage = std::mem::take(&mut self.planners[planner]);
+        let PlannerStage::Viewed(version, policy, stage) = stage else {
+            self.planners[planner] = stage;
+            return;
+        };
+        let slice = SliceIndex::new(slice).expect("in range");
+        let asked = [DomainMove { slice, target: name(target) }];
+        let Some(change) = stage.decide(&policy, &asked) else {
+            return;
+        };
+        if version == self.version {
+            let before = self.record.as_ref().map_or(0, |r| r.revision);
+            assert_eq!(change.revision, before + 1);
+            self.version += 1;
+            self.record = Some(change);
+        }
+    }
+
+    fn sync(&mut self, domain: usize) {
+        let Some(record) = &self.record else {
+            return;
+        };
+        let model = &mut self.domains[domain];
+        let noted = record.ticket_of(&name(domain));
+        if model.lost || noted.is_some_and(|noted| noted < model.ticket) {
+            return;
+        }
+        model.plan = record.held_by(&name(domain));
+        model.leaving = record.leaving(&name(domain));
+        model.released.intersect_with(&model.plan);
+    }
+
+    /// No slice is held in two domains, and none has left the record.
+    fn check(&self) -> Result<(), TestCaseError> {
+        let mut seen = SliceSet::new();
+        for model in &self.domains {
+            prop_assert!(!seen.overlaps(&model.held), "{self:?}");
+            seen.union_with(&model.held);
+        }
+        if let Some(record) = &self.record {
+            prop_assert_eq!(record.slices.len(), SLICES as usize);
+        }
+        Ok(())
+    }
+
+    /// Lets everybody act until nothing changes: all slices are held.
+    fn settle(&mut self) {
+        for _ in 0..2 * SLICES {
+            self.planners = <[PlannerStage; PLANNERS]>::default();
+            self.take(Step::ReadRecord(0));
+            self.take(Step::ReadViews(0));
+            // Slice 0 is asked to where it is: no move is begun.
+            let place = self.record.as_ref().and_then(|record| {
+                let slice = SliceIndex::new(0)?;
+                let target = record.target_of(slice);
+                target.or(record.domain_of(slice)).cloned()
+            });
+            let place = place.and_then(|place| {
+                (0..DOMAINS).find(|domain| name(*domain) == place)
+            });
+            self.take(Step::Write(0, 0, place.unwrap_or(0)));
+            for domain in 0..DOMAINS {
+                if self.domains[domain].lost {
+                    continue;
+                }
+                self.take(Step::Sync(domain));
+                self.take(Step::Release(domain));
+                self.take(Step::Grant(domain));
+                self.take(Step::Save(domain));
+            }
+        }
+    }
+}
+
+impl DomainModel {
+    fn release(&mut self) {
+        self.held.subtract(&self.leaving);
+        self.released.union_with(&self.leaving);
+    }
+
+    fn grant(&mut self) {
+        if self.lost {
+            return;
+        }
+        let mut own = self.plan.clone();
+        own.subtract(&self.leaving);
+        own.subtract(&self.released);
+        self.held.union_with(&own);
+    }
+
+    fn save(&mut self) {
+        if self.lost {
+            return;
+        }
+        self.saved.held = self.held.clone();
+        self.saved.released = self.released.clone();
+    }
+
+    /// Everything in the domain stops, and a ticket says so.
+    fn stop(&mut self) {
+        self.replace();
+        self.held = SliceSet::new();
+        self.lost = true;
+        self.ticket += 1;
+    }
+
+    fn replace(&mut self) {
+        self.released = self.saved.released.clone();
+        self.plan = SliceSet::new();
+        self.leaving = SliceSet::new();
+    }
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let planner = || 0..PLANNERS;
+    let domain = || 0..DOMAINS;
+    prop_oneof![
+        4 => planner().prop_map(Step::ReadRecord),
+        4 => planner().prop_map(Step::ReadViews),
+        6 => (planner(), 0..SLICES, domain())
+            .prop_map(|(p, s, d)| Step::Write(p, s, d)),
+        6 => domain().prop_map(Step::Sync),
+        4 => domain().prop_map(Step::Release),
+        4 => domain().prop_map(Step::Grant),
+        4 => domain().prop_map(Step::Save),
+        1 => domain().prop_map(Step::Replace),
+        1 => domain().prop_map(Step::Lose),
+        1 => domain().prop_map(Step::Return),
+    ]
+}
+
+/// The number of cases; a longer run names it in the environment.
+fn cases() -> u32 {
+    let named = std::env::var("PROPTEST_CASES").ok();
+    named.and_then(|text| text.parse().ok()).unwrap_or(600)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: cases(),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(41),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_slice_is_never_held_in_two_domains_and_never_lost(
+        steps in prop::collection::vec(step(), 1..150),
+    ) {
+        let mut world = World::default();
+        for step in steps {
+            world.take(step);
+            world.check()?;
+        }
+        world.settle();
+        world.check()?;
+        let held: usize = world.domains.iter().map(|d| d.held.len()).sum();
+        prop_assert_eq!(held, SLICES as usize, "{:?}", world);
+    }
+}
--- a/goldcrestramp-platform/src/records/service.rs
+++ b/goldcrestramp-platform/src/records/service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use goldcrestramp_ownership::{ServiceRecord, SliceHolding};
+use goldcrestramp_ownership::{RecordDomain, ServiceRecord, SliceHolding};
 use goldcrestramp_types::{DomainName, ServiceName, SliceCount};
 use serde::{Deserialize, Serialize};
 
@@ -25,14 +25,14 @@
 ///
 /// `held` has one run `[length, domain]` a block of slices that a domain
 /// holds, `moving` one `[slice, target]` a slice that is to move; domains
-/// are positions in `domains`.
+/// are positions in `domains`, which has one `[name, ticket]` each.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceForm {
     service: ServiceName,
     count: SliceCount,
     revision: u64,
-    domains: Vec<DomainName>,
+    domains: Vec<(DomainName, u64)>,
     held: Vec<(u32, u16)>,
     moving: Vec<(u16, u16)>,
 }
@@ -48,11 +48,12 @@
         let numbered = (0_u16..=u16::MAX).zip(&self.slices);
         let moving = numbered
             .filter_map(|(slice, holding)| Some((slice, holding.target?)));
+        let domains = self.domains.iter().map(|d| (d.name.clone(), d.ticket));
         Ok(ServiceForm {
             service: self.service.clone(),
             count,
             revision: self.revision,
-            domains: self.domains.clone(),
+            domains: domains.collect(),
             held,
             moving: moving.collect(),
         })
@@ -75,10 +76,14 @@
                 return Err(RecordError::Twice(format!("slice {slice}")));
             }
         }
+        let domains = form
+            .domains
+            .into_iter()
+            .map(|(name, ticket)| RecordDomain { name, ticket });
         let record = Self {
             service: form.service,
             revision: form.revision,
-            domains: form.domains,
+            domains: domains.collect(),
             slices,
         };
         check(&record)?;
@@ -93,8 +98,8 @@
     }
     let mut names = BTreeSet::new();
     for domain in &record.domains {
-        if !names.insert(domain) {
-            return Err(RecordError::Twice(domain.to_string()));
+        if !names.insert(&domain.name) {
+            return Err(RecordError::Twice(domain.name.to_string()));
         }
     }
     let length = record.domains.len();
--- a/goldcrestramp-platform/tests/records.rs
+++ b/goldcrestramp-platform/tests/records.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use goldcrestramp_ownership::{
-    DomainRecord, RosterVoter, ServiceRecord, SliceHolding, VoterRoster,
+    DomainRecord, RecordDomain, RosterVoter, ServiceRecord, SliceHolding,
+    VoterRoster,
 };
 use goldcrestramp_platform::records::{
     DomainHead, DomainShard, PlannerRecord, RecordError, SHARD_SLICES,
@@ -22,6 +23,10 @@
     DomainName::new(name).expect("a valid name")
 }
 
+fn record_domain(name: &str) -> RecordDomain {
+    RecordDomain { name: domain(name), ticket: 3 }
+}
+
 fn service(name: &str) -> ServiceName {
     ServiceName::new(name).expect("a valid name")
 }
@@ -76,7 +81,7 @@
     ServiceRecord {
         service: service("stock"),
         revision: 12,
-        domains: ["a", "b", "c"].map(domain).into(),
+        domains: ["a", "b", "c"].map(record_domain).into(),
         slices: slices.collect(),
     }
 }
@@ -158,7 +163,7 @@
 #[test]
 fn malformed_service_records_are_refused_whole() {
     let good = r#"{"service":"stock","count":4,"revision":1,
-        "domains":["a","b"],"held":[[2,0],[2,1]],"moving":[[0,1]]}"#;
+        "domains":[["a",1],["b",2]],"held":[[2,0],[2,1]],"moving":[[0,1]]}"#;
     ServiceRecord::decode(good.as_bytes()).expect("well formed");
     let faults = [
         ("\"count\":4", "\"count\":3"),
@@ -166,7 +171,8 @@
         ("[[2,0],[2,1]]", "[[2,0],[2,2]]"),
         ("[[2,0],[2,1]]", "[[2,0],[0,1],[2,1]]"),
         ("[[2,0],[2,1]]", "[[4294967295,0],[2,1]]"),
-        ("[\"a\",\"b\"]", "[\"a\",\"a\"]"),
+        ("[\"b\",2]", "[\"a\",2]"),
+        ("[\"b\",2]", "[\"b\",-1]"),
         ("[[0,1]]", "[[0,0]]"),
         ("[[0,1]]", "[[4,1]]"),
         ("[[0,1]]", "[[0,2]]"),
@@ -256,7 +262,8 @@
 fn the_worst_values_are_below_the_limit() {
     let slices = (0_u16..=u16::MAX)
         .map(|number| SliceHolding { domain: 10 + number % 90, target: None });
-    let names = (0..100).map(|number| domain(&format!("domain-{number}")));
+    let names =
+        (0..100).map(|number| record_domain(&format!("domain-{number}")));
     let worst = ServiceRecord {
         service: service("stock"),
         revision: u64::MAX,
