--- a/goldcrestramp-ownership/tests/planner.rs
+++ b/goldcrestramp-ownership/tests/planner.rs
@@ -286,6 +286,23 @@
     assert_eq!(back.target_of(slice(40)), Some(&domain("a")));
 }
 
+/// A slice went from `a` to `b`, and `a`'s steward has not yet taken its
+/// release off its record. Given the slice back now, it could not tell the
+/// old release from a new one, and nobody would ever serve the slice.
+#[test]
+fn a_slice_does_not_return_before_its_release_is_forgotten() {
+    let state = state([2, 1, 1]);
+    let record = first(&state);
+    let mut aged = views();
+    aged.insert(domain("a"), view(slices([40])));
+
+    let early = decide(Some(&record), aged, &state, &[to(40, "a")]);
+    let later = decide(Some(&record), views(), &state, &[to(40, "a")]);
+
+    assert_eq!(early, None);
+    assert!(later.is_some());
+}
+
 /// The store came back without the service's record, but with the
 /// domains'. A new division would give away what servers hold.
 #[test]
