Note a domain's last ticket by its mark

Cause: two tickets may bear one number after a restore, so a number alone does not say which of them a service's record takes account of. Change: records and policies carry the configuration's TouchMark. Conclusion: same tests, same verdicts.

--- a/goldcrestramp-ownership/src/planner/policy.rs
+++ b/goldcrestramp-ownership/src/planner/policy.rs
@@ -1,7 +1,7 @@
 //! Which failure domains may hold a service's slices, and how many.
 
 use goldcrestramp_config::{
-    DeploymentState, ServiceRules, ThingId, ThingKind,
+    DeploymentState, ServiceRules, ThingId, ThingKind, TouchMark,
 };
 use goldcrestramp_types::{
     DomainName, FastMap, FastSet, ServiceName, SliceCount,
@@ -31,7 +31,7 @@
     /// The domains that an operator has declared lost.
     pub lost: FastSet<DomainName>,
     /// The last ticket that touched each configured domain.
-    pub tickets: FastMap<DomainName, u64>,
+    pub tickets: FastMap<DomainName, TouchMark>,
 }
 
 impl ServicePolicy {
@@ -62,10 +62,10 @@
         }
     }
 
-    /// The last ticket that touched `domain`; zero: none that is known.
+    /// The last ticket that touched `domain`; the lowest mark: none is known.
     #[must_use]
-    pub fn ticket_of(&self, domain: &DomainName) -> u64 {
-        self.tickets.get(domain).copied().unwrap_or(0)
+    pub fn ticket_of(&self, domain: &DomainName) -> TouchMark {
+        self.tickets.get(domain).copied().unwrap_or_default()
     }
 
     /// `domain` as a record names it.
@@ -91,7 +91,7 @@
 pub(super) fn last_ticket(
     state: &DeploymentState,
     domain: &DomainName,
-) -> u64 {
+) -> TouchMark {
     state.tickets.last_for(&ThingId::new(ThingKind::Domain, domain.as_str()))
 }
 
--- a/goldcrestramp-ownership/tests/planner.rs
+++ b/goldcrestramp-ownership/tests/planner.rs
@@ -4,7 +4,7 @@
 
 use goldcrestramp_config::{
     DeploymentState, DomainRules, ServerRules, ServiceRules, ThingId,
-    ThingKind,
+    ThingKind, TouchMark,
 };
 use goldcrestramp_ownership::{
     DomainMove, DomainView, PlannerRound, ServicePolicy, ServiceRecord,
@@ -113,7 +113,7 @@
     let rules = &mut state.domains[position];
     rules.lost = lost;
     let thing = ThingId::new(ThingKind::Domain, rules.name.as_str());
-    state.tickets.last.insert(thing, ticket);
+    state.tickets.last.insert(thing, TouchMark(ticket, 0));
     state.version += 1;
 }
 
--- a/goldcrestramp-ownership/tests/planner_history.rs
+++ b/goldcrestramp-ownership/tests/planner_history.rs
@@ -5,6 +5,7 @@
 //! read some time ago, and a domain is declared lost and returns. The
 //! oracle is the list of slices that each domain's servers hold.
 
+use goldcrestramp_config::TouchMark;
 use goldcrestramp_ownership::{
     DomainMove, DomainShare, DomainView, PlannerRound, RecordStage,
     ServicePolicy, ServiceRecord, ViewStage,
@@ -63,7 +64,7 @@
     saved: DomainView,
     lost: bool,
     /// The last ticket that touched the domain.
-    ticket: u64,
+    ticket: TouchMark,
 }
 
 #[derive(Debug, Default)]
@@ -125,7 +126,7 @@
             }
             Step::Return(domain) => {
                 let model = &mut self.domains[domain];
-                model.ticket += u64::from(model.lost);
+                model.ticket.0 += u64::from(model.lost);
                 model.lost = false;
             }
         }
@@ -246,7 +247,7 @@
         self.replace();
         self.held = SliceSet::new();
         self.lost = true;
-        self.ticket += 1;
+        self.ticket.0 += 1;
     }
 
     fn replace(&mut self) {
--- a/goldcrestramp-platform/src/records/service.rs
+++ b/goldcrestramp-platform/src/records/service.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use goldcrestramp_config::TouchMark;
 use goldcrestramp_ownership::{RecordDomain, ServiceRecord, SliceHolding};
 use goldcrestramp_types::{DomainName, ServiceName, SliceCount};
 use serde::{Deserialize, Serialize};
@@ -25,14 +26,15 @@
 ///
 /// `held` has one run `[length, domain]` a block of slices that a domain
 /// holds, `moving` one `[slice, target]` a slice that is to move; domains
-/// are positions in `domains`, which has one `[name, ticket]` each.
+/// are positions in `domains`, which has one `[name, ticket]` each, the ticket by
+/// its mark.
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceForm {
     service: ServiceName,
     count: SliceCount,
     revision: u64,
-    domains: Vec<(DomainName, u64)>,
+    domains: Vec<(DomainName, TouchMark)>,
     held: Vec<(u32, u16)>,
     moving: Vec<(u16, u16)>,
 }
--- a/goldcrestramp-platform/tests/records.rs
+++ b/goldcrestramp-platform/tests/records.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use goldcrestramp_config::TouchMark;
 use goldcrestramp_ownership::{
     DomainRecord, RecordDomain, RosterVoter, ServiceRecord, SliceHolding,
     VoterRoster,
@@ -24,7 +25,7 @@
 }
 
 fn record_domain(name: &str) -> RecordDomain {
-    RecordDomain { name: domain(name), ticket: 3 }
+    RecordDomain { name: domain(name), ticket: TouchMark(3, 1) }
 }
 
 fn service(name: &str) -> ServiceName {
@@ -163,7 +164,7 @@
 #[test]
 fn malformed_service_records_are_refused_whole() {
     let good = r#"{"service":"stock","count":4,"revision":1,
-        "domains":[["a",1],["b",2]],"held":[[2,0],[2,1]],"moving":[[0,1]]}"#;
+        "domains":[["a",[1,0]],["b",[2,0]]],"held":[[2,0],[2,1]],"moving":[[0,1]]}"#;
     ServiceRecord::decode(good.as_bytes()).expect("well formed");
     let faults = [
         ("\"count\":4", "\"count\":3"),
@@ -171,8 +172,8 @@
         ("[[2,0],[2,1]]", "[[2,0],[2,2]]"),
         ("[[2,0],[2,1]]", "[[2,0],[0,1],[2,1]]"),
         ("[[2,0],[2,1]]", "[[4294967295,0],[2,1]]"),
-        ("[\"b\",2]", "[\"a\",2]"),
-        ("[\"b\",2]", "[\"b\",-1]"),
+        ("[\"b\",[2,0]]", "[\"a\",[2,0]]"),
+        ("[\"b\",[2,0]]", "[\"b\",[-1,0]]"),
         ("[[0,1]]", "[[0,0]]"),
         ("[[0,1]]", "[[4,1]]"),
         ("[[0,1]]", "[[0,2]]"),
