--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -109,6 +109,9 @@
             StewardEffect::AskVoter { voter, ask } => {
                 self.ask_voter(voter.vm, voter.address, ask);
             }
+            StewardEffect::LearnRoster(version) => {
+                self.voter.learn_roster(version);
+            }
             StewardEffect::Publish(table) => {
                 self.hub.take_table(&table);
             }
@@ -193,7 +196,8 @@
     /// Asks for a permit when it is time and no question is under way.
     fn ask_permit(&mut self) {
         let now = self.context.now();
-        if self.asking || now < self.ask_at {
+        let due = self.ask_at.min(self.keeper.poll_at());
+        if self.asking || now < due {
             return;
         }
         self.ask_at = now + self.timing.renew_every;
@@ -220,9 +224,8 @@
     }
 
     fn report(&mut self, now: LocalTime) -> KeeperReport {
-        let mut report = self.keeper.report(now);
-        report.leaving = self.context.leaving();
-        report
+        self.keeper.set_leaving(self.context.leaving());
+        self.keeper.report(now)
     }
 
     fn send_orders(&mut self) {
