Give operators their command, and daemons their operators' listener

Cause: nothing applied a ticket or showed what a daemon knows.

Each daemon serves operators; an accepted ticket is taken as the VM's own configuration before it is answered. A steward that reads a configuration older than its own writes back what the store has lost. Store calls, which were counted but never shown, are in the metrics.

Found by the first test with real processes: a daemon that starts before ticket 1 waited for ever. A VM leads only once it has a plan, and only who leads watched the store. It lagged 60 s in each of four tests; on a lone VM the steward's term was still 0 after 6 s, with three reads and no watch. A VM without a configuration now waits for the first one.

--- a/goldcrestramp-config/src/ticket/reader.rs
+++ b/goldcrestramp-config/src/ticket/reader.rs
@@ -8,7 +8,8 @@
 use crate::{
     deployment::{CallerRules, DomainRules, ServerRules, ServiceRules},
     document::{
-        DocumentNode, FaultList, FieldReader, PlaceIndex, leaf, open_document,
+        DocumentNode, FaultList, FieldReader, PlaceIndex, SourcePosition,
+        leaf, open_document,
     },
 };
 
@@ -24,10 +25,24 @@
     /// The ticket.
     pub ticket: ChangeTicket,
     file: String,
+    text: String,
     places: PlaceIndex,
 }
 
 impl TicketDocument {
+    /// The text that the ticket was read from.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Where a value stands, as `file:line:column`.
+    #[must_use]
+    pub fn place(&self, path: &str) -> String {
+        let SourcePosition { line, column } = self.places.find(path);
+        format!("{}:{line}:{column}", self.file)
+    }
+
     /// Places refusals in the text that the ticket was read from.
     #[must_use]
     pub fn locate(&self, refusals: &[TicketRefusal]) -> FaultList {
@@ -68,7 +83,8 @@
     let document = open_document(text, &mut faults).and_then(|node| {
         let ticket = ticket_from_node(&node, &mut faults)?;
         let places = PlaceIndex::new(&node);
-        Some(TicketDocument { ticket, file: file.to_owned(), places })
+        let (file, text) = (file.to_owned(), text.to_owned());
+        Some(TicketDocument { ticket, file, text, places })
     });
     faults.or_value(document)
 }
--- a/goldcrestramp-node/src/control/reader.rs
+++ b/goldcrestramp-node/src/control/reader.rs
@@ -3,12 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use goldcrestramp_config::DeploymentState;
+use goldcrestramp_config::{DeploymentState, merge_states};
 use goldcrestramp_ownership::{
     DomainRecord, RosterVoter, StewardEvent, VoterRoster,
 };
 use goldcrestramp_platform::{
-    PlatformClient, PutCondition, PutOutcome, StoreAccess, StoreError, VmEntry,
+    PlatformClient, PutCondition, PutOutcome, StoreAccess, StoreError,
+    StoredValue, VmEntry,
 };
 use goldcrestramp_types::{DomainName, ServiceName, TimeSpan};
 use rand::Rng;
@@ -16,10 +17,15 @@
 use tokio::sync::watch;
 use xtra::Address;
 
-use crate::control::{
-    actor::ControlActor,
-    messages::{ConfigNotice, HomesNotice, RosterNotice, VmsNotice},
-    plans::{self, HomesRecord, ServiceHomes},
+use crate::{
+    control::{
+        actor::ControlActor,
+        messages::{
+            ConfigNotice, HomesNotice, RosterNotice, StatusAsk, VmsNotice,
+        },
+        plans::{self, HomesRecord, ServiceHomes},
+    },
+    operators::restore_config,
 };
 
 /// The key of the accepted configuration.
@@ -58,7 +64,8 @@
     loop {
         let read = read_all(&store, &domain, &actor).await;
         match read {
-            Ok(()) => return,
+            Ok(true) => return,
+            Ok(false) => wait = Backoff::new(),
             Err(error) => {
                 log::warn!("store: cannot be read at start: {error}.");
                 wait.pause().await;
@@ -67,20 +74,36 @@
     }
 }
 
+/// Reads all that a VM needs; `false`: there is no configuration yet.
+///
+/// A VM leads only once it has a plan, and only who leads watches the
+/// store. A VM that started before the first ticket therefore waits for it
+/// here; else its domain would have no steward for ever.
 async fn read_all(
     store: &PlatformClient,
     domain: &DomainName,
     actor: &Address<ControlActor>,
-) -> Result<(), StoreError> {
+) -> Result<bool, StoreError> {
     let vms = store.vms().await?;
     drop(actor.send(VmsNotice(vms)).await);
     let roster = store.get(&roster_key(domain)).await?;
     let roster = roster.and_then(|stored| decode_roster(&stored.value));
     drop(actor.send(RosterNotice(roster)).await);
+    let Some(stored) = first_config(store).await? else {
+        return Ok(false);
+    };
+    take_config(store, &stored.value, actor).await?;
+    Ok(true)
+}
+
+/// The configuration, waited for if there is none yet.
+async fn first_config(
+    store: &PlatformClient,
+) -> Result<Option<StoredValue>, StoreError> {
     if let Some(stored) = store.get(CONFIG_KEY).await? {
-        take_config(store, &stored.value, actor).await?;
+        return Ok(Some(stored));
     }
-    Ok(())
+    store.watch(CONFIG_KEY, 0, WATCH_SPAN).await
 }
 
 /// While this VM leads, watches the configuration for its domain.
@@ -143,11 +166,11 @@
     value: &Bytes,
     actor: &Address<ControlActor>,
 ) -> Result<(), StoreError> {
-    let Some(state) = decode::<DeploymentState>(value) else {
+    let Some(stored) = decode::<DeploymentState>(value) else {
         log::error!("store: the configuration is malformed.");
         return Ok(());
     };
-    let state = Arc::new(state);
+    let state = Arc::new(written_back(store, stored, actor).await?);
     for rules in &state.services {
         let homes = read_homes(store, &state, &rules.name).await?;
         if let Some(homes) = homes {
@@ -158,6 +181,24 @@
     Ok(())
 }
 
+/// Writes back what a store that came back with older data has lost, so
+/// that no accepted ticket reverts.
+async fn written_back(
+    store: &PlatformClient,
+    stored: DeploymentState,
+    actor: &Address<ControlActor>,
+) -> Result<DeploymentState, StoreError> {
+    let status = actor.send(StatusAsk).await.ok();
+    let Some(held) = status.and_then(|status| status.config) else {
+        return Ok(stored);
+    };
+    if merge_states(&held, &stored) == stored {
+        return Ok(stored);
+    }
+    log::warn!("store: has older data, its configuration is written back.");
+    restore_config(store, &held).await
+}
+
 /// Reads a service's division; writes the first one if there is none.
 async fn read_homes(
     store: &PlatformClient,
--- a/goldcrestramp-node/src/handle.rs
+++ b/goldcrestramp-node/src/handle.rs
@@ -15,6 +15,7 @@
     faults::NodeFaults,
     gateway::{CallerListener, gateway_routes},
     keeper::KeeperService,
+    operators::{NodeOperators, OperatorPolicy, operator_routes},
 };
 
 /// How often a stopping daemon looks whether it is done.
@@ -29,6 +30,8 @@
     pub peers: SocketAddr,
     /// For peers' control messages.
     pub control: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
 }
 
 /// A running daemon; dropping it ends it at once, as a loss would.
@@ -37,6 +40,7 @@
     context: Arc<NodeContext>,
     control: ControlThread,
     callers: CallerListener,
+    _operators: CallerListener,
     peers: JoinHandle<()>,
     addresses: NodeAddresses,
     counts: Arc<CallCounts>,
@@ -60,7 +64,8 @@
         let peers = TcpListener::bind(context.settings.peers_listen).await?;
         let peers_address = peers.local_addr()?;
         let control =
-            ControlThread::spawn(Arc::clone(&context), store).await?;
+            ControlThread::spawn(Arc::clone(&context), store.clone()).await?;
+        let operators = serve_operators(&context, &control, store).await?;
         let routes = gateway_routes(Arc::clone(&context));
         let listen = context.settings.callers_listen;
         let callers = CallerListener::bind(listen, routes).await?;
@@ -68,10 +73,20 @@
             callers: callers.address(),
             peers: peers_address,
             control: control.address,
+            operators: operators.address(),
         };
         let peers = serve_peers(&context, peers);
         log::info!("gateway: callers are served at {}.", addresses.callers);
-        Ok(Self { context, control, callers, peers, addresses, counts })
+        log::info!("operators: served at {}.", addresses.operators);
+        Ok(Self {
+            context,
+            control,
+            callers,
+            _operators: operators,
+            peers,
+            addresses,
+            counts,
+        })
     }
 
     /// Where it listens.
@@ -125,6 +140,20 @@
     }
 }
 
+async fn serve_operators(
+    context: &Arc<NodeContext>,
+    control: &ControlThread,
+    store: PlatformClient,
+) -> eyre::Result<CallerListener> {
+    let settings = &context.settings.operators;
+    let policy = OperatorPolicy::open(settings)?;
+    let context = Arc::clone(context);
+    let actor = control.actor.clone();
+    let node = NodeOperators { context, actor, store };
+    let routes = operator_routes(node, policy);
+    Ok(CallerListener::bind(settings.listen, routes).await?)
+}
+
 fn serve_peers(
     context: &Arc<NodeContext>,
     listener: TcpListener,
--- a/goldcrestramp-node/src/metrics.rs
+++ b/goldcrestramp-node/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Counters, one for each refusal and retry reason.
 
+use std::sync::atomic::Ordering;
+
+use goldcrestramp_platform::{CallCounts, CallKind};
 use goldcrestramp_types::{NotRunReason, RetryReason, UnknownReason};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
@@ -23,6 +26,7 @@
     not_run: Family<ReasonLabel, Counter>,
     unknown: Family<ReasonLabel, Counter>,
     retries: Family<ReasonLabel, Counter>,
+    operators_refused: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
     control_messages: Family<ReasonLabel, Counter>,
     leading: Gauge,
@@ -37,6 +41,7 @@
             not_run: Family::default(),
             unknown: Family::default(),
             retries: Family::default(),
+            operators_refused: Family::default(),
             store_calls: Family::default(),
             control_messages: Family::default(),
             leading: Gauge::default(),
@@ -74,6 +79,11 @@
             "Requests sent again or elsewhere, by reason",
             self.retries.clone(),
         );
+        registry.register(
+            "operators_refused",
+            "Requests of operators that were refused, by reason",
+            self.operators_refused.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the platform, by kind",
@@ -116,6 +126,27 @@
         self.retries.get_or_create(&label(reason.code())).inc();
     }
 
+    /// Counts a request of an operator that was refused.
+    pub fn count_operator_refusal(&self, reason: &'static str) {
+        self.operators_refused.get_or_create(&label(reason)).inc();
+    }
+
+    /// How often requests were refused, for each reason that occurred.
+    pub fn not_run_counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        NotRunReason::ALL.iter().filter_map(|reason| {
+            let counter = self.not_run.get(&label(reason.code()))?;
+            Some((reason.code(), counter.get()))
+        })
+    }
+
+    /// Shows the calls to the platform that were counted so far.
+    pub fn show_store_calls(&self, counts: &CallCounts) {
+        for kind in CallKind::ALL {
+            let counter = self.store_calls.get_or_create(&label(kind.code()));
+            counter.inner().store(counts.get(kind), Ordering::Relaxed);
+        }
+    }
+
     /// Counts a control message of this kind.
     pub fn count_control(&self, kind: &'static str) {
         self.control_messages.get_or_create(&label(kind)).inc();
--- a/goldcrestramp-node/src/operators/control.rs
+++ b/goldcrestramp-node/src/operators/control.rs
@@ -1,6 +1,6 @@
 //! What the operators' listener asks of the daemon.
 
-use goldcrestramp_config::ChangeTicket;
+use goldcrestramp_config::{ChangeTicket, DeploymentState};
 use goldcrestramp_types::ServiceName;
 
 use super::{
@@ -13,6 +13,10 @@
     /// What this VM knows now; `None`: its control thread has ended.
     fn status(&self) -> impl Future<Output = Option<StatusReport>> + Send;
 
+    /// The configuration in force here; `None`: the control thread has
+    /// ended.
+    fn config(&self) -> impl Future<Output = Option<DeploymentState>> + Send;
+
     /// Who owns `key` and why; `None`: no such service is known here.
     fn explain(
         &self,
--- a/goldcrestramp-node/src/operators/mod.rs
+++ b/goldcrestramp-node/src/operators/mod.rs
@@ -6,6 +6,7 @@
 //! | `GET /readyz` | 200 when it may be sent callers; needs no token |
 //! | `GET /metrics` | all counters as Prometheus text |
 //! | `GET /status` | [`StatusReport`] as JSON |
+//! | `GET /config` | the configuration in force here, as JSON |
 //! | `GET /explain?service=S&key=K` | [`ExplainReport`] as JSON |
 //! | `POST /tickets` | a ticket, JSON with comments; [`TicketAnswer`] |
 //!
@@ -14,10 +15,13 @@
 mod answer;
 mod apply;
 mod control;
+mod node;
 mod policy;
 mod report;
 mod routes;
+mod show;
 
+pub(crate) use self::node::NodeOperators;
 pub use self::{
     answer::{RefusalLine, TicketAnswer, TicketOutcome},
     apply::{ApplyOutcome, apply_ticket, restore_config},
--- a/goldcrestramp-node/src/operators/routes.rs
+++ b/goldcrestramp-node/src/operators/routes.rs
@@ -91,13 +91,19 @@
         .and(headers)
         .and(with(context.clone()))
         .then(status::<C>);
+    let config = warp::get()
+        .and(warp::path!("config"))
+        .and(headers)
+        .and(with(context.clone()))
+        .then(config::<C>);
     let explain = warp::get()
         .and(warp::path!("explain"))
         .and(warp::query::<ExplainQuery>())
         .and(headers)
         .and(with(context))
         .then(explain::<C>);
-    metrics.or(status).unify().or(explain).unify()
+    let shown = metrics.or(status).unify().or(config).unify();
+    shown.or(explain).unify()
 }
 
 fn ticket_route<C: OperatorControl>(
@@ -193,6 +199,19 @@
     }
 }
 
+async fn config<C: OperatorControl>(
+    headers: HeaderMap,
+    context: RouteContext<C>,
+) -> WarpResponse {
+    if let Err(refusal) = authorize(&headers, &context) {
+        return refuse(&context, refusal);
+    }
+    match context.control.config().await {
+        Some(state) => json(StatusCode::OK, &state),
+        None => refuse(&context, OperatorRefusal::Ended),
+    }
+}
+
 async fn explain<C: OperatorControl>(
     query: ExplainQuery,
     headers: HeaderMap,
--- /dev/null
+++ b/goldcrestramp-node/src/operators/show.rs
@@ -0,0 +1,249 @@
+//! From the control state to what operators are shown; pure.
+
+use goldcrestramp_config::{DeploymentState, NodeSettings, ServiceRules};
+use goldcrestramp_ownership::{DomainTable, ServiceTable, TableServer};
+use goldcrestramp_types::{
+    DomainName, FenceToken, LocalTime, RegionName, ServiceName, SliceIndex,
+    slice_of,
+};
+
+use super::report::{
+    DomainReport, ExplainReport, KeepReport, MoveReport, ServerReport,
+    StatusReport, StewardReport,
+};
+use crate::control::ControlStatus;
+
+/// What only the traffic side of the VM knows.
+#[derive(Debug, Default)]
+pub(super) struct TrafficState {
+    pub(super) leaving: bool,
+    pub(super) requests: u64,
+    pub(super) refused: Vec<(String, u64)>,
+}
+
+/// The report of a VM at `now`, from the state it took a little before.
+pub(super) fn status_report(
+    settings: &NodeSettings,
+    traffic: TrafficState,
+    status: &ControlStatus,
+    now: LocalTime,
+) -> StatusReport {
+    let config = status.config.as_deref();
+    let tickets = config.map(|config| &config.tickets.recent);
+    let last = tickets.and_then(|t| t.last_key_value());
+    StatusReport {
+        deployment: settings.deployment.clone(),
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        age_ms: now.since(status.taken).as_millis(),
+        leaving: traffic.leaving,
+        requests: traffic.requests,
+        config_version: config.map_or(0, |config| config.version),
+        last_ticket: last.map(|(number, _)| *number),
+        steward: steward_report(settings, status, now),
+        domains: domain_reports(config, status),
+        keeps: keep_reports(status, now),
+        servers: server_reports(status),
+        refused: traffic.refused,
+    }
+}
+
+fn steward_report(
+    settings: &NodeSettings,
+    status: &ControlStatus,
+    now: LocalTime,
+) -> StewardReport {
+    let steward = &status.steward;
+    let here = steward.leading;
+    let seen = status.steward_seen.as_ref().map(|(vm, _)| vm.clone());
+    let left = steward.until.since(now).as_millis();
+    let moves = MoveReport {
+        may_move: steward.may_move,
+        moving: steward.moving as u64,
+        moved: steward.moved,
+    };
+    StewardReport {
+        vm: if here { Some(settings.vm.to_string()) } else { seen },
+        here,
+        term: steward.term,
+        deadline_left_ms: here.then_some(left),
+        moves: here.then_some(moves),
+    }
+}
+
+fn domain_reports(
+    config: Option<&DeploymentState>,
+    status: &ControlStatus,
+) -> Vec<DomainReport> {
+    let rules = config.map_or(&[][..], |config| &config.domains);
+    let mut names: Vec<_> = rules.iter().map(|d| &d.name).collect();
+    names.extend(status.tables.keys());
+    names.sort_unstable();
+    names.dedup();
+    let reports = names.into_iter().map(|name| {
+        let table = status.tables.get(name);
+        let owned = table.map_or(0, |table| owned_slices(table));
+        DomainReport {
+            domain: name.clone(),
+            lost: rules.iter().any(|d| d.name == *name && d.lost),
+            table: table.map(|table| table.version),
+            owned_slices: owned,
+        }
+    });
+    reports.collect()
+}
+
+fn owned_slices(table: &DomainTable) -> u64 {
+    let owners = table.services.iter().flat_map(|s| &s.owners);
+    owners.flatten().count() as u64
+}
+
+fn keep_reports(status: &ControlStatus, now: LocalTime) -> Vec<KeepReport> {
+    let keeps = status.keeps.iter().map(|(server, until)| KeepReport {
+        server: server.clone(),
+        permit_left_ms: until.since(now).as_millis(),
+    });
+    let mut keeps: Vec<_> = keeps.collect();
+    keeps.sort_by(|a, b| a.server.cmp(&b.server));
+    keeps
+}
+
+fn server_reports(status: &ControlStatus) -> Vec<ServerReport> {
+    let steward = &status.steward;
+    if !steward.leading {
+        return Vec::new();
+    }
+    let servers = steward.holders.iter().map(|(server, slices)| {
+        let keeper = steward.keepers.get(server).cloned();
+        let slices = slices.len() as u64;
+        ServerReport { server: server.clone(), keeper, slices }
+    });
+    let mut servers: Vec<_> = servers.collect();
+    servers.sort_by(|a, b| a.server.cmp(&b.server));
+    servers
+}
+
+/// Who owns `key`; `None`: the configuration names no such service.
+///
+/// `token` gives the token of a slice when this VM keeps its owner.
+pub(super) fn explain_report(
+    settings: &NodeSettings,
+    status: &ControlStatus,
+    service: &ServiceName,
+    key: &str,
+    token: impl Fn(SliceIndex) -> Option<FenceToken>,
+    now: LocalTime,
+) -> Option<ExplainReport> {
+    let config = status.config.as_deref()?;
+    let rules = config.service(service)?;
+    let slice = slice_of(key.as_bytes(), rules.slices);
+    let found = find_owner(status, service, slice);
+    let table = found.map(|(table, _)| table);
+    let owner = found.map(|(_, owner)| owner);
+    Some(ExplainReport {
+        vm: settings.vm.clone(),
+        age_ms: now.since(status.taken).as_millis(),
+        service: service.clone(),
+        key: key.to_owned(),
+        slice: u32::from(slice.get()),
+        slices: rules.slices.get(),
+        domain: table.map(|table| table.domain.clone()),
+        server: owner.map(|owner| owner.server.clone()),
+        keeper: owner.map(|owner| owner.keeper.clone()),
+        token: token(slice),
+        table: table.map(|table| table.version),
+        why: reasons(config, rules, status, found),
+    })
+}
+
+type FoundOwner<'a> = Option<(&'a DomainTable, &'a TableServer)>;
+
+/// The owner by the table with the highest version that names one.
+///
+/// Two tables may name one for a moment while a slice moves between
+/// domains.
+fn find_owner<'a>(
+    status: &'a ControlStatus,
+    service: &ServiceName,
+    slice: SliceIndex,
+) -> FoundOwner<'a> {
+    let tables = status.tables.values().map(|table| &**table);
+    let found = tables.filter_map(|table| {
+        let part = table.services.iter().find(|s| s.service == *service)?;
+        Some((table, owner_in(part, slice)?))
+    });
+    found.max_by_key(|(table, _)| table.version)
+}
+
+fn owner_in(part: &ServiceTable, slice: SliceIndex) -> Option<&TableServer> {
+    let position = (*part.owners.get(slice.position())?)?;
+    part.servers.get(usize::from(position))
+}
+
+fn reasons(
+    config: &DeploymentState,
+    rules: &ServiceRules,
+    status: &ControlStatus,
+    found: FoundOwner<'_>,
+) -> Vec<String> {
+    let mut why = vec![placement(rules)];
+    let Some((table, owner)) = found else {
+        why.push(no_owner(config, rules, status));
+        return why;
+    };
+    let servers = config.servers.iter();
+    let alike = servers
+        .filter(|s| s.domain == table.domain && config.may_own(rules, s));
+    let count = alike.count();
+    why.push(format!(
+        "{} of its servers in {} may own keys, shares follow slots",
+        count, table.domain
+    ));
+    match config.server(&owner.server) {
+        None => why.push(format!("{} is no longer configured", owner.server)),
+        Some(rules) if rules.drain => {
+            why.push(format!("{} drains, its slices move", owner.server));
+        }
+        Some(_) => {}
+    }
+    why
+}
+
+fn placement(rules: &ServiceRules) -> String {
+    if rules.domains.is_empty() && rules.regions.is_empty() {
+        return format!("{} may be owned in every domain", rules.name);
+    }
+    let domains: Vec<_> =
+        rules.domains.iter().map(DomainName::as_str).collect();
+    let regions: Vec<_> =
+        rules.regions.iter().map(RegionName::as_str).collect();
+    format!(
+        "{} may be owned in domains [{}], regions [{}]; empty is all",
+        rules.name,
+        domains.join(", "),
+        regions.join(", ")
+    )
+}
+
+fn no_owner(
+    config: &DeploymentState,
+    rules: &ServiceRules,
+    status: &ControlStatus,
+) -> String {
+    let mut servers = config.servers.iter();
+    if !servers.any(|server| config.may_own(rules, server)) {
+        return "no configured server may own it".to_owned();
+    }
+    let missing: Vec<_> = config
+        .domains
+        .iter()
+        .filter(|d| !status.tables.contains_key(&d.name))
+        .map(|d| d.name.as_str())
+        .collect();
+    if missing.is_empty() {
+        "no table names an owner: it moves, or its owner was lost".to_owned()
+    } else {
+        format!("no table has come from {}", missing.join(", "))
+    }
+}
--- a/goldcrestramp-node/src/routing.rs
+++ b/goldcrestramp-node/src/routing.rs
@@ -85,6 +85,11 @@
         Self { services }
     }
 
+    /// Whether no failure domain's table has come yet.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// The routes of a service.
     pub(crate) fn service(
         &self,
--- a/goldcrestramp-node/tests/operators.rs
+++ b/goldcrestramp-node/tests/operators.rs
@@ -40,6 +40,10 @@
         None
     }
 
+    async fn config(&self) -> Option<DeploymentState> {
+        None
+    }
+
     async fn explain(
         &self,
         _service: &ServiceName,
@@ -154,7 +158,8 @@
         (Some("Bearer s3cretx"), 401, "wrong-token"),
         (Some("Bearer S3cret"), 401, "wrong-token"),
     ];
-    for path in ["/metrics", "/status", "/explain?service=a&key=b"] {
+    for path in ["/metrics", "/status", "/config", "/explain?service=a&key=b"]
+    {
         for (header, status, code) in cases {
             let control = ControlFake::default();
             let request = match header {
@@ -263,6 +268,7 @@
         ("/explain?service=stock", 400, "bad-query"),
         ("/explain?service=stock&key=k", 404, "unknown-service"),
         ("/status", 503, "ended"),
+        ("/config", 503, "ended"),
     ];
     for (path, status, code) in cases {
         let control = ControlFake::default();
--- /dev/null
+++ b/src/commands/text.rs
@@ -0,0 +1,158 @@
+//! Reports as text for people.
+
+use std::fmt::{self, Write};
+
+use goldcrestramp_config::{CapacityPreview, ServicePreview, TicketPreview};
+use goldcrestramp_node::{
+    DomainReport, ExplainReport, StatusReport, StewardReport,
+};
+use goldcrestramp_types::TableVersion;
+
+/// Text for what is not known.
+const NONE: &str = "-";
+
+/// What a ticket moves and leaves.
+pub(super) fn preview(preview: &TicketPreview) -> String {
+    written(|text| {
+        for domain in &preview.domains {
+            writeln!(text, "  {}", capacity(domain))?;
+        }
+        for service in &preview.services {
+            service_preview(text, service)?;
+        }
+        for warning in &preview.warnings {
+            writeln!(text, "  warning: {warning}")?;
+        }
+        Ok(())
+    })
+}
+
+fn capacity(capacity: &CapacityPreview) -> String {
+    let CapacityPreview { domain, slots_before, slots_after } = capacity;
+    format!("{domain}: {slots_before} -> {slots_after} slots")
+}
+
+fn service_preview(
+    text: &mut String,
+    service: &ServicePreview,
+) -> fmt::Result {
+    let (before, after) = (service.slots_before, service.slots_after);
+    let (moved, between) =
+        (service.slices_moved, service.slices_between_domains);
+    writeln!(
+        text,
+        "  {}: {before} -> {after} slots, about {moved} slices move, \
+         {between} of them between domains",
+        service.service
+    )?;
+    for domain in &service.domains {
+        writeln!(text, "    {}", capacity(domain))?;
+    }
+    Ok(())
+}
+
+/// What a VM knows.
+pub(super) fn status(report: &StatusReport) -> String {
+    written(|text| {
+        writeln!(
+            text,
+            "{} in {} ({}), deployment {}, {} ms old{}",
+            report.vm,
+            report.domain,
+            report.region,
+            report.deployment,
+            report.age_ms,
+            if report.leaving { ", leaving" } else { "" }
+        )?;
+        let ticket = report.last_ticket.map_or(NONE.into(), |n| n.to_string());
+        writeln!(
+            text,
+            "  configuration: version {}, highest ticket {ticket}",
+            report.config_version
+        )?;
+        writeln!(text, "  steward: {}", steward(&report.steward))?;
+        writeln!(text, "  requests under way: {}", report.requests)?;
+        for domain in &report.domains {
+            writeln!(text, "  domain {}", domain_line(domain))?;
+        }
+        for keep in &report.keeps {
+            let (server, left) = (&keep.server, keep.permit_left_ms);
+            writeln!(text, "  keeps {server}, {left} ms left")?;
+        }
+        for server in &report.servers {
+            let keeper = server.keeper.as_ref().map_or(NONE, |k| k.as_str());
+            let (name, slices) = (&server.server, server.slices);
+            writeln!(
+                text,
+                "  server {name}: {slices} slices, keeper {keeper}"
+            )?;
+        }
+        for (reason, count) in &report.refused {
+            writeln!(text, "  refused {reason}: {count}")?;
+        }
+        Ok(())
+    })
+}
+
+fn steward(steward: &StewardReport) -> String {
+    written(|line| {
+        let vm = steward.vm.as_deref().unwrap_or("none known");
+        write!(line, "{vm}, term {}", steward.term.number)?;
+        if let Some(left) = steward.deadline_left_ms {
+            write!(line, ", here, {left} ms left")?;
+        }
+        if let Some(moves) = &steward.moves {
+            let (begun, ended) = (moves.moving, moves.moved);
+            write!(line, ", {begun} moves under way, ")?;
+            write!(line, "{ended} slices moved")?;
+        }
+        if steward.moves.is_some_and(|moves| !moves.may_move) {
+            write!(line, ", may not move yet")?;
+        }
+        Ok(())
+    })
+}
+
+fn domain_line(domain: &DomainReport) -> String {
+    let lost = if domain.lost { ", declared lost" } else { "" };
+    let (name, owned) = (&domain.domain, domain.owned_slices);
+    let table = table_version(domain.table);
+    format!("{name}: {owned} slices owned, table {table}{lost}")
+}
+
+fn table_version(version: Option<TableVersion>) -> String {
+    version.map_or(NONE.into(), |version| {
+        format!("{}.{}", version.term.number, version.sequence)
+    })
+}
+
+/// Who owns a key.
+pub(super) fn explain(report: &ExplainReport) -> String {
+    written(|text| {
+        let (service, key) = (&report.service, &report.key);
+        let (slice, slices) = (report.slice, report.slices);
+        writeln!(text, "{service} {key}: slice {slice} of {slices}")?;
+        let domain = report.domain.as_ref().map_or(NONE, |d| d.as_str());
+        let server = report.server.as_ref().map_or(NONE, |s| s.as_str());
+        let keeper = report.keeper.as_ref().map_or(NONE, |k| k.as_str());
+        writeln!(text, "  owner {server} in {domain}, keeper {keeper}")?;
+        let token = report.token.map_or(NONE.into(), |token| {
+            format!("{}.{}", token.term.number, token.sequence)
+        });
+        let table = table_version(report.table);
+        writeln!(text, "  token {token}, table {table}")?;
+        for why in &report.why {
+            writeln!(text, "  {why}")?;
+        }
+        let (vm, age) = (&report.vm, report.age_ms);
+        writeln!(text, "  as {vm} knows it, {age} ms old")
+    })
+}
+
+/// Collects what `write` writes; writing to a text never fails.
+fn written(write: impl FnOnce(&mut String) -> fmt::Result) -> String {
+    let mut text = String::new();
+    match write(&mut text) {
+        Ok(()) | Err(fmt::Error) => text,
+    }
+}
