--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -202,7 +202,7 @@
         }
         self.ask_at = now + self.timing.renew_every;
         let report = self.report(now);
-        if self.steward.status(now).leading {
+        if self.steward.leads(now) {
             let answer = self.steward.permit(now, report);
             self.keeper.permitted(now, now, answer);
             self.publish_view();
@@ -279,7 +279,7 @@
     }
 
     fn show_leading(&mut self) {
-        let leading = self.steward.status(self.context.now()).leading;
+        let leading = self.steward.leads(self.context.now());
         self.context.metrics.set_leading(leading);
         self.leading.send_if_modified(|shown| {
             let changed = *shown != leading;
@@ -524,7 +524,7 @@
         _: StewardAsk,
         _: &mut Context<Self>,
     ) -> StewardPlace {
-        if self.steward.status(self.context.now()).leading {
+        if self.steward.leads(self.context.now()) {
             return StewardPlace::Here;
         }
         match self.search.known() {
--- a/goldcrestramp-node/src/control/grants.rs
+++ b/goldcrestramp-node/src/control/grants.rs
@@ -4,6 +4,7 @@
 
 use goldcrestramp_types::ServerName;
 use goldcrestramp_wire::server::{GrantOrder, GrantReply};
+use reqwest::header::CONTENT_TYPE;
 use xtra::Address;
 
 use crate::{
@@ -27,20 +28,28 @@
 ) {
     let sent = context.now();
     let cut = context.faults.is_cut(address);
+    let body = serde_json::to_vec(order).unwrap_or_default();
+    context.metrics.count_control("grant", body.len());
     let request = http
         .post(format!("http://{address}/grant"))
         .timeout(REPLY_TIMEOUT)
-        .json(order);
-    context.metrics.count_control("grant");
+        .header(CONTENT_TYPE, "application/json")
+        .body(body);
+    let context = Arc::clone(context);
     tokio::spawn(async move {
-        let reply = if cut { None } else { reply(request).await };
+        let reply = if cut { None } else { reply(&context, request).await };
         let notice = GrantNotice { server, sent, reply };
         // The actor is gone only when the daemon ends.
         drop(actor.send(notice).await);
     });
 }
 
-async fn reply(request: reqwest::RequestBuilder) -> Option<GrantReply> {
+async fn reply(
+    context: &NodeContext,
+    request: reqwest::RequestBuilder,
+) -> Option<GrantReply> {
     let response = request.send().await.ok()?;
-    response.error_for_status().ok()?.json().await.ok()
+    let body = response.error_for_status().ok()?.bytes().await.ok()?;
+    context.metrics.count_control("grant-reply", body.len());
+    serde_json::from_slice(&body).ok()
 }
--- a/goldcrestramp-node/src/control/links.rs
+++ b/goldcrestramp-node/src/control/links.rs
@@ -7,6 +7,7 @@
 };
 use goldcrestramp_types::DomainName;
 use goldcrestramp_wire::peer::control_client::ControlClient;
+use prost::Message;
 use tonic::Request;
 
 use crate::{context::NodeContext, convert, peers::PeerChannels};
@@ -36,13 +37,15 @@
         address: &Arc<str>,
         ask: &ConfirmAsk,
     ) -> Option<ConfirmAnswer> {
-        self.context.metrics.count_control("confirm");
         let channel = self.channels.open(address).await.ok()?;
         let mut client = ControlClient::new(channel);
-        let mut request = Request::new(convert::ask_out(ask));
+        let message = convert::ask_out(ask);
+        self.count("confirm", &message);
+        let mut request = Request::new(message);
         request.set_timeout(ANSWER_TIMEOUT);
         let call = client.confirm(request);
         let reply = self.answered(address, call).await?;
+        self.count("confirm-answer", &reply);
         Some(convert::confirm_in(&reply))
     }
 
@@ -53,14 +56,16 @@
         domain: &DomainName,
         report: &KeeperReport,
     ) -> Option<PermitAnswer> {
-        self.context.metrics.count_control("permit");
         let channel = self.channels.open(address).await.ok()?;
         let mut client = ControlClient::new(channel)
             .max_decoding_message_size(MESSAGE_LIMIT);
-        let mut request = Request::new(convert::report_out(report, domain));
+        let message = convert::report_out(report, domain);
+        self.count("permit", &message);
+        let mut request = Request::new(message);
         request.set_timeout(ANSWER_TIMEOUT);
         let call = client.permit(request);
         let reply = self.answered(address, call).await?;
+        self.count("permit-answer", &reply);
         convert::permit_in(reply).ok()
     }
 
@@ -74,6 +79,11 @@
         Some(client.max_decoding_message_size(MESSAGE_LIMIT))
     }
 
+    fn count(&self, kind: &'static str, message: &impl Message) {
+        let bytes = message.encoded_len();
+        self.context.metrics.count_control(kind, bytes);
+    }
+
     async fn answered<T>(
         &self,
         address: &Arc<str>,
--- a/goldcrestramp-node/src/control/service.rs
+++ b/goldcrestramp-node/src/control/service.rs
@@ -8,6 +8,7 @@
     ConfirmReply, ConfirmRequest, PermitReply, PermitRequest, TableUpdate,
     TablesRequest, control_server::Control,
 };
+use prost::Message;
 use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status};
@@ -36,6 +37,11 @@
 }
 
 impl ControlService {
+    fn count(&self, kind: &'static str, message: &impl Message) {
+        let bytes = message.encoded_len();
+        self.context.metrics.count_control(kind, bytes);
+    }
+
     /// A peer that counts this VM to another failure domain must not vote
     /// or be permitted here: two domains would share one steward.
     fn check_domain(&self, domain: &str) -> Result<(), Status> {
@@ -54,10 +60,13 @@
     ) -> Result<Response<ConfirmReply>, Status> {
         self.context.faults.wait().await;
         let request = request.into_inner();
+        self.count("confirm", &request);
         self.check_domain(&request.domain)?;
         let ask = convert::ask_in(request).map_err(bad_message)?;
         let answer = self.actor.send(VoteAsk(ask)).await.map_err(ended)?;
-        Ok(Response::new(convert::confirm_out(answer)))
+        let reply = convert::confirm_out(answer);
+        self.count("confirm-answer", &reply);
+        Ok(Response::new(reply))
     }
 
     async fn permit(
@@ -66,11 +75,14 @@
     ) -> Result<Response<PermitReply>, Status> {
         self.context.faults.wait().await;
         let request = request.into_inner();
+        self.count("permit", &request);
         self.check_domain(&request.domain)?;
         let report = convert::report_in(&request).map_err(bad_message)?;
         let asked = self.actor.send(PermitAsk(report)).await;
         let answer = asked.map_err(ended)?;
-        Ok(Response::new(convert::permit_out(&answer)))
+        let reply = convert::permit_out(&answer);
+        self.count("permit-answer", &reply);
+        Ok(Response::new(reply))
     }
 
     type TablesStream =
@@ -107,7 +119,8 @@
         context.faults.wait().await;
         let set = Arc::clone(&tables.borrow_and_update());
         for update in cursor.updates(&set, only.as_ref()) {
-            context.metrics.count_control("table");
+            let bytes = update.encoded_len();
+            context.metrics.count_control("table", bytes);
             if sender.send(Ok(update)).await.is_err() {
                 return;
             }
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -7,6 +7,7 @@
 use goldcrestramp_wire::peer::{
     TableUpdate, TablesRequest, control_server::ControlServer,
 };
+use prost::Message;
 use tokio::{
     net::TcpListener,
     sync::{oneshot, watch},
@@ -259,6 +260,8 @@
         if domain.is_empty() && followed_another(actor, address).await {
             return;
         }
+        let bytes = update.encoded_len();
+        context.metrics.count_control("table", bytes);
         take_update(&update, actor).await;
     }
 }
--- a/goldcrestramp-node/src/metrics.rs
+++ b/goldcrestramp-node/src/metrics.rs
@@ -25,6 +25,7 @@
     retries: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
     control_messages: Family<ReasonLabel, Counter>,
+    control_bytes: Counter,
     leading: Gauge,
 }
 
@@ -39,6 +40,7 @@
             retries: Family::default(),
             store_calls: Family::default(),
             control_messages: Family::default(),
+            control_bytes: Counter::default(),
             leading: Gauge::default(),
         };
         metrics.register();
@@ -84,6 +86,11 @@
             "Control messages sent, by kind",
             self.control_messages.clone(),
         );
+        registry.register(
+            "control_bytes",
+            "Bytes of control messages sent and received, without framing",
+            self.control_bytes.clone(),
+        );
         registry.register(
             "steward_leading",
             "1 while this VM is its failure domain's steward",
@@ -116,9 +123,23 @@
         self.retries.get_or_create(&label(reason.code())).inc();
     }
 
-    /// Counts a control message of this kind.
-    pub fn count_control(&self, kind: &'static str) {
+    /// Counts a control message of this kind, sent or received, of so many
+    /// bytes.
+    pub fn count_control(&self, kind: &'static str, bytes: usize) {
         self.control_messages.get_or_create(&label(kind)).inc();
+        self.control_bytes.inc_by(bytes as u64);
+    }
+
+    /// Bytes of control messages so far, sent and received.
+    #[must_use]
+    pub fn control_bytes(&self) -> u64 {
+        self.control_bytes.get()
+    }
+
+    /// Control messages of this kind so far, sent and received.
+    #[must_use]
+    pub fn control_messages(&self, kind: &'static str) -> u64 {
+        self.control_messages.get_or_create(&label(kind)).get()
     }
 
     /// Shows whether this VM is the steward.
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -237,6 +237,17 @@
         PermitAnswer::NotSteward { steward }
     }
 
+    /// Whether a majority confirms this VM now.
+    #[must_use]
+    pub fn leads(&self, now: LocalTime) -> bool {
+        match &self.role {
+            StewardRole::Leading(leading) => now < leading.until(),
+            StewardRole::Follower { .. } | StewardRole::Candidate { .. } => {
+                false
+            }
+        }
+    }
+
     /// What operators are shown.
     #[must_use]
     pub fn status(&self, now: LocalTime) -> StewardStatus {
