Give each node of the bench a loopback address of its own

Cause: ports drawn on 127.0.0.1 were taken by connections before they were bound: 'Address already in use' at 40 nodes. Change: 127.77.x.y, fixed ports.

--- a/goldcrestramp-node/benches/control_cost.rs
+++ b/goldcrestramp-node/benches/control_cost.rs
@@ -12,7 +12,7 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     time::{Duration, Instant},
 };
 
@@ -200,9 +200,12 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind(loopback()).expect("a port");
-    listener.local_addr().expect("an address")
+/// A node's own loopback address: ports of the common one may be taken by
+/// connections at any moment.
+fn own_address(node: usize, port: u16) -> SocketAddr {
+    let high = u8::try_from(node / 200).expect("below 51,000 nodes");
+    let low = u8::try_from(node % 200 + 1).expect("below 201");
+    SocketAddr::from((Ipv4Addr::new(127, 77, high, low), port))
 }
 
 fn domain_of(number: usize) -> String {
@@ -215,9 +218,9 @@
         "vm": format!("{number}"),
         "domain": domain_of(number),
         "region": "sierra",
-        "callers_listen": free_port(),
-        "peers_listen": free_port(),
-        "control_listen": free_port(),
+        "callers_listen": own_address(number, 7_001),
+        "peers_listen": own_address(number, 7_002),
+        "control_listen": own_address(number, 7_003),
         "platform_url": format!("http://{platform}"),
         "operators": { "listen": "127.0.0.1:0" },
     });
