--- a/goldcrestramp-decisions/src/attempt/mod.rs
+++ b/goldcrestramp-decisions/src/attempt/mod.rs
@@ -7,7 +7,9 @@
 
 The keeper of a server is the one way to it, so it remembers the id of each
 non-idempotent request until the request's deadline, after which nothing may
-start. When a slice moves, its part of the memory goes with the release. A
+start, and for as long as the longest deadline after that: a caller that
+sends it again late, or wrongly with a new deadline, still learns how the
+first one ended. When a slice moves, its part of the memory goes with the release. A
 keeper that took over from one that was lost does not know what came before:
 it answers a resend with *too young*, until everything sent before its time
 is past its deadline.
@@ -35,7 +37,8 @@
 /// The bounds of a memory.
 #[derive(Clone, Copy, Debug)]
 pub struct MemorySettings {
-    /// The most ids: at 200 orders a second and deadlines of 30 s, 6,000.
+    /// The most ids: at 200 orders a second, with deadlines of 30 s and as
+    /// long again after them, 12,000.
     pub id_limit: usize,
     /// The longest time between a request's start and its deadline; the
     /// gateway refuses longer ones.
@@ -70,7 +73,7 @@
 pub struct AttemptMemory {
     settings: MemorySettings,
     entries: FastMap<AttemptId, AttemptEntry>,
-    /// Ended attempts by deadline.
+    /// Ended attempts by when they are forgotten.
     ended: BTreeSet<(LocalTime, AttemptId)>,
     /// Since when everything on a slice came through here; at most 65,536.
     complete_since: FastMap<SliceIndex, LocalTime>,
@@ -107,6 +110,12 @@
         self.complete_since.entry(slice).or_insert(now);
     }
 
+    /// Makes every slice one of whose past nothing is known; the ids that
+    /// are remembered stay so.
+    pub fn begin_anew(&mut self) {
+        self.complete_since.clear();
+    }
+
     /// Begins a slice with what its former keeper remembered.
     pub fn take_over(
         &mut self,
@@ -118,7 +127,8 @@
         for record in memory.records {
             let deadline = now + record.left;
             let outcome = Some(record.outcome);
-            self.ended.insert((deadline, record.id.clone()));
+            let forget_at = deadline + self.settings.longest;
+            self.ended.insert((forget_at, record.id.clone()));
             let entry = AttemptEntry { slice, deadline, outcome };
             self.entries.insert(record.id, entry);
         }
@@ -185,7 +195,8 @@
         }
         if let Some(entry) = self.entries.get_mut(id) {
             entry.outcome = Some(outcome.within(ANSWER_LIMIT));
-            self.ended.insert((entry.deadline, id.clone()));
+            let forget_at = entry.deadline + self.settings.longest;
+            self.ended.insert((forget_at, id.clone()));
         }
     }
 
@@ -206,10 +217,10 @@
         self.complete_since.get(&slice).is_some_and(|at| *at <= earliest)
     }
 
-    /// Forgets what ended and is past its deadline.
+    /// Forgets what ended long ago.
     fn forget_past(&mut self, now: LocalTime) {
-        while let Some((deadline, _)) = self.ended.first()
-            && *deadline < now
+        while let Some((forget_at, _)) = self.ended.first()
+            && *forget_at < now
             && let Some((_, id)) = self.ended.pop_first()
         {
             self.entries.remove(&id);
@@ -223,7 +234,8 @@
         id: AttemptId,
     ) -> Option<AttemptRecord> {
         let entry = self.entries.remove(&id)?;
-        self.ended.remove(&(entry.deadline, id.clone()));
+        let forget_at = entry.deadline + self.settings.longest;
+        self.ended.remove(&(forget_at, id.clone()));
         let outcome = entry.outcome.unwrap_or(AttemptOutcome::Unknown);
         Some(AttemptRecord { id, left: entry.deadline.since(now), outcome })
     }
--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -62,6 +62,8 @@
     Broken,
     /// No connection could be made.
     Unreachable,
+    /// Its caller withdrew a request; that says nothing of the server.
+    Cancelled,
 }
 
 /// What its health page says.
@@ -198,6 +200,7 @@
             ServerSign::Broken | ServerSign::Unreachable => {
                 self.failed(now, random);
             }
+            ServerSign::Cancelled => {}
         }
     }
 
--- a/goldcrestramp-node/src/gateway/answer.rs
+++ b/goldcrestramp-node/src/gateway/answer.rs
@@ -14,6 +14,7 @@
 use crate::{
     context::RequestGuard,
     gateway::{
+        places::PlaceGuard,
         request::HEADER_REQUEST,
         route::{RouteAnswer, RouteStream},
     },
@@ -38,12 +39,15 @@
     request: &'a str,
 }
 
+/// What is held until an answer has been passed on.
+pub(crate) type AnswerGuards = (RequestGuard, PlaceGuard);
+
 /// Makes the HTTP answer, and counts it.
 pub(crate) fn respond(
     answer: RouteAnswer,
     request: &str,
     metrics: &NodeMetrics,
-    guard: RequestGuard,
+    guard: AnswerGuards,
 ) -> WarpResponse {
     match answer {
         RouteAnswer::Done(answer) => {
@@ -64,7 +68,7 @@
     head: &RouteHead,
     frames: RouteStream,
     request: &str,
-    guard: RequestGuard,
+    guard: AnswerGuards,
 ) -> WarpResponse {
     let status = u16::try_from(head.status).ok();
     let status = status.and_then(|code| StatusCode::from_u16(code).ok());
@@ -94,7 +98,7 @@
 /// for the whole.
 fn body_stream(
     frames: RouteStream,
-    guard: RequestGuard,
+    guard: AnswerGuards,
 ) -> impl Stream<Item = Result<Bytes, std::io::Error>> + Send + Sync {
     let state = Some((frames, guard, 0_u64));
     let stream = futures_util::stream::unfold(state, |state| async {
--- a/goldcrestramp-node/src/gateway/mod.rs
+++ b/goldcrestramp-node/src/gateway/mod.rs
@@ -2,8 +2,10 @@
 
 mod answer;
 mod listener;
+mod places;
 mod recover;
 mod request;
+mod retry;
 mod route;
 mod routes;
 
--- a/goldcrestramp-node/src/gateway/request.rs
+++ b/goldcrestramp-node/src/gateway/request.rs
@@ -8,6 +8,8 @@
 use percent_encoding::percent_decode_str;
 use warp::http::{HeaderMap, Method};
 
+use crate::keeper::ORDER_LONGEST;
+
 /// Header: who calls.
 pub(crate) const HEADER_CALLER: &str = "goldcrestramp-caller";
 /// Header: the caller's own id of the request, in and out.
@@ -58,6 +60,10 @@
         let class = read_class(method, headers)?;
         let name = read_name(headers, class)?;
         let left = read_deadline(headers, default_deadline)?;
+        if class == RequestClass::Order && left > ORDER_LONGEST {
+            let fault = "an order's deadline is at most a minute away";
+            return Err(RequestFault(fault));
+        }
         Ok(Self {
             service,
             key: read_key(key)?,
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use goldcrestramp_decisions::RetryDecision;
 use goldcrestramp_types::{
     LocalTime, NotRunReason, RequestEffect, RetryReason, TimeSpan,
     UnknownReason, slice_of,
@@ -13,8 +14,13 @@
 use tonic::Streaming;
 
 use crate::{
-    context::NodeContext, gateway::request::CallerRequest,
-    metrics::NodeMetrics, peers::PeerChannels,
+    context::NodeContext,
+    gateway::{
+        request::CallerRequest,
+        retry::{RetryBook, is_budgeted},
+    },
+    metrics::NodeMetrics,
+    peers::PeerChannels,
 };
 
 /// The most times that one request is sent to a keeper.
@@ -77,18 +83,21 @@
 pub(crate) struct RequestRouter {
     pub(super) context: Arc<NodeContext>,
     pub(super) channels: Arc<PeerChannels>,
+    retries: RetryBook,
 }
 
 impl RequestRouter {
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
         let channels = Arc::new(PeerChannels::new(Arc::clone(&context)));
-        Self { context, channels }
+        Self { context, channels, retries: RetryBook::default() }
     }
 
     /// Routes a request until it has an outcome or its deadline passes.
     pub(crate) async fn route(&self, request: &CallerRequest) -> RouteAnswer {
         let mut named = None;
         let mut last = RetryReason::NoOwner;
+        let mut retries = 0;
+        self.retries.attempted(request);
         for _ in 0..SENDS_MOST {
             let address = match named.take() {
                 Some(address) => address,
@@ -99,6 +108,15 @@
             };
             match self.attempt(request, &address).await {
                 TryOutcome::Answer(answer) => return answer,
+                TryOutcome::Again(reason, _) if is_budgeted(reason) => {
+                    let again = self.again(request, reason, retries).await;
+                    if let Some(answer) = again {
+                        return answer;
+                    }
+                    retries += 1;
+                    last = reason;
+                    continue;
+                }
                 TryOutcome::Again(reason, elsewhere) => {
                     self.context.metrics.count_retry(reason);
                     last = reason;
@@ -112,6 +130,28 @@
         refused(exhausted(last))
     }
 
+    /// Waits until a budgeted retry may be made; an answer if it may not.
+    async fn again(
+        &self,
+        request: &CallerRequest,
+        reason: RetryReason,
+        retries: u32,
+    ) -> Option<RouteAnswer> {
+        let now = self.context.now();
+        match self.retries.decide(now, request, reason, retries) {
+            RetryDecision::Again(time, reason) => {
+                self.context.metrics.count_retry(reason);
+                tokio::time::sleep(time.since(now).to_std()).await;
+                None
+            }
+            RetryDecision::NotRun(reason) => Some(refused(reason)),
+            RetryDecision::Unknown => {
+                let reason = UnknownReason::KeeperLost;
+                Some(RouteAnswer::Unknown { reason })
+            }
+        }
+    }
+
     /// The keeper's address; waits for an owner until the deadline.
     pub(super) async fn owner(
         &self,
--- a/goldcrestramp-node/src/gateway/routes.rs
+++ b/goldcrestramp-node/src/gateway/routes.rs
@@ -15,18 +15,29 @@
     context::NodeContext,
     gateway::{
         answer,
+        places::GatewayPlaces,
         request::{self, BodyFault, CallerRequest, RequestFault},
         route::RequestRouter,
     },
 };
 
+/// What the requests of this gateway share.
+#[derive(Debug)]
+struct GatewayShared {
+    places: GatewayPlaces,
+    router: RequestRouter,
+}
+
 /// `GET` and `POST /v1/SERVICE/KEY`.
 pub(crate) fn gateway_routes(
     context: Arc<NodeContext>,
 ) -> impl Filter<Extract = (WarpResponse,), Error = Rejection> + Clone {
     let router = RequestRouter::new(Arc::clone(&context));
+    let limit = context.settings.gateway_requests as usize;
     let shared =
-        warp::any().map(move || (Arc::clone(&context), router.clone()));
+        Arc::new(GatewayShared { places: GatewayPlaces::new(limit), router });
+    let shared =
+        warp::any().map(move || (Arc::clone(&context), Arc::clone(&shared)));
     let keyed = warp::path!("v1" / String / ..)
         .and(warp::path::tail())
         .and(warp::method())
@@ -54,14 +65,11 @@
     method: Method,
     headers: HeaderMap,
     body: impl Stream<Item = Result<B, warp::Error>>,
-    (context, router): (Arc<NodeContext>, RequestRouter),
+    (context, shared): (Arc<NodeContext>, Arc<GatewayShared>),
 ) -> WarpResponse {
     context.faults.wait().await;
     let guard = context.request();
     let settings = &context.settings;
-    if context.requests() > settings.gateway_requests as usize {
-        return refuse(&context, NotRunReason::GatewayFull, "", "");
-    }
     let default = TimeSpan::from_millis(settings.default_deadline_ms);
     let now = context.now();
     let read = CallerRequest::read(
@@ -79,6 +87,10 @@
         }
     };
     let name = request.name.to_string();
+    let place = match shared.places.enter(&request.caller) {
+        Ok(place) => place,
+        Err(reason) => return refuse(&context, reason, "", &name),
+    };
     let limit = settings.body_bytes as usize;
     let left = request.deadline.since(now).to_std();
     let body = request::read_body(body, limit);
@@ -90,8 +102,8 @@
             return refuse(&context, reason, "the body came late", &name);
         }
     };
-    let reply = router.route(&request).await;
-    answer::respond(reply, &name, &context.metrics, guard)
+    let reply = shared.router.route(&request).await;
+    answer::respond(reply, &name, &context.metrics, (guard, place))
 }
 
 fn bad_body(
--- a/goldcrestramp-node/src/keeper/mod.rs
+++ b/goldcrestramp-node/src/keeper/mod.rs
@@ -1,11 +1,15 @@
 //! The keeper: the one sender of requests to a backend server.
 
+mod admission;
+mod attempts;
 mod frames;
-mod gate;
 mod prove;
 mod recover;
 mod send;
 mod service;
+mod slot;
 mod view;
 
-pub(crate) use crate::keeper::{service::KeeperService, view::KeeperView};
+pub(crate) use crate::keeper::{
+    attempts::ORDER_LONGEST, service::KeeperService, view::KeeperView,
+};
--- a/goldcrestramp-node/src/keeper/recover.rs
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -73,7 +73,7 @@
 }
 
 /// Passes on the answer that the server kept, if it still has it.
-async fn kept_answer(
+pub(crate) async fn kept_answer(
     http: &reqwest::Client,
     kept: &KeptServer,
     request: &ServerRequest,
@@ -89,7 +89,7 @@
     if !response.status().is_success() || !same {
         return unknown(frames, UnknownReason::KeeperLost).await;
     }
-    send::pass_on(response, request, frames).await;
+    send::pass_on(response, request, frames, None).await;
 }
 
 async fn unknown(frames: &FrameSender, reason: UnknownReason) {
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
+use goldcrestramp_decisions::AttemptId;
 use goldcrestramp_types::{
-    LocalTime, NotRunReason, RequestClass, ServerTime, ServiceName,
-    SliceIndex, TimeSpan, UnknownReason,
+    CallerName, LocalTime, NotRunReason, RequestClass, ServerTime,
+    ServiceName, SliceIndex, TimeSpan, UnknownReason,
 };
 use goldcrestramp_wire::{
-    peer::{RouteFrame, RouteHead},
+    peer::{RouteFrame, RouteHead, route_frame::Frame},
     server::{
         HEADER_CLASS, HEADER_DEADLINE, HEADER_KEY, HEADER_REQUEST,
         HEADER_SERVICE, HEADER_SLICE, HEADER_START_BY, HEADER_STARTED,
@@ -21,7 +22,12 @@
 use tokio::sync::mpsc;
 use tonic::Status;
 
-use crate::keeper::{frames, prove, view::KeptServer};
+use crate::keeper::{
+    attempts::AttemptGuard,
+    frames, prove,
+    slot::{ServerSlot, SlotEnd},
+    view::KeptServer,
+};
 
 /// The share of a span that surely fits into it on a faster clock.
 const CLOCK_PERCENT: u64 = 98;
@@ -34,11 +40,20 @@
     pub(crate) slice: SliceIndex,
     /// `caller/request`.
     pub(crate) id: Arc<str>,
+    /// The same, as its keeper remembers it.
+    pub(crate) attempt: Option<AttemptId>,
+    pub(crate) caller: CallerName,
+    /// Whether the caller may have sent it before.
+    pub(crate) resend: bool,
     pub(crate) class: RequestClass,
     pub(crate) deadline: LocalTime,
     pub(crate) body: Bytes,
 }
 
+/// When a caller may come back after the server itself refused: some ten
+/// slot times of a lookup.
+const REFUSAL_WAIT: TimeSpan = TimeSpan::from_millis(50);
+
 /// Where the frames of an answer go.
 pub(crate) type FrameSender = mpsc::Sender<Result<RouteFrame, Status>>;
 
@@ -53,39 +68,45 @@
 
 /// Sends the request and passes the answer on until it ends.
 ///
-/// `deadline_passed` ends the wait for the first byte.
+/// `left` ends the wait for the first byte. What became of the request is
+/// noted in `slot` and `attempt`.
 pub(crate) async fn send(
     http: &reqwest::Client,
     kept: &KeptServer,
     request: &ServerRequest,
     left: TimeSpan,
     frames: &FrameSender,
+    (slot, attempt): (&mut ServerSlot, &mut AttemptGuard),
 ) {
+    attempt.sent();
     let call = build(http, kept, request).send();
     let response = match tokio::time::timeout(left.to_std(), call).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if error.is_connect() => {
             // No connection, so no byte of the request has left.
             let reason = NotRunReason::ServerUnreachable;
-            give(frames, frames::not_run(reason, TimeSpan::ZERO)).await;
+            slot.fail(SlotEnd::Unreachable);
+            attempt.not_run(reason);
+            give(frames, frames::not_run(reason, REFUSAL_WAIT)).await;
             return;
         }
         Ok(Err(_error)) => {
             let lost = UnknownReason::ServerLost;
-            let frame = prove::outcome(http, kept, request, lost).await;
-            give(frames, frame).await;
-            return;
+            slot.fail(SlotEnd::Broken);
+            return find_out(http, kept, request, lost, frames, attempt).await;
         }
         Err(_elapsed) => {
             let passed = UnknownReason::DeadlinePassed;
-            let frame = prove::outcome(http, kept, request, passed).await;
-            give(frames, frame).await;
-            return;
+            slot.fail(SlotEnd::Broken);
+            return find_out(http, kept, request, passed, frames, attempt)
+                .await;
         }
     };
     if response.headers().contains_key(HEADER_STARTED) {
         let reason = NotRunReason::ServerRefused;
-        give(frames, frames::not_run(reason, TimeSpan::ZERO)).await;
+        slot.fail(SlotEnd::Refused);
+        attempt.not_run(reason);
+        give(frames, frames::not_run(reason, REFUSAL_WAIT)).await;
         return;
     }
     // Passing on another request's answer would show one caller the data of
@@ -93,10 +114,33 @@
     let echoed = response.headers().get(HEADER_REQUEST);
     if echoed.is_none_or(|id| id.as_bytes() != request.id.as_bytes()) {
         let crossed = UnknownReason::CrossedAnswer;
+        slot.fail(SlotEnd::Broken);
         give(frames, frames::unknown(crossed)).await;
         return;
     }
-    pass_on(response, request, frames).await;
+    slot.begin();
+    slot.fail(SlotEnd::Broken);
+    if pass_on(response, request, frames, Some(slot)).await {
+        slot.complete();
+        attempt.done();
+    }
+}
+
+/// Asks the server what became of the request, and answers so.
+async fn find_out(
+    http: &reqwest::Client,
+    kept: &KeptServer,
+    request: &ServerRequest,
+    otherwise: UnknownReason,
+    frames: &FrameSender,
+    attempt: &mut AttemptGuard,
+) {
+    let frame = prove::outcome(http, kept, request, otherwise).await;
+    if let Some(Frame::NotRun(not_run)) = &frame.frame {
+        let reason = NotRunReason::from_code(&not_run.reason);
+        attempt.not_run(reason.unwrap_or(NotRunReason::Cancelled));
+    }
+    give(frames, frame).await;
 }
 
 fn build(
@@ -119,12 +163,13 @@
         .body(request.body.clone())
 }
 
-/// Streams the answer; it is marked whole only if it is.
+/// Streams the answer; it is marked whole only if it is, which is told.
 pub(crate) async fn pass_on(
     response: Response,
     request: &ServerRequest,
     frames: &FrameSender,
-) {
+    slot: Option<&ServerSlot>,
+) -> bool {
     let length = response.content_length();
     let content_type = response.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
@@ -135,25 +180,30 @@
         request: request.id.to_string(),
     };
     if !give(frames, frames::head(head)).await {
-        return;
+        return false;
     }
     let mut passed = 0;
     let mut chunks = response.bytes_stream();
     while let Some(chunk) = chunks.next().await {
         let Ok(chunk) = chunk else {
-            return broken(frames).await;
+            broken(frames).await;
+            return false;
         };
         passed += chunk.len() as u64;
+        if let Some(slot) = slot {
+            slot.progress();
+        }
         if !give(frames, frames::data(chunk)).await {
-            return;
+            return false;
         }
     }
     // A connection that ends early can look like the end of the answer;
     // the announced length tells them apart.
     if length.is_some_and(|length| length != passed) {
-        return broken(frames).await;
+        broken(frames).await;
+        return false;
     }
-    give(frames, frames::end(passed)).await;
+    give(frames, frames::end(passed)).await
 }
 
 /// Ends the answer without its end mark.
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -1,13 +1,15 @@
 //! The peers' listener: gateways' requests for keys of kept servers.
 
-use std::{pin::Pin, sync::Arc};
+use std::{hash::Hasher, pin::Pin, sync::Arc, time::Duration};
 
 use futures_util::Stream;
+use goldcrestramp_decisions::{AttemptId, QueueRefusal, QueuedRequest};
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
-    RequestName, ServiceName, TimeSpan, slice_of,
+    RequestName, ServiceName, TimeSpan, UnknownReason, slice_of,
 };
 use goldcrestramp_wire::peer::{RouteFrame, RouteRequest, peer_server::Peer};
+use rustc_hash::FxHasher;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status};
@@ -15,10 +17,11 @@
 use crate::{
     context::NodeContext,
     keeper::{
-        frames,
-        gate::ServerGates,
-        prove, recover,
+        admission::{QueuePlace, ServerQueues},
+        attempts::{AttemptGuard, AttemptStep, ORDER_LONGEST, ServerAttempts},
+        frames, prove, recover,
         send::{self, FrameSender, ServerRequest},
+        slot::{ServerSlot, SlotEnd},
         view::KeptServer,
     },
 };
@@ -27,18 +30,23 @@
 /// a long answer never gathers in memory.
 const FRAME_QUEUE: usize = 8;
 
+/// How often a request that waits looks whether its slice has moved.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
 /// The gRPC service of the traffic threads.
 #[derive(Clone, Debug)]
 pub(crate) struct KeeperService {
     context: Arc<NodeContext>,
-    gates: Arc<ServerGates>,
+    queues: Arc<ServerQueues>,
+    attempts: ServerAttempts,
     http: reqwest::Client,
 }
 
 impl KeeperService {
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
-        let gates = Arc::new(ServerGates::default());
-        Self { context, gates, http: reqwest::Client::new() }
+        let queues = Arc::new(ServerQueues::new(Arc::clone(&context)));
+        let attempts = ServerAttempts::default();
+        Self { context, queues, attempts, http: reqwest::Client::new() }
     }
 
     /// Runs one request and hands its frames on.
@@ -73,24 +81,88 @@
             send::give(frames, self.elsewhere(&request)).await;
             return;
         };
-        let gate = self.gates.gate(&kept.order);
-        let left = request.deadline.since(self.context.now()).to_std();
-        let slot = match tokio::time::timeout(left, gate.acquire()).await {
-            Ok(Ok(slot)) => slot,
-            Ok(Err(_closed)) => {
-                return refuse(frames, NotRunReason::Draining).await;
+        let now = self.context.now();
+        match self.attempts.begin(now, &kept, &request) {
+            AttemptStep::Run(attempt) => {
+                self.queue(&kept, &request, frames, attempt).await;
+            }
+            AttemptStep::Fetch => {
+                recover::kept_answer(&self.http, &kept, &request, frames)
+                    .await;
             }
-            Err(_elapsed) => {
-                return refuse(frames, NotRunReason::DeadlinePassed).await;
+            AttemptStep::Recover => {
+                self.recover(&request, ORDER_LONGEST, frames).await;
             }
+            AttemptStep::Running => {
+                let reason = UnknownReason::StillRunning;
+                send::give(frames, frames::unknown(reason)).await;
+            }
+            AttemptStep::Refuse(reason) => refuse(frames, reason).await,
+        }
+    }
+
+    /// Waits for the request's turn and sends it.
+    async fn queue(
+        &self,
+        kept: &KeptServer,
+        request: &ServerRequest,
+        frames: &FrameSender,
+        mut attempt: AttemptGuard,
+    ) {
+        let queue = self.queues.queue(kept);
+        let turn = match queue.offer(queued(request)) {
+            Ok(mut place) => self.turn(&mut place, request).await,
+            Err(refusal) => Some(Err(refusal)),
         };
-        // The slice may have moved while the request waited.
-        let Some(kept) = self.find(&request) else {
-            send::give(frames, self.elsewhere(&request)).await;
+        match turn {
+            Some(Ok(slot)) => {
+                self.take_turn(slot, request, frames, attempt).await;
+            }
+            Some(Err(refusal)) => {
+                attempt.not_run(refusal.reason);
+                drop(attempt);
+                let QueueRefusal { reason, retry_after } = refusal;
+                send::give(frames, frames::not_run(reason, retry_after)).await;
+            }
+            None => {
+                drop(attempt);
+                send::give(frames, self.elsewhere(request)).await;
+            }
+        }
+    }
+
+    /// The request's turn; nothing if its slice moved while it waited.
+    ///
+    /// A server that is gone or frozen frees no slot, so the queue alone
+    /// would keep its requests though another server holds the slice.
+    async fn turn(
+        &self,
+        place: &mut QueuePlace,
+        request: &ServerRequest,
+    ) -> Option<Result<ServerSlot, QueueRefusal>> {
+        loop {
+            let turn = tokio::time::timeout(LOOK_EVERY, place.turn()).await;
+            if let Ok(turn) = turn {
+                return Some(turn);
+            }
+            self.find(request)?;
+        }
+    }
+
+    /// Sends a request that holds a slot, unless its slice has moved.
+    async fn take_turn(
+        &self,
+        slot: ServerSlot,
+        request: &ServerRequest,
+        frames: &FrameSender,
+        attempt: AttemptGuard,
+    ) {
+        let Some(kept) = self.find(request) else {
+            drop((slot, attempt));
+            send::give(frames, self.elsewhere(request)).await;
             return;
         };
-        self.send(&kept, &request, frames).await;
-        drop(slot);
+        self.send(&kept, request, frames, slot, attempt).await;
     }
 
     /// Finds out what became of a request that another keeper had.
@@ -120,14 +192,19 @@
         kept: &KeptServer,
         request: &ServerRequest,
         frames: &FrameSender,
+        slot: ServerSlot,
+        mut attempt: AttemptGuard,
     ) {
         let server = &kept.order.server;
         let once = request.class.effect() == RequestEffect::NonIdempotent;
         let running = &self.context.running;
         let guard = once.then(|| running.start(server, request.slice));
-        let mut cancel = CancelOnDrop::new(self, kept, request);
+        let mut cancel = CancelOnDrop::new(self, kept, request, slot);
         let left = request.deadline.since(self.context.now());
-        send::send(&self.http, kept, request, left, frames).await;
+        if let Some(call) = &mut cancel.call {
+            let notes = (&mut call.slot, &mut attempt);
+            send::send(&self.http, kept, request, left, frames, notes).await;
+        }
         cancel.disarm();
         drop(guard);
     }
@@ -147,6 +224,9 @@
             service,
             key: request.key,
             id: Arc::from(format!("{caller}/{name}")),
+            attempt: Some(AttemptId { caller: caller.clone(), request: name }),
+            caller,
+            resend: request.resend,
             class: RequestClass::from_code(&request.class)?,
             deadline: now + TimeSpan::from_micros(request.left_micros),
             body: request.body,
@@ -175,10 +255,33 @@
     send::give(frames, frames::not_run(reason, TimeSpan::ZERO)).await;
 }
 
+/// What the queue has to know of a request.
+fn queued(request: &ServerRequest) -> QueuedRequest {
+    let mut hasher = FxHasher::default();
+    hasher.write(&request.key);
+    QueuedRequest {
+        caller: request.caller.clone(),
+        weight: 1,
+        key_hash: hasher.finish(),
+        class: request.class,
+        deadline: request.deadline,
+    }
+}
+
 /// Cancels a request at its server when its caller has gone.
 #[derive(Debug)]
 struct CancelOnDrop {
-    call: Option<(reqwest::Client, KeptServer, Arc<str>)>,
+    call: Option<CancelCall>,
+}
+
+/// What a cancellation needs. It keeps the slot until the server has
+/// answered: what is being cancelled still holds it there.
+#[derive(Debug)]
+struct CancelCall {
+    http: reqwest::Client,
+    kept: KeptServer,
+    id: Arc<str>,
+    slot: ServerSlot,
 }
 
 impl CancelOnDrop {
@@ -186,9 +289,11 @@
         service: &KeeperService,
         kept: &KeptServer,
         request: &ServerRequest,
+        slot: ServerSlot,
     ) -> Self {
         let http = service.http.clone();
-        Self { call: Some((http, kept.clone(), Arc::clone(&request.id))) }
+        let id = Arc::clone(&request.id);
+        Self { call: Some(CancelCall { http, kept: kept.clone(), id, slot }) }
     }
 
     /// The request has its answer: there is nothing to cancel.
@@ -199,12 +304,15 @@
 
 impl Drop for CancelOnDrop {
     fn drop(&mut self) {
-        let Some((http, kept, id)) = self.call.take() else {
+        let Some(mut call) = self.call.take() else {
             return;
         };
+        call.slot.fail(SlotEnd::Cancelled);
         tokio::spawn(async move {
             // Whether it was in time does not matter to a caller that left.
-            let _report = prove::cancel(&http, &kept, &id).await;
+            let _report =
+                prove::cancel(&call.http, &call.kept, &call.id).await;
+            drop(call.slot);
         });
     }
 }
