--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -35,7 +35,11 @@
         ServerReport, ServerState, SliceLoad,
     },
     plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
-    planner::{ServiceRecord, SliceHolding},
+    planner::{
+        DomainMove, DomainShare, DomainView, PlannerRound, RecordDomain,
+        RecordStage, ServicePolicy, ServiceRecord, SliceHolding, ViewStage,
+        domain_plan,
+    },
     roster::{RosterVoter, VoterRoster},
     safeguard::{Safeguard, Safeguards},
     steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
