--- /dev/null
+++ b/goldcrestramp-node/tests/admission.rs
@@ -0,0 +1,126 @@
+//! What callers of a full server receive, and what it is sent.
+
+mod one_node;
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use reqwest::{Method, Response};
+
+use crate::one_node::OneNode;
+
+/// A deadline that no machine is too slow for.
+const PATIENT_MS: u64 = 20_000;
+
+fn outcome(answer: &Response) -> String {
+    let outcome = &answer.headers()["goldcrestramp-outcome"];
+    outcome.to_str().expect("a code").to_owned()
+}
+
+/// A caller sends sixty lookups at once to a server that does ten in their
+/// time. Those that cannot be served are refused, and told when to come
+/// back; another caller's lookups meanwhile are all served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_hot_caller_is_refused_and_another_is_served() {
+    let one = OneNode::spawn(2, 50).await;
+    let hot = (0..60).map(|number| {
+        let key = format!("k{number}");
+        one.request(Method::GET, &key, "hot", 300).send()
+    });
+    let rare = async {
+        let mut outcomes = Vec::new();
+        for number in 0..5 {
+            let key = format!("r{number}");
+            let ask = one.request(Method::GET, &key, "rare", PATIENT_MS);
+            outcomes.push(outcome(&ask.send().await.expect("an answer")));
+        }
+        outcomes
+    };
+    let (hot, rare) = tokio::join!(join_all(hot), rare);
+
+    let hot: Vec<_> = hot.into_iter().map(|a| a.expect("an answer")).collect();
+    let refused: Vec<_> =
+        hot.iter().filter(|answer| outcome(answer) == "not-run").collect();
+    assert!(!refused.is_empty(), "sixty take 1.5 s of two slots");
+    for answer in refused {
+        let headers = answer.headers();
+        assert!(headers.contains_key("retry-after"), "{headers:?}");
+        assert!(headers.contains_key("goldcrestramp-retry-after-ms"));
+    }
+    assert_eq!(rare, ["done"; 5]);
+}
+
+/// More requests wait than the server has slots: it runs no more of them at
+/// once than those.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_server_runs_no_more_at_once_than_its_slots() {
+    const SLOTS: usize = 2;
+    const WORK_MS: u64 = 20;
+    let one = OneNode::spawn(2, WORK_MS).await;
+    let asks = (0..20).map(|number| {
+        let (key, caller) = (format!("k{number}"), format!("c{}", number % 4));
+        one.request(Method::GET, &key, &caller, PATIENT_MS).send()
+    });
+    for answer in join_all(asks).await {
+        assert_eq!(outcome(&answer.expect("an answer")), "done");
+    }
+
+    let mut starts: Vec<_> =
+        one.server.log().iter().map(|entry| entry.started).collect();
+    starts.sort_unstable();
+    for (first, later) in starts.iter().zip(&starts[SLOTS..]) {
+        assert!(later - first >= WORK_MS * 1_000, "{starts:?}");
+    }
+}
+
+/// A phone sends an order, loses patience and sends it twice more: while it
+/// runs, and after it has ended. The server sees it once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_resent_order_is_executed_once() {
+    let one = OneNode::spawn(2, 300).await;
+    let order = |resend: &'static str| {
+        one.request(Method::POST, "rice", "tienda", PATIENT_MS)
+            .header("goldcrestramp-request", "order-1")
+            .header("goldcrestramp-resend", resend)
+            .body("5 sacks")
+            .send()
+    };
+    let first = tokio::spawn(order("false"));
+    let started = async {
+        while !one.server.log().iter().any(|e| e.request.ends_with("order-1"))
+        {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    started.await;
+    let second = order("true").await.expect("an answer");
+    let first = first.await.expect("no panic").expect("an answer");
+    let third = order("true").await.expect("an answer");
+
+    assert_eq!(outcome(&second), "unknown");
+    assert_eq!(outcome(&first), "done");
+    assert_ne!(outcome(&third), "not-run");
+    let log = one.server.log();
+    let runs = log.iter().filter(|e| e.request.ends_with("order-1")).count();
+    assert_eq!(runs, 1);
+}
+
+/// A caller hangs up while its lookups wait: they never reach the server,
+/// and their places are free for others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_caller_that_hangs_up_leaves_the_queue() {
+    let one = OneNode::spawn(1, 200).await;
+    let gone = (0..10).map(|number| {
+        let key = format!("gone-{number}");
+        one.request(Method::GET, &key, "gone", PATIENT_MS).send()
+    });
+    let hung_up =
+        tokio::time::timeout(Duration::from_millis(100), join_all(gone)).await;
+    assert!(hung_up.is_err(), "ten take two seconds");
+    let ask = one.request(Method::GET, "k", "here", PATIENT_MS).send();
+    let answer = ask.await.expect("an answer");
+
+    assert_eq!(outcome(&answer), "done");
+    let served = one.server.log().len();
+    assert!(served < 12, "all of {served} were sent");
+}
--- /dev/null
+++ b/goldcrestramp-node/tests/one_node/mod.rs
@@ -0,0 +1,132 @@
+//! One daemon, one server and the platform, in this process.
+
+use std::{net::SocketAddr, time::Duration};
+
+use goldcrestramp_config::NodeSettings;
+use goldcrestramp_node::NodeHandle;
+use goldcrestramp_platform::{VmEntry, VmState};
+use goldcrestramp_standins::{
+    platform::PlatformStandin,
+    server::{ServerBehaviour, ServerStandin},
+};
+use goldcrestramp_types::{DomainName, RegionName, VmName};
+use reqwest::{Method, RequestBuilder};
+use serde_json::json;
+
+const DOMAIN: &str = "sierra-a";
+/// Longer than anything here takes; only a failed test sees it.
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// What a test talks to.
+pub(crate) struct OneNode {
+    pub(crate) server: ServerStandin,
+    node: NodeHandle,
+    http: reqwest::Client,
+    _platform: PlatformStandin,
+}
+
+impl OneNode {
+    /// Starts all three; the server has `slots` slots, and each request
+    /// takes `work_ms`.
+    pub(crate) async fn spawn(slots: u32, work_ms: u64) -> Self {
+        let platform = PlatformStandin::bind(loopback()).await.expect("bound");
+        let behaviour =
+            ServerBehaviour { work_ms, ..ServerBehaviour::default() };
+        let server = ServerStandin::bind(loopback(), behaviour).await;
+        let server = server.expect("bound");
+        put_config(platform.address(), server.address(), slots).await;
+        let settings = settings(platform.address());
+        platform.set_vms(vec![vm_entry(&settings)]);
+        let node = NodeHandle::spawn(settings).await.expect("started");
+        let http = reqwest::Client::new();
+        let one = Self { server, node, http, _platform: platform };
+        one.wait_until_served().await;
+        one
+    }
+
+    /// A request for a key by a caller with a deadline.
+    pub(crate) fn request(
+        &self,
+        method: Method,
+        key: &str,
+        caller: &str,
+        deadline_ms: u64,
+    ) -> RequestBuilder {
+        let callers = self.node.addresses().callers;
+        let url = format!("http://{callers}/v1/stock/{key}");
+        self.http
+            .request(method, url)
+            .header("goldcrestramp-caller", caller)
+            .header("goldcrestramp-deadline-ms", deadline_ms)
+    }
+
+    async fn wait_until_served(&self) {
+        let asking = async {
+            loop {
+                let ask = self.request(Method::GET, "first", "probe", 5_000);
+                let answer = ask.send().await.expect("an answer");
+                if answer.status().is_success() {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, asking).await.expect("served in time");
+    }
+}
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn settings(platform: SocketAddr) -> NodeSettings {
+    let port = || {
+        let listener =
+            std::net::TcpListener::bind(loopback()).expect("a port");
+        listener.local_addr().expect("an address")
+    };
+    let value = json!({
+        "deployment": "one-node",
+        "vm": "vm-0",
+        "domain": DOMAIN,
+        "region": "sierra",
+        "callers_listen": port(),
+        "peers_listen": port(),
+        "control_listen": port(),
+        "platform_url": format!("http://{platform}"),
+        "operators": { "listen": "127.0.0.1:0" },
+    });
+    serde_json::from_value(value).expect("settings")
+}
+
+fn vm_entry(settings: &NodeSettings) -> VmEntry {
+    VmEntry {
+        name: VmName::new(settings.vm.as_str()).expect("a name"),
+        domain: DomainName::new(DOMAIN).expect("a name"),
+        region: RegionName::new("sierra").expect("a name"),
+        address: settings.control_listen.to_string(),
+        state: VmState::Live,
+    }
+}
+
+async fn put_config(platform: SocketAddr, server: SocketAddr, slots: u32) {
+    let state = json!({
+        "version": 1,
+        "domains": [{ "name": DOMAIN, "region": "sierra" }],
+        "services": [{ "name": "stock", "slices": 64 }],
+        "servers": [{
+            "name": "stock-0",
+            "service": "stock",
+            "domain": DOMAIN,
+            "address": server,
+            "slots": slots,
+            "connections": 120,
+            "checks_fence": true,
+        }],
+    });
+    let url = format!("http://{platform}/kv/config");
+    let put = reqwest::Client::new().put(url);
+    let put = put.header("if-none-match", "*").body(state.to_string());
+    let status = put.send().await.expect("an answer").status();
+    assert!(status.is_success());
+}
