Place slices by load, where the saving outweighs the cost

Cause: slices stayed where the first placement or a loss had left them, so a server with hot keys queued while others idled.

Change: goldcrestramp-decisions::placement, pure. It estimates each slice's load from reports that name only the heaviest, asks for moves when a place is out of a band around the mean, and only while the waiting saved within a minute exceeds what the handover and a cold start cost, within a budget. The hottest slice of a server stays and others leave; slices with long work stay. A hash placement and a greedy one are kept as baselines.

Tried first: no hot slice might move at all.

Not proved: that a handover takes 0.6 s and a cold start costs 1 request-second on real servers.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -7,6 +7,7 @@
 happens without it, and where its figures come from.
 
 - [`GatewayLimit`]: what a gateway may have under way, shared by caller.
+- [`PlacementPlanner`]: which server gets which slice.
 - [`ServerQueue`]: the one queue in front of a backend server.
 - [`ServerLimit`]: how many requests a server is given at once.
 - [`AttemptMemory`]: at most once across a caller's own resends.
@@ -22,6 +23,7 @@
 mod gateway;
 mod limit;
 mod link;
+mod placement;
 mod queue;
 mod retry;
 
@@ -37,6 +39,11 @@
         ServerLimit, ServerSign,
     },
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
+    placement::{
+        LoadEstimate, PlaceReport, PlaceView, PlacementPlanner,
+        PlacementSettings, PlannedMove, assign_orphans, greedy_moves,
+        hash_placement, waiting_requests,
+    },
     queue::{
         CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent,
         QueueRefusal, QueueSettings, QueuedRequest, RequestKey, ServerQueue,
