--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -22,11 +22,13 @@
             PermitNotice, RosterNotice, StatusAsk, StewardAsk, StewardNotice,
             StewardPlace, TableNotice, TickNotice, VmsNotice, VoteAsk,
         },
+        permit_stream::{PermitQuestion, PermitStream},
         permits::StewardSearch,
         plans, reader,
         status::ControlStatus,
         tables::TableHub,
     },
+    convert,
     keeper::KeeperView,
 };
 
@@ -43,6 +45,7 @@
     store: PlatformClient,
     hub: Arc<TableHub>,
     search: StewardSearch,
+    permits: PermitStream,
     address: Option<WeakAddress<Self>>,
     ask_at: LocalTime,
     asking: bool,
@@ -83,6 +86,7 @@
             store,
             hub,
             search: StewardSearch::default(),
+            permits: PermitStream::default(),
             address: None,
             ask_at: now,
             asking: false,
@@ -202,7 +206,7 @@
         }
         self.ask_at = now + self.timing.renew_every;
         let report = self.report(now);
-        if self.steward.status(now).leading {
+        if self.steward.leads(now) {
             let answer = self.steward.permit(now, report);
             self.keeper.permitted(now, now, answer);
             self.publish_view();
@@ -215,12 +219,13 @@
             return;
         };
         self.asking = true;
-        let links = self.links.clone();
-        let domain = self.context.domain().clone();
-        tokio::spawn(async move {
-            let answer = links.permit(&address, &domain, &report).await;
-            drop(actor.send(PermitNotice { sent: now, answer }).await);
-        });
+        let domain = self.context.domain();
+        let question = PermitQuestion {
+            sent: now,
+            address,
+            message: convert::report_out(&report, domain),
+        };
+        self.permits.ask(&self.links, actor, question);
     }
 
     fn report(&mut self, now: LocalTime) -> KeeperReport {
@@ -279,7 +284,7 @@
     }
 
     fn show_leading(&mut self) {
-        let leading = self.steward.status(self.context.now()).leading;
+        let leading = self.steward.leads(self.context.now());
         self.context.metrics.set_leading(leading);
         self.leading.send_if_modified(|shown| {
             let changed = *shown != leading;
@@ -524,7 +529,7 @@
         _: StewardAsk,
         _: &mut Context<Self>,
     ) -> StewardPlace {
-        if self.steward.status(self.context.now()).leading {
+        if self.steward.leads(self.context.now()) {
             return StewardPlace::Here;
         }
         match self.search.known() {
