Draw the ports of test daemons on a host of their own

Cause: landing failed once with 'Address already in use' in the test of the whole path. It drew ports on 127.0.0.1 one by one and let them go; since daemons bind an operators' listener on port 0 there, that listener, or any outgoing connection, could take a drawn port before its daemon did.

Change: all ports are drawn together, on a loopback host of the test process's own, and the operators' listener has one of them. The assertions are as before.

--- a/goldcrestramp-node/tests/one_node/mod.rs
+++ b/goldcrestramp-node/tests/one_node/mod.rs
@@ -1,6 +1,9 @@
 //! One daemon, one server and the platform, in this process.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    time::Duration,
+};
 
 use goldcrestramp_config::NodeSettings;
 use goldcrestramp_node::NodeHandle;
@@ -80,21 +83,23 @@
 }
 
 fn settings(platform: SocketAddr) -> NodeSettings {
-    let port = || {
-        let listener =
-            std::net::TcpListener::bind(loopback()).expect("a port");
-        listener.local_addr().expect("an address")
-    };
+    // A host of this process's own: no connection or other listener takes
+    // a drawn port before the daemon binds it.
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, 64 + (high & 0x3f), low, 3);
+    let drawn: [TcpListener; 4] =
+        std::array::from_fn(|_| TcpListener::bind((host, 0)).expect("a port"));
+    let listen = drawn.each_ref().map(|one| one.local_addr().expect("bound"));
     let value = json!({
         "deployment": "one-node",
         "vm": "vm-0",
         "domain": DOMAIN,
         "region": "sierra",
-        "callers_listen": port(),
-        "peers_listen": port(),
-        "control_listen": port(),
+        "callers_listen": listen[0],
+        "peers_listen": listen[1],
+        "control_listen": listen[2],
         "platform_url": format!("http://{platform}"),
-        "operators": { "listen": "127.0.0.1:0" },
+        "operators": { "listen": listen[3] },
     });
     serde_json::from_value(value).expect("settings")
 }
--- a/goldcrestramp-node/tests/path.rs
+++ b/goldcrestramp-node/tests/path.rs
@@ -1,6 +1,9 @@
 //! The whole path in one process: callers, daemons, servers, platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    time::Duration,
+};
 
 use goldcrestramp_config::NodeSettings;
 use goldcrestramp_node::NodeHandle;
@@ -20,23 +23,36 @@
     "127.0.0.1:0".parse().expect("an address")
 }
 
-fn settings(vm: &str, platform: SocketAddr) -> NodeSettings {
-    // Ports are drawn first, because peers must know them.
-    let port = || {
-        let listener =
-            std::net::TcpListener::bind(loopback()).expect("a port");
-        listener.local_addr().expect("an address")
-    };
+/// Addresses on which nothing listens, drawn together because peers must
+/// know them before the daemons start.
+///
+/// They stand on a host of this process's own, where no connection or
+/// other listener can take a drawn port before its daemon binds it.
+fn draw_addresses(count: usize) -> Vec<SocketAddr> {
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, 64 + (high & 0x3f), low, 2);
+    let listeners: Vec<_> = (0..count)
+        .map(|_| TcpListener::bind((host, 0)).expect("a port"))
+        .collect();
+    let addresses = listeners.iter().map(TcpListener::local_addr);
+    addresses.map(|one| one.expect("an address")).collect()
+}
+
+fn settings(
+    vm: &str,
+    platform: SocketAddr,
+    listen: &[SocketAddr],
+) -> NodeSettings {
     let value = json!({
         "deployment": "path",
         "vm": vm,
         "domain": DOMAIN,
         "region": "sierra",
-        "callers_listen": port(),
-        "peers_listen": port(),
-        "control_listen": port(),
+        "callers_listen": listen[0],
+        "peers_listen": listen[1],
+        "control_listen": listen[2],
         "platform_url": format!("http://{platform}"),
-        "operators": { "listen": "127.0.0.1:0" },
+        "operators": { "listen": listen[3] },
     });
     serde_json::from_value(value).expect("settings")
 }
@@ -106,8 +122,12 @@
     let listening: Vec<_> =
         servers.iter().map(ServerStandin::address).collect();
     put_config(address, &listening).await;
-    let all: Vec<_> = (0..3)
-        .map(|number| settings(&format!("vm-{number}"), address))
+    let listen = draw_addresses(12);
+    let all: Vec<_> = (0..)
+        .zip(listen.chunks(4))
+        .map(|(n, listen): (u32, _)| {
+            settings(&format!("vm-{n}"), address, listen)
+        })
         .collect();
     platform.set_vms(all.iter().map(vm_entry).collect());
     let mut nodes = Vec::new();
