--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -15,6 +15,7 @@
 
 pub use crate::control::status::ControlStatus;
 pub(crate) use crate::control::{
-    messages::{DrainedAsk, StatusAsk},
+    actor::ControlActor,
+    messages::{ConfigNotice, DrainedAsk, StatusAsk},
     thread::ControlThread,
 };
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -121,6 +121,7 @@
     ));
     tokio::spawn(reader::watch_config(
         store.clone(),
+        Arc::clone(&hub),
         leading.subscribe(),
         actor.clone(),
     ));
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod handle;
 mod keeper;
 mod metrics;
+mod operate;
 mod operators;
 mod peers;
 mod routing;
