--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -15,7 +15,6 @@
 
 pub use crate::control::status::ControlStatus;
 pub(crate) use crate::control::{
-    actor::ControlActor,
-    messages::{ConfigNotice, DrainedAsk, StatusAsk},
+    messages::{DrainedAsk, StatusAsk},
     thread::ControlThread,
 };
--- a/goldcrestramp-node/src/control/reader.rs
+++ b/goldcrestramp-node/src/control/reader.rs
@@ -20,9 +20,7 @@
     actor::ControlActor,
     messages::{ConfigNotice, HomesNotice, RosterNotice, VmsNotice},
     plans::{self, HomesRecord, ServiceHomes},
-    tables::TableHub,
 };
-use crate::operators::restore_config;
 
 /// The key of the accepted configuration.
 const CONFIG_KEY: &str = "config";
@@ -88,7 +86,6 @@
 /// While this VM leads, watches the configuration for its domain.
 pub(crate) async fn watch_config(
     store: PlatformClient,
-    hub: Arc<TableHub>,
     mut leading: watch::Receiver<bool>,
     actor: Address<ControlActor>,
 ) {
@@ -99,7 +96,7 @@
             Ok(Some(stored)) => {
                 seen = stored.version;
                 wait = Backoff::new();
-                let taken = take_newer(&store, &hub, &stored.value, &actor);
+                let taken = take_config(&store, &stored.value, &actor);
                 if taken.await.is_err() {
                     seen = 0;
                     wait.pause().await;
@@ -114,31 +111,6 @@
     }
 }
 
-/// Takes a configuration, or writes back what the store has lost.
-///
-/// A store that came back with older data would otherwise hand old rules to
-/// every VM that starts, while the others follow the newer ones.
-async fn take_newer(
-    store: &PlatformClient,
-    hub: &TableHub,
-    value: &Bytes,
-    actor: &Address<ControlActor>,
-) -> Result<(), StoreError> {
-    let held = hub.set().config.clone();
-    let read = decode::<DeploymentState>(value);
-    let older = match (&held, &read) {
-        (Some(held), Some(read)) => read.version < held.version,
-        _ => false,
-    };
-    if let Some(held) = held.filter(|_| older) {
-        log::warn!("store: it came back with an older configuration.");
-        let joined = restore_config(store, &held).await?;
-        drop(actor.send(ConfigNotice(Arc::new(joined))).await);
-        return Ok(());
-    }
-    take_config(store, value, actor).await
-}
-
 /// While this VM leads, reads the VM list for its domain.
 pub(crate) async fn watch_vms(
     store: PlatformClient,
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -121,7 +121,6 @@
     ));
     tokio::spawn(reader::watch_config(
         store.clone(),
-        Arc::clone(&hub),
         leading.subscribe(),
         actor.clone(),
     ));
--- a/goldcrestramp-node/src/handle.rs
+++ b/goldcrestramp-node/src/handle.rs
@@ -15,8 +15,6 @@
     faults::NodeFaults,
     gateway::{CallerListener, gateway_routes},
     keeper::KeeperService,
-    operate::DaemonControl,
-    operators::{OperatorPolicy, operator_routes},
 };
 
 /// How often a stopping daemon looks whether it is done.
@@ -31,8 +29,6 @@
     pub peers: SocketAddr,
     /// For peers' control messages.
     pub control: SocketAddr,
-    /// For operators.
-    pub operators: SocketAddr,
 }
 
 /// A running daemon; dropping it ends it at once, as a loss would.
@@ -42,7 +38,6 @@
     control: ControlThread,
     callers: CallerListener,
     peers: JoinHandle<()>,
-    _operators: CallerListener,
     addresses: NodeAddresses,
     counts: Arc<CallCounts>,
 }
@@ -65,8 +60,7 @@
         let peers = TcpListener::bind(context.settings.peers_listen).await?;
         let peers_address = peers.local_addr()?;
         let control =
-            ControlThread::spawn(Arc::clone(&context), store.clone()).await?;
-        let operators = serve_operators(&context, &control, store).await?;
+            ControlThread::spawn(Arc::clone(&context), store).await?;
         let routes = gateway_routes(Arc::clone(&context));
         let listen = context.settings.callers_listen;
         let callers = CallerListener::bind(listen, routes).await?;
@@ -74,19 +68,10 @@
             callers: callers.address(),
             peers: peers_address,
             control: control.address,
-            operators: operators.address(),
         };
         let peers = serve_peers(&context, peers);
         log::info!("gateway: callers are served at {}.", addresses.callers);
-        Ok(Self {
-            context,
-            control,
-            callers,
-            peers,
-            _operators: operators,
-            addresses,
-            counts,
-        })
+        Ok(Self { context, control, callers, peers, addresses, counts })
     }
 
     /// Where it listens.
@@ -140,22 +125,6 @@
     }
 }
 
-async fn serve_operators(
-    context: &Arc<NodeContext>,
-    control: &ControlThread,
-    store: PlatformClient,
-) -> eyre::Result<CallerListener> {
-    let settings = &context.settings.operators;
-    let policy = OperatorPolicy::open(settings)?;
-    let daemon = DaemonControl {
-        context: Arc::clone(context),
-        actor: control.actor.clone(),
-        store,
-    };
-    let routes = operator_routes(daemon, policy);
-    Ok(CallerListener::bind(settings.listen, routes).await?)
-}
-
 fn serve_peers(
     context: &Arc<NodeContext>,
     listener: TcpListener,
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -15,7 +15,6 @@
 mod handle;
 mod keeper;
 mod metrics;
-mod operate;
 mod operators;
 mod peers;
 mod routing;
--- a/goldcrestramp-node/src/metrics.rs
+++ b/goldcrestramp-node/src/metrics.rs
@@ -26,7 +26,6 @@
     store_calls: Family<ReasonLabel, Counter>,
     control_messages: Family<ReasonLabel, Counter>,
     control_bytes: Counter,
-    operator_refusals: Family<ReasonLabel, Counter>,
     leading: Gauge,
 }
 
@@ -42,7 +41,6 @@
             store_calls: Family::default(),
             control_messages: Family::default(),
             control_bytes: Counter::default(),
-            operator_refusals: Family::default(),
             leading: Gauge::default(),
         };
         metrics.register();
@@ -93,11 +91,6 @@
             "Bytes of control messages sent and received, without framing",
             self.control_bytes.clone(),
         );
-        registry.register(
-            "operator_refusals",
-            "Operators' requests that were refused, by reason",
-            self.operator_refusals.clone(),
-        );
         registry.register(
             "steward_leading",
             "1 while this VM is its failure domain's steward",
@@ -130,23 +123,6 @@
         self.retries.get_or_create(&label(reason.code())).inc();
     }
 
-    /// Counts an operator's request that was refused.
-    pub fn count_operator_refusal(&self, reason: &'static str) {
-        self.operator_refusals.get_or_create(&label(reason)).inc();
-    }
-
-    /// Requests that did not run, by reason; reasons that never came are
-    /// left out.
-    #[must_use]
-    pub fn refused(&self) -> Vec<(String, u64)> {
-        let counts = NotRunReason::ALL.iter().map(|reason| {
-            let code = reason.code();
-            let count = self.not_run.get_or_create(&label(code)).get();
-            (code.to_owned(), count)
-        });
-        counts.filter(|(_, count)| *count > 0).collect()
-    }
-
     /// Counts a control message of this kind, sent or received, of so many
     /// bytes.
     pub fn count_control(&self, kind: &'static str, bytes: usize) {
--- a/goldcrestramp-node/src/routing.rs
+++ b/goldcrestramp-node/src/routing.rs
@@ -85,11 +85,6 @@
         Self { services }
     }
 
-    /// Whether no service has a table yet.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.services.is_empty()
-    }
-
     /// The routes of a service.
     pub(crate) fn service(
         &self,
