Bound slow readers, weigh callers, and report slot time by slice

Cause: a reader that stalled held a server's slot for good; the weights that operators give callers were not used; the steward's reports said nothing of load, though the message has room for it. Also found on the way: a request whose answer had begun counted as silence of its server, so one stalled phone would have had the server held as frozen.

Change: an answer that has not moved for 5 s while others wait (60 s if none does) ends without its end mark; silence counts only until an answer begins (`ServerLimit::replied`); the configuration's weights reach the queue; slot time is added up by slice, and the heaviest 64 are reported.

Proof: pure tests of each; a weight of 3 beside one of 1 gets 74 to 76 of 100 slots. The stall is not yet tested over sockets, since the stand-in server sends no long answers.

Conclusion: what a planner needs to see hot slices is now in the reports.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -12,6 +12,8 @@
 - [`AttemptMemory`]: at most once across a caller's own resends.
 - [`RetryPolicy`]: whether a failed attempt is made again.
 - [`LinkShare`]: the short link between two regions.
+- [`ServerLoad`]: what a server's slots were used for.
+- [`is_reader_lost`]: how long a stalled reader may hold a slot.
 - [`span_to_send`]: a deadline that crosses to another process.
 - [`baseline`]: two simple ways, kept to be measured against.
 */
@@ -22,7 +24,9 @@
 mod gateway;
 mod limit;
 mod link;
+mod load;
 mod queue;
+mod reader;
 mod retry;
 
 pub use crate::{
@@ -37,10 +41,12 @@
         ServerLimit, ServerSign,
     },
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
+    load::{LoadReading, REPORTED_SLICES, ServerLoad},
     queue::{
         CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent,
         QueueRefusal, QueueSettings, QueuedRequest, RequestKey, ServerQueue,
     },
+    reader::is_reader_lost,
     retry::{
         AttemptStart, FailedAttempt, REDIRECT_LIMIT, RetryDecision,
         RetryPolicy,
--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -117,6 +117,7 @@
 /// assert_eq!(limit.verdict(now), LimitVerdict::Open(1));
 /// for _ in 0..3 {
 ///     limit.started(now, goldcrestramp_types::RequestClass::Lookup);
+///     limit.replied(now);
 ///     limit.finished(now, ServerSign::Broken, 0);
 /// }
 /// assert!(matches!(limit.verdict(now), LimitVerdict::Held(_)));
@@ -188,9 +189,17 @@
         self.answered();
     }
 
+    /// Notes that a request no longer waits for the begin of its answer.
+    ///
+    /// Called once for each that was started, before its end at the latest.
+    /// Only the begin is waited for: an answer under way stands still when
+    /// its reader does, which says nothing of the server.
+    pub const fn replied(&mut self, now: LocalTime) {
+        self.pace.replied(now);
+    }
+
     /// Notes how a request ended; `random` spreads the next probe.
     pub fn finished(&mut self, now: LocalTime, sign: ServerSign, random: u64) {
-        self.pace.ended(now);
         match sign {
             ServerSign::Answered(class, span) => {
                 self.pace.record(now, class, span);
--- a/goldcrestramp-decisions/src/limit/pace.rs
+++ b/goldcrestramp-decisions/src/limit/pace.rs
@@ -38,8 +38,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ServerPace {
     classes: [ClassPace; 3],
+    /// Requests whose answers have not begun.
     running: u32,
-    /// Whether a long answer may be among what runs.
+    /// Whether a long answer may be among them.
     long_runs: bool,
     alive_at: LocalTime,
     slow_since: Option<LocalTime>,
@@ -69,7 +70,7 @@
         self.alive_at = now;
     }
 
-    pub(crate) const fn ended(&mut self, now: LocalTime) {
+    pub(crate) const fn replied(&mut self, now: LocalTime) {
         self.running = self.running.saturating_sub(1);
         self.alive_at = now;
     }
@@ -106,8 +107,8 @@
 
     /// When the silence of what runs becomes a sign.
     ///
-    /// A long answer sends parts, but may take its slot time before the
-    /// first, so its class decides while one runs.
+    /// A long answer may take most of its slot time before its first byte,
+    /// so its class decides while one is awaited.
     pub(crate) fn silent_at(&self) -> Option<LocalTime> {
         if self.running == 0 {
             return None;
--- a/goldcrestramp-decisions/tests/limit.rs
+++ b/goldcrestramp-decisions/tests/limit.rs
@@ -17,6 +17,7 @@
 /// Sends one request at `now` that ends with `sign` after `millis`.
 fn run(limit: &mut ServerLimit, now: u64, millis: u64, sign: ServerSign) {
     limit.started(at(now), RequestClass::Lookup);
+    limit.replied(at(now + millis));
     limit.finished(at(now + millis), sign, 0);
 }
 
@@ -57,6 +58,7 @@
         limit.started(at(2_000), RequestClass::Lookup);
     }
     for _ in 0..4 {
+        limit.replied(at(2_001));
         limit.finished(at(2_001), ServerSign::Refused, 0);
     }
     assert_eq!(limit.verdict(at(2_001)), LimitVerdict::Open(2));
@@ -84,6 +86,17 @@
     assert_eq!(limit.advice(at(3_300)), OwnerAdvice::MoveAway);
 }
 
+/// A phone stops reading a download that has begun: the server is not taken
+/// for frozen.
+#[test]
+fn an_answer_that_has_begun_is_no_silence() {
+    let mut limit = warm();
+    limit.started(at(2_000), RequestClass::Long);
+    assert_eq!(limit.wake_at(), Some(at(12_000)));
+    limit.replied(at(2_100));
+    assert_eq!(limit.wake_at(), None);
+}
+
 #[test]
 fn a_server_that_is_back_is_trusted_by_degrees() {
     let mut limit = warm();
--- a/goldcrestramp-decisions/tests/overload/policy.rs
+++ b/goldcrestramp-decisions/tests/overload/policy.rs
@@ -129,6 +129,7 @@
         self.tickets.remove(&(server, key));
         let (queue, limit) = &mut self.servers[server];
         queue.finished(now, key, CompletionOutcome::Answered);
+        limit.replied(now);
         limit.finished(now, ServerSign::Answered(class, span), 0);
     }
 
--- a/goldcrestramp-decisions/tests/queue.rs
+++ b/goldcrestramp-decisions/tests/queue.rs
@@ -301,3 +301,30 @@
     queue.set_limit(LimitVerdict::Open(1));
     assert_eq!(poll_all(&mut queue, at(300)), [QueueEvent::Start(patient)]);
 }
+
+#[test]
+fn shares_follow_the_weights() {
+    let mut queue = queue(1, 1_000);
+    let mut heavy = Vec::new();
+    for turn in 0..200 {
+        for (caller, weight) in [("heavy", 3), ("light", 1)] {
+            let request = lookup(caller, at(60_000 + turn));
+            let request = QueuedRequest { weight, ..request };
+            let key = admit(&mut queue, at(0), request);
+            if weight == 3 {
+                heavy.push(key);
+            }
+        }
+    }
+    let mut served = 0;
+    for turn in 0..100 {
+        let now = at(turn * 5);
+        for event in poll_all(&mut queue, now) {
+            if let QueueEvent::Start(key) = event {
+                end(&mut queue, now + SERVICE, key);
+                served += u64::from(heavy.contains(&key));
+            }
+        }
+    }
+    assert!((74..=76).contains(&served), "{served} of 100");
+}
--- a/goldcrestramp-node/src/context.rs
+++ b/goldcrestramp-node/src/context.rs
@@ -8,15 +8,19 @@
 use arc_swap::ArcSwap;
 use goldcrestramp_config::NodeSettings;
 use goldcrestramp_types::{
-    ClockSource, DomainName, LocalTime, MonotonicClock, VmName,
+    CallerName, ClockSource, DomainName, FastMap, LocalTime, MonotonicClock,
+    VmName,
 };
 use tokio::sync::watch;
 
 use crate::{
-    faults::NodeFaults, keeper::KeeperView, metrics::NodeMetrics,
-    routing::RoutingTable, running::RunningWork,
+    faults::NodeFaults, keeper::KeeperView, load::ServerLoads,
+    metrics::NodeMetrics, routing::RoutingTable, running::RunningWork,
 };
 
+/// The weights of callers that operators have named.
+pub(crate) type CallerWeights = FastMap<CallerName, u32>;
+
 /// The shared state of one daemon: settings, snapshots and counters.
 #[derive(Debug)]
 pub struct NodeContext {
@@ -36,6 +40,10 @@
     pub(crate) view: ArcSwap<KeeperView>,
     /// Non-idempotent work that this VM has under way, by slice.
     pub(crate) running: RunningWork,
+    /// Slot time used at the servers that this VM keeps.
+    pub(crate) loads: ServerLoads,
+    /// The weights of callers in fair shares; 1 for those not named.
+    pub(crate) weights: ArcSwap<CallerWeights>,
     leaving: AtomicBool,
     requests: AtomicUsize,
 }
@@ -53,6 +61,8 @@
             table_changed: watch::Sender::new(0),
             view: ArcSwap::default(),
             running: RunningWork::default(),
+            loads: ServerLoads::default(),
+            weights: ArcSwap::default(),
             leaving: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
         }
--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -5,7 +5,8 @@
 use goldcrestramp_config::DeploymentState;
 use goldcrestramp_ownership::{
     ConfirmAnswer, ConfirmAsk, KeeperMachine, KeeperReport, PermitAnswer,
-    StewardEffect, StewardEvent, StewardMachine, TermTiming, VoterState,
+    SliceLoad, StewardEffect, StewardEvent, StewardMachine, TermTiming,
+    VoterState,
 };
 use goldcrestramp_platform::PlatformClient;
 use goldcrestramp_types::{LocalTime, VmName};
@@ -225,7 +226,15 @@
 
     fn report(&mut self, now: LocalTime) -> KeeperReport {
         self.keeper.set_leaving(self.context.leaving());
-        self.keeper.report(now)
+        let mut report = self.keeper.report(now);
+        for server in &mut report.servers {
+            let reading = self.context.loads.take(&server.server);
+            server.busy = reading.busy;
+            let slices = reading.slices.into_iter();
+            let loads = slices.map(|(slice, busy)| SliceLoad { slice, busy });
+            server.loads = loads.collect();
+        }
+        report
     }
 
     fn send_orders(&mut self) {
--- a/goldcrestramp-node/src/control/tables.rs
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -67,6 +67,9 @@
             return false;
         }
         set.config = Some(Arc::clone(state));
+        let callers = state.callers.iter();
+        let weights = callers.map(|rules| (rules.name.clone(), rules.weight));
+        self.context.weights.store(Arc::new(weights.collect()));
         self.set.send_replace(Arc::new(set));
         true
     }
--- a/goldcrestramp-node/src/keeper/admission.rs
+++ b/goldcrestramp-node/src/keeper/admission.rs
@@ -11,7 +11,7 @@
     QueuedRequest, RequestKey, ServerLimit, ServerQueue, ServerSign,
 };
 use goldcrestramp_types::{
-    FastMap, LocalTime, RequestClass, ServerName, TimeSpan,
+    FastMap, LocalTime, RequestClass, ServerName, SliceIndex, TimeSpan,
 };
 use tokio::sync::{Notify, oneshot};
 
@@ -46,7 +46,11 @@
         let order = &kept.order;
         let queue = queues.entry(order.server.clone()).or_insert_with(|| {
             let slots = order.slots as usize;
-            ServerAdmission::spawn(Arc::clone(&self.context), slots)
+            ServerAdmission::spawn(
+                Arc::clone(&self.context),
+                order.server.clone(),
+                slots,
+            )
         });
         queue.saw_run(kept.pass.run);
         Arc::clone(queue)
@@ -75,13 +79,18 @@
 #[derive(Debug)]
 pub(crate) struct ServerAdmission {
     context: Arc<NodeContext>,
+    server: ServerName,
     state: Mutex<AdmissionState>,
     timer: Arc<Notify>,
 }
 
 impl ServerAdmission {
     /// Starts a queue and the task that wakes it.
-    fn spawn(context: Arc<NodeContext>, slots: usize) -> Arc<Self> {
+    fn spawn(
+        context: Arc<NodeContext>,
+        server: ServerName,
+        slots: usize,
+    ) -> Arc<Self> {
         let now = context.now();
         let settings = QueueSettings { slots, waiting_limit: WAITING_LIMIT };
         let state = AdmissionState {
@@ -94,6 +103,7 @@
         let timer = Arc::new(Notify::new());
         let admission = Arc::new(Self {
             context,
+            server,
             state: Mutex::new(state),
             timer: Arc::clone(&timer),
         });
@@ -109,6 +119,7 @@
     pub(crate) fn offer(
         self: &Arc<Self>,
         request: QueuedRequest,
+        slice: SliceIndex,
     ) -> Result<QueuePlace, QueueRefusal> {
         let now = self.context.now();
         let class = request.class;
@@ -125,7 +136,7 @@
         self.pump(&mut state, now);
         drop(state);
         let admission = Arc::clone(self);
-        Ok(QueuePlace { admission, key, class, turned, left: false })
+        Ok(QueuePlace { admission, key, class, slice, turned, left: false })
     }
 
     /// Notes that a part of an answer came.
@@ -147,6 +158,22 @@
         self.pump(&mut state, now);
     }
 
+    /// Notes that an answer has begun.
+    pub(super) fn replied(&self) {
+        let now = self.context.now();
+        self.lock().limit.replied(now);
+    }
+
+    /// Adds the slot time of a request that has ended.
+    pub(super) fn record_load(&self, slice: SliceIndex, used: TimeSpan) {
+        self.context.loads.record(&self.server, slice, used);
+    }
+
+    /// Whether requests wait for a slot.
+    pub(super) fn has_waiting(&self) -> bool {
+        self.lock().queue.waiting() > 0
+    }
+
     /// The present moment.
     pub(super) fn now(&self) -> LocalTime {
         self.context.now()
@@ -215,6 +242,7 @@
         self.limit.started(now, waiter.class);
         if waiter.turn.send(Ok(())).is_err() {
             // Its caller went away between its turn and the lock.
+            self.limit.replied(now);
             self.finish(now, key, waiter.class, SlotEnd::Cancelled);
         }
     }
@@ -265,6 +293,7 @@
     admission: Arc<ServerAdmission>,
     key: RequestKey,
     class: RequestClass,
+    slice: SliceIndex,
     turned: oneshot::Receiver<Result<(), QueueRefusal>>,
     left: bool,
 }
@@ -285,6 +314,7 @@
                 Arc::clone(&self.admission),
                 self.key,
                 self.class,
+                self.slice,
             )),
         }
     }
@@ -306,6 +336,7 @@
             self.turned.close();
             if let Ok(Ok(())) = self.turned.try_recv() {
                 let end = SlotEnd::Cancelled;
+                state.limit.replied(now);
                 state.finish(now, self.key, self.class, end);
             }
         }
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -1,6 +1,6 @@
 //! One request to a backend server, and its answer back as frames.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -50,6 +50,9 @@
     pub(crate) body: Bytes,
 }
 
+/// How often an answer that does not move is looked at.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
 /// When a caller may come back after the server itself refused: some ten
 /// slot times of a lookup.
 const REFUSAL_WAIT: TimeSpan = TimeSpan::from_millis(50);
@@ -119,10 +122,13 @@
         return;
     }
     slot.begin();
-    slot.fail(SlotEnd::Broken);
-    if pass_on(response, request, frames, Some(slot)).await {
-        slot.complete();
-        attempt.done();
+    match pass_on(response, request, frames, Some(slot)).await {
+        PassEnd::Whole => {
+            slot.complete();
+            attempt.done();
+        }
+        PassEnd::ServerBroke => slot.fail(SlotEnd::Broken),
+        PassEnd::ReaderGone => slot.fail(SlotEnd::Cancelled),
     }
 }
 
@@ -163,13 +169,24 @@
         .body(request.body.clone())
 }
 
-/// Streams the answer; it is marked whole only if it is, which is told.
+/// How the passing on of an answer ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PassEnd {
+    /// It was passed on whole.
+    Whole,
+    /// It broke off at the server.
+    ServerBroke,
+    /// Its reader went away or stalled for too long.
+    ReaderGone,
+}
+
+/// Streams the answer; it is marked whole only if it is.
 pub(crate) async fn pass_on(
     response: Response,
     request: &ServerRequest,
     frames: &FrameSender,
     slot: Option<&ServerSlot>,
-) -> bool {
+) -> PassEnd {
     let length = response.content_length();
     let content_type = response.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
@@ -180,30 +197,35 @@
         request: request.id.to_string(),
     };
     if !give(frames, frames::head(head)).await {
-        return false;
+        return PassEnd::ReaderGone;
     }
     let mut passed = 0;
     let mut chunks = response.bytes_stream();
     while let Some(chunk) = chunks.next().await {
         let Ok(chunk) = chunk else {
             broken(frames).await;
-            return false;
+            return PassEnd::ServerBroke;
         };
         passed += chunk.len() as u64;
         if let Some(slot) = slot {
             slot.progress();
         }
-        if !give(frames, frames::data(chunk)).await {
-            return false;
+        let frame = frames::data(chunk);
+        if !give_patiently(frames, frame, slot).await {
+            return PassEnd::ReaderGone;
         }
     }
     // A connection that ends early can look like the end of the answer;
     // the announced length tells them apart.
     if length.is_some_and(|length| length != passed) {
         broken(frames).await;
-        return false;
+        return PassEnd::ServerBroke;
+    }
+    if give(frames, frames::end(passed)).await {
+        PassEnd::Whole
+    } else {
+        PassEnd::ReaderGone
     }
-    give(frames, frames::end(passed)).await
 }
 
 /// Ends the answer without its end mark.
@@ -212,6 +234,31 @@
     drop(frames.send(Err(status)).await);
 }
 
+/// Hands on a part of an answer, unless its reader has stalled for too long.
+///
+/// Then the stream ends without its end mark, which the gateway passes on
+/// as an answer that broke off, and the slot is free for others.
+async fn give_patiently(
+    frames: &FrameSender,
+    frame: RouteFrame,
+    slot: Option<&ServerSlot>,
+) -> bool {
+    let Some(slot) = slot else { return give(frames, frame).await };
+    let since = slot.now();
+    loop {
+        let room = tokio::time::timeout(LOOK_EVERY, frames.reserve()).await;
+        match room {
+            Ok(Ok(permit)) => {
+                permit.send(Ok(frame));
+                return true;
+            }
+            Ok(Err(_gone)) => return false,
+            Err(_elapsed) if slot.is_reader_lost(since) => return false,
+            Err(_elapsed) => {}
+        }
+    }
+}
+
 /// Hands on a frame; `false`: the gateway has gone.
 pub(crate) async fn give(frames: &FrameSender, frame: RouteFrame) -> bool {
     frames.send(Ok(frame)).await.is_ok()
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -110,7 +110,7 @@
         mut attempt: AttemptGuard,
     ) {
         let queue = self.queues.queue(kept);
-        let turn = match queue.offer(queued(request)) {
+        let turn = match queue.offer(self.queued(request), request.slice) {
             Ok(mut place) => self.turn(&mut place, request).await,
             Err(refusal) => Some(Err(refusal)),
         };
@@ -131,6 +131,20 @@
         }
     }
 
+    /// What the queue has to know of a request.
+    fn queued(&self, request: &ServerRequest) -> QueuedRequest {
+        let mut hasher = FxHasher::default();
+        hasher.write(&request.key);
+        let weight = self.context.weights.load().get(&request.caller).copied();
+        QueuedRequest {
+            caller: request.caller.clone(),
+            weight: weight.unwrap_or(1),
+            key_hash: hasher.finish(),
+            class: request.class,
+            deadline: request.deadline,
+        }
+    }
+
     /// The request's turn; nothing if its slice moved while it waited.
     ///
     /// A server that is gone or frozen frees no slot, so the queue alone
@@ -255,19 +269,6 @@
     send::give(frames, frames::not_run(reason, TimeSpan::ZERO)).await;
 }
 
-/// What the queue has to know of a request.
-fn queued(request: &ServerRequest) -> QueuedRequest {
-    let mut hasher = FxHasher::default();
-    hasher.write(&request.key);
-    QueuedRequest {
-        caller: request.caller.clone(),
-        weight: 1,
-        key_hash: hasher.finish(),
-        class: request.class,
-        deadline: request.deadline,
-    }
-}
-
 /// Cancels a request at its server when its caller has gone.
 #[derive(Debug)]
 struct CancelOnDrop {
--- a/goldcrestramp-node/src/keeper/slot.rs
+++ b/goldcrestramp-node/src/keeper/slot.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_decisions::RequestKey;
-use goldcrestramp_types::{LocalTime, RequestClass, TimeSpan};
+use goldcrestramp_decisions::{RequestKey, is_reader_lost};
+use goldcrestramp_types::{LocalTime, RequestClass, SliceIndex, TimeSpan};
 
 use crate::keeper::admission::ServerAdmission;
 
@@ -28,6 +28,7 @@
     admission: Arc<ServerAdmission>,
     key: RequestKey,
     class: RequestClass,
+    slice: SliceIndex,
     since: LocalTime,
     /// How long the server took to begin its answer.
     ///
@@ -42,15 +43,17 @@
         admission: Arc<ServerAdmission>,
         key: RequestKey,
         class: RequestClass,
+        slice: SliceIndex,
     ) -> Self {
         let since = admission.now();
         let end = SlotEnd::Cancelled;
-        Self { admission, key, class, since, began: None, end }
+        Self { admission, key, class, slice, since, began: None, end }
     }
 
     /// Notes that the answer has begun.
     pub(crate) fn begin(&mut self) {
         self.began = Some(self.admission.now().since(self.since));
+        self.admission.replied();
     }
 
     /// Notes that a part of the answer came.
@@ -58,6 +61,18 @@
         self.admission.progressed();
     }
 
+    /// Whether the answer is to be broken off, of which the caller has
+    /// taken nothing since `stalled_since`.
+    pub(crate) fn is_reader_lost(&self, stalled_since: LocalTime) -> bool {
+        let now = self.admission.now();
+        is_reader_lost(now, stalled_since, self.admission.has_waiting())
+    }
+
+    /// The present moment.
+    pub(crate) fn now(&self) -> LocalTime {
+        self.admission.now()
+    }
+
     /// Notes that the answer was passed on whole.
     pub(crate) fn complete(&mut self) {
         let span = self.began.unwrap_or(TimeSpan::ZERO);
@@ -72,6 +87,11 @@
 
 impl Drop for ServerSlot {
     fn drop(&mut self) {
+        if self.began.is_none() {
+            self.admission.replied();
+        }
+        let used = self.admission.now().since(self.since);
+        self.admission.record_load(self.slice, used);
         self.admission.finish(self.key, self.class, self.end);
     }
 }
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -14,6 +14,7 @@
 mod gateway;
 mod handle;
 mod keeper;
+mod load;
 mod metrics;
 mod operators;
 mod peers;
--- /dev/null
+++ b/goldcrestramp-node/src/load.rs
@@ -0,0 +1,39 @@
+//! Slot time used at the servers that this VM keeps.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use goldcrestramp_decisions::{LoadReading, ServerLoad};
+use goldcrestramp_types::{FastMap, ServerName, SliceIndex, TimeSpan};
+
+/// Filled by the traffic threads, read by the control thread's reports.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServerLoads {
+    loads: Arc<Mutex<FastMap<ServerName, ServerLoad>>>,
+}
+
+impl ServerLoads {
+    /// Adds the slot time of a request that has ended.
+    pub(crate) fn record(
+        &self,
+        server: &ServerName,
+        slice: SliceIndex,
+        span: TimeSpan,
+    ) {
+        let mut loads = self.lock();
+        if let Some(load) = loads.get_mut(server) {
+            load.record(slice, span);
+            return;
+        }
+        loads.entry(server.clone()).or_default().record(slice, span);
+    }
+
+    /// What was used at a server since it was last read.
+    pub(crate) fn take(&self, server: &ServerName) -> LoadReading {
+        let mut loads = self.lock();
+        loads.get_mut(server).map(ServerLoad::take).unwrap_or_default()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FastMap<ServerName, ServerLoad>> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
