--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -7,6 +7,7 @@
 happens without it, and where its figures come from.
 
 - [`GatewayLimit`]: what a gateway may have under way, shared by caller.
+- [`PlacementPlanner`]: which server gets which slice.
 - [`ServerQueue`]: the one queue in front of a backend server.
 - [`ServerLimit`]: how many requests a server is given at once.
 - [`AttemptMemory`]: at most once across a caller's own resends.
@@ -25,6 +26,7 @@
 mod limit;
 mod link;
 mod load;
+mod placement;
 mod queue;
 mod reader;
 mod retry;
@@ -42,6 +44,11 @@
     },
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReading, REPORTED_SLICES, ServerLoad},
+    placement::{
+        LoadEstimate, PlaceReport, PlaceView, PlacementPlanner,
+        PlacementSettings, PlannedMove, assign_orphans, greedy_moves,
+        hash_placement, waiting_requests,
+    },
     queue::{
         CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent,
         QueueRefusal, QueueSettings, QueuedRequest, RequestKey, ServerQueue,
--- a/goldcrestramp-node/src/control/links.rs
+++ b/goldcrestramp-node/src/control/links.rs
@@ -2,11 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use goldcrestramp_ownership::{
-    ConfirmAnswer, ConfirmAsk, KeeperReport, PermitAnswer,
-};
-use goldcrestramp_types::DomainName;
+use goldcrestramp_ownership::{ConfirmAnswer, ConfirmAsk};
 use goldcrestramp_wire::peer::control_client::ControlClient;
+use prost::Message;
 use tonic::Request;
 
 use crate::{context::NodeContext, convert, peers::PeerChannels};
@@ -36,35 +34,19 @@
         address: &Arc<str>,
         ask: &ConfirmAsk,
     ) -> Option<ConfirmAnswer> {
-        self.context.metrics.count_control("confirm");
         let channel = self.channels.open(address).await.ok()?;
         let mut client = ControlClient::new(channel);
-        let mut request = Request::new(convert::ask_out(ask));
+        let message = convert::ask_out(ask);
+        self.count("confirm", &message);
+        let mut request = Request::new(message);
         request.set_timeout(ANSWER_TIMEOUT);
         let call = client.confirm(request);
         let reply = self.answered(address, call).await?;
+        self.count("confirm-answer", &reply);
         Some(convert::confirm_in(&reply))
     }
 
-    /// Asks the steward at `address`; `None`: it did not answer.
-    pub(crate) async fn permit(
-        &self,
-        address: &Arc<str>,
-        domain: &DomainName,
-        report: &KeeperReport,
-    ) -> Option<PermitAnswer> {
-        self.context.metrics.count_control("permit");
-        let channel = self.channels.open(address).await.ok()?;
-        let mut client = ControlClient::new(channel)
-            .max_decoding_message_size(MESSAGE_LIMIT);
-        let mut request = Request::new(convert::report_out(report, domain));
-        request.set_timeout(ANSWER_TIMEOUT);
-        let call = client.permit(request);
-        let reply = self.answered(address, call).await?;
-        convert::permit_in(reply).ok()
-    }
-
-    /// A channel for a stream of tables.
+    /// A channel for a stream.
     pub(crate) async fn stream(
         &self,
         address: &Arc<str>,
@@ -74,6 +56,21 @@
         Some(client.max_decoding_message_size(MESSAGE_LIMIT))
     }
 
+    /// Drops the connection to a peer that failed.
+    pub(crate) fn forget(&self, address: &Arc<str>) {
+        self.channels.forget(address);
+    }
+
+    /// Whether a test has cut this VM off from a peer.
+    pub(crate) fn is_cut(&self, address: &str) -> bool {
+        self.context.faults.is_cut(address)
+    }
+
+    pub(crate) fn count(&self, kind: &'static str, message: &impl Message) {
+        let bytes = message.encoded_len();
+        self.context.metrics.count_control(kind, bytes);
+    }
+
     async fn answered<T>(
         &self,
         address: &Arc<str>,
--- a/goldcrestramp-node/src/control/service.rs
+++ b/goldcrestramp-node/src/control/service.rs
@@ -4,13 +4,17 @@
 
 use futures_util::Stream;
 use goldcrestramp_types::DomainName;
-use goldcrestramp_wire::peer::{
-    ConfirmReply, ConfirmRequest, PermitReply, PermitRequest, TableUpdate,
-    TablesRequest, control_server::Control,
+use goldcrestramp_wire::{
+    delta::{DeltaDecoder, DeltaEncoder},
+    peer::{
+        ConfirmReply, ConfirmRequest, PermitReply, PermitRequest, TableUpdate,
+        TablesRequest, control_server::Control,
+    },
 };
+use prost::Message;
 use tokio::sync::{mpsc, watch};
 use tokio_stream::wrappers::ReceiverStream;
-use tonic::{Request, Response, Status};
+use tonic::{Request, Response, Status, Streaming};
 use xtra::Address;
 
 use crate::{
@@ -36,14 +40,19 @@
 }
 
 impl ControlService {
-    /// A peer that counts this VM to another failure domain must not vote
-    /// or be permitted here: two domains would share one steward.
-    fn check_domain(&self, domain: &str) -> Result<(), Status> {
-        if domain == self.context.domain().as_str() {
-            return Ok(());
-        }
-        Err(Status::failed_precondition("another failure domain"))
+    fn count(&self, kind: &'static str, message: &impl Message) {
+        let bytes = message.encoded_len();
+        self.context.metrics.count_control(kind, bytes);
+    }
+}
+
+/// A peer that counts this VM to another failure domain must not vote or be
+/// permitted here: two domains would share one steward.
+fn check_domain(context: &NodeContext, domain: &str) -> Result<(), Status> {
+    if domain == context.domain().as_str() {
+        return Ok(());
     }
+    Err(Status::failed_precondition("another failure domain"))
 }
 
 #[tonic::async_trait]
@@ -54,23 +63,28 @@
     ) -> Result<Response<ConfirmReply>, Status> {
         self.context.faults.wait().await;
         let request = request.into_inner();
-        self.check_domain(&request.domain)?;
+        self.count("confirm", &request);
+        check_domain(&self.context, &request.domain)?;
         let ask = convert::ask_in(request).map_err(bad_message)?;
         let answer = self.actor.send(VoteAsk(ask)).await.map_err(ended)?;
-        Ok(Response::new(convert::confirm_out(answer)))
+        let reply = convert::confirm_out(answer);
+        self.count("confirm-answer", &reply);
+        Ok(Response::new(reply))
     }
 
-    async fn permit(
+    type PermitsStream =
+        Pin<Box<dyn Stream<Item = Result<PermitReply, Status>> + Send>>;
+
+    async fn permits(
         &self,
-        request: Request<PermitRequest>,
-    ) -> Result<Response<PermitReply>, Status> {
-        self.context.faults.wait().await;
-        let request = request.into_inner();
-        self.check_domain(&request.domain)?;
-        let report = convert::report_in(&request).map_err(bad_message)?;
-        let asked = self.actor.send(PermitAsk(report)).await;
-        let answer = asked.map_err(ended)?;
-        Ok(Response::new(convert::permit_out(&answer)))
+        request: Request<Streaming<PermitRequest>>,
+    ) -> Result<Response<Self::PermitsStream>, Status> {
+        let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
+        let context = Arc::clone(&self.context);
+        let actor = self.actor.clone();
+        let requests = request.into_inner();
+        tokio::spawn(answer_permits(context, actor, requests, sender));
+        Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
     }
 
     type TablesStream =
@@ -95,6 +109,45 @@
     }
 }
 
+/// Answers a keeper's reports until it is gone or sends nonsense.
+async fn answer_permits(
+    context: Arc<NodeContext>,
+    actor: Address<ControlActor>,
+    mut requests: Streaming<PermitRequest>,
+    sender: mpsc::Sender<Result<PermitReply, Status>>,
+) {
+    let mut reports = DeltaDecoder::default();
+    let mut replies = DeltaEncoder::default();
+    while let Ok(Some(delta)) = requests.message().await {
+        context.faults.wait().await;
+        context.metrics.count_control("permit", delta.encoded_len());
+        let Some(request) = reports.request(delta) else {
+            return;
+        };
+        let answer = permit(&context, &actor, &request).await;
+        let reply = answer.map(|whole| replies.reply(whole));
+        let failed = reply.is_err();
+        if let Ok(reply) = &reply {
+            let bytes = reply.encoded_len();
+            context.metrics.count_control("permit-answer", bytes);
+        }
+        if sender.send(reply).await.is_err() || failed {
+            return;
+        }
+    }
+}
+
+async fn permit(
+    context: &NodeContext,
+    actor: &Address<ControlActor>,
+    request: &PermitRequest,
+) -> Result<PermitReply, Status> {
+    check_domain(context, &request.domain)?;
+    let report = convert::report_in(request).map_err(bad_message)?;
+    let answer = actor.send(PermitAsk(report)).await.map_err(ended)?;
+    Ok(convert::permit_out(&answer))
+}
+
 /// Sends every change until the subscriber is gone.
 async fn stream_tables(
     context: Arc<NodeContext>,
@@ -107,7 +160,8 @@
         context.faults.wait().await;
         let set = Arc::clone(&tables.borrow_and_update());
         for update in cursor.updates(&set, only.as_ref()) {
-            context.metrics.count_control("table");
+            let bytes = update.encoded_len();
+            context.metrics.count_control("table", bytes);
             if sender.send(Ok(update)).await.is_err() {
                 return;
             }
