--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -16,6 +16,7 @@
 mod keeper;
 mod load;
 mod metrics;
+mod operate;
 mod operators;
 mod peers;
 mod routing;
