Bind the planner, the records and their watches into the daemon

Cause: the daemon kept its own forms of records, wrote a first division that nobody could change, and read divisions only when the configuration changed. A roster or division restored to an older copy was never mended: a roster was written only over the version just before it, and a division counted by the store's version, which goes back with the data.

Change: store/ reads and writes the records of goldcrestramp-platform: the domain's record in shards, changed ones only, head last, one save at a time; a roster over any older one. While a VM leads, it watches each service's record through a VersionGate and writes a newer known one over an older. planner/ takes the planner's lease and runs the pure planner, reading domains' records only when something moves or has to leave. A steward that may not use the records yet gets no new plan.

--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -6,6 +6,7 @@
 use goldcrestramp_ownership::{
     ConfirmAnswer, ConfirmAsk, KeeperMachine, KeeperReport, PermitAnswer,
     StewardEffect, StewardEvent, StewardMachine, TermTiming, VoterState,
+    domain_plan,
 };
 use goldcrestramp_platform::PlatformClient;
 use goldcrestramp_types::{LocalTime, VmName};
@@ -24,12 +25,13 @@
         },
         permit_stream::{PermitQuestion, PermitStream},
         permits::StewardSearch,
-        plans, reader,
+        reader,
         status::ControlStatus,
         tables::TableHub,
     },
     convert,
     keeper::KeeperView,
+    store::{self, RecordStore},
 };
 
 /// Steward, grants and voter of one VM, with all that they need.
@@ -43,6 +45,7 @@
     links: ControlLinks,
     http: reqwest::Client,
     store: PlatformClient,
+    records: RecordStore,
     hub: Arc<TableHub>,
     search: StewardSearch,
     permits: PermitStream,
@@ -83,6 +86,10 @@
             timing,
             links: ControlLinks::new(Arc::clone(&context)),
             http: reqwest::Client::new(),
+            records: RecordStore::open(
+                store.clone(),
+                context.domain().clone(),
+            ),
             store,
             hub,
             search: StewardSearch::default(),
@@ -120,32 +127,24 @@
                 self.hub.take_table(&table);
             }
             StewardEffect::SaveRoster(roster) => {
-                self.spawn_store(reader::save_roster(
+                self.spawn_store(store::save_roster(
                     self.store.clone(),
                     roster,
                 ));
             }
             StewardEffect::ReadRoster => {
                 let domain = self.context.domain().clone();
-                self.spawn_store(reader::read_roster(
+                self.spawn_store(store::read_roster(
                     self.store.clone(),
                     domain,
                 ));
             }
             StewardEffect::SaveRecord(record) => {
-                let domain = self.context.domain().clone();
-                self.spawn_store(reader::save_record(
-                    self.store.clone(),
-                    domain,
-                    record,
-                ));
+                let state = self.hub.set().config.clone();
+                self.spawn_store(self.records.clone().save(record, state));
             }
             StewardEffect::ReadRecord => {
-                let domain = self.context.domain().clone();
-                self.spawn_store(reader::read_record(
-                    self.store.clone(),
-                    domain,
-                ));
+                self.spawn_store(self.records.clone().read());
             }
         }
     }
@@ -264,7 +263,10 @@
             return;
         };
         let domain = self.context.domain();
-        let plan = plans::domain_plan(domain, config, &set.homes);
+        let records: Vec<_> = set.homes.values().cloned().collect();
+        let Some(plan) = domain_plan(config, domain, &records) else {
+            return;
+        };
         self.steward_event(StewardEvent::PlanRead(Arc::new(plan)));
     }
 
--- a/goldcrestramp-node/src/control/messages.rs
+++ b/goldcrestramp-node/src/control/messages.rs
@@ -4,14 +4,12 @@
 
 use goldcrestramp_config::DeploymentState;
 use goldcrestramp_ownership::{
-    ConfirmAsk, DomainTable, KeeperReport, PermitAnswer, StewardEvent,
-    VoterRoster,
+    ConfirmAsk, DomainTable, KeeperReport, PermitAnswer, ServiceRecord,
+    StewardEvent, VoterRoster,
 };
 use goldcrestramp_types::{LocalTime, ServerName, VmName};
 use goldcrestramp_wire::server::GrantReply;
 
-use crate::control::plans::ServiceHomes;
-
 /// Time has passed.
 #[derive(Debug)]
 pub(crate) struct TickNotice;
@@ -49,7 +47,7 @@
 
 /// A service's division among failure domains was read or passed on.
 #[derive(Debug)]
-pub(crate) struct HomesNotice(pub(crate) ServiceHomes);
+pub(crate) struct HomesNotice(pub(crate) Arc<ServiceRecord>);
 
 /// The roster was read from the store.
 #[derive(Debug)]
--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -6,7 +6,6 @@
 mod messages;
 mod permit_stream;
 mod permits;
-mod plans;
 mod reader;
 mod service;
 mod status;
@@ -15,6 +14,8 @@
 
 pub use crate::control::status::ControlStatus;
 pub(crate) use crate::control::{
-    messages::{DrainedAsk, StatusAsk},
+    actor::ControlActor,
+    messages::{DrainedAsk, HomesNotice, StatusAsk},
+    tables::TableSet,
     thread::ControlThread,
 };
--- a/goldcrestramp-node/src/control/tables.rs
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -3,22 +3,20 @@
 use std::sync::Arc;
 
 use goldcrestramp_config::DeploymentState;
-use goldcrestramp_ownership::DomainTable;
+use goldcrestramp_ownership::{DomainTable, ServiceRecord};
+use goldcrestramp_platform::records::StoreRecord;
 use goldcrestramp_types::{DomainName, FastMap, ServiceName, TableVersion};
 use goldcrestramp_wire::peer::{ServiceDomains, TableUpdate};
 use tokio::sync::watch;
 
-use crate::{
-    context::NodeContext, control::plans::ServiceHomes, convert,
-    routing::RoutingTable,
-};
+use crate::{context::NodeContext, convert, routing::RoutingTable};
 
 /// Everything that streams from VM to VM.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TableSet {
     pub(crate) domains: FastMap<DomainName, Arc<DomainTable>>,
     pub(crate) config: Option<Arc<DeploymentState>>,
-    pub(crate) homes: FastMap<ServiceName, ServiceHomes>,
+    pub(crate) homes: FastMap<ServiceName, Arc<ServiceRecord>>,
 }
 
 /// Holds the newest of everything and tells the streams.
@@ -72,10 +70,10 @@
     }
 
     /// Takes a service's division if it is newer.
-    pub(crate) fn take_homes(&self, homes: ServiceHomes) -> bool {
+    pub(crate) fn take_homes(&self, homes: Arc<ServiceRecord>) -> bool {
         let mut set = TableSet::clone(&self.set());
         let known = set.homes.get(&homes.service);
-        if known.is_some_and(|known| known.version >= homes.version) {
+        if known.is_some_and(|known| known.revision >= homes.revision) {
             return false;
         }
         set.homes.insert(homes.service.clone(), homes);
@@ -135,14 +133,14 @@
         }
         for homes in set.homes.values() {
             let before = self.homes.get(&homes.service).copied();
-            if before.is_some_and(|before| before >= homes.version) {
+            if before.is_some_and(|before| before >= homes.revision) {
                 continue;
             }
-            self.homes.insert(homes.service.clone(), homes.version);
+            self.homes.insert(homes.service.clone(), homes.revision);
             update.homes.push(ServiceDomains {
                 service: homes.service.to_string(),
-                version: homes.version,
-                record: json(&homes.record),
+                version: homes.revision,
+                record: homes.encode().unwrap_or_default(),
             });
         }
         if update.config.is_empty() && update.homes.is_empty() {
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -2,7 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
-use goldcrestramp_platform::PlatformClient;
+use goldcrestramp_ownership::ServiceRecord;
+use goldcrestramp_platform::{PlatformClient, records::StoreRecord};
 use goldcrestramp_types::DomainName;
 use goldcrestramp_wire::peer::{
     TableUpdate, TablesRequest, control_server::ControlServer,
@@ -25,12 +26,13 @@
             ConfigNotice, HomesNotice, StewardAsk, StewardPlace, TableNotice,
             TickNotice,
         },
-        plans::ServiceHomes,
         reader,
         service::ControlService,
         tables::TableHub,
     },
     convert,
+    planner::run_planner,
+    store::watch_divisions,
 };
 
 /// How often the machines are told that time has passed.
@@ -124,6 +126,18 @@
         leading.subscribe(),
         actor.clone(),
     ));
+    tokio::spawn(watch_divisions(
+        store.clone(),
+        hub.subscribe(),
+        leading.subscribe(),
+        actor.clone(),
+    ));
+    tokio::spawn(run_planner(
+        Arc::clone(&context),
+        store.clone(),
+        hub.subscribe(),
+        leading.subscribe(),
+    ));
     tokio::spawn(reader::watch_vms(
         store.clone(),
         leading.subscribe(),
@@ -280,12 +294,8 @@
 
 async fn take_update(update: &TableUpdate, actor: &Address<ControlActor>) {
     for homes in &update.homes {
-        let service = goldcrestramp_types::ServiceName::new(&homes.service);
-        let record = serde_json::from_slice(&homes.record);
-        if let (Ok(service), Ok(record)) = (service, record) {
-            let version = homes.version;
-            let homes = ServiceHomes { service, version, record };
-            drop(actor.send(HomesNotice(homes)).await);
+        if let Ok(record) = ServiceRecord::decode(&homes.record) {
+            drop(actor.send(HomesNotice(Arc::new(record))).await);
         }
     }
     if let Ok(state) = serde_json::from_slice(&update.config) {
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -17,8 +17,10 @@
 mod metrics;
 mod operators;
 mod peers;
+mod planner;
 mod routing;
 mod running;
+mod store;
 
 pub use crate::{
     context::NodeContext,
--- /dev/null
+++ b/goldcrestramp-node/src/planner/round.rs
@@ -0,0 +1,80 @@
+//! One look at every service's record.
+
+use std::sync::Arc;
+
+use goldcrestramp_config::ServiceRules;
+use goldcrestramp_ownership::{
+    DomainView, PlannerRound, ServicePolicy, ServiceRecord,
+};
+use goldcrestramp_platform::{
+    PlatformClient, PutCondition, StoreError,
+    records::{StoreRecord, keys},
+    settle_write,
+};
+use goldcrestramp_types::{DomainName, FastMap};
+
+use crate::{
+    control::TableSet,
+    store::{read_division, read_view},
+};
+
+/// Plans every service once; `true`: something is on the move.
+pub(super) async fn plan_all(
+    store: &PlatformClient,
+    set: &TableSet,
+) -> Result<bool, StoreError> {
+    let Some(config) = &set.config else {
+        return Ok(false);
+    };
+    let mut busy = false;
+    for service in &config.services {
+        let policy = ServicePolicy::of(config, service);
+        let known = set.homes.get(&service.name);
+        busy |= plan_service(store, service, &policy, known).await?;
+    }
+    Ok(busy)
+}
+
+/// Reads the service's record, then what the change needs of domains'
+/// records, and writes the change over the record that was read.
+async fn plan_service(
+    store: &PlatformClient,
+    service: &ServiceRules,
+    policy: &ServicePolicy,
+    known: Option<&Arc<ServiceRecord>>,
+) -> Result<bool, StoreError> {
+    let read = read_division(store, &service.name).await?;
+    let revision = read.as_ref().map_or(0, |(_, record)| record.revision);
+    if known.is_some_and(|known| known.revision > revision) {
+        // The store came back with older data; the watch writes the newer
+        // record again, and nothing is decided on the older one.
+        return Ok(true);
+    }
+    let condition =
+        read.as_ref().map_or(PutCondition::Absent, |(version, _)| {
+            PutCondition::Version(*version)
+        });
+    let stage = PlannerRound::open(read.map(|(_, record)| record));
+    let needed = stage.needs(policy);
+    let mut views = FastMap::<DomainName, DomainView>::default();
+    for domain in &needed {
+        if let Some(view) = read_view(store, domain, &service.name).await {
+            views.insert(domain.clone(), view);
+        }
+    }
+    let busy = !needed.is_empty();
+    let Some(change) = stage.viewed(views).decide(policy, &[]) else {
+        return Ok(busy);
+    };
+    let value = change
+        .encode()
+        .map_err(|error| StoreError::Refused(error.to_string()))?;
+    let key = keys::slices(&service.name);
+    let fate = settle_write(store, &key, condition, value, None).await?;
+    log::info!(
+        "planner: revision {} of {}: {fate:?}.",
+        change.revision,
+        service.name
+    );
+    Ok(true)
+}
--- a/goldcrestramp-ownership/src/planner/round.rs
+++ b/goldcrestramp-ownership/src/planner/round.rs
@@ -65,6 +65,31 @@
 }
 
 impl RecordStage {
+    /// The domains whose records a decision needs; none when nothing is
+    /// on the move and nobody has to leave.
+    #[must_use]
+    pub fn needs(&self, policy: &ServicePolicy) -> Vec<DomainName> {
+        let places = policy.shares.iter().map(|share| &share.domain);
+        let Some(record) = &self.record else {
+            // The first record needs to know that there was none before.
+            return places.chain(&policy.lost).cloned().collect();
+        };
+        let moving = record.slices.iter().any(|h| h.target.is_some());
+        let misplaced = record.domains.iter().any(|domain| {
+            let allowed = policy.allows(&domain.name);
+            !allowed && !record.held_by(&domain.name).is_empty()
+        });
+        if !moving && !misplaced {
+            return Vec::new();
+        }
+        let holders = record.domains.iter().map(|domain| &domain.name);
+        let mut needed: Vec<DomainName> =
+            places.chain(holders).cloned().collect();
+        needed.sort_unstable();
+        needed.dedup();
+        needed
+    }
+
     /// Takes the domains' records as read after the service's.
     ///
     /// A domain whose record does not exist has an empty view; one whose
--- a/goldcrestramp-platform/src/gate.rs
+++ b/goldcrestramp-platform/src/gate.rs
@@ -58,6 +58,16 @@
         self.known.as_ref().map(|(number, _)| *number)
     }
 
+    /// Takes what is known by another way than this reader's own reads.
+    pub fn hold(&mut self, record: &R) {
+        let newer = self.number().is_none_or(|known| known < record.number());
+        if let Ok(value) = record.encode()
+            && newer
+        {
+            self.known = Some((record.number(), value));
+        }
+    }
+
     /// Judges what was read.
     pub fn take(&mut self, found: Option<&StoredValue>) -> GateVerdict<R> {
         let Some(found) = found else {
