--- a/goldcrestramp-node/src/control/reader.rs
+++ b/goldcrestramp-node/src/control/reader.rs
@@ -17,7 +17,9 @@
     control::{
         actor::ControlActor,
         messages::{ConfigNotice, HomesNotice, RosterNotice, VmsNotice},
+        tables::TableHub,
     },
+    operators::restore_config,
     store::{StorePause, read_division},
 };
 
@@ -81,6 +83,7 @@
 /// While this VM leads, watches the configuration for its domain.
 pub(crate) async fn watch_config(
     store: PlatformClient,
+    hub: Arc<TableHub>,
     mut leading: watch::Receiver<bool>,
     actor: Address<ControlActor>,
 ) {
@@ -91,7 +94,7 @@
             Ok(Some(stored)) => {
                 seen = stored.version;
                 pause.reset();
-                let taken = take_config(&store, &stored.value, &actor);
+                let taken = take_newer(&store, &hub, &stored.value, &actor);
                 if taken.await.is_err() {
                     seen = 0;
                     pause.wait().await;
@@ -106,6 +109,28 @@
     }
 }
 
+/// Takes a configuration, or writes back what the store has lost.
+///
+/// A store that came back with older data would otherwise hand old rules to
+/// every VM that starts, while the others follow the newer ones.
+async fn take_newer(
+    store: &PlatformClient,
+    hub: &TableHub,
+    value: &Bytes,
+    actor: &Address<ControlActor>,
+) -> Result<(), StoreError> {
+    let held = hub.set().config.clone();
+    let read = decode::<DeploymentState>(value)?;
+    let newer = held.filter(|held| read.version < held.version);
+    if let Some(held) = newer {
+        log::warn!("store: it came back with an older configuration.");
+        let joined = restore_config(store, &held).await?;
+        drop(actor.send(ConfigNotice(Arc::new(joined))).await);
+        return Ok(());
+    }
+    take_config(store, value, actor).await
+}
+
 /// While this VM leads, reads the VM list for its domain.
 pub(crate) async fn watch_vms(
     store: PlatformClient,
