Give the stand-in server slots, faults, a log and a checkable answer

Cause: proofs need servers that shed, freeze, start cold, lie and answer wrongly, and a log of their own that the router has no part in. Change: the server stand-in is several modules: behaviour, faults, log, request states with kept answers, key values cached by the owner; answers carry a pattern by which a caller sees crossed, cut and doubled ones.

--- a/goldcrestramp-standins/src/lib.rs
+++ b/goldcrestramp-standins/src/lib.rs
@@ -6,8 +6,17 @@
 of the product; the demo, the load tool and the tests use it.
 */
 
+mod answer;
 mod listener;
 pub mod platform;
+mod records;
 pub mod server;
 
-pub use crate::listener::ListenerHandle;
+pub use crate::{
+    answer::{AnswerPattern, check_answer},
+    listener::ListenerHandle,
+    records::{
+        AnswerCheck, CallEntry, CallOutcome, ExecutionEntry, HoldEntry,
+        MachineTime,
+    },
+};
--- /dev/null
+++ b/goldcrestramp-standins/src/server/behaviour.rs
@@ -0,0 +1,88 @@
+//! How a stand-in server behaves while nothing is wrong with it.
+
+use goldcrestramp_types::RequestClass;
+use rand::{Rng, rngs::StdRng};
+use serde::{Deserialize, Serialize};
+
+/// How a stand-in server behaves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ServerBehaviour {
+    /// Its name, for its log.
+    pub name: String,
+    /// Whether it refuses old tokens.
+    pub checks_fence: bool,
+    /// How many requests it runs at once.
+    pub slots: usize,
+    /// How many requests may wait for a slot; more are refused.
+    pub queue: usize,
+    /// How long each class takes.
+    pub work: WorkTimes,
+    /// The seed of everything that is drawn.
+    pub seed: u64,
+    /// Bytes of a short answer after its line.
+    pub short_bytes: usize,
+    /// Bytes of a long answer after its line.
+    pub long_bytes: usize,
+    /// Parts in which a long answer is sent.
+    pub long_parts: usize,
+    /// How long a newly gained slice is slow, in milliseconds.
+    pub cold_ms: u64,
+    /// How slow it is then, in percent of the usual time.
+    pub cold_percent: u64,
+    /// How far the health and load endpoints lag, in milliseconds.
+    pub lag_ms: u64,
+}
+
+impl Default for ServerBehaviour {
+    fn default() -> Self {
+        Self {
+            name: "server".to_owned(),
+            checks_fence: true,
+            slots: 4,
+            queue: 0,
+            work: WorkTimes::default(),
+            seed: 1,
+            short_bytes: 32,
+            long_bytes: 262_144,
+            long_parts: 16,
+            cold_ms: 0,
+            cold_percent: 300,
+            lag_ms: 0,
+        }
+    }
+}
+
+/// The mean time that a request of each class takes, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WorkTimes {
+    /// A lookup.
+    pub lookup_ms: f64,
+    /// An order or a renewal.
+    pub order_ms: f64,
+    /// An export or a download, from first to last byte.
+    pub long_ms: f64,
+}
+
+impl Default for WorkTimes {
+    fn default() -> Self {
+        Self { lookup_ms: 1.0, order_ms: 2.0, long_ms: 200.0 }
+    }
+}
+
+impl WorkTimes {
+    /// Draws the time of one request, in milliseconds.
+    ///
+    /// Half of the mean is fixed and half exponentially distributed, so
+    /// that some requests take several times the mean, as real ones do.
+    pub fn draw(&self, class: RequestClass, source: &mut StdRng) -> f64 {
+        let mean = match class {
+            RequestClass::Lookup => self.lookup_ms,
+            RequestClass::Order => self.order_ms,
+            RequestClass::Long => self.long_ms,
+        };
+        let uniform: f64 = source.random_range(f64::MIN_POSITIVE..1.0);
+        mean * (1.0 - uniform.ln()) / 2.0
+    }
+}
--- /dev/null
+++ b/goldcrestramp-standins/src/server/order.rs
@@ -0,0 +1,42 @@
+//! One request as a keeper sends it.
+
+use std::sync::Arc;
+
+use goldcrestramp_types::{FenceToken, RequestClass, ServerTime, SliceIndex};
+use goldcrestramp_wire::server::{
+    HEADER_CLASS, HEADER_DEADLINE, HEADER_KEY, HEADER_REQUEST, HEADER_SERVICE,
+    HEADER_SLICE, HEADER_START_BY, HEADER_TOKEN, decode_token,
+};
+use warp::http::HeaderMap;
+
+/// What the headers of a request say.
+#[derive(Clone, Debug)]
+pub(super) struct RunOrder {
+    pub(super) request: Arc<str>,
+    pub(super) service: Arc<str>,
+    pub(super) key: Arc<str>,
+    pub(super) slice: SliceIndex,
+    pub(super) class: RequestClass,
+    pub(super) token: FenceToken,
+    pub(super) start_by: ServerTime,
+    pub(super) deadline: Option<ServerTime>,
+}
+
+impl RunOrder {
+    /// Reads the headers; `None` if one is missing or malformed.
+    pub(super) fn read(headers: &HeaderMap) -> Option<Self> {
+        let text = |name| headers.get(name)?.to_str().ok();
+        let time =
+            |name| text(name)?.parse().ok().map(ServerTime::from_micros);
+        Some(Self {
+            request: Arc::from(text(HEADER_REQUEST)?),
+            service: Arc::from(text(HEADER_SERVICE)?),
+            key: Arc::from(text(HEADER_KEY)?),
+            slice: SliceIndex::new(text(HEADER_SLICE)?.parse().ok()?)?,
+            class: RequestClass::from_code(text(HEADER_CLASS)?)?,
+            token: decode_token(text(HEADER_TOKEN)?)?,
+            start_by: time(HEADER_START_BY)?,
+            deadline: time(HEADER_DEADLINE),
+        })
+    }
+}
--- /dev/null
+++ b/goldcrestramp-standins/src/server/shared.rs
@@ -0,0 +1,94 @@
+//! What the handlers of one server share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use rand::Rng;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+
+use crate::{
+    records::MachineTime,
+    server::{behaviour::ServerBehaviour, state::ServerState},
+};
+
+/// One server, as its handlers see it.
+#[derive(Debug)]
+pub(super) struct ServerShared {
+    pub(super) run: u64,
+    pub(super) behaviour: ServerBehaviour,
+    pub(super) frozen: watch::Sender<bool>,
+    state: Mutex<ServerState>,
+    /// When the load endpoint last looked, and what it saw.
+    sample: Mutex<(MachineTime, usize)>,
+    slots: Arc<Semaphore>,
+    places: Arc<Semaphore>,
+}
+
+impl ServerShared {
+    pub(super) fn new(
+        run: u64,
+        behaviour: ServerBehaviour,
+        state: ServerState,
+    ) -> Self {
+        Self {
+            run,
+            frozen: watch::Sender::new(false),
+            state: Mutex::new(state),
+            sample: Mutex::default(),
+            slots: Arc::new(Semaphore::new(behaviour.slots)),
+            places: Arc::new(Semaphore::new(behaviour.queue)),
+            behaviour,
+        }
+    }
+
+    /// The state; a poisoned lock still holds usable state.
+    pub(super) fn state(&self) -> MutexGuard<'_, ServerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Waits while the server is frozen.
+    ///
+    /// A server that is gone stays frozen for ever: its open connections
+    /// fall silent, as those of a lost machine do.
+    pub(super) async fn thawed(&self) {
+        let mut frozen = self.frozen.subscribe();
+        if frozen.wait_for(|frozen| !*frozen).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// The slots in use.
+    pub(super) fn busy(&self) -> usize {
+        self.behaviour.slots - self.slots.available_permits()
+    }
+
+    /// The slots in use some time ago, as far as the endpoint lags.
+    pub(super) fn lagging_busy(&self) -> usize {
+        let now = MachineTime::now();
+        let busy = self.busy();
+        let sample = self.sample.lock();
+        let mut sample = sample.unwrap_or_else(PoisonError::into_inner);
+        if now.millis_since(sample.0) >= self.behaviour.lag_ms {
+            *sample = (now, busy);
+        }
+        sample.1
+    }
+
+    /// Takes a slot, waiting for it if there is a place to wait.
+    pub(super) async fn take_slot(&self) -> Option<OwnedSemaphorePermit> {
+        if self.sheds() {
+            return None;
+        }
+        if let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() {
+            return Some(slot);
+        }
+        let _place = Arc::clone(&self.places).try_acquire_owned().ok()?;
+        Arc::clone(&self.slots).acquire_owned().await.ok()
+    }
+
+    /// Whether the next request is refused for no fault of its own.
+    fn sheds(&self) -> bool {
+        let mut state = self.state();
+        let percent = state.faults.shed_percent;
+        state.faults.draining || state.draws.random_range(0..100) < percent
+    }
+}
--- a/src/bin/goldcrestramp-standin.rs
+++ b/src/bin/goldcrestramp-standin.rs
@@ -10,7 +10,7 @@
 use eyre::{Context, OptionExt};
 use goldcrestramp_standins::{
     platform::PlatformStandin,
-    server::{ServerBehaviour, ServerStandin},
+    server::{KeyStorage, ServerBehaviour, ServerStandin},
 };
 
 #[tokio::main]
@@ -36,6 +36,11 @@
         .value_name("FILE")
         .help("How the server behaves, as JSON; absent fields: defaults")
         .value_parser(value_parser!(PathBuf));
+    let log_file = Arg::new("log-file")
+        .long("log-file")
+        .value_name("FILE")
+        .help("Where to write what it executes and holds, line by line")
+        .value_parser(value_parser!(PathBuf));
     Command::new("goldcrestramp-standin")
         .about("Stand-ins of the platform and of backend servers")
         .subcommand_required(true)
@@ -49,7 +54,8 @@
             Command::new("server")
                 .about("Runs a backend server")
                 .arg(listen)
-                .arg(behaviour),
+                .arg(behaviour)
+                .arg(log_file),
         )
 }
 
@@ -60,8 +66,15 @@
 
 async fn run_server(matches: &ArgMatches) -> eyre::Result<()> {
     let behaviour = read_behaviour(matches)?;
-    let server =
-        ServerStandin::bind(listen_address(matches)?, behaviour).await?;
+    let listen = listen_address(matches)?;
+    let log_file = matches.get_one::<PathBuf>("log-file");
+    let server = ServerStandin::bind_with(
+        listen,
+        behaviour,
+        KeyStorage::default(),
+        log_file.map(PathBuf::as_path),
+    )
+    .await?;
     wait_for_end(server.address()).await
 }
 
