--- a/goldcrestramp-config/src/lib.rs
+++ b/goldcrestramp-config/src/lib.rs
@@ -6,14 +6,29 @@
 */
 
 mod deployment;
+mod document;
+mod example;
 mod settings;
+mod ticket;
 
 pub use crate::{
     deployment::{
         CallerRules, DeploymentState, DomainRules, ServerRules, ServiceRules,
     },
+    document::{DocumentFault, FaultList, SourcePosition},
+    example::{
+        EntryVm, ExampleDeployment, LinkFigures, TrafficMix, parse_example,
+        read_example,
+    },
     settings::{
         LogFormat, LogSettings, NodeSettings, OperatorSettings,
-        PeerTlsSettings,
+        PeerTlsSettings, parse_settings, read_settings,
+    },
+    ticket::{
+        AcceptOutcome, CapacityPreview, ChangeTicket, RefusalReason,
+        RemovalList, STATE_BYTES, ServicePreview, ThingId, ThingKind,
+        TicketDocument, TicketMark, TicketMarks, TicketPreview, TicketRefusal,
+        TouchMark, accept_ticket, merge_states, parse_ticket, preview_ticket,
+        read_ticket,
     },
 };
--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -19,7 +19,9 @@
 mod keeper;
 mod message;
 mod plan;
+mod planner;
 mod roster;
+mod safeguard;
 mod steward;
 mod table;
 mod timing;
@@ -30,10 +32,16 @@
     keeper::{KeeperMachine, PassBook, PassRefusal, SendPass, ServerPasses},
     message::{
         ConfirmAnswer, ConfirmAsk, KeeperReport, PermitAnswer, ServerOrder,
-        ServerReport, SliceLoad,
+        ServerReport, ServerState, SliceLoad,
     },
     plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
+    planner::{
+        DomainMove, DomainShare, DomainView, PlannerRound, RecordDomain,
+        RecordStage, ServicePolicy, ServiceRecord, SliceHolding, ViewStage,
+        domain_plan,
+    },
     roster::{RosterVoter, VoterRoster},
+    safeguard::{Safeguard, Safeguards},
     steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
     table::{DomainTable, ServiceTable, TableServer},
     timing::TermTiming,
--- a/goldcrestramp-types/src/time.rs
+++ b/goldcrestramp-types/src/time.rs
@@ -54,12 +54,24 @@
         self.0 / 1_000
     }
 
+    /// What is left of the span after `other`; zero if that is longer.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+
     /// The span times `percent` / 100, rounded down.
     #[must_use]
     pub const fn percent(self, percent: u64) -> Self {
         Self(self.0.saturating_mul(percent) / 100)
     }
 
+    /// Both spans together.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+
     /// The span as the standard library's duration.
     #[must_use]
     pub const fn to_std(self) -> std::time::Duration {
