Tell a keeper what still runs on slices that a server gave up

Cause: the reply to an order now leaves out what did not change and names busy slices, and a report on a request tells the age of the server's run. Change: the stand-in server keeps its own view of what it holds, counts orders under way by slice, and tells its age. Conclusion: a planned move can wait for the orders that still run.

--- a/goldcrestramp-standins/src/server/routes.rs
+++ b/goldcrestramp-standins/src/server/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use goldcrestramp_wire::server::{GrantOrder, HEADER_REQUEST, RequestReport};
+use goldcrestramp_wire::server::{GrantOrder, HEADER_REQUEST};
 use serde::{Deserialize, Serialize};
 use warp::{
     Filter, Rejection, Reply,
@@ -84,7 +84,7 @@
         .map(|id: Tail, shared: Arc<ServerShared>| {
             let id = decode(id.as_str());
             let state = shared.state().requests.cancel(&id);
-            let report = RequestReport { state, run: shared.run };
+            let report = shared.report(state);
             warp::reply::json(&report).into_response()
         });
     let state = warp::get()
@@ -93,7 +93,7 @@
         .and(with.clone())
         .map(|id: Tail, shared: Arc<ServerShared>| {
             let state = shared.state().requests.state(&decode(id.as_str()));
-            let report = RequestReport { state, run: shared.run };
+            let report = shared.report(state);
             warp::reply::json(&report).into_response()
         });
     let answer = warp::get()
--- a/goldcrestramp-standins/src/server/run.rs
+++ b/goldcrestramp-standins/src/server/run.rs
@@ -17,8 +17,10 @@
     answer::AnswerPattern,
     records::MachineTime,
     server::{
-        faults::AnswerFault, order::RunOrder, shared::ServerShared,
-        state::StartedWork,
+        faults::AnswerFault,
+        order::RunOrder,
+        shared::ServerShared,
+        state::{EndedWork, StartedWork},
     },
 };
 
@@ -34,17 +36,15 @@
 #[derive(Debug)]
 struct RunningRequest {
     shared: Arc<ServerShared>,
-    request: Arc<str>,
-    index: usize,
+    work: EndedWork,
     kept: Option<Bytes>,
     _slot: OwnedSemaphorePermit,
 }
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-        let mut state = self.shared.state();
-        state.log.ended(self.index, MachineTime::now());
-        state.requests.ended(&self.request, self.kept.take());
+        let kept = self.kept.take();
+        self.shared.state().end(MachineTime::now(), &self.work, kept);
     }
 }
 
@@ -75,8 +75,12 @@
     };
     let running = RunningRequest {
         shared: Arc::clone(&shared),
-        request: Arc::clone(&order.request),
-        index: work.index,
+        work: EndedWork {
+            index: work.index,
+            request: Arc::clone(&order.request),
+            slice: order.slice,
+            class: order.class,
+        },
         kept: None,
         _slot: slot,
     };
@@ -152,7 +156,7 @@
     part: usize,
 ) -> std::io::Result<Bytes> {
     let cancelled =
-        running.shared.state().requests.is_cancelled(&running.request);
+        running.shared.state().requests.is_cancelled(&running.work.request);
     if cancelled || at >= answer.body.len() {
         return Err(std::io::ErrorKind::BrokenPipe.into());
     }
@@ -162,7 +166,7 @@
 /// The answer with the fault that the next one is to have.
 fn outgoing(running: &RunningRequest, body: Bytes) -> OutgoingAnswer {
     let mut state = running.shared.state();
-    let request = Arc::clone(&running.request);
+    let request = Arc::clone(&running.work.request);
     let current = (Arc::clone(&request), body.clone());
     let before = state.last_answer.replace(current);
     let whole = body.len();
--- a/goldcrestramp-standins/src/server/shared.rs
+++ b/goldcrestramp-standins/src/server/shared.rs
@@ -2,6 +2,8 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use goldcrestramp_types::TimeSpan;
+use goldcrestramp_wire::server::{RequestReport, RequestState};
 use rand::Rng;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
@@ -14,6 +16,7 @@
 #[derive(Debug)]
 pub(super) struct ServerShared {
     pub(super) run: u64,
+    born: MachineTime,
     pub(super) behaviour: ServerBehaviour,
     pub(super) frozen: watch::Sender<bool>,
     state: Mutex<ServerState>,
@@ -31,6 +34,7 @@
     ) -> Self {
         Self {
             run,
+            born: MachineTime::now(),
             frozen: watch::Sender::new(false),
             state: Mutex::new(state),
             sample: Mutex::default(),
@@ -45,6 +49,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What a keeper is told of a request in this state.
+    pub(super) fn report(&self, state: RequestState) -> RequestReport {
+        let age = MachineTime::now().millis_since(self.born);
+        let age = TimeSpan::from_millis(age);
+        RequestReport { state, run: self.run, age }
+    }
+
     /// Waits while the server is frozen.
     ///
     /// A server that is gone stays frozen for ever: its open connections
--- a/goldcrestramp-standins/src/server/state.rs
+++ b/goldcrestramp-standins/src/server/state.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use goldcrestramp_ownership::GrantHolder;
-use goldcrestramp_types::{FastMap, RequestClass, ServerTime, SliceIndex};
+use goldcrestramp_types::{
+    FastMap, RequestClass, ServerTime, SliceIndex, SliceSet,
+};
 use goldcrestramp_wire::server::{GrantOrder, GrantReply, RequestState};
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -56,6 +58,8 @@
     holder: GrantHolder,
     cache: KeyCache,
     cold_until: FastMap<SliceIndex, MachineTime>,
+    /// The orders under way, by slice.
+    ordering: FastMap<SliceIndex, usize>,
     service: Arc<str>,
     behaviour: ServerBehaviour,
 }
@@ -71,6 +75,15 @@
     pub(super) work_ms: f64,
 }
 
+/// What is needed to note the end of a request.
+#[derive(Debug)]
+pub(super) struct EndedWork {
+    pub(super) index: usize,
+    pub(super) request: Arc<str>,
+    pub(super) slice: SliceIndex,
+    pub(super) class: RequestClass,
+}
+
 impl ServerState {
     pub(super) fn new(
         run: u64,
@@ -89,6 +102,7 @@
             holder: GrantHolder::new(run, behaviour.checks_fence),
             cache,
             cold_until: FastMap::default(),
+            ordering: FastMap::default(),
             service: Arc::from(""),
             behaviour,
         }
@@ -101,22 +115,57 @@
         order: &GrantOrder,
     ) -> GrantReply {
         let clock = self.clock.server_time(now);
-        let before = self.holder.reply(clock, None).held;
-        let reply = self.holder.apply(clock, order);
+        let before = self.held(clock);
+        let mut reply = self.holder.apply(clock, order);
+        let held = self.held(clock);
         if let Some(service) = &order.service {
             self.service = Arc::from(service.as_str());
         }
         if before.is_empty() {
             self.cache.clear();
         }
-        self.cache.keep_only(&reply.held);
-        let mut gained = reply.held.clone();
-        gained.subtract(&before);
+        self.cache.keep_only(&held);
+        self.warm_later(now, &held, &before);
+        reply.busy = self.ordering.keys().copied().collect();
+        reply.busy.subtract(&held);
+        self.log.holds(self.hold_entry(now, held, &reply));
+        reply
+    }
+
+    /// What it holds; nothing once the grant has lapsed.
+    fn held(&self, clock: ServerTime) -> SliceSet {
+        self.holder.reply(clock, None).held.unwrap_or_default()
+    }
+
+    /// Makes slices that were just gained slow at first.
+    fn warm_later(
+        &mut self,
+        now: MachineTime,
+        held: &SliceSet,
+        before: &SliceSet,
+    ) {
+        let mut gained = held.clone();
+        gained.subtract(before);
         let cold = now.as_micros() + self.behaviour.cold_ms * 1_000;
         let cold = MachineTime::from_micros(cold);
         self.cold_until.extend(gained.iter().map(|slice| (slice, cold)));
-        self.log.holds(self.hold_entry(now, &reply));
-        reply
+    }
+
+    /// Notes the end of a request.
+    pub(super) fn end(
+        &mut self,
+        now: MachineTime,
+        ended: &EndedWork,
+        kept: Option<Bytes>,
+    ) {
+        self.log.ended(ended.index, now);
+        self.requests.ended(&ended.request, kept);
+        if let Some(count) = self.ordering.get_mut(&ended.slice)
+            && ended.class == RequestClass::Order
+        {
+            *count -= 1;
+        }
+        self.ordering.retain(|_, count| *count > 0);
     }
 
     /// Starts a request, if grant, token, deadline and cancellations allow.
@@ -136,6 +185,9 @@
             RequestClass::Order => self.cache.increment(order.slice, &key),
             _ => self.cache.value(order.slice, &key),
         };
+        if order.class == RequestClass::Order {
+            *self.ordering.entry(order.slice).or_default() += 1;
+        }
         let work_ms = self.draw_work(now, order);
         self.requests.started(&order.request);
         let index = self.log.started(self.execution_entry(now, order));
@@ -172,11 +224,16 @@
         usual * percent as f64 / (USUAL_PERCENT * USUAL_PERCENT) as f64
     }
 
-    fn hold_entry(&self, now: MachineTime, reply: &GrantReply) -> HoldEntry {
+    fn hold_entry(
+        &self,
+        now: MachineTime,
+        slices: SliceSet,
+        reply: &GrantReply,
+    ) -> HoldEntry {
         HoldEntry {
             server: Arc::from(self.behaviour.name.as_str()),
             service: Arc::clone(&self.service),
-            slices: reply.held.clone(),
+            slices,
             token: reply.token,
             from: now,
             until: self.clock.machine_time(reply.deadline),
