Let tests of a node use the new stand-in server

Cause: the stand-in's behaviour and log changed shape under two tests. Change: the tests of one node take exact work times from WorkTimes::fixed and a server that bounds nothing itself, so that what they count is still the keeper's doing; the log is read through its executions. Conclusion: as strict as before.

--- a/goldcrestramp-node/tests/admission.rs
+++ b/goldcrestramp-node/tests/admission.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use goldcrestramp_standins::ExecutionEntry;
 use reqwest::{Method, Response};
 
 use crate::one_node::OneNode;
@@ -66,13 +67,18 @@
     }
 
     let mut starts: Vec<_> =
-        one.server.log().iter().map(|entry| entry.started).collect();
+        executions(&one).iter().map(|e| e.started.as_micros()).collect();
     starts.sort_unstable();
     for (first, later) in starts.iter().zip(&starts[SLOTS..]) {
         assert!(later - first >= WORK_MS * 1_000, "{starts:?}");
     }
 }
 
+/// What the server has executed so far.
+fn executions(one: &OneNode) -> Vec<ExecutionEntry> {
+    one.server.log().executions
+}
+
 /// A phone sends an order, loses patience and sends it twice more: while it
 /// runs, and after it has ended. The server sees it once.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -87,7 +93,7 @@
     };
     let first = tokio::spawn(order("false"));
     let started = async {
-        while !one.server.log().iter().any(|e| e.request.ends_with("order-1"))
+        while !executions(&one).iter().any(|e| e.request.ends_with("order-1"))
         {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
@@ -100,7 +106,7 @@
     assert_eq!(outcome(&second), "unknown");
     assert_eq!(outcome(&first), "done");
     assert_ne!(outcome(&third), "not-run");
-    let log = one.server.log();
+    let log = executions(&one);
     let runs = log.iter().filter(|e| e.request.ends_with("order-1")).count();
     assert_eq!(runs, 1);
 }
@@ -121,6 +127,6 @@
     let answer = ask.await.expect("an answer");
 
     assert_eq!(outcome(&answer), "done");
-    let served = one.server.log().len();
+    let served = executions(&one).len();
     assert!(served < 12, "all of {served} were sent");
 }
--- a/goldcrestramp-node/tests/one_node/mod.rs
+++ b/goldcrestramp-node/tests/one_node/mod.rs
@@ -7,7 +7,7 @@
 use goldcrestramp_platform::{VmEntry, VmState};
 use goldcrestramp_standins::{
     platform::PlatformStandin,
-    server::{ServerBehaviour, ServerStandin},
+    server::{ServerBehaviour, ServerStandin, WorkTimes},
 };
 use goldcrestramp_types::{DomainName, RegionName, VmName};
 use reqwest::{Method, RequestBuilder};
@@ -25,13 +25,21 @@
     _platform: PlatformStandin,
 }
 
+/// More than any test has under way.
+const SERVER_SLOTS: usize = 1_000;
+
 impl OneNode {
     /// Starts all three; the server has `slots` slots, and each request
     /// takes `work_ms`.
     pub(crate) async fn spawn(slots: u32, work_ms: u64) -> Self {
         let platform = PlatformStandin::bind(loopback()).await.expect("bound");
-        let behaviour =
-            ServerBehaviour { work_ms, ..ServerBehaviour::default() };
+        // The server itself refuses nothing: what is counted in it is the
+        // keeper's doing.
+        let behaviour = ServerBehaviour {
+            slots: SERVER_SLOTS,
+            work: WorkTimes::fixed(work_ms),
+            ..ServerBehaviour::default()
+        };
         let server = ServerStandin::bind(loopback(), behaviour).await;
         let server = server.expect("bound");
         put_config(platform.address(), server.address(), slots).await;
--- a/goldcrestramp-standins/src/server/behaviour.rs
+++ b/goldcrestramp-standins/src/server/behaviour.rs
@@ -63,15 +63,29 @@
     pub order_ms: f64,
     /// An export or a download, from first to last byte.
     pub long_ms: f64,
+    /// Whether times vary around the mean.
+    pub varied: bool,
 }
 
 impl Default for WorkTimes {
     fn default() -> Self {
-        Self { lookup_ms: 1.0, order_ms: 2.0, long_ms: 200.0 }
+        Self { lookup_ms: 1.0, order_ms: 2.0, long_ms: 200.0, varied: true }
     }
 }
 
 impl WorkTimes {
+    /// Exactly so many milliseconds for every request.
+    #[must_use]
+    pub fn fixed(millis: u64) -> Self {
+        let millis = u32::try_from(millis).unwrap_or(u32::MAX).into();
+        Self {
+            lookup_ms: millis,
+            order_ms: millis,
+            long_ms: millis,
+            varied: false,
+        }
+    }
+
     /// Draws the time of one request, in milliseconds.
     ///
     /// Half of the mean is fixed and half exponentially distributed, so
@@ -82,6 +96,9 @@
             RequestClass::Order => self.order_ms,
             RequestClass::Long => self.long_ms,
         };
+        if !self.varied {
+            return mean;
+        }
         let uniform: f64 = source.random_range(f64::MIN_POSITIVE..1.0);
         mean * (1.0 - uniform.ln()) / 2.0
     }
--- a/goldcrestramp-standins/tests/server.rs
+++ b/goldcrestramp-standins/tests/server.rs
@@ -105,7 +105,7 @@
 
 /// Long enough that a test can act while the work goes on.
 fn slow_work() -> ServerBehaviour {
-    let work = WorkTimes { lookup_ms: 400.0, order_ms: 400.0, long_ms: 400.0 };
+    let work = WorkTimes::fixed(400);
     ServerBehaviour { work, slots: 1, ..ServerBehaviour::default() }
 }
 
