Load gateways in an open loop, and draw and compare runs

Cause: latencies under faults need arrivals that do not wait for answers. Change: seeded Poisson arrivals, Zipf keys whose hottest move, callers who send an order again when they were not told its outcome, latencies from the intended moment, a saved report, an SVG picture with faults marked, and a comparison; bounded in rate, time and requests, loopback unless told. Conclusion: the commands load and demo can be put on it.

--- a/goldcrestramp-standins/src/lib.rs
+++ b/goldcrestramp-standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 pub mod checker;
 mod listener;
+pub mod load;
 pub mod platform;
 mod records;
 pub mod server;
--- /dev/null
+++ b/goldcrestramp-standins/tests/load.rs
@@ -0,0 +1,176 @@
+//! The load tool: bounded, open-loop, and honest about latency.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use goldcrestramp_standins::{
+    AnswerPattern, CallEntry, CallOutcome, ListenerHandle, MachineTime,
+    checker::PromiseFigures,
+    load::{
+        FaultMark, LoadPlan, LoadProgress, LoadReport, LoadStream, PlanError,
+        compare_reports, plot_report, run_load,
+    },
+    server::ServerLog,
+};
+use goldcrestramp_types::RequestClass;
+use warp::{Filter, Reply, http::HeaderMap, reply::Response};
+
+/// How long the slow gateway holds every answer back.
+const HOLD: Duration = Duration::from_millis(200);
+
+fn stream() -> LoadStream {
+    LoadStream {
+        service: "stock".to_owned(),
+        class: RequestClass::Lookup,
+        requests_per_s: 100.0,
+        callers: 4,
+        keys: 50,
+        zipf_exponent: 0.9,
+        hot_keys: 3,
+        request_bytes: 10,
+        deadline_ms: 5_000,
+    }
+}
+
+fn plan(target: SocketAddr) -> LoadPlan {
+    LoadPlan {
+        targets: vec![target],
+        streams: vec![stream()],
+        seconds: 1,
+        seed: 7,
+        under_way: 1_000,
+        allow_remote: false,
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A gateway that answers every lookup rightly, after a while.
+async fn slow_gateway() -> ListenerHandle {
+    let route = warp::path!("v1" / String / String)
+        .and(warp::header::headers_cloned())
+        .then(
+            |_service: String, key: String, headers: HeaderMap| async move {
+                tokio::time::sleep(HOLD).await;
+                answer(&key, &headers)
+            },
+        );
+    ListenerHandle::bind(loopback(), route).await.expect("a port")
+}
+
+fn answer(key: &str, headers: &HeaderMap) -> Response {
+    let text = |name| headers[name].to_str().expect("text").to_owned();
+    let caller = text("goldcrestramp-caller");
+    let id = format!("{caller}/{}", text("goldcrestramp-request"));
+    let body = AnswerPattern::new(&id, key, 0, 20).whole().to_vec();
+    let body = warp::reply::with_header(body, "goldcrestramp-outcome", "done");
+    body.into_response()
+}
+
+fn call(service: &str, intended: u64, ended: u64) -> CallEntry {
+    let time = |millis: u64| MachineTime::from_micros(millis * 1_000);
+    let reason = Arc::from("no-owner");
+    CallEntry {
+        request: Arc::from(format!("a/{intended}")),
+        service: Arc::from(service),
+        key: Arc::from("k"),
+        class: RequestClass::Lookup,
+        intended: time(intended),
+        sent: time(ended - 1),
+        ended: time(ended),
+        outcome: CallOutcome::NotRun { reason },
+    }
+}
+
+#[tokio::test]
+async fn a_plan_that_is_not_bounded_is_refused() {
+    let local = "127.0.0.1:1".parse().expect("an address");
+    let remote: SocketAddr = "192.0.2.1:80".parse().expect("an address");
+    let no_rate = LoadStream { requests_per_s: 0.0, ..stream() };
+    let cases = [
+        (plan(remote), PlanError::Remote(remote)),
+        (LoadPlan { targets: vec![], ..plan(local) }, PlanError::Empty),
+        (
+            LoadPlan { seconds: 4_000, ..plan(local) },
+            PlanError::OutOfRange("seconds, 1 to 3600"),
+        ),
+        (
+            LoadPlan { streams: vec![no_rate], ..plan(local) },
+            PlanError::OutOfRange("requests_per_s, above 0"),
+        ),
+    ];
+    for (plan, expected) in cases {
+        let refused = run_load(&plan, Arc::default()).await;
+
+        assert_eq!(refused.expect_err("refused"), expected);
+    }
+}
+
+// A hundred lookups a second and 200 ms an answer: an open loop sends
+// on time all the same, and has about twenty under way.
+#[tokio::test]
+async fn arrivals_do_not_wait_for_answers() {
+    let gateway = slow_gateway().await;
+    let progress = Arc::new(LoadProgress::default());
+
+    let plan = plan(gateway.address());
+    let calls = run_load(&plan, Arc::clone(&progress)).await;
+    let calls = calls.expect("a bounded plan");
+
+    let report = LoadReport::new(&calls, vec![]);
+    assert!(report.requests > 50, "{report:?}");
+    assert_eq!(report.done, report.requests, "{report:?}");
+    assert_eq!(progress.done.load(Ordering::Relaxed), report.done);
+    assert!(report.latency_ms["stock"].p50 >= 200.0, "{report:?}");
+    let figures = PromiseFigures::judge(&ServerLog::default(), &calls);
+    assert!(figures.kept(), "{figures:?}");
+}
+
+// More than the run may have under way is counted, never waited for.
+#[tokio::test]
+async fn a_full_load_tool_says_so() {
+    let gateway = slow_gateway().await;
+
+    let plan = LoadPlan { under_way: 1, ..plan(gateway.address()) };
+    let calls = run_load(&plan, Arc::default()).await.expect("a plan");
+
+    let report = LoadReport::new(&calls, vec![]);
+    assert!(report.not_run["load-full"] > 0, "{report:?}");
+}
+
+// A request that was meant for the start and answered two seconds later
+// took two seconds, whenever it was really sent.
+#[test]
+fn latency_counts_from_the_intended_moment() {
+    let whole = CallOutcome::Done {
+        answer: goldcrestramp_standins::AnswerCheck::Whole { value: 0 },
+    };
+    let calls = [CallEntry { outcome: whole, ..call("stock", 0, 2_000) }];
+
+    let report = LoadReport::new(&calls, vec![]);
+
+    assert!(report.latency_ms["stock"].max >= 2_000.0, "{report:?}");
+}
+
+#[test]
+fn a_run_is_saved_drawn_and_compared() {
+    let calls = [call("stock", 0, 10), call("stock", 1_500, 1_510)];
+    let name = "server-loss".to_owned();
+    let mark = FaultMark { name, second: 1 };
+
+    let report = LoadReport::new(&calls, vec![mark]);
+    let saved = serde_json::to_string(&report).expect("JSON");
+    let read: LoadReport = serde_json::from_str(&saved).expect("a report");
+    let picture = plot_report(&read).expect("a picture");
+    let table = compare_reports(&report, &read);
+
+    assert_eq!(read, report);
+    assert_eq!(report.seconds.len(), 2);
+    assert!(picture.starts_with("<svg") && picture.contains("server-loss"));
+    assert!(table.contains("not run"), "{table}");
+}
