Mend what the fuzzer found in keeper changes and terms

Each stands as a regression test that failed before: - a keeper whose permit had lapsed claimed a server without fences from a new steward while another kept it: it forgets such servers on the lapse, and they change keepers only after a confirmation begun after it; - a steward whose voters had all been replaced led under a term below those of its keepers, which refused it for good: reports name the keeper's term, and a steward that is outranked anywhere goes above; - a keeper had dropped and regained a server, and its steward left out an order that it did not remember any more: absent servers are forgotten; - at a server without fences a late order undid the newest one, and the next extension gave it the newest token: the keeper compares the slices; - OWNERSHIP: after a planned handover the new keeper, which had not reached the server yet, reported its grant as lapsed, and its slices were granted elsewhere: the former keeper's permit counts for lapses.

The wire protocol carries the keeper's term.

--- a/goldcrestramp-node/src/convert.rs
+++ b/goldcrestramp-node/src/convert.rs
@@ -152,6 +152,7 @@
         servers: report.servers.iter().map(server_report_out).collect(),
         config_version: 0,
         sequence: report.sequence,
+        term: Some(term_out(report.term)),
     }
 }
 
@@ -165,6 +166,7 @@
         address: Arc::from(request.address.as_str()),
         start: request.start,
         sequence: request.sequence,
+        term: term_in(request.term),
         leaving: request.leaving,
         servers: servers?,
     })
--- a/goldcrestramp-ownership/src/keeper/mod.rs
+++ b/goldcrestramp-ownership/src/keeper/mod.rs
@@ -101,6 +101,10 @@
         self.sequence += 1;
         self.poll_at = now + self.timing.renew_every;
         self.servers.retain(|_, kept| !kept.is_done(now));
+        // A server without fences may have another keeper by now; only one
+        // whose permit never lapsed may claim it from a new steward.
+        let lapsed = now >= self.until;
+        self.servers.retain(|_, kept| !lapsed || kept.checks_fence());
         for kept in self.servers.values_mut() {
             kept.refresh_state(now, &mut self.versions);
         }
@@ -109,6 +113,7 @@
             address: Arc::clone(&self.address),
             start: self.start,
             sequence: self.sequence,
+            term: self.term,
             leaving: self.leaving,
             servers: self.servers.values().map(KeptServer::report).collect(),
         }
@@ -131,6 +136,12 @@
         if sequence != self.sequence || term < self.term {
             return;
         }
+        // The permit under which the report claimed them has lapsed since.
+        let stale = term != self.term && now >= self.until;
+        if stale && self.servers.values().any(|kept| !kept.checks_fence()) {
+            self.poll_at = now;
+            return;
+        }
         self.term = term;
         self.until = sent + self.timing.shortened(valid);
         self.poll_at = now + again.min(self.timing.renew_every);
--- a/goldcrestramp-ownership/src/keeper/server.rs
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -111,6 +111,10 @@
         Arc::clone(&self.order)
     }
 
+    pub(super) fn checks_fence(&self) -> bool {
+        self.order.checks_fence
+    }
+
     /// Takes the slices with work under way; whether a release waits.
     pub(super) fn set_running(&mut self, running: SliceSet) -> bool {
         let mut ended = std::mem::replace(&mut self.running, running);
@@ -185,7 +189,10 @@
             return order;
         }
         let alive = now < self.alive_until(reading, timing);
-        let applied = alive && self.token == self.order.token;
+        // At a server without fences a late order of before may have taken
+        // the place of the newest one, under the token of an extension.
+        let same = self.held == self.order.slices;
+        let applied = alive && self.token == self.order.token && same;
         if self.order.extend_only || applied {
             // A lapsed grant is not extended: its slices may have moved.
             if alive {
--- a/goldcrestramp-ownership/src/message.rs
+++ b/goldcrestramp-ownership/src/message.rs
@@ -97,6 +97,11 @@
     pub start: u64,
     /// Rises with each report; an answer to an earlier one is void.
     pub sequence: u64,
+    /// The highest term that it has had a permit from.
+    ///
+    /// It takes none from a lower one, so a steward whose voters were all
+    /// replaced, and who therefore counts from the start, has to go above.
+    pub term: TermId,
     /// Whether the VM is leaving: it gets no new servers.
     pub leaving: bool,
     /// The servers that it keeps.
--- a/goldcrestramp-ownership/src/steward/keepers.rs
+++ b/goldcrestramp-ownership/src/steward/keepers.rs
@@ -22,7 +22,7 @@
     leaving: bool,
     heard_at: LocalTime,
     /// The end of the last permit given to it.
-    permit_until: LocalTime,
+    pub(super) permit_until: LocalTime,
 }
 
 impl LedKeeper {
@@ -133,6 +133,7 @@
         &self,
         now: LocalTime,
         unclaimed: LocalTime,
+        begun: LocalTime,
         servers: &mut BTreeMap<ServerName, LedServer>,
         timing: &TermTiming,
     ) -> bool {
@@ -140,8 +141,7 @@
         let mut loads = self.loads(now, servers, timing);
         let waits = timing.safeguards.has(Safeguard::KeeperWait);
         for (name, server) in servers.iter_mut() {
-            let safe = server.plan.checks_fence || !waits;
-            let free = safe || now >= server.former_until;
+            let free = !waits || server.may_change_keeper(now, begun);
             if server.keeper.is_some() || !free || now < unclaimed {
                 continue;
             }
--- a/goldcrestramp-ownership/src/steward/leader.rs
+++ b/goldcrestramp-ownership/src/steward/leader.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeMap;
 
 use goldcrestramp_types::{
-    FastMap, FenceToken, LocalTime, ServerName, ServiceName, SliceSet, VmName,
+    FastMap, FenceToken, LocalTime, ServerName, ServiceName, SliceSet, TermId,
+    VmName,
 };
 
 use crate::{
@@ -53,6 +54,8 @@
     table: TablePublisher,
     pub(super) records: RecordKeeper,
     pub(super) moved: u64,
+    /// The highest term that anyone here has shown.
+    seen: TermId,
 }
 
 impl LeadingSteward {
@@ -84,6 +87,7 @@
             table: TablePublisher::default(),
             records: RecordKeeper::default(),
             moved: 0,
+            seen: TermId::default(),
         };
         leading.take_plan(now, plan);
         leading
@@ -176,6 +180,7 @@
         let assigned = self.keepers.assign(
             now,
             self.unclaimed_at,
+            self.claim.begun().unwrap_or_default(),
             &mut self.servers,
             &timing,
         );
@@ -322,11 +327,15 @@
         if now >= until {
             return None;
         }
+        self.note_term(report.term);
+        if self.outranked_by().is_some() {
+            return None;
+        }
         if !self.keepers.note(now, &report, &mut self.servers) {
             return None;
         }
         let (vm, sequence) = (report.vm.clone(), report.sequence);
-        self.end_retirements(&report);
+        self.note_absent(&report);
         for server in report.servers {
             self.learn(now, &vm, server);
         }
@@ -365,32 +374,46 @@
         }
     }
 
-    /// A retiring keeper that reports a server no more has let go of it.
-    fn end_retirements(&mut self, report: &KeeperReport) {
+    /// Draws conclusions from what a keeper does not report.
+    ///
+    /// It remembers no order for such a server, so the next answer must
+    /// carry all of it. A retiring keeper has let go of the server; so has
+    /// one that the former steward told to, before the takeover.
+    fn note_absent(&mut self, report: &KeeperReport) {
+        let extending = !self.may_move();
+        let keeper = self.keepers.get(&report.vm);
+        let until = keeper.map(|k| k.permit_until).unwrap_or_default();
         for (name, server) in &mut self.servers {
             let mine = server.keeper.as_ref() == Some(&report.vm);
-            if !mine || !server.retiring {
+            let reported = || report.servers.iter().any(|s| s.server == *name);
+            if !mine || reported() {
                 continue;
             }
-            if report.servers.iter().all(|entry| entry.server != *name) {
-                server.lose_keeper(LocalTime::default());
+            let claimed = extending && !server.plan.checks_fence;
+            if server.retiring || claimed {
+                server.end_keeping(until);
                 self.table.mark(true);
             }
+            server.forget_known();
         }
     }
 
     fn learn(&mut self, now: LocalTime, vm: &VmName, report: ServerReport) {
         let moving = self.may_move();
+        let begun = self.claim.begun().unwrap_or_default();
         let Some(server) = self.servers.get_mut(&report.server) else {
             return;
         };
-        if server.is_claimable(now) {
+        if server.is_claimable(now, begun) {
             server.staff(vm.clone());
             self.table.mark(true);
         }
         if server.keeper.as_ref() != Some(vm) {
             return;
         }
+        if let Some(state) = &report.state {
+            self.seen = self.seen.max(state.fence.term).max(state.token.term);
+        }
         let before = (server.settled, server.is_eligible(), server.lost);
         let changed = server.learn(now, report, moving, &self.timing);
         let after = (server.settled, server.is_eligible(), server.lost);
@@ -419,11 +442,17 @@
         self.dirty = true;
     }
 
-    /// A higher term that a server of this domain has seen, if any.
-    pub(super) fn outranked_by(&self) -> Option<u64> {
-        let shown = self.servers.values().map(|s| s.shown_token().term);
-        let highest = shown.max()?;
-        (highest > self.claim.term).then_some(highest.number)
+    /// Notes a term that a voter, keeper or server of the domain has seen.
+    pub(super) fn note_term(&mut self, term: TermId) {
+        self.seen = self.seen.max(term);
+    }
+
+    /// A term above this one that somebody here holds to, if any.
+    ///
+    /// Whoever does refuses this steward for as long as it leads: a voter
+    /// its confirmation, a keeper its permit, a server its grants.
+    pub(super) fn outranked_by(&self) -> Option<TermId> {
+        (self.seen > self.claim.term).then_some(self.seen)
     }
 
     /// The moves that are begun and not ended.
--- a/goldcrestramp-ownership/src/steward/led.rs
+++ b/goldcrestramp-ownership/src/steward/led.rs
@@ -41,8 +41,10 @@
     pub(super) keeper: Option<VmName>,
     /// Whether its keeper is to stop, so that another can begin.
     pub(super) retiring: bool,
+    /// Until when a grant by a former keeper may last.
+    former_until: LocalTime,
     /// Until when a former keeper may still act.
-    pub(super) former_until: LocalTime,
+    acting_until: LocalTime,
     pub(super) order: StandingOrder,
     /// Everything that it may hold.
     pub(super) bound: SliceSet,
@@ -75,6 +77,7 @@
             keeper: None,
             retiring: false,
             former_until,
+            acting_until: former_until,
             order,
             bound: SliceSet::new(),
             target: SliceSet::new(),
@@ -135,9 +138,28 @@
     ///
     /// The one that kept it under the former steward may; later on a VM
     /// may only if it could also be named as the keeper.
-    pub(super) fn is_claimable(&self, now: LocalTime) -> bool {
-        let safe = self.plan.checks_fence || now >= self.former_until;
-        self.keeper.is_none() && (safe || !self.staffed)
+    pub(super) fn is_claimable(
+        &self,
+        now: LocalTime,
+        begun: LocalTime,
+    ) -> bool {
+        let kept = self.keeper.is_some();
+        !kept && (!self.staffed || self.may_change_keeper(now, begun))
+    }
+
+    /// Whether no former keeper can act on it unnoticed any more.
+    ///
+    /// A server that checks fences refuses the former one. At another, two
+    /// keepers could undo each other's orders: the former permit must have
+    /// ended, and a majority have confirmed after that. Otherwise a newer
+    /// steward may have prolonged that permit.
+    pub(super) fn may_change_keeper(
+        &self,
+        now: LocalTime,
+        begun: LocalTime,
+    ) -> bool {
+        let confirmed = begun > self.acting_until || !self.staffed;
+        self.plan.checks_fence || (now >= self.acting_until && confirmed)
     }
 
     /// Names its keeper.
@@ -148,6 +170,12 @@
 
     /// Loses its keeper, whose permit ends at `until`.
     pub(super) fn lose_keeper(&mut self, until: LocalTime) {
+        self.acting_until = self.acting_until.max(until);
+        self.end_keeping(until);
+    }
+
+    /// Its keeper has let go of it; its grants may last until `until`.
+    pub(super) fn end_keeping(&mut self, until: LocalTime) {
         self.keeper = None;
         self.retiring = false;
         self.former_until = self.former_until.max(until);
@@ -155,6 +183,12 @@
         self.lapsed_at = None;
     }
 
+    /// Its keeper knows nothing of it, or not any more.
+    pub(super) fn forget_known(&mut self) {
+        self.known = None;
+        self.lapsed_at = None;
+    }
+
     /// Takes the report of its keeper; whether what it may hold changed.
     pub(super) fn learn(
         &mut self,
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -128,7 +128,9 @@
 #[derive(Clone, Debug)]
 enum StewardRole {
     /// Another leads, or nobody does yet; not a candidate before a moment.
-    Follower { not_before: LocalTime },
+    ///
+    /// One that is `eager` led just now and goes on under a higher term.
+    Follower { not_before: LocalTime, eager: bool },
     /// Asks for a majority; gives up at a moment.
     Candidate { claim: TermClaim, give_up: LocalTime },
     /// A majority has confirmed its term.
@@ -167,7 +169,7 @@
             me: StewardIdentity { domain, vm, address, start },
             timing,
             knowledge: StewardKnowledge::default(),
-            role: StewardRole::Follower { not_before },
+            role: StewardRole::Follower { not_before, eager: false },
             moved: 0,
             read_again_at: LocalTime::default(),
         }
@@ -219,11 +221,8 @@
             return self.not_steward(now);
         };
         let answer = leading.permit(now, report, &mut self.knowledge);
-        if let Some(number) = leading.outranked_by() {
-            // A server that checks fences would refuse all orders of this
-            // term: take a higher one.
-            self.knowledge.highest = self.knowledge.highest.max(number);
-            self.follow(now);
+        if let Some(term) = leading.outranked_by() {
+            self.go_above(now, term);
             return self.not_steward(now);
         }
         answer.unwrap_or_else(|| self.not_steward(now))
@@ -265,9 +264,9 @@
 
     fn tick(&mut self, now: LocalTime) -> Vec<StewardEffect> {
         match &mut self.role {
-            StewardRole::Follower { not_before } => {
-                let due = *not_before;
-                self.campaign(now, due)
+            StewardRole::Follower { not_before, eager } => {
+                let (due, eager) = (*not_before, *eager);
+                self.campaign(now, due, eager)
             }
             StewardRole::Candidate { give_up, .. } if now >= *give_up => {
                 self.follow(now);
@@ -296,6 +295,7 @@
         &mut self,
         now: LocalTime,
         not_before: LocalTime,
+        eager: bool,
     ) -> Vec<StewardEffect> {
         let (Some(roster), Some(_)) =
             (&self.knowledge.roster, &self.knowledge.plan)
@@ -309,7 +309,7 @@
         let turn = TimeSpan::from_millis(TURN_MILLIS * (rank as u64 + 1));
         let seen = self.knowledge.seen.as_ref().map(|seen| seen.at);
         let missed = seen.unwrap_or_default() + self.timing.missed_after;
-        if now < missed.max(not_before) + turn {
+        if !eager && now < missed.max(not_before) + turn {
             return Vec::new();
         }
         let number = self.knowledge.highest + 1;
@@ -329,7 +329,14 @@
             self.moved += leading.moved;
         }
         let not_before = now + self.timing.renew_every;
-        self.role = StewardRole::Follower { not_before };
+        self.role = StewardRole::Follower { not_before, eager: false };
+    }
+
+    /// Stops leading under this term and asks at once for a higher one.
+    fn go_above(&mut self, now: LocalTime, term: TermId) {
+        self.knowledge.note_term(term);
+        self.follow(now);
+        self.role = StewardRole::Follower { not_before: now, eager: true };
     }
 
     fn saw(
@@ -379,6 +386,9 @@
             }
             ConfirmAnswer::Refused { highest } if highest > claim.term => {
                 self.knowledge.note_term(highest);
+                if let StewardRole::Leading(_) = &self.role {
+                    self.go_above(now, highest);
+                }
                 Vec::new()
             }
             // It follows another, or knows a newer roster.
@@ -486,7 +496,7 @@
             return Vec::new();
         };
         if token.term > leading.claim.term {
-            self.follow(now);
+            self.go_above(now, token.term);
             return Vec::new();
         }
         if older {
--- a/goldcrestramp-ownership/src/voter.rs
+++ b/goldcrestramp-ownership/src/voter.rs
@@ -88,7 +88,9 @@
         }
         let (confirmed, at) = latest?;
         let missed = now.since(*at) >= self.timing.missed_after;
-        let other = ask.term != confirmed.term;
+        // The present steward itself may go on to a higher term at once.
+        let other = (ask.term.vm, ask.term.start)
+            != (confirmed.term.vm, confirmed.term.start);
         (ask.term < confirmed.term || (other && !missed)).then_some(highest)
     }
 }
--- a/goldcrestramp-ownership/tests/ownership/main.rs
+++ b/goldcrestramp-ownership/tests/ownership/main.rs
@@ -9,4 +9,8 @@
 mod failures;
 mod fuzz;
 mod mutations;
+#[expect(
+    clippy::unreadable_literal,
+    reason = "seeds stand as the fuzzer printed them"
+)]
 mod regressions;
--- a/goldcrestramp-ownership/tests/ownership/regressions.rs
+++ b/goldcrestramp-ownership/tests/ownership/regressions.rs
@@ -1,1 +1,201 @@
 //! Runs of faults that once failed; they stay as they were found.
+
+use goldcrestramp_ownership::Safeguards;
+
+use crate::{fault::Fault, fuzz::judge};
+
+const fn run(millis: u64, seed: u64) -> Fault {
+    Fault::Run { millis, seed }
+}
+
+const fn weather(loss: u64, double: u64, late: u64) -> Fault {
+    Fault::Weather { loss, double, late }
+}
+
+/// Each with what was wrong.
+fn found() -> Vec<(&'static str, Vec<Fault>)> {
+    vec![
+        (
+            "A store cut off for a moment: the record was asked for only once.",
+            vec![
+                Fault::CutStore(0),
+                run(124, 0),
+                weather(5, 2, 1464),
+                run(201, 9704546883666633779),
+                run(41, 4012516665093722549),
+                run(1, 0),
+                run(743, 2511574821408649470),
+                Fault::StartVm(1),
+                run(354, 81821696442734),
+                run(1, 0),
+                Fault::ResumeVm(0),
+                weather(0, 0, 5),
+                run(941, 2972763454519827273),
+            ],
+        ),
+        (
+            "A keeper whose permit had lapsed claimed a server without fences.",
+            vec![
+                Fault::CutVms(1, 3),
+                run(392, 180795256134682992),
+                run(2759, 6064917327491535385),
+                Fault::StartVm(1),
+            ],
+        ),
+        (
+            "All voters replaced: the new steward's term was below its keepers'.",
+            vec![
+                Fault::PauseVm(2),
+                Fault::KillVm(1),
+                run(1, 0),
+                Fault::StartVm(0),
+                run(371, 0),
+                run(1, 0),
+                Fault::KillVm(3),
+                run(1556, 0),
+                run(150, 0),
+                run(1244, 0),
+                run(259, 0),
+                run(1, 0),
+                run(219, 0),
+                Fault::KillVm(0),
+                run(2, 0),
+                run(1, 0),
+                run(1, 851583317556787132),
+            ],
+        ),
+        (
+            "A keeper had forgotten an order that its steward did not repeat.",
+            vec![
+                run(50, 0),
+                run(1425, 644401011068075757),
+                Fault::KillServer(2),
+                Fault::Move(8, 1),
+                Fault::StartServer(0),
+                run(49, 0),
+                Fault::CutServer(2, 3),
+                run(31, 11445110900977489098),
+                Fault::StartVm(3),
+                Fault::StartServer(0),
+                run(157, 306511777797994066),
+                run(55, 15734203134172551465),
+                Fault::SlowServer(0, 0, 100),
+                Fault::KillVm(0),
+                run(2245, 3689684752660196640),
+                weather(23, 8, 465),
+                Fault::KillServer(1),
+                Fault::HealLinks,
+                run(210, 1008145114940823811),
+                run(45, 10681867128853465537),
+                run(667, 5786789456724085255),
+                run(1878, 13495730001064317400),
+                Fault::CutStore(2),
+                run(346, 308779159591770612),
+                run(2778, 7562198856093960048),
+                run(1481, 1223501988340908754),
+                run(8, 0),
+                run(45, 15321799174706238859),
+                run(2187, 1028074692099866213),
+                Fault::StartVm(0),
+                run(2196, 15986580152568766583),
+                run(1394, 6476780868896822203),
+                weather(36, 1, 132),
+                run(13, 578505739567192561),
+                Fault::CutVms(0, 1),
+                run(358, 2827778946779503720),
+                run(806, 7337612623160713447),
+                run(2342, 1166429359628167529),
+                run(1, 0),
+                run(39, 8287113271033018726),
+                Fault::KillVm(2),
+                run(471, 1057915311651261078),
+                Fault::StartVm(2),
+                run(174, 2419511455363215394),
+            ],
+        ),
+        (
+            "A late order at a server without fences hid under a newer token.",
+            vec![
+                run(58, 0),
+                run(2043, 3768905404859476303),
+                run(42, 0),
+                weather(31, 16, 1844),
+                run(32, 14916182203714116464),
+                run(43, 7653416358975092767),
+                Fault::Move(0, 1),
+                run(13, 0),
+                run(171, 1577005785572735128),
+                run(49, 4803),
+                Fault::PauseVm(3),
+                run(88, 18202918404373485546),
+                run(305, 15454287337117257008),
+                run(8, 0),
+                Fault::CutVms(0, 1),
+                run(211, 5287983086284782710),
+                Fault::StartVm(0),
+                weather(6, 19, 1882),
+                run(927, 7504279198044705235),
+                run(616, 16494154948671432375),
+                run(13, 0),
+                Fault::Drain(1, true),
+                run(11, 0),
+                Fault::StartVm(2),
+                Fault::StartVm(0),
+                weather(0, 12, 1963),
+                run(339, 12865534412539461143),
+                weather(25, 18, 638),
+                run(28, 0),
+                run(333, 12764750420635957487),
+                run(1741, 14115661558810662317),
+                run(396, 4407278199812990968),
+                run(2354, 12981519761157879730),
+                run(2253, 14092048093308453062),
+                weather(0, 0, 5),
+                Fault::KillServer(2),
+                Fault::HealLinks,
+                run(42, 0),
+                run(43, 0),
+                Fault::Move(0, 0),
+                Fault::StartVm(3),
+                run(2202, 2726571622544706173),
+                run(2374, 11408912153246784336),
+                Fault::CutVms(1, 2),
+                run(16, 1914041671577947464),
+                run(270, 2609219710395278088),
+                Fault::CutStore(3),
+                weather(8, 14, 428),
+                run(3, 0),
+                Fault::CutServer(3, 0),
+                Fault::Drain(3, true),
+                run(2228, 2961947689807725600),
+                Fault::LeavingVm(0, true),
+                Fault::StartVm(2),
+                run(25, 3985385849996340359),
+                Fault::LeavingVm(1, true),
+                run(1877, 4154147236833167805),
+                Fault::Drain(1, false),
+                run(1338, 16224926899417099165),
+                run(65, 17945959663450343881),
+                run(1053, 8466035334326402959),
+            ],
+        ),
+        (
+            "A new keeper took a server that it had not reached for empty.",
+            vec![
+                Fault::LeavingVm(0, true),
+                Fault::SlowServer(2, 3, 143),
+                run(102, 327839105469850919),
+                Fault::Move(12, 0),
+                run(700, 6776445375302912454),
+            ],
+        ),
+    ]
+}
+
+#[test]
+fn what_once_failed_passes() {
+    for (what, faults) in found() {
+        let wrong = judge(&faults, Safeguards::default());
+        assert_eq!(wrong, None, "{what}");
+    }
+}
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -117,6 +117,9 @@
     /// Rises with each report; an answer to an earlier one is void.
     #[prost(uint64, tag = "8")]
     pub sequence: u64,
+    /// The highest term that the keeper has had a permit from.
+    #[prost(message, optional, tag = "9")]
+    pub term: ::core::option::Option<Term>,
 }
 /// What a keeper is to make one server hold.
 #[derive(Clone, PartialEq, ::prost::Message)]
