--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod handle;
 mod keeper;
 mod metrics;
+mod operators;
 mod peers;
 mod routing;
 mod running;
@@ -25,4 +26,10 @@
     faults::NodeFaults,
     handle::{NodeAddresses, NodeHandle},
     metrics::NodeMetrics,
+    operators::{
+        ApplyOutcome, DomainReport, ExplainReport, KeepReport, MoveReport,
+        OperatorControl, OperatorPolicy, OperatorRefusal, PolicyError,
+        RefusalLine, ServerReport, StatusReport, StewardReport, TicketAnswer,
+        TicketOutcome, apply_ticket, operator_routes, restore_config,
+    },
 };
