--- a/goldcrestramp-ownership/tests/ownership/main.rs
+++ b/goldcrestramp-ownership/tests/ownership/main.rs
@@ -11,6 +11,7 @@
 mod mutations;
 #[expect(
     clippy::unreadable_literal,
-    reason = "seeds stand as the fuzzer printed them"
+    clippy::too_many_lines,
+    reason = "runs of faults stand as the fuzzer printed them"
 )]
 mod regressions;
