--- a/goldcrestramp-node/src/convert.rs
+++ b/goldcrestramp-node/src/convert.rs
@@ -153,6 +153,7 @@
         config_version: 0,
         sequence: report.sequence,
         term: Some(term_out(report.term)),
+        gone: Vec::new(),
     }
 }
 
