--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -6,7 +6,6 @@
 mod messages;
 mod permit_stream;
 mod permits;
-mod plans;
 mod reader;
 mod service;
 mod status;
@@ -16,6 +15,7 @@
 pub use crate::control::status::ControlStatus;
 pub(crate) use crate::control::{
     actor::ControlActor,
-    messages::{ConfigNotice, DrainedAsk, StatusAsk},
+    messages::{ConfigNotice, DrainedAsk, HomesNotice, StatusAsk},
+    tables::TableSet,
     thread::ControlThread,
 };
--- a/goldcrestramp-ownership/src/keeper/server.rs
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -14,11 +14,11 @@
 };
 
 /// How long after a lost or refused message the next one goes out.
-const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(100);
+const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(50);
 
 /// The most unanswered grants that are remembered one by one.
 ///
-/// A grant repeated to a silent server adds one every 100 ms, each void
+/// A grant repeated to a silent server adds one every 50 ms, each void
 /// within a lease; beyond this the keeper waits until some are void.
 const STRAY_LIMIT: usize = 16;
 
@@ -111,6 +111,10 @@
         Arc::clone(&self.order)
     }
 
+    pub(super) fn checks_fence(&self) -> bool {
+        self.order.checks_fence
+    }
+
     /// Takes the slices with work under way; whether a release waits.
     pub(super) fn set_running(&mut self, running: SliceSet) -> bool {
         let mut ended = std::mem::replace(&mut self.running, running);
@@ -147,7 +151,10 @@
         if let Some(reading) = self.reading.filter(|_| grants) {
             let span = order.deadline.since(reading.clock);
             void_at = reading.received + timing.lengthened(span);
-            self.ends_at = self.ends_at.max(void_at);
+            // A grant of nothing leaves nothing that could be alive.
+            if slices.as_ref().is_none_or(|set| !set.is_empty()) {
+                self.ends_at = self.ends_at.max(void_at);
+            }
         }
         self.under_way = Some(SentOrder { sent: now, slices, void_at });
         self.next_at = now + timing.renew_every;
@@ -175,8 +182,17 @@
         // long the reply took.
         let left = timing.shortened(until.since(reading.received));
         order.deadline = reading.clock + left;
+        // Each message to a server that may be gone would put off the time
+        // at which its grant has surely ended, and its slices with it.
+        let stop = self.order.slices.is_empty() && !self.order.extend_only;
+        if !self.reachable && !stop {
+            return order;
+        }
         let alive = now < self.alive_until(reading, timing);
-        let applied = alive && self.token == self.order.token;
+        // At a server without fences a late order of before may have taken
+        // the place of the newest one, under the token of an extension.
+        let same = self.held == self.order.slices;
+        let applied = alive && self.token == self.order.token && same;
         if self.order.extend_only || applied {
             // A lapsed grant is not extended: its slices may have moved.
             if alive {
@@ -231,7 +247,11 @@
         self.busy = reply.busy.clone();
         self.strays.retain(|stray| now < stray.void_at);
         let told = self.alive_until(reading, timing);
-        let stray = self.strays.iter().map(|stray| stray.void_at).max();
+        let live = |stray: &&SentOrder| {
+            stray.slices.as_ref().is_none_or(|set| !set.is_empty())
+        };
+        let strays = self.strays.iter().filter(live);
+        let stray = strays.map(|stray| stray.void_at).max();
         self.ends_at = stray.map_or(told, |at| told.max(at));
         let mut pause = TimeSpan::ZERO;
         if !reply.accepted {
