Wait for an owner by time, and leave keepers and servers that fell silent

Ruled out: missing owners; the table had changed in time. A second cause: a request in flight at a paused keeper or frozen server waited for its whole deadline. Change: free tries end after 3 s, not by number; the gateway leaves a keeper whose server another VM keeps; an idempotent request leaves a server that lost its slice; an order is settled by asking first and cancelling only what has not started.

--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -43,7 +43,7 @@
         age: TimeSpan,
         left: TimeSpan,
     ) -> Option<RouteAnswer> {
-        let address = self.owner(request).await.ok()?;
+        let address = self.owner(request, request.deadline).await.ok()?;
         let channel = self.channels.open(&address).await.ok()?;
         let message = RouteRequest {
             recover: true,
@@ -61,7 +61,7 @@
             self.channels.forget(&address);
             return None;
         };
-        match self.first(first, frames) {
+        match self.first(request, first, frames) {
             TryOutcome::Answer(answer) => Some(answer),
             TryOutcome::Again(..) => None,
         }
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -23,13 +23,19 @@
     peers::PeerChannels,
 };
 
-/// The most times that one request is sent to a keeper.
+/// The most times that one request is redirected or sent again.
 ///
 /// Two moves of a slice at once cost four; more would be a loop.
 const SENDS_MOST: u32 = 8;
 /// A pause before a keeper that was out of reach is tried again, unless
 /// the table changes first.
-const PAUSE: Duration = Duration::from_millis(25);
+const PAUSE: Duration = Duration::from_millis(50);
+/// How long a request waits for its key to have an owner within reach.
+///
+/// A lost owner is replaced within 2 s. What takes longer is a failure
+/// domain that is cut off, for hours perhaps: then the caller is told at
+/// once instead of being kept until its deadline.
+const OWNER_PATIENCE: TimeSpan = TimeSpan::from_millis(3_000);
 /// What a caller is told to wait when nobody owns its key: the lease time,
 /// after which a lost owner is replaced.
 const OWNER_WAIT: TimeSpan = TimeSpan::from_millis(1_500);
@@ -97,11 +103,13 @@
         let mut named = None;
         let mut last = RetryReason::NoOwner;
         let mut retries = 0;
+        let mut sends = 0;
+        let patience = self.patience(request);
         self.retries.attempted(request);
-        for _ in 0..SENDS_MOST {
+        while sends < SENDS_MOST {
             let address = match named.take() {
                 Some(address) => address,
-                None => match self.owner(request).await {
+                None => match self.owner(request, patience).await {
                     Ok(address) => address,
                     Err(reason) => return refused(reason),
                 },
@@ -114,16 +122,18 @@
                         return answer;
                     }
                     retries += 1;
+                    sends += 1;
                     last = reason;
                     continue;
                 }
                 TryOutcome::Again(reason, elsewhere) => {
                     self.context.metrics.count_retry(reason);
                     last = reason;
+                    sends += u32::from(elsewhere.is_some());
                     named = elsewhere;
                 }
             }
-            if named.is_none() && !self.pause(request.deadline).await {
+            if named.is_none() && !self.pause(patience).await {
                 break;
             }
         }
@@ -152,10 +162,17 @@
         }
     }
 
-    /// The keeper's address; waits for an owner until the deadline.
+    /// Until when a request waits for an owner within reach.
+    pub(super) fn patience(&self, request: &CallerRequest) -> LocalTime {
+        let end = self.context.now() + OWNER_PATIENCE;
+        end.min(request.deadline)
+    }
+
+    /// The keeper's address; waits for an owner until `patience` ends.
     pub(super) async fn owner(
         &self,
         request: &CallerRequest,
+        patience: LocalTime,
     ) -> Result<Arc<str>, NotRunReason> {
         let mut changes = self.context.table_changed.subscribe();
         loop {
@@ -168,7 +185,7 @@
             if let Some(target) = routes.target(slice) {
                 return Ok(Arc::clone(&target.address));
             }
-            let left = request.deadline.since(self.context.now());
+            let left = patience.since(self.context.now());
             let wait = tokio::time::timeout(left.to_std(), changes.changed());
             if wait.await.is_err() {
                 return Err(NotRunReason::NoOwner);
@@ -200,8 +217,22 @@
         // The keeper answers by the deadline; the margin is for its way
         // back, so that its own, truer answer is not missed.
         let wait = left.plus(ANSWER_MARGIN);
-        match tokio::time::timeout(wait.to_std(), call).await {
-            Ok(Some((first, frames))) => self.first(first, frames),
+        let call = tokio::time::timeout(wait.to_std(), call);
+        let mut call = std::pin::pin!(call);
+        let answered = tokio::select! {
+            answered = &mut call => answered,
+            () = self.moved(request, address) => {
+                match self.lost(request, left).await {
+                    // Nobody else knows: the first keeper may yet answer.
+                    TryOutcome::Answer(RouteAnswer::Unknown { .. }) => {
+                        call.await
+                    }
+                    found => return found,
+                }
+            }
+        };
+        match answered {
+            Ok(Some((first, frames))) => self.first(request, first, frames),
             Ok(None) => {
                 self.channels.forget(address);
                 self.lost(request, left).await
@@ -213,6 +244,38 @@
         }
     }
 
+    /// Completes when the key's requests have gone to another keeper for a
+    /// while.
+    ///
+    /// A keeper that was cut off or paused answers nobody, and its
+    /// connection stays open for seconds: its callers would wait though
+    /// another VM keeps the server by then.
+    async fn moved(&self, request: &CallerRequest, address: &Arc<str>) {
+        let mut changes = self.context.table_changed.subscribe();
+        loop {
+            if self.is_elsewhere(request, address) {
+                tokio::time::sleep(MOVE_GRACE).await;
+                if self.is_elsewhere(request, address) {
+                    return;
+                }
+            }
+            if changes.changed().await.is_err() {
+                // The daemon ends, and its requests with it.
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
+    fn is_elsewhere(&self, request: &CallerRequest, address: &str) -> bool {
+        let table = self.context.table.load();
+        let Some(routes) = table.service(&request.service) else {
+            return false;
+        };
+        let slice = slice_of(&request.key, routes.count);
+        let target = routes.target(slice);
+        target.is_some_and(|target| *target.address != *address)
+    }
+
     /// The keeper went silent: an idempotent request is sent again, of any
     /// other it is found out what became of it.
     async fn lost(
@@ -238,6 +301,7 @@
     /// Reads the first frame, which tells the outcome.
     pub(super) fn first(
         &self,
+        request: &CallerRequest,
         first: Frame,
         frames: Streaming<RouteFrame>,
     ) -> TryOutcome {
@@ -261,7 +325,7 @@
             Frame::Unknown(unknown) => {
                 let reason = UnknownReason::from_code(&unknown.reason)
                     .unwrap_or(UnknownReason::ServerLost);
-                TryOutcome::Answer(RouteAnswer::Unknown { reason })
+                undecided(request, reason)
             }
             Frame::Data(_) | Frame::End(_) => {
                 let reason = UnknownReason::CrossedAnswer;
@@ -284,6 +348,21 @@
     }
 }
 
+/// An idempotent request whose server fell silent is sent again.
+fn undecided(request: &CallerRequest, reason: UnknownReason) -> TryOutcome {
+    let again = matches!(
+        reason,
+        UnknownReason::ServerLost | UnknownReason::CrossedAnswer
+    );
+    if again && request.class.effect() == RequestEffect::Idempotent {
+        return TryOutcome::Again(RetryReason::BrokenOff, None);
+    }
+    TryOutcome::Answer(RouteAnswer::Unknown { reason })
+}
+
+/// How long a keeper that lost a server may take to redirect its requests
+/// itself, and to let what runs end, before it is taken as silent.
+const MOVE_GRACE: Duration = Duration::from_millis(300);
 /// How long a keeper's answer may be on its way back.
 const ANSWER_MARGIN: TimeSpan = TimeSpan::from_millis(700);
 
--- a/goldcrestramp-node/src/keeper/prove.rs
+++ b/goldcrestramp-node/src/keeper/prove.rs
@@ -41,6 +41,34 @@
     }
 }
 
+/// Asks what became of a request; one that has not started never will.
+///
+/// A running order is not cancelled: what it has done would be lost to its
+/// caller.
+pub(crate) async fn settle(
+    http: &reqwest::Client,
+    kept: &KeptServer,
+    id: &str,
+) -> Option<RequestReport> {
+    let report = state(http, kept, id).await?;
+    if report.state == RequestState::NotSeen {
+        return cancel(http, kept, id).await;
+    }
+    Some(report)
+}
+
+async fn state(
+    http: &reqwest::Client,
+    kept: &KeptServer,
+    id: &str,
+) -> Option<RequestReport> {
+    let id = utf8_percent_encode(id, NON_ALPHANUMERIC);
+    let url = format!("http://{}/request/{id}", kept.order.address);
+    let call = http.get(url).timeout(PROOF_TIMEOUT).send();
+    let response = call.await.ok()?.error_for_status().ok()?;
+    response.json().await.ok()
+}
+
 /// Asks the server to cancel a request; `None`: it does not say.
 pub(crate) async fn cancel(
     http: &reqwest::Client,
--- a/goldcrestramp-node/src/keeper/recover.rs
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -36,7 +36,7 @@
 ) {
     let end = tokio::time::Instant::now() + left.to_std();
     loop {
-        let report = prove::cancel(http, kept, &request.id).await;
+        let report = prove::settle(http, kept, &request.id).await;
         let state = report.filter(|r| predates(r, age)).map(|r| r.state);
         match state {
             // The server never starts what it has noted as cancelled.
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -71,8 +71,9 @@
 
 /// Sends the request and passes the answer on until it ends.
 ///
-/// `left` ends the wait for the first byte. What became of the request is
-/// noted in `slot` and `attempt`.
+/// `left` ends the wait for the first byte, and so does `moved`, which
+/// completes when an idempotent request is better sent to another server.
+/// What became of the request is noted in `slot` and `attempt`.
 pub(crate) async fn send(
     http: &reqwest::Client,
     kept: &KeptServer,
@@ -80,10 +81,20 @@
     left: TimeSpan,
     frames: &FrameSender,
     (slot, attempt): (&mut ServerSlot, &mut AttemptGuard),
+    moved: impl Future<Output = ()>,
 ) {
     attempt.sent();
     let call = build(http, kept, request).send();
-    let response = match tokio::time::timeout(left.to_std(), call).await {
+    let opened = tokio::select! {
+        opened = tokio::time::timeout(left.to_std(), call) => opened,
+        () = moved => {
+            slot.fail(SlotEnd::Broken);
+            let lost = UnknownReason::ServerLost;
+            give(frames, frames::unknown(lost)).await;
+            return;
+        }
+    };
+    let response = match opened {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if error.is_connect() => {
             // No connection, so no byte of the request has left.
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -6,7 +6,7 @@
 use goldcrestramp_decisions::{AttemptId, QueueRefusal, QueuedRequest};
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
-    RequestName, ServiceName, TimeSpan, UnknownReason, slice_of,
+    RequestName, ServerName, ServiceName, TimeSpan, UnknownReason, slice_of,
 };
 use goldcrestramp_wire::peer::{RouteFrame, RouteRequest, peer_server::Peer};
 use rustc_hash::FxHasher;
@@ -32,6 +32,9 @@
 
 /// How often a request that waits looks whether its slice has moved.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// So many looks in a row find the slice gone before a request is given up
+/// at its server: a planned move lets what runs end in that time.
+const LOOKS_GONE: u32 = 3;
 
 /// The gRPC service of the traffic threads.
 #[derive(Clone, Debug)]
@@ -217,12 +220,38 @@
         let left = request.deadline.since(self.context.now());
         if let Some(call) = &mut cancel.call {
             let notes = (&mut call.slot, &mut attempt);
-            send::send(&self.http, kept, request, left, frames, notes).await;
+            let moved = self.moved(request, server, once);
+            send::send(&self.http, kept, request, left, frames, notes, moved)
+                .await;
         }
         cancel.disarm();
         drop(guard);
     }
 
+    /// Completes when an idempotent request's slice has surely left the
+    /// server that was sent it.
+    ///
+    /// A frozen server answers nobody: its callers would wait until their
+    /// deadlines though another server owns their keys by then.
+    async fn moved(
+        &self,
+        request: &ServerRequest,
+        server: &ServerName,
+        once: bool,
+    ) {
+        if once {
+            // Nobody may run it a second time: wait for this answer.
+            std::future::pending::<()>().await;
+        }
+        let mut gone = 0;
+        while gone < LOOKS_GONE {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let kept = self.find(request);
+            let here = kept.is_some_and(|k| k.order.server == *server);
+            gone = if here { 0 } else { gone + 1 };
+        }
+    }
+
     fn check(
         &self,
         now: LocalTime,
