--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -18,8 +18,10 @@
 mod metrics;
 mod operators;
 mod peers;
+mod planner;
 mod routing;
 mod running;
+mod store;
 
 pub use crate::{
     context::NodeContext,
