Keep keys waiting less than two seconds after any one loss

Seen to fail first: a rack with a server without fences took 2,150 ms and a replaced steward 2,050 ms. Cause: such a server has no keeper until the former permit ends, and only then was it asked whether it is alive. Now a VM asks it meanwhile and changes nothing (ask_only), reports whether a keeper may act, and keepers report at the very moment that the takeover ends. Routing tables go on naming the former keeper until then. Voters wait 60 ms a rank: 40 ms, less than a tick, let two candidates meet and cost 4,150 ms.

--- a/goldcrestramp-node/src/convert.rs
+++ b/goldcrestramp-node/src/convert.rs
@@ -188,6 +188,7 @@
         held: slices_out(&known.held),
         busy_micros: report.busy.as_micros(),
         loads: loads.collect(),
+        keeps: report.keeps,
         reachable: report.reachable,
         last: slices_out(&known.last),
         lapsed: known.lapsed,
@@ -222,6 +223,7 @@
     Ok(ServerReport {
         server: ServerName::new(&report.server)?,
         order: token_in(report.order),
+        keeps: report.keeps,
         reachable: report.reachable,
         version: report.version,
         state: state.transpose()?.map(Box::new),
@@ -289,6 +291,7 @@
         checks_fence: order.checks_fence,
         slots: order.slots,
         connections: order.connections,
+        ask_only: order.ask_only,
         retire: order.retire,
         seen: order.seen,
     }
@@ -306,6 +309,7 @@
         extend_only: order.extend_only,
         slices: slices_in(&order.slices)?,
         release: slices_in(&order.release)?,
+        ask_only: order.ask_only,
         retire: order.retire,
         seen: order.seen,
     })
--- a/goldcrestramp-ownership/src/keeper/server.rs
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -174,7 +174,8 @@
             run: self.run,
             ..GrantOrder::default()
         };
-        let Some(reading) = self.reading.filter(|_| self.sets_known) else {
+        let usable = self.sets_known && !self.order.ask_only;
+        let Some(reading) = self.reading.filter(|_| usable) else {
             return order;
         };
         // The reading was taken at `received` at the latest, so counting
@@ -355,6 +356,7 @@
         ServerReport {
             server: self.order.server.clone(),
             order: self.order.token,
+            keeps: !self.order.ask_only,
             reachable: self.reachable,
             version: self.version,
             state,
@@ -367,7 +369,8 @@
     pub(super) fn passes(&self, until: LocalTime) -> Option<ServerPasses> {
         let reading = self.reading?;
         let lapsed = reading.clock >= self.deadline;
-        if self.order.retire || lapsed || !self.sets_known {
+        let stopped = self.order.retire || self.order.ask_only;
+        if stopped || lapsed || !self.sets_known {
             return None;
         }
         let pass = SendPass {
--- a/goldcrestramp-ownership/src/message.rs
+++ b/goldcrestramp-ownership/src/message.rs
@@ -74,6 +74,8 @@
     pub server: ServerName,
     /// The token of the steward's order that the keeper works on.
     pub order: FenceToken,
+    /// Whether the keeper may send to it, not only ask it.
+    pub keeps: bool,
     /// Whether it has answered the keeper's last message.
     pub reachable: bool,
     /// Rises with each change of `state`; unique for a keeper's start.
@@ -109,6 +111,10 @@
 }
 
 /// What a keeper is to make one server hold.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "two facts of the server and two of the keeper, each apart"
+)]
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServerOrder {
     /// The server.
@@ -134,6 +140,8 @@
     pub slices: SliceSet,
     /// What it is to give up.
     pub release: SliceSet,
+    /// Only ask the server how it is: a former keeper may still act.
+    pub ask_only: bool,
     /// Send it nothing more; report it until nothing is under way.
     pub retire: bool,
     /// The version of the keeper's knowledge that the steward has.
--- a/goldcrestramp-ownership/src/steward/keepers.rs
+++ b/goldcrestramp-ownership/src/steward/keepers.rs
@@ -142,15 +142,26 @@
         let waits = timing.safeguards.has(Safeguard::KeeperWait);
         for (name, server) in servers.iter_mut() {
             let free = !waits || server.may_change_keeper(now, begun);
-            if server.keeper.is_some() || !free || now < unclaimed {
+            if let Some(vm) = server.keeper.clone() {
+                if free && server.probing {
+                    server.staff(vm);
+                    changed = true;
+                }
+                continue;
+            }
+            if now < unclaimed {
                 continue;
             }
             let Some(vm) = choose(name, &loads) else {
                 return changed;
             };
             *loads.entry(vm.clone()).or_default() += 1;
-            server.staff(vm);
-            changed = true;
+            if free {
+                server.staff(vm);
+                changed = true;
+            } else {
+                server.probe(vm);
+            }
         }
         changed
     }
--- a/goldcrestramp-ownership/src/steward/leader.rs
+++ b/goldcrestramp-ownership/src/steward/leader.rs
@@ -135,11 +135,9 @@
         knowledge: &mut StewardKnowledge,
     ) -> Vec<StewardEffect> {
         self.claim.adopt_next(now, &self.timing);
-        if self.phase == LeadPhase::Extending && now >= self.move_at {
-            self.ask_all_again();
-        }
+        self.begin_moving(now);
         self.staff(now);
-        self.settle();
+        self.settle(now);
         self.decide(knowledge);
         let mut effects = self.claim.asks(now, me, true, &self.timing);
         if self.may_move() {
@@ -162,15 +160,19 @@
 
     /// The former steward's time is over: what servers hold from now on
     /// only this one decides, once they have said what it is.
-    fn ask_all_again(&mut self) {
+    fn begin_moving(&mut self, now: LocalTime) {
+        if self.may_move() || now < self.move_at {
+            return;
+        }
         self.phase = LeadPhase::Moving;
         let names: Vec<ServerName> = self.servers.keys().cloned().collect();
         for name in names {
             let token = self.next_token();
             if let Some(server) = self.servers.get_mut(&name) {
-                server.ask_again(token);
+                server.end_takeover(now, token);
             }
         }
+        self.claim.ask_soon();
     }
 
     /// Gives servers keepers, and takes them from silent ones.
@@ -188,12 +190,12 @@
     }
 
     /// Settles lapses that a majority has confirmed since.
-    fn settle(&mut self) {
+    fn settle(&mut self, now: LocalTime) {
         let begun = self.claim.begun().unwrap_or_default();
         let mut waits = false;
         for server in self.servers.values_mut() {
             self.dirty |= server.settle_lapse(begun);
-            waits |= server.awaits_confirmation();
+            waits |= server.awaits_confirmation(now, begun);
         }
         if waits {
             self.claim.ask_soon();
@@ -334,12 +336,13 @@
         if !self.keepers.note(now, &report, &mut self.servers) {
             return None;
         }
+        self.begin_moving(now);
         let (vm, sequence) = (report.vm.clone(), report.sequence);
         self.note_absent(&report);
         for server in report.servers {
             self.learn(now, &vm, server);
         }
-        self.settle();
+        self.settle(now);
         self.decide(knowledge);
         if !self.timing.safeguards.has(Safeguard::PermitBound) {
             until = now + self.timing.lease;
@@ -365,6 +368,9 @@
         if hurry {
             again = self.timing.hurry_every;
         }
+        if !moving {
+            again = again.min(self.move_at.since(now));
+        }
         PermitAnswer::Permitted {
             term: self.claim.term,
             sequence,
@@ -389,7 +395,8 @@
             if !mine || reported() {
                 continue;
             }
-            let claimed = extending && !server.plan.checks_fence;
+            let fenced = server.plan.checks_fence || server.probing;
+            let claimed = extending && !fenced;
             if server.retiring || claimed {
                 server.end_keeping(until);
                 self.table.mark(true);
@@ -404,7 +411,8 @@
         let Some(server) = self.servers.get_mut(&report.server) else {
             return;
         };
-        if server.is_claimable(now, begun) {
+        let other = server.keeper.as_ref() != Some(vm);
+        if other && report.keeps && server.is_claimable(now, begun) {
             server.staff(vm.clone());
             self.table.mark(true);
         }
--- a/goldcrestramp-ownership/src/steward/led.rs
+++ b/goldcrestramp-ownership/src/steward/led.rs
@@ -39,6 +39,10 @@
     /// Whether the configuration still has it.
     pub(super) listed: bool,
     pub(super) keeper: Option<VmName>,
+    /// Whether the keeper may only ask, until a former one's permit ends.
+    pub(super) probing: bool,
+    /// The keeper that routing tables name: the last that could send.
+    pub(super) serving: Option<VmName>,
     /// Whether its keeper is to stop, so that another can begin.
     pub(super) retiring: bool,
     /// Until when a grant by a former keeper may last.
@@ -75,6 +79,8 @@
             plan,
             listed: true,
             keeper: None,
+            probing: false,
+            serving: None,
             retiring: false,
             former_until,
             acting_until: former_until,
@@ -109,7 +115,8 @@
     /// Whether it may be given slices.
     pub(super) fn is_eligible(&self) -> bool {
         let usable = self.settled && self.reachable && !self.lost;
-        usable && !self.is_leaving() && self.keeper.is_some()
+        let kept = self.keeper.is_some() && !self.probing;
+        usable && kept && !self.is_leaving()
     }
 
     /// Whether its slices are to go elsewhere by the configuration.
@@ -118,7 +125,14 @@
     }
 
     /// Asks the server anew, by a token that it has not seen.
-    pub(super) fn ask_again(&mut self, token: FenceToken) {
+    ///
+    /// One that was only asked so far, and holds nothing, can have got
+    /// nothing since: every former permit is over.
+    pub(super) fn end_takeover(&mut self, now: LocalTime, token: FenceToken) {
+        self.note_lapse(now, true);
+        if self.probing && self.lapsed_at.is_some() {
+            return;
+        }
         self.order =
             StandingOrder { token, slices: None, release: SliceSet::new() };
         self.settled = false;
@@ -143,7 +157,7 @@
         now: LocalTime,
         begun: LocalTime,
     ) -> bool {
-        let kept = self.keeper.is_some();
+        let kept = self.keeper.is_some() && !self.probing;
         !kept && (!self.staffed || self.may_change_keeper(now, begun))
     }
 
@@ -164,10 +178,24 @@
 
     /// Names its keeper.
     pub(super) fn staff(&mut self, keeper: VmName) {
+        if self.keeper.as_ref() != Some(&keeper) {
+            self.known = None;
+            self.lapsed_at = None;
+        }
+        self.serving = Some(keeper.clone());
         self.keeper = Some(keeper);
+        self.probing = false;
         self.staffed = true;
     }
 
+    /// Names a VM that is to be its keeper and may only ask until then.
+    ///
+    /// Whether the server is alive is then known when the wait is over.
+    pub(super) fn probe(&mut self, keeper: VmName) {
+        self.keeper = Some(keeper);
+        self.probing = true;
+    }
+
     /// Loses its keeper, whose permit ends at `until`.
     pub(super) fn lose_keeper(&mut self, until: LocalTime) {
         self.acting_until = self.acting_until.max(until);
@@ -177,6 +205,7 @@
     /// Its keeper has let go of it; its grants may last until `until`.
     pub(super) fn end_keeping(&mut self, until: LocalTime) {
         self.keeper = None;
+        self.probing = false;
         self.retiring = false;
         self.former_until = self.former_until.max(until);
         self.known = None;
@@ -301,9 +330,17 @@
         self.clear()
     }
 
-    /// Whether a lapse waits for a confirmation begun after it.
-    pub(super) const fn awaits_confirmation(&self) -> bool {
-        self.lapsed_at.is_some()
+    /// Whether a lapse, of its grant or of its former keeper's permit,
+    /// waits for a confirmation begun after it.
+    pub(super) fn awaits_confirmation(
+        &self,
+        now: LocalTime,
+        begun: LocalTime,
+    ) -> bool {
+        let kept = self.keeper.is_some() && !self.probing;
+        let idle = !kept && now >= self.acting_until;
+        let keeper = idle && !self.may_change_keeper(now, begun);
+        self.lapsed_at.is_some() || keeper
     }
 
     /// The server holds nothing but what its order may yet give it.
@@ -356,6 +393,7 @@
             extend_only,
             slices,
             release,
+            ask_only: self.probing,
             retire: self.retiring,
             seen: known.map_or(0, |known| known.version),
         }
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -33,7 +33,8 @@
 
 /// How long after the one before it a voter becomes a candidate.
 ///
-/// Longer than a round to the voters and the 50 ms between two ticks.
+/// Longer than the 50 ms between two ticks and a round to the voters: two
+/// that meet keep each other from a majority for 0.6 s.
 const TURN_MILLIS: u64 = 60;
 
 /// What happens to a steward, besides a keeper's question.
@@ -317,7 +318,7 @@
         let Some(rank) = roster.voters.iter().position(own) else {
             return Vec::new();
         };
-        let turn = TimeSpan::from_millis(TURN_MILLIS * (rank as u64 + 1));
+        let turn = TimeSpan::from_millis(TURN_MILLIS * rank as u64);
         let seen = self.knowledge.seen.as_ref().map(|seen| seen.at);
         let missed = seen.unwrap_or_default() + self.timing.missed_after;
         if !eager && now < missed.max(not_before) + turn {
--- a/goldcrestramp-ownership/src/steward/publish.rs
+++ b/goldcrestramp-ownership/src/steward/publish.rs
@@ -122,7 +122,7 @@
     server: &LedServer,
     keepers: &KeeperBook,
 ) -> Option<TableServer> {
-    let vm = server.keeper.as_ref()?;
+    let vm = server.serving.as_ref()?;
     let keeper = keepers.get(vm)?;
     Some(TableServer {
         server: name.clone(),
--- a/goldcrestramp-ownership/tests/ownership/world.rs
+++ b/goldcrestramp-ownership/tests/ownership/world.rs
@@ -287,6 +287,25 @@
         self.vms.iter().position(|vm| vm.name == *keeper)
     }
 
+    /// The slices of servers that other VMs than this one keep.
+    pub fn slices_kept_by_others(&self, vm: usize) -> SliceSet {
+        let kept = |slice: &SliceIndex| {
+            let owner = self.owner(slice.get());
+            owner.and_then(|s| self.keeper_of(s)) != Some(vm)
+        };
+        slice_count().indices().filter(kept).collect()
+    }
+
+    /// The slices that the store's newest record gives to somebody.
+    pub fn recorded(&self) -> SliceSet {
+        let mut slices = SliceSet::new();
+        let record = self.store.records.last();
+        for held in record.iter().flat_map(|r| r.holders.values()) {
+            slices.union_with(held);
+        }
+        slices
+    }
+
     fn may_start(&self, server: usize, slice: SliceIndex) -> bool {
         let entry = &self.servers[server];
         let time = entry.time(self.now);
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -90,6 +90,9 @@
     /// steward has seen this version.
     #[prost(bool, tag = "16")]
     pub whole: bool,
+    /// Whether the keeper may send to it, not only ask it.
+    #[prost(bool, tag = "17")]
+    pub keeps: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SliceLoad {
@@ -156,6 +159,9 @@
     /// The version of the report that the steward has.
     #[prost(uint64, tag = "12")]
     pub seen: u64,
+    /// Only ask the server: a former keeper may still act.
+    #[prost(bool, tag = "13")]
+    pub ask_only: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PermitReply {
