Pace long answers over the short link, and count what crosses it

Cause: a download to a gateway of the other region took the link for itself, and no volume was counted though the link is paid by it.

Change: a gateway names its region; the keeper sends long answers to another region in chunks of 16 KiB, each when `LinkShare` lets it, short ones at once, and counts both by service and caller (4,096 pairs, the rest by service). `link_bytes_per_second` in the settings is this VM's part of the link, 30 Mbit/s over five VMs if absent.

Proof: over sockets the counter equals the bytes that arrived whole in the other region, with long and short answers; the pacing itself is proved in goldcrestramp-decisions.

Conclusion: works for one keeper; VMs do not yet lend each other what they leave unused.

--- a/goldcrestramp-config/src/settings/mod.rs
+++ b/goldcrestramp-config/src/settings/mod.rs
@@ -50,6 +50,10 @@
     /// A request without a deadline gets this one, in milliseconds.
     #[serde(default = "default_deadline_ms")]
     pub default_deadline_ms: u64,
+    /// What this VM may send to another region, in bytes a second: the
+    /// link's rate over the VMs that share it.
+    #[serde(default = "default_link_bytes_per_second")]
+    pub link_bytes_per_second: u64,
 }
 
 /// The operators' listener: metrics, health, status.
@@ -111,3 +115,8 @@
 const fn default_deadline_ms() -> u64 {
     10_000
 }
+
+/// 30 Mbit/s over five VMs.
+const fn default_link_bytes_per_second() -> u64 {
+    750_000
+}
--- a/goldcrestramp-config/src/settings/reader.rs
+++ b/goldcrestramp-config/src/settings/reader.rs
@@ -10,6 +10,7 @@
 use super::{
     LogFormat, LogSettings, NodeSettings, OperatorSettings, PeerTlsSettings,
     default_body_bytes, default_deadline_ms, default_gateway_requests,
+    default_link_bytes_per_second,
 };
 use crate::document::{
     DocumentNode, FaultList, FieldReader, SourcePosition, open_document,
@@ -21,6 +22,9 @@
 const BODY_BYTES: std::ops::RangeInclusive<u32> = 1_024..=67_108_864;
 /// Up to an hour, the longest download that is expected.
 const DEADLINE_MS: std::ops::RangeInclusive<u64> = 1..=3_600_000;
+/// From a modem to 100 Gbit/s; beyond either the figure is a slip.
+const LINK_BYTES_PER_SECOND: std::ops::RangeInclusive<u64> =
+    4_096..=12_500_000_000;
 const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
 /// Reads the settings in `file`.
@@ -105,6 +109,12 @@
         Some(default_deadline_ms()),
         faults,
     );
+    let link_bytes_per_second = fields.ranged(
+        "link_bytes_per_second",
+        &LINK_BYTES_PER_SECOND,
+        Some(default_link_bytes_per_second()),
+        faults,
+    );
     let places = SettingsPlaces::new(&fields);
     fields.close(faults);
     let settings = NodeSettings {
@@ -124,6 +134,7 @@
         gateway_requests: gateway_requests?,
         body_bytes: body_bytes?,
         default_deadline_ms: default_deadline_ms?,
+        link_bytes_per_second: link_bytes_per_second?,
     };
     check_settings(&settings, &places, faults);
     Some(settings)
--- a/goldcrestramp-decisions/src/link/volume.rs
+++ b/goldcrestramp-decisions/src/link/volume.rs
@@ -14,21 +14,24 @@
 }
 
 impl LinkVolume {
-    /// Adds what crossed for a caller of a service.
+    /// Adds what crossed for a caller of a service; tells whether it is
+    /// counted by itself.
     pub fn add(
         &mut self,
         service: &ServiceName,
         caller: &CallerName,
         bytes: u64,
-    ) {
+    ) -> bool {
         let pair = (service.clone(), caller.clone());
         let has_room = self.pairs.len() < PAIR_LIMIT;
-        let total = if has_room || self.pairs.contains_key(&pair) {
+        let by_itself = has_room || self.pairs.contains_key(&pair);
+        let total = if by_itself {
             self.pairs.entry(pair).or_default()
         } else {
             self.others.entry(service.clone()).or_default()
         };
         *total = total.saturating_add(bytes);
+        by_itself
     }
 
     /// Each service's bytes; no caller stands for those beyond the bound.
--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -8,7 +8,7 @@
 
 use crate::gateway::{
     request::CallerRequest,
-    route::{RequestRouter, RouteAnswer, TryOutcome, route_request},
+    route::{RequestRouter, RouteAnswer, TryOutcome},
 };
 
 /// The most keepers that are asked.
@@ -48,7 +48,7 @@
         let message = RouteRequest {
             recover: true,
             age_micros: age.as_micros(),
-            ..route_request(request, left)
+            ..self.message(request, left)
         };
         let call = async {
             let mut client = PeerClient::new(channel);
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -191,7 +191,7 @@
         }
         let mut client = PeerClient::new(channel);
         let call = async {
-            let message = route_request(request, left);
+            let message = self.message(request, left);
             let response = client.route(message).await.ok()?;
             let mut frames = response.into_inner();
             let first = frames.message().await.ok()??;
@@ -231,6 +231,26 @@
         }
     }
 
+    /// The request as it is sent to a keeper.
+    pub(super) fn message(
+        &self,
+        request: &CallerRequest,
+        left: TimeSpan,
+    ) -> RouteRequest {
+        RouteRequest {
+            service: request.service.to_string(),
+            key: request.key.clone(),
+            caller: request.caller.to_string(),
+            request: request.name.to_string(),
+            class: request.class.code().to_owned(),
+            left_micros: left.as_micros(),
+            resend: request.resend,
+            body: request.body.clone(),
+            region: self.context.settings.region.to_string(),
+            ..RouteRequest::default()
+        }
+    }
+
     fn left(&self, request: &CallerRequest) -> TimeSpan {
         request.deadline.since(self.context.now())
     }
@@ -287,23 +307,6 @@
 /// How long a keeper's answer may be on its way back.
 const ANSWER_MARGIN: TimeSpan = TimeSpan::from_millis(700);
 
-pub(super) fn route_request(
-    request: &CallerRequest,
-    left: TimeSpan,
-) -> RouteRequest {
-    RouteRequest {
-        service: request.service.to_string(),
-        key: request.key.clone(),
-        caller: request.caller.to_string(),
-        request: request.name.to_string(),
-        class: request.class.code().to_owned(),
-        left_micros: left.as_micros(),
-        resend: request.resend,
-        body: request.body.clone(),
-        ..RouteRequest::default()
-    }
-}
-
 /// A keeper's *not run*: the owner may only have moved.
 fn declined(reason: NotRunReason, wait: TimeSpan) -> TryOutcome {
     match reason {
--- a/goldcrestramp-node/src/keeper/mod.rs
+++ b/goldcrestramp-node/src/keeper/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod attempts;
 mod frames;
+mod link;
 mod prove;
 mod recover;
 mod send;
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -24,7 +24,9 @@
 
 use crate::keeper::{
     attempts::AttemptGuard,
-    frames, prove,
+    frames,
+    link::LinkCrossing,
+    prove,
     slot::{ServerSlot, SlotEnd},
     view::KeptServer,
 };
@@ -48,6 +50,8 @@
     pub(crate) class: RequestClass,
     pub(crate) deadline: LocalTime,
     pub(crate) body: Bytes,
+    /// Set when its answer crosses to another region.
+    pub(crate) crossing: Option<Arc<LinkCrossing>>,
 }
 
 /// How often an answer that does not move is looked at.
@@ -210,8 +214,7 @@
         if let Some(slot) = slot {
             slot.progress();
         }
-        let frame = frames::data(chunk);
-        if !give_patiently(frames, frame, slot).await {
+        if !give_data(frames, chunk, request, slot).await {
             return PassEnd::ReaderGone;
         }
     }
@@ -234,6 +237,25 @@
     drop(frames.send(Err(status)).await);
 }
 
+/// Hands on what the server sent, in pieces if it crosses a short link.
+async fn give_data(
+    frames: &FrameSender,
+    mut data: Bytes,
+    request: &ServerRequest,
+    slot: Option<&ServerSlot>,
+) -> bool {
+    let Some(crossing) = &request.crossing else {
+        return give_patiently(frames, frames::data(data), slot).await;
+    };
+    while !data.is_empty() {
+        let piece = crossing.next(&mut data).await;
+        if !give_patiently(frames, frames::data(piece), slot).await {
+            return false;
+        }
+    }
+    true
+}
+
 /// Hands on a part of an answer, unless its reader has stalled for too long.
 ///
 /// Then the stream ends without its end mark, which the gateway passes on
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -19,7 +19,9 @@
     keeper::{
         admission::{QueuePlace, ServerQueues},
         attempts::{AttemptGuard, AttemptStep, ORDER_LONGEST, ServerAttempts},
-        frames, prove, recover,
+        frames,
+        link::RegionLinks,
+        prove, recover,
         send::{self, FrameSender, ServerRequest},
         slot::{ServerSlot, SlotEnd},
         view::KeptServer,
@@ -39,6 +41,7 @@
     context: Arc<NodeContext>,
     queues: Arc<ServerQueues>,
     attempts: ServerAttempts,
+    links: Arc<RegionLinks>,
     http: reqwest::Client,
 }
 
@@ -46,7 +49,8 @@
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
         let queues = Arc::new(ServerQueues::new(Arc::clone(&context)));
         let attempts = ServerAttempts::default();
-        Self { context, queues, attempts, http: reqwest::Client::new() }
+        let links = Arc::new(RegionLinks::new(Arc::clone(&context)));
+        Self { context, queues, attempts, links, http: reqwest::Client::new() }
     }
 
     /// Runs one request and hands its frames on.
@@ -67,8 +71,9 @@
     async fn decide(&self, request: RouteRequest, frames: &FrameSender) {
         let now = self.context.now();
         let recovery = request.recover;
+        let link = self.links.link(&request.region);
         let age = TimeSpan::from_micros(request.age_micros);
-        let Some(request) = self.check(now, request) else {
+        let Some(mut request) = self.check(now, request) else {
             let reason = NotRunReason::BadRequest;
             refuse(frames, reason).await;
             return;
@@ -81,6 +86,14 @@
             send::give(frames, self.elsewhere(&request)).await;
             return;
         };
+        let crossing = link.map(|link| {
+            let ServerRequest { class, service, caller, .. } = &request;
+            link.cross(*class, service, caller, request.deadline)
+        });
+        match crossing.transpose() {
+            Ok(crossing) => request.crossing = crossing.map(Arc::new),
+            Err(reason) => return refuse(frames, reason).await,
+        }
         let now = self.context.now();
         match self.attempts.begin(now, &kept, &request) {
             AttemptStep::Run(attempt) => {
@@ -244,6 +257,7 @@
             class: RequestClass::from_code(&request.class)?,
             deadline: now + TimeSpan::from_micros(request.left_micros),
             body: request.body,
+            crossing: None,
         })
     }
 
--- a/goldcrestramp-node/src/metrics.rs
+++ b/goldcrestramp-node/src/metrics.rs
@@ -1,6 +1,11 @@
 //! Counters, one for each refusal and retry reason.
 
-use goldcrestramp_types::{NotRunReason, RetryReason, UnknownReason};
+use std::sync::{Mutex, PoisonError};
+
+use goldcrestramp_decisions::LinkVolume;
+use goldcrestramp_types::{
+    CallerName, NotRunReason, RetryReason, ServiceName, UnknownReason,
+};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge},
@@ -14,6 +19,15 @@
     pub reason: &'static str,
 }
 
+/// The label of the bytes that crossed to another region.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct LinkLabel {
+    /// The service that answered.
+    pub service: String,
+    /// The caller; empty for those beyond the bound of the table.
+    pub caller: String,
+}
+
 /// The counters of one daemon.
 #[derive(Debug)]
 pub struct NodeMetrics {
@@ -28,6 +42,9 @@
     control_bytes: Counter,
     operator_refusals: Family<ReasonLabel, Counter>,
     leading: Gauge,
+    link_bytes: Family<LinkLabel, Counter>,
+    /// Bounds the labels of `link_bytes`.
+    link_volume: Mutex<LinkVolume>,
 }
 
 impl Default for NodeMetrics {
@@ -44,6 +61,8 @@
             control_bytes: Counter::default(),
             operator_refusals: Family::default(),
             leading: Gauge::default(),
+            link_bytes: Family::default(),
+            link_volume: Mutex::default(),
         };
         metrics.register();
         metrics
@@ -103,6 +122,11 @@
             "1 while this VM is its failure domain's steward",
             self.leading.clone(),
         );
+        registry.register(
+            "link_bytes",
+            "Bytes of answers sent to other regions, by service and caller",
+            self.link_bytes.clone(),
+        );
     }
 
     /// Counts a request that got its whole answer.
@@ -166,6 +190,23 @@
         self.control_messages.get_or_create(&label(kind)).get()
     }
 
+    /// Counts bytes of an answer that crossed to another region.
+    pub fn count_link(
+        &self,
+        service: &ServiceName,
+        caller: &CallerName,
+        bytes: u64,
+    ) {
+        let volume = self.link_volume.lock();
+        let by_itself = volume
+            .unwrap_or_else(PoisonError::into_inner)
+            .add(service, caller, bytes);
+        let caller = if by_itself { caller.as_str() } else { "" };
+        let service = service.to_string();
+        let label = LinkLabel { service, caller: caller.to_owned() };
+        self.link_bytes.get_or_create(&label).inc_by(bytes);
+    }
+
     /// Shows whether this VM is the steward.
     pub fn set_leading(&self, leading: bool) {
         self.leading.set(i64::from(leading));
--- a/goldcrestramp-node/tests/admission.rs
+++ b/goldcrestramp-node/tests/admission.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use goldcrestramp_wire::peer::{
+    RouteRequest, peer_client::PeerClient, route_frame::Frame,
+};
 use reqwest::{Method, Response};
 
 use crate::one_node::OneNode;
@@ -124,3 +127,46 @@
     let served = one.server.log().len();
     assert!(served < 12, "all of {served} were sent");
 }
+
+/// Gateways of two regions ask one keeper: what crosses the paid link is
+/// counted by service and caller, and arrives whole.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn answers_to_another_region_are_counted() {
+    let one = OneNode::spawn(2, 1).await;
+    let peers = one.node.addresses().peers;
+    let mut peer = PeerClient::connect(format!("http://{peers}"))
+        .await
+        .expect("connected");
+    let mut lengths = Vec::new();
+    for (region, class) in
+        [("sierra", "long"), ("costa", "lookup"), ("costa", "long")]
+    {
+        let request = RouteRequest {
+            service: "stock".to_owned(),
+            key: "rice".into(),
+            caller: "tienda".to_owned(),
+            request: format!("{region}-{class}"),
+            class: class.to_owned(),
+            left_micros: PATIENT_MS * 1_000,
+            region: region.to_owned(),
+            ..RouteRequest::default()
+        };
+        let frames = peer.route(request).await.expect("taken");
+        let mut frames = frames.into_inner();
+        let mut length = None;
+        while let Some(frame) = frames.message().await.expect("a frame") {
+            if let Some(Frame::End(end)) = frame.frame {
+                length = Some(end.length);
+            }
+        }
+        lengths.push(length.expect("a whole answer"));
+    }
+
+    let crossed: u64 = lengths[1..].iter().sum();
+    let metrics = one.node.context().metrics.encode().expect("text");
+    let line = format!(
+        "goldcrestramp_link_bytes_total\
+         {{service=\"stock\",caller=\"tienda\"}} {crossed}"
+    );
+    assert!(metrics.contains(&line), "{metrics}");
+}
--- a/goldcrestramp-node/tests/one_node/mod.rs
+++ b/goldcrestramp-node/tests/one_node/mod.rs
@@ -20,7 +20,7 @@
 /// What a test talks to.
 pub(crate) struct OneNode {
     pub(crate) server: ServerStandin,
-    node: NodeHandle,
+    pub(crate) node: NodeHandle,
     http: reqwest::Client,
     _platform: PlatformStandin,
 }
