--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -16,7 +16,6 @@
 mod keeper;
 mod load;
 mod metrics;
-mod operate;
 mod operators;
 mod peers;
 mod routing;
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -117,6 +117,9 @@
     /// Rises with each report; an answer to an earlier one is void.
     #[prost(uint64, tag = "8")]
     pub sequence: u64,
+    /// The highest term that the keeper has had a permit from.
+    #[prost(message, optional, tag = "10")]
+    pub term: ::core::option::Option<Term>,
     /// Servers that were in the message before and are not any more.
     #[prost(string, repeated, tag = "9")]
     pub gone: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
