--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -8,7 +8,7 @@
 
 use crate::gateway::{
     request::CallerRequest,
-    route::{RequestRouter, RouteAnswer, TryOutcome, route_request},
+    route::{RequestRouter, RouteAnswer, TryOutcome},
 };
 
 /// The most keepers that are asked.
@@ -43,12 +43,12 @@
         age: TimeSpan,
         left: TimeSpan,
     ) -> Option<RouteAnswer> {
-        let address = self.owner(request).await.ok()?;
+        let address = self.owner(request, request.deadline).await.ok()?;
         let channel = self.channels.open(&address).await.ok()?;
         let message = RouteRequest {
             recover: true,
             age_micros: age.as_micros(),
-            ..route_request(request, left)
+            ..self.message(request, left)
         };
         let call = async {
             let mut client = PeerClient::new(channel);
@@ -61,7 +61,7 @@
             self.channels.forget(&address);
             return None;
         };
-        match self.first(first, frames) {
+        match self.first(request, first, frames) {
             TryOutcome::Answer(answer) => Some(answer),
             TryOutcome::Again(..) => None,
         }
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -24,7 +24,9 @@
 
 use crate::keeper::{
     attempts::AttemptGuard,
-    frames, prove,
+    frames,
+    link::LinkCrossing,
+    prove,
     slot::{ServerSlot, SlotEnd},
     view::KeptServer,
 };
@@ -48,6 +50,8 @@
     pub(crate) class: RequestClass,
     pub(crate) deadline: LocalTime,
     pub(crate) body: Bytes,
+    /// Set when its answer crosses to another region.
+    pub(crate) crossing: Option<Arc<LinkCrossing>>,
 }
 
 /// How often an answer that does not move is looked at.
@@ -71,8 +75,9 @@
 
 /// Sends the request and passes the answer on until it ends.
 ///
-/// `left` ends the wait for the first byte. What became of the request is
-/// noted in `slot` and `attempt`.
+/// `left` ends the wait for the first byte, and so does `moved`, which
+/// completes when an idempotent request is better sent to another server.
+/// What became of the request is noted in `slot` and `attempt`.
 pub(crate) async fn send(
     http: &reqwest::Client,
     kept: &KeptServer,
@@ -80,10 +85,20 @@
     left: TimeSpan,
     frames: &FrameSender,
     (slot, attempt): (&mut ServerSlot, &mut AttemptGuard),
+    moved: impl Future<Output = ()>,
 ) {
     attempt.sent();
     let call = build(http, kept, request).send();
-    let response = match tokio::time::timeout(left.to_std(), call).await {
+    let opened = tokio::select! {
+        opened = tokio::time::timeout(left.to_std(), call) => opened,
+        () = moved => {
+            slot.fail(SlotEnd::Broken);
+            let lost = UnknownReason::ServerLost;
+            give(frames, frames::unknown(lost)).await;
+            return;
+        }
+    };
+    let response = match opened {
         Ok(Ok(response)) => response,
         Ok(Err(error)) if error.is_connect() => {
             // No connection, so no byte of the request has left.
@@ -210,8 +225,7 @@
         if let Some(slot) = slot {
             slot.progress();
         }
-        let frame = frames::data(chunk);
-        if !give_patiently(frames, frame, slot).await {
+        if !give_data(frames, chunk, request, slot).await {
             return PassEnd::ReaderGone;
         }
     }
@@ -234,6 +248,25 @@
     drop(frames.send(Err(status)).await);
 }
 
+/// Hands on what the server sent, in pieces if it crosses a short link.
+async fn give_data(
+    frames: &FrameSender,
+    mut data: Bytes,
+    request: &ServerRequest,
+    slot: Option<&ServerSlot>,
+) -> bool {
+    let Some(crossing) = &request.crossing else {
+        return give_patiently(frames, frames::data(data), slot).await;
+    };
+    while !data.is_empty() {
+        let piece = crossing.next(&mut data).await;
+        if !give_patiently(frames, frames::data(piece), slot).await {
+            return false;
+        }
+    }
+    true
+}
+
 /// Hands on a part of an answer, unless its reader has stalled for too long.
 ///
 /// Then the stream ends without its end mark, which the gateway passes on
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -6,7 +6,7 @@
 use goldcrestramp_decisions::{AttemptId, QueueRefusal, QueuedRequest};
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
-    RequestName, ServiceName, TimeSpan, UnknownReason, slice_of,
+    RequestName, ServerName, ServiceName, TimeSpan, UnknownReason, slice_of,
 };
 use goldcrestramp_wire::peer::{RouteFrame, RouteRequest, peer_server::Peer};
 use rustc_hash::FxHasher;
@@ -19,7 +19,9 @@
     keeper::{
         admission::{QueuePlace, ServerQueues},
         attempts::{AttemptGuard, AttemptStep, ORDER_LONGEST, ServerAttempts},
-        frames, prove, recover,
+        frames,
+        link::RegionLinks,
+        prove, recover,
         send::{self, FrameSender, ServerRequest},
         slot::{ServerSlot, SlotEnd},
         view::KeptServer,
@@ -32,6 +34,9 @@
 
 /// How often a request that waits looks whether its slice has moved.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// So many looks in a row find the slice gone before a request is given up
+/// at its server: a planned move lets what runs end in that time.
+const LOOKS_GONE: u32 = 3;
 
 /// The gRPC service of the traffic threads.
 #[derive(Clone, Debug)]
@@ -39,6 +44,7 @@
     context: Arc<NodeContext>,
     queues: Arc<ServerQueues>,
     attempts: ServerAttempts,
+    links: Arc<RegionLinks>,
     http: reqwest::Client,
 }
 
@@ -46,7 +52,8 @@
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
         let queues = Arc::new(ServerQueues::new(Arc::clone(&context)));
         let attempts = ServerAttempts::default();
-        Self { context, queues, attempts, http: reqwest::Client::new() }
+        let links = Arc::new(RegionLinks::new(Arc::clone(&context)));
+        Self { context, queues, attempts, links, http: reqwest::Client::new() }
     }
 
     /// Runs one request and hands its frames on.
@@ -67,8 +74,9 @@
     async fn decide(&self, request: RouteRequest, frames: &FrameSender) {
         let now = self.context.now();
         let recovery = request.recover;
+        let link = self.links.link(&request.region);
         let age = TimeSpan::from_micros(request.age_micros);
-        let Some(request) = self.check(now, request) else {
+        let Some(mut request) = self.check(now, request) else {
             let reason = NotRunReason::BadRequest;
             refuse(frames, reason).await;
             return;
@@ -81,6 +89,14 @@
             send::give(frames, self.elsewhere(&request)).await;
             return;
         };
+        let crossing = link.map(|link| {
+            let ServerRequest { class, service, caller, .. } = &request;
+            link.cross(*class, service, caller, request.deadline)
+        });
+        match crossing.transpose() {
+            Ok(crossing) => request.crossing = crossing.map(Arc::new),
+            Err(reason) => return refuse(frames, reason).await,
+        }
         let now = self.context.now();
         match self.attempts.begin(now, &kept, &request) {
             AttemptStep::Run(attempt) => {
@@ -217,12 +233,38 @@
         let left = request.deadline.since(self.context.now());
         if let Some(call) = &mut cancel.call {
             let notes = (&mut call.slot, &mut attempt);
-            send::send(&self.http, kept, request, left, frames, notes).await;
+            let moved = self.moved(request, server, once);
+            send::send(&self.http, kept, request, left, frames, notes, moved)
+                .await;
         }
         cancel.disarm();
         drop(guard);
     }
 
+    /// Completes when an idempotent request's slice has surely left the
+    /// server that was sent it.
+    ///
+    /// A frozen server answers nobody: its callers would wait until their
+    /// deadlines though another server owns their keys by then.
+    async fn moved(
+        &self,
+        request: &ServerRequest,
+        server: &ServerName,
+        once: bool,
+    ) {
+        if once {
+            // Nobody may run it a second time: wait for this answer.
+            std::future::pending::<()>().await;
+        }
+        let mut gone = 0;
+        while gone < LOOKS_GONE {
+            tokio::time::sleep(LOOK_EVERY).await;
+            let kept = self.find(request);
+            let here = kept.is_some_and(|k| k.order.server == *server);
+            gone = if here { 0 } else { gone + 1 };
+        }
+    }
+
     fn check(
         &self,
         now: LocalTime,
@@ -244,6 +286,7 @@
             class: RequestClass::from_code(&request.class)?,
             deadline: now + TimeSpan::from_micros(request.left_micros),
             body: request.body,
+            crossing: None,
         })
     }
 
