Weigh moves from keepers' reports, and route past a lost domain

Cause: nobody fed placement; and a lost domain's last table stayed on every gateway, which sent requests for its slices to VMs that are gone, for ever.

Where two domains' tables claim a slice, the service's record decides.

--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -31,6 +31,7 @@
     },
     convert,
     keeper::KeeperView,
+    planner::PlacementFeed,
     store::{self, RecordStore},
 };
 
@@ -47,6 +48,7 @@
     store: PlatformClient,
     records: RecordStore,
     hub: Arc<TableHub>,
+    feed: PlacementFeed,
     search: StewardSearch,
     permits: PermitStream,
     address: Option<WeakAddress<Self>>,
@@ -92,6 +94,7 @@
             ),
             store,
             hub,
+            feed: PlacementFeed::default(),
             search: StewardSearch::default(),
             permits: PermitStream::default(),
             address: None,
@@ -206,6 +209,7 @@
         self.ask_at = now + self.timing.renew_every;
         let report = self.report(now);
         if self.steward.leads(now) {
+            self.feed.take(now, &report);
             let answer = self.steward.permit(now, report);
             self.keeper.permitted(now, now, answer);
             self.publish_view();
@@ -285,6 +289,27 @@
         }
     }
 
+    /// Asks the steward for the moves that the reports call for.
+    fn weigh_moves(&mut self) {
+        let now = self.context.now();
+        if !self.feed.due(now) {
+            return;
+        }
+        let status = self.steward.status(now);
+        let set = self.hub.set();
+        let Some(config) = set.config.as_ref().filter(|_| status.leading)
+        else {
+            self.feed.clear();
+            return;
+        };
+        let domain = self.context.domain();
+        let moves = self.feed.weigh(now, config, domain, &status);
+        if !moves.is_empty() {
+            log::info!("planner: {} moves are asked for.", moves.len());
+            self.steward_event(StewardEvent::MovesAsked(moves));
+        }
+    }
+
     /// Tells the keeper what must end before a slice is released.
     fn tell_running(&mut self) {
         for order in self.keeper.servers() {
@@ -341,6 +366,7 @@
         }
         self.steward_event(StewardEvent::Tick);
         self.show_leading();
+        self.weigh_moves();
         self.tell_running();
         self.ask_permit();
         self.send_orders();
@@ -369,6 +395,9 @@
         _: &mut Context<Self>,
     ) -> PermitAnswer {
         let now = self.context.now();
+        if self.steward.leads(now) {
+            self.feed.take(now, &report);
+        }
         let answer = self.steward.permit(now, report);
         if let PermitAnswer::NotSteward { steward: None } = &answer {
             let steward = self.search.known().cloned();
--- a/goldcrestramp-node/src/control/tables.rs
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -50,13 +50,18 @@
             return false;
         }
         set.domains.insert(table.domain.clone(), Arc::clone(table));
-        let merged = RoutingTable::merge(set.domains.values());
-        self.context.table.store(Arc::new(merged));
-        self.context.table_changed.send_modify(|count| *count += 1);
+        self.route(&set);
         self.set.send_replace(Arc::new(set));
         true
     }
 
+    /// Gives the gateways their routes anew.
+    fn route(&self, set: &TableSet) {
+        let merged = RoutingTable::merge(set.domains.values(), &set.homes);
+        self.context.table.store(Arc::new(merged));
+        self.context.table_changed.send_modify(|count| *count += 1);
+    }
+
     /// Takes the configuration if it is newer: versions only rise.
     pub(crate) fn take_config(&self, state: &Arc<DeploymentState>) -> bool {
         let mut set = TableSet::clone(&self.set());
@@ -80,6 +85,7 @@
             return false;
         }
         set.homes.insert(homes.service.clone(), homes);
+        self.route(&set);
         self.set.send_replace(Arc::new(set));
         true
     }
--- a/goldcrestramp-node/src/planner/mod.rs
+++ b/goldcrestramp-node/src/planner/mod.rs
@@ -4,6 +4,7 @@
 //! plan. Whoever acts without it, paused or wrongly believing, does no
 //! harm: a service's record is written only over the version read.
 
+mod feed;
 mod lease;
 mod round;
 
@@ -12,6 +13,7 @@
 use goldcrestramp_platform::{PlatformClient, records::PlannerRecord};
 use tokio::sync::watch;
 
+pub(crate) use self::feed::PlacementFeed;
 use self::{lease::LeaseHold, round::plan_all};
 use crate::{context::NodeContext, control::TableSet, store::StorePause};
 
--- a/goldcrestramp-node/src/routing.rs
+++ b/goldcrestramp-node/src/routing.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_ownership::{DomainTable, ServiceTable};
+use goldcrestramp_ownership::{DomainTable, ServiceRecord, ServiceTable};
 use goldcrestramp_types::{
     DomainName, FastMap, ServerName, ServiceName, SliceCount, SliceIndex,
     VmName,
@@ -37,7 +37,18 @@
         self.targets.get(usize::from(position))
     }
 
-    fn overlay(&mut self, domain: &DomainName, table: &ServiceTable) {
+    /// Lays a domain's table over what is there.
+    ///
+    /// Where another domain claims a slice too, the service's record
+    /// decides. A lost domain never publishes that it has nothing any more:
+    /// without this its last table would draw requests for ever.
+    fn overlay(
+        &mut self,
+        domain: &DomainName,
+        table: &ServiceTable,
+        record: Option<&ServiceRecord>,
+    ) {
+        let position = record.and_then(|record| record.position(domain));
         let base = self.targets.len();
         self.targets.extend(table.servers.iter().map(|s| RouteTarget {
             server: s.server.clone(),
@@ -45,11 +56,17 @@
             address: Arc::clone(&s.address),
             domain: domain.clone(),
         }));
-        for (mine, theirs) in self.owners.iter_mut().zip(&table.owners) {
-            let Some(position) = theirs else {
+        let owners = self.owners.iter_mut().zip(&table.owners);
+        for (slice, (mine, theirs)) in owners.enumerate() {
+            let Some(theirs) = theirs else {
                 continue;
             };
-            *mine = u16::try_from(base + usize::from(*position)).ok();
+            let holding = record.and_then(|record| record.slices.get(slice));
+            let holder = holding.map(|holding| holding.domain);
+            if mine.is_some() && holder.is_some() && holder != position {
+                continue;
+            }
+            *mine = u16::try_from(base + usize::from(*theirs)).ok();
         }
     }
 }
@@ -64,9 +81,11 @@
     /// Lays the failure domains' tables over each other.
     ///
     /// Two domains may both claim a slice for a moment while it moves
-    /// between them: a table is a hint, and the wrong keeper redirects.
+    /// between them: a table is a hint, and the wrong keeper redirects. Of
+    /// two claims the service's record decides.
     pub(crate) fn merge<'a>(
         tables: impl IntoIterator<Item = &'a Arc<DomainTable>>,
+        records: &FastMap<ServiceName, Arc<ServiceRecord>>,
     ) -> Self {
         let mut services: FastMap<ServiceName, ServiceRoutes> =
             FastMap::default();
@@ -79,7 +98,12 @@
                         targets: Vec::new(),
                         owners: vec![None; service.count.get() as usize],
                     });
-                routes.overlay(&table.domain, service);
+                let record = records.get(&service.service);
+                routes.overlay(
+                    &table.domain,
+                    service,
+                    record.map(Arc::as_ref),
+                );
             }
         }
         Self { services }
--- /dev/null
+++ b/goldcrestramp-node/tests/planner.rs
@@ -0,0 +1,58 @@
+//! Slices between failure domains, with real daemons.
+
+mod two_domains;
+
+use goldcrestramp_types::DomainName;
+use two_domains::{DOMAINS, TwoDomains};
+
+fn domain(number: usize) -> DomainName {
+    DomainName::new(DOMAINS[number]).expect("a name")
+}
+
+/// A domain with its servers and daemons is gone. Its keys have no owner
+/// until an operator declares it lost: it could be cut off and serving.
+/// Then the other domain serves them. When the lost one starts again it
+/// finds that it holds nothing, and its server runs nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_domains_keys_move_only_by_ticket() {
+    let mut two = TwoDomains::spawn().await;
+    let before = two.division().await.expect("a division");
+    let address = two.stop_domain(1);
+
+    two.put_config(2, Some((1, true))).await;
+    two.wait_for_division(|r| r.held_by(&domain(1)).is_empty()).await;
+    two.wait_until_served(0).await;
+    two.start_server(1, address).await;
+    two.put_config(3, Some((1, false))).await;
+    two.start_node(1).await;
+    two.wait_until_served(1).await;
+
+    assert!(!before.held_by(&domain(1)).is_empty());
+    let after = two.division().await.expect("a division");
+    assert!(after.held_by(&domain(1)).is_empty());
+    let returned = two.servers[1].as_ref().expect("a running server");
+    assert!(returned.log().executions.is_empty());
+}
+
+/// The platform is restored from a copy taken before a domain was declared
+/// lost. The configuration and the division that were in force are written
+/// again by who knows them, and the keys stay where they are served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_restored_store_gets_the_newer_division_again() {
+    let mut two = TwoDomains::spawn().await;
+    two.platform.snapshot();
+    two.stop_domain(1);
+    two.put_config(2, Some((1, true))).await;
+    two.wait_for_division(|r| r.held_by(&domain(1)).is_empty()).await;
+    two.wait_until_served(0).await;
+    let newer = two.division().await.expect("a division").revision;
+
+    two.platform.restore();
+
+    let older = two.division().await.map_or(0, |r| r.revision);
+    two.wait_for_division(|r| r.revision >= newer).await;
+    two.wait_until_served(0).await;
+    assert!(older < newer);
+    let after = two.division().await.expect("a division");
+    assert!(after.held_by(&domain(1)).is_empty());
+}
--- /dev/null
+++ b/goldcrestramp-node/tests/two_domains/mod.rs
@@ -0,0 +1,223 @@
+//! Two failure domains, each with a daemon and a server, in this process.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use goldcrestramp_config::{NodeSettings, ThingId, ThingKind, TouchMark};
+use goldcrestramp_node::NodeHandle;
+use goldcrestramp_ownership::ServiceRecord;
+use goldcrestramp_platform::{
+    PlatformClient, PutCondition, StoreAccess, VmEntry, VmState,
+    records::{StoreRecord, keys},
+};
+use goldcrestramp_standins::{
+    platform::PlatformStandin,
+    server::{ServerBehaviour, ServerStandin},
+};
+use goldcrestramp_types::{DomainName, RegionName, ServiceName, VmName};
+use serde_json::json;
+
+/// The two failure domains, in one region.
+pub(crate) const DOMAINS: [&str; 2] = ["sierra-a", "sierra-b"];
+/// Enough keys that both domains hold some.
+const KEYS: usize = 24;
+/// Longer than anything here takes; only a failed test sees it.
+const LIMIT: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What a test talks to.
+pub(crate) struct TwoDomains {
+    pub(crate) platform: PlatformStandin,
+    pub(crate) store: PlatformClient,
+    pub(crate) servers: [Option<ServerStandin>; 2],
+    settings: [NodeSettings; 2],
+    nodes: [Option<NodeHandle>; 2],
+    http: reqwest::Client,
+}
+
+impl TwoDomains {
+    /// Starts everything and waits until every key is served.
+    pub(crate) async fn spawn() -> Self {
+        let platform = PlatformStandin::bind(loopback()).await.expect("bound");
+        let store =
+            PlatformClient::open(&format!("http://{}", platform.address()));
+        let settings = [0, 1].map(|n| settings(n, platform.address()));
+        platform.set_vms(settings.iter().map(vm_entry).collect());
+        let mut two = Self {
+            store: store.expect("a client"),
+            platform,
+            servers: [None, None],
+            settings,
+            nodes: [None, None],
+            http: reqwest::Client::new(),
+        };
+        for domain in 0..2 {
+            let address = loopback();
+            two.start_server(domain, address).await;
+        }
+        two.put_config(1, None).await;
+        for domain in 0..2 {
+            two.start_node(domain).await;
+        }
+        two.wait_until_served(0).await;
+        two
+    }
+
+    /// Starts a domain's daemon anew.
+    pub(crate) async fn start_node(&mut self, domain: usize) {
+        let settings = self.settings[domain].clone();
+        let node = NodeHandle::spawn(settings).await.expect("started");
+        self.nodes[domain] = Some(node);
+    }
+
+    /// Starts a domain's server anew, at `address`.
+    pub(crate) async fn start_server(
+        &mut self,
+        domain: usize,
+        address: SocketAddr,
+    ) {
+        let behaviour = ServerBehaviour::default();
+        let server = ServerStandin::bind(address, behaviour).await;
+        self.servers[domain] = Some(server.expect("bound"));
+    }
+
+    /// Ends everything in a domain at once; gives its server's address.
+    pub(crate) fn stop_domain(&mut self, domain: usize) -> SocketAddr {
+        self.nodes[domain] = None;
+        let server = self.servers[domain].take().expect("a running server");
+        server.address()
+    }
+
+    /// Writes the configuration of this version; `lost`: the domain that
+    /// the ticket of this number touches, and whether it is lost.
+    pub(crate) async fn put_config(
+        &self,
+        version: u64,
+        touched: Option<(usize, bool)>,
+    ) {
+        let stored = self.store.get(keys::CONFIG).await.expect("a read");
+        let (condition, mut state) = match stored {
+            None => (PutCondition::Absent, self.first_state()),
+            Some(stored) => {
+                let state = serde_json::from_slice(&stored.value);
+                let condition = PutCondition::Version(stored.version);
+                (condition, state.expect("a configuration"))
+            }
+        };
+        state["version"] = json!(version);
+        if let Some((domain, lost)) = touched {
+            let thing = ThingId::new(ThingKind::Domain, DOMAINS[domain]);
+            state["domains"][domain]["lost"] = json!(lost);
+            state["tickets"]["last"][thing.to_string()] =
+                json!(TouchMark(version, 0));
+        }
+        let value = Bytes::from(state.to_string());
+        let put = self.store.put(keys::CONFIG, condition, value, None);
+        put.await.expect("written");
+    }
+
+    /// The service's record as the store has it.
+    pub(crate) async fn division(&self) -> Option<ServiceRecord> {
+        let service = ServiceName::new("stock").expect("a name");
+        let stored = self.store.get(&keys::slices(&service)).await;
+        let stored = stored.expect("a read")?;
+        ServiceRecord::decode(&stored.value).ok()
+    }
+
+    /// Waits until the record is as `wanted` says.
+    pub(crate) async fn wait_for_division(
+        &self,
+        wanted: impl Fn(&ServiceRecord) -> bool,
+    ) {
+        let waiting = async {
+            while !self.division().await.is_some_and(|r| wanted(&r)) {
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, waiting).await.expect("in time");
+    }
+
+    /// Waits until every key is served through a domain's daemon.
+    pub(crate) async fn wait_until_served(&self, domain: usize) {
+        let asking = async {
+            for key in 0..KEYS {
+                while !self.ask(domain, key).await {
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        };
+        tokio::time::timeout(LIMIT, asking).await.expect("served in time");
+    }
+
+    /// Looks a key up; whether it was served.
+    async fn ask(&self, domain: usize, key: usize) -> bool {
+        let node = self.nodes[domain].as_ref().expect("a running daemon");
+        let callers = node.addresses().callers;
+        let url = format!("http://{callers}/v1/stock/key-{key}");
+        let ask = self
+            .http
+            .get(url)
+            .header("goldcrestramp-caller", "test")
+            .header("goldcrestramp-deadline-ms", 2_000)
+            .send();
+        ask.await.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    fn first_state(&self) -> serde_json::Value {
+        let domains =
+            DOMAINS.map(|name| json!({ "name": name, "region": "sierra" }));
+        let servers =
+            self.servers.iter().zip(DOMAINS).map(|(server, place)| {
+                json!({
+                    "name": format!("{place}-server"),
+                    "service": "stock",
+                    "domain": place,
+                    "address": server.as_ref().expect("running").address(),
+                    "slots": 4,
+                    "connections": 120,
+                    "checks_fence": true,
+                })
+            });
+        json!({
+            "version": 0,
+            "domains": domains,
+            "services": [{ "name": "stock", "slices": 64 }],
+            "servers": servers.collect::<Vec<_>>(),
+            "tickets": { "last": {} },
+        })
+    }
+}
+
+fn loopback() -> SocketAddr {
+    "127.0.0.1:0".parse().expect("an address")
+}
+
+fn settings(domain: usize, platform: SocketAddr) -> NodeSettings {
+    let port = || {
+        let listener =
+            std::net::TcpListener::bind(loopback()).expect("a port");
+        listener.local_addr().expect("an address")
+    };
+    let value = json!({
+        "deployment": "two-domains",
+        "vm": format!("vm-{domain}"),
+        "domain": DOMAINS[domain],
+        "region": "sierra",
+        "callers_listen": port(),
+        "peers_listen": port(),
+        "control_listen": port(),
+        "platform_url": format!("http://{platform}"),
+        "operators": { "listen": "127.0.0.1:0" },
+    });
+    serde_json::from_value(value).expect("settings")
+}
+
+fn vm_entry(settings: &NodeSettings) -> VmEntry {
+    VmEntry {
+        name: VmName::new(settings.vm.as_str()).expect("a name"),
+        domain: DomainName::new(settings.domain.as_str()).expect("a name"),
+        region: RegionName::new("sierra").expect("a name"),
+        address: settings.control_listen.to_string(),
+        state: VmState::Live,
+    }
+}
