Read the store until a starting VM has a plan

Cause: a VM read the store once when it started and again only while it led, but it leads only with a plan. One that started before the first ticket, or before the planner had noted the ticket that brought its lost domain back, waited for ever.

Change: it reads, with growing jittered waits, until there is a plan.

--- a/goldcrestramp-node/src/control/reader.rs
+++ b/goldcrestramp-node/src/control/reader.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use goldcrestramp_config::DeploymentState;
-use goldcrestramp_ownership::RosterVoter;
+use goldcrestramp_ownership::{RosterVoter, ServiceRecord, domain_plan};
 use goldcrestramp_platform::{
     PlatformClient, StoreAccess, StoreError, VmEntry,
     records::{StoreRecord, keys},
@@ -43,7 +43,11 @@
     voters.collect()
 }
 
-/// Reads once what a VM needs to start, until the store answers.
+/// Reads what a VM needs to start, until it has a plan.
+///
+/// Without one it never leads, and only who leads reads the store again:
+/// a VM that starts before the first ticket, or before the planner has
+/// noted the ticket that brought its lost domain back, would wait for ever.
 pub(crate) async fn read_at_start(
     store: PlatformClient,
     domain: DomainName,
@@ -53,12 +57,13 @@
     loop {
         let read = read_all(&store, &domain, &actor).await;
         match read {
-            Ok(()) => return,
+            Ok(true) => return,
+            Ok(false) => log::info!("store: there is no plan yet."),
             Err(error) => {
                 log::warn!("store: cannot be read at start: {error}.");
-                pause.wait().await;
             }
         }
+        pause.wait().await;
     }
 }
 
@@ -66,7 +71,7 @@
     store: &PlatformClient,
     domain: &DomainName,
     actor: &Address<ControlActor>,
-) -> Result<(), StoreError> {
+) -> Result<bool, StoreError> {
     let vms = store.vms().await?;
     drop(actor.send(VmsNotice(vms)).await);
     let roster = match store.get(&keys::roster(domain)).await? {
@@ -74,10 +79,11 @@
         None => None,
     };
     drop(actor.send(RosterNotice(roster)).await);
-    if let Some(stored) = store.get(keys::CONFIG).await? {
-        take_config(store, &stored.value, actor).await?;
-    }
-    Ok(())
+    let Some(stored) = store.get(keys::CONFIG).await? else {
+        return Ok(false);
+    };
+    let taken = take_config(store, &stored.value, actor).await?;
+    Ok(domain_plan(&taken.state, domain, &taken.records).is_some())
 }
 
 /// While this VM leads, watches the configuration for its domain.
@@ -128,7 +134,7 @@
         drop(actor.send(ConfigNotice(Arc::new(joined))).await);
         return Ok(());
     }
-    take_config(store, value, actor).await
+    take_config(store, value, actor).await.map(drop)
 }
 
 /// While this VM leads, reads the VM list for its domain.
@@ -157,21 +163,30 @@
     }
 }
 
+/// A configuration with the divisions of its services.
+struct TakenConfig {
+    state: Arc<DeploymentState>,
+    records: Vec<Arc<ServiceRecord>>,
+}
+
 /// Takes a configuration with the divisions of its services.
 async fn take_config(
     store: &PlatformClient,
     value: &Bytes,
     actor: &Address<ControlActor>,
-) -> Result<(), StoreError> {
+) -> Result<TakenConfig, StoreError> {
     let state = Arc::new(decode::<DeploymentState>(value)?);
+    let mut records = Vec::new();
     for rules in &state.services {
         let read = read_division(store, &rules.name).await?;
         if let Some((_, record)) = read {
-            drop(actor.send(HomesNotice(Arc::new(record))).await);
+            let record = Arc::new(record);
+            records.push(Arc::clone(&record));
+            drop(actor.send(HomesNotice(record)).await);
         }
     }
-    drop(actor.send(ConfigNotice(state)).await);
-    Ok(())
+    drop(actor.send(ConfigNotice(Arc::clone(&state))).await);
+    Ok(TakenConfig { state, records })
 }
 
 /// A value that nobody can read is an error, never "no value".
