--- a/goldcrestramp-node/src/control/reader.rs
+++ b/goldcrestramp-node/src/control/reader.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use goldcrestramp_config::{DeploymentState, merge_states};
-use goldcrestramp_ownership::RosterVoter;
+use goldcrestramp_ownership::{RosterVoter, ServiceRecord, domain_plan};
 use goldcrestramp_platform::{
-    PlatformClient, StoreAccess, StoreError, StoredValue, VmEntry,
+    PlatformClient, StoreAccess, StoreError, VmEntry,
     records::{StoreRecord, keys},
 };
 use goldcrestramp_types::{DomainName, TimeSpan};
@@ -43,7 +43,11 @@
     voters.collect()
 }
 
-/// Reads once what a VM needs to start, until the store answers.
+/// Reads what a VM needs to start, until it has a plan.
+///
+/// Without one it never leads, and only who leads reads the store again:
+/// a VM that starts before the first ticket, or before the planner has
+/// noted the ticket that brought its lost domain back, would wait for ever.
 pub(crate) async fn read_at_start(
     store: PlatformClient,
     domain: DomainName,
@@ -54,20 +58,15 @@
         let read = read_all(&store, &domain, &actor).await;
         match read {
             Ok(true) => return,
-            Ok(false) => pause.reset(),
+            Ok(false) => log::info!("store: there is no plan yet."),
             Err(error) => {
                 log::warn!("store: cannot be read at start: {error}.");
-                pause.wait().await;
             }
         }
+        pause.wait().await;
     }
 }
 
-/// Reads all that a VM needs; `false`: there is no configuration yet.
-///
-/// A VM leads only once it has a plan, and only who leads watches the
-/// store. A VM that started before the first ticket therefore waits for it
-/// here; else its domain would have no steward for ever.
 async fn read_all(
     store: &PlatformClient,
     domain: &DomainName,
@@ -80,21 +79,11 @@
         None => None,
     };
     drop(actor.send(RosterNotice(roster)).await);
-    let Some(stored) = first_config(store).await? else {
+    let Some(stored) = store.get(keys::CONFIG).await? else {
         return Ok(false);
     };
-    take_config(store, &stored.value, actor).await?;
-    Ok(true)
-}
-
-/// The configuration, waited for if there is none yet.
-async fn first_config(
-    store: &PlatformClient,
-) -> Result<Option<StoredValue>, StoreError> {
-    if let Some(stored) = store.get(keys::CONFIG).await? {
-        return Ok(Some(stored));
-    }
-    store.watch(keys::CONFIG, 0, WATCH_SPAN).await
+    let taken = take_config(store, &stored.value, actor).await?;
+    Ok(domain_plan(&taken.state, domain, &taken.records).is_some())
 }
 
 /// While this VM leads, watches the configuration for its domain.
@@ -147,7 +136,7 @@
         drop(actor.send(ConfigNotice(Arc::new(joined))).await);
         return Ok(());
     }
-    take_config(store, value, actor).await
+    take_config(store, value, actor).await.map(drop)
 }
 
 /// While this VM leads, reads the VM list for its domain.
@@ -176,21 +165,30 @@
     }
 }
 
+/// A configuration with the divisions of its services.
+struct TakenConfig {
+    state: Arc<DeploymentState>,
+    records: Vec<Arc<ServiceRecord>>,
+}
+
 /// Takes a configuration with the divisions of its services.
 async fn take_config(
     store: &PlatformClient,
     value: &Bytes,
     actor: &Address<ControlActor>,
-) -> Result<(), StoreError> {
+) -> Result<TakenConfig, StoreError> {
     let state = Arc::new(decode::<DeploymentState>(value)?);
+    let mut records = Vec::new();
     for rules in &state.services {
         let read = read_division(store, &rules.name).await?;
         if let Some((_, record)) = read {
-            drop(actor.send(HomesNotice(Arc::new(record))).await);
+            let record = Arc::new(record);
+            records.push(Arc::clone(&record));
+            drop(actor.send(HomesNotice(record)).await);
         }
     }
-    drop(actor.send(ConfigNotice(state)).await);
-    Ok(())
+    drop(actor.send(ConfigNotice(Arc::clone(&state))).await);
+    Ok(TakenConfig { state, records })
 }
 
 /// A value that nobody can read is an error, never "no value".
