--- a/goldcrestramp-ownership/src/holder.rs
+++ b/goldcrestramp-ownership/src/holder.rs
@@ -12,6 +12,8 @@
     checks_fence: bool,
     token: FenceToken,
     fence: FenceToken,
+    /// The lowest token with which a request may start.
+    admits: FenceToken,
     held: SliceSet,
     deadline: ServerTime,
     safeguards: Safeguards,
@@ -37,6 +39,7 @@
             checks_fence,
             token: FenceToken::default(),
             fence: FenceToken::default(),
+            admits: FenceToken::default(),
             held: SliceSet::new(),
             deadline: ServerTime::default(),
             safeguards,
@@ -75,7 +78,7 @@
         token: FenceToken,
     ) -> bool {
         let fenced = self.checks_fence
-            && token < self.fence
+            && token < self.admits
             && self.safeguards.has(Safeguard::FenceCheck);
         !fenced && now < self.deadline && self.held.contains(slice)
     }
@@ -145,6 +148,7 @@
         }
         self.held.subtract(&order.release);
         self.fence = self.fence.max(order.token);
+        self.admits = self.admits.max(order.admits);
     }
 }
 
--- a/goldcrestramp-ownership/src/keeper/mod.rs
+++ b/goldcrestramp-ownership/src/keeper/mod.rs
@@ -146,6 +146,9 @@
         self.until = sent + self.timing.shortened(valid);
         self.poll_at = now + again.min(self.timing.renew_every);
         self.follow(orders);
+        for kept in self.servers.values_mut() {
+            kept.renew(now, &self.timing);
+        }
     }
 
     /// Keeps the named servers and no other.
--- a/goldcrestramp-ownership/src/keeper/server.rs
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -16,6 +16,10 @@
 /// How long after a lost or refused message the next one goes out.
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(50);
 
+/// When the next order is due if no permit renews it before, in percent of
+/// the renewal time.
+const ORDER_PERCENT: u64 = 150;
+
 /// The most unanswered grants that are remembered one by one.
 ///
 /// A grant repeated to a silent server adds one every 50 ms, each void
@@ -43,6 +47,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct KeptServer {
     order: Arc<ServerOrder>,
+    /// The token under which this keeper began: older ones are others'.
+    since: FenceToken,
     reading: Option<ClockReading>,
     run: u64,
     token: FenceToken,
@@ -60,6 +66,7 @@
     ends_at: LocalTime,
     reachable: bool,
     next_at: LocalTime,
+    sent_at: LocalTime,
     state: ServerState,
     version: u64,
     slices: Arc<SliceSet>,
@@ -68,6 +75,7 @@
 impl KeptServer {
     pub(super) fn new(order: ServerOrder, version: u64) -> Self {
         Self {
+            since: order.token,
             order: Arc::new(order),
             reading: None,
             run: 0,
@@ -84,6 +92,7 @@
             ends_at: LocalTime::default(),
             reachable: false,
             next_at: LocalTime::default(),
+            sent_at: LocalTime::default(),
             state: ServerState::default(),
             version,
             slices: Arc::new(SliceSet::new()),
@@ -107,6 +116,15 @@
         self.refresh_slices();
     }
 
+    /// Renews the grant right after the permit, when most is left of it.
+    ///
+    /// Renewed just before, the grant would end a whole renewal sooner.
+    pub(super) fn renew(&mut self, now: LocalTime, timing: &TermTiming) {
+        if now.since(self.sent_at) >= timing.renew_every.percent(50) {
+            self.next_at = self.next_at.min(now);
+        }
+    }
+
     pub(super) fn order(&self) -> Arc<ServerOrder> {
         Arc::clone(&self.order)
     }
@@ -157,7 +175,8 @@
             }
         }
         self.under_way = Some(SentOrder { sent: now, slices, void_at });
-        self.next_at = now + timing.renew_every;
+        self.sent_at = now;
+        self.next_at = now + timing.renew_every.percent(ORDER_PERCENT);
         Some((Arc::clone(&self.order.address), order))
     }
 
@@ -171,6 +190,7 @@
         let mut order = GrantOrder {
             service: Some(self.order.service.clone()),
             token: self.order.token,
+            admits: self.since,
             run: self.run,
             ..GrantOrder::default()
         };
--- a/goldcrestramp-ownership/src/steward/leader.rs
+++ b/goldcrestramp-ownership/src/steward/leader.rs
@@ -10,6 +10,7 @@
 use crate::{
     message::{KeeperReport, PermitAnswer, ServerReport},
     plan::{DomainPlan, SliceMove},
+    roster::RosterVoter,
     safeguard::Safeguard,
     steward::{
         StewardEffect,
@@ -25,6 +26,12 @@
     timing::TermTiming,
 };
 
+/// How long keepers have to claim their servers from a new steward.
+///
+/// One may just have asked the lost steward, and asks again once that
+/// question has timed out; meanwhile its server should not be given away.
+const CLAIM_PERCENT: u64 = 150;
+
 /// How far the takeover of the domain has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum LeadPhase {
@@ -77,7 +84,7 @@
             timing,
             phase: LeadPhase::Extending,
             move_at,
-            unclaimed_at: now + timing.renew_every,
+            unclaimed_at: now + timing.renew_every.percent(CLAIM_PERCENT),
             sequence: 0,
             servers: BTreeMap::new(),
             keepers: KeeperBook::default(),
@@ -136,7 +143,7 @@
     ) -> Vec<StewardEffect> {
         self.claim.adopt_next(now, &self.timing);
         self.begin_moving(now);
-        self.staff(now);
+        self.staff(now, knowledge);
         self.settle(now);
         self.decide(knowledge);
         let mut effects = self.claim.asks(now, me, true, &self.timing);
@@ -176,17 +183,50 @@
     }
 
     /// Gives servers keepers, and takes them from silent ones.
-    fn staff(&mut self, now: LocalTime) {
+    fn staff(&mut self, now: LocalTime, knowledge: &StewardKnowledge) {
         let timing = self.timing;
         let released = self.keepers.release(now, &mut self.servers, &timing);
+        let unclaimed_at = self.unclaimed_at(now, knowledge);
         let assigned = self.keepers.assign(
             now,
-            self.unclaimed_at,
+            unclaimed_at,
             self.claim.begun().unwrap_or_default(),
             &mut self.servers,
             &timing,
         );
         self.table.mark(released || assigned);
+        self.raise_fences();
+    }
+
+    /// Gives servers that changed their keeper a higher token.
+    fn raise_fences(&mut self) {
+        let term = self.claim.term;
+        for server in self.servers.values_mut() {
+            if server.is_fence_due() {
+                self.sequence += 1;
+                let sequence = self.sequence;
+                server.raise_fence(FenceToken { term, sequence });
+            }
+        }
+    }
+
+    /// When servers that no keeper has claimed get one.
+    ///
+    /// After a cold start nobody claims any. The first VM to report would
+    /// then keep all of them for good, so the others get time to appear.
+    fn unclaimed_at(
+        &self,
+        now: LocalTime,
+        knowledge: &StewardKnowledge,
+    ) -> LocalTime {
+        let claimed = self.servers.values().any(|server| server.staffed);
+        let mut vms = knowledge.vms.iter();
+        let here =
+            |vm: &RosterVoter| self.keepers.is_live(now, &vm.vm, &self.timing);
+        if claimed || vms.all(here) {
+            return self.unclaimed_at;
+        }
+        self.unclaimed_at + self.timing.missed_after
     }
 
     /// Settles lapses that a majority has confirmed since.
@@ -342,6 +382,7 @@
         for server in report.servers {
             self.learn(now, &vm, server);
         }
+        self.raise_fences();
         self.settle(now);
         self.decide(knowledge);
         if !self.timing.safeguards.has(Safeguard::PermitBound) {
@@ -363,7 +404,11 @@
             let servers = self.servers.values();
             servers.filter(|server| server.keeper.as_ref() == Some(vm))
         };
-        let hurry = kept().any(|server| server.is_pending(moving));
+        // Free slices are placed once all servers have been heard.
+        let begun = moving && now < self.move_at + self.timing.lease;
+        let settling = begun && self.servers.values().any(|s| !s.settled);
+        let pending = kept().any(|server| server.is_pending(moving));
+        let hurry = pending || settling;
         let mut again = self.timing.renew_every;
         if hurry {
             again = self.timing.hurry_every;
--- a/goldcrestramp-ownership/src/steward/led.rs
+++ b/goldcrestramp-ownership/src/steward/led.rs
@@ -63,6 +63,8 @@
     pub(super) settled: bool,
     /// Whether it has had a keeper in this term.
     pub(super) staffed: bool,
+    /// Whether its keeper has changed under the present token.
+    fence_due: bool,
     /// Whether its slices go to others.
     pub(super) lost: bool,
 }
@@ -93,6 +95,7 @@
             lapsed_at: None,
             settled: false,
             staffed: false,
+            fence_due: false,
             lost: false,
         }
     }
@@ -139,6 +142,21 @@
         self.lapsed_at = None;
     }
 
+    /// Whether the next order has to raise the server's fence.
+    pub(super) const fn is_fence_due(&self) -> bool {
+        self.fence_due
+    }
+
+    /// Gives the same order under a higher token.
+    ///
+    /// The new keeper's first message then raises the fence, and nothing
+    /// that the former one sent can start any more.
+    pub(super) fn raise_fence(&mut self, token: FenceToken) {
+        self.order.token = token;
+        self.fence_due = false;
+        self.lapsed_at = None;
+    }
+
     /// Gives a new order; what it allows counts as held from now on.
     pub(super) fn instruct(&mut self, token: FenceToken, slices: SliceSet) {
         let mut release = self.bound.clone();
@@ -182,6 +200,8 @@
             self.known = None;
             self.lapsed_at = None;
         }
+        let other = |serving: &VmName| *serving != keeper;
+        self.fence_due |= self.serving.as_ref().is_some_and(other);
         self.serving = Some(keeper.clone());
         self.keeper = Some(keeper);
         self.probing = false;
@@ -266,7 +286,8 @@
             return;
         }
         let since = *self.silent_since.get_or_insert(now);
-        self.lost |= now.since(since) >= timing.missed_after;
+        let waits = timing.safeguards.has(Safeguard::LossWait);
+        self.lost |= !waits || now.since(since) >= timing.missed_after;
     }
 
     /// Whether the server itself has acted on the present order.
@@ -361,7 +382,10 @@
     /// Whether its keeper has news to bring or to get soon.
     pub(super) fn is_pending(&self, moving: bool) -> bool {
         if self.lost {
-            return false;
+            let stopped =
+                self.order.slices.as_ref().is_some_and(SliceSet::is_empty);
+            let waits = stopped && !self.bound.is_empty();
+            return moving && (waits || !self.settled);
         }
         let working = self.known.as_ref().is_none_or(|known| {
             known.order != self.order.token
--- a/goldcrestramp-ownership/src/timing.rs
+++ b/goldcrestramp-ownership/src/timing.rs
@@ -14,7 +14,13 @@
     /// steward's detection, a lease until the new one may move slices, and
     /// rounds to voters, keepers and servers. With 1.5 s it took 2.4 s.
     pub lease: TimeSpan,
-    /// How often a steward asks its voters, and a keeper its steward.
+    /// How often a steward asks its voters.
+    ///
+    /// Whatever a permit is older than this confirmation is lost to the
+    /// keeper when the steward dies; with 200 ms, permits could end before
+    /// the next steward was there.
+    pub confirm_every: TimeSpan,
+    /// How often a keeper asks its steward, and its servers.
     ///
     /// A fifth of the lease: four messages in a row may be lost.
     pub renew_every: TimeSpan,
@@ -36,8 +42,9 @@
     fn default() -> Self {
         Self {
             lease: TimeSpan::from_millis(1_000),
+            confirm_every: TimeSpan::from_millis(100),
             renew_every: TimeSpan::from_millis(200),
-            missed_after: TimeSpan::from_millis(400),
+            missed_after: TimeSpan::from_millis(350),
             hurry_every: TimeSpan::from_millis(20),
             drift_percent: 2,
             safeguards: Safeguards::default(),
--- a/goldcrestramp-ownership/tests/ownership/main.rs
+++ b/goldcrestramp-ownership/tests/ownership/main.rs
@@ -1,6 +1,7 @@
 //! The ownership machines in a small world of faults, against an oracle.
 
 mod fault;
+
 mod message;
 mod random;
 mod standin;
--- a/goldcrestramp-ownership/tests/ownership/standin.rs
+++ b/goldcrestramp-ownership/tests/ownership/standin.rs
@@ -30,6 +30,11 @@
         self.base + (now - self.born) * self.per_mille / 1_000
     }
 
+    /// Goes on from the present reading at another rate.
+    pub fn set_rate(&mut self, now: u64, per_mille: u64) {
+        *self = Self { base: self.read(now), born: now, per_mille };
+    }
+
     pub fn local(self, now: u64) -> LocalTime {
         LocalTime::from_micros(self.read(now))
     }
@@ -46,6 +51,10 @@
     pub calls: BTreeMap<u64, (ServerName, LocalTime)>,
     pub poll_until: LocalTime,
     pub polls: usize,
+    /// The VM asked last was no steward: ask the next one.
+    pub ask_next: bool,
+    /// The VM asked last, and whether it was the steward.
+    pub asked: (usize, bool),
     pub read_at: LocalTime,
 }
 
@@ -103,6 +112,8 @@
             calls: BTreeMap::new(),
             poll_until: LocalTime::default(),
             polls: 0,
+            ask_next: false,
+            asked: (0, false),
             read_at: LocalTime::default(),
         });
     }
--- a/goldcrestramp-ownership/tests/ownership/world.rs
+++ b/goldcrestramp-ownership/tests/ownership/world.rs
@@ -65,6 +65,16 @@
         vms: usize,
         checks_fence: &[bool],
         safeguards: Safeguards,
+    ) -> Self {
+        let timing = TermTiming { safeguards, ..TermTiming::default() };
+        Self::with_timing(vms, checks_fence, timing)
+    }
+
+    /// The same with other times.
+    pub fn with_timing(
+        vms: usize,
+        checks_fence: &[bool],
+        timing: TermTiming,
     ) -> Self {
         let clock = |index: usize| Clock {
             base: 1_000_000_000 * (1 + index as u64),
@@ -72,7 +82,6 @@
             per_mille: RATES[index % RATES.len()],
         };
         let servers = checks_fence.iter().enumerate();
-        let timing = TermTiming { safeguards, ..TermTiming::default() };
         let mut world = Self {
             now: 0,
             vms: (0..vms).map(|i| Vm::new(i, clock(i))).collect(),
@@ -451,7 +460,8 @@
         let Some(process) = &mut self.vms[vm].process else { return };
         let start = process.start;
         let orders = process.keeper.orders(now);
-        let due = now >= process.keeper.poll_at() && now >= process.poll_until;
+        let due = now >= process.keeper.poll_at() || process.ask_next;
+        let due = due && now >= process.poll_until;
         for (name, _, order) in orders {
             let position = self.servers.iter().position(|s| s.name == name);
             let to = position.expect("a known server");
@@ -475,17 +485,22 @@
         let count = self.vms.len();
         let Some(process) = &mut self.vms[vm].process else { return };
         process.polls += 1;
+        process.ask_next = false;
         let seen = process.voter.latest();
         let fresh =
             seen.filter(|(_, at)| now.since(*at) < TimeSpan::from_millis(700));
         let name = fresh.map(|(ask, _)| ask.vm.clone());
         let polls = process.polls;
+        let hint = process.asked.1.then_some(process.asked.0);
         process.poll_until = now + CALL_TIMEOUT;
         let report = process.keeper.report(now);
         let from = Origin { vm, start: process.start };
         let known =
             name.and_then(|n| self.vms.iter().position(|v| v.name == n));
-        let to = known.unwrap_or((vm + polls) % count);
+        let to = known.or(hint).unwrap_or((vm + polls) % count);
+        if let Some(process) = &mut self.vms[vm].process {
+            process.asked = (to, false);
+        }
         let message = Message::Report { from, report, sent: now };
         self.send(Node::Vm(vm), Node::Vm(to), message);
     }
@@ -587,7 +602,14 @@
     ) {
         let voter = self.vms[vm].name.clone();
         let Some(process) = &mut self.vms[vm].process else { return };
+        let latest = process.voter.latest();
+        let known = latest.map(|(ask, _)| ask.vm.clone());
         let answer = process.voter.confirm(now, &ask);
+        if answer == ConfirmAnswer::Confirmed && known != Some(ask.vm.clone())
+        {
+            process.ask_next = true;
+            process.poll_until = now;
+        }
         let reply = VoterReply {
             start: from.start,
             voter,
@@ -613,6 +635,12 @@
     ) {
         let Some(process) = &mut self.vms[vm].process else { return };
         process.poll_until = now;
+        process.asked.1 = true;
+        if matches!(answer, PermitAnswer::NotSteward { .. }) {
+            process.asked.1 = false;
+            process.ask_next = true;
+            process.poll_until = now + TimeSpan::from_millis(50);
+        }
         process.keeper.permitted(now, sent, answer);
     }
 
--- a/goldcrestramp-wire/src/server.rs
+++ b/goldcrestramp-wire/src/server.rs
@@ -61,6 +61,12 @@
     /// An extension that arrives later than this is void, so a late message
     /// cannot bring a lapsed grant back to life.
     pub accept_by: Option<ServerTime>,
+    /// The lowest token with which a request may start from now on.
+    ///
+    /// It rises with a change of keeper, not with every order, so that
+    /// requests under way are not refused for each slice that moves.
+    #[serde(default)]
+    pub admits: FenceToken,
     /// The run of the server that the deadlines were reckoned for.
     pub run: u64,
 }
