Come back when the keeper says, and free the slot of a stalled reader

Cause: (1) a refusal by a held server was tried again within 10 to 20 ms though the keeper had said when to come back. (2) An answer that broke off at the server, or ended, while its reader had stalled waited for room without end, and held its slot.

Change: (1) a refused try is made again at the keeper's time or when the table changes; one whose deadline is before that has its answer at once, with that time. (2) The error is offered and not waited for; the end mark is waited for as any other part.

--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -63,7 +63,7 @@
         };
         match self.first(request, first, frames) {
             TryOutcome::Answer(answer) => Some(answer),
-            TryOutcome::Again(..) => None,
+            TryOutcome::Again(..) | TryOutcome::Refused(..) => None,
         }
     }
 }
--- a/goldcrestramp-node/src/gateway/retry.rs
+++ b/goldcrestramp-node/src/gateway/retry.rs
@@ -34,26 +34,27 @@
         &self,
         now: LocalTime,
         request: &CallerRequest,
-        reason: RetryReason,
-        retries: u32,
+        failed: &FailedTry,
     ) -> RetryDecision {
-        let start = match reason {
-            RetryReason::BrokenOff => AttemptStart::MayHaveRun,
-            _ => AttemptStart::NotStarted,
-        };
-        let failed = FailedAttempt {
+        // One who cannot come back in time has its answer now.
+        if now + failed.wait >= request.deadline
+            && failed.start == AttemptStart::NotStarted
+        {
+            return RetryDecision::NotRun(failed.refusal);
+        }
+        let attempt = FailedAttempt {
             caller: &request.caller,
             service: &request.service,
             effect: request.class.effect(),
-            start,
-            reason,
-            refusal: NotRunReason::ServerRefused,
+            start: failed.start,
+            reason: failed.reason,
+            refusal: failed.refusal,
             redirects: 0,
-            retries,
+            retries: failed.retries,
             deadline: request.deadline,
             usual: USUAL_ATTEMPT,
         };
-        self.lock().decide(now, &failed, rand::random())
+        self.lock().decide(now, &attempt, rand::random())
     }
 
     fn lock(&self) -> MutexGuard<'_, RetryPolicy> {
@@ -61,7 +62,37 @@
     }
 }
 
-/// Whether retries for this reason put load on a server.
-pub(crate) const fn is_budgeted(reason: RetryReason) -> bool {
-    matches!(reason, RetryReason::ServerRefused | RetryReason::BrokenOff)
+/// A try that a server refused or broke off.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FailedTry {
+    start: AttemptStart,
+    reason: RetryReason,
+    refusal: NotRunReason,
+    retries: u32,
+    /// When the keeper said to come back.
+    pub(crate) wait: TimeSpan,
+}
+
+impl FailedTry {
+    /// It was refused before it started.
+    pub(crate) const fn refused(
+        refusal: NotRunReason,
+        wait: TimeSpan,
+        retries: u32,
+    ) -> Self {
+        let start = AttemptStart::NotStarted;
+        let reason = RetryReason::ServerRefused;
+        Self { start, reason, refusal, retries, wait }
+    }
+
+    /// It broke off before its first byte, and may have run.
+    pub(crate) const fn broken_off(retries: u32) -> Self {
+        Self {
+            start: AttemptStart::MayHaveRun,
+            reason: RetryReason::BrokenOff,
+            refusal: NotRunReason::KeeperUnreachable,
+            retries,
+            wait: TimeSpan::ZERO,
+        }
+    }
 }
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -17,7 +17,7 @@
     context::NodeContext,
     gateway::{
         request::CallerRequest,
-        retry::{RetryBook, is_budgeted},
+        retry::{FailedTry, RetryBook},
     },
     metrics::NodeMetrics,
     peers::PeerChannels,
@@ -82,6 +82,8 @@
     Answer(RouteAnswer),
     /// It did not run; try again, at this address if one is named.
     Again(RetryReason, Option<Arc<str>>),
+    /// The keeper or its server refused it, and says when to come back.
+    Refused(NotRunReason, TimeSpan),
 }
 
 /// Sends requests to keepers.
@@ -116,14 +118,24 @@
             };
             match self.attempt(request, &address).await {
                 TryOutcome::Answer(answer) => return answer,
-                TryOutcome::Again(reason, _) if is_budgeted(reason) => {
-                    let again = self.again(request, reason, retries).await;
-                    if let Some(answer) = again {
+                TryOutcome::Refused(refusal, wait) => {
+                    let failed = FailedTry::refused(refusal, wait, retries);
+                    if let Some(answer) = self.again(request, failed).await {
                         return answer;
                     }
                     retries += 1;
                     sends += 1;
-                    last = reason;
+                    last = RetryReason::ServerRefused;
+                    continue;
+                }
+                TryOutcome::Again(RetryReason::BrokenOff, _) => {
+                    let failed = FailedTry::broken_off(retries);
+                    if let Some(answer) = self.again(request, failed).await {
+                        return answer;
+                    }
+                    retries += 1;
+                    sends += 1;
+                    last = RetryReason::BrokenOff;
                     continue;
                 }
                 TryOutcome::Again(reason, elsewhere) => {
@@ -144,22 +156,29 @@
     async fn again(
         &self,
         request: &CallerRequest,
-        reason: RetryReason,
-        retries: u32,
+        failed: FailedTry,
     ) -> Option<RouteAnswer> {
         let now = self.context.now();
-        match self.retries.decide(now, request, reason, retries) {
+        let decision = self.retries.decide(now, request, &failed);
+        let time = match decision {
             RetryDecision::Again(time, reason) => {
                 self.context.metrics.count_retry(reason);
-                tokio::time::sleep(time.since(now).to_std()).await;
-                None
+                time.max(now + failed.wait)
+            }
+            RetryDecision::NotRun(reason) => {
+                let retry_after = Some(failed.wait);
+                return Some(RouteAnswer::NotRun { reason, retry_after });
             }
-            RetryDecision::NotRun(reason) => Some(refused(reason)),
             RetryDecision::Unknown => {
                 let reason = UnknownReason::KeeperLost;
-                Some(RouteAnswer::Unknown { reason })
+                return Some(RouteAnswer::Unknown { reason });
             }
-        }
+        };
+        let mut changes = self.context.table_changed.subscribe();
+        let wait = time.since(now).to_std();
+        // A new table may name another owner before the time is over.
+        drop(tokio::time::timeout(wait, changes.changed()).await);
+        None
     }
 
     /// Until when a request waits for an owner within reach.
@@ -393,7 +412,7 @@
             TryOutcome::Again(RetryReason::NoOwner, None)
         }
         NotRunReason::ServerUnreachable | NotRunReason::ServerRefused => {
-            TryOutcome::Again(RetryReason::ServerRefused, None)
+            TryOutcome::Refused(reason, wait)
         }
         _ => {
             let retry_after = Some(wait);
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -218,7 +218,7 @@
     let mut chunks = response.bytes_stream();
     while let Some(chunk) = chunks.next().await {
         let Ok(chunk) = chunk else {
-            broken(frames).await;
+            broken(frames);
             return PassEnd::ServerBroke;
         };
         passed += chunk.len() as u64;
@@ -232,10 +232,10 @@
     // A connection that ends early can look like the end of the answer;
     // the announced length tells them apart.
     if length.is_some_and(|length| length != passed) {
-        broken(frames).await;
+        broken(frames);
         return PassEnd::ServerBroke;
     }
-    if give(frames, frames::end(passed)).await {
+    if give_patiently(frames, frames::end(passed), slot).await {
         PassEnd::Whole
     } else {
         PassEnd::ReaderGone
@@ -243,9 +243,12 @@
 }
 
 /// Ends the answer without its end mark.
-async fn broken(frames: &FrameSender) {
+///
+/// With a reader that has stalled there is no room for the error; waiting
+/// for it would hold the slot, and the stream's mere end says the same.
+fn broken(frames: &FrameSender) {
     let status = Status::data_loss("the server's answer broke off");
-    drop(frames.send(Err(status)).await);
+    drop(frames.try_send(Err(status)));
 }
 
 /// Hands on what the server sent, in pieces if it crosses a short link.
--- a/goldcrestramp-node/tests/admission.rs
+++ b/goldcrestramp-node/tests/admission.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use goldcrestramp_standins::ExecutionEntry;
+use goldcrestramp_standins::{
+    ExecutionEntry,
+    server::{ServerBehaviour, WorkTimes},
+};
 use goldcrestramp_wire::peer::{
     RouteRequest, peer_client::PeerClient, route_frame::Frame,
 };
@@ -176,3 +179,27 @@
     );
     assert!(metrics.contains(&line), "{metrics}");
 }
+
+/// A phone starts a download and stops reading. The answer stands still and
+/// holds the only slot, until a lookup has waited for it for some seconds:
+/// then the download breaks off, and the lookup is served.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_reader_that_stalls_loses_its_slot_to_others() {
+    // More than all buffers on the way hold together.
+    let behaviour = ServerBehaviour {
+        long_bytes: 64 * 1_024 * 1_024,
+        work: WorkTimes::fixed(1),
+        ..ServerBehaviour::default()
+    };
+    let one = OneNode::spawn_with(1, behaviour).await;
+    let download = one
+        .request(Method::GET, "book", "phone", PATIENT_MS)
+        .header("goldcrestramp-class", "long");
+    let download = download.send().await.expect("it begins");
+    let ask = one.request(Method::GET, "k", "here", PATIENT_MS).send();
+    let lookup = ask.await.expect("an answer");
+    let rest = download.bytes().await;
+
+    assert_eq!(outcome(&lookup), "done");
+    assert!(rest.is_err(), "an answer that is not whole must not look so");
+}
--- a/goldcrestramp-node/tests/one_node/mod.rs
+++ b/goldcrestramp-node/tests/one_node/mod.rs
@@ -32,14 +32,20 @@
     /// Starts all three; the server has `slots` slots, and each request
     /// takes `work_ms`.
     pub(crate) async fn spawn(slots: u32, work_ms: u64) -> Self {
+        let work = WorkTimes::fixed(work_ms);
+        let behaviour = ServerBehaviour { work, ..Default::default() };
+        Self::spawn_with(slots, behaviour).await
+    }
+
+    /// The same, with a server that behaves so.
+    pub(crate) async fn spawn_with(
+        slots: u32,
+        behaviour: ServerBehaviour,
+    ) -> Self {
         let platform = PlatformStandin::bind(loopback()).await.expect("bound");
         // The server itself refuses nothing: what is counted in it is the
         // keeper's doing.
-        let behaviour = ServerBehaviour {
-            slots: SERVER_SLOTS,
-            work: WorkTimes::fixed(work_ms),
-            ..ServerBehaviour::default()
-        };
+        let behaviour = ServerBehaviour { slots: SERVER_SLOTS, ..behaviour };
         let server = ServerStandin::bind(loopback(), behaviour).await;
         let server = server.expect("bound");
         put_config(platform.address(), server.address(), slots).await;
