Split the queue's entry from its keeping, and log slow servers

Change: how a request comes in stands in queue/entry.rs, unchanged; the keeper logs a server's advice when it changes. Conclusion: no decision changed; the tests are the same.

--- a/goldcrestramp-decisions/src/queue/mod.rs
+++ b/goldcrestramp-decisions/src/queue/mod.rs
@@ -20,6 +20,7 @@
 */
 
 mod admission;
+mod entry;
 mod estimate;
 mod flow;
 mod request;
@@ -37,9 +38,7 @@
     QueuedRequest, RequestKey,
 };
 use crate::queue::{
-    admission::{WaitForecast, WaitVerdict},
     estimate::{ServiceEstimate, WaitEstimate},
-    flow::{FlowKey, TAG_SCALE},
     slots::SlotBook,
     tree::{FlowEntry, FlowTree},
 };
@@ -272,141 +271,6 @@
         overdue.into_iter().chain(lent).min()
     }
 
-    /// What is known of the place that a request would get.
-    fn forecast(
-        &self,
-        now: LocalTime,
-        leaf: FlowKey,
-        class: RequestClass,
-        deadline: LocalTime,
-    ) -> WaitForecast {
-        let estimate = self.estimate(class);
-        let long = self.estimate(RequestClass::Long).mean_unaged();
-        let service = estimate.mean(now);
-        let ahead = self.tree.cost_ahead(leaf, service.as_micros());
-        let expected = self.slots.wait(now, class, ahead, service, long);
-        let wait = self.waits[class as usize].correct(expected);
-        let caller = self.tree.flow(leaf).parent;
-        let is_long = class == RequestClass::Long;
-        let busy_since = self.busy_since[class as usize].filter(|_| !is_long);
-        WaitForecast {
-            expected,
-            wait,
-            budget: (deadline - estimate.needed(now)).since(now),
-            service,
-            busy_since,
-            caller_waiting: caller
-                .map_or(0, |caller| self.tree.flow(caller).waiting),
-        }
-    }
-
-    /// Why a request may not wait, if so.
-    fn refusal_reason(
-        &self,
-        now: LocalTime,
-        leaf: FlowKey,
-        class: RequestClass,
-        deadline: LocalTime,
-        forecast: &WaitForecast,
-    ) -> Option<NotRunReason> {
-        if deadline <= now {
-            return Some(NotRunReason::DeadlinePassed);
-        }
-        // A free slot with nobody waiting for it is given to anyone: an
-        // estimate that has become too high can only be corrected so.
-        let long = self.estimate(RequestClass::Long).mean_unaged();
-        let free = self.slots.may_start(now, class, long);
-        if free && self.tree.waiting_in(class) == 0 {
-            return None;
-        }
-        match forecast.judge(now) {
-            WaitVerdict::Admit => None,
-            WaitVerdict::TooLate => {
-                if self.slots.hold(now).is_some() {
-                    return Some(NotRunReason::ServerUnreachable);
-                }
-                let fallback = NotRunReason::DeadlineTooShort;
-                Some(self.share_reason(leaf).unwrap_or(fallback))
-            }
-            WaitVerdict::Standing => {
-                let fallback = NotRunReason::QueueFull;
-                Some(self.share_reason(leaf).unwrap_or(fallback))
-            }
-        }
-    }
-
-    /// The share that is exceeded by what already waits, if one is.
-    fn share_reason(&self, leaf: FlowKey) -> Option<NotRunReason> {
-        let key = self.tree.flow(leaf);
-        let caller_key = key.parent?;
-        let caller = self.tree.flow(caller_key);
-        let class = self.tree.flow(caller.parent?);
-        if exceeds(caller.cost, caller.weight, class.cost, class.ready_weight)
-        {
-            return Some(NotRunReason::CallerOverShare);
-        }
-        exceeds(key.cost, key.weight, caller.cost, caller.ready_weight)
-            .then_some(NotRunReason::KeyOverShare)
-    }
-
-    /// Pushes a request out of a full queue for one that joins `leaf`, or
-    /// refuses the latter if its caller has the most waiting.
-    fn make_room(
-        &mut self,
-        leaf: FlowKey,
-        forecast: &WaitForecast,
-        random: u64,
-    ) -> Option<QueueRefusal> {
-        if self.tree.waiting() < self.settings.waiting_limit {
-            return None;
-        }
-        let caller = self.tree.flow(leaf).parent?;
-        let caller = self.tree.flow(caller);
-        let length = caller.length() + TAG_SCALE / caller.weight;
-        match self.tree.longest() {
-            Some((longest, victim)) if longest > length => {
-                let reason = NotRunReason::CallerOverShare;
-                self.withdraw(victim);
-                let refusal = forecast.refusal(reason, random);
-                self.pushed_out.push((victim, refusal));
-                None
-            }
-            _ => Some(forecast.refusal(NotRunReason::QueueFull, random)),
-        }
-    }
-
-    /// Puts a request in the queue.
-    fn admit(
-        &mut self,
-        now: LocalTime,
-        leaf: FlowKey,
-        class: RequestClass,
-        deadline: LocalTime,
-        expected: TimeSpan,
-    ) -> RequestKey {
-        let estimate = self.estimate(class);
-        let needed = estimate.needed(now);
-        let cost = estimate.mean(now).as_micros().max(1);
-        // A request that only just fits is still tried once.
-        let give_up_at =
-            (deadline - needed).max(now + TimeSpan::from_micros(1));
-        let give_up_at = give_up_at.min(deadline);
-        let phase = RequestPhase::Waiting { since: now, give_up_at };
-        let request = RequestKey::default();
-        let entry = FlowEntry { leaf, deadline, request, cost };
-        let key = self.requests.insert_with_key(|request| RequestEntry {
-            entry: FlowEntry { request, ..entry },
-            class,
-            expected,
-            phase,
-        });
-        self.tree.push(FlowEntry { request: key, ..entry });
-        self.give_up.insert((give_up_at, key));
-        let busy_since = &mut self.busy_since[class as usize];
-        *busy_since = busy_since.or(Some(now));
-        key
-    }
-
     /// A waiting request whose time to start is over.
     fn overdue(&self, now: LocalTime) -> Option<RequestKey> {
         let (time, key) = self.give_up.first()?;
@@ -469,9 +333,3 @@
         &mut self.estimates[class as usize]
     }
 }
-
-/// Whether `cost` is more than its part by weight of what waits in all.
-const fn exceeds(cost: u64, weight: u64, all: u64, weights: u64) -> bool {
-    weights > weight
-        && cost.saturating_mul(weights) > all.saturating_mul(weight)
-}
--- a/goldcrestramp-node/src/keeper/admission.rs
+++ b/goldcrestramp-node/src/keeper/admission.rs
@@ -7,8 +7,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
 use goldcrestramp_decisions::{
-    CompletionOutcome, OfferOutcome, QueueEvent, QueueRefusal, QueueSettings,
-    QueuedRequest, RequestKey, ServerLimit, ServerQueue, ServerSign,
+    CompletionOutcome, OfferOutcome, OwnerAdvice, QueueEvent, QueueRefusal,
+    QueueSettings, QueuedRequest, RequestKey, ServerLimit, ServerQueue,
+    ServerSign,
 };
 use goldcrestramp_types::{
     FastMap, LocalTime, RequestClass, ServerName, SliceIndex, TimeSpan,
@@ -69,6 +70,8 @@
     queue: ServerQueue,
     limit: ServerLimit,
     waiters: FastMap<RequestKey, Waiter>,
+    /// What was last logged of the server.
+    advice: OwnerAdvice,
     /// The run of the server that the limit knows.
     run: Option<u64>,
     /// When the timer task looks again.
@@ -97,6 +100,7 @@
             queue: ServerQueue::open(now, settings),
             limit: ServerLimit::open(now, slots),
             waiters: FastMap::default(),
+            advice: OwnerAdvice::Keep,
             run: None,
             timer_at: None,
         };
@@ -212,6 +216,7 @@
         let now = self.context.now();
         let mut state = self.lock();
         state.limit.tick(now, rand::random());
+        self.log_advice(&mut state, now);
         state.timer_at = Some(now);
         self.pump(&mut state, now);
         state.timer_at = state.wake_at();
@@ -221,6 +226,24 @@
         state.timer_at.map(|wake| wake.since(now).max(pause))
     }
 
+    /// Tells operators when a server's keys would be better off elsewhere.
+    fn log_advice(&self, state: &mut AdmissionState, now: LocalTime) {
+        let advice = state.limit.advice(now);
+        if advice == state.advice {
+            return;
+        }
+        state.advice = advice;
+        let server = &self.server;
+        match advice {
+            OwnerAdvice::MoveAway => {
+                log::warn!("keeper: {server} is slow or silent.");
+            }
+            OwnerAdvice::Keep => {
+                log::info!("keeper: {server} does its work again.");
+            }
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, AdmissionState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
