--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -17,6 +17,7 @@
 mod load;
 mod metrics;
 mod operators;
+mod peer_tls;
 mod peers;
 mod planner;
 mod routing;
@@ -35,4 +36,7 @@
         RefusalLine, ServerReport, StatusReport, StewardReport, TicketAnswer,
         TicketOutcome, apply_ticket, operator_routes, restore_config,
     },
+    peer_tls::{
+        PeerIdentity, PeerIncoming, PeerTls, PeerTlsError, check_claim,
+    },
 };
--- /dev/null
+++ b/goldcrestramp-node/tests/peer_tls.rs
@@ -0,0 +1,345 @@
+//! Peers prove who they are; whoever can't, or claims more, is refused.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+use goldcrestramp_config::{NodeSettings, parse_settings};
+use goldcrestramp_node::{PeerIncoming, PeerTls, PeerTlsError};
+use goldcrestramp_wire::peer::ConfirmRequest;
+use rcgen::{
+    BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair,
+};
+use tokio::net::TcpListener;
+use tonic::transport::{Certificate, ClientTlsConfig, Endpoint, Server};
+
+/// An authority's certificate and key.
+type TestAuthority = CertifiedIssuer<'static, KeyPair>;
+
+fn authority() -> TestAuthority {
+    let mut params = CertificateParams::new(Vec::new()).expect("parameters");
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let key = KeyPair::generate().expect("a key");
+    CertifiedIssuer::self_signed(params, key).expect("an authority")
+}
+
+/// A VM's directory with its three files, removed at the end.
+struct VmFiles(PathBuf);
+
+impl VmFiles {
+    fn new(name: &str) -> Self {
+        let name = format!("goldcrestramp-{}-{name}", std::process::id());
+        let directory = std::env::temp_dir().join(name);
+        fs::create_dir_all(&directory).expect("a directory");
+        Self(directory)
+    }
+
+    /// Writes a certificate with these names, signed by `authority`.
+    fn issue(&self, authority: &TestAuthority, names: &[&str]) {
+        let names: Vec<_> = names.iter().map(|n| (*n).to_owned()).collect();
+        let params = CertificateParams::new(names).expect("parameters");
+        let key = KeyPair::generate().expect("a key");
+        let certificate = params.signed_by(&key, authority).expect("signed");
+        let write = |name: &str, text: String| {
+            fs::write(self.0.join(name), text).expect("a file");
+        };
+        write("authority.pem", authority.pem());
+        write("vm.pem", certificate.pem());
+        write("vm.key", key.serialize_pem());
+    }
+
+    fn settings(&self, deployment: &str, domain: &str) -> NodeSettings {
+        let file = |name: &str| self.0.join(name).display().to_string();
+        let text = format!(
+            r#"{{ "deployment": "{deployment}", "vm": "vm-1",
+            "domain": "{domain}", "region": "r",
+            "callers_listen": "127.0.0.1:0", "peers_listen": "127.0.0.1:0",
+            "control_listen": "127.0.0.1:0",
+            "platform_url": "http://127.0.0.1:1",
+            "operators": {{ "listen": "127.0.0.1:0" }},
+            "peer_tls": {{ "authority_file": "{}",
+            "certificate_file": "{}", "key_file": "{}" }} }}"#,
+            file("authority.pem"),
+            file("vm.pem"),
+            file("vm.key"),
+        );
+        parse_settings("test", &text).expect("settings")
+    }
+}
+
+impl Drop for VmFiles {
+    fn drop(&mut self) {
+        drop(fs::remove_dir_all(&self.0));
+    }
+}
+
+/// The keys of vm-1 in `domain` of `deployment`.
+fn peer(
+    files: &VmFiles,
+    authority: &TestAuthority,
+    deployment: &str,
+    domain: &str,
+) -> Arc<PeerTls> {
+    let own = format!("vm-1.{domain}.{deployment}.goldcrestramp");
+    let common = format!("{deployment}.goldcrestramp");
+    files.issue(authority, &[&own, &common]);
+    let settings = files.settings(deployment, domain);
+    PeerTls::open(&settings).expect("good keys").expect("with TLS")
+}
+
+mod claims {
+    //! A control service that answers only whom the claim check lets in.
+
+    use std::{pin::Pin, sync::Arc};
+
+    use futures_util::Stream;
+    use goldcrestramp_node::{PeerTls, check_claim};
+    use goldcrestramp_wire::peer::{
+        ConfirmReply, ConfirmRequest, PermitReply, PermitRequest, TableUpdate,
+        TablesRequest, control_server::Control,
+    };
+    use tonic::{Request, Response, Status, Streaming};
+
+    /// The service of one VM.
+    pub struct ClaimService(pub Arc<PeerTls>);
+
+    type Answers<T> = Pin<Box<dyn Stream<Item = Result<T, Status>> + Send>>;
+
+    #[tonic::async_trait]
+    impl Control for ClaimService {
+        async fn confirm(
+            &self,
+            request: Request<ConfirmRequest>,
+        ) -> Result<Response<ConfirmReply>, Status> {
+            let message = request.get_ref();
+            let (domain, vm) = (&message.domain, &message.vm);
+            check_claim(Some(&self.0), &request, domain, vm)?;
+            Ok(Response::new(ConfirmReply::default()))
+        }
+
+        type PermitsStream = Answers<PermitReply>;
+
+        async fn permits(
+            &self,
+            _request: Request<Streaming<PermitRequest>>,
+        ) -> Result<Response<Self::PermitsStream>, Status> {
+            Err(Status::unimplemented("not used here"))
+        }
+
+        type TablesStream = Answers<TableUpdate>;
+
+        async fn tables(
+            &self,
+            _request: Request<TablesRequest>,
+        ) -> Result<Response<Self::TablesStream>, Status> {
+            Err(Status::unimplemented("not used here"))
+        }
+    }
+}
+
+/// Serves peers with these keys; gives the address.
+async fn serve(tls: &Arc<PeerTls>) -> SocketAddr {
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    let listener = TcpListener::bind(any).await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let incoming = PeerIncoming::spawn(listener, Arc::clone(tls));
+    let service = claims::ClaimService(Arc::clone(tls));
+    let service =
+        goldcrestramp_wire::peer::control_server::ControlServer::new(service);
+    let server = Server::builder().add_service(service);
+    tokio::spawn(server.serve_with_incoming(incoming));
+    address
+}
+
+/// Asks the peer at `address` with a claim; the answer's code.
+async fn ask(
+    tls: &PeerTls,
+    address: SocketAddr,
+    domain: &str,
+    vm: &str,
+) -> Result<(), tonic::Code> {
+    use goldcrestramp_wire::peer::control_client::ControlClient;
+    let endpoint = Endpoint::from_shared(format!("https://{address}"));
+    let endpoint = tls.secure(endpoint.expect("a URL")).expect("good keys");
+    let endpoint = endpoint.timeout(Duration::from_secs(10));
+    let channel = endpoint.connect().await;
+    let channel = channel.map_err(|_error| tonic::Code::Unavailable)?;
+    let request = ConfirmRequest {
+        domain: domain.to_owned(),
+        vm: vm.to_owned(),
+        ..ConfirmRequest::default()
+    };
+    let answer = ControlClient::new(channel).confirm(request).await;
+    answer.map(|_| ()).map_err(|status| status.code())
+}
+
+#[tokio::test]
+async fn peers_of_one_deployment_meet() {
+    let authority = authority();
+    let (files, others) = (VmFiles::new("meet-a"), VmFiles::new("meet-b"));
+    let server = peer(&files, &authority, "shop", "sierra-a");
+    let client = peer(&others, &authority, "shop", "costa-a");
+    let address = serve(&server).await;
+
+    let answer = ask(&client, address, "costa-a", "vm-1").await;
+
+    assert_eq!(answer, Ok(()));
+}
+
+// A VM of costa-a says that it belongs to sierra-a, or is another VM: were
+// it believed, sierra-a's voters could elect a steward of costa-a.
+#[tokio::test]
+async fn a_claim_that_the_certificate_does_not_bear_out_is_refused() {
+    let authority = authority();
+    let (files, others) = (VmFiles::new("claim-a"), VmFiles::new("claim-b"));
+    let server = peer(&files, &authority, "shop", "sierra-a");
+    let client = peer(&others, &authority, "shop", "costa-a");
+    let address = serve(&server).await;
+
+    for (domain, vm) in [("sierra-a", "vm-1"), ("costa-a", "vm-2"), ("", "")] {
+        let answer = ask(&client, address, domain, vm).await;
+
+        assert_eq!(answer, Err(tonic::Code::PermissionDenied), "{domain}");
+    }
+}
+
+// Another deployment with the same authority, and another authority: the
+// connection itself is refused, whoever calls whom.
+#[tokio::test]
+async fn peers_of_another_deployment_or_authority_do_not_meet() {
+    let (ours, theirs) = (authority(), authority());
+    let names = ["other-a", "other-b", "other-c"];
+    let [first, second, third] = names.map(VmFiles::new);
+    let shop = peer(&first, &ours, "shop", "sierra-a");
+    let club = peer(&second, &ours, "club", "sierra-a");
+    let fake = peer(&third, &theirs, "shop", "sierra-a");
+
+    for (server, client) in
+        [(&shop, &club), (&club, &shop), (&shop, &fake), (&fake, &shop)]
+    {
+        let address = serve(server).await;
+        let answer = ask(client, address, "sierra-a", "vm-1").await;
+
+        assert!(answer.is_err());
+    }
+}
+
+// A peer that trusts the authority but has no certificate of its own.
+#[tokio::test]
+async fn a_peer_without_a_certificate_is_refused() {
+    use goldcrestramp_wire::peer::control_client::ControlClient;
+    let authority = authority();
+    let files = VmFiles::new("none");
+    let server = peer(&files, &authority, "shop", "sierra-a");
+    let address = serve(&server).await;
+    let config = ClientTlsConfig::new()
+        .ca_certificate(Certificate::from_pem(authority.pem()))
+        .domain_name("shop.goldcrestramp");
+    let endpoint = Endpoint::from_shared(format!("https://{address}"));
+    let endpoint = endpoint.expect("a URL").tls_config(config);
+
+    let answer = match endpoint.expect("a configuration").connect().await {
+        Ok(channel) => {
+            let request = ConfirmRequest::default();
+            ControlClient::new(channel).confirm(request).await.map(|_| ())
+        }
+        Err(error) => Err(tonic::Status::from_error(error.into())),
+    };
+
+    assert!(answer.is_err());
+}
+
+// A peer without TLS, one that says nothing and one that sends garbage are
+// all kept out, and none keeps others waiting.
+#[tokio::test]
+async fn half_open_and_plain_connections_hold_up_nobody() {
+    use tokio::io::AsyncWriteExt;
+    let authority = authority();
+    let (files, others) = (VmFiles::new("plain-a"), VmFiles::new("plain-b"));
+    let server = peer(&files, &authority, "shop", "sierra-a");
+    let client = peer(&others, &authority, "shop", "costa-a");
+    let address = serve(&server).await;
+    let open = || tokio::net::TcpStream::connect(address);
+    let _silent = open().await.expect("a connection");
+    let mut garbage = open().await.expect("a connection");
+    garbage.write_all(b"PRI * HTTP/2.0\r\n").await.expect("sent");
+    let plain = Endpoint::from_shared(format!("http://{address}"));
+    let plain = plain.expect("a URL").connect().await;
+
+    let answer = ask(&client, address, "costa-a", "vm-1").await;
+
+    assert_eq!(answer, Ok(()));
+    drop(plain);
+}
+
+// The operator replaces the files while the daemon runs, first one, then
+// the others: the former keys stay until all go together.
+#[tokio::test]
+async fn replaced_files_are_read_again() {
+    let (old, new) = (authority(), authority());
+    let (files, others) = (VmFiles::new("new-a"), VmFiles::new("new-b"));
+    let server = peer(&files, &old, "shop", "sierra-a");
+    let address = serve(&server).await;
+    let former = peer(&others, &old, "shop", "costa-a");
+
+    fs::write(files.0.join("vm.key"), "half written").expect("a file");
+    let half = ask(&former, address, "costa-a", "vm-1").await;
+    let names = ["vm-1.sierra-a.shop.goldcrestramp", "shop.goldcrestramp"];
+    files.issue(&new, &names);
+    let replaced = peer(&others, &new, "shop", "costa-a");
+    let after = ask(&replaced, address, "costa-a", "vm-1").await;
+
+    assert_eq!(half, Ok(()));
+    assert_eq!(after, Ok(()));
+}
+
+#[test]
+fn keys_that_name_another_vm_do_not_start() {
+    let authority = authority();
+    let common = "shop.goldcrestramp";
+    let own = "vm-1.sierra-a.shop.goldcrestramp";
+    let cases: [&[&str]; 5] = [
+        &[common],
+        &["vm-2.sierra-a.shop.goldcrestramp", common],
+        &["vm-1.costa-a.shop.goldcrestramp", common],
+        &["vm-1.sierra-a.club.goldcrestramp", common],
+        &[own, "vm-2.sierra-a.shop.goldcrestramp", common],
+    ];
+    for names in cases {
+        let files = VmFiles::new("name");
+        files.issue(&authority, names);
+
+        let opened = PeerTls::open(&files.settings("shop", "sierra-a"));
+
+        let expected = own.to_owned();
+        let refused = PeerTlsError::OtherName { expected };
+        assert_eq!(opened.expect_err("refused"), refused, "{names:?}");
+    }
+}
+
+#[test]
+fn unreadable_or_foreign_files_do_not_start() {
+    let files = VmFiles::new("files");
+    let names = ["vm-1.sierra-a.shop.goldcrestramp", "shop.goldcrestramp"];
+    let settings = files.settings("shop", "sierra-a");
+    let open = |file: &str, text: &str| {
+        files.issue(&authority(), &names);
+        fs::write(Path::new(&files.0).join(file), text).expect("a file");
+        PeerTls::open(&settings).expect_err("refused")
+    };
+    let foreign = KeyPair::generate().expect("a key").serialize_pem();
+
+    let no_key = open("vm.key", "");
+    let no_certificate = open("vm.pem", "");
+    let no_authority = open("authority.pem", "garbage");
+    let other_key = open("vm.key", &foreign);
+
+    assert!(matches!(no_key, PeerTlsError::Unreadable(..)));
+    assert!(matches!(no_certificate, PeerTlsError::Unreadable(..)));
+    assert!(matches!(no_authority, PeerTlsError::Unreadable(..)));
+    assert!(matches!(other_key, PeerTlsError::Mismatch(_)), "{other_key}");
+}
