Meet peers by TLS when the settings ask for it

Cause: with peer_tls set, the peers' and control listeners still spoke plain TCP, off loopback too.

Change: both listeners and all connections to peers use the keys of the settings; confirmations and permits are refused when the certificate names another VM or failure domain than the message.

--- a/goldcrestramp-node/src/context.rs
+++ b/goldcrestramp-node/src/context.rs
@@ -15,7 +15,8 @@
 
 use crate::{
     faults::NodeFaults, keeper::KeeperView, load::ServerLoads,
-    metrics::NodeMetrics, routing::RoutingTable, running::RunningWork,
+    metrics::NodeMetrics, peer_tls::PeerTls, routing::RoutingTable,
+    running::RunningWork,
 };
 
 /// The weights of callers that operators have named.
@@ -44,6 +45,8 @@
     pub(crate) loads: ServerLoads,
     /// The weights of callers in fair shares; 1 for those not named.
     pub(crate) weights: ArcSwap<CallerWeights>,
+    /// Keys for meeting peers; `None`: plain TCP on loopback.
+    pub(crate) tls: Option<Arc<PeerTls>>,
     leaving: AtomicBool,
     requests: AtomicUsize,
 }
@@ -63,11 +66,19 @@
             running: RunningWork::default(),
             loads: ServerLoads::default(),
             weights: ArcSwap::default(),
+            tls: None,
             leaving: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
         }
     }
 
+    /// The same context, meeting peers by TLS with these keys.
+    #[must_use]
+    pub fn with_tls(mut self, tls: Option<Arc<PeerTls>>) -> Self {
+        self.tls = tls;
+        self
+    }
+
     /// The present moment.
     #[must_use]
     pub fn now(&self) -> LocalTime {
--- a/goldcrestramp-node/src/control/service.rs
+++ b/goldcrestramp-node/src/control/service.rs
@@ -25,6 +25,7 @@
         tables::{StreamCursor, TableSet},
     },
     convert,
+    peer_tls::ProvenPeer,
 };
 
 /// Updates that wait for a slow subscriber; the newest set is read when
@@ -62,8 +63,10 @@
         request: Request<ConfirmRequest>,
     ) -> Result<Response<ConfirmReply>, Status> {
         self.context.faults.wait().await;
+        let peer = ProvenPeer::of(self.context.tls.as_deref(), &request)?;
         let request = request.into_inner();
         self.count("confirm", &request);
+        peer.check(&request.domain, &request.vm)?;
         check_domain(&self.context, &request.domain)?;
         let ask = convert::ask_in(request).map_err(bad_message)?;
         let answer = self.actor.send(VoteAsk(ask)).await.map_err(ended)?;
@@ -81,9 +84,11 @@
     ) -> Result<Response<Self::PermitsStream>, Status> {
         let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
         let context = Arc::clone(&self.context);
+        let peer = ProvenPeer::of(context.tls.as_deref(), &request)?;
         let actor = self.actor.clone();
+        let service = PermitService { context, actor, peer };
         let requests = request.into_inner();
-        tokio::spawn(answer_permits(context, actor, requests, sender));
+        tokio::spawn(answer_permits(service, requests, sender));
         Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
     }
 
@@ -111,11 +116,11 @@
 
 /// Answers a keeper's reports until it is gone or sends nonsense.
 async fn answer_permits(
-    context: Arc<NodeContext>,
-    actor: Address<ControlActor>,
+    service: PermitService,
     mut requests: Streaming<PermitRequest>,
     sender: mpsc::Sender<Result<PermitReply, Status>>,
 ) {
+    let context = &service.context;
     let mut reports = DeltaDecoder::default();
     let mut replies = DeltaEncoder::default();
     while let Ok(Some(delta)) = requests.message().await {
@@ -124,7 +129,7 @@
         let Some(request) = reports.request(delta) else {
             return;
         };
-        let answer = permit(&context, &actor, &request).await;
+        let answer = service.permit(&request).await;
         let reply = answer.map(|whole| replies.reply(whole));
         let failed = reply.is_err();
         if let Ok(reply) = &reply {
@@ -137,15 +142,24 @@
     }
 }
 
-async fn permit(
-    context: &NodeContext,
-    actor: &Address<ControlActor>,
-    request: &PermitRequest,
-) -> Result<PermitReply, Status> {
-    check_domain(context, &request.domain)?;
-    let report = convert::report_in(request).map_err(bad_message)?;
-    let answer = actor.send(PermitAsk(report)).await.map_err(ended)?;
-    Ok(convert::permit_out(&answer))
+/// Answers the reports of one keeper.
+struct PermitService {
+    context: Arc<NodeContext>,
+    actor: Address<ControlActor>,
+    peer: ProvenPeer,
+}
+
+impl PermitService {
+    async fn permit(
+        &self,
+        request: &PermitRequest,
+    ) -> Result<PermitReply, Status> {
+        self.peer.check(&request.domain, &request.vm)?;
+        check_domain(&self.context, &request.domain)?;
+        let report = convert::report_in(request).map_err(bad_message)?;
+        let answer = self.actor.send(PermitAsk(report)).await;
+        Ok(convert::permit_out(&answer.map_err(ended)?))
+    }
 }
 
 /// Sends every change until the subscriber is gone.
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -13,7 +13,6 @@
     net::TcpListener,
     sync::{oneshot, watch},
 };
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 use xtra::{Address, Mailbox};
 
@@ -31,6 +30,7 @@
         tables::TableHub,
     },
     convert,
+    peers::serve_router,
     planner::run_planner,
     store::watch_divisions,
 };
@@ -162,9 +162,8 @@
     };
     let service =
         ControlServer::new(service).max_decoding_message_size(MESSAGE_LIMIT);
-    let server = Server::builder()
-        .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener));
+    let server = Server::builder().add_service(service);
+    let server = serve_router(context.tls.clone(), listener, server);
     tokio::spawn(async move {
         if let Err(error) = server.await {
             log::error!("control: the listener ended: {error}.");
--- a/goldcrestramp-node/src/handle.rs
+++ b/goldcrestramp-node/src/handle.rs
@@ -6,7 +6,6 @@
 use goldcrestramp_platform::{CallCounts, PlatformClient};
 use goldcrestramp_wire::peer::peer_server::PeerServer;
 use tokio::{net::TcpListener, task::JoinHandle};
-use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::Server;
 
 use crate::{
@@ -16,6 +15,8 @@
     gateway::{CallerListener, gateway_routes},
     keeper::KeeperService,
     operators::{NodeOperators, OperatorPolicy, operator_routes},
+    peer_tls::PeerTls,
+    peers::serve_router,
 };
 
 /// How often a stopping daemon looks whether it is done.
@@ -60,7 +61,9 @@
         let faults = Arc::new(NodeFaults::default());
         let store = PlatformClient::open(&settings.platform_url)?;
         let counts = store.counts();
-        let context = Arc::new(NodeContext::new(settings, faults));
+        let tls = PeerTls::open(&settings)?;
+        let context = NodeContext::new(settings, faults).with_tls(tls);
+        let context = Arc::new(context);
         let peers = TcpListener::bind(context.settings.peers_listen).await?;
         let peers_address = peers.local_addr()?;
         let control =
@@ -161,10 +164,8 @@
     let service = KeeperService::new(Arc::clone(context));
     let limit = context.settings.body_bytes as usize + MESSAGE_ROOM;
     let service = PeerServer::new(service).max_decoding_message_size(limit);
-    let server = Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service)
-        .serve_with_incoming(TcpListenerStream::new(listener));
+    let server = Server::builder().tcp_nodelay(true).add_service(service);
+    let server = serve_router(context.tls.clone(), listener, server);
     tokio::spawn(async move {
         if let Err(error) = server.await {
             log::error!("keeper: the listener ended: {error}.");
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -37,6 +37,6 @@
         TicketOutcome, apply_ticket, operator_routes, restore_config,
     },
     peer_tls::{
-        PeerIdentity, PeerIncoming, PeerTls, PeerTlsError, check_claim,
+        PeerIdentity, PeerIncoming, PeerTls, PeerTlsError, ProvenPeer,
     },
 };
--- a/goldcrestramp-node/src/peer_tls/mod.rs
+++ b/goldcrestramp-node/src/peer_tls/mod.rs
@@ -134,33 +134,48 @@
     }
 }
 
-/// Refuses a message whose sender claims to be somebody else.
+/// Who sent a request, as far as it is proven.
 ///
-/// A VM of another failure domain that claimed this one could confirm its
-/// terms, and the domain would have two stewards. `tls` is `None` on
-/// loopback without TLS, where nobody proves anything.
-///
-/// # Errors
-///
-/// `PERMISSION_DENIED` when the certificate says another VM or failure
-/// domain, `UNAUTHENTICATED` when there is none.
-pub fn check_claim<T>(
-    tls: Option<&PeerTls>,
-    request: &Request<T>,
-    domain: &str,
-    vm: &str,
-) -> Result<(), Status> {
-    let Some(tls) = tls else { return Ok(()) };
-    let certificates = request.peer_certs();
-    let first = certificates.as_ref().and_then(|list| list.first());
-    let deployment = &tls.identity.deployment;
-    let peer = first.and_then(|one| PeerIdentity::read(one, deployment));
-    let Some(peer) = peer else {
-        return Err(Status::unauthenticated("no certificate of a peer"));
-    };
-    if peer.domain.as_str() != domain || peer.vm.as_str() != vm {
+/// On loopback without TLS nobody proves anything, and every claim passes.
+#[derive(Clone, Debug)]
+pub struct ProvenPeer(Option<PeerIdentity>);
+
+impl ProvenPeer {
+    /// Reads who sent `request`; `tls` is `None` without TLS.
+    ///
+    /// # Errors
+    ///
+    /// `UNAUTHENTICATED` when there is no certificate of a peer.
+    pub fn of<T>(
+        tls: Option<&PeerTls>,
+        request: &Request<T>,
+    ) -> Result<Self, Status> {
+        let Some(tls) = tls else { return Ok(Self(None)) };
+        let certificates = request.peer_certs();
+        let first = certificates.as_ref().and_then(|list| list.first());
+        let deployment = &tls.identity.deployment;
+        let peer = first.and_then(|one| PeerIdentity::read(one, deployment));
+        match peer {
+            Some(peer) => Ok(Self(Some(peer))),
+            None => Err(Status::unauthenticated("no certificate of a peer")),
+        }
+    }
+
+    /// Refuses a message whose sender claims to be somebody else.
+    ///
+    /// A VM of another failure domain that claimed this one could confirm
+    /// its terms, and the domain would have two stewards.
+    ///
+    /// # Errors
+    ///
+    /// `PERMISSION_DENIED` when the certificate says another VM or failure
+    /// domain.
+    pub fn check(&self, domain: &str, vm: &str) -> Result<(), Status> {
+        let Some(peer) = &self.0 else { return Ok(()) };
+        if peer.domain.as_str() == domain && peer.vm.as_str() == vm {
+            return Ok(());
+        }
         log::warn!("peers: {} claims to be {vm} in {domain}.", peer.name());
-        return Err(Status::permission_denied("certificate of another VM"));
+        Err(Status::permission_denied("certificate of another VM"))
     }
-    Ok(())
 }
--- a/goldcrestramp-node/src/peers.rs
+++ b/goldcrestramp-node/src/peers.rs
@@ -6,9 +6,14 @@
 };
 
 use goldcrestramp_types::FastMap;
-use tonic::transport::{Channel, Endpoint};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::{Channel, Endpoint, server::Router};
 
-use crate::context::NodeContext;
+use crate::{
+    context::NodeContext,
+    peer_tls::{PeerIncoming, PeerTls},
+};
 
 /// A peer that takes no connection within this time is out of reach.
 ///
@@ -51,7 +56,8 @@
         if let Some(channel) = known {
             return Ok(channel);
         }
-        let endpoint = endpoint(address).ok_or(PeerUnreachable)?;
+        let tls = self.context.tls.as_deref();
+        let endpoint = endpoint(address, tls).ok_or(PeerUnreachable)?;
         let channel =
             endpoint.connect().await.map_err(|_error| PeerUnreachable)?;
         self.lock().insert(Arc::clone(address), channel.clone());
@@ -69,13 +75,35 @@
 }
 
 /// How a peer is connected to.
-pub(crate) fn endpoint(address: &str) -> Option<Endpoint> {
-    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+pub(crate) fn endpoint(
+    address: &str,
+    tls: Option<&PeerTls>,
+) -> Option<Endpoint> {
+    let scheme = if tls.is_some() { "https" } else { "http" };
+    let url = format!("{scheme}://{address}");
+    let endpoint = Endpoint::from_shared(url).ok()?;
     let endpoint = endpoint
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
         .http2_keep_alive_interval(PROBE_EVERY)
         .keep_alive_timeout(PROBE_TIMEOUT)
         .keep_alive_while_idle(true);
-    Some(endpoint)
+    match tls {
+        None => Some(endpoint),
+        Some(tls) => tls.secure(endpoint).ok(),
+    }
+}
+
+/// Serves peers on `listener`, by TLS when there are keys for it.
+pub(crate) async fn serve_router(
+    tls: Option<Arc<PeerTls>>,
+    listener: TcpListener,
+    router: Router,
+) -> Result<(), tonic::transport::Error> {
+    if let Some(tls) = tls {
+        let incoming = PeerIncoming::spawn(listener, tls);
+        return router.serve_with_incoming(incoming).await;
+    }
+    let incoming = TcpListenerStream::new(listener);
+    router.serve_with_incoming(incoming).await
 }
--- a/goldcrestramp-node/tests/path.rs
+++ b/goldcrestramp-node/tests/path.rs
@@ -1,11 +1,13 @@
 //! The whole path in one process: callers, daemons, servers, platform.
 
+mod peer_keys;
+
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     time::Duration,
 };
 
-use goldcrestramp_config::NodeSettings;
+use goldcrestramp_config::{NodeSettings, PeerTlsSettings};
 use goldcrestramp_node::NodeHandle;
 use goldcrestramp_platform::{VmEntry, VmState};
 use goldcrestramp_standins::{
@@ -13,6 +15,7 @@
     server::{ServerBehaviour, ServerStandin},
 };
 use goldcrestramp_types::{DomainName, RegionName, VmName};
+use peer_keys::{VmFiles, authority};
 use serde_json::json;
 
 const DOMAIN: &str = "sierra-a";
@@ -26,11 +29,11 @@
 /// Addresses on which nothing listens, drawn together because peers must
 /// know them before the daemons start.
 ///
-/// They stand on a host of this process's own, where no connection or
+/// They stand on a host of this test's own, ending in `last`, where no connection or
 /// other listener can take a drawn port before its daemon binds it.
-fn draw_addresses(count: usize) -> Vec<SocketAddr> {
+fn draw_addresses(last: u8, count: usize) -> Vec<SocketAddr> {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, 64 + (high & 0x3f), low, 2);
+    let host = Ipv4Addr::new(127, 64 + (high & 0x3f), low, last);
     let listeners: Vec<_> = (0..count)
         .map(|_| TcpListener::bind((host, 0)).expect("a port"))
         .collect();
@@ -109,8 +112,11 @@
     tokio::time::timeout(LIMIT, asking).await.expect("served in time")
 }
 
-#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_lookup_is_served_through_any_gateway() {
+/// Serves one lookup through each of three VMs; the bodies.
+async fn serve_through_each(
+    host: u8,
+    prepare: impl Fn(&mut NodeSettings),
+) -> Vec<String> {
     let platform = PlatformStandin::bind(loopback()).await.expect("bound");
     let address = platform.address();
     let mut servers = Vec::new();
@@ -122,19 +128,19 @@
     let listening: Vec<_> =
         servers.iter().map(ServerStandin::address).collect();
     put_config(address, &listening).await;
-    let listen = draw_addresses(12);
-    let all: Vec<_> = (0..)
+    let listen = draw_addresses(host, 12);
+    let mut all: Vec<_> = (0..)
         .zip(listen.chunks(4))
         .map(|(n, listen): (u32, _)| {
             settings(&format!("vm-{n}"), address, listen)
         })
         .collect();
+    all.iter_mut().for_each(prepare);
     platform.set_vms(all.iter().map(vm_entry).collect());
     let mut nodes = Vec::new();
     for settings in all {
         nodes.push(NodeHandle::spawn(settings).await.expect("started"));
     }
-
     let mut bodies = Vec::new();
     for node in &nodes {
         let callers = node.addresses().callers;
@@ -143,6 +149,40 @@
         assert_eq!(answer.headers()["goldcrestramp-outcome"], "done");
         bodies.push(answer.text().await.expect("a whole body"));
     }
+    bodies
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lookup_is_served_through_any_gateway() {
+    let bodies = serve_through_each(2, |_| {}).await;
+
+    assert_eq!(bodies.len(), 3);
+    assert!(bodies.iter().all(|body| !body.is_empty()));
+}
+
+// The same path, with certificates between the VMs: confirmations, permits,
+// tables and requests all go by TLS.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lookup_is_served_through_any_gateway_by_tls() {
+    let authority = authority();
+    let files = ["vm-0", "vm-1", "vm-2"].map(|vm| {
+        let files = VmFiles::new(&format!("path-{vm}"));
+        let own = format!("{vm}.{DOMAIN}.path.goldcrestramp");
+        files.issue(&authority, &[&own, "path.goldcrestramp"]);
+        (vm, files)
+    });
+    let with_keys = |settings: &mut NodeSettings| {
+        let mut all = files.iter();
+        let mine = all.find(|(vm, _)| settings.vm.as_str() == *vm);
+        let (_, files) = mine.expect("keys for each VM");
+        settings.peer_tls = Some(PeerTlsSettings {
+            authority_file: files.0.join("authority.pem"),
+            certificate_file: files.0.join("vm.pem"),
+            key_file: files.0.join("vm.key"),
+        });
+    };
+
+    let bodies = serve_through_each(4, with_keys).await;
 
     assert_eq!(bodies.len(), 3);
     assert!(bodies.iter().all(|body| !body.is_empty()));
--- a/goldcrestramp-node/tests/peer_tls.rs
+++ b/goldcrestramp-node/tests/peer_tls.rs
@@ -1,80 +1,33 @@
 //! Peers prove who they are; whoever can't, or claims more, is refused.
 
-use std::{
-    fs,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    sync::Arc,
-    time::Duration,
-};
+mod peer_keys;
+
+use std::{fs, net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use goldcrestramp_config::{NodeSettings, parse_settings};
 use goldcrestramp_node::{PeerIncoming, PeerTls, PeerTlsError};
 use goldcrestramp_wire::peer::ConfirmRequest;
-use rcgen::{
-    BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair,
-};
+use peer_keys::{TestAuthority, VmFiles, authority};
+use rcgen::KeyPair;
 use tokio::net::TcpListener;
 use tonic::transport::{Certificate, ClientTlsConfig, Endpoint, Server};
 
-/// An authority's certificate and key.
-type TestAuthority = CertifiedIssuer<'static, KeyPair>;
-
-fn authority() -> TestAuthority {
-    let mut params = CertificateParams::new(Vec::new()).expect("parameters");
-    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    let key = KeyPair::generate().expect("a key");
-    CertifiedIssuer::self_signed(params, key).expect("an authority")
-}
-
-/// A VM's directory with its three files, removed at the end.
-struct VmFiles(PathBuf);
-
-impl VmFiles {
-    fn new(name: &str) -> Self {
-        let name = format!("goldcrestramp-{}-{name}", std::process::id());
-        let directory = std::env::temp_dir().join(name);
-        fs::create_dir_all(&directory).expect("a directory");
-        Self(directory)
-    }
-
-    /// Writes a certificate with these names, signed by `authority`.
-    fn issue(&self, authority: &TestAuthority, names: &[&str]) {
-        let names: Vec<_> = names.iter().map(|n| (*n).to_owned()).collect();
-        let params = CertificateParams::new(names).expect("parameters");
-        let key = KeyPair::generate().expect("a key");
-        let certificate = params.signed_by(&key, authority).expect("signed");
-        let write = |name: &str, text: String| {
-            fs::write(self.0.join(name), text).expect("a file");
-        };
-        write("authority.pem", authority.pem());
-        write("vm.pem", certificate.pem());
-        write("vm.key", key.serialize_pem());
-    }
-
-    fn settings(&self, deployment: &str, domain: &str) -> NodeSettings {
-        let file = |name: &str| self.0.join(name).display().to_string();
-        let text = format!(
-            r#"{{ "deployment": "{deployment}", "vm": "vm-1",
-            "domain": "{domain}", "region": "r",
-            "callers_listen": "127.0.0.1:0", "peers_listen": "127.0.0.1:0",
-            "control_listen": "127.0.0.1:0",
-            "platform_url": "http://127.0.0.1:1",
-            "operators": {{ "listen": "127.0.0.1:0" }},
-            "peer_tls": {{ "authority_file": "{}",
-            "certificate_file": "{}", "key_file": "{}" }} }}"#,
-            file("authority.pem"),
-            file("vm.pem"),
-            file("vm.key"),
-        );
-        parse_settings("test", &text).expect("settings")
-    }
-}
-
-impl Drop for VmFiles {
-    fn drop(&mut self) {
-        drop(fs::remove_dir_all(&self.0));
-    }
+fn settings(files: &VmFiles, deployment: &str, domain: &str) -> NodeSettings {
+    let file = |name: &str| files.0.join(name).display().to_string();
+    let text = format!(
+        r#"{{ "deployment": "{deployment}", "vm": "vm-1",
+        "domain": "{domain}", "region": "r",
+        "callers_listen": "127.0.0.1:0", "peers_listen": "127.0.0.1:0",
+        "control_listen": "127.0.0.1:0",
+        "platform_url": "http://127.0.0.1:1",
+        "operators": {{ "listen": "127.0.0.1:0" }},
+        "peer_tls": {{ "authority_file": "{}",
+        "certificate_file": "{}", "key_file": "{}" }} }}"#,
+        file("authority.pem"),
+        file("vm.pem"),
+        file("vm.key"),
+    );
+    parse_settings("test", &text).expect("settings")
 }
 
 /// The keys of vm-1 in `domain` of `deployment`.
@@ -87,7 +40,7 @@
     let own = format!("vm-1.{domain}.{deployment}.goldcrestramp");
     let common = format!("{deployment}.goldcrestramp");
     files.issue(authority, &[&own, &common]);
-    let settings = files.settings(deployment, domain);
+    let settings = settings(files, deployment, domain);
     PeerTls::open(&settings).expect("good keys").expect("with TLS")
 }
 
@@ -97,7 +50,7 @@
     use std::{pin::Pin, sync::Arc};
 
     use futures_util::Stream;
-    use goldcrestramp_node::{PeerTls, check_claim};
+    use goldcrestramp_node::{PeerTls, ProvenPeer};
     use goldcrestramp_wire::peer::{
         ConfirmReply, ConfirmRequest, PermitReply, PermitRequest, TableUpdate,
         TablesRequest, control_server::Control,
@@ -117,7 +70,7 @@
         ) -> Result<Response<ConfirmReply>, Status> {
             let message = request.get_ref();
             let (domain, vm) = (&message.domain, &message.vm);
-            check_claim(Some(&self.0), &request, domain, vm)?;
+            ProvenPeer::of(Some(&self.0), &request)?.check(domain, vm)?;
             Ok(Response::new(ConfirmReply::default()))
         }
 
@@ -313,7 +266,7 @@
         let files = VmFiles::new("name");
         files.issue(&authority, names);
 
-        let opened = PeerTls::open(&files.settings("shop", "sierra-a"));
+        let opened = PeerTls::open(&settings(&files, "shop", "sierra-a"));
 
         let expected = own.to_owned();
         let refused = PeerTlsError::OtherName { expected };
@@ -325,7 +278,7 @@
 fn unreadable_or_foreign_files_do_not_start() {
     let files = VmFiles::new("files");
     let names = ["vm-1.sierra-a.shop.goldcrestramp", "shop.goldcrestramp"];
-    let settings = files.settings("shop", "sierra-a");
+    let settings = settings(&files, "shop", "sierra-a");
     let open = |file: &str, text: &str| {
         files.issue(&authority(), &names);
         fs::write(Path::new(&files.0).join(file), text).expect("a file");
