Follow the right VM's tables, also after a silent loss

Cause: a follower looked for a new steward only when an update came, and a steward took the first VM on the list of another domain, dead or not, and none without the store. Change: the check runs four times a second, the VM of another domain is drawn, and the last VM list read is kept. Not measured.

--- a/goldcrestramp-node/src/context.rs
+++ b/goldcrestramp-node/src/context.rs
@@ -7,6 +7,7 @@
 
 use arc_swap::ArcSwap;
 use goldcrestramp_config::NodeSettings;
+use goldcrestramp_platform::VmEntry;
 use goldcrestramp_types::{
     CallerName, ClockSource, DomainName, FastMap, LocalTime, MonotonicClock,
     VmName,
@@ -34,6 +35,8 @@
     pub faults: Arc<NodeFaults>,
     /// Where each slice's requests go: a hint.
     pub(crate) table: ArcSwap<RoutingTable>,
+    /// The platform's list of VMs, as last read.
+    pub(crate) vms: ArcSwap<Vec<VmEntry>>,
     /// Told whenever `table` was replaced.
     pub(crate) table_changed: watch::Sender<u64>,
     /// What this VM may send to which server.
@@ -58,6 +61,7 @@
             metrics: NodeMetrics::default(),
             faults,
             table: ArcSwap::default(),
+            vms: ArcSwap::default(),
             table_changed: watch::Sender::new(0),
             view: ArcSwap::default(),
             running: RunningWork::default(),
--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -522,6 +522,7 @@
         VmsNotice(vms): VmsNotice,
         _: &mut Context<Self>,
     ) {
+        self.context.vms.store(Arc::new(vms.clone()));
         let domain = self.context.domain();
         let voters = reader::domain_voters(&vms, domain);
         self.steward_event(StewardEvent::VmsRead(voters));
--- /dev/null
+++ b/goldcrestramp-node/src/control/follow.rs
@@ -0,0 +1,202 @@
+//! Streams of routing tables from other VMs.
+//!
+//! Every VM follows its steward; a steward also follows one VM of each
+//! other failure domain. So a VM has one inbound stream, whatever the size
+//! of the fleet, and a domain that is cut off keeps the last it had.
+
+use std::{sync::Arc, time::Duration};
+
+use goldcrestramp_ownership::ServiceRecord;
+use goldcrestramp_platform::{VmEntry, records::StoreRecord};
+use goldcrestramp_types::{DomainName, FastMap, FastSet};
+use goldcrestramp_wire::peer::{TableUpdate, TablesRequest};
+use prost::Message;
+use rand::seq::IndexedRandom;
+use tokio::task::JoinHandle;
+use xtra::Address;
+
+use crate::{
+    context::NodeContext,
+    control::{
+        actor::ControlActor,
+        links::ControlLinks,
+        messages::{
+            ConfigNotice, HomesNotice, StewardAsk, StewardPlace, TableNotice,
+        },
+    },
+    convert,
+};
+
+/// A pause before a stream is opened again.
+const OPEN_PAUSE: Duration = Duration::from_millis(200);
+/// How often the steward looks for domains that it does not follow.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// How often a follower looks whether it still follows the right VM.
+///
+/// A steward that was paused or cut off sends nothing, and its connection
+/// stays open for seconds: its followers would keep old tables for so long.
+const CHECK_EVERY: Duration = Duration::from_millis(250);
+
+/// Follows the steward's stream: all tables and the configuration.
+pub(crate) async fn follow_steward(
+    context: Arc<NodeContext>,
+    actor: Address<ControlActor>,
+) {
+    let links = ControlLinks::new(Arc::clone(&context));
+    loop {
+        let Ok(place) = actor.send(StewardAsk).await else {
+            return;
+        };
+        if let StewardPlace::There(_, address) = place {
+            let stream = TableStream {
+                context: Arc::clone(&context),
+                links: links.clone(),
+                actor: actor.clone(),
+                address,
+                domain: None,
+            };
+            stream.follow().await;
+        }
+        tokio::time::sleep(OPEN_PAUSE).await;
+    }
+}
+
+/// While this VM leads, follows one VM of every other failure domain.
+pub(crate) async fn follow_domains(
+    context: Arc<NodeContext>,
+    actor: Address<ControlActor>,
+) {
+    let links = ControlLinks::new(Arc::clone(&context));
+    let mut tasks: FastMap<DomainName, JoinHandle<()>> = FastMap::default();
+    loop {
+        let Ok(place) = actor.send(StewardAsk).await else {
+            return;
+        };
+        if place == StewardPlace::Here {
+            tasks.retain(|_, task| !task.is_finished());
+            let vms = context.vms.load_full();
+            for domain in other_domains(&context, &vms) {
+                if tasks.contains_key(&domain) {
+                    continue;
+                }
+                let stream = open(&context, &links, &actor, &vms, &domain);
+                if let Some(stream) = stream {
+                    let task = tokio::spawn(stream.follow());
+                    tasks.insert(domain, task);
+                }
+            }
+        } else {
+            for (_, task) in tasks.drain() {
+                task.abort();
+            }
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
+
+fn other_domains(
+    context: &NodeContext,
+    vms: &[VmEntry],
+) -> FastSet<DomainName> {
+    let others = vms.iter().filter(|vm| vm.domain != *context.domain());
+    others.map(|vm| vm.domain.clone()).collect()
+}
+
+/// A stream from some VM of a domain; the list lags, so any may be gone,
+/// and the next try takes another.
+fn open(
+    context: &Arc<NodeContext>,
+    links: &ControlLinks,
+    actor: &Address<ControlActor>,
+    vms: &[VmEntry],
+    domain: &DomainName,
+) -> Option<TableStream> {
+    let there: Vec<_> = vms.iter().filter(|vm| vm.domain == *domain).collect();
+    let vm = there.choose(&mut rand::rng())?;
+    Some(TableStream {
+        context: Arc::clone(context),
+        links: links.clone(),
+        actor: actor.clone(),
+        address: Arc::from(vm.address.as_str()),
+        domain: Some(domain.clone()),
+    })
+}
+
+/// One stream of updates.
+struct TableStream {
+    context: Arc<NodeContext>,
+    links: ControlLinks,
+    actor: Address<ControlActor>,
+    address: Arc<str>,
+    /// The one domain asked for; none: all of them, from the steward.
+    domain: Option<DomainName>,
+}
+
+impl TableStream {
+    /// Hands updates to the actor until the stream ends.
+    async fn follow(self) {
+        let Some(mut client) = self.links.stream(&self.address).await else {
+            return;
+        };
+        let domain = self.domain.as_ref().map(ToString::to_string);
+        let request = TablesRequest {
+            vm: self.context.vm().to_string(),
+            domain: domain.unwrap_or_default(),
+        };
+        let Ok(response) = client.tables(request).await else {
+            self.links.forget(&self.address);
+            return;
+        };
+        let mut updates = response.into_inner();
+        loop {
+            let next =
+                tokio::time::timeout(CHECK_EVERY, updates.message()).await;
+            self.context.faults.wait().await;
+            if !self.is_right().await {
+                return;
+            }
+            match next {
+                Ok(Ok(Some(update))) => self.take(&update).await,
+                Ok(_ended) => {
+                    self.links.forget(&self.address);
+                    return;
+                }
+                Err(_nothing_new) => {}
+            }
+        }
+    }
+
+    /// Whether this is still the VM to follow.
+    async fn is_right(&self) -> bool {
+        if self.links.is_cut(&self.address) {
+            return false;
+        }
+        if self.domain.is_some() {
+            return true;
+        }
+        match self.actor.send(StewardAsk).await {
+            Ok(StewardPlace::There(_, now)) => now == self.address,
+            Ok(StewardPlace::Unknown) => true,
+            Ok(StewardPlace::Here) | Err(_) => false,
+        }
+    }
+
+    async fn take(&self, update: &TableUpdate) {
+        let bytes = update.encoded_len();
+        self.context.metrics.count_control("table", bytes);
+        for homes in &update.homes {
+            if let Ok(record) = ServiceRecord::decode(&homes.record) {
+                let notice = HomesNotice(Arc::new(record));
+                drop(self.actor.send(notice).await);
+            }
+        }
+        if let Ok(state) = serde_json::from_slice(&update.config) {
+            let notice = ConfigNotice(Arc::new(state));
+            drop(self.actor.send(notice).await);
+        }
+        if let Ok(table) = convert::table_in(update) {
+            let notice = TableNotice(Arc::new(table));
+            drop(self.actor.send(notice).await);
+        }
+    }
+}
--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: steward, grants, voter, and their messages.
 
 mod actor;
+mod follow;
 mod grants;
 mod links;
 mod messages;
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -2,13 +2,8 @@
 
 use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
-use goldcrestramp_ownership::ServiceRecord;
-use goldcrestramp_platform::{PlatformClient, records::StoreRecord};
-use goldcrestramp_types::DomainName;
-use goldcrestramp_wire::peer::{
-    TableUpdate, TablesRequest, control_server::ControlServer,
-};
-use prost::Message;
+use goldcrestramp_platform::PlatformClient;
+use goldcrestramp_wire::peer::control_server::ControlServer;
 use tokio::{
     net::TcpListener,
     sync::{oneshot, watch},
@@ -21,16 +16,13 @@
     context::NodeContext,
     control::{
         actor::ControlActor,
-        links::{ControlLinks, MESSAGE_LIMIT},
-        messages::{
-            ConfigNotice, HomesNotice, StewardAsk, StewardPlace, TableNotice,
-            TickNotice,
-        },
+        follow::{follow_domains, follow_steward},
+        links::MESSAGE_LIMIT,
+        messages::TickNotice,
         reader,
         service::ControlService,
         tables::TableHub,
     },
-    convert,
     planner::run_planner,
     store::watch_divisions,
 };
@@ -39,8 +31,6 @@
 const TICK_EVERY: Duration = Duration::from_millis(50);
 /// Messages that wait for the actor; a sender waits when it is full.
 const MAILBOX_SIZE: usize = 1_024;
-/// A pause before a stream of tables is opened again.
-const STREAM_PAUSE: Duration = Duration::from_millis(200);
 
 /// A running control thread; dropping it ends the thread.
 #[derive(Debug)]
@@ -139,13 +129,9 @@
         hub.subscribe(),
         leading.subscribe(),
     ));
-    tokio::spawn(reader::watch_vms(
-        store.clone(),
-        leading.subscribe(),
-        actor.clone(),
-    ));
-    tokio::spawn(follow_tables(Arc::clone(&context), actor.clone()));
-    tokio::spawn(follow_domains(context, store, actor.clone()));
+    tokio::spawn(reader::watch_vms(store, leading.subscribe(), actor.clone()));
+    tokio::spawn(follow_steward(Arc::clone(&context), actor.clone()));
+    tokio::spawn(follow_domains(context, actor.clone()));
     Ok((actor, address))
 }
 
@@ -182,127 +168,3 @@
         }
     }
 }
-
-/// Follows the steward's stream: all tables and the configuration.
-async fn follow_tables(
-    context: Arc<NodeContext>,
-    actor: Address<ControlActor>,
-) {
-    let links = ControlLinks::new(Arc::clone(&context));
-    loop {
-        let Ok(place) = actor.send(StewardAsk).await else {
-            return;
-        };
-        if let StewardPlace::There(_, address) = place {
-            follow(&context, &links, &address, String::new(), &actor).await;
-        }
-        tokio::time::sleep(STREAM_PAUSE).await;
-    }
-}
-
-/// While this VM leads, follows one VM of every other failure domain.
-async fn follow_domains(
-    context: Arc<NodeContext>,
-    store: PlatformClient,
-    actor: Address<ControlActor>,
-) {
-    let mut following: goldcrestramp_types::FastMap<
-        DomainName,
-        tokio::task::JoinHandle<()>,
-    > = goldcrestramp_types::FastMap::default();
-    loop {
-        let Ok(place) = actor.send(StewardAsk).await else {
-            return;
-        };
-        if place != StewardPlace::Here {
-            for (_, task) in following.drain() {
-                task.abort();
-            }
-            tokio::time::sleep(STREAM_PAUSE).await;
-            continue;
-        }
-        following.retain(|_, task| !task.is_finished());
-        let vms = store.vms().await.unwrap_or_default();
-        for vm in vms {
-            let known = following.contains_key(&vm.domain);
-            if vm.domain == *context.domain() || known {
-                continue;
-            }
-            let task = follow_domain(&context, &actor, &vm);
-            following.insert(vm.domain.clone(), tokio::spawn(task));
-        }
-        tokio::time::sleep(STREAM_PAUSE * 5).await;
-    }
-}
-
-fn follow_domain(
-    context: &Arc<NodeContext>,
-    actor: &Address<ControlActor>,
-    vm: &goldcrestramp_platform::VmEntry,
-) -> impl Future<Output = ()> + Send + 'static {
-    let context = Arc::clone(context);
-    let actor = actor.clone();
-    let address: Arc<str> = Arc::from(vm.address.as_str());
-    let domain = vm.domain.to_string();
-    async move {
-        let links = ControlLinks::new(Arc::clone(&context));
-        follow(&context, &links, &address, domain, &actor).await;
-    }
-}
-
-/// Hands a peer's updates to the actor until the stream ends.
-async fn follow(
-    context: &Arc<NodeContext>,
-    links: &ControlLinks,
-    address: &Arc<str>,
-    domain: String,
-    actor: &Address<ControlActor>,
-) {
-    let Some(mut client) = links.stream(address).await else {
-        return;
-    };
-    let vm = context.vm().to_string();
-    let request = TablesRequest { vm, domain: domain.clone() };
-    let Ok(response) = client.tables(request).await else {
-        return;
-    };
-    let mut updates = response.into_inner();
-    while let Ok(Some(update)) = updates.message().await {
-        context.faults.wait().await;
-        if context.faults.is_cut(address) {
-            return;
-        }
-        if domain.is_empty() && followed_another(actor, address).await {
-            return;
-        }
-        let bytes = update.encoded_len();
-        context.metrics.count_control("table", bytes);
-        take_update(&update, actor).await;
-    }
-}
-
-/// Whether the steward is no longer the peer that is being followed.
-async fn followed_another(
-    actor: &Address<ControlActor>,
-    address: &Arc<str>,
-) -> bool {
-    match actor.send(StewardAsk).await {
-        Ok(StewardPlace::There(_, now)) => now != *address,
-        Ok(StewardPlace::Here) | Err(_) => true,
-        Ok(StewardPlace::Unknown) => false,
-    }
-}
-
-async fn take_update(update: &TableUpdate, actor: &Address<ControlActor>) {
-    for homes in &update.homes {
-        if let Ok(record) = ServiceRecord::decode(&homes.record) {
-            drop(actor.send(HomesNotice(Arc::new(record))).await);
-        }
-    }
-    if let Ok(state) = serde_json::from_slice(&update.config) {
-        drop(actor.send(ConfigNotice(Arc::new(state))).await);
-    }
-    if let Ok(table) = convert::table_in(update) {
-        drop(actor.send(TableNotice(Arc::new(table))).await);
-    }
-}
