Stream what changed in a table, not the table

Cause: every move of one slice sent its domain's whole table to every VM of the fleet: up to 65,536 slices for one. Change: the hub makes the change once for all its subscribers; who cannot apply it opens the stream again and gets the whole.

--- a/goldcrestramp-node/src/control/follow.rs
+++ b/goldcrestramp-node/src/control/follow.rs
@@ -6,13 +6,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use goldcrestramp_ownership::ServiceRecord;
+use goldcrestramp_ownership::{DomainTable, ServiceRecord};
 use goldcrestramp_platform::{VmEntry, records::StoreRecord};
 use goldcrestramp_types::{DomainName, FastMap, FastSet};
 use goldcrestramp_wire::peer::{TableUpdate, TablesRequest};
 use prost::Message;
 use rand::seq::IndexedRandom;
-use tokio::task::JoinHandle;
+use tokio::{sync::watch, task::JoinHandle};
 use xtra::Address;
 
 use crate::{
@@ -23,6 +23,7 @@
         messages::{
             ConfigNotice, HomesNotice, StewardAsk, StewardPlace, TableNotice,
         },
+        tables::{TableHub, TableSet},
     },
     convert,
 };
@@ -40,6 +41,7 @@
 /// Follows the steward's stream: all tables and the configuration.
 pub(crate) async fn follow_steward(
     context: Arc<NodeContext>,
+    hub: Arc<TableHub>,
     actor: Address<ControlActor>,
 ) {
     let links = ControlLinks::new(Arc::clone(&context));
@@ -54,6 +56,7 @@
                 actor: actor.clone(),
                 address,
                 domain: None,
+                tables: hub.subscribe(),
             };
             stream.follow().await;
         }
@@ -64,6 +67,7 @@
 /// While this VM leads, follows one VM of every other failure domain.
 pub(crate) async fn follow_domains(
     context: Arc<NodeContext>,
+    hub: Arc<TableHub>,
     actor: Address<ControlActor>,
 ) {
     let links = ControlLinks::new(Arc::clone(&context));
@@ -79,7 +83,7 @@
                 if tasks.contains_key(&domain) {
                     continue;
                 }
-                let stream = open(&context, &links, &actor, &vms, &domain);
+                let stream = open(&links, &hub, &actor, &vms, &domain);
                 if let Some(stream) = stream {
                     let task = tokio::spawn(stream.follow());
                     tasks.insert(domain, task);
@@ -105,8 +109,8 @@
 /// A stream from some VM of a domain; the list lags, so any may be gone,
 /// and the next try takes another.
 fn open(
-    context: &Arc<NodeContext>,
     links: &ControlLinks,
+    hub: &Arc<TableHub>,
     actor: &Address<ControlActor>,
     vms: &[VmEntry],
     domain: &DomainName,
@@ -114,11 +118,12 @@
     let there: Vec<_> = vms.iter().filter(|vm| vm.domain == *domain).collect();
     let vm = there.choose(&mut rand::rng())?;
     Some(TableStream {
-        context: Arc::clone(context),
+        context: Arc::clone(hub.context()),
         links: links.clone(),
         actor: actor.clone(),
         address: Arc::from(vm.address.as_str()),
         domain: Some(domain.clone()),
+        tables: hub.subscribe(),
     })
 }
 
@@ -130,6 +135,8 @@
     address: Arc<str>,
     /// The one domain asked for; none: all of them, from the steward.
     domain: Option<DomainName>,
+    /// The newest tables of this VM.
+    tables: watch::Receiver<Arc<TableSet>>,
 }
 
 impl TableStream {
@@ -156,7 +163,11 @@
                 return;
             }
             match next {
-                Ok(Ok(Some(update))) => self.take(&update).await,
+                Ok(Ok(Some(update))) => {
+                    if !self.take(&update).await {
+                        return;
+                    }
+                }
                 Ok(_ended) => {
                     self.links.forget(&self.address);
                     return;
@@ -181,7 +192,8 @@
         }
     }
 
-    async fn take(&self, update: &TableUpdate) {
+    /// Takes an update; `false`: the stream is of no use any more.
+    async fn take(&self, update: &TableUpdate) -> bool {
         let bytes = update.encoded_len();
         self.context.metrics.count_control("table", bytes);
         for homes in &update.homes {
@@ -194,9 +206,44 @@
             let notice = ConfigNotice(Arc::new(state));
             drop(self.actor.send(notice).await);
         }
-        if let Ok(table) = convert::table_in(update) {
-            let notice = TableNotice(Arc::new(table));
-            drop(self.actor.send(notice).await);
+        match self.table(update) {
+            Ok(table) => {
+                let notice = TableNotice(Arc::new(table));
+                self.actor.send(notice).await.is_ok()
+            }
+            Err(fault) => fault != TableFault::Unfit,
+        }
+    }
+
+    /// The whole table of an update.
+    fn table(&self, update: &TableUpdate) -> Result<DomainTable, TableFault> {
+        if update.domain.is_empty() {
+            return Err(TableFault::NoTable);
+        }
+        if update.whole {
+            return convert::table_in(update)
+                .map_err(|_bad| TableFault::Unfit);
+        }
+        let change =
+            convert::change_in(update).map_err(|_bad| TableFault::Unfit)?;
+        let set = self.tables.borrow();
+        let known = set.domains.get(&change.domain);
+        let known = known.ok_or(TableFault::Unfit)?;
+        if known.version >= change.version {
+            return Err(TableFault::Known);
         }
+        change.apply(known).ok_or(TableFault::Unfit)
     }
 }
+
+/// Why an update brought no table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum TableFault {
+    /// It was about something else.
+    NoTable,
+    /// This VM has that version or a newer one by another way.
+    Known,
+    /// It changes a version that this VM has not, or it is malformed: the
+    /// stream is opened again, and begins with the whole.
+    Unfit,
+}
--- a/goldcrestramp-node/src/control/tables.rs
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use goldcrestramp_config::DeploymentState;
-use goldcrestramp_ownership::{DomainTable, ServiceRecord};
+use goldcrestramp_ownership::{DomainTable, ServiceRecord, TableChange};
 use goldcrestramp_platform::records::StoreRecord;
 use goldcrestramp_types::{DomainName, FastMap, ServiceName, TableVersion};
 use goldcrestramp_wire::peer::{ServiceDomains, TableUpdate};
@@ -15,6 +15,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TableSet {
     pub(crate) domains: FastMap<DomainName, Arc<DomainTable>>,
+    /// How each table came from the one before it; made once, for all
+    /// subscribers that have that one.
+    pub(crate) changes: FastMap<DomainName, Arc<TableChange>>,
     pub(crate) config: Option<Arc<DeploymentState>>,
     pub(crate) homes: FastMap<ServiceName, Arc<ServiceRecord>>,
 }
@@ -31,6 +34,10 @@
         Self { context, set: watch::Sender::default() }
     }
 
+    pub(crate) const fn context(&self) -> &Arc<NodeContext> {
+        &self.context
+    }
+
     pub(crate) fn subscribe(&self) -> watch::Receiver<Arc<TableSet>> {
         self.set.subscribe()
     }
@@ -49,6 +56,14 @@
         if known.is_some_and(|known| known.version >= table.version) {
             return false;
         }
+        let change = known.and_then(|old| TableChange::between(old, table));
+        match change {
+            Some(change) => {
+                let name = table.domain.clone();
+                set.changes.insert(name, Arc::new(change));
+            }
+            None => drop(set.changes.remove(&table.domain)),
+        }
         set.domains.insert(table.domain.clone(), Arc::clone(table));
         self.route(&set);
         self.set.send_replace(Arc::new(set));
@@ -117,8 +132,13 @@
             if before.is_some_and(|before| *before >= table.version) {
                 continue;
             }
+            let change = set.changes.get(domain);
+            let change = change.filter(|c| before == Some(&c.base));
+            updates.push(match change {
+                Some(change) => convert::change_out(change),
+                None => convert::table_out(table),
+            });
             self.tables.insert(domain.clone(), table.version);
-            updates.push(convert::table_out(table));
         }
         updates
     }
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -130,8 +130,12 @@
         leading.subscribe(),
     ));
     tokio::spawn(reader::watch_vms(store, leading.subscribe(), actor.clone()));
-    tokio::spawn(follow_steward(Arc::clone(&context), actor.clone()));
-    tokio::spawn(follow_domains(context, actor.clone()));
+    tokio::spawn(follow_steward(
+        Arc::clone(&context),
+        Arc::clone(&hub),
+        actor.clone(),
+    ));
+    tokio::spawn(follow_domains(context, hub, actor.clone()));
     Ok((actor, address))
 }
 
--- a/goldcrestramp-node/src/convert.rs
+++ b/goldcrestramp-node/src/convert.rs
@@ -6,9 +6,9 @@
 use std::sync::Arc;
 
 use goldcrestramp_ownership::{
-    ConfirmAnswer, ConfirmAsk, DomainTable, KeeperReport, PermitAnswer,
-    ServerOrder, ServerReport, ServerState, ServiceTable, SliceLoad,
-    TableServer,
+    ConfirmAnswer, ConfirmAsk, DomainTable, KeeperReport, OwnerRun,
+    PermitAnswer, ServerOrder, ServerReport, ServerState, ServiceChange,
+    ServiceTable, SliceLoad, TableChange, TableServer,
 };
 use goldcrestramp_types::{
     DomainName, FenceToken, NameError, ServerName, ServiceName, SliceCount,
@@ -337,17 +337,102 @@
     })
 }
 
-fn service_out(service: &ServiceTable) -> peer::ServiceTable {
-    let servers = service.servers.iter().map(|s| peer::TableServer {
-        server: s.server.to_string(),
-        vm: s.keeper.to_string(),
-        address: s.address.to_string(),
+pub(crate) fn change_out(change: &TableChange) -> peer::TableUpdate {
+    let services = change.services.iter().map(service_change_out);
+    peer::TableUpdate {
+        domain: change.domain.to_string(),
+        version: Some(version_out(change.version)),
+        whole: false,
+        base: Some(version_out(change.base)),
+        services: services.collect(),
+        ..peer::TableUpdate::default()
+    }
+}
+
+fn service_change_out(change: &ServiceChange) -> peer::ServiceTable {
+    let servers = change.servers.as_deref().unwrap_or_default();
+    let runs = change.runs.iter().map(|run| peer::TableRun {
+        first: u32::try_from(run.first).unwrap_or(u32::MAX),
+        last: u32::try_from(run.last).unwrap_or(u32::MAX),
+        owner: run.owner.map_or(0, |place| u32::from(place) + 1),
     });
+    peer::ServiceTable {
+        service: change.service.to_string(),
+        slices: 0,
+        servers: servers.iter().map(table_server_out).collect(),
+        runs: runs.collect(),
+        same_servers: change.servers.is_none(),
+    }
+}
+
+pub(crate) fn change_in(
+    update: &peer::TableUpdate,
+) -> Result<TableChange, BadMessage> {
+    let services: Result<Vec<_>, _> =
+        update.services.iter().map(service_change_in).collect();
+    Ok(TableChange {
+        domain: DomainName::new(&update.domain)?,
+        base: version_in(update.base),
+        version: version_in(update.version),
+        services: services?,
+    })
+}
+
+fn service_change_in(
+    service: &peer::ServiceTable,
+) -> Result<ServiceChange, BadMessage> {
+    let servers: Result<Vec<_>, _> =
+        service.servers.iter().map(table_server_in).collect();
+    let runs: Result<Vec<_>, _> =
+        service.runs.iter().map(owner_run_in).collect();
+    let servers = servers?;
+    Ok(ServiceChange {
+        service: ServiceName::new(&service.service)?,
+        servers: (!service.same_servers).then_some(servers),
+        runs: runs?,
+    })
+}
+
+fn owner_run_in(run: &peer::TableRun) -> Result<OwnerRun, BadMessage> {
+    let owner = match run.owner.checked_sub(1) {
+        Some(place) => {
+            Some(u16::try_from(place).map_err(|_error| BadMessage)?)
+        }
+        None => None,
+    };
+    let (first, last) = (run.first as usize, run.last as usize);
+    if last < first {
+        return Err(BadMessage);
+    }
+    Ok(OwnerRun { first, last, owner })
+}
+
+fn table_server_out(server: &TableServer) -> peer::TableServer {
+    peer::TableServer {
+        server: server.server.to_string(),
+        vm: server.keeper.to_string(),
+        address: server.address.to_string(),
+    }
+}
+
+fn table_server_in(
+    server: &peer::TableServer,
+) -> Result<TableServer, BadMessage> {
+    Ok(TableServer {
+        server: ServerName::new(&server.server)?,
+        keeper: VmName::new(&server.vm)?,
+        address: Arc::from(server.address.as_str()),
+    })
+}
+
+fn service_out(service: &ServiceTable) -> peer::ServiceTable {
+    let servers = service.servers.iter().map(table_server_out);
     peer::ServiceTable {
         service: service.service.to_string(),
         slices: service.count.get(),
         servers: servers.collect(),
         runs: runs_out(&service.owners),
+        same_servers: false,
     }
 }
 
@@ -382,17 +467,8 @@
         let slots = owners.get_mut(run).ok_or(BadMessage)?;
         slots.fill(Some(owner));
     }
-    let servers: Result<Vec<_>, BadMessage> = service
-        .servers
-        .iter()
-        .map(|s| {
-            Ok(TableServer {
-                server: ServerName::new(&s.server)?,
-                keeper: VmName::new(&s.vm)?,
-                address: Arc::from(s.address.as_str()),
-            })
-        })
-        .collect();
+    let servers: Result<Vec<_>, _> =
+        service.servers.iter().map(table_server_in).collect();
     Ok(ServiceTable {
         service: ServiceName::new(&service.service)?,
         count,
--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -24,6 +24,7 @@
 mod safeguard;
 mod steward;
 mod table;
+mod table_change;
 mod timing;
 mod voter;
 
@@ -44,6 +45,7 @@
     safeguard::{Safeguard, Safeguards},
     steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
     table::{DomainTable, ServiceTable, TableServer},
+    table_change::{OwnerRun, ServiceChange, TableChange},
     timing::TermTiming,
     voter::VoterState,
 };
--- /dev/null
+++ b/goldcrestramp-ownership/src/table_change.rs
@@ -0,0 +1,148 @@
+//! What changed between two versions of a routing table.
+//!
+//! A move changes one slice of up to 65,536. Sent whole, each table would
+//! go to every VM of the fleet for every move; its change is some bytes.
+
+use goldcrestramp_types::{DomainName, ServiceName, TableVersion};
+
+use crate::table::{DomainTable, ServiceTable, TableServer};
+
+/// A run of slices, both ends included, that has a new owner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OwnerRun {
+    /// The first slice.
+    pub first: usize,
+    /// The last slice.
+    pub last: usize,
+    /// The position of the owner among the new servers.
+    pub owner: Option<u16>,
+}
+
+/// What changed in one service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceChange {
+    /// The service.
+    pub service: ServiceName,
+    /// The new servers; `None`: they are as before.
+    pub servers: Option<Vec<TableServer>>,
+    /// The slices whose owner changed, in rising order.
+    pub runs: Vec<OwnerRun>,
+}
+
+/// What changed from one version of a domain's table to another.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TableChange {
+    /// The failure domain.
+    pub domain: DomainName,
+    /// The version that it changes.
+    pub base: TableVersion,
+    /// The version that it leads to.
+    pub version: TableVersion,
+    /// The services in which something changed.
+    pub services: Vec<ServiceChange>,
+}
+
+impl TableChange {
+    /// What changed from `old` to `new`.
+    ///
+    /// `None`: they have other services, so the whole has to be sent.
+    #[must_use]
+    pub fn between(old: &DomainTable, new: &DomainTable) -> Option<Self> {
+        if old.domain != new.domain || old.services.len() != new.services.len()
+        {
+            return None;
+        }
+        let pairs = old.services.iter().zip(&new.services);
+        let mut services = Vec::new();
+        for (before, after) in pairs {
+            if before.service != after.service || before.count != after.count {
+                return None;
+            }
+            if before != after {
+                services.push(service_change(before, after));
+            }
+        }
+        Some(Self {
+            domain: new.domain.clone(),
+            base: old.version,
+            version: new.version,
+            services,
+        })
+    }
+
+    /// Applies the change; `None`: `old` is not the version that it
+    /// changes, or the change makes no sense.
+    #[must_use]
+    pub fn apply(&self, old: &DomainTable) -> Option<DomainTable> {
+        if old.domain != self.domain || old.version != self.base {
+            return None;
+        }
+        let mut new = old.clone();
+        new.version = self.version;
+        for change in &self.services {
+            let mut services = new.services.iter_mut();
+            let service = services.find(|s| s.service == change.service)?;
+            apply_service(change, service)?;
+        }
+        Some(new)
+    }
+}
+
+fn service_change(old: &ServiceTable, new: &ServiceTable) -> ServiceChange {
+    let places = new_places(&old.servers, &new.servers);
+    let moved = |owner: Option<u16>| {
+        owner.and_then(|place| *places.get(usize::from(place))?)
+    };
+    let mut runs: Vec<OwnerRun> = Vec::new();
+    let pairs = old.owners.iter().zip(&new.owners).enumerate();
+    for (slice, (before, after)) in pairs {
+        if moved(*before) == *after {
+            continue;
+        }
+        match runs.last_mut() {
+            Some(run) if run.last + 1 == slice && run.owner == *after => {
+                run.last = slice;
+            }
+            _ => runs.push(OwnerRun {
+                first: slice,
+                last: slice,
+                owner: *after,
+            }),
+        }
+    }
+    let same = old.servers == new.servers;
+    let servers = (!same).then(|| new.servers.clone());
+    ServiceChange { service: new.service.clone(), servers, runs }
+}
+
+fn apply_service(
+    change: &ServiceChange,
+    service: &mut ServiceTable,
+) -> Option<()> {
+    if let Some(servers) = &change.servers {
+        let places = new_places(&service.servers, servers);
+        for owner in &mut service.owners {
+            let place = owner.map(usize::from);
+            *owner = place.and_then(|place| *places.get(place)?);
+        }
+        service.servers.clone_from(servers);
+    }
+    for run in &change.runs {
+        let known = run.owner.map(usize::from);
+        if known.is_some_and(|place| place >= service.servers.len()) {
+            return None;
+        }
+        let owners = service.owners.get_mut(run.first..=run.last)?;
+        owners.fill(run.owner);
+    }
+    Some(())
+}
+
+/// For each old server its position among the new ones.
+fn new_places(old: &[TableServer], new: &[TableServer]) -> Vec<Option<u16>> {
+    let place = |server: &TableServer| {
+        let found = new.iter().position(|n| n.server == server.server)?;
+        u16::try_from(found).ok()
+    };
+    old.iter().map(place).collect()
+}
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -327,6 +327,9 @@
     pub servers: ::prost::alloc::vec::Vec<TableServer>,
     #[prost(message, repeated, tag = "4")]
     pub runs: ::prost::alloc::vec::Vec<TableRun>,
+    /// In a change: the servers are as before, and `servers` is left out.
+    #[prost(bool, tag = "5")]
+    pub same_servers: bool,
 }
 /// One failure domain's part of the routing table.
 #[derive(Clone, PartialEq, ::prost::Message)]
