--- a/goldcrestramp-node/src/gateway/retry.rs
+++ b/goldcrestramp-node/src/gateway/retry.rs
@@ -62,6 +62,14 @@
     }
 }
 
+/// A time to come back with up to half as long again at random.
+///
+/// All who were refused for one cause would otherwise return as one burst.
+pub(crate) fn jittered(wait: TimeSpan) -> TimeSpan {
+    let spread = wait.as_micros() / 2 + 1;
+    wait.plus(TimeSpan::from_micros(rand::random::<u64>() % spread))
+}
+
 /// A try that a server refused or broke off.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FailedTry {
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -17,7 +17,7 @@
     context::NodeContext,
     gateway::{
         request::CallerRequest,
-        retry::{FailedTry, RetryBook},
+        retry::{FailedTry, RetryBook, jittered},
     },
     metrics::NodeMetrics,
     peers::PeerChannels,
@@ -431,10 +431,10 @@
     }
 }
 
-const fn refused(reason: NotRunReason) -> RouteAnswer {
+fn refused(reason: NotRunReason) -> RouteAnswer {
     let retry_after = match reason {
         NotRunReason::BadRequest | NotRunReason::UnknownService => None,
-        _ => Some(OWNER_WAIT),
+        _ => Some(jittered(OWNER_WAIT)),
     };
     RouteAnswer::NotRun { reason, retry_after }
 }
--- a/goldcrestramp-node/src/gateway/routes.rs
+++ b/goldcrestramp-node/src/gateway/routes.rs
@@ -17,10 +17,15 @@
         answer,
         places::GatewayPlaces,
         request::{self, BodyFault, CallerRequest, RequestFault},
+        retry::jittered,
         route::RequestRouter,
     },
 };
 
+/// When a caller may come back to a full gateway: some of what is under
+/// way, lookups of milliseconds and orders, has ended by then.
+const REFUSAL_WAIT: TimeSpan = TimeSpan::from_millis(500);
+
 /// What the requests of this gateway share.
 #[derive(Debug)]
 struct GatewayShared {
@@ -128,7 +133,7 @@
     let title = if title.is_empty() { reason.code() } else { title };
     let wait = match reason {
         NotRunReason::BadRequest => None,
-        _ => Some(TimeSpan::from_millis(1_000)),
+        _ => Some(jittered(REFUSAL_WAIT)),
     };
     answer::not_run(reason, title, name, wait).into_response()
 }
