--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -15,7 +15,7 @@
 pub use crate::control::status::ControlStatus;
 pub(crate) use crate::control::{
     actor::ControlActor,
-    messages::{DrainedAsk, HomesNotice, StatusAsk},
+    messages::{ConfigNotice, DrainedAsk, HomesNotice, StatusAsk},
     tables::TableSet,
     thread::ControlThread,
 };
--- a/goldcrestramp-node/src/control/reader.rs
+++ b/goldcrestramp-node/src/control/reader.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use goldcrestramp_config::DeploymentState;
+use goldcrestramp_config::{DeploymentState, merge_states};
 use goldcrestramp_ownership::{RosterVoter, ServiceRecord, domain_plan};
 use goldcrestramp_platform::{
     PlatformClient, StoreAccess, StoreError, VmEntry,
@@ -118,7 +118,9 @@
 /// Takes a configuration, or writes back what the store has lost.
 ///
 /// A store that came back with older data would otherwise hand old rules to
-/// every VM that starts, while the others follow the newer ones.
+/// every VM that starts, while the others follow the newer ones. Versions
+/// alone do not tell: tickets accepted since may have brought the store to
+/// the same version or a higher one, without those that it lost.
 async fn take_newer(
     store: &PlatformClient,
     hub: &TableHub,
@@ -127,8 +129,8 @@
 ) -> Result<(), StoreError> {
     let held = hub.set().config.clone();
     let read = decode::<DeploymentState>(value)?;
-    let newer = held.filter(|held| read.version < held.version);
-    if let Some(held) = newer {
+    let lost = held.filter(|held| merge_states(held, &read) != read);
+    if let Some(held) = lost {
         log::warn!("store: it came back with an older configuration.");
         let joined = restore_config(store, &held).await?;
         drop(actor.send(ConfigNotice(Arc::new(joined))).await);
--- a/tests/process/deployment.rs
+++ b/tests/process/deployment.rs
@@ -3,6 +3,7 @@
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
+    sync::atomic::{AtomicU16, Ordering},
     time::{Duration, Instant},
 };
 
@@ -12,6 +13,8 @@
 
 /// Longer than anything a test waits for; only a failed test sees it.
 const WAIT_LIMIT: Duration = Duration::from_mins(1);
+/// Holding this port of a host claims the host; daemons' ports follow it.
+const CLAIM_PORT: u16 = 19_999;
 /// How often a condition is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -24,6 +27,8 @@
     pub platform_address: SocketAddr,
     http: reqwest::Client,
     host: Ipv4Addr,
+    ports: AtomicU16,
+    _claim: TcpListener,
 }
 
 /// A running daemon and where its listeners are.
@@ -50,7 +55,7 @@
     /// Starts the platform.
     pub fn spawn() -> Self {
         let program = env!("CARGO_BIN_EXE_goldcrestramp-standin");
-        let host = own_host();
+        let (host, claim) = claim_host();
         let listen = format!("{host}:0");
         let mut platform = ChildProcess::spawn(
             program,
@@ -59,7 +64,8 @@
         );
         let platform_address = platform.listening();
         let http = reqwest::Client::new();
-        Self { platform, platform_address, http, host }
+        let ports = AtomicU16::new(CLAIM_PORT + 1);
+        Self { platform, platform_address, http, host, ports, _claim: claim }
     }
 
     /// Starts a backend server that behaves as the JSON says.
@@ -161,14 +167,12 @@
         request.send().await
     }
 
-    /// Addresses on which nothing listens now.
-    ///
-    /// No other process binds ports of this host, so they stay free.
+    /// Addresses on which nothing listens, nor will but whom they are for.
     pub fn free_addresses<const N: usize>(&self) -> [SocketAddr; N] {
-        let listeners: [TcpListener; N] = std::array::from_fn(|_| {
-            TcpListener::bind((self.host, 0)).expect("a port")
-        });
-        listeners.map(|one| one.local_addr().expect("an address"))
+        std::array::from_fn(|_| {
+            let port = self.ports.fetch_add(1, Ordering::Relaxed);
+            SocketAddr::from((self.host, port))
+        })
     }
 
     /// A file of this deployment alone.
@@ -210,11 +214,19 @@
     )
 }
 
-/// A loopback address that only this test process uses.
+/// A loopback host that is this deployment's alone while the claim lives.
 ///
-/// Outgoing connections take 127.0.0.1, so a port that was free here stays
-/// free until a daemon of this test binds it.
-fn own_host() -> Ipv4Addr {
+/// Drawing a port from the system and letting it go again was not enough: a
+/// relay or daemon of another test took it before its own daemon bound it,
+/// which then ended with "Address already in use". Here the ports are
+/// counted up on a claimed host, below those that the system hands out.
+fn claim_host() -> (Ipv4Addr, TcpListener) {
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 64 + (high & 0x7f), low, 1)
+    for last in 1..=u8::MAX {
+        let host = Ipv4Addr::new(127, 64 + (high & 0x7f), low, last);
+        if let Ok(claim) = TcpListener::bind((host, CLAIM_PORT)) {
+            return (host, claim);
+        }
+    }
+    panic!("every host of this process is claimed");
 }
