--- a/goldcrestramp-config/tests/tickets.rs
+++ b/goldcrestramp-config/tests/tickets.rs
@@ -251,6 +251,15 @@
     assert_eq!(back, state);
 }
 
+#[test]
+fn twice_that_many_servers_are_still_accepted() {
+    let state = accepted(&DeploymentState::default(), &fleet(4_500));
+
+    let text = serde_json::to_vec(&state).expect("JSON");
+
+    assert!(text.len() <= STATE_BYTES, "{} bytes", text.len());
+}
+
 #[test]
 fn what_does_not_fit_the_store_is_refused_with_its_size() {
     let outcome = judge(&DeploymentState::default(), &fleet(6_000));
