Keep a steward with an older plan from granting what has left

Cause: a slice had left the domain and that was acknowledged. Then a VM that was cut off from the store led with the plan from before, found no record, and granted the slice from what a server had held last.

Change: as with rosters, voters keep a floor. A steward whose plan has slices leave names that plan's version; only when a majority refuses older ones does it put the release on record. A voter that has just started takes the store's version as its floor.

Left: the version that the planner's part gives to plans rises with tickets, not with the services' records, so between two tickets the floor does not tell plans apart yet.

--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -123,6 +123,9 @@
             StewardEffect::AskVoter { voter, ask } => {
                 self.ask_voter(voter.vm, voter.address, ask);
             }
+            StewardEffect::LearnPlan(version) => {
+                self.voter.learn_plan(version);
+            }
             StewardEffect::LearnRoster(version) => {
                 self.voter.learn_roster(version);
             }
--- a/goldcrestramp-node/src/convert.rs
+++ b/goldcrestramp-node/src/convert.rs
@@ -94,6 +94,8 @@
         term: Some(term_out(ask.term)),
         roster_version: ask.roster,
         established: ask.established,
+        plan_version: ask.plan,
+        plan_floor: ask.floor,
     }
 }
 
@@ -107,6 +109,8 @@
         term: term_in(ask.term),
         roster: ask.roster_version,
         established: ask.established,
+        plan: ask.plan_version,
+        floor: ask.plan_floor,
     })
 }
 
--- a/goldcrestramp-ownership/src/message.rs
+++ b/goldcrestramp-ownership/src/message.rs
@@ -22,6 +22,10 @@
     pub roster: u64,
     /// Whether a majority confirms the term already.
     pub established: bool,
+    /// The version of the plan that the steward knows.
+    pub plan: u64,
+    /// The oldest plan with which anybody may lead from now on.
+    pub floor: u64,
 }
 
 /// A voter's answer.
--- a/goldcrestramp-ownership/src/plan.rs
+++ b/goldcrestramp-ownership/src/plan.rs
@@ -45,6 +45,10 @@
     /// The failure domain.
     pub domain: DomainName,
     /// Rises with every accepted ticket.
+    ///
+    /// Voters refuse a steward whose version is below the one under which
+    /// slices left the domain. Where records of services change under one
+    /// version, that does not tell an older plan from a newer one.
     pub version: u64,
     /// The services.
     pub services: Vec<ServicePlan>,
--- a/goldcrestramp-ownership/src/steward/claim.rs
+++ b/goldcrestramp-ownership/src/steward/claim.rs
@@ -29,6 +29,11 @@
     pub(super) next: Option<VoterRoster>,
     confirmed: FastMap<VmName, VoterConfirmation>,
     ask_at: LocalTime,
+    /// What its questions say of plans.
+    plan: u64,
+    floor: u64,
+    /// When the floor last rose.
+    floor_at: LocalTime,
 }
 
 impl TermClaim {
@@ -39,9 +44,26 @@
             next: None,
             confirmed: FastMap::default(),
             ask_at: LocalTime::default(),
+            plan: 0,
+            floor: 0,
+            floor_at: LocalTime::default(),
         }
     }
 
+    /// Sets what its questions say of plans from now on.
+    pub(super) fn set_plan(&mut self, now: LocalTime, plan: u64, floor: u64) {
+        self.plan = plan;
+        if floor > self.floor {
+            self.floor = floor;
+            self.floor_at = now;
+        }
+    }
+
+    /// Whether a majority refuses stewards with a plan below the floor.
+    pub(super) fn has_floor(&self) -> bool {
+        self.begun().is_some_and(|begun| begun > self.floor_at)
+    }
+
     /// Asks at the next tick, without waiting for the usual time.
     pub(super) fn ask_soon(&mut self) {
         self.ask_at = LocalTime::default();
@@ -95,6 +117,8 @@
             term: self.term,
             roster: self.newest().version,
             established,
+            plan: self.plan,
+            floor: self.floor,
         }
     }
 
--- a/goldcrestramp-ownership/src/steward/election.rs
+++ b/goldcrestramp-ownership/src/steward/election.rs
@@ -72,6 +72,8 @@
         self.knowledge.highest = number;
         let term = TermId::new(number, &self.me.vm, self.me.start);
         let mut claim = TermClaim::new(term, roster.clone());
+        let plan = self.knowledge.plan_version();
+        claim.set_plan(now, plan, self.knowledge.floor);
         let mut effects = claim.asks(now, &self.me, false, &self.timing);
         effects.extend(claim.ask_own(&self.me));
         let give_up = now + self.timing.missed_after;
@@ -108,6 +110,7 @@
             StewardRole::Leading(leading) => ask.term > leading.claim.term,
         };
         let named = ask.roster;
+        self.knowledge.floor = self.knowledge.floor.max(ask.floor);
         self.knowledge.seen = Some(SeenSteward { ask, at });
         if higher {
             self.follow(now);
--- a/goldcrestramp-ownership/src/steward/event.rs
+++ b/goldcrestramp-ownership/src/steward/event.rs
@@ -70,6 +70,8 @@
     /// Tell this VM's [`VoterState`](crate::VoterState) which roster
     /// version the store has.
     LearnRoster(u64),
+    /// Tell it which version of the plan the store has.
+    LearnPlan(u64),
     /// Read the roster from the store again.
     ReadRoster,
     /// Write the record if it is newer than what the store has.
--- a/goldcrestramp-ownership/src/steward/knowledge.rs
+++ b/goldcrestramp-ownership/src/steward/knowledge.rs
@@ -30,6 +30,8 @@
     /// The highest number of a term seen anywhere.
     pub(super) highest: u64,
     pub(super) seen: Option<SeenSteward>,
+    /// The oldest plan with which anybody may lead.
+    pub(super) floor: u64,
 }
 
 impl StewardKnowledge {
@@ -77,10 +79,19 @@
                 released.intersect_with(&service.slices);
             }
         }
+        let leaving = plan.services.iter().any(|s| !s.leaving.is_empty());
+        if leaving {
+            self.floor = self.floor.max(plan.version);
+        }
         self.plan = Some(plan);
         true
     }
 
+    /// The version of the plan in force; zero before there is one.
+    pub(super) fn plan_version(&self) -> u64 {
+        self.plan.as_ref().map_or(0, |plan| plan.version)
+    }
+
     /// The slices of a service that servers of this domain may hold.
     pub(super) fn domain_slices(&self, service: &ServicePlan) -> SliceSet {
         let mut slices = service.slices.clone();
--- a/goldcrestramp-ownership/src/steward/leader/decide.rs
+++ b/goldcrestramp-ownership/src/steward/leader/decide.rs
@@ -86,6 +86,12 @@
         plan: &DomainPlan,
         knowledge: &mut StewardKnowledge,
     ) {
+        // First a majority has to refuse whoever does not know of it: a
+        // steward with an older plan would grant the slices again.
+        if !self.claim.has_floor() {
+            self.dirty = true;
+            return;
+        }
         for service in plan.services.iter().filter(|s| !s.leaving.is_empty()) {
             let mut gone = service.leaving.clone();
             gone.intersect_with(&service.slices);
--- a/goldcrestramp-ownership/src/steward/reads.rs
+++ b/goldcrestramp-ownership/src/steward/reads.rs
@@ -74,10 +74,14 @@
         if !self.knowledge.take_plan(Arc::clone(plan)) {
             return Vec::new();
         }
+        let learn = StewardEffect::LearnPlan(plan.version);
         if let StewardRole::Leading(leading) = &mut self.role {
             leading.take_plan(now, plan);
+            let floor = self.knowledge.floor;
+            leading.claim.set_plan(now, plan.version, floor);
+            leading.claim.ask_soon();
         }
-        Vec::new()
+        vec![learn]
     }
 
     pub(super) fn record_read(
--- a/goldcrestramp-ownership/src/voter.rs
+++ b/goldcrestramp-ownership/src/voter.rs
@@ -15,6 +15,7 @@
     timing: TermTiming,
     latest: Option<(ConfirmAsk, LocalTime)>,
     roster: Option<u64>,
+    floor: u64,
 }
 
 impl VoterState {
@@ -29,7 +30,7 @@
         if timing.safeguards.has(Safeguard::SilentStart) {
             silent_until = started + timing.lengthened(timing.lease);
         }
-        Self { silent_until, timing, latest: None, roster: None }
+        Self { silent_until, timing, latest: None, roster: None, floor: 0 }
     }
 
     /// Takes the roster version that the store has, after a start.
@@ -44,6 +45,16 @@
         }
     }
 
+    /// Takes the plan's version that the store has, after a start.
+    ///
+    /// A steward with a plan from before a slice left its domain would
+    /// grant that slice again, which another domain may own by now.
+    pub fn learn_plan(&mut self, version: u64) {
+        if self.latest.is_none() {
+            self.floor = self.floor.max(version);
+        }
+    }
+
     /// Answers a steward that asks to be confirmed.
     pub fn confirm(
         &mut self,
@@ -57,6 +68,7 @@
             return ConfirmAnswer::Refused { highest };
         }
         self.roster = self.roster.max(Some(ask.roster));
+        self.floor = self.floor.max(ask.floor);
         self.latest = Some((ask.clone(), now));
         ConfirmAnswer::Confirmed
     }
@@ -86,6 +98,9 @@
         if old && self.timing.safeguards.has(Safeguard::RosterStep) {
             return Some(highest);
         }
+        if ask.plan < self.floor {
+            return Some(highest);
+        }
         let (confirmed, at) = latest?;
         let missed = now.since(*at) >= self.timing.missed_after;
         // The present steward itself may go on to a higher term at once.
--- a/goldcrestramp-ownership/tests/ownership/mutations.rs
+++ b/goldcrestramp-ownership/tests/ownership/mutations.rs
@@ -148,6 +148,8 @@
         vm,
         roster,
         established: false,
+        plan: 1,
+        floor: 0,
     }
 }
 
--- a/goldcrestramp-ownership/tests/ownership/world/binding.rs
+++ b/goldcrestramp-ownership/tests/ownership/world/binding.rs
@@ -74,6 +74,9 @@
             StewardEffect::LearnRoster(version) => {
                 process.voter.learn_roster(version);
             }
+            StewardEffect::LearnPlan(version) => {
+                process.voter.learn_plan(version);
+            }
             StewardEffect::SaveRoster(roster) => {
                 self.call_store(vm, StoreCall::SaveRoster(roster));
             }
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -39,6 +39,12 @@
     /// Whether a majority confirms the term already.
     #[prost(bool, tag = "6")]
     pub established: bool,
+    /// The version of the plan that the steward knows.
+    #[prost(uint64, tag = "7")]
+    pub plan_version: u64,
+    /// The oldest plan with which anybody may lead from now on.
+    #[prost(uint64, tag = "8")]
+    pub plan_floor: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfirmReply {
