Let processes fail under load, and judge their servers' log files

Cause: the promises had no proof with processes of their own. The stand-in server decodes the key; before, every answer looked wrong.

--- a/goldcrestramp-standins/src/checker/mod.rs
+++ b/goldcrestramp-standins/src/checker/mod.rs
@@ -43,7 +43,9 @@
         let answers = promises::count_answers(calls);
         Self {
             doubled: promises::count_doubled(executions),
-            not_run_but_ran: promises::count_false_not_run(executions, calls),
+            not_run_but_ran: promises::to_count(
+                promises::false_not_run(executions, calls).len(),
+            ),
             owner_overlaps: ownership::count_overlaps(servers),
             wrong_answers: answers.wrong,
             cut_answers: answers.cut,
@@ -56,3 +58,18 @@
         *self == Self::default()
     }
 }
+
+/// What was written down of the requests that ran though they were denied:
+/// each call and each execution on a line, for whoever looks for the cause.
+#[must_use]
+pub fn trace_denied(servers: &ServerLog, calls: &[CallEntry]) -> String {
+    let denied = promises::false_not_run(&servers.executions, calls);
+    let mut lines = Vec::new();
+    for id in denied {
+        let told = calls.iter().filter(|call| &*call.request == id);
+        lines.extend(told.map(|call| format!("{call:?}")));
+        let ran = servers.executions.iter().filter(|e| &*e.request == id);
+        lines.extend(ran.map(|execution| format!("{execution:?}")));
+    }
+    lines.join("\n")
+}
--- a/goldcrestramp-standins/src/checker/promises.rs
+++ b/goldcrestramp-standins/src/checker/promises.rs
@@ -23,14 +23,14 @@
     to_count(times.values().filter(|times| **times > 1).count())
 }
 
-/// Counts the requests that ran though their caller was told they had not.
+/// The requests that ran though their caller was told they had not.
 ///
 /// A request that was sent again under the same id counts only if every
 /// attempt was answered "not run": the execution may be another attempt's.
-pub(super) fn count_false_not_run(
+pub(super) fn false_not_run<'a>(
     executions: &[ExecutionEntry],
-    calls: &[CallEntry],
-) -> u64 {
+    calls: &'a [CallEntry],
+) -> Vec<&'a str> {
     let mut not_run: FastMap<&str, bool> = FastMap::default();
     for call in calls {
         let told = matches!(call.outcome, CallOutcome::NotRun { .. });
@@ -38,9 +38,8 @@
     }
     let ran: FastSet<&str> =
         executions.iter().map(|entry| &*entry.request).collect();
-    let lied =
-        |(request, told): &(&&str, &bool)| **told && ran.contains(**request);
-    to_count(not_run.iter().filter(lied).count())
+    let denied = not_run.into_iter().filter(|(_, told)| *told);
+    denied.map(|(id, _)| id).filter(|id| ran.contains(id)).collect()
 }
 
 /// Counts the answers that were presented as whole and are not the whole
@@ -57,6 +56,6 @@
     bad
 }
 
-fn to_count(count: usize) -> u64 {
+pub(super) fn to_count(count: usize) -> u64 {
     u64::try_from(count).unwrap_or(u64::MAX)
 }
--- a/goldcrestramp-standins/src/server/order.rs
+++ b/goldcrestramp-standins/src/server/order.rs
@@ -31,7 +31,7 @@
         Some(Self {
             request: Arc::from(text(HEADER_REQUEST)?),
             service: Arc::from(text(HEADER_SERVICE)?),
-            key: Arc::from(text(HEADER_KEY)?),
+            key: Arc::from(decode(text(HEADER_KEY)?)),
             slice: SliceIndex::new(text(HEADER_SLICE)?.parse().ok()?)?,
             class: RequestClass::from_code(text(HEADER_CLASS)?)?,
             token: decode_token(text(HEADER_TOKEN)?)?,
@@ -40,3 +40,20 @@
         })
     }
 }
+
+/// Undoes the percent encoding of a key or a request's id.
+pub(super) fn decode(text: &str) -> String {
+    let mut parts = text.split('%');
+    let mut decoded = parts.next().unwrap_or_default().to_owned();
+    for part in parts {
+        let code = part.get(..2).and_then(|c| u8::from_str_radix(c, 16).ok());
+        match code {
+            Some(byte) if byte.is_ascii() => {
+                decoded.push(char::from(byte));
+                decoded.push_str(&part[2..]);
+            }
+            _ => decoded.push_str(part),
+        }
+    }
+    decoded
+}
--- a/goldcrestramp-standins/src/server/routes.rs
+++ b/goldcrestramp-standins/src/server/routes.rs
@@ -14,7 +14,10 @@
 
 use crate::{
     records::MachineTime,
-    server::{faults::ServerFaults, run::run_request, shared::ServerShared},
+    server::{
+        faults::ServerFaults, order::decode, run::run_request,
+        shared::ServerShared,
+    },
 };
 
 /// The largest grant order, in bytes.
@@ -162,20 +165,3 @@
     }
     response
 }
-
-/// Undoes the percent encoding of a request's id in a path.
-fn decode(text: &str) -> String {
-    let mut parts = text.split('%');
-    let mut decoded = parts.next().unwrap_or_default().to_owned();
-    for part in parts {
-        let code = part.get(..2).and_then(|c| u8::from_str_radix(c, 16).ok());
-        match code {
-            Some(byte) if byte.is_ascii() => {
-                decoded.push(char::from(byte));
-                decoded.push_str(&part[2..]);
-            }
-            _ => decoded.push_str(part),
-        }
-    }
-    decoded
-}
--- a/goldcrestramp-standins/tests/server.rs
+++ b/goldcrestramp-standins/tests/server.rs
@@ -20,6 +20,8 @@
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 
 const KEY: &str = "shop-17";
+/// The same, percent-encoded as a keeper sends it.
+const ENCODED_KEY: &str = "shop%2D17";
 const LONG_GRANT: TimeSpan = TimeSpan::from_millis(60_000);
 const SHORT_GRANT: TimeSpan = TimeSpan::from_millis(100);
 
@@ -41,7 +43,7 @@
             .post(self.url("run"))
             .header(HEADER_REQUEST, id)
             .header(HEADER_SERVICE, "stock")
-            .header(HEADER_KEY, KEY)
+            .header(HEADER_KEY, ENCODED_KEY)
             .header(HEADER_SLICE, "7")
             .header(HEADER_CLASS, class)
             .header(HEADER_TOKEN, encode_token(token(1)))
--- a/tests/process/deployment.rs
+++ b/tests/process/deployment.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
@@ -67,15 +67,31 @@
         &self,
         name: &str,
         behaviour: &Value,
+    ) -> (ChildProcess, SocketAddr) {
+        self.server_with_log(name, behaviour, None)
+    }
+
+    /// Starts a backend server that also writes its log to a file.
+    pub fn server_with_log(
+        &self,
+        name: &str,
+        behaviour: &Value,
+        log: Option<&Path>,
     ) -> (ChildProcess, SocketAddr) {
         let path = self.temporary(&format!("{name}.json"));
         std::fs::write(&path, behaviour.to_string()).expect("a file");
         let listen = format!("{}:0", self.host);
         let path = path.to_str().expect("a path in text");
+        let mut arguments =
+            vec!["server", "--listen", &listen, "--behaviour", path];
+        if let Some(log) = log {
+            arguments.push("--log-file");
+            arguments.push(log.to_str().expect("a path in text"));
+        }
         let mut server = ChildProcess::spawn(
             env!("CARGO_BIN_EXE_goldcrestramp-standin"),
             name,
-            &["server", "--listen", &listen, "--behaviour", path],
+            &arguments,
         );
         let address = server.listening();
         (server, address)
@@ -172,7 +188,7 @@
     }
 
     /// A file of this deployment alone.
-    fn temporary(&self, name: &str) -> PathBuf {
+    pub fn temporary(&self, name: &str) -> PathBuf {
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let port = self.platform_address.port();
         directory.join(format!("{}-{port}-{name}", self.host))
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -13,9 +13,11 @@
 mod child;
 mod deployment;
 mod relay;
+mod trial;
 
 pub use self::{
     child::ChildProcess,
     deployment::{DaemonProcess, ProcessDeployment, wait_until},
     relay::TcpRelay,
+    trial::{ProcessTrial, outcomes},
 };
