Run a whole deployment in one process, and judge it

Cause: the demo and the load command were missing. Change: the commands load and demo; the demo starts platform, servers and daemons of an example on loopback, puts callers' requests through them, carries out faults on time, and judges the servers' own logs. It begins when every gateway knows every table.

--- a/src/bin/goldcrestramp.rs
+++ b/src/bin/goldcrestramp.rs
@@ -1,3 +1,7 @@
 //! The command of operators.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    goldcrestramp::commands::run()
+}
--- /dev/null
+++ b/src/commands/demo/mod.rs
@@ -0,0 +1,175 @@
+//! `goldcrestramp demo`: a small deployment in one process, put to work.
+//!
+//! The stand-in platform, the servers and the daemons run on loopback with
+//! the same code as in processes of their own. After the run the servers'
+//! own logs are judged by code that shares nothing with the router.
+
+mod fault;
+mod figures;
+mod place;
+
+use std::sync::Arc;
+
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use goldcrestramp_config::ExampleDeployment;
+use goldcrestramp_standins::{
+    CallEntry, MachineTime,
+    checker::{
+        PromiseFigures, count_moves, imbalance, unavailable_time,
+        unlinearizable_keys,
+    },
+    load::{LoadPlan, LoadProgress, LoadReport, run_load},
+};
+
+use self::{
+    fault::{FaultRunner, PlannedFault},
+    figures::{DemoFigures, control_cpu_ms},
+    place::DemoDeployment,
+};
+use super::{CommandExit, load};
+
+/// What the command line asks for.
+#[derive(Debug)]
+struct DemoOrder {
+    example: ExampleDeployment,
+    factor: f64,
+    seconds: u64,
+    seed: u64,
+    faults: Vec<PlannedFault>,
+}
+
+/// The subcommand's arguments and help.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("demo")
+        .about("Runs a whole deployment in this process and judges it")
+        .after_help(
+            "Exit status 1: a promise was broken.\n\nExamples:\n  \
+             goldcrestramp demo\n  goldcrestramp demo --deployment \
+             examples/ferraris.jsonc --scale 0.5 --seconds 20\n  \
+             goldcrestramp demo --fault server-loss@5 --fault \
+             steward-loss@8 --json",
+        )
+        .arg(load::deployment())
+        .arg(load::scale())
+        .arg(load::seconds())
+        .arg(load::seed())
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .value_name("NAME@SECOND")
+                .help("What fails, and when; repeatable")
+                .action(ArgAction::Append)
+                .value_parser(value_parser!(PlannedFault)),
+        )
+        .arg(load::json())
+}
+
+/// Carries the subcommand out.
+#[must_use]
+pub fn run(matches: &ArgMatches) -> CommandExit {
+    let order = match read_order(matches) {
+        Ok(order) => order,
+        Err(error) => return report_error(&error, CommandExit::Usage),
+    };
+    let runtime = match tokio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            return report_error(&error.into(), CommandExit::Refused);
+        }
+    };
+    let figures = match runtime.block_on(run_demo(&order)) {
+        Ok(figures) => figures,
+        Err(error) => return report_error(&error, CommandExit::Refused),
+    };
+    runtime.shutdown_background();
+    show(&figures, matches.get_flag("json"))
+}
+
+fn read_order(matches: &ArgMatches) -> eyre::Result<DemoOrder> {
+    let faults = matches.get_many::<PlannedFault>("fault");
+    Ok(DemoOrder {
+        example: load::read_deployment(matches)?,
+        factor: load::factor(matches)?,
+        seconds: load::number(matches, "seconds"),
+        seed: load::number(matches, "seed"),
+        faults: faults.unwrap_or_default().copied().collect(),
+    })
+}
+
+fn report_error(error: &eyre::Report, exit: CommandExit) -> CommandExit {
+    eprintln!("goldcrestramp: {error:#}");
+    exit
+}
+
+fn show(figures: &DemoFigures, json: bool) -> CommandExit {
+    print!("{}", figures.table());
+    if json {
+        match serde_json::to_string(figures) {
+            Ok(line) => println!("{line}"),
+            Err(error) => {
+                return report_error(&error.into(), CommandExit::Refused);
+            }
+        }
+    }
+    if figures.kept() { CommandExit::Success } else { CommandExit::Refused }
+}
+
+/// Starts the deployment, puts requests through it and judges the run.
+async fn run_demo(order: &DemoOrder) -> eyre::Result<DemoFigures> {
+    let (factor, seed) = (order.factor, order.seed);
+    eprintln!("starting {}", order.example.deployment);
+    let mut deployment =
+        DemoDeployment::spawn(&order.example, factor, seed).await?;
+    deployment.wait_ready().await?;
+    eprintln!("every slice has an owner; requests arrive");
+    let since = MachineTime::now();
+    let plan = LoadPlan {
+        targets: deployment.gateways(),
+        streams: load::streams(&order.example.traffic, factor),
+        seconds: order.seconds,
+        seed,
+        under_way: load::UNDER_WAY,
+        allow_remote: false,
+    };
+    let progress = Arc::new(LoadProgress::default());
+    let shown = tokio::spawn(load::show_progress(Arc::clone(&progress)));
+    let mut faults = FaultRunner::new(seed);
+    let (calls, struck) = tokio::join!(
+        run_load(&plan, progress),
+        faults.run(&mut deployment, &order.faults)
+    );
+    shown.abort();
+    struck?;
+    Ok(judge(&deployment, &calls?, since, &faults))
+}
+
+/// Judges a run by what its servers and callers wrote down.
+fn judge(
+    deployment: &DemoDeployment,
+    calls: &[CallEntry],
+    since: MachineTime,
+    faults: &FaultRunner,
+) -> DemoFigures {
+    let log = deployment.log();
+    let report = LoadReport::new(calls, Vec::new());
+    let broken = unlinearizable_keys(calls).len();
+    DemoFigures {
+        requests: report.requests,
+        done: report.done,
+        not_run: report.not_run,
+        unknown: report.unknown.values().sum(),
+        unknown_reasons: report.unknown,
+        promises: PromiseFigures::judge(&log, calls),
+        unlinearizable_keys: u64::try_from(broken).unwrap_or(u64::MAX),
+        unavailable_ms: unavailable_time(calls),
+        churn: count_moves(&log, since, &faults.leaving),
+        imbalance: imbalance(
+            &log.executions,
+            &deployment.servers_by_service(),
+        ),
+        latency_ms: report.latency_ms,
+        store_calls: deployment.platform.counts(),
+        control_cpu_ms: control_cpu_ms(),
+    }
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,53 @@
+//! The operators' command `goldcrestramp`, one module a subcommand.
+//!
+//! Exit status: 0 when all is well, 1 when something is refused or a promise
+//! is broken, 2 for a wrong command line or bad input.
+
+mod demo;
+mod exit;
+mod load;
+
+use std::process::ExitCode;
+
+use clap::{ArgMatches, Command};
+
+pub use self::exit::CommandExit;
+
+/// One subcommand.
+#[derive(Clone, Copy, Debug)]
+pub struct CommandEntry {
+    /// Its name on the command line.
+    pub name: &'static str,
+    /// Its arguments and help.
+    pub command: fn() -> Command,
+    /// Carries it out.
+    pub run: fn(&ArgMatches) -> CommandExit,
+}
+
+/// Every subcommand, in the order of the help.
+const ENTRIES: &[CommandEntry] = &[
+    CommandEntry { name: "load", command: load::command, run: load::run },
+    CommandEntry { name: "demo", command: demo::command, run: demo::run },
+];
+
+/// The whole command line.
+#[must_use]
+pub fn command() -> Command {
+    Command::new("goldcrestramp")
+        .about("Checks and applies change tickets, and shows a deployment")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommands(ENTRIES.iter().map(|entry| (entry.command)()))
+}
+
+/// Reads the command line and carries it out.
+#[must_use]
+pub fn run() -> ExitCode {
+    let matches = command().get_matches();
+    let Some((name, matches)) = matches.subcommand() else {
+        return CommandExit::Usage.into();
+    };
+    let entry = ENTRIES.iter().find(|entry| entry.name == name);
+    entry.map_or(CommandExit::Usage, |entry| (entry.run)(matches)).into()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 ```
 */
 
+pub mod commands;
 pub mod daemon;
 
 pub use goldcrestramp_config as config;
