--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: steward, grants, voter, and their messages.
 
 mod actor;
+mod follow;
 mod grants;
 mod links;
 mod messages;
@@ -15,7 +16,7 @@
 pub use crate::control::status::ControlStatus;
 pub(crate) use crate::control::{
     actor::ControlActor,
-    messages::{DrainedAsk, HomesNotice, StatusAsk},
+    messages::{ConfigNotice, DrainedAsk, HomesNotice, StatusAsk},
     tables::TableSet,
     thread::ControlThread,
 };
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,9 +3,16 @@
 //! Exit status: 0 when all is well, 1 when something is refused or a promise
 //! is broken, 2 for a wrong command line or bad input.
 
+mod apply;
+mod arguments;
+mod check;
 mod demo;
 mod exit;
+mod explain;
+mod link;
 mod load;
+mod status;
+mod text;
 
 use std::process::ExitCode;
 
@@ -26,6 +33,18 @@
 
 /// Every subcommand, in the order of the help.
 const ENTRIES: &[CommandEntry] = &[
+    CommandEntry { name: "check", command: check::command, run: check::run },
+    CommandEntry { name: "apply", command: apply::command, run: apply::run },
+    CommandEntry {
+        name: "status",
+        command: status::command,
+        run: status::run,
+    },
+    CommandEntry {
+        name: "explain",
+        command: explain::command,
+        run: explain::run,
+    },
     CommandEntry { name: "load", command: load::command, run: load::run },
     CommandEntry { name: "demo", command: demo::command, run: demo::run },
 ];
