--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,9 +6,11 @@
 mod apply;
 mod arguments;
 mod check;
+mod demo;
 mod exit;
 mod explain;
 mod link;
+mod load;
 mod status;
 mod text;
 
@@ -43,6 +45,8 @@
         command: explain::command,
         run: explain::run,
     },
+    CommandEntry { name: "load", command: load::command, run: load::run },
+    CommandEntry { name: "demo", command: demo::command, run: demo::run },
 ];
 
 /// The whole command line.
