Let a plan's version rise with the services' records

Cause: voters tell a steward's plan from the one under which slices left by its version, but that rose with tickets alone: between two tickets a VM that was cut off could be steward with the plan from before a move. Change: the version counts tickets and, below them, the records' revisions. The test failed before: the versions were equal.

--- a/goldcrestramp-ownership/src/plan.rs
+++ b/goldcrestramp-ownership/src/plan.rs
@@ -44,11 +44,11 @@
 pub struct DomainPlan {
     /// The failure domain.
     pub domain: DomainName,
-    /// Rises with every accepted ticket.
+    /// Rises with every accepted ticket and every change of a service's
+    /// record.
     ///
     /// Voters refuse a steward whose version is below the one under which
-    /// slices left the domain. Where records of services change under one
-    /// version, that does not tell an older plan from a newer one.
+    /// slices left the domain.
     pub version: u64,
     /// The services.
     pub services: Vec<ServicePlan>,
--- a/goldcrestramp-ownership/src/planner/domain_plan.rs
+++ b/goldcrestramp-ownership/src/planner/domain_plan.rs
@@ -8,6 +8,10 @@
 use super::{policy::last_ticket, record::ServiceRecord};
 use crate::plan::{DomainPlan, ServerPlan, ServicePlan};
 
+/// Room for the changes of all services' records between two tickets: at a
+/// thousand a day, 45 years.
+const REVISION_BITS: u32 = 24;
+
 /// The plan of `domain`, from the configuration and the services' records.
 ///
 /// A service without a record has no slices here: nobody has divided them
@@ -46,12 +50,30 @@
     let servers = state.servers.iter().filter(|s| s.domain == *domain);
     Some(DomainPlan {
         domain: domain.clone(),
-        version: state.version,
+        version: plan_version(state, records),
         services: services.collect(),
         servers: servers.map(server_plan).collect(),
     })
 }
 
+/// Rises with every ticket and with every change of a service's record.
+///
+/// A VM that was cut off from the store knows an older state and older
+/// records. Did the version rise with tickets alone, voters could not tell
+/// its plan from one under which slices have left the domain since, and it
+/// could be steward and grant them again. A ticket counts for more than
+/// all records, because it may take a service with its record away.
+fn plan_version(
+    state: &DeploymentState,
+    records: &[Arc<ServiceRecord>],
+) -> u64 {
+    let listed = |r: &&Arc<ServiceRecord>| state.service(&r.service).is_some();
+    let listed = records.iter().filter(listed);
+    let revisions: u64 = listed.map(|record| record.revision).sum();
+    let tickets = state.version.saturating_mul(1 << REVISION_BITS);
+    tickets.saturating_add(revisions)
+}
+
 fn server_plan(server: &ServerRules) -> ServerPlan {
     ServerPlan {
         server: server.name.clone(),
--- a/goldcrestramp-ownership/tests/planner.rs
+++ b/goldcrestramp-ownership/tests/planner.rs
@@ -323,3 +323,26 @@
     assert_eq!(decide(None, unread, &state, &[]), None);
     assert_eq!(decide(None, doubled, &state, &[]), None);
 }
+
+/// A VM that was cut off from the store leads with the plan from before a
+/// move, and grants the slice that has left: two owners. Voters refuse it
+/// only if that plan's version is lower, also when no ticket came between.
+#[test]
+fn a_plan_from_before_a_move_has_a_lower_version() {
+    let state = state([2, 1, 1]);
+    let version = |state: &DeploymentState, record: &ServiceRecord| {
+        let records = [Arc::new(record.clone())];
+        let plan = domain_plan(state, &domain("a"), &records);
+        plan.expect("a plan").version
+    };
+    let record = first(&state);
+
+    let begun = decide(Some(&record), views(), &state, &[to(0, "b")]);
+    let begun = begun.expect("a move begun");
+    let mut without = state.clone();
+    without.version += 1;
+    without.services.clear();
+
+    assert!(version(&state, &record) < version(&state, &begun));
+    assert!(version(&state, &begun) < version(&without, &begun));
+}
