Let only the server that was sent an order say that it did not run

The slice had moved, the gateway asked the new owner, which had never seen the order, and its 'not started' was taken as proof. A resend to a young keeper had the same hole. Ruled out: the cancellation itself, which holds at the server that was sent the order. Change: the gateway names the server of an order, its keeper sends it to no other, and in a recovery that server alone is asked, wherever its slice is by now; a resend that may have gone elsewhere is answered from positive evidence or as unknown. Besides: a gateway or keeper without a table yet says no-owner and waits, not unknown-service or bad-request, and is not ready.

--- a/goldcrestramp-node/src/context.rs
+++ b/goldcrestramp-node/src/context.rs
@@ -5,12 +5,12 @@
     atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use goldcrestramp_config::NodeSettings;
 use goldcrestramp_platform::VmEntry;
 use goldcrestramp_types::{
-    CallerName, ClockSource, DomainName, FastMap, LocalTime, MonotonicClock,
-    VmName,
+    CallerName, ClockSource, DomainName, FastMap, FastSet, LocalTime,
+    MonotonicClock, ServiceName, VmName,
 };
 use tokio::sync::watch;
 
@@ -38,6 +38,8 @@
     pub(crate) table: ArcSwap<RoutingTable>,
     /// The platform's list of VMs, as last read.
     pub(crate) vms: ArcSwap<Vec<VmEntry>>,
+    /// The services of the configuration; `None`: it is not known yet.
+    pub(crate) services: ArcSwapOption<FastSet<ServiceName>>,
     /// Told whenever `table` was replaced.
     pub(crate) table_changed: watch::Sender<u64>,
     /// What this VM may send to which server.
@@ -65,6 +67,7 @@
             faults,
             table: ArcSwap::default(),
             vms: ArcSwap::default(),
+            services: ArcSwapOption::empty(),
             table_changed: watch::Sender::new(0),
             view: ArcSwap::default(),
             running: RunningWork::default(),
@@ -83,6 +86,25 @@
         self
     }
 
+    /// Whether the configuration is known and has no such service.
+    ///
+    /// A VM that has just started knows no configuration: calling every
+    /// service unknown would turn callers away for good.
+    pub(crate) fn lacks_service(&self, name: &ServiceName) -> bool {
+        let services = self.services.load();
+        services.as_ref().is_some_and(|known| !known.contains(name))
+    }
+
+    /// Whether callers may be sent here: the configuration is known and
+    /// every service of it has a routing table.
+    pub(crate) fn is_ready(&self) -> bool {
+        let services = self.services.load();
+        let table = self.table.load();
+        services.as_ref().is_some_and(|known| {
+            known.iter().all(|name| table.service(name).is_some())
+        })
+    }
+
     /// The present moment.
     #[must_use]
     pub fn now(&self) -> LocalTime {
--- a/goldcrestramp-node/src/control/tables.rs
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -88,6 +88,8 @@
         let callers = state.callers.iter();
         let weights = callers.map(|rules| (rules.name.clone(), rules.weight));
         self.context.weights.store(Arc::new(weights.collect()));
+        let services = state.services.iter().map(|rules| rules.name.clone());
+        self.context.services.store(Some(Arc::new(services.collect())));
         self.set.send_replace(Arc::new(set));
         true
     }
--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -3,7 +3,9 @@
 //! The order is never sent again. The next keeper of its server is asked to
 //! find out; it answers *not run*, the kept answer, or *unknown*.
 
-use goldcrestramp_types::{TimeSpan, UnknownReason};
+use std::sync::Arc;
+
+use goldcrestramp_types::{ServerName, TimeSpan, UnknownReason};
 use goldcrestramp_wire::peer::{RouteRequest, peer_client::PeerClient};
 
 use crate::gateway::{
@@ -20,6 +22,7 @@
     pub(super) async fn recover(
         &self,
         request: &CallerRequest,
+        server: &ServerName,
         age: TimeSpan,
     ) -> RouteAnswer {
         let started = self.context.now();
@@ -27,7 +30,7 @@
             let now = self.context.now();
             let age = age.plus(now.since(started));
             let left = request.deadline.since(now);
-            if let Some(answer) = self.ask(request, age, left).await {
+            if let Some(answer) = self.ask(request, server, age, left).await {
                 return answer;
             }
             if !self.pause(request.deadline).await {
@@ -37,18 +40,31 @@
         RouteAnswer::Unknown { reason: UnknownReason::KeeperLost }
     }
 
+    /// Who keeps the server that was sent the order, also when its slice
+    /// has gone to another server since.
+    fn keeper_of(
+        &self,
+        request: &CallerRequest,
+        server: &ServerName,
+    ) -> Option<Arc<str>> {
+        let table = self.context.table.load();
+        let routes = table.service(&request.service)?;
+        routes.keeper_of(server).map(Arc::clone)
+    }
+
     async fn ask(
         &self,
         request: &CallerRequest,
+        server: &ServerName,
         age: TimeSpan,
         left: TimeSpan,
     ) -> Option<RouteAnswer> {
-        let address = self.owner(request, request.deadline).await.ok()?;
+        let address = self.keeper_of(request, server)?;
         let channel = self.channels.open(&address).await.ok()?;
         let message = RouteRequest {
             recover: true,
             age_micros: age.as_micros(),
-            ..self.message(request, left)
+            ..self.message(request, server, left)
         };
         let call = async {
             let mut client = PeerClient::new(channel);
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -4,7 +4,7 @@
 
 use goldcrestramp_decisions::RetryDecision;
 use goldcrestramp_types::{
-    LocalTime, NotRunReason, RequestEffect, RetryReason, TimeSpan,
+    LocalTime, NotRunReason, RequestEffect, RetryReason, ServerName, TimeSpan,
     UnknownReason, slice_of,
 };
 use goldcrestramp_wire::peer::{
@@ -76,12 +76,19 @@
     }
 }
 
+/// Where a request is sent, and the server that it is meant for.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct KeeperPlace {
+    pub(super) address: Arc<str>,
+    pub(super) server: ServerName,
+}
+
 /// What one try came to.
 pub(super) enum TryOutcome {
     /// This is the caller's answer.
     Answer(RouteAnswer),
     /// It did not run; try again, at this address if one is named.
-    Again(RetryReason, Option<Arc<str>>),
+    Again(RetryReason, Option<KeeperPlace>),
     /// The keeper or its server refused it, and says when to come back.
     Refused(NotRunReason, TimeSpan),
 }
@@ -109,14 +116,14 @@
         let patience = self.patience(request);
         self.retries.attempted(request);
         while sends < SENDS_MOST {
-            let address = match named.take() {
-                Some(address) => address,
+            let place = match named.take() {
+                Some(place) => place,
                 None => match self.owner(request, patience).await {
-                    Ok(address) => address,
+                    Ok(place) => place,
                     Err(reason) => return refused(reason),
                 },
             };
-            match self.attempt(request, &address).await {
+            match self.attempt(request, &place).await {
                 TryOutcome::Answer(answer) => return answer,
                 TryOutcome::Refused(refusal, wait) => {
                     let failed = FailedTry::refused(refusal, wait, retries);
@@ -192,17 +199,23 @@
         &self,
         request: &CallerRequest,
         patience: LocalTime,
-    ) -> Result<Arc<str>, NotRunReason> {
+    ) -> Result<KeeperPlace, NotRunReason> {
         let mut changes = self.context.table_changed.subscribe();
         loop {
             changes.borrow_and_update();
             let table = self.context.table.load_full();
-            let routes = table
-                .service(&request.service)
-                .ok_or(NotRunReason::UnknownService)?;
-            let slice = slice_of(&request.key, routes.count);
-            if let Some(target) = routes.target(slice) {
-                return Ok(Arc::clone(&target.address));
+            if self.context.lacks_service(&request.service) {
+                return Err(NotRunReason::UnknownService);
+            }
+            let routes = table.service(&request.service);
+            let target = routes.and_then(|routes| {
+                routes.target(slice_of(&request.key, routes.count))
+            });
+            if let Some(target) = target {
+                return Ok(KeeperPlace {
+                    address: Arc::clone(&target.address),
+                    server: target.server.clone(),
+                });
             }
             let left = patience.since(self.context.now());
             let wait = tokio::time::timeout(left.to_std(), changes.changed());
@@ -215,8 +228,9 @@
     async fn attempt(
         &self,
         request: &CallerRequest,
-        address: &Arc<str>,
+        place: &KeeperPlace,
     ) -> TryOutcome {
+        let address = &place.address;
         let Ok(channel) = self.channels.open(address).await else {
             return TryOutcome::Again(RetryReason::KeeperUnreachable, None);
         };
@@ -227,7 +241,7 @@
         }
         let mut client = PeerClient::new(channel);
         let call = async {
-            let message = self.message(request, left);
+            let message = self.message(request, &place.server, left);
             let response = client.route(message).await.ok()?;
             let mut frames = response.into_inner();
             let first = frames.message().await.ok()??;
@@ -241,7 +255,7 @@
         let answered = tokio::select! {
             answered = &mut call => answered,
             () = self.moved(request, address) => {
-                match self.lost(request, left).await {
+                match self.lost(request, place, left).await {
                     // Nobody else knows: the first keeper may yet answer.
                     TryOutcome::Answer(RouteAnswer::Unknown { .. }) => {
                         call.await
@@ -254,7 +268,7 @@
             Ok(Some((first, frames))) => self.first(request, first, frames),
             Ok(None) => {
                 self.channels.forget(address);
-                self.lost(request, left).await
+                self.lost(request, place, left).await
             }
             Err(_elapsed) => {
                 let reason = UnknownReason::DeadlinePassed;
@@ -300,6 +314,7 @@
     async fn lost(
         &self,
         request: &CallerRequest,
+        place: &KeeperPlace,
         left: TimeSpan,
     ) -> TryOutcome {
         match request.class.effect() {
@@ -308,7 +323,8 @@
             }
             RequestEffect::NonIdempotent => {
                 let age = left.minus(self.left(request));
-                TryOutcome::Answer(self.recover(request, age).await)
+                let server = &place.server;
+                TryOutcome::Answer(self.recover(request, server, age).await)
             }
         }
     }
@@ -317,9 +333,11 @@
     pub(super) fn message(
         &self,
         request: &CallerRequest,
+        server: &ServerName,
         left: TimeSpan,
     ) -> RouteRequest {
         RouteRequest {
+            server: server.to_string(),
             service: request.service.to_string(),
             key: request.key.clone(),
             caller: request.caller.to_string(),
@@ -352,8 +370,11 @@
                 TryOutcome::Answer(RouteAnswer::Done(done))
             }
             Frame::Redirect(redirect) => {
+                let server = ServerName::new(&redirect.server).ok();
                 let address = Arc::from(redirect.address);
-                TryOutcome::Again(RetryReason::Redirected, Some(address))
+                let place =
+                    server.map(|server| KeeperPlace { address, server });
+                TryOutcome::Again(RetryReason::Redirected, place)
             }
             Frame::NotRun(not_run) => {
                 let reason = NotRunReason::from_code(&not_run.reason)
--- a/goldcrestramp-node/src/keeper/attempts.rs
+++ b/goldcrestramp-node/src/keeper/attempts.rs
@@ -40,8 +40,10 @@
     Run(AttemptGuard),
     /// It was answered: fetch the answer that the server kept.
     Fetch,
-    /// Find out at the server what became of it.
+    /// It was sent to this server: find out there what became of it.
     Recover,
+    /// It may have been sent to any server: look whether this one knows.
+    Look,
     /// The first one is under way.
     Running,
     /// It is not taken.
@@ -80,9 +82,8 @@
             AttemptVerdict::Known(AttemptOutcome::Done(_)) => {
                 AttemptStep::Fetch
             }
-            AttemptVerdict::Known(_) | AttemptVerdict::TooYoung => {
-                AttemptStep::Recover
-            }
+            AttemptVerdict::Known(_) => AttemptStep::Recover,
+            AttemptVerdict::TooYoung => AttemptStep::Look,
             AttemptVerdict::Refused(reason) => AttemptStep::Refuse(reason),
         }
     }
--- a/goldcrestramp-node/src/keeper/frames.rs
+++ b/goldcrestramp-node/src/keeper/frames.rs
@@ -1,13 +1,13 @@
 //! Frames of the answer that a keeper gives a gateway.
 
-use goldcrestramp_types::{NotRunReason, TimeSpan, UnknownReason};
+use goldcrestramp_types::{
+    NotRunReason, ServerName, TimeSpan, UnknownReason, VmName,
+};
 use goldcrestramp_wire::peer::{
     RouteEnd, RouteFrame, RouteHead, RouteNotRun, RouteRedirect, RouteUnknown,
     route_frame::Frame,
 };
 
-use crate::routing::RouteTarget;
-
 const fn frame(frame: Frame) -> RouteFrame {
     RouteFrame { frame: Some(frame) }
 }
@@ -24,11 +24,16 @@
     frame(Frame::Unknown(RouteUnknown { reason }))
 }
 
-pub(crate) fn redirect(target: &RouteTarget) -> RouteFrame {
+pub(crate) fn redirect(
+    keeper: &VmName,
+    address: &str,
+    server: &ServerName,
+) -> RouteFrame {
     frame(Frame::Redirect(RouteRedirect {
-        vm: target.keeper.to_string(),
-        address: target.address.to_string(),
+        vm: keeper.to_string(),
+        address: address.to_owned(),
         table: None,
+        server: server.to_string(),
     }))
 }
 
--- a/goldcrestramp-node/src/keeper/prove.rs
+++ b/goldcrestramp-node/src/keeper/prove.rs
@@ -26,7 +26,7 @@
     request: &ServerRequest,
     otherwise: UnknownReason,
 ) -> RouteFrame {
-    match cancel(http, kept, &request.id).await {
+    match cancel(http, &kept.order.address, &request.id).await {
         Some(report)
             if report.run == kept.pass.run
                 && report.state == RequestState::NotStarted =>
@@ -47,37 +47,39 @@
 /// caller.
 pub(crate) async fn settle(
     http: &reqwest::Client,
-    kept: &KeptServer,
+    address: &str,
     id: &str,
 ) -> Option<RequestReport> {
-    let report = state(http, kept, id).await?;
+    let report = state(http, address, id).await?;
     if report.state == RequestState::NotSeen {
-        return cancel(http, kept, id).await;
+        return cancel(http, address, id).await;
     }
     Some(report)
 }
 
-async fn state(
+/// Asks what became of a request, and changes nothing.
+pub(crate) async fn state(
     http: &reqwest::Client,
-    kept: &KeptServer,
+    address: &str,
     id: &str,
 ) -> Option<RequestReport> {
     let id = utf8_percent_encode(id, NON_ALPHANUMERIC);
-    let url = format!("http://{}/request/{id}", kept.order.address);
-    let call = http.get(url).timeout(PROOF_TIMEOUT).send();
-    let response = call.await.ok()?.error_for_status().ok()?;
-    response.json().await.ok()
+    let url = format!("http://{address}/request/{id}");
+    ask(http.get(url)).await
 }
 
 /// Asks the server to cancel a request; `None`: it does not say.
 pub(crate) async fn cancel(
     http: &reqwest::Client,
-    kept: &KeptServer,
+    address: &str,
     id: &str,
 ) -> Option<RequestReport> {
     let id = utf8_percent_encode(id, NON_ALPHANUMERIC);
-    let url = format!("http://{}/cancel/{id}", kept.order.address);
-    let call = http.post(url).timeout(PROOF_TIMEOUT).send();
-    let response = call.await.ok()?.error_for_status().ok()?;
-    response.json().await.ok()
+    let url = format!("http://{address}/cancel/{id}");
+    ask(http.post(url)).await
+}
+
+async fn ask(request: reqwest::RequestBuilder) -> Option<RequestReport> {
+    let response = request.timeout(PROOF_TIMEOUT).send().await.ok()?;
+    response.error_for_status().ok()?.json().await.ok()
 }
--- a/goldcrestramp-node/src/keeper/recover.rs
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -15,7 +15,6 @@
 use crate::keeper::{
     frames, prove,
     send::{self, FrameSender, ServerRequest},
-    view::KeptServer,
 };
 
 /// How often a server is asked whether a request has ended.
@@ -25,20 +24,33 @@
 /// The request was on its way before its age was counted.
 const AGE_MARGIN: TimeSpan = TimeSpan::from_millis(100);
 
-/// Finds out what became of `request`, sent `age` ago, and answers.
+/// A request whose outcome is to be found out.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LostRequest<'a> {
+    /// Where the server listens.
+    pub(crate) address: &'a str,
+    /// The request.
+    pub(crate) request: &'a ServerRequest,
+    /// How long ago it was first sent.
+    pub(crate) age: TimeSpan,
+    /// How long the caller waits.
+    pub(crate) left: TimeSpan,
+    /// Whether this is the server that was sent it.
+    ///
+    /// Another one has not seen the request, and its "not started" proves
+    /// nothing: the server before it may be executing it at the moment.
+    pub(crate) same_server: bool,
+}
+
+/// Finds out what became of a request, and answers.
 pub(crate) async fn recover(
     http: &reqwest::Client,
-    kept: &KeptServer,
-    request: &ServerRequest,
-    age: TimeSpan,
-    left: TimeSpan,
+    lost: LostRequest<'_>,
     frames: &FrameSender,
 ) {
-    let end = tokio::time::Instant::now() + left.to_std();
+    let end = tokio::time::Instant::now() + lost.left.to_std();
     loop {
-        let report = prove::settle(http, kept, &request.id).await;
-        let state = report.filter(|r| predates(r, age)).map(|r| r.state);
-        match state {
+        match look(http, lost).await {
             // The server never starts what it has noted as cancelled.
             Some(RequestState::NotStarted) => {
                 let reason = NotRunReason::Cancelled;
@@ -47,7 +59,7 @@
                 return;
             }
             Some(RequestState::Ended) => {
-                return kept_answer(http, kept, request, frames).await;
+                return kept_answer(http, lost, frames).await;
             }
             Some(RequestState::Running)
                 if tokio::time::Instant::now() < end =>
@@ -57,13 +69,31 @@
             Some(RequestState::Running) => {
                 return unknown(frames, UnknownReason::StillRunning).await;
             }
-            Some(RequestState::NotSeen) | None => {
-                return unknown(frames, UnknownReason::KeeperLost).await;
+            Some(RequestState::NotSeen) => {
+                return unknown(frames, UnknownReason::KeeperTooYoung).await;
             }
+            None => return unknown(frames, UnknownReason::KeeperLost).await,
         }
     }
 }
 
+/// What the server says, as far as it proves anything.
+async fn look(
+    http: &reqwest::Client,
+    lost: LostRequest<'_>,
+) -> Option<RequestState> {
+    if lost.same_server {
+        let report = prove::settle(http, lost.address, &lost.request.id).await;
+        let report = report.filter(|report| predates(report, lost.age));
+        return report.map(|report| report.state);
+    }
+    let report = prove::state(http, lost.address, &lost.request.id).await?;
+    match report.state {
+        RequestState::NotStarted => Some(RequestState::NotSeen),
+        state => Some(state),
+    }
+}
+
 /// Whether the server's run is surely older than the request.
 ///
 /// A younger run knows nothing of the request, though the run before it may
@@ -75,21 +105,21 @@
 /// Passes on the answer that the server kept, if it still has it.
 pub(crate) async fn kept_answer(
     http: &reqwest::Client,
-    kept: &KeptServer,
-    request: &ServerRequest,
+    lost: LostRequest<'_>,
     frames: &FrameSender,
 ) {
-    let id = utf8_percent_encode(&request.id, NON_ALPHANUMERIC);
-    let url = format!("http://{}/answer/{id}", kept.order.address);
+    let id = utf8_percent_encode(&lost.request.id, NON_ALPHANUMERIC);
+    let url = format!("http://{}/answer/{id}", lost.address);
     let Ok(response) = http.get(url).send().await else {
         return unknown(frames, UnknownReason::KeeperLost).await;
     };
     let echoed = response.headers().get(HEADER_REQUEST);
-    let same = echoed.is_some_and(|id| id.as_bytes() == request.id.as_bytes());
+    let same =
+        echoed.is_some_and(|id| id.as_bytes() == lost.request.id.as_bytes());
     if !response.status().is_success() || !same {
         return unknown(frames, UnknownReason::KeeperLost).await;
     }
-    send::pass_on(response, request, frames, None).await;
+    send::pass_on(response, lost.request, frames, None).await;
 }
 
 async fn unknown(frames: &FrameSender, reason: UnknownReason) {
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -6,8 +6,8 @@
 use futures_util::StreamExt;
 use goldcrestramp_decisions::AttemptId;
 use goldcrestramp_types::{
-    CallerName, LocalTime, NotRunReason, RequestClass, ServerTime,
-    ServiceName, SliceIndex, TimeSpan, UnknownReason,
+    CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
+    ServerName, ServerTime, ServiceName, SliceIndex, TimeSpan, UnknownReason,
 };
 use goldcrestramp_wire::{
     peer::{RouteFrame, RouteHead, route_frame::Frame},
@@ -40,6 +40,8 @@
     pub(crate) service: ServiceName,
     pub(crate) key: Bytes,
     pub(crate) slice: SliceIndex,
+    /// The server that the gateway means.
+    pub(crate) server: Option<ServerName>,
     /// `caller/request`.
     pub(crate) id: Arc<str>,
     /// The same, as its keeper remembers it.
@@ -54,6 +56,17 @@
     pub(crate) crossing: Option<Arc<LinkCrossing>>,
 }
 
+impl ServerRequest {
+    /// Whether it may be sent to this server.
+    ///
+    /// An order goes to the server that its gateway named and to no other:
+    /// asked later what became of it, the gateway asks that one.
+    pub(crate) fn is_for(&self, kept: &KeptServer) -> bool {
+        let once = self.class.effect() == RequestEffect::NonIdempotent;
+        !once || self.server.as_ref() == Some(&kept.order.server)
+    }
+}
+
 /// How often an answer that does not move is looked at.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -21,12 +21,15 @@
         attempts::{AttemptGuard, AttemptStep, ORDER_LONGEST, ServerAttempts},
         frames,
         link::RegionLinks,
-        prove, recover,
+        prove,
+        recover::{self, LostRequest},
         send::{self, FrameSender, ServerRequest},
         slot::{ServerSlot, SlotEnd},
         view::KeptServer,
     },
+    routing::RouteTarget,
 };
+use goldcrestramp_ownership::ServerOrder;
 
 /// Frames that wait for a slow gateway; then the server is not read on, so
 /// a long answer never gathers in memory.
@@ -76,10 +79,9 @@
         let recovery = request.recover;
         let link = self.links.link(&request.region);
         let age = TimeSpan::from_micros(request.age_micros);
-        let Some(mut request) = self.check(now, request) else {
-            let reason = NotRunReason::BadRequest;
-            refuse(frames, reason).await;
-            return;
+        let mut request = match self.check(now, request) {
+            Ok(request) => request,
+            Err(reason) => return refuse(frames, reason).await,
         };
         if recovery {
             self.recover(&request, age, frames).await;
@@ -89,6 +91,14 @@
             send::give(frames, self.elsewhere(&request)).await;
             return;
         };
+        if !request.is_for(&kept) {
+            let here = self.context.peers_address();
+            let vm = self.context.vm();
+            let server = &kept.order.server;
+            let frame = frames::redirect(vm, &here, server);
+            send::give(frames, frame).await;
+            return;
+        }
         let crossing = link.map(|link| {
             let ServerRequest { class, service, caller, .. } = &request;
             link.cross(*class, service, caller, request.deadline)
@@ -103,11 +113,18 @@
                 self.queue(&kept, &request, frames, attempt).await;
             }
             AttemptStep::Fetch => {
-                recover::kept_answer(&self.http, &kept, &request, frames)
-                    .await;
+                let lost = self.lost(&kept.order, &request, ORDER_LONGEST);
+                recover::kept_answer(&self.http, lost, frames).await;
             }
             AttemptStep::Recover => {
-                self.recover(&request, ORDER_LONGEST, frames).await;
+                let lost = self.lost(&kept.order, &request, ORDER_LONGEST);
+                recover::recover(&self.http, lost, frames).await;
+            }
+            AttemptStep::Look => {
+                // The first try may have been sent to another server.
+                let lost = self.lost(&kept.order, &request, ORDER_LONGEST);
+                let lost = LostRequest { same_server: false, ..lost };
+                recover::recover(&self.http, lost, frames).await;
             }
             AttemptStep::Running => {
                 let reason = UnknownReason::StillRunning;
@@ -132,7 +149,8 @@
         };
         match turn {
             Some(Ok(slot)) => {
-                self.take_turn(slot, request, frames, attempt).await;
+                let server = kept.order.server.clone();
+                self.take_turn(slot, server, request, frames, attempt).await;
             }
             Some(Err(refusal)) => {
                 attempt.not_run(refusal.reason);
@@ -183,11 +201,17 @@
     async fn take_turn(
         &self,
         slot: ServerSlot,
+        server: ServerName,
         request: &ServerRequest,
         frames: &FrameSender,
         attempt: AttemptGuard,
     ) {
-        let Some(kept) = self.find(request) else {
+        // Another server of this VM may own the slice by now; the slot and
+        // the queue's word are those of the one before.
+        let kept = self
+            .find(request)
+            .filter(|now| now.order.server == server && request.is_for(now));
+        let Some(kept) = kept else {
             drop((slot, attempt));
             send::give(frames, self.elsewhere(request)).await;
             return;
@@ -202,21 +226,29 @@
         age: TimeSpan,
         frames: &FrameSender,
     ) {
-        match self.find(request) {
-            Some(kept) => {
-                let deadline = request.deadline;
-                let left = deadline.since(self.context.now());
-                recover::recover(
-                    &self.http, &kept, request, age, left, frames,
-                )
-                .await;
-            }
-            None => {
-                send::give(frames, self.elsewhere(request)).await;
+        let view = self.context.view.load_full();
+        let server = request.server.as_ref();
+        match server.and_then(|server| view.kept(server)) {
+            Some(order) => {
+                let lost = self.lost(order, request, age);
+                recover::recover(&self.http, lost, frames).await;
             }
+            // The gateway asks again: another VM keeps that server.
+            None => refuse(frames, NotRunReason::NoOwner).await,
         }
     }
 
+    fn lost<'a>(
+        &self,
+        order: &'a ServerOrder,
+        request: &'a ServerRequest,
+        age: TimeSpan,
+    ) -> LostRequest<'a> {
+        let left = request.deadline.since(self.context.now());
+        let address = &order.address;
+        LostRequest { address, request, age, left, same_server: true }
+    }
+
     async fn send(
         &self,
         kept: &KeptServer,
@@ -269,21 +301,27 @@
         &self,
         now: LocalTime,
         request: RouteRequest,
-    ) -> Option<ServerRequest> {
-        let service = ServiceName::new(&request.service).ok()?;
-        let caller = CallerName::new(&request.caller).ok()?;
-        let name = RequestName::new(&request.request).ok()?;
+    ) -> Result<ServerRequest, NotRunReason> {
+        let bad = NotRunReason::BadRequest;
+        let service =
+            ServiceName::new(&request.service).map_err(|_fault| bad)?;
+        let caller = CallerName::new(&request.caller).map_err(|_fault| bad)?;
+        let name = RequestName::new(&request.request).map_err(|_fault| bad)?;
+        let class = RequestClass::from_code(&request.class).ok_or(bad)?;
         let table = self.context.table.load();
-        let count = table.service(&service)?.count;
-        Some(ServerRequest {
+        // A keeper that has just started has no table yet.
+        let routes = table.service(&service).ok_or(NotRunReason::NoOwner)?;
+        let count = routes.count;
+        Ok(ServerRequest {
             slice: slice_of(&request.key, count),
             service,
+            server: ServerName::new(&request.server).ok(),
             key: request.key,
             id: Arc::from(format!("{caller}/{name}")),
             attempt: Some(AttemptId { caller: caller.clone(), request: name }),
             caller,
             resend: request.resend,
-            class: RequestClass::from_code(&request.class)?,
+            class,
             deadline: now + TimeSpan::from_micros(request.left_micros),
             body: request.body,
             crossing: None,
@@ -301,7 +339,8 @@
         let routes = table.service(&request.service);
         match routes.and_then(|routes| routes.target(request.slice)) {
             Some(target) if target.keeper != *self.context.vm() => {
-                frames::redirect(target)
+                let RouteTarget { keeper, address, server, .. } = target;
+                frames::redirect(keeper, address, server)
             }
             _ => frames::not_run(NotRunReason::NoOwner, TimeSpan::ZERO),
         }
@@ -355,7 +394,8 @@
         tokio::spawn(async move {
             // Whether it was in time does not matter to a caller that left.
             let _report =
-                prove::cancel(&call.http, &call.kept, &call.id).await;
+                prove::cancel(&call.http, &call.kept.order.address, &call.id)
+                    .await;
             drop(call.slot);
         });
     }
--- a/goldcrestramp-node/src/keeper/view.rs
+++ b/goldcrestramp-node/src/keeper/view.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use goldcrestramp_ownership::{PassBook, SendPass, ServerOrder};
-use goldcrestramp_types::{LocalTime, ServiceName, SliceIndex};
+use goldcrestramp_types::{LocalTime, ServerName, ServiceName, SliceIndex};
 
 /// An immutable snapshot for the traffic threads.
 #[derive(Debug, Default)]
@@ -27,6 +27,13 @@
         Self { passes, servers }
     }
 
+    /// The order of a server that this VM keeps.
+    pub(crate) fn kept(&self, server: &ServerName) -> Option<&ServerOrder> {
+        let mut servers = self.servers.iter();
+        let order = servers.find(|order| order.server == *server);
+        order.map(AsRef::as_ref)
+    }
+
     /// The server of this VM that may run requests on `slice` now.
     ///
     /// A VM keeps a handful of servers, so they are looked through.
--- a/goldcrestramp-node/src/operators/node.rs
+++ b/goldcrestramp-node/src/operators/node.rs
@@ -100,7 +100,7 @@
         if self.context.leaving() {
             return Err("the daemon is being stopped");
         }
-        if self.context.table.load().is_empty() {
+        if !self.context.is_ready() {
             return Err("no routing table yet");
         }
         Ok(())
--- a/goldcrestramp-node/src/routing.rs
+++ b/goldcrestramp-node/src/routing.rs
@@ -42,6 +42,13 @@
     /// Where another domain claims a slice too, the service's record
     /// decides. A lost domain never publishes that it has nothing any more:
     /// without this its last table would draw requests for ever.
+    /// Where the keeper of a server takes requests.
+    pub(crate) fn keeper_of(&self, server: &ServerName) -> Option<&Arc<str>> {
+        let mut targets = self.targets.iter();
+        let target = targets.find(|target| target.server == *server)?;
+        Some(&target.address)
+    }
+
     fn overlay(
         &mut self,
         domain: &DomainName,
@@ -109,11 +116,6 @@
         Self { services }
     }
 
-    /// Whether no failure domain's table has come yet.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.services.is_empty()
-    }
-
     /// The routes of a service.
     pub(crate) fn service(
         &self,
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -231,6 +231,10 @@
     /// Microseconds since the request was first sent, in a recovery.
     #[prost(uint64, tag = "14")]
     pub age_micros: u64,
+    /// The server that is to run it. An order goes to no other: only the
+    /// server that was sent it can tell later that it did not run.
+    #[prost(string, tag = "15")]
+    pub server: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RouteFrame {
@@ -294,6 +298,9 @@
     pub address: ::prost::alloc::string::String,
     #[prost(message, optional, tag = "3")]
     pub table: ::core::option::Option<Token>,
+    /// The owner that the keeper there sends to.
+    #[prost(string, tag = "4")]
+    pub server: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TablesRequest {
