Prove a move between domains with real daemons

Cause: moves by release were proved on the pure planner alone.

Change: a test in which a ticket takes a domain out of a service's rules; two daemons, two servers and the platform run as they would. The servers' own logs are compared for any slice held twice at one time.

--- a/goldcrestramp-node/tests/planner.rs
+++ b/goldcrestramp-node/tests/planner.rs
@@ -3,6 +3,7 @@
 mod two_domains;
 
 use goldcrestramp_types::DomainName;
+use serde_json::json;
 use two_domains::{DOMAINS, TwoDomains};
 
 fn domain(number: usize) -> DomainName {
@@ -19,11 +20,11 @@
     let before = two.division().await.expect("a division");
     let address = two.stop_domain(1);
 
-    two.put_config(2, Some((1, true))).await;
+    two.put_lost(2, 1, true).await;
     two.wait_for_division(|r| r.held_by(&domain(1)).is_empty()).await;
     two.wait_until_served(0).await;
     two.start_server(1, address).await;
-    two.put_config(3, Some((1, false))).await;
+    two.put_lost(3, 1, false).await;
     two.start_node(1).await;
     two.wait_until_served(1).await;
 
@@ -42,7 +43,7 @@
     let mut two = TwoDomains::spawn().await;
     two.platform.snapshot();
     two.stop_domain(1);
-    two.put_config(2, Some((1, true))).await;
+    two.put_lost(2, 1, true).await;
     two.wait_for_division(|r| r.held_by(&domain(1)).is_empty()).await;
     two.wait_until_served(0).await;
     let newer = two.division().await.expect("a division").revision;
@@ -56,3 +57,24 @@
     let after = two.division().await.expect("a division");
     assert!(after.held_by(&domain(1)).is_empty());
 }
+
+/// A ticket takes a domain out of a service's rules while it serves. Its
+/// slices leave by release, each held by one server at any time, and are
+/// on the other domain's record at the end. The domain's daemons go on as
+/// gateways.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slices_move_between_domains_by_release() {
+    let two = TwoDomains::spawn().await;
+
+    two.put_config(2, |state| {
+        state["services"][0]["domains"] = json!([DOMAINS[0]]);
+    })
+    .await;
+    two.wait_for_division(|r| r.held_by(&domain(1)).is_empty()).await;
+    two.wait_until_served(0).await;
+    two.wait_until_served(1).await;
+
+    two.wait_for_held(&domain(0), 64).await;
+    two.wait_for_held(&domain(1), 0).await;
+    assert!(two.moved_without_overlap(), "two servers held a slice");
+}
--- a/goldcrestramp-node/tests/two_domains/mod.rs
+++ b/goldcrestramp-node/tests/two_domains/mod.rs
@@ -5,16 +5,19 @@
 use bytes::Bytes;
 use goldcrestramp_config::{NodeSettings, ThingId, ThingKind, TouchMark};
 use goldcrestramp_node::NodeHandle;
-use goldcrestramp_ownership::ServiceRecord;
+use goldcrestramp_ownership::{DomainRecord, ServiceRecord};
 use goldcrestramp_platform::{
     PlatformClient, PutCondition, StoreAccess, VmEntry, VmState,
-    records::{StoreRecord, keys},
+    records::{DomainHead, DomainShard, StoreRecord, keys},
 };
 use goldcrestramp_standins::{
+    HoldEntry,
     platform::PlatformStandin,
     server::{ServerBehaviour, ServerStandin},
 };
-use goldcrestramp_types::{DomainName, RegionName, ServiceName, VmName};
+use goldcrestramp_types::{
+    DomainName, RegionName, ServiceName, SliceSet, VmName,
+};
 use serde_json::json;
 
 /// The two failure domains, in one region.
@@ -55,7 +58,7 @@
             let address = loopback();
             two.start_server(domain, address).await;
         }
-        two.put_config(1, None).await;
+        two.put_config(1, |_| {}).await;
         for domain in 0..2 {
             two.start_node(domain).await;
         }
@@ -88,12 +91,27 @@
         server.address()
     }
 
-    /// Writes the configuration of this version; `lost`: the domain that
-    /// the ticket of this number touches, and whether it is lost.
+    /// A ticket of this number declares a domain lost, or back.
+    pub(crate) async fn put_lost(
+        &self,
+        number: u64,
+        domain: usize,
+        lost: bool,
+    ) {
+        let thing = ThingId::new(ThingKind::Domain, DOMAINS[domain]);
+        let edit = |state: &mut serde_json::Value| {
+            state["domains"][domain]["lost"] = json!(lost);
+            state["tickets"]["last"][thing.to_string()] =
+                json!(TouchMark(number, 0));
+        };
+        self.put_config(number, edit).await;
+    }
+
+    /// Writes the configuration of this version, changed by `edit`.
     pub(crate) async fn put_config(
         &self,
         version: u64,
-        touched: Option<(usize, bool)>,
+        edit: impl FnOnce(&mut serde_json::Value),
     ) {
         let stored = self.store.get(keys::CONFIG).await.expect("a read");
         let (condition, mut state) = match stored {
@@ -105,17 +123,70 @@
             }
         };
         state["version"] = json!(version);
-        if let Some((domain, lost)) = touched {
-            let thing = ThingId::new(ThingKind::Domain, DOMAINS[domain]);
-            state["domains"][domain]["lost"] = json!(lost);
-            state["tickets"]["last"][thing.to_string()] =
-                json!(TouchMark(version, 0));
-        }
+        edit(&mut state);
         let value = Bytes::from(state.to_string());
         let put = self.store.put(keys::CONFIG, condition, value, None);
         put.await.expect("written");
     }
 
+    /// A domain's own record, joined from its shards.
+    pub(crate) async fn domain_record(
+        &self,
+        domain: &DomainName,
+    ) -> Option<DomainRecord> {
+        let read = async |key: String| {
+            let stored = self.store.get(&key).await.expect("a read");
+            stored.map(|stored| stored.value)
+        };
+        let head = read(keys::domain_head(domain)).await?;
+        let head = DomainHead::decode(&head).expect("a head");
+        let mut shards = Vec::new();
+        for mark in &head.shards {
+            let key = keys::domain_shard(domain, &mark.service, mark.shard);
+            let value = read(key).await.expect("a shard");
+            shards.push(DomainShard::decode(&value).expect("a shard"));
+        }
+        Some(head.join(&shards).expect("a whole record"))
+    }
+
+    /// Waits until the servers on a domain's record hold so many slices.
+    pub(crate) async fn wait_for_held(
+        &self,
+        domain: &DomainName,
+        count: usize,
+    ) -> DomainRecord {
+        let waiting = async {
+            loop {
+                if let Some(record) = self.domain_record(domain).await {
+                    let held = record.holders.values().map(SliceSet::len);
+                    if held.sum::<usize>() == count {
+                        return record;
+                    }
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, waiting).await.expect("in time")
+    }
+
+    /// Whether slices were held by both servers, but none by both at one
+    /// time, as their own logs have it.
+    pub(crate) fn moved_without_overlap(&self) -> bool {
+        let holds = |server: usize| {
+            let server = self.servers[server].as_ref();
+            server.expect("a running server").log().holds
+        };
+        let (left, right) = (holds(0), holds(1));
+        let pairs =
+            left.iter().flat_map(|l| right.iter().map(move |r| (l, r)));
+        let same = pairs.filter(|(l, r)| l.slices.overlaps(&r.slices));
+        let same: Vec<_> = same.collect();
+        let apart = |l: &HoldEntry, r: &HoldEntry| {
+            l.until <= r.from || r.until <= l.from
+        };
+        !same.is_empty() && same.iter().all(|(l, r)| apart(l, r))
+    }
+
     /// The service's record as the store has it.
     pub(crate) async fn division(&self) -> Option<ServiceRecord> {
         let service = ServiceName::new("stock").expect("a name");
