Pause a domain while its slices are to leave

Cause: with the release taken out of the planner the test of a move still passed, because the old domain had released by the time the planner looked again. Two runs of three tests in one process also failed once: ports that were drawn and given back went to another test before the daemon bound them.

Change: the old domain's daemon is paused from before the ticket until the planner has read sixty times; its slices must still be its own. A pause also holds the planner between its decision and its write. Each test has ports of its own, outside those that the system gives out.

Conclusion: a paused domain keeps its slices until it has released them.

--- a/goldcrestramp-node/src/planner/mod.rs
+++ b/goldcrestramp-node/src/planner/mod.rs
@@ -41,7 +41,7 @@
         }
         let set = Arc::clone(&known.borrow_and_update());
         let planned = match hold.keep(&store).await {
-            Ok(true) => plan_all(&store, &set).await,
+            Ok(true) => plan_all(&store, &set, &context.faults).await,
             Ok(false) => Ok(false),
             Err(error) => Err(error),
         };
--- a/goldcrestramp-node/src/planner/round.rs
+++ b/goldcrestramp-node/src/planner/round.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     control::TableSet,
+    faults::NodeFaults,
     store::{read_division, read_view},
 };
 
@@ -22,6 +23,7 @@
 pub(super) async fn plan_all(
     store: &PlatformClient,
     set: &TableSet,
+    faults: &NodeFaults,
 ) -> Result<bool, StoreError> {
     let Some(config) = &set.config else {
         return Ok(false);
@@ -30,7 +32,7 @@
     for service in &config.services {
         let policy = ServicePolicy::of(config, service);
         let known = set.homes.get(&service.name);
-        busy |= plan_service(store, service, &policy, known).await?;
+        busy |= plan_service(store, service, &policy, known, faults).await?;
     }
     Ok(busy)
 }
@@ -42,6 +44,7 @@
     service: &ServiceRules,
     policy: &ServicePolicy,
     known: Option<&Arc<ServiceRecord>>,
+    faults: &NodeFaults,
 ) -> Result<bool, StoreError> {
     let read = read_division(store, &service.name).await?;
     let revision = read.as_ref().map_or(0, |(_, record)| record.revision);
@@ -70,6 +73,8 @@
         .encode()
         .map_err(|error| StoreError::Refused(error.to_string()))?;
     let key = keys::slices(&service.name);
+    // A pause here is the worst one: the decision is made, not written.
+    faults.wait().await;
     let fate = settle_write(store, &key, condition, value, None).await?;
     log::info!(
         "planner: revision {} of {}: {fate:?}.",
--- a/goldcrestramp-node/tests/planner.rs
+++ b/goldcrestramp-node/tests/planner.rs
@@ -16,7 +16,7 @@
 /// finds that it holds nothing, and its server runs nothing.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_lost_domains_keys_move_only_by_ticket() {
-    let mut two = TwoDomains::spawn().await;
+    let mut two = TwoDomains::spawn(0).await;
     let before = two.division().await.expect("a division");
     let address = two.stop_domain(1);
 
@@ -40,7 +40,7 @@
 /// again by who knows them, and the keys stay where they are served.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_restored_store_gets_the_newer_division_again() {
-    let mut two = TwoDomains::spawn().await;
+    let mut two = TwoDomains::spawn(1).await;
     two.platform.snapshot();
     two.stop_domain(1);
     two.put_lost(2, 1, true).await;
@@ -58,22 +58,29 @@
     assert!(after.held_by(&domain(1)).is_empty());
 }
 
-/// A ticket takes a domain out of a service's rules while it serves. Its
-/// slices leave by release, each held by one server at any time, and are
-/// on the other domain's record at the end. The domain's daemons go on as
-/// gateways.
+/// A ticket takes a domain out of a service's rules while its daemon is
+/// paused. Nothing is taken from it, however often the planner looks. Once
+/// it goes on, its slices leave by release, each held by one server at any
+/// time, and are on the other domain's record at the end. Its daemon goes
+/// on as a gateway.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slices_move_between_domains_by_release() {
-    let two = TwoDomains::spawn().await;
+    let two = TwoDomains::spawn(2).await;
 
+    two.pause_node(1, true);
     two.put_config(2, |state| {
         state["services"][0]["domains"] = json!([DOMAINS[0]]);
     })
     .await;
+    two.wait_for_division(|r| r.leaving(&domain(1)).len() == 32).await;
+    two.wait_for_reads(60).await;
+    let paused = two.division().await.expect("a division");
+    two.pause_node(1, false);
     two.wait_for_division(|r| r.held_by(&domain(1)).is_empty()).await;
     two.wait_until_served(0).await;
     two.wait_until_served(1).await;
 
+    assert_eq!(paused.held_by(&domain(1)).len(), 32);
     two.wait_for_held(&domain(0), 64).await;
     two.wait_for_held(&domain(1), 0).await;
     assert!(two.moved_without_overlap(), "two servers held a slice");
--- a/goldcrestramp-node/tests/two_domains/mod.rs
+++ b/goldcrestramp-node/tests/two_domains/mod.rs
@@ -40,11 +40,13 @@
 
 impl TwoDomains {
     /// Starts everything and waits until every key is served.
-    pub(crate) async fn spawn() -> Self {
+    ///
+    /// `seat`: another number for each test of the process.
+    pub(crate) async fn spawn(seat: u16) -> Self {
         let platform = PlatformStandin::bind(loopback()).await.expect("bound");
         let store =
             PlatformClient::open(&format!("http://{}", platform.address()));
-        let settings = [0, 1].map(|n| settings(n, platform.address()));
+        let settings = [0, 1].map(|n| settings(seat, n, platform.address()));
         platform.set_vms(settings.iter().map(vm_entry).collect());
         let mut two = Self {
             store: store.expect("a client"),
@@ -84,6 +86,23 @@
         self.servers[domain] = Some(server.expect("bound"));
     }
 
+    /// Makes a domain's daemon stand still, or go on.
+    pub(crate) fn pause_node(&self, domain: usize, paused: bool) {
+        let node = self.nodes[domain].as_ref().expect("a running daemon");
+        node.context().faults.pause(paused);
+    }
+
+    /// Waits until the platform has served so many more reads.
+    pub(crate) async fn wait_for_reads(&self, more: u64) {
+        let until = self.platform.counts().reads + more;
+        let waiting = async {
+            while self.platform.counts().reads < until {
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, waiting).await.expect("in time");
+    }
+
     /// Ends everything in a domain at once; gives its server's address.
     pub(crate) fn stop_domain(&mut self, domain: usize) -> SocketAddr {
         self.nodes[domain] = None;
@@ -263,20 +282,27 @@
     "127.0.0.1:0".parse().expect("an address")
 }
 
-fn settings(domain: usize, platform: SocketAddr) -> NodeSettings {
-    let port = || {
-        let listener =
-            std::net::TcpListener::bind(loopback()).expect("a port");
-        listener.local_addr().expect("an address")
-    };
+/// The first port of all; below those that the system gives out, so that
+/// no other test is given one before the daemon has bound it.
+const PORT_BASE: u32 = 20_000;
+/// Processes with other numbers use other ports.
+const PORT_SETS: u32 = 600;
+const SEATS: u32 = 3;
+const PORTS: u32 = 6;
+
+fn settings(seat: u16, domain: usize, platform: SocketAddr) -> NodeSettings {
+    let place = std::process::id() % PORT_SETS * SEATS + u32::from(seat);
+    let half = u32::try_from(domain).expect("two domains") * PORTS / 2;
+    let first = PORT_BASE + place * PORTS + half;
+    let port = |number: u32| format!("127.0.0.1:{}", first + number);
     let value = json!({
         "deployment": "two-domains",
         "vm": format!("vm-{domain}"),
         "domain": DOMAINS[domain],
         "region": "sierra",
-        "callers_listen": port(),
-        "peers_listen": port(),
-        "control_listen": port(),
+        "callers_listen": port(0),
+        "peers_listen": port(1),
+        "control_listen": port(2),
         "platform_url": format!("http://{platform}"),
         "operators": { "listen": "127.0.0.1:0" },
     });
