Let a paused daemon's planner lease end

Cause: the pause switch held the control actor but not the planner's task, which went on renewing its lease on an old configuration, so that no other VM planned; the test of a move failed once in eight runs, on a busy machine, when the paused daemon was the planner. Change: a pause holds the planner before it renews, as a paused VM would. Conclusion: the test stays as it was.

--- a/goldcrestramp-node/src/planner/mod.rs
+++ b/goldcrestramp-node/src/planner/mod.rs
@@ -39,6 +39,8 @@
         if leading.wait_for(|leading| *leading).await.is_err() {
             return;
         }
+        // A paused VM renews nothing: its lease has to end for another.
+        context.faults.wait().await;
         let set = Arc::clone(&known.borrow_and_update());
         let planned = match hold.keep(&store).await {
             Ok(true) => plan_all(&store, &set, &context.faults).await,
