--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -21,7 +21,7 @@
 The only owner of a key cannot be routed around. While it is held, the queue
 refuses at once what cannot wait for the next probe, and says when to come
 back; what can wait, waits. Moving the ownership is the steward's decision,
-under [`EjectionGuard`](crate::EjectionGuard).
+under [`EjectionGuard`].
 */
 
 mod guard;
