--- a/goldcrestramp-ownership/src/steward/election.rs
+++ b/goldcrestramp-ownership/src/steward/election.rs
@@ -86,6 +86,7 @@
         let mut effects = claim.asks(now, &self.me, false, &self.timing);
         effects.extend(claim.ask_own(&self.me));
         let give_up = now + self.timing.missed_after;
+        let claim = Box::new(claim);
         self.role = StewardRole::Candidate { claim, give_up };
         effects
     }
@@ -178,7 +179,7 @@
         if now >= claim.until(&self.timing) {
             return claim.ask_own(&self.me).into_iter().collect();
         }
-        let claim = claim.clone();
+        let claim = TermClaim::clone(claim);
         let leading = LeadingSteward::new(now, claim, &plan, self.timing);
         self.role = StewardRole::Leading(Box::new(leading));
         // Others may have written since this VM last read.
