--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -4,29 +4,23 @@
 
 use goldcrestramp_config::DeploymentState;
 use goldcrestramp_ownership::{
-    ConfirmAnswer, ConfirmAsk, KeeperMachine, KeeperReport, PermitAnswer,
-    SliceLoad, StewardEffect, StewardEvent, StewardMachine, TermTiming,
-    VoterState, domain_plan,
+    ConfirmAnswer, ConfirmAsk, KeeperMachine, KeeperReport, SliceLoad,
+    StewardEffect, StewardEvent, StewardMachine, TermTiming, VoterState,
+    domain_plan,
 };
 use goldcrestramp_platform::PlatformClient;
 use goldcrestramp_types::{LocalTime, VmName};
 use tokio::sync::watch;
-use xtra::{Actor, Address, Context, Handler, Mailbox, WeakAddress};
+use xtra::{Actor, Address, Mailbox, WeakAddress};
 
 use crate::{
     context::NodeContext,
     control::{
         grants,
         links::ControlLinks,
-        messages::{
-            ConfigNotice, DrainedAsk, GrantNotice, HomesNotice, PermitAsk,
-            PermitNotice, RosterNotice, StatusAsk, StewardAsk, StewardNotice,
-            StewardPlace, TableNotice, TickNotice, VmsNotice, VoteAsk,
-        },
+        messages::StewardNotice,
         permit_stream::{PermitQuestion, PermitStream},
         permits::StewardSearch,
-        reader,
-        status::ControlStatus,
         tables::TableHub,
     },
     convert,
@@ -38,23 +32,23 @@
 /// Steward, grants and voter of one VM, with all that they need.
 #[derive(Debug)]
 pub(crate) struct ControlActor {
-    context: Arc<NodeContext>,
-    steward: StewardMachine,
-    keeper: KeeperMachine,
-    voter: VoterState,
-    timing: TermTiming,
-    links: ControlLinks,
-    http: reqwest::Client,
-    store: PlatformClient,
-    records: RecordStore,
-    hub: Arc<TableHub>,
-    feed: PlacementFeed,
-    search: StewardSearch,
-    permits: PermitStream,
-    address: Option<WeakAddress<Self>>,
-    ask_at: LocalTime,
-    asking: bool,
-    leading: watch::Sender<bool>,
+    pub(super) context: Arc<NodeContext>,
+    pub(super) steward: StewardMachine,
+    pub(super) keeper: KeeperMachine,
+    pub(super) voter: VoterState,
+    pub(super) timing: TermTiming,
+    pub(super) links: ControlLinks,
+    pub(super) http: reqwest::Client,
+    pub(super) store: PlatformClient,
+    pub(super) records: RecordStore,
+    pub(super) hub: Arc<TableHub>,
+    pub(super) feed: PlacementFeed,
+    pub(super) search: StewardSearch,
+    pub(super) permits: PermitStream,
+    pub(super) address: Option<WeakAddress<Self>>,
+    pub(super) ask_at: LocalTime,
+    pub(super) asking: bool,
+    pub(super) leading: watch::Sender<bool>,
 }
 
 impl ControlActor {
@@ -105,12 +99,12 @@
         }
     }
 
-    fn address(&self) -> Option<Address<Self>> {
+    pub(super) fn address(&self) -> Option<Address<Self>> {
         self.address.as_ref()?.try_upgrade()
     }
 
     /// Hands an event to the steward and carries out what it wants.
-    fn steward_event(&mut self, event: StewardEvent) {
+    pub(super) fn steward_event(&mut self, event: StewardEvent) {
         let now = self.context.now();
         let effects = self.steward.handle(now, event);
         for effect in effects {
@@ -118,7 +112,7 @@
         }
     }
 
-    fn carry_out(&mut self, effect: StewardEffect) {
+    pub(super) fn carry_out(&mut self, effect: StewardEffect) {
         match effect {
             StewardEffect::AskVoter { voter, ask } => {
                 self.ask_voter(voter.vm, voter.address, ask);
@@ -156,7 +150,7 @@
     }
 
     /// Runs a call to the store and hands its event to the steward.
-    fn spawn_store(
+    pub(super) fn spawn_store(
         &self,
         call: impl Future<Output = Option<StewardEvent>> + Send + 'static,
     ) {
@@ -171,7 +165,12 @@
     }
 
     /// Asks a voter: this VM's own at once, others over the network.
-    fn ask_voter(&mut self, vm: VmName, address: Arc<str>, ask: ConfirmAsk) {
+    pub(super) fn ask_voter(
+        &mut self,
+        vm: VmName,
+        address: Arc<str>,
+        ask: ConfirmAsk,
+    ) {
         let sent = self.context.now();
         if vm == *self.context.vm() {
             let answer = self.vote(&ask);
@@ -192,7 +191,7 @@
         });
     }
 
-    fn vote(&mut self, ask: &ConfirmAsk) -> ConfirmAnswer {
+    pub(super) fn vote(&mut self, ask: &ConfirmAsk) -> ConfirmAnswer {
         let now = self.context.now();
         let answer = self.voter.confirm(now, ask);
         if answer == ConfirmAnswer::Confirmed {
@@ -203,7 +202,7 @@
     }
 
     /// Asks for a permit when it is time and no question is under way.
-    fn ask_permit(&mut self) {
+    pub(super) fn ask_permit(&mut self) {
         let now = self.context.now();
         let due = self.ask_at.min(self.keeper.poll_at());
         if self.asking || now < due {
@@ -234,7 +233,7 @@
         self.permits.ask(&self.links, actor, question);
     }
 
-    fn report(&mut self, now: LocalTime) -> KeeperReport {
+    pub(super) fn report(&mut self, now: LocalTime) -> KeeperReport {
         self.keeper.set_leaving(self.context.leaving());
         let mut report = self.keeper.report(now);
         for server in &mut report.servers {
@@ -247,7 +246,7 @@
         report
     }
 
-    fn send_orders(&mut self) {
+    pub(super) fn send_orders(&mut self) {
         let Some(actor) = self.address() else {
             return;
         };
@@ -265,14 +264,14 @@
     }
 
     /// Shows the traffic threads what they may send.
-    fn publish_view(&mut self) {
+    pub(super) fn publish_view(&mut self) {
         let passes = self.keeper.passes(self.context.now());
         let view = KeeperView::new(passes, self.keeper.servers());
         self.context.view.store(Arc::new(view));
     }
 
     /// Gives the steward its plan once configuration or records changed.
-    fn refresh_plan(&mut self) {
+    pub(super) fn refresh_plan(&mut self) {
         let set = self.hub.set();
         let Some(config) = &set.config else {
             return;
@@ -285,7 +284,7 @@
         self.steward_event(StewardEvent::PlanRead(Arc::new(plan)));
     }
 
-    fn take_config(&mut self, state: &Arc<DeploymentState>) {
+    pub(super) fn take_config(&mut self, state: &Arc<DeploymentState>) {
         if self.hub.take_config(state) {
             log::info!("store: configuration {} is in force", state.version);
             self.refresh_plan();
@@ -293,7 +292,7 @@
     }
 
     /// Asks the steward for the moves that the reports call for.
-    fn weigh_moves(&mut self) {
+    pub(super) fn weigh_moves(&mut self) {
         let now = self.context.now();
         if !self.feed.due(now) {
             return;
@@ -314,14 +313,14 @@
     }
 
     /// Tells the keeper what must end before a slice is released.
-    fn tell_running(&mut self) {
+    pub(super) fn tell_running(&mut self) {
         for order in self.keeper.servers() {
             let slices = self.context.running.slices(&order.server);
             self.keeper.set_running(&order.server, slices);
         }
     }
 
-    fn show_leading(&mut self) {
+    pub(super) fn show_leading(&mut self) {
         let leading = self.steward.leads(self.context.now());
         self.context.metrics.set_leading(leading);
         self.leading.send_if_modified(|shown| {
@@ -357,227 +356,3 @@
 
     async fn stopped(self) {}
 }
-
-impl Handler<TickNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: TickNotice, _: &mut Context<Self>) {
-        self.context.faults.wait().await;
-        if let Some((ask, at)) = self.voter.latest() {
-            let event = StewardEvent::StewardSeen { ask: ask.clone(), at };
-            self.steward_event(event);
-        }
-        self.steward_event(StewardEvent::Tick);
-        self.show_leading();
-        self.weigh_moves();
-        self.tell_running();
-        self.ask_permit();
-        self.send_orders();
-        self.publish_view();
-    }
-}
-
-impl Handler<VoteAsk> for ControlActor {
-    type Return = ConfirmAnswer;
-
-    async fn handle(
-        &mut self,
-        VoteAsk(ask): VoteAsk,
-        _: &mut Context<Self>,
-    ) -> ConfirmAnswer {
-        self.vote(&ask)
-    }
-}
-
-impl Handler<PermitAsk> for ControlActor {
-    type Return = PermitAnswer;
-
-    async fn handle(
-        &mut self,
-        PermitAsk(report): PermitAsk,
-        _: &mut Context<Self>,
-    ) -> PermitAnswer {
-        let now = self.context.now();
-        if self.steward.leads(now) {
-            self.feed.take(now, &report);
-        }
-        let answer = self.steward.permit(now, report);
-        if let PermitAnswer::NotSteward { steward: None } = &answer {
-            let steward = self.search.known().cloned();
-            return PermitAnswer::NotSteward { steward };
-        }
-        answer
-    }
-}
-
-impl Handler<StewardNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(
-        &mut self,
-        StewardNotice(event): StewardNotice,
-        _: &mut Context<Self>,
-    ) {
-        if let StewardEvent::RosterRead(Some(roster))
-        | StewardEvent::RosterSaved(Ok(roster)) = &event
-        {
-            self.search.take_roster(roster);
-        }
-        self.steward_event(event);
-    }
-}
-
-impl Handler<PermitNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: PermitNotice, _: &mut Context<Self>) {
-        let PermitNotice { sent, answer } = message;
-        self.context.faults.wait().await;
-        self.asking = false;
-        self.search.learn(answer.as_ref());
-        let Some(answer) = answer else {
-            return;
-        };
-        let now = self.context.now();
-        if matches!(answer, PermitAnswer::NotSteward { .. }) {
-            self.ask_at = now + self.timing.renew_every.percent(25);
-        }
-        self.keeper.permitted(now, sent, answer);
-        self.send_orders();
-        self.publish_view();
-    }
-}
-
-impl Handler<GrantNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: GrantNotice, _: &mut Context<Self>) {
-        let GrantNotice { server, sent, reply } = message;
-        self.context.faults.wait().await;
-        let now = self.context.now();
-        match reply {
-            Some(reply) => self.keeper.replied(now, sent, &server, &reply),
-            None => self.keeper.unanswered(now, sent, &server),
-        }
-        self.send_orders();
-        self.publish_view();
-    }
-}
-
-impl Handler<ConfigNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(
-        &mut self,
-        ConfigNotice(state): ConfigNotice,
-        _: &mut Context<Self>,
-    ) {
-        self.take_config(&state);
-    }
-}
-
-impl Handler<HomesNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(
-        &mut self,
-        HomesNotice(homes): HomesNotice,
-        _: &mut Context<Self>,
-    ) {
-        if self.hub.take_homes(homes) {
-            self.refresh_plan();
-        }
-    }
-}
-
-impl Handler<RosterNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(
-        &mut self,
-        RosterNotice(roster): RosterNotice,
-        _: &mut Context<Self>,
-    ) {
-        if let Some(roster) = &roster {
-            self.search.take_roster(roster);
-        }
-        self.steward_event(StewardEvent::RosterRead(roster));
-    }
-}
-
-impl Handler<TableNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(
-        &mut self,
-        TableNotice(table): TableNotice,
-        _: &mut Context<Self>,
-    ) {
-        self.hub.take_table(&table);
-    }
-}
-
-impl Handler<VmsNotice> for ControlActor {
-    type Return = ();
-
-    async fn handle(
-        &mut self,
-        VmsNotice(vms): VmsNotice,
-        _: &mut Context<Self>,
-    ) {
-        self.context.vms.store(Arc::new(vms.clone()));
-        let domain = self.context.domain();
-        let voters = reader::domain_voters(&vms, domain);
-        self.steward_event(StewardEvent::VmsRead(voters));
-    }
-}
-
-impl Handler<StatusAsk> for ControlActor {
-    type Return = ControlStatus;
-
-    async fn handle(
-        &mut self,
-        _: StatusAsk,
-        _: &mut Context<Self>,
-    ) -> ControlStatus {
-        let now = self.context.now();
-        let set = self.hub.set();
-        let seen = self.search.known().cloned();
-        let passes = self.keeper.passes(now);
-        let keeps = passes.servers.iter();
-        ControlStatus {
-            taken: now,
-            steward: self.steward.status(now),
-            steward_seen: seen.map(|(vm, at)| (vm.to_string(), at)),
-            config: set.config.clone(),
-            tables: set.domains.clone(),
-            keeps: keeps.map(|(s, p)| (s.clone(), p.until)).collect(),
-        }
-    }
-}
-
-impl Handler<DrainedAsk> for ControlActor {
-    type Return = bool;
-
-    async fn handle(&mut self, _: DrainedAsk, _: &mut Context<Self>) -> bool {
-        self.keeper.servers().is_empty()
-    }
-}
-
-impl Handler<StewardAsk> for ControlActor {
-    type Return = StewardPlace;
-
-    async fn handle(
-        &mut self,
-        _: StewardAsk,
-        _: &mut Context<Self>,
-    ) -> StewardPlace {
-        if self.steward.leads(self.context.now()) {
-            return StewardPlace::Here;
-        }
-        match self.search.known() {
-            Some((vm, at)) => StewardPlace::There(vm.clone(), Arc::clone(at)),
-            None => StewardPlace::Unknown,
-        }
-    }
-}
--- /dev/null
+++ b/goldcrestramp-node/src/control/handlers.rs
@@ -0,0 +1,241 @@
+//! What the control actor does with each message.
+
+use std::sync::Arc;
+
+use goldcrestramp_ownership::{ConfirmAnswer, PermitAnswer, StewardEvent};
+use xtra::{Context, Handler};
+
+use crate::control::{
+    actor::ControlActor,
+    messages::{
+        ConfigNotice, DrainedAsk, GrantNotice, HomesNotice, PermitAsk,
+        PermitNotice, RosterNotice, StatusAsk, StewardAsk, StewardNotice,
+        StewardPlace, TableNotice, TickNotice, VmsNotice, VoteAsk,
+    },
+    reader,
+    status::ControlStatus,
+};
+
+impl Handler<TickNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: TickNotice, _: &mut Context<Self>) {
+        self.context.faults.wait().await;
+        if let Some((ask, at)) = self.voter.latest() {
+            let event = StewardEvent::StewardSeen { ask: ask.clone(), at };
+            self.steward_event(event);
+        }
+        self.steward_event(StewardEvent::Tick);
+        self.show_leading();
+        self.weigh_moves();
+        self.tell_running();
+        self.ask_permit();
+        self.send_orders();
+        self.publish_view();
+    }
+}
+
+impl Handler<VoteAsk> for ControlActor {
+    type Return = ConfirmAnswer;
+
+    async fn handle(
+        &mut self,
+        VoteAsk(ask): VoteAsk,
+        _: &mut Context<Self>,
+    ) -> ConfirmAnswer {
+        self.vote(&ask)
+    }
+}
+
+impl Handler<PermitAsk> for ControlActor {
+    type Return = PermitAnswer;
+
+    async fn handle(
+        &mut self,
+        PermitAsk(report): PermitAsk,
+        _: &mut Context<Self>,
+    ) -> PermitAnswer {
+        let now = self.context.now();
+        if self.steward.leads(now) {
+            self.feed.take(now, &report);
+        }
+        let answer = self.steward.permit(now, report);
+        if let PermitAnswer::NotSteward { steward: None } = &answer {
+            let steward = self.search.known().cloned();
+            return PermitAnswer::NotSteward { steward };
+        }
+        answer
+    }
+}
+
+impl Handler<StewardNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        StewardNotice(event): StewardNotice,
+        _: &mut Context<Self>,
+    ) {
+        if let StewardEvent::RosterRead(Some(roster))
+        | StewardEvent::RosterSaved(Ok(roster)) = &event
+        {
+            self.search.take_roster(roster);
+        }
+        self.steward_event(event);
+    }
+}
+
+impl Handler<PermitNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: PermitNotice, _: &mut Context<Self>) {
+        let PermitNotice { sent, answer } = message;
+        self.context.faults.wait().await;
+        self.asking = false;
+        self.search.learn(answer.as_ref());
+        let Some(answer) = answer else {
+            return;
+        };
+        let now = self.context.now();
+        if matches!(answer, PermitAnswer::NotSteward { .. }) {
+            self.ask_at = now + self.timing.renew_every.percent(25);
+        }
+        self.keeper.permitted(now, sent, answer);
+        self.send_orders();
+        self.publish_view();
+    }
+}
+
+impl Handler<GrantNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: GrantNotice, _: &mut Context<Self>) {
+        let GrantNotice { server, sent, reply } = message;
+        self.context.faults.wait().await;
+        let now = self.context.now();
+        match reply {
+            Some(reply) => self.keeper.replied(now, sent, &server, &reply),
+            None => self.keeper.unanswered(now, sent, &server),
+        }
+        self.send_orders();
+        self.publish_view();
+    }
+}
+
+impl Handler<ConfigNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        ConfigNotice(state): ConfigNotice,
+        _: &mut Context<Self>,
+    ) {
+        self.take_config(&state);
+    }
+}
+
+impl Handler<HomesNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        HomesNotice(homes): HomesNotice,
+        _: &mut Context<Self>,
+    ) {
+        if self.hub.take_homes(homes) {
+            self.refresh_plan();
+        }
+    }
+}
+
+impl Handler<RosterNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        RosterNotice(roster): RosterNotice,
+        _: &mut Context<Self>,
+    ) {
+        if let Some(roster) = &roster {
+            self.search.take_roster(roster);
+        }
+        self.steward_event(StewardEvent::RosterRead(roster));
+    }
+}
+
+impl Handler<TableNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        TableNotice(table): TableNotice,
+        _: &mut Context<Self>,
+    ) {
+        self.hub.take_table(&table);
+    }
+}
+
+impl Handler<VmsNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        VmsNotice(vms): VmsNotice,
+        _: &mut Context<Self>,
+    ) {
+        self.context.vms.store(Arc::new(vms.clone()));
+        let domain = self.context.domain();
+        let voters = reader::domain_voters(&vms, domain);
+        self.steward_event(StewardEvent::VmsRead(voters));
+    }
+}
+
+impl Handler<StatusAsk> for ControlActor {
+    type Return = ControlStatus;
+
+    async fn handle(
+        &mut self,
+        _: StatusAsk,
+        _: &mut Context<Self>,
+    ) -> ControlStatus {
+        let now = self.context.now();
+        let set = self.hub.set();
+        let seen = self.search.known().cloned();
+        let passes = self.keeper.passes(now);
+        let keeps = passes.servers.iter();
+        ControlStatus {
+            taken: now,
+            steward: self.steward.status(now),
+            steward_seen: seen.map(|(vm, at)| (vm.to_string(), at)),
+            config: set.config.clone(),
+            tables: set.domains.clone(),
+            keeps: keeps.map(|(s, p)| (s.clone(), p.until)).collect(),
+        }
+    }
+}
+
+impl Handler<DrainedAsk> for ControlActor {
+    type Return = bool;
+
+    async fn handle(&mut self, _: DrainedAsk, _: &mut Context<Self>) -> bool {
+        self.keeper.servers().is_empty()
+    }
+}
+
+impl Handler<StewardAsk> for ControlActor {
+    type Return = StewardPlace;
+
+    async fn handle(
+        &mut self,
+        _: StewardAsk,
+        _: &mut Context<Self>,
+    ) -> StewardPlace {
+        if self.steward.leads(self.context.now()) {
+            return StewardPlace::Here;
+        }
+        match self.search.known() {
+            Some((vm, at)) => StewardPlace::There(vm.clone(), Arc::clone(at)),
+            None => StewardPlace::Unknown,
+        }
+    }
+}
--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod actor;
 mod follow;
 mod grants;
+mod handlers;
 mod links;
 mod messages;
 mod permit_stream;
