--- a/goldcrestramp-ownership/src/steward/election.rs
+++ b/goldcrestramp-ownership/src/steward/election.rs
@@ -36,7 +36,6 @@
                 let reduced = claim.without_silent(&self.me, adopted);
                 if let Some(roster) = reduced.filter(|_| waited) {
                     self.follow(now);
-                    self.reducing = Some(roster.version);
                     return vec![StewardEffect::SaveRoster(roster)];
                 }
                 claim.asks(now, &self.me, false, &self.timing)
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -49,10 +49,6 @@
     role: StewardRole,
     /// Slices moved in former terms.
     moved: u64,
-    /// When nothing that a former process on this VM was allowed goes on.
-    free_at: LocalTime,
-    /// The version of the roster that this VM has just reduced.
-    reducing: Option<u64>,
     /// When a newer roster may be read for again.
     read_again_at: LocalTime,
 }
@@ -78,8 +74,6 @@
             knowledge: StewardKnowledge::default(),
             role: StewardRole::Follower { not_before, eager: false },
             moved: 0,
-            free_at: not_before,
-            reducing: None,
             read_again_at: LocalTime::default(),
         }
     }
--- a/goldcrestramp-ownership/src/steward/reads.rs
+++ b/goldcrestramp-ownership/src/steward/reads.rs
@@ -58,7 +58,6 @@
         saved: Result<VoterRoster, ()>,
     ) -> Vec<StewardEffect> {
         if let Ok(roster) = saved {
-            self.reduced(now, &roster);
             return self.roster_read(now, Some(roster));
         }
         if let StewardRole::Leading(leading) = &mut self.role {
@@ -67,20 +66,6 @@
         vec![StewardEffect::ReadRoster]
     }
 
-    /// Asks at once for a majority of the roster that this VM reduced.
-    ///
-    /// Any other roster gives no haste: a VM that has just started, above
-    /// all, must not lead before the permits of its former process have
-    /// ended, or it would take servers that they still allow.
-    fn reduced(&mut self, now: LocalTime, saved: &VoterRoster) {
-        let mine = self.reducing == Some(saved.version);
-        let following = matches!(self.role, StewardRole::Follower { .. });
-        if mine && following && now >= self.free_at {
-            self.role = StewardRole::Follower { not_before: now, eager: true };
-        }
-        self.reducing = None;
-    }
-
     pub(super) fn plan_read(
         &mut self,
         now: LocalTime,
