--- a/tests/process/child.rs
+++ b/tests/process/child.rs
@@ -8,7 +8,7 @@
     process::{Child, Command, Stdio},
 };
 
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitOptions, kill_process, waitpid};
 
 /// A process that ends when this handle is dropped.
 #[derive(Debug)]
@@ -52,8 +52,13 @@
     }
 
     /// Stops the process where it is; its sockets go on taking bytes.
+    ///
+    /// Returns once it stands still: on a busy machine it could else answer
+    /// one more request after the signal was sent.
     pub fn freeze(&mut self) {
         self.signal(Signal::STOP);
+        let id = Pid::from_child(&self.child);
+        waitpid(Some(id), WaitOptions::UNTRACED).expect("it has stopped");
         self.frozen = true;
     }
 
