Read a keeper's first frame, and a report's identity, in one place

Cause: a read-through found both written twice: the call up to the first frame in the gateway's routing and in its recovery, and the identity of a report in the stream's encoder and decoder. Change: one function each; behaviour is as before.

--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 
 use goldcrestramp_types::{ServerName, TimeSpan, UnknownReason};
-use goldcrestramp_wire::peer::{RouteRequest, peer_client::PeerClient};
+use goldcrestramp_wire::peer::RouteRequest;
 
 use crate::gateway::{
     request::CallerRequest,
-    route::{RequestRouter, RouteAnswer, TryOutcome},
+    route::{RequestRouter, RouteAnswer, TryOutcome, first_frame},
 };
 
 /// The most keepers that are asked.
@@ -66,12 +66,7 @@
             age_micros: age.as_micros(),
             ..self.message(request, server, left)
         };
-        let call = async {
-            let mut client = PeerClient::new(channel);
-            let mut frames = client.route(message).await.ok()?.into_inner();
-            let first = frames.message().await.ok()??.frame?;
-            Some((first, frames))
-        };
+        let call = first_frame(channel, message);
         let asked = tokio::time::timeout(left.to_std(), call).await;
         let Some((first, frames)) = asked.ok().flatten() else {
             self.channels.forget(&address);
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -11,7 +11,7 @@
     RouteFrame, RouteHead, RouteRequest, peer_client::PeerClient,
     route_frame::Frame,
 };
-use tonic::Streaming;
+use tonic::{Streaming, transport::Channel};
 
 use crate::{
     context::NodeContext,
@@ -93,6 +93,19 @@
     Refused(NotRunReason, TimeSpan),
 }
 
+/// Sends a request; its first frame, and those that follow.
+///
+/// `None`: the keeper went silent or broke off before the first.
+pub(super) async fn first_frame(
+    channel: Channel,
+    message: RouteRequest,
+) -> Option<(Frame, Streaming<RouteFrame>)> {
+    let response = PeerClient::new(channel).route(message).await.ok()?;
+    let mut frames = response.into_inner();
+    let first = frames.message().await.ok()??;
+    Some((first.frame?, frames))
+}
+
 /// Sends requests to keepers.
 #[derive(Clone, Debug)]
 pub(crate) struct RequestRouter {
@@ -239,14 +252,8 @@
             let reason = NotRunReason::DeadlinePassed;
             return TryOutcome::Answer(refused(reason));
         }
-        let mut client = PeerClient::new(channel);
-        let call = async {
-            let message = self.message(request, &place.server, left);
-            let response = client.route(message).await.ok()?;
-            let mut frames = response.into_inner();
-            let first = frames.message().await.ok()??;
-            Some((first.frame?, frames))
-        };
+        let message = self.message(request, &place.server, left);
+        let call = first_frame(channel, message);
         // The keeper answers by the deadline; the margin is for its way
         // back, so that its own, truer answer is not missed.
         let wait = left.plus(ANSWER_MARGIN);
--- a/goldcrestramp-wire/src/delta.rs
+++ b/goldcrestramp-wire/src/delta.rs
@@ -80,6 +80,17 @@
     }
 }
 
+/// The part of a report that says whose it is.
+fn identity(request: &PermitRequest) -> PermitRequest {
+    PermitRequest {
+        vm: request.vm.clone(),
+        address: request.address.clone(),
+        domain: request.domain.clone(),
+        start: request.start,
+        ..PermitRequest::default()
+    }
+}
+
 /// The sending end of a stream.
 #[derive(Debug, Default)]
 pub struct DeltaEncoder {
@@ -93,14 +104,7 @@
     pub fn request(&mut self, whole: PermitRequest) -> PermitRequest {
         let (servers, gone) = self.reports.change(whole.servers);
         let mut delta = PermitRequest { servers, gone, ..whole };
-        let last = self.last.clone();
-        self.last = PermitRequest {
-            vm: delta.vm.clone(),
-            address: delta.address.clone(),
-            domain: delta.domain.clone(),
-            start: delta.start,
-            ..PermitRequest::default()
-        };
+        let last = std::mem::replace(&mut self.last, identity(&delta));
         if last.start == delta.start && last.vm == delta.vm {
             delta.vm.clear();
             delta.address.clear();
@@ -139,13 +143,7 @@
             whole.domain.clone_from(&self.last.domain);
             whole.start = self.last.start;
         } else {
-            self.last = PermitRequest {
-                vm: whole.vm.clone(),
-                address: whole.address.clone(),
-                domain: whole.domain.clone(),
-                start: whole.start,
-                ..PermitRequest::default()
-            };
+            self.last = identity(&whole);
         }
         Some(whole)
     }
