Deny no request that an earlier try may have run

Cause: a process test (a VM paused) ended with a lookup that its caller was told did not run, reason retry-budget, though a server had run it. The trace showed two tries: the first broke off after it had run, the second was refused before its start, and the retry decision saw the second alone. By reading on, the same of callers' own resends: a gateway without an owner, a full one, or a malformed resend said 'not run' of an order that had run, and docs/CALLERS.md tells a caller to order anew then. Ruled out: the server's own word, and the proof by id, which are right. Change: RefusalProof (pure) keeps what earlier tries leave open; a refusal is passed on as 'not run' only by one who knows of all tries, else the outcome is unknown, with the new reason resend-refused for resends and the time to come back. One try is now a module of its own beside the routing loop.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -12,6 +12,7 @@
 - [`ServerLimit`]: how many requests a server is given at once.
 - [`AttemptMemory`]: at most once across a caller's own resends.
 - [`RetryPolicy`]: whether a failed attempt is made again.
+- [`RefusalProof`]: whether a refusal proves that a request did not run.
 - [`LinkShare`]: the short link between two regions.
 - [`ServerLoad`]: what a server's slots were used for.
 - [`is_reader_lost`]: how long a stalled reader may hold a slot.
@@ -55,7 +56,7 @@
     },
     reader::is_reader_lost,
     retry::{
-        AttemptStart, FailedAttempt, REDIRECT_LIMIT, RetryDecision,
-        RetryPolicy,
+        AttemptStart, FailedAttempt, REDIRECT_LIMIT, RefusalProof, RefusedBy,
+        RetryDecision, RetryPolicy,
     },
 };
--- a/goldcrestramp-decisions/src/retry/mod.rs
+++ b/goldcrestramp-decisions/src/retry/mod.rs
@@ -6,6 +6,8 @@
 met by several times its load. And an order that may have run is run twice.
 
 - What may have run is sent again only if it is idempotent.
+- A refusal of a later try proves nothing of an earlier one:
+  [`RefusalProof`] keeps what is open.
 - A retry takes from two budgets, its caller's and its service's, which
   fill with first attempts: retries add a tenth to the load at most.
 - It waits for a random time within a window that doubles, and is not made
@@ -21,6 +23,7 @@
 */
 
 mod budget;
+mod proof;
 
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestEffect, RetryReason,
@@ -28,6 +31,7 @@
 };
 
 use crate::retry::budget::BudgetTable;
+pub use crate::retry::proof::{RefusalProof, RefusedBy};
 
 /// Redirects of one request: the table may be behind by one move, and the
 /// next by another; more means that two keepers name each other.
--- a/goldcrestramp-decisions/tests/retry.rs
+++ b/goldcrestramp-decisions/tests/retry.rs
@@ -1,12 +1,12 @@
 //! What follows an attempt that brought no answer.
 
 use goldcrestramp_decisions::{
-    AttemptStart, FailedAttempt, REDIRECT_LIMIT, RetryDecision, RetryPolicy,
-    span_to_send,
+    AttemptStart, FailedAttempt, REDIRECT_LIMIT, RefusalProof, RefusedBy,
+    RetryDecision, RetryPolicy, span_to_send,
 };
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestEffect, RetryReason,
-    ServiceName, TimeSpan,
+    ServiceName, TimeSpan, UnknownReason,
 };
 
 const REFUSAL: NotRunReason = NotRunReason::ServerRefused;
@@ -154,3 +154,29 @@
     assert_eq!(left(88), None);
     assert_eq!(left(200), None);
 }
+
+/// A request is refused after other tries of it. The refusal is passed on as
+/// "not run" only if whoever refused knows of all of them.
+#[test]
+fn a_refusal_denies_no_try_that_may_have_run() {
+    use RefusedBy::{Gateway, Keeper};
+    use RequestEffect::{Idempotent, NonIdempotent};
+    use UnknownReason::{KeeperLost, ResendRefused};
+    let cases = [
+        (Idempotent, false, None, Gateway, Ok(REFUSAL)),
+        (Idempotent, false, Some(KeeperLost), Keeper, Err(KeeperLost)),
+        (Idempotent, true, None, Keeper, Err(ResendRefused)),
+        (NonIdempotent, false, None, Gateway, Ok(REFUSAL)),
+        (NonIdempotent, true, None, Keeper, Ok(REFUSAL)),
+        (NonIdempotent, true, None, Gateway, Err(ResendRefused)),
+        (NonIdempotent, true, Some(KeeperLost), Keeper, Err(KeeperLost)),
+    ];
+    for (effect, is_resend, earlier, by, expected) in cases {
+        let mut proof = RefusalProof::new(effect, is_resend);
+        if let Some(reason) = earlier {
+            proof.may_have_run(reason);
+        }
+        let told = proof.judge(REFUSAL, by);
+        assert_eq!(told, expected, "{effect:?}, {is_resend}, {by:?}");
+    }
+}
--- a/goldcrestramp-node/src/gateway/answer.rs
+++ b/goldcrestramp-node/src/gateway/answer.rs
@@ -53,13 +53,13 @@
         RouteAnswer::Done(answer) => {
             done(&answer.head, answer.frames, request, guard)
         }
-        RouteAnswer::NotRun { reason, retry_after } => {
+        RouteAnswer::NotRun { reason, retry_after, .. } => {
             metrics.count_not_run(reason);
             not_run(reason, reason.code(), request, retry_after)
         }
-        RouteAnswer::Unknown { reason } => {
+        RouteAnswer::Unknown { reason, retry_after } => {
             metrics.count_unknown(reason);
-            unknown(reason, request)
+            unknown(reason, request, retry_after)
         }
     }
 }
@@ -151,8 +151,49 @@
     retry_after: Option<TimeSpan>,
 ) -> WarpResponse {
     let status = refusal_status(reason);
-    let mut response =
-        problem(status, title, "not-run", reason.code(), request);
+    let response = problem(status, title, "not-run", reason.code(), request);
+    told_to_return(response, retry_after)
+}
+
+/// The refusal of a resend: the first try may have run.
+///
+/// The status is that of the refusal, which tells a client library whether
+/// it helps to send the request again.
+pub(crate) fn resend_refused(
+    refusal: NotRunReason,
+    title: &str,
+    request: &str,
+    retry_after: Option<TimeSpan>,
+) -> WarpResponse {
+    let status = refusal_status(refusal);
+    let reason = UnknownReason::ResendRefused.code();
+    let response = problem(status, title, "unknown", reason, request);
+    told_to_return(response, retry_after)
+}
+
+fn unknown(
+    reason: UnknownReason,
+    request: &str,
+    retry_after: Option<TimeSpan>,
+) -> WarpResponse {
+    let status = match reason {
+        UnknownReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        UnknownReason::StillRunning => StatusCode::CONFLICT,
+        UnknownReason::ResendRefused => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    let code = reason.code();
+    told_to_return(
+        problem(status, code, "unknown", code, request),
+        retry_after,
+    )
+}
+
+/// The response with the time after which to come back.
+fn told_to_return(
+    mut response: WarpResponse,
+    retry_after: Option<TimeSpan>,
+) -> WarpResponse {
     let Some(wait) = retry_after else {
         return response;
     };
@@ -164,15 +205,6 @@
     response
 }
 
-fn unknown(reason: UnknownReason, request: &str) -> WarpResponse {
-    let status = match reason {
-        UnknownReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
-        UnknownReason::StillRunning => StatusCode::CONFLICT,
-        _ => StatusCode::BAD_GATEWAY,
-    };
-    problem(status, reason.code(), "unknown", reason.code(), request)
-}
-
 const fn refusal_status(reason: NotRunReason) -> StatusCode {
     match reason {
         NotRunReason::BadRequest => StatusCode::BAD_REQUEST,
--- a/goldcrestramp-node/src/gateway/mod.rs
+++ b/goldcrestramp-node/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: takes callers' requests over HTTP.
 
 mod answer;
+mod attempt;
 mod listener;
 mod places;
 mod recover;
--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -9,8 +9,9 @@
 use goldcrestramp_wire::peer::RouteRequest;
 
 use crate::gateway::{
+    attempt::{TryOutcome, first_frame},
     request::CallerRequest,
-    route::{RequestRouter, RouteAnswer, TryOutcome, first_frame},
+    route::{RequestRouter, RouteAnswer},
 };
 
 /// The most keepers that are asked.
@@ -37,7 +38,7 @@
                 break;
             }
         }
-        RouteAnswer::Unknown { reason: UnknownReason::KeeperLost }
+        RouteAnswer::unknown(UnknownReason::KeeperLost)
     }
 
     /// Who keeps the server that was sent the order, also when its slice
@@ -74,7 +75,9 @@
         };
         match self.first(request, first, frames) {
             TryOutcome::Answer(answer) => Some(answer),
-            TryOutcome::Again(..) | TryOutcome::Refused(..) => None,
+            TryOutcome::Again(..)
+            | TryOutcome::Refused(..)
+            | TryOutcome::BrokenOff(_) => None,
         }
     }
 }
--- a/goldcrestramp-node/src/gateway/request.rs
+++ b/goldcrestramp-node/src/gateway/request.rs
@@ -71,12 +71,17 @@
             name,
             class,
             deadline: now + left,
-            resend: text(headers, HEADER_RESEND) == Some("true"),
+            resend: is_resend(headers),
             body: Bytes::new(),
         })
     }
 }
 
+/// Whether the caller says that it may have sent the request before.
+pub(crate) fn is_resend(headers: &HeaderMap) -> bool {
+    text(headers, HEADER_RESEND) == Some("true")
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/goldcrestramp-node/src/gateway/retry.rs
+++ b/goldcrestramp-node/src/gateway/retry.rs
@@ -74,7 +74,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FailedTry {
     start: AttemptStart,
-    reason: RetryReason,
+    /// Why it would be made again.
+    pub(crate) reason: RetryReason,
     refusal: NotRunReason,
     retries: u32,
     /// When the keeper said to come back.
--- a/goldcrestramp-node/src/gateway/routes.rs
+++ b/goldcrestramp-node/src/gateway/routes.rs
@@ -4,9 +4,9 @@
 
 use bytes::Buf;
 use futures_util::Stream;
-use goldcrestramp_types::{NotRunReason, TimeSpan};
+use goldcrestramp_types::{NotRunReason, TimeSpan, UnknownReason};
 use warp::{
-    Filter, Rejection, Reply,
+    Filter, Rejection,
     http::{HeaderMap, Method},
     reply::Response as WarpResponse,
 };
@@ -77,6 +77,10 @@
     let settings = &context.settings;
     let default = TimeSpan::from_millis(settings.default_deadline_ms);
     let now = context.now();
+    let resend = request::is_resend(&headers);
+    let refuse = |reason, title: &str, name: &str| {
+        refuse(&context, reason, title, name, resend)
+    };
     let read = CallerRequest::read(
         now,
         &method,
@@ -88,52 +92,58 @@
     let mut request = match read {
         Ok(request) => request,
         Err(RequestFault(title)) => {
-            return refuse(&context, NotRunReason::BadRequest, title, "");
+            return refuse(NotRunReason::BadRequest, title, "");
         }
     };
     let name = request.name.to_string();
     let place = match shared.places.enter(&request.caller) {
         Ok(place) => place,
-        Err(reason) => return refuse(&context, reason, "", &name),
+        Err(reason) => return refuse(reason, "", &name),
     };
     let limit = settings.body_bytes as usize;
     let left = request.deadline.since(now).to_std();
     let body = request::read_body(body, limit);
     request.body = match tokio::time::timeout(left, body).await {
         Ok(Ok(body)) => body,
-        Ok(Err(fault)) => return bad_body(&context, fault, &name),
+        Ok(Err(fault)) => {
+            return refuse(NotRunReason::BadRequest, body_title(fault), &name);
+        }
         Err(_elapsed) => {
             let reason = NotRunReason::DeadlinePassed;
-            return refuse(&context, reason, "the body came late", &name);
+            return refuse(reason, "the body came late", &name);
         }
     };
     let reply = shared.router.route(&request).await;
     answer::respond(reply, &name, &context.metrics, (guard, place))
 }
 
-fn bad_body(
-    context: &NodeContext,
-    fault: BodyFault,
-    name: &str,
-) -> WarpResponse {
-    let title = match fault {
+const fn body_title(fault: BodyFault) -> &'static str {
+    match fault {
         BodyFault::TooLarge => "the body is too large",
         BodyFault::BrokenOff => "the body broke off",
-    };
-    refuse(context, NotRunReason::BadRequest, title, name)
+    }
 }
 
+/// Refuses a request that no server was asked for.
+///
+/// Of a resend that says nothing: the first try may have run. Told "not
+/// run", its caller would order anew under another id and get two parcels.
 fn refuse(
     context: &NodeContext,
     reason: NotRunReason,
     title: &str,
     name: &str,
+    resend: bool,
 ) -> WarpResponse {
-    context.metrics.count_not_run(reason);
     let title = if title.is_empty() { reason.code() } else { title };
     let wait = match reason {
         NotRunReason::BadRequest => None,
         _ => Some(jittered(REFUSAL_WAIT)),
     };
-    answer::not_run(reason, title, name, wait).into_response()
+    if resend {
+        context.metrics.count_unknown(UnknownReason::ResendRefused);
+        return answer::resend_refused(reason, title, name, wait);
+    }
+    context.metrics.count_not_run(reason);
+    answer::not_run(reason, title, name, wait)
 }
--- a/goldcrestramp-types/src/outcome.rs
+++ b/goldcrestramp-types/src/outcome.rs
@@ -92,6 +92,8 @@
         CrossedAnswer => "crossed-answer",
         /// A resend met a keeper too young to remember the first try.
         KeeperTooYoung => "keeper-too-young",
+        /// A resend was refused by one who cannot know of the first try.
+        ResendRefused => "resend-refused",
         /// The same request is still under way.
         StillRunning => "still-running",
     }
