End callers' connections with an answer when a VM stops

A stopping daemon closed its listener and its idle connections in the moment in which its servers were handed over; a request that was on its way to one of them, or a connection that waited to be accepted, was reset. Ruled out: work under way, which was counted and waited for. Change: while a VM is leaving each answer ends its connection; the listener takes new ones for another second, then what waits to be accepted, and connections that are open then have a second to bring a request.

--- a/goldcrestramp-node/src/gateway/listener.rs
+++ b/goldcrestramp-node/src/gateway/listener.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -12,6 +13,7 @@
     net::{TcpListener, TcpStream},
     sync::{Semaphore, oneshot},
     task::JoinHandle,
+    time::{Instant, timeout_at},
 };
 use warp::{Filter, Rejection, Reply};
 
@@ -28,6 +30,20 @@
 /// file descriptors: it ends by itself, and spinning would not help.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// How long a listener that is to stop goes on taking new connections.
+///
+/// The platform's balancer and callers' pools learn of a leaving VM by its
+/// health page and by answers that end their connection; whoever connects
+/// before that would be reset in the middle of a request.
+const LEAVING_LINGER: Duration = Duration::from_secs(1);
+/// How long connections that are open then may still bring a request.
+///
+/// A caller may send on an idle connection in the moment in which it is
+/// closed, and then cannot tell whether its order ran. One that is in use
+/// brings its next request within this time and is told to end; what stays
+/// idle for so long is at the bottom of its caller's pool.
+const IDLE_LINGER: Duration = Duration::from_secs(1);
+
 /// A running listener for callers.
 #[derive(Debug)]
 pub(crate) struct CallerListener {
@@ -58,7 +74,8 @@
         self.address
     }
 
-    /// Takes no new connection or request, and waits for those under way.
+    /// Serves on for a moment, then takes no new connection or request, and
+    /// waits for those under way.
     pub(crate) async fn drain(&mut self) {
         drop(self.stop.take());
         // A listener that has failed has nothing under way.
@@ -83,16 +100,10 @@
 {
     let room = Arc::new(Semaphore::new(CONNECTIONS_MOST));
     let graceful = GracefulShutdown::new();
-    loop {
-        let next = async {
-            let permit = Arc::clone(&room).acquire_owned().await;
-            (permit, listener.accept().await)
-        };
-        let (permit, accepted) = tokio::select! {
-            next = next => next,
-            _ = &mut stopped => break,
-        };
-        match accepted {
+    let take = async |listener: &TcpListener| {
+        // Never closed, so there is always a permit in the end.
+        let permit = Arc::clone(&room).acquire_owned().await;
+        match listener.accept().await {
             Ok((stream, _)) => {
                 let serve = connection(stream, routes.clone(), &graceful);
                 tokio::spawn(async move {
@@ -102,8 +113,20 @@
             }
             Err(_error) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
+    };
+    loop {
+        tokio::select! {
+            () = take(&listener) => {}
+            _ = &mut stopped => break,
+        }
     }
+    let linger_end = Instant::now() + LEAVING_LINGER;
+    while timeout_at(linger_end, take(&listener)).await.is_ok() {}
+    // Those that the system has connected and that wait to be accepted
+    // would be reset with the listener.
+    while take(&listener).now_or_never().is_some() {}
     drop(listener);
+    tokio::time::sleep(IDLE_LINGER).await;
     graceful.shutdown().await;
 }
 
--- a/goldcrestramp-node/src/gateway/routes.rs
+++ b/goldcrestramp-node/src/gateway/routes.rs
@@ -7,7 +7,7 @@
 use goldcrestramp_types::{NotRunReason, TimeSpan, UnknownReason};
 use warp::{
     Filter, Rejection,
-    http::{HeaderMap, Method},
+    http::{HeaderMap, HeaderValue, Method, header},
     reply::Response as WarpResponse,
 };
 
@@ -41,6 +41,7 @@
     let limit = context.settings.gateway_requests as usize;
     let shared =
         Arc::new(GatewayShared { places: GatewayPlaces::new(limit), router });
+    let leaving = Arc::clone(&context);
     let shared =
         warp::any().map(move || (Arc::clone(&context), Arc::clone(&shared)));
     let keyed = warp::path!("v1" / String / ..)
@@ -49,7 +50,8 @@
         .and(warp::header::headers_cloned())
         .and(warp::body::stream())
         .and(shared)
-        .then(take_request);
+        .then(take_request)
+        .map(move |response| end_connection(&leaving, response));
     let other = warp::any().map(no_route);
     keyed.or(other).unify().and_then(accept)
 }
@@ -59,6 +61,21 @@
     Ok(response)
 }
 
+/// Ends the connection with its answer when the VM is being stopped.
+///
+/// Closed later, while it is idle, it might take a caller's next request
+/// with it; the caller could not tell whether its order ran.
+fn end_connection(
+    context: &NodeContext,
+    mut response: WarpResponse,
+) -> WarpResponse {
+    if context.leaving() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
 fn no_route() -> WarpResponse {
     let title = "requests go to /v1/SERVICE/KEY";
     answer::not_run(NotRunReason::UnknownService, title, "", None)
