--- a/goldcrestramp-decisions/src/attempt/mod.rs
+++ b/goldcrestramp-decisions/src/attempt/mod.rs
@@ -8,11 +8,16 @@
 The keeper of a server is the one way to it, so it remembers the id of each
 non-idempotent request until the request's deadline, after which nothing may
 start, and for as long as the longest deadline after that: a caller that
-sends it again late, or wrongly with a new deadline, still learns how the
-first one ended. When a slice moves, its part of the memory goes with the release. A
-keeper that took over from one that was lost does not know what came before:
-it answers a resend with *too young*, until everything sent before its time
-is past its deadline.
+sends it again late, or with a new deadline, still learns how the first one
+ended.
+
+When a slice moves, what is remembered of it goes to its next keeper as
+records. They say what they say whoever else held the slice meanwhile, so a
+record that comes late, twice or never does no harm. That *nothing else* was
+sent, no record can prove: a keeper whose time on a slice is shorter than an
+id is remembered answers a resend that it does not know with *too young*.
+The resend's own deadline proves nothing about that, since it may be a new
+one.
 
 The memory is bounded, and a full one refuses new requests: to forget one in
 its stead would allow the doubled order that it is there to prevent.
@@ -20,26 +25,32 @@
 
 mod record;
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use goldcrestramp_types::{
     FastMap, LocalTime, NotRunReason, SliceIndex, TimeSpan,
 };
 
 pub use crate::attempt::record::{
-    AttemptId, AttemptOutcome, AttemptRecord, SliceMemory, StoredAnswer,
+    AttemptArrival, AttemptId, AttemptOutcome, AttemptRecord, AttemptSent,
+    StoredAnswer,
 };
 
 /// The longest answer that is kept whole: an order's is a few hundred
 /// bytes. A longer one is known to be done, without its body.
 pub const ANSWER_LIMIT: usize = 4_096;
 
+/// The bytes of a record without its body: three names and an address.
+const RECORD_BYTES: usize = 256;
+
 /// The bounds of a memory.
 #[derive(Clone, Copy, Debug)]
 pub struct MemorySettings {
     /// The most ids: at 200 orders a second, with deadlines of 30 s and as
     /// long again after them, 12,000.
     pub id_limit: usize,
+    /// The most bytes of answers; those beyond are known without bodies.
+    pub answer_bytes: usize,
     /// The longest time between a request's start and its deadline; the
     /// gateway refuses longer ones.
     pub longest: TimeSpan,
@@ -64,8 +75,11 @@
 struct AttemptEntry {
     slice: SliceIndex,
     deadline: LocalTime,
+    sent: AttemptSent,
     /// Nothing while it is under way.
     outcome: Option<AttemptOutcome>,
+    /// The keeper that has been told of it.
+    passed_to: Option<Arc<str>>,
 }
 
 /// The ids that one keeper remembers for one server.
@@ -77,6 +91,8 @@
     ended: BTreeSet<(LocalTime, AttemptId)>,
     /// Since when everything on a slice came through here; at most 65,536.
     complete_since: FastMap<SliceIndex, LocalTime>,
+    /// Bytes of the answers that are kept.
+    kept_bytes: usize,
 }
 
 impl AttemptMemory {
@@ -88,6 +104,7 @@
             entries: FastMap::default(),
             ended: BTreeSet::new(),
             complete_since: FastMap::default(),
+            kept_bytes: 0,
         }
     }
 
@@ -116,75 +133,147 @@
         self.complete_since.clear();
     }
 
-    /// Begins a slice with what its former keeper remembered.
-    pub fn take_over(
-        &mut self,
-        now: LocalTime,
-        slice: SliceIndex,
-        memory: SliceMemory,
-    ) {
-        self.complete_since.insert(slice, now - memory.complete_for);
-        for record in memory.records {
-            let deadline = now + record.left;
-            let outcome = Some(record.outcome);
-            let forget_at = deadline + self.settings.longest;
-            self.ended.insert((forget_at, record.id.clone()));
-            let entry = AttemptEntry { slice, deadline, outcome };
-            self.entries.insert(record.id, entry);
+    /// Takes what another keeper remembers of a request.
+    ///
+    /// What is known here already is first hand and stays. Beyond the bound
+    /// a record is left out: its resend is *too young* then.
+    pub fn take(&mut self, now: LocalTime, record: AttemptRecord) {
+        self.forget_past(now);
+        let full = self.entries.len() >= self.settings.id_limit;
+        let known = self.entries.contains_key(&record.id);
+        if full || known || matches!(record.outcome, AttemptOutcome::NotRun(_))
+        {
+            return;
         }
+        let sent = AttemptSent { server: record.server, begun: None };
+        let deadline = now + record.left.min(self.settings.longest);
+        let entry = AttemptEntry {
+            slice: record.slice,
+            deadline,
+            sent,
+            outcome: None,
+            passed_to: None,
+        };
+        self.entries.insert(record.id.clone(), entry);
+        self.finish(&record.id, record.outcome);
     }
 
-    /// Ends a slice; what is remembered of it goes to the next keeper.
+    /// What ended on slices that another keeper has now, and that one does
+    /// not know of: records of about `byte_limit` bytes, at least one, all
+    /// for the same keeper.
     ///
-    /// The release waits for what runs, so normally nothing is under way;
-    /// what still is goes on as *unknown*, and stays so.
-    pub fn release(
+    /// `keeper_of` tells who has a slice; nothing if that is this keeper, or
+    /// nobody.
+    pub fn untold<'a>(
         &mut self,
         now: LocalTime,
-        slice: SliceIndex,
-    ) -> SliceMemory {
+        keeper_of: impl Fn(SliceIndex) -> Option<&'a Arc<str>>,
+        byte_limit: usize,
+    ) -> Option<(Arc<str>, Vec<AttemptRecord>)> {
         self.forget_past(now);
-        let since = self.complete_since.remove(&slice).unwrap_or(now);
-        let ids: Vec<_> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.slice == slice)
-            .map(|(id, _)| id.clone())
-            .collect();
-        let records =
-            ids.into_iter().filter_map(|id| self.give(now, id)).collect();
-        SliceMemory { complete_for: now.since(since), records }
+        let mut next: Option<Arc<str>> = None;
+        let mut records = Vec::new();
+        let mut bytes = 0;
+        for (id, entry) in &mut self.entries {
+            let Some(outcome) = &entry.outcome else { continue };
+            let Some(keeper) = keeper_of(entry.slice) else {
+                // Back here: whoever has it next is told again.
+                entry.passed_to = None;
+                continue;
+            };
+            if entry.passed_to.as_ref() == Some(keeper) {
+                continue;
+            }
+            let chosen = next.get_or_insert_with(|| Arc::clone(keeper));
+            let more = bytes + RECORD_BYTES + outcome.body_bytes();
+            if chosen != keeper || (bytes > 0 && more > byte_limit) {
+                continue;
+            }
+            bytes = more;
+            records.push(AttemptRecord {
+                id: id.clone(),
+                slice: entry.slice,
+                left: entry.deadline.since(now),
+                server: Arc::clone(&entry.sent.server),
+                outcome: outcome.clone(),
+            });
+        }
+        Some((next?, records))
+    }
+
+    /// Notes that a keeper has taken these records.
+    pub fn told(&mut self, keeper: &Arc<str>, records: &[AttemptRecord]) {
+        for record in records {
+            if let Some(entry) = self.entries.get_mut(&record.id) {
+                entry.passed_to = Some(Arc::clone(keeper));
+            }
+        }
     }
 
     /// Takes a request that arrives at `now`.
-    ///
-    /// `is_resend` is what the caller says: that it may have sent it before.
     pub fn begin(
         &mut self,
         now: LocalTime,
-        id: &AttemptId,
-        slice: SliceIndex,
-        deadline: LocalTime,
-        is_resend: bool,
+        arrival: AttemptArrival<'_>,
     ) -> AttemptVerdict {
-        self.forget_past(now);
-        if let Some(verdict) = self.recall(id) {
+        let AttemptArrival { id, slice, deadline, is_resend, server } =
+            arrival;
+        if let Some(verdict) = self.recall(now, id) {
             return verdict;
         }
-        if deadline <= now {
-            return AttemptVerdict::Refused(NotRunReason::DeadlinePassed);
-        }
-        if is_resend && !self.is_complete(slice, deadline) {
+        // Before any refusal: a refusal says "not run", and of the first
+        // try that is known here only if the memory reaches back to it. A
+        // late resend may come after its id was forgotten.
+        let is_late = deadline <= now;
+        if is_resend && (is_late || !self.is_complete(now, slice)) {
             return AttemptVerdict::TooYoung;
         }
+        if is_late {
+            return AttemptVerdict::Refused(NotRunReason::DeadlinePassed);
+        }
         if self.entries.len() >= self.settings.id_limit {
             return AttemptVerdict::Refused(NotRunReason::QueueFull);
         }
-        let entry = AttemptEntry { slice, deadline, outcome: None };
+        let begun = Some(now);
+        let sent = AttemptSent { server: Arc::clone(server), begun };
+        let entry = AttemptEntry {
+            slice,
+            deadline,
+            sent,
+            outcome: None,
+            passed_to: None,
+        };
         self.entries.insert(id.clone(), entry);
         AttemptVerdict::Start
     }
 
+    /// Since when everything on a slice came through here.
+    #[must_use]
+    pub fn since(&self, slice: SliceIndex) -> Option<LocalTime> {
+        self.complete_since.get(&slice).copied()
+    }
+
+    /// What is known of an id; nothing if it is not remembered.
+    pub fn recall(
+        &mut self,
+        now: LocalTime,
+        id: &AttemptId,
+    ) -> Option<AttemptVerdict> {
+        self.forget_past(now);
+        let entry = self.entries.get(id)?;
+        let verdict = match &entry.outcome {
+            None => AttemptVerdict::InProgress,
+            Some(outcome) => AttemptVerdict::Known(outcome.clone()),
+        };
+        Some(verdict)
+    }
+
+    /// Where a remembered request was sent.
+    #[must_use]
+    pub fn sent(&self, id: &AttemptId) -> Option<&AttemptSent> {
+        self.entries.get(id).map(|entry| &entry.sent)
+    }
+
     /// Notes how a request ended.
     ///
     /// One that did not run is forgotten: it may be sent again.
@@ -193,28 +282,26 @@
             self.entries.remove(id);
             return;
         }
+        let room = self.settings.answer_bytes.saturating_sub(self.kept_bytes);
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.outcome = Some(outcome.within(ANSWER_LIMIT));
+            let outcome = outcome.within(ANSWER_LIMIT.min(room));
+            self.kept_bytes += outcome.body_bytes();
+            entry.outcome = Some(outcome);
             let forget_at = entry.deadline + self.settings.longest;
             self.ended.insert((forget_at, id.clone()));
         }
     }
 
-    /// What is known of an id.
-    fn recall(&self, id: &AttemptId) -> Option<AttemptVerdict> {
-        let entry = self.entries.get(id)?;
-        let verdict = match &entry.outcome {
-            None => AttemptVerdict::InProgress,
-            Some(outcome) => AttemptVerdict::Known(outcome.clone()),
-        };
-        Some(verdict)
-    }
-
-    /// Whether a request with this deadline cannot have come before the
-    /// memory of its slice began.
-    fn is_complete(&self, slice: SliceIndex, deadline: LocalTime) -> bool {
-        let earliest = deadline - self.settings.longest;
-        self.complete_since.get(&slice).is_some_and(|at| *at <= earliest)
+    /// Whether no request on the slice that is still to be remembered can
+    /// have come before its memory began.
+    ///
+    /// The first try was sent at most the longest deadline before its own,
+    /// and is remembered for as long again after that.
+    fn is_complete(&self, now: LocalTime, slice: SliceIndex) -> bool {
+        let longest = self.settings.longest;
+        self.complete_since
+            .get(&slice)
+            .is_some_and(|since| *since + longest + longest <= now)
     }
 
     /// Forgets what ended long ago.
@@ -223,20 +310,9 @@
             && *forget_at < now
             && let Some((_, id)) = self.ended.pop_first()
         {
-            self.entries.remove(&id);
+            let entry = self.entries.remove(&id);
+            let outcome = entry.and_then(|entry| entry.outcome);
+            self.kept_bytes -= outcome.map_or(0, |o| o.body_bytes());
         }
     }
-
-    /// Takes an entry out, to be passed on.
-    fn give(
-        &mut self,
-        now: LocalTime,
-        id: AttemptId,
-    ) -> Option<AttemptRecord> {
-        let entry = self.entries.remove(&id)?;
-        let forget_at = entry.deadline + self.settings.longest;
-        self.ended.remove(&(forget_at, id.clone()));
-        let outcome = entry.outcome.unwrap_or(AttemptOutcome::Unknown);
-        Some(AttemptRecord { id, left: entry.deadline.since(now), outcome })
-    }
 }
--- a/goldcrestramp-decisions/src/attempt/record.rs
+++ b/goldcrestramp-decisions/src/attempt/record.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_types::{CallerName, NotRunReason, RequestName, TimeSpan};
+use goldcrestramp_types::{
+    CallerName, LocalTime, NotRunReason, RequestName, SliceIndex, TimeSpan,
+};
 
 /// A request as its caller names it.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -18,6 +20,8 @@
 pub struct StoredAnswer {
     /// The HTTP status.
     pub status: u16,
+    /// The media type; empty if the server named none.
+    pub content_type: Arc<str>,
     /// The body; nothing if it was too long to keep.
     pub body: Option<Arc<[u8]>>,
 }
@@ -40,6 +44,36 @@
         let body = answer.body.filter(|body| body.len() <= limit);
         Self::Done(StoredAnswer { body, ..answer })
     }
+
+    /// The bytes of the body that it keeps.
+    pub(crate) fn body_bytes(&self) -> usize {
+        let Self::Done(answer) = self else { return 0 };
+        answer.body.as_ref().map_or(0, |body| body.len())
+    }
+}
+
+/// A request that arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptArrival<'a> {
+    /// Which one.
+    pub id: &'a AttemptId,
+    /// The slice of its key.
+    pub slice: SliceIndex,
+    /// When its caller gives it up.
+    pub deadline: LocalTime,
+    /// What the caller says: that it may have sent it before.
+    pub is_resend: bool,
+    /// Where the server listens that it would be sent to.
+    pub server: &'a Arc<str>,
+}
+
+/// Where a remembered request was sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AttemptSent {
+    /// Where the server listens that was sent it.
+    pub server: Arc<str>,
+    /// When it came here; nothing if another keeper had it.
+    pub begun: Option<LocalTime>,
 }
 
 /// An attempt on its way to the next keeper.
@@ -47,17 +81,12 @@
 pub struct AttemptRecord {
     /// Which one.
     pub id: AttemptId,
-    /// The time to its deadline.
+    /// The slice of its key.
+    pub slice: SliceIndex,
+    /// The time to its deadline; zero if that is over.
     pub left: TimeSpan,
+    /// Where the server listens that was sent it.
+    pub server: Arc<str>,
     /// How it ended.
     pub outcome: AttemptOutcome,
 }
-
-/// What one keeper knows of a slice's past.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct SliceMemory {
-    /// For how long everything on the slice has been remembered.
-    pub complete_for: TimeSpan,
-    /// What is within its deadline.
-    pub records: Vec<AttemptRecord>,
-}
--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -33,8 +33,9 @@
 
 pub use crate::{
     attempt::{
-        ANSWER_LIMIT, AttemptId, AttemptMemory, AttemptOutcome, AttemptRecord,
-        AttemptVerdict, MemorySettings, SliceMemory, StoredAnswer,
+        ANSWER_LIMIT, AttemptArrival, AttemptId, AttemptMemory,
+        AttemptOutcome, AttemptRecord, AttemptSent, AttemptVerdict,
+        MemorySettings, StoredAnswer,
     },
     deadline::span_to_send,
     gateway::GatewayLimit,
--- a/goldcrestramp-decisions/tests/attempt.rs
+++ b/goldcrestramp-decisions/tests/attempt.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use goldcrestramp_decisions::{
-    ANSWER_LIMIT, AttemptId, AttemptMemory, AttemptOutcome, AttemptVerdict,
-    MemorySettings, StoredAnswer,
+    ANSWER_LIMIT, AttemptArrival, AttemptId, AttemptMemory, AttemptOutcome,
+    AttemptVerdict, MemorySettings, StoredAnswer,
 };
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestName, SliceIndex, TimeSpan,
@@ -26,14 +26,28 @@
     SliceIndex::new(7).expect("a small number")
 }
 
-/// A memory of ten ids that keeps one slice since the clock's start.
-fn memory() -> AttemptMemory {
-    let settings = MemorySettings { id_limit: 10, longest: LONGEST };
+/// A memory of ten ids that keeps one slice since this time.
+fn memory_since(millis: u64) -> AttemptMemory {
+    let settings = MemorySettings {
+        id_limit: 10,
+        answer_bytes: 2 * ANSWER_LIMIT,
+        longest: LONGEST,
+    };
     let mut memory = AttemptMemory::open(settings);
-    memory.begin_slice(at(0), slice());
+    memory.begin_slice(at(millis), slice());
     memory
 }
 
+/// One that keeps it since the clock's start.
+fn memory() -> AttemptMemory {
+    memory_since(0)
+}
+
+/// Where the server listens that the first keeper sends to.
+fn server() -> Arc<str> {
+    Arc::from("10.0.0.7:80")
+}
+
 fn begin(
     memory: &mut AttemptMemory,
     now: u64,
@@ -41,13 +55,20 @@
     deadline: u64,
     is_resend: bool,
 ) -> AttemptVerdict {
-    let deadline = at(deadline);
-    memory.begin(at(now), &id(name), slice(), deadline, is_resend)
+    let arrival = AttemptArrival {
+        id: &id(name),
+        slice: slice(),
+        deadline: at(deadline),
+        is_resend,
+        server: &server(),
+    };
+    memory.begin(at(now), arrival)
 }
 
 fn done(length: usize) -> AttemptOutcome {
     let body = Some(Arc::from(vec![b'x'; length]));
-    AttemptOutcome::Done(StoredAnswer { status: 201, body })
+    let content_type = Arc::from("text/plain");
+    AttemptOutcome::Done(StoredAnswer { status: 201, content_type, body })
 }
 
 #[test]
@@ -79,7 +100,8 @@
 }
 
 /// A resend that comes late, even with a new deadline, learns how the first
-/// one ended; once the id is forgotten, the old deadline lets nothing start.
+/// one ended; once the id is forgotten, the old deadline lets nothing start,
+/// and nobody says any more that it did not run.
 #[test]
 fn after_its_deadline_an_id_is_known_for_the_longest_deadline() {
     let mut memory = memory();
@@ -88,10 +110,11 @@
     let late = begin(&mut memory, 101, "a", 100, true);
     let renewed = begin(&mut memory, 30_100, "a", 60_000, false);
     let forgotten = begin(&mut memory, 30_101, "a", 100, true);
-    let reason = NotRunReason::DeadlinePassed;
+    let later = begin(&mut memory, 90_000, "a", 100, true);
     assert_eq!(late, AttemptVerdict::Known(done(3)));
     assert_eq!(renewed, AttemptVerdict::Known(done(3)));
-    assert_eq!(forgotten, AttemptVerdict::Refused(reason));
+    assert_eq!(forgotten, AttemptVerdict::TooYoung);
+    assert_eq!(later, AttemptVerdict::TooYoung, "\"not run\" would be a lie");
     assert!(memory.is_empty());
 }
 
@@ -117,18 +140,17 @@
 }
 
 /// A keeper is lost while an order runs; its caller sends the order again,
-/// to the next keeper, which cannot know. Once every request of the time
-/// before it must be past its deadline, a resend is new.
+/// to the next keeper, which cannot know. Once every id of the time before
+/// it would be forgotten anyway, a resend is new, whatever its deadline.
 #[test]
 fn a_young_memory_says_so() {
-    let settings = MemorySettings { id_limit: 10, longest: LONGEST };
-    let mut memory = AttemptMemory::open(settings);
-    memory.begin_slice(at(1_000), slice());
+    let mut memory = memory_since(1_000);
     let cases = [
         (1_000, 20_000, true, AttemptVerdict::TooYoung),
         (1_000, 20_001, false, AttemptVerdict::Start),
-        (20_000, 30_999, true, AttemptVerdict::TooYoung),
-        (20_000, 31_000, true, AttemptVerdict::Start),
+        (31_000, 61_000, true, AttemptVerdict::TooYoung),
+        (60_999, 90_000, true, AttemptVerdict::TooYoung),
+        (61_000, 61_001, true, AttemptVerdict::Start),
     ];
     for (now, deadline, is_resend, expected) in cases {
         let name = format!("a{now}-{deadline}");
@@ -139,38 +161,112 @@
 
 #[test]
 fn an_unknown_slice_is_young_too() {
-    let settings = MemorySettings { id_limit: 10, longest: LONGEST };
-    let mut memory = AttemptMemory::open(settings);
+    let mut memory = memory();
+    memory.begin_anew();
     let verdict = begin(&mut memory, 90_000, "a", 120_000, true);
     assert_eq!(verdict, AttemptVerdict::TooYoung);
 }
 
-/// A planned move: the old keeper hands its memory to the new one, whose
-/// clock reads differently. The resend meets the first one there.
+/// A planned move: the old keeper tells the new one, whose clock reads
+/// differently. A resend meets the first one's end there; one of which
+/// nothing was told is *too young*, since another keeper may have had the
+/// slice in between.
 #[test]
-fn a_release_takes_the_memory_along() {
+fn a_move_takes_the_memory_along() {
     let mut old = memory();
-    begin(&mut old, 40_000, "a", 60_000, false);
+    for name in ["a", "b", "d"] {
+        begin(&mut old, 40_000, name, 60_000, false);
+    }
     old.finish(&id("a"), done(3));
-    begin(&mut old, 40_000, "b", 60_000, false);
-    let passed_on = old.release(at(41_000), slice());
-    assert!(old.is_empty());
-    let settings = MemorySettings { id_limit: 10, longest: LONGEST };
-    let mut new = AttemptMemory::open(settings);
-    new.take_over(at(500_000), slice(), passed_on);
-    let verdicts = ["a", "b", "c"]
+    old.finish(&id("b"), AttemptOutcome::Unknown);
+    let keeper = Arc::from("vm-2");
+    let told = old.untold(at(41_000), |_| Some(&keeper), 10_000);
+    let (to, records) = told.expect("two have ended");
+    assert_eq!(to, keeper);
+    old.told(&to, &records);
+    assert_eq!(old.untold(at(41_000), |_| Some(&keeper), 10_000), None);
+    let mut new = memory_since(500_000);
+    for record in records {
+        new.take(at(500_000), record);
+    }
+    let verdicts = ["a", "b", "c", "d"]
         .map(|name| begin(&mut new, 500_100, name, 519_000, true));
     let expected = [
         AttemptVerdict::Known(done(3)),
         AttemptVerdict::Known(AttemptOutcome::Unknown),
-        AttemptVerdict::Start,
+        AttemptVerdict::TooYoung,
+        AttemptVerdict::TooYoung,
     ];
     assert_eq!(verdicts, expected);
+    let sent = new.sent(&id("b")).expect("it is remembered");
+    assert_eq!((&sent.server, sent.begun), (&server(), None));
     let after = begin(&mut new, 549_000, "a", 519_000, true);
     let forgotten = begin(&mut new, 549_001, "a", 519_000, true);
-    let reason = NotRunReason::DeadlinePassed;
     assert_eq!(after, AttemptVerdict::Known(done(3)));
-    assert_eq!(forgotten, AttemptVerdict::Refused(reason));
+    assert_eq!(forgotten, AttemptVerdict::TooYoung);
+}
+
+/// A record that comes late, after the order was sent again without a word
+/// of being a resend, does not take the place of what is known first hand.
+#[test]
+fn a_late_record_replaces_nothing() {
+    let mut old = memory();
+    begin(&mut old, 0, "a", 10_000, false);
+    old.finish(&id("a"), AttemptOutcome::Unknown);
+    let keeper = Arc::from("vm-2");
+    let told = old.untold(at(1_000), |_| Some(&keeper), 10_000);
+    let (_, records) = told.expect("one has ended");
+    let mut new = memory_since(1_000);
+    begin(&mut new, 1_000, "a", 10_000, false);
+    for record in records {
+        new.take(at(1_500), record);
+    }
+    let running = begin(&mut new, 2_000, "a", 10_000, true);
+    assert_eq!(running, AttemptVerdict::InProgress);
+}
+
+/// A slice moves to a second keeper, back, and on to a third: each new
+/// keeper is told, in parts of a bounded size.
+#[test]
+fn each_next_keeper_is_told_in_parts() {
+    let mut memory = memory();
+    for number in 0..5 {
+        let name = format!("n{number}");
+        begin(&mut memory, 0, &name, 10_000, false);
+        memory.finish(&id(&name), done(3));
+    }
+    let mut tell = |keeper: Option<&str>| {
+        let keeper = keeper.map(Arc::from);
+        let mut parts = Vec::new();
+        while let Some((to, records)) =
+            memory.untold(at(1), |_| keeper.as_ref(), 600)
+        {
+            memory.told(&to, &records);
+            parts.push(records.len());
+        }
+        parts
+    };
+    assert_eq!(tell(Some("vm-2")), [2, 2, 1]);
+    assert_eq!(tell(Some("vm-2")), []);
+    assert_eq!(tell(None), []);
+    assert_eq!(tell(Some("vm-2")), [2, 2, 1]);
+    assert_eq!(tell(Some("vm-3")), [2, 2, 1]);
+}
+
+/// Answers are kept within a bound in all; those beyond it, and what a
+/// forgotten one gave free, are counted right.
+#[test]
+fn answers_are_kept_within_a_bound() {
+    let mut memory = memory();
+    for (name, now) in [("a", 0), ("b", 0), ("c", 0), ("d", 40_000)] {
+        begin(&mut memory, now, name, now + 100, false);
+        memory.finish(&id(name), done(ANSWER_LIMIT));
+        let known = begin(&mut memory, now, name, now + 100, true);
+        let AttemptVerdict::Known(AttemptOutcome::Done(answer)) = known else {
+            panic!("{known:?}");
+        };
+        assert_eq!(answer.body.is_some(), name != "c", "{name}");
+    }
 }
 
 #[test]
@@ -178,7 +274,28 @@
     let mut memory = memory();
     begin(&mut memory, 0, "a", 10_000, false);
     memory.finish(&id("a"), done(ANSWER_LIMIT + 1));
-    let answer = StoredAnswer { status: 201, body: None };
+    let content_type = Arc::from("text/plain");
+    let answer = StoredAnswer { status: 201, content_type, body: None };
     let expected = AttemptVerdict::Known(AttemptOutcome::Done(answer));
     assert_eq!(begin(&mut memory, 5, "a", 10_000, true), expected);
 }
+
+/// An order ran at a keeper that was lost. Its caller sends it again, with
+/// little time: "its deadline passed, not run" would be a lie.
+#[test]
+fn a_late_resend_to_a_young_memory_is_not_called_not_run() {
+    let mut memory = memory_since(1_000);
+    let verdict = begin(&mut memory, 1_500, "a", 1_500, true);
+    assert_eq!(verdict, AttemptVerdict::TooYoung);
+}
+
+/// A caller says with each try how long it waits, so a resend has a later
+/// deadline than its first try: a far deadline does not prove that the
+/// first one came after the memory began.
+#[test]
+fn a_renewed_deadline_proves_nothing() {
+    // The order ran at 0, at another keeper, with a deadline of 30,000.
+    let mut memory = memory_since(1_000);
+    let verdict = begin(&mut memory, 29_000, "a", 59_000, true);
+    assert_eq!(verdict, AttemptVerdict::TooYoung);
+}
--- a/goldcrestramp-decisions/tests/attempt_properties.rs
+++ b/goldcrestramp-decisions/tests/attempt_properties.rs
@@ -2,11 +2,15 @@
 //!
 //! A caller sends orders again and again; the slice moves to another keeper
 //! with its memory, or the keeper is lost and the next one knows nothing.
-//! An oracle knows which orders may have run.
+//! An oracle knows which orders may have run. A resend may have a deadline
+//! of its own, as callers say how long they wait with each try; it comes
+//! within the time for which an id is promised to be remembered.
+
+use std::sync::Arc;
 
 use goldcrestramp_decisions::{
-    AttemptId, AttemptMemory, AttemptOutcome, AttemptVerdict, MemorySettings,
-    StoredAnswer,
+    AttemptArrival, AttemptId, AttemptMemory, AttemptOutcome, AttemptVerdict,
+    MemorySettings, StoredAnswer,
 };
 use goldcrestramp_types::{
     CallerName, FastMap, FastSet, LocalTime, NotRunReason, RequestName,
@@ -22,7 +26,7 @@
 
 #[derive(Clone, Debug)]
 enum Step {
-    Send { id: usize, left: u64 },
+    Send { id: usize, left: u64, renewed: bool },
     Finish { id: usize, ran: bool },
     Move,
     Lose,
@@ -31,8 +35,8 @@
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
-        6 => (0..IDS, 1..=1_000_u64)
-            .prop_map(|(id, left)| Step::Send { id, left }),
+        6 => (0..IDS, 0..=1_000_u64, any::<bool>())
+            .prop_map(|(id, left, renewed)| Step::Send { id, left, renewed }),
         3 => (0..IDS, any::<bool>())
             .prop_map(|(id, ran)| Step::Finish { id, ran }),
         1 => Just(Step::Move),
@@ -62,7 +66,8 @@
 }
 
 fn memory() -> AttemptMemory {
-    let settings = MemorySettings { id_limit: IDS, longest: LONGEST };
+    let settings =
+        MemorySettings { id_limit: IDS, answer_bytes: 100, longest: LONGEST };
     AttemptMemory::open(settings)
 }
 
@@ -92,12 +97,17 @@
 
     fn apply(&mut self, step: &Step) {
         match *step {
-            Step::Send { id, left } => self.send(id, left),
+            Step::Send { id, left, renewed } => self.send(id, left, renewed),
             Step::Finish { id, ran } => self.finish(id, ran),
             Step::Move => {
-                let passed_on = self.memory.release(self.now, slice());
+                let next = Arc::from("next");
+                let told =
+                    self.memory.untold(self.now, |_| Some(&next), 10_000);
                 self.memory = memory();
-                self.memory.take_over(self.now, slice(), passed_on);
+                self.memory.begin_slice(self.now, slice());
+                for record in told.into_iter().flat_map(|(_, told)| told) {
+                    self.memory.take(self.now, record);
+                }
                 self.running.clear();
             }
             Step::Lose => {
@@ -111,17 +121,25 @@
         }
     }
 
-    /// A first try, or a resend with the same deadline.
-    fn send(&mut self, id: usize, left: u64) {
+    /// A first try, or a resend with the same deadline or a new one.
+    fn send(&mut self, id: usize, left: u64, renewed: bool) {
         let is_resend = self.deadlines.contains_key(&id);
         let deadline = self.now + TimeSpan::from_millis(left);
-        let deadline = *self.deadlines.entry(id).or_insert(deadline);
+        let first = *self.deadlines.entry(id).or_insert(deadline);
+        if self.now > first + LONGEST {
+            // Later than any keeper has to remember it.
+            return;
+        }
+        let deadline = if renewed { deadline } else { first };
         let verdict = self.memory.begin(
             self.now,
-            &attempt(id),
-            slice(),
-            deadline,
-            is_resend,
+            AttemptArrival {
+                id: &attempt(id),
+                slice: slice(),
+                deadline,
+                is_resend,
+                server: &Arc::from("10.0.0.7:80"),
+            },
         );
         if verdict == AttemptVerdict::Start {
             assert!(self.now < deadline, "started after its deadline");
@@ -129,6 +147,10 @@
             assert!(is_first, "order {id} may run twice");
             self.running.insert(id);
         }
+        if let AttemptVerdict::Refused(_) = verdict {
+            let may_have_run = self.may_have_run.contains(&id);
+            assert!(!may_have_run, "order {id} is called not run");
+        }
     }
 
     fn finish(&mut self, id: usize, ran: bool) {
@@ -136,8 +158,13 @@
             return;
         }
         let outcome = if ran {
-            let answer = StoredAnswer { status: 201, body: None };
-            AttemptOutcome::Done(answer)
+            let content_type = Arc::from("");
+            let body = None;
+            AttemptOutcome::Done(StoredAnswer {
+                status: 201,
+                content_type,
+                body,
+            })
         } else {
             self.may_have_run.remove(&id);
             AttemptOutcome::NotRun(NotRunReason::ServerRefused)
--- a/goldcrestramp-node/src/handle.rs
+++ b/goldcrestramp-node/src/handle.rs
@@ -13,7 +13,7 @@
     control::{ControlStatus, ControlThread, DrainedAsk, StatusAsk},
     faults::NodeFaults,
     gateway::{CallerListener, gateway_routes},
-    keeper::KeeperService,
+    keeper::{KeeperService, MemoryHandover},
     operators::{NodeOperators, OperatorPolicy, operator_routes},
     peer_tls::PeerTls,
     peers::serve_router,
@@ -43,6 +43,7 @@
     callers: CallerListener,
     _operators: CallerListener,
     peers: JoinHandle<()>,
+    handover: MemoryHandover,
     addresses: NodeAddresses,
     counts: Arc<CallCounts>,
 }
@@ -78,7 +79,9 @@
             control: control.address,
             operators: operators.address(),
         };
-        let peers = serve_peers(&context, peers);
+        let keeper = KeeperService::new(Arc::clone(&context));
+        let handover = keeper.handover();
+        let peers = serve_peers(&context, keeper, peers);
         log::info!("gateway: callers are served at {}.", addresses.callers);
         log::info!("operators: served at {}.", addresses.operators);
         Ok(Self {
@@ -87,6 +90,7 @@
             callers,
             _operators: operators,
             peers,
+            handover,
             addresses,
             counts,
         })
@@ -120,6 +124,7 @@
     pub async fn drain(&mut self) {
         self.context.leave();
         self.wait_handed_over().await;
+        self.handover.finish().await;
         self.callers.drain().await;
         while self.context.requests() > 0 {
             tokio::time::sleep(DRAIN_POLL).await;
@@ -159,9 +164,9 @@
 
 fn serve_peers(
     context: &Arc<NodeContext>,
+    service: KeeperService,
     listener: TcpListener,
 ) -> JoinHandle<()> {
-    let service = KeeperService::new(Arc::clone(context));
     let limit = context.settings.body_bytes as usize + MESSAGE_ROOM;
     let service = PeerServer::new(service).max_decoding_message_size(limit);
     let server = Server::builder().tcp_nodelay(true).add_service(service);
--- a/goldcrestramp-node/src/keeper/attempts.rs
+++ b/goldcrestramp-node/src/keeper/attempts.rs
@@ -3,15 +3,18 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use goldcrestramp_decisions::{
-    AttemptId, AttemptMemory, AttemptOutcome, AttemptVerdict, MemorySettings,
-    StoredAnswer,
+    AttemptArrival, AttemptId, AttemptMemory, AttemptOutcome, AttemptRecord,
+    AttemptSent, AttemptVerdict, MemorySettings, StoredAnswer,
 };
 use goldcrestramp_types::{
     FastMap, FenceToken, LocalTime, NotRunReason, RequestClass, ServerName,
-    TimeSpan,
+    ServiceName, TimeSpan, VmName,
 };
 
-use crate::keeper::{send::ServerRequest, view::KeptServer};
+use crate::{
+    keeper::{send::ServerRequest, view::KeptServer},
+    routing::RoutingTable,
+};
 
 /// The longest deadline of an order; the gateway refuses longer ones.
 pub(crate) const ORDER_LONGEST: TimeSpan = TimeSpan::from_millis(60_000);
@@ -20,9 +23,22 @@
 /// minute, some 300 bytes each, are 4 MB.
 const ID_LIMIT: usize = 12_000;
 
+/// Bytes of answers that are kept for one server: 300 each of its ids.
+const ANSWER_BYTES: usize = 4_000_000;
+
+/// How long a resend waits for what the slice's former keeper remembers,
+/// from when this one began with the slice: a table needs some hundred
+/// milliseconds to reach the former keeper.
+const NEWS_PATIENCE: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// Bytes of one parcel: below the room that a peer's listener has besides
+/// the largest body, whatever that is set to.
+const PARCEL_BYTES: usize = 48 * 1_024;
+
 /// What one server has been sent under one grant.
 #[derive(Debug)]
 struct AttemptBook {
+    service: ServiceName,
     token: FenceToken,
     memory: AttemptMemory,
 }
@@ -33,17 +49,31 @@
     books: Arc<Mutex<FastMap<ServerName, AttemptBook>>>,
 }
 
+/// Records that one keeper is to be told.
+#[derive(Debug)]
+pub(crate) struct MemoryParcel {
+    pub(crate) service: ServiceName,
+    /// The server whose book they come from.
+    server: ServerName,
+    /// Where the keeper takes requests.
+    pub(crate) keeper: Arc<str>,
+    pub(crate) records: Vec<AttemptRecord>,
+}
+
 /// What is to be done with a request.
 #[derive(Debug)]
 pub(crate) enum AttemptStep {
     /// It is no order, or a new one: run it.
     Run(AttemptGuard),
-    /// It was answered: fetch the answer that the server kept.
-    Fetch,
-    /// It was sent to this server: find out there what became of it.
-    Recover,
-    /// It may have been sent to any server: look whether this one knows.
-    Look,
+    /// It was answered so.
+    Answer(StoredAnswer),
+    /// It was answered: fetch the answer that its server kept.
+    Fetch(AttemptSent),
+    /// It was sent to a server: find out there what became of it.
+    Recover(AttemptSent),
+    /// It may have been sent to any server: look whether this one knows,
+    /// or the slice's former keeper tells before this moment.
+    Look(LocalTime),
     /// The first one is under way.
     Running,
     /// It is not taken.
@@ -73,19 +103,91 @@
         let mut books = self.lock();
         let memory = memory(&mut books, kept);
         memory.begin_slice(now, request.slice);
-        let (slice, deadline) = (request.slice, request.deadline);
-        match memory.begin(now, id, slice, deadline, request.resend) {
+        let arrival = AttemptArrival {
+            id,
+            slice: request.slice,
+            deadline: request.deadline,
+            is_resend: request.resend,
+            server: &kept.order.address,
+        };
+        match memory.begin(now, arrival) {
             // Made for a new attempt alone: dropped, a second one's guard
             // would take the outcome of the first.
             AttemptVerdict::Start => AttemptStep::Run(guard(Some(id.clone()))),
-            AttemptVerdict::InProgress => AttemptStep::Running,
-            AttemptVerdict::Known(AttemptOutcome::Done(_)) => {
-                AttemptStep::Fetch
+            AttemptVerdict::TooYoung => {
+                let since = memory.since(request.slice).unwrap_or(now);
+                AttemptStep::Look(since + NEWS_PATIENCE)
+            }
+            verdict => step(memory, id, verdict),
+        }
+    }
+
+    /// What is known here of an order, whoever has its slice by now.
+    ///
+    /// Asked before anything can refuse it: what was started here must not
+    /// be called "not run" for a reason that came later.
+    pub(crate) fn recall(
+        &self,
+        now: LocalTime,
+        request: &ServerRequest,
+    ) -> Option<AttemptStep> {
+        if request.class != RequestClass::Order {
+            return None;
+        }
+        let id = request.attempt.as_ref()?;
+        let mut books = self.lock();
+        let books = books.values_mut();
+        let mut known = None;
+        for book in books.filter(|book| book.service == request.service) {
+            let Some(verdict) = book.memory.recall(now, id) else { continue };
+            let found = step(&book.memory, id, verdict);
+            if matches!(found, AttemptStep::Answer(_)) {
+                return Some(found);
             }
-            AttemptVerdict::Known(_) => AttemptStep::Recover,
-            AttemptVerdict::TooYoung => AttemptStep::Look,
-            AttemptVerdict::Refused(reason) => AttemptStep::Refuse(reason),
+            known = known.or(Some(found));
         }
+        known
+    }
+
+    /// What is to be told to another keeper next.
+    ///
+    /// What this VM keeps itself is known to it whichever server has it.
+    pub(crate) fn untold(
+        &self,
+        now: LocalTime,
+        table: &RoutingTable,
+        vm: &VmName,
+    ) -> Option<MemoryParcel> {
+        let mut books = self.lock();
+        books.iter_mut().find_map(|(server, book)| {
+            let routes = table.service(&book.service)?;
+            let keeper_of = |slice| {
+                let target = routes.target(slice)?;
+                (target.keeper != *vm).then_some(&target.address)
+            };
+            let untold = book.memory.untold(now, keeper_of, PARCEL_BYTES);
+            let (keeper, records) = untold?;
+            let (service, server) = (book.service.clone(), server.clone());
+            Some(MemoryParcel { service, server, keeper, records })
+        })
+    }
+
+    /// Notes that a keeper has taken a parcel.
+    pub(crate) fn told(&self, parcel: &MemoryParcel) {
+        let mut books = self.lock();
+        if let Some(book) = books.get_mut(&parcel.server) {
+            book.memory.told(&parcel.keeper, &parcel.records);
+        }
+    }
+
+    /// Takes what another keeper remembers of an order.
+    pub(crate) fn take(
+        &self,
+        now: LocalTime,
+        kept: &KeptServer,
+        record: AttemptRecord,
+    ) {
+        memory(&mut self.lock(), kept).take(now, record);
     }
 
     fn lock(&self) -> MutexGuard<'_, FastMap<ServerName, AttemptBook>> {
@@ -93,6 +195,33 @@
     }
 }
 
+/// What is to be done with a request that is remembered, or not taken.
+fn step(
+    memory: &AttemptMemory,
+    id: &AttemptId,
+    verdict: AttemptVerdict,
+) -> AttemptStep {
+    match (verdict, memory.sent(id).cloned()) {
+        (AttemptVerdict::Refused(reason), _) => AttemptStep::Refuse(reason),
+        (AttemptVerdict::Known(AttemptOutcome::Done(answer)), _)
+            if answer.body.is_some() =>
+        {
+            AttemptStep::Answer(answer)
+        }
+        (AttemptVerdict::Known(AttemptOutcome::Done(_)), Some(sent)) => {
+            AttemptStep::Fetch(sent)
+        }
+        (AttemptVerdict::Known(_), Some(sent)) => AttemptStep::Recover(sent),
+        (
+            AttemptVerdict::InProgress
+            | AttemptVerdict::Known(_)
+            | AttemptVerdict::TooYoung
+            | AttemptVerdict::Start,
+            _,
+        ) => AttemptStep::Running,
+    }
+}
+
 /// The memory of a server under its present grant.
 ///
 /// Under a new token the slice may have been elsewhere meanwhile, where an
@@ -105,9 +234,13 @@
     let token = kept.pass.token;
     let server = kept.order.server.clone();
     let book = books.entry(server).or_insert_with(|| {
-        let settings =
-            MemorySettings { id_limit: ID_LIMIT, longest: ORDER_LONGEST };
-        AttemptBook { token, memory: AttemptMemory::open(settings) }
+        let settings = MemorySettings {
+            id_limit: ID_LIMIT,
+            answer_bytes: ANSWER_BYTES,
+            longest: ORDER_LONGEST,
+        };
+        let service = kept.order.service.clone();
+        AttemptBook { service, token, memory: AttemptMemory::open(settings) }
     });
     if book.token != token {
         book.token = token;
@@ -136,9 +269,8 @@
         self.outcome = AttemptOutcome::NotRun(reason);
     }
 
-    /// The server has answered; it keeps the answer itself.
-    pub(crate) fn done(&mut self) {
-        let answer = StoredAnswer { status: 0, body: None };
+    /// The server has answered.
+    pub(crate) fn done(&mut self, answer: StoredAnswer) {
         self.outcome = AttemptOutcome::Done(answer);
     }
 }
--- a/goldcrestramp-node/src/keeper/mod.rs
+++ b/goldcrestramp-node/src/keeper/mod.rs
@@ -2,7 +2,10 @@
 
 mod admission;
 mod attempts;
+mod cancel;
 mod frames;
+mod handover;
+mod known;
 mod link;
 mod prove;
 mod recover;
@@ -12,5 +15,6 @@
 mod view;
 
 pub(crate) use crate::keeper::{
-    attempts::ORDER_LONGEST, service::KeeperService, view::KeeperView,
+    attempts::ORDER_LONGEST, handover::MemoryHandover, service::KeeperService,
+    view::KeeperView,
 };
--- a/goldcrestramp-node/src/keeper/recover.rs
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -77,6 +77,15 @@
     }
 }
 
+/// Whether the server knows of a request that may have gone elsewhere.
+pub(crate) async fn is_seen(
+    http: &reqwest::Client,
+    lost: LostRequest<'_>,
+) -> bool {
+    let state = look(http, lost).await;
+    matches!(state, Some(RequestState::Running | RequestState::Ended))
+}
+
 /// What the server says, as far as it proves anything.
 async fn look(
     http: &reqwest::Client,
@@ -119,7 +128,7 @@
     if !response.status().is_success() || !same {
         return unknown(frames, UnknownReason::KeeperLost).await;
     }
-    send::pass_on(response, lost.request, frames, None).await;
+    send::pass_on(response, lost.request, frames, None, None).await;
 }
 
 async fn unknown(frames: &FrameSender, reason: UnknownReason) {
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::StreamExt;
-use goldcrestramp_decisions::AttemptId;
+use goldcrestramp_decisions::{ANSWER_LIMIT, AttemptId, StoredAnswer};
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
     ServerName, ServerTime, ServiceName, SliceIndex, TimeSpan, UnknownReason,
@@ -150,10 +150,15 @@
         return;
     }
     slot.begin();
-    match pass_on(response, request, frames, Some(slot)).await {
+    let once = request.class.effect() == RequestEffect::NonIdempotent;
+    let mut copy = once.then(|| AnswerCopy::new(&response));
+    let copied = copy.as_mut();
+    match pass_on(response, request, frames, Some(slot), copied).await {
         PassEnd::Whole => {
             slot.complete();
-            attempt.done();
+            if let Some(copy) = copy {
+                attempt.done(copy.answer());
+            }
         }
         PassEnd::ServerBroke => slot.fail(SlotEnd::Broken),
         PassEnd::ReaderGone => slot.fail(SlotEnd::Cancelled),
@@ -214,13 +219,12 @@
     request: &ServerRequest,
     frames: &FrameSender,
     slot: Option<&ServerSlot>,
+    mut copy: Option<&mut AnswerCopy>,
 ) -> PassEnd {
     let length = response.content_length();
-    let content_type = response.headers().get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok());
     let head = RouteHead {
         status: u32::from(response.status().as_u16()),
-        content_type: content_type.unwrap_or_default().to_owned(),
+        content_type: content_type(&response).to_owned(),
         length,
         request: request.id.to_string(),
     };
@@ -235,6 +239,9 @@
             return PassEnd::ServerBroke;
         };
         passed += chunk.len() as u64;
+        if let Some(copy) = &mut copy {
+            copy.add(&chunk);
+        }
         if let Some(slot) = slot {
             slot.progress();
         }
@@ -255,6 +262,66 @@
     }
 }
 
+/// The media type of an answer; empty if there is none.
+fn content_type(response: &Response) -> &str {
+    let value = response.headers().get(CONTENT_TYPE);
+    value.and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+/// A copy of an order's answer, for a resend.
+#[derive(Debug)]
+pub(crate) struct AnswerCopy {
+    answer: StoredAnswer,
+    /// Nothing once it is too long to keep.
+    body: Option<Vec<u8>>,
+}
+
+impl AnswerCopy {
+    fn new(response: &Response) -> Self {
+        let answer = StoredAnswer {
+            status: response.status().as_u16(),
+            content_type: Arc::from(content_type(response)),
+            body: None,
+        };
+        Self { answer, body: Some(Vec::new()) }
+    }
+
+    fn add(&mut self, chunk: &[u8]) {
+        let room = |body: &Vec<u8>| body.len() + chunk.len() <= ANSWER_LIMIT;
+        self.body = self.body.take().filter(room);
+        if let Some(body) = &mut self.body {
+            body.extend_from_slice(chunk);
+        }
+    }
+
+    fn answer(self) -> StoredAnswer {
+        StoredAnswer { body: self.body.map(Arc::from), ..self.answer }
+    }
+}
+
+/// Gives an answer that was kept.
+pub(crate) async fn give_stored(
+    frames: &FrameSender,
+    request: &ServerRequest,
+    answer: StoredAnswer,
+) {
+    let body = answer.body.as_deref().unwrap_or_default();
+    let length = body.len() as u64;
+    let head = RouteHead {
+        status: u32::from(answer.status),
+        content_type: answer.content_type.to_string(),
+        length: Some(length),
+        request: request.id.to_string(),
+    };
+    let data = Bytes::copy_from_slice(body);
+    // Each is in vain once the gateway has gone.
+    if give(frames, frames::head(head)).await
+        && give_data(frames, data, request, None).await
+    {
+        give(frames, frames::end(length)).await;
+    }
+}
+
 /// Ends the answer without its end mark.
 ///
 /// With a reader that has stalled there is no room for the error; waiting
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -6,9 +6,11 @@
 use goldcrestramp_decisions::{AttemptId, QueueRefusal, QueuedRequest};
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
-    RequestName, ServerName, ServiceName, TimeSpan, UnknownReason, slice_of,
+    RequestName, ServerName, ServiceName, TimeSpan, slice_of,
+};
+use goldcrestramp_wire::peer::{
+    OrderParcel, OrderReceipt, RouteFrame, RouteRequest, peer_server::Peer,
 };
-use goldcrestramp_wire::peer::{RouteFrame, RouteRequest, peer_server::Peer};
 use rustc_hash::FxHasher;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
@@ -18,13 +20,15 @@
     context::NodeContext,
     keeper::{
         admission::{QueuePlace, ServerQueues},
-        attempts::{AttemptGuard, AttemptStep, ORDER_LONGEST, ServerAttempts},
+        attempts::{AttemptGuard, AttemptStep, ServerAttempts},
+        cancel::CancelOnDrop,
         frames,
+        handover::MemoryHandover,
+        known::{decline, is_answer, may_have_been_sent, refuse},
         link::RegionLinks,
-        prove,
         recover::{self, LostRequest},
         send::{self, FrameSender, ServerRequest},
-        slot::{ServerSlot, SlotEnd},
+        slot::ServerSlot,
         view::KeptServer,
     },
     routing::RouteTarget,
@@ -44,11 +48,12 @@
 /// The gRPC service of the traffic threads.
 #[derive(Clone, Debug)]
 pub(crate) struct KeeperService {
-    context: Arc<NodeContext>,
+    pub(super) context: Arc<NodeContext>,
     queues: Arc<ServerQueues>,
-    attempts: ServerAttempts,
+    pub(super) attempts: ServerAttempts,
     links: Arc<RegionLinks>,
-    http: reqwest::Client,
+    handover: MemoryHandover,
+    pub(super) http: reqwest::Client,
 }
 
 impl KeeperService {
@@ -56,7 +61,15 @@
         let queues = Arc::new(ServerQueues::new(Arc::clone(&context)));
         let attempts = ServerAttempts::default();
         let links = Arc::new(RegionLinks::new(Arc::clone(&context)));
-        Self { context, queues, attempts, links, http: reqwest::Client::new() }
+        let handover =
+            MemoryHandover::spawn(Arc::clone(&context), attempts.clone());
+        let http = reqwest::Client::new();
+        Self { context, queues, attempts, links, handover, http }
+    }
+
+    /// What passes the memory of orders on.
+    pub(crate) fn handover(&self) -> MemoryHandover {
+        self.handover.clone()
     }
 
     /// Runs one request and hands its frames on.
@@ -79,10 +92,18 @@
         let recovery = request.recover;
         let link = self.links.link(&request.region);
         let age = TimeSpan::from_micros(request.age_micros);
+        let had = recovery || may_have_been_sent(&request);
         let mut request = match self.check(now, request) {
             Ok(request) => request,
-            Err(reason) => return refuse(frames, reason).await,
+            Err(reason) => return decline(frames, had, reason).await,
         };
+        match self.attempts.recall(now, &request) {
+            // A recovery asks the server and waits for what still runs.
+            Some(step) if !recovery || is_answer(&step) => {
+                return self.known(&request, step, frames).await;
+            }
+            _ => {}
+        }
         if recovery {
             self.recover(&request, age, frames).await;
             return;
@@ -105,32 +126,17 @@
         });
         match crossing.transpose() {
             Ok(crossing) => request.crossing = crossing.map(Arc::new),
-            Err(reason) => return refuse(frames, reason).await,
+            Err(reason) => return decline(frames, had, reason).await,
         }
         let now = self.context.now();
         match self.attempts.begin(now, &kept, &request) {
             AttemptStep::Run(attempt) => {
                 self.queue(&kept, &request, frames, attempt).await;
             }
-            AttemptStep::Fetch => {
-                let lost = self.lost(&kept.order, &request, ORDER_LONGEST);
-                recover::kept_answer(&self.http, lost, frames).await;
-            }
-            AttemptStep::Recover => {
-                let lost = self.lost(&kept.order, &request, ORDER_LONGEST);
-                recover::recover(&self.http, lost, frames).await;
-            }
-            AttemptStep::Look => {
-                // The first try may have been sent to another server.
-                let lost = self.lost(&kept.order, &request, ORDER_LONGEST);
-                let lost = LostRequest { same_server: false, ..lost };
-                recover::recover(&self.http, lost, frames).await;
+            AttemptStep::Look(until) => {
+                self.look(&kept, &request, until, frames).await;
             }
-            AttemptStep::Running => {
-                let reason = UnknownReason::StillRunning;
-                send::give(frames, frames::unknown(reason)).await;
-            }
-            AttemptStep::Refuse(reason) => refuse(frames, reason).await,
+            step => self.known(&request, step, frames).await,
         }
     }
 
@@ -238,7 +244,7 @@
         }
     }
 
-    fn lost<'a>(
+    pub(super) fn lost<'a>(
         &self,
         order: &'a ServerOrder,
         request: &'a ServerRequest,
@@ -261,7 +267,7 @@
         let once = request.class.effect() == RequestEffect::NonIdempotent;
         let running = &self.context.running;
         let guard = once.then(|| running.start(server, request.slice));
-        let mut cancel = CancelOnDrop::new(self, kept, request, slot);
+        let mut cancel = CancelOnDrop::new(&self.http, kept, request, slot);
         let left = request.deadline.since(self.context.now());
         if let Some(call) = &mut cancel.call {
             let notes = (&mut call.slot, &mut attempt);
@@ -270,7 +276,13 @@
                 .await;
         }
         cancel.disarm();
+        // Its end is noted before its slice may be released, so that the
+        // next keeper hears of it.
+        drop(attempt);
         drop(guard);
+        if once && self.find(request).is_none() {
+            self.handover.wake();
+        }
     }
 
     /// Completes when an idempotent request's slice has surely left the
@@ -347,60 +359,6 @@
     }
 }
 
-async fn refuse(frames: &FrameSender, reason: NotRunReason) {
-    send::give(frames, frames::not_run(reason, TimeSpan::ZERO)).await;
-}
-
-/// Cancels a request at its server when its caller has gone.
-#[derive(Debug)]
-struct CancelOnDrop {
-    call: Option<CancelCall>,
-}
-
-/// What a cancellation needs. It keeps the slot until the server has
-/// answered: what is being cancelled still holds it there.
-#[derive(Debug)]
-struct CancelCall {
-    http: reqwest::Client,
-    kept: KeptServer,
-    id: Arc<str>,
-    slot: ServerSlot,
-}
-
-impl CancelOnDrop {
-    fn new(
-        service: &KeeperService,
-        kept: &KeptServer,
-        request: &ServerRequest,
-        slot: ServerSlot,
-    ) -> Self {
-        let http = service.http.clone();
-        let id = Arc::clone(&request.id);
-        Self { call: Some(CancelCall { http, kept: kept.clone(), id, slot }) }
-    }
-
-    /// The request has its answer: there is nothing to cancel.
-    fn disarm(&mut self) {
-        self.call = None;
-    }
-}
-
-impl Drop for CancelOnDrop {
-    fn drop(&mut self) {
-        let Some(mut call) = self.call.take() else {
-            return;
-        };
-        call.slot.fail(SlotEnd::Cancelled);
-        tokio::spawn(async move {
-            // Whether it was in time does not matter to a caller that left.
-            let _report =
-                prove::cancel(&call.http, &call.kept.order.address, &call.id)
-                    .await;
-            drop(call.slot);
-        });
-    }
-}
-
 #[tonic::async_trait]
 impl Peer for KeeperService {
     type RouteStream =
@@ -415,4 +373,12 @@
         tokio::spawn(service.run(request.into_inner(), sender));
         Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
     }
+
+    async fn remember(
+        &self,
+        request: Request<OrderParcel>,
+    ) -> Result<Response<OrderReceipt>, Status> {
+        let taken = self.handover.take(request.into_inner())?;
+        Ok(Response::new(OrderReceipt { taken }))
+    }
 }
--- a/goldcrestramp-node/src/routing.rs
+++ b/goldcrestramp-node/src/routing.rs
@@ -116,6 +116,16 @@
         Self { services }
     }
 
+    /// Whether it sends anybody to this VM.
+    pub(crate) fn names(&self, vm: &VmName) -> bool {
+        self.services.values().any(|routes| {
+            let owners = routes.owners.iter().flatten();
+            let mut targets =
+                owners.filter_map(|at| routes.targets.get(usize::from(*at)));
+            targets.any(|target| target.keeper == *vm)
+        })
+    }
+
     /// The routes of a service.
     pub(crate) fn service(
         &self,
--- /dev/null
+++ b/goldcrestramp-node/tests/resend.rs
@@ -0,0 +1,97 @@
+//! Orders that their callers send again.
+
+mod one_domain;
+
+use goldcrestramp_wire::peer::{
+    RouteFrame, RouteRequest, peer_client::PeerClient, route_frame::Frame,
+};
+use one_domain::OneDomain;
+use reqwest::{Method, Response};
+
+const KEY: &str = "rice";
+
+/// Sends the same order through one of the daemons; outcome and body.
+async fn order(
+    domain: &OneDomain,
+    node: usize,
+    is_resend: bool,
+) -> (String, String) {
+    let answer = domain
+        .request(node, Method::POST, KEY)
+        .header("goldcrestramp-request", "order-1")
+        .header("goldcrestramp-resend", is_resend.to_string())
+        .body("5 sacks")
+        .send()
+        .await
+        .expect("an answer");
+    let outcome = outcome(&answer);
+    (outcome, answer.text().await.expect("a whole body"))
+}
+
+fn outcome(answer: &Response) -> String {
+    let outcome = &answer.headers()["goldcrestramp-outcome"];
+    outcome.to_str().expect("a code").to_owned()
+}
+
+/// A phone sends an order and loses the answer. Its server is taken out of
+/// service on a plan, and its slices move to another one, kept by another
+/// VM, which has never seen the order. The phone sends it again, through a
+/// third VM, and gets the first answer; the order ran once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_resend_after_a_planned_move_gets_the_first_answer() {
+    let mut domain = OneDomain::spawn(11, 3).await;
+    let first = order(&domain, 0, false).await;
+    let owner = domain.runs("order-1").iter().position(|runs| *runs > 0);
+    let owner = owner.expect("it ran");
+    let next = 1 - owner;
+    let keepers =
+        (domain.keeper_of(owner).await, domain.keeper_of(next).await);
+    domain.drain_server(owner).await;
+    domain.wait_until_run_by(next, KEY).await;
+    let third = (0..3).find(|node| *node != keepers.0 && *node != keepers.1);
+
+    let again = order(&domain, third.expect("a third VM"), true).await;
+
+    assert_ne!(keepers.0, keepers.1, "two VMs keep a server each");
+    assert_eq!(first.0, "done");
+    assert_eq!(again, first);
+    assert_eq!(domain.runs("order-1").iter().sum::<usize>(), 1);
+}
+
+/// The first frame of a keeper's answer to an order that arrives past its
+/// deadline, as it does after a slow way.
+async fn late_order(domain: &OneDomain, is_resend: bool) -> RouteFrame {
+    let keeper = domain.keeper_of(0).await;
+    let peers = domain.nodes[keeper].addresses().peers;
+    let url = format!("http://{peers}");
+    let mut peer = PeerClient::connect(url).await.expect("connected");
+    let key = domain.key_of(0).await;
+    let request = RouteRequest {
+        service: "stock".to_owned(),
+        key: key.into(),
+        caller: "tienda".to_owned(),
+        request: "order-2".to_owned(),
+        class: "order".to_owned(),
+        region: "sierra".to_owned(),
+        server: "stock-0".to_owned(),
+        resend: is_resend,
+        ..RouteRequest::default()
+    };
+    let frames = peer.route(request).await.expect("taken");
+    let first = frames.into_inner().message().await.expect("a frame");
+    first.expect("a first frame")
+}
+
+/// An order was sent before a keeper's time; its resend arrives late. "Its
+/// deadline passed, so it did not run" is true of the resend alone: the
+/// caller would send the order again under a new id, and two would run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_late_resend_is_not_called_not_run() {
+    let domain = OneDomain::spawn(12, 1).await;
+
+    let first = late_order(&domain, false).await.frame;
+    let again = late_order(&domain, true).await.frame;
+
+    assert!(matches!(first, Some(Frame::NotRun(_))), "{first:?}");
+    assert!(matches!(again, Some(Frame::Unknown(_))), "{again:?}");
+}
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -377,6 +377,49 @@
     #[prost(bytes = "bytes", tag = "3")]
     pub record: ::prost::bytes::Bytes,
 }
+/// Records of one service's orders; bounded, sent again until taken.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OrderParcel {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub orders: ::prost::alloc::vec::Vec<OrderRecord>,
+}
+/// How one order ended.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrderRecord {
+    #[prost(string, tag = "1")]
+    pub caller: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub slice: u32,
+    /// Microseconds to its deadline.
+    #[prost(uint64, tag = "4")]
+    pub left_micros: u64,
+    /// Where the server listens that was sent it.
+    #[prost(string, tag = "5")]
+    pub server_address: ::prost::alloc::string::String,
+    /// What it answered; absent: it may have run.
+    #[prost(message, optional, tag = "6")]
+    pub answer: ::core::option::Option<OrderAnswer>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrderAnswer {
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    #[prost(string, tag = "2")]
+    pub content_type: ::prost::alloc::string::String,
+    /// Absent if it was too long to keep.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub body: ::core::option::Option<::prost::bytes::Bytes>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OrderReceipt {
+    /// How many of the records were taken; fewer: not all slices are here.
+    #[prost(uint32, tag = "1")]
+    pub taken: u32,
+}
 /// Generated client implementations.
 pub mod control_client {
     #![allow(
@@ -959,6 +1002,28 @@
                 .insert(GrpcMethod::new("goldcrestramp.peer.v1.Peer", "Route"));
             self.inner.server_streaming(req, path, codec).await
         }
+        /// Takes what another keeper remembers of orders whose slices came here.
+        pub async fn remember(
+            &mut self,
+            request: impl tonic::IntoRequest<super::OrderParcel>,
+        ) -> std::result::Result<tonic::Response<super::OrderReceipt>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/goldcrestramp.peer.v1.Peer/Remember",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Peer", "Remember"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -985,6 +1050,11 @@
             &self,
             request: tonic::Request<super::RouteRequest>,
         ) -> std::result::Result<tonic::Response<Self::RouteStream>, tonic::Status>;
+        /// Takes what another keeper remembers of orders whose slices came here.
+        async fn remember(
+            &self,
+            request: tonic::Request<super::OrderParcel>,
+        ) -> std::result::Result<tonic::Response<super::OrderReceipt>, tonic::Status>;
     }
     /// Served by the traffic threads.
     #[derive(Debug)]
@@ -1109,6 +1179,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/goldcrestramp.peer.v1.Peer/Remember" => {
+                    #[allow(non_camel_case_types)]
+                    struct RememberSvc<T: Peer>(pub Arc<T>);
+                    impl<T: Peer> tonic::server::UnaryService<super::OrderParcel>
+                    for RememberSvc<T> {
+                        type Response = super::OrderReceipt;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::OrderParcel>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Peer>::remember(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RememberSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
