Wait for copies of answered grants where no fence is checked

The network delivered a grant twice: the first copy was answered, the next order took slices away and was answered too, the slices went to another server, then the second copy came before its deadline. A server without fences took it. "What it moves on a plan, the old owner had released, so it no longer holds it" is what broke: a keeper remembered unanswered grants alone. Change: at a server without fences an answered grant counts as held until its deadline has surely passed there. A release that would leave its slices unserved meanwhile is put off, and the server serves on.

--- a/goldcrestramp-ownership/src/keeper/mod.rs
+++ b/goldcrestramp-ownership/src/keeper/mod.rs
@@ -145,14 +145,14 @@
         self.term = term;
         self.until = sent + self.timing.shortened(valid);
         self.poll_at = now + again.min(self.timing.renew_every);
-        self.follow(orders);
+        self.follow(now, orders);
         for kept in self.servers.values_mut() {
             kept.renew(now, &self.timing);
         }
     }
 
     /// Keeps the named servers and no other.
-    fn follow(&mut self, orders: Vec<ServerOrder>) {
+    fn follow(&mut self, now: LocalTime, orders: Vec<ServerOrder>) {
         let mut kept = std::mem::take(&mut self.servers);
         for order in orders {
             let name = order.server.clone();
@@ -160,7 +160,7 @@
                 self.versions += 1;
                 KeptServer::new(order.clone(), self.versions)
             });
-            server.instruct(order);
+            server.instruct(now, order, &self.timing);
             self.servers.insert(name, server);
         }
     }
--- a/goldcrestramp-ownership/src/keeper/server.rs
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -1,5 +1,7 @@
 //! A keeper's conversation with one server.
 
+mod copies;
+
 use std::sync::Arc;
 
 use goldcrestramp_types::{
@@ -20,7 +22,7 @@
 /// the renewal time.
 const ORDER_PERCENT: u64 = 150;
 
-/// The most unanswered grants that are remembered one by one.
+/// The most grants under way that are remembered one by one.
 ///
 /// A grant repeated to a silent server adds one every 50 ms, each void
 /// within a lease; beyond this the keeper waits until some are void.
@@ -33,7 +35,7 @@
     received: LocalTime,
 }
 
-/// An order on its way, or lost on it.
+/// An order on its way, or lost on it, or a copy of an answered one.
 #[derive(Clone, Debug)]
 struct SentOrder {
     sent: LocalTime,
@@ -100,7 +102,15 @@
     }
 
     /// Takes the steward's newest order.
-    pub(super) fn instruct(&mut self, order: ServerOrder) {
+    pub(super) fn instruct(
+        &mut self,
+        now: LocalTime,
+        order: ServerOrder,
+        timing: &TermTiming,
+    ) {
+        if self.waits_for_copies(now, &order, timing) {
+            return;
+        }
         if order.token == self.order.token && order.extend_only {
             let known = Arc::make_mut(&mut self.order);
             let slices = std::mem::take(&mut known.slices);
@@ -210,10 +220,7 @@
             return order;
         }
         let alive = now < self.alive_until(reading, timing);
-        // At a server without fences a late order of before may have taken
-        // the place of the newest one, under the token of an extension.
-        let same = self.held == self.order.slices;
-        let applied = alive && self.token == self.order.token && same;
+        let applied = self.is_applied(now, reading, timing);
         if self.order.extend_only || applied {
             // A lapsed grant is not extended: its slices may have moved.
             if alive {
@@ -248,11 +255,9 @@
         reply: &GrantReply,
         timing: &TermTiming,
     ) -> bool {
-        let answered = |order: &SentOrder| sent >= order.sent;
-        if !self.under_way.as_ref().is_some_and(answered) {
+        let Some(order) = self.under_way.take_if(|o| sent >= o.sent) else {
             return false;
-        }
-        self.under_way = None;
+        };
         self.reachable = true;
         let reading = ClockReading { clock: reply.clock, received: now };
         if reply.run != self.run {
@@ -261,6 +266,8 @@
             self.ends_at = now;
             self.run = reply.run;
             self.sets_known = false;
+        } else if reply.accepted {
+            self.remember_grant(order, timing);
         }
         self.reading = Some(reading);
         self.take_sets(reply);
@@ -286,6 +293,21 @@
         true
     }
 
+    /// Whether the server lives by the present order.
+    ///
+    /// At a server without fences a late order of before may have taken
+    /// the place of the newest one, under the token of an extension.
+    fn is_applied(
+        &self,
+        now: LocalTime,
+        reading: ClockReading,
+        timing: &TermTiming,
+    ) -> bool {
+        let alive = now < self.alive_until(reading, timing);
+        let same = self.held == self.order.slices;
+        alive && self.token == self.order.token && same
+    }
+
     fn needs_grant(&self) -> bool {
         !self.order.extend_only && self.token != self.order.token
     }
--- a/goldcrestramp-ownership/src/safeguard.rs
+++ b/goldcrestramp-ownership/src/safeguard.rs
@@ -25,6 +25,8 @@
     KeeperWait,
     /// An order that arrives after its own deadline is refused.
     LateOrder,
+    /// A copy of an answered grant may still reach a server without fences.
+    GrantCopy,
 }
 
 /// All safeguards, less at most one.
--- a/goldcrestramp-ownership/tests/ownership/failures.rs
+++ b/goldcrestramp-ownership/tests/ownership/failures.rs
@@ -284,3 +284,23 @@
         }
     }
 }
+
+// A slice moves, and soon after it another from the same server, which
+// checks no fences. A copy of its grant could still take the second slice
+// back; its callers are served by it until that is over.
+#[test]
+fn a_second_move_waits_for_copies_and_callers_do_not() {
+    for checks in [false, true] {
+        for phase in 0..20 {
+            let mut world = settled(2, &[checks, checks], phase);
+            world.fault(&Fault::Move(0, 1));
+            let first = world.worst_gap(150);
+            world.fault(&Fault::Move(1, 1));
+            let second = world.worst_gap(2_000);
+            let worst = first.max(second);
+            assert!(worst < 250, "{worst} ms, {checks} {phase}");
+            assert_eq!(world.owner(1), Some(1));
+            assert_recovered(&world);
+        }
+    }
+}
--- a/goldcrestramp-ownership/tests/ownership/mutations.rs
+++ b/goldcrestramp-ownership/tests/ownership/mutations.rs
@@ -85,6 +85,22 @@
     });
 }
 
+// A server without fences is granted slices and gives one up at once, while
+// a second copy of the grant is still on its way. Taken, it would make the
+// server own that slice again, which is another's by then.
+#[test]
+fn a_copy_of_an_answered_grant_takes_nothing_back() {
+    assert_needed(Safeguard::GrantCopy, 40, |safeguards, phase| {
+        let mut world = started(safeguards, &[false, false], phase);
+        world.fault(&Fault::Weather { loss: 0, double: 100, late: 300 });
+        for (slice, server) in [(0, 1), (0, 0), (1, 1), (1, 0)] {
+            world.fault(&Fault::Move(slice, server));
+            world.run(150);
+        }
+        world
+    });
+}
+
 /// The steward's VM is cut off with the servers that it keeps.
 fn steward_cut_off(safeguards: Safeguards, phase: u64) -> World {
     let mut world = started(safeguards, &[false; 4], phase);
