Serve a domain's keys elsewhere when its last server goes

Cause: the planner moved slices between domains only by a ticket that takes a domain out of a service's rules. A domain whose only server of a service was lost held on to its slices, though its steward knew that nobody could be given them; a drained one went on serving.

Change: the steward puts on the domain's record for which services each server is lost or leaving. The planner watches the heads of the records while it plans, and moves such slices to domains that have servers: all at once where nobody serves them, a part at a time where a leaving server does. Nothing brings them back but the loss of all servers elsewhere. A release that has been followed up leaves the stored record, too: it would have kept a slice from ever coming back.

Tests: both new ones of the node waited in vain before; planner_history takes lost and returning servers among its steps.

--- a/goldcrestramp-node/src/planner/round.rs
+++ b/goldcrestramp-node/src/planner/round.rs
@@ -11,11 +11,12 @@
     records::{StoreRecord, keys},
     settle_write,
 };
-use goldcrestramp_types::{DomainName, FastMap};
+use goldcrestramp_types::{DomainName, FastMap, FastSet};
 
 use crate::{
     control::TableSet,
     faults::NodeFaults,
+    planner::heads::HeadBook,
     store::{read_division, read_view},
 };
 
@@ -23,6 +24,7 @@
 pub(super) async fn plan_all(
     store: &PlatformClient,
     set: &TableSet,
+    heads: &HeadBook,
     faults: &NodeFaults,
 ) -> Result<bool, StoreError> {
     let Some(config) = &set.config else {
@@ -32,20 +34,30 @@
     for service in &config.services {
         let policy = ServicePolicy::of(config, service);
         let known = set.homes.get(&service.name);
-        busy |= plan_service(store, service, &policy, known, faults).await?;
+        let stranded = heads.stranded(&service.name);
+        let look = ServiceLook { service, policy, known, stranded };
+        busy |= plan_service(store, &look, faults).await?;
     }
     Ok(busy)
 }
 
+/// What is known of a service before its record is read.
+struct ServiceLook<'a> {
+    service: &'a ServiceRules,
+    policy: ServicePolicy,
+    known: Option<&'a Arc<ServiceRecord>>,
+    /// The domains that were last heard to have no server for it.
+    stranded: FastSet<DomainName>,
+}
+
 /// Reads the service's record, then what the change needs of domains'
 /// records, and writes the change over the record that was read.
 async fn plan_service(
     store: &PlatformClient,
-    service: &ServiceRules,
-    policy: &ServicePolicy,
-    known: Option<&Arc<ServiceRecord>>,
+    look: &ServiceLook<'_>,
     faults: &NodeFaults,
 ) -> Result<bool, StoreError> {
+    let ServiceLook { service, policy, known, stranded } = look;
     let read = read_division(store, &service.name).await?;
     let revision = read.as_ref().map_or(0, |(_, record)| record.revision);
     if known.is_some_and(|known| known.revision > revision) {
@@ -58,7 +70,7 @@
             PutCondition::Version(*version)
         });
     let stage = PlannerRound::open(read.map(|(_, record)| record));
-    let needed = stage.needs(policy);
+    let needed = stage.needs(policy, stranded);
     let mut views = FastMap::<DomainName, DomainView>::default();
     for domain in &needed {
         if let Some(view) = read_view(store, domain, &service.name).await {
--- a/goldcrestramp-node/src/store/record.rs
+++ b/goldcrestramp-node/src/store/record.rs
@@ -151,7 +151,9 @@
         }
         // The head goes last: a save that breaks off before it leaves the
         // older token, by which what servers report counts as newer.
-        let head = DomainHead::of(self.domain.clone(), record.token, &kept);
+        let stranded = record.stranded.clone();
+        let domain = self.domain.clone();
+        let head = DomainHead::of(domain, record.token, &kept, stranded);
         let before = known.head.as_ref().map(|(version, _)| *version);
         let key = keys::domain_head(&self.domain);
         let version = self.put(&key, before, &head).await?;
@@ -247,6 +249,7 @@
         return Some(view);
     };
     let head = DomainHead::decode(&stored.value).ok()?;
+    view.stranded = head.stranded.get(service).copied();
     for mark in head.shards.iter().filter(|m| m.service == *service) {
         let key = keys::domain_shard(domain, service, mark.shard);
         let stored = store.get(&key).await.ok()??;
--- a/goldcrestramp-node/tests/planner.rs
+++ b/goldcrestramp-node/tests/planner.rs
@@ -90,3 +90,43 @@
     two.wait_for_held(&domain(1), 0).await;
     assert!(two.moved_without_overlap(), "two servers held a slice");
 }
+
+/// The only server of a service in its failure domain is gone for good.
+/// Its steward says so, the planner gives its slices to the other domain,
+/// and callers of its keys are served there. When a server is back they
+/// stay where they are: nothing needs them to move again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_keys_of_a_domains_only_server_are_served_elsewhere() {
+    let mut two = TwoDomains::spawn(3).await;
+    let lost = two.servers[1].take().expect("a running server");
+    let address = lost.address();
+
+    lost.lose();
+    two.wait_for_division(|r| r.held_by(&domain(1)).is_empty()).await;
+    two.wait_until_served(0).await;
+    let moved = two.division().await.expect("a division").revision;
+    two.start_server(1, address).await;
+    two.wait_for_usable(&domain(1)).await;
+    two.wait_for_reads(6).await;
+
+    let after = two.division().await.expect("a division");
+    assert_eq!(after.revision, moved, "slices came back without need");
+}
+
+/// The only server of a service in its failure domain is drained. It gives
+/// its slices to the other domain by release, while callers lose nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_only_server_of_a_domain_can_be_drained() {
+    let two = TwoDomains::spawn(4).await;
+
+    let asked = two.ask_during(async || {
+        two.put_drain(2, 1, true).await;
+        two.wait_for_division(|r| r.held_by(&domain(1)).is_empty()).await;
+        two.wait_for_held(&domain(0), 64).await;
+    });
+    let failed = asked.await;
+    two.wait_until_served(0).await;
+
+    assert_eq!(failed, 0, "requests were refused");
+    assert!(two.moved_without_overlap(), "two servers held a slice");
+}
--- a/goldcrestramp-node/tests/two_domains/mod.rs
+++ b/goldcrestramp-node/tests/two_domains/mod.rs
@@ -126,6 +126,23 @@
         self.put_config(number, edit).await;
     }
 
+    /// A ticket of this number drains a domain's server, or takes it back.
+    pub(crate) async fn put_drain(
+        &self,
+        number: u64,
+        domain: usize,
+        drain: bool,
+    ) {
+        let name = format!("{}-server", DOMAINS[domain]);
+        let thing = ThingId::new(ThingKind::Server, &name);
+        let edit = |state: &mut serde_json::Value| {
+            state["servers"][domain]["drain"] = json!(drain);
+            state["tickets"]["last"][thing.to_string()] =
+                json!(TouchMark(number, 0));
+        };
+        self.put_config(number, edit).await;
+    }
+
     /// Writes the configuration of this version, changed by `edit`.
     pub(crate) async fn put_config(
         &self,
@@ -206,6 +223,36 @@
         !same.is_empty() && same.iter().all(|(l, r)| apart(l, r))
     }
 
+    /// Waits until a domain no longer says that it has no usable server.
+    pub(crate) async fn wait_for_usable(&self, domain: &DomainName) {
+        let waiting = async {
+            loop {
+                let record = self.domain_record(domain).await;
+                if record.is_some_and(|r| r.stranded.is_empty()) {
+                    return;
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, waiting).await.expect("in time");
+    }
+
+    /// Looks keys up one after another through domain 0 while `act` goes
+    /// on; how many lookups were not served.
+    pub(crate) async fn ask_during(&self, act: impl AsyncFnOnce()) -> usize {
+        let mut failed = 0;
+        let asking = async {
+            for key in (0..KEYS).cycle() {
+                failed += usize::from(!self.ask(0, key).await);
+            }
+        };
+        tokio::select! {
+            () = act() => {}
+            () = asking => {}
+        }
+        failed
+    }
+
     /// The service's record as the store has it.
     pub(crate) async fn division(&self) -> Option<ServiceRecord> {
         let service = ServiceName::new("stock").expect("a name");
@@ -286,8 +333,8 @@
 /// no other test is given one before the daemon has bound it.
 const PORT_BASE: u32 = 20_000;
 /// Processes with other numbers use other ports.
-const PORT_SETS: u32 = 600;
-const SEATS: u32 = 3;
+const PORT_SETS: u32 = 360;
+const SEATS: u32 = 5;
 const PORTS: u32 = 6;
 
 fn settings(seat: u16, domain: usize, platform: SocketAddr) -> NodeSettings {
--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -61,7 +61,10 @@
         ConfirmAnswer, ConfirmAsk, KeeperReport, PermitAnswer, ServerOrder,
         ServerReport, ServerState, SliceLoad,
     },
-    plan::{DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove},
+    plan::{
+        DomainPlan, DomainRecord, ServerPlan, ServicePlan, SliceMove,
+        StrandedCause,
+    },
     planner::{
         DomainMove, DomainShare, DomainView, PlannerRound, RecordDomain,
         RecordStage, ServicePolicy, ServiceRecord, SliceHolding, ViewStage,
--- a/goldcrestramp-ownership/src/plan.rs
+++ b/goldcrestramp-ownership/src/plan.rs
@@ -6,6 +6,7 @@
     DomainName, FastMap, FenceToken, ServerName, ServiceName, SliceCount,
     SliceIndex, SliceSet,
 };
+use serde::{Deserialize, Serialize};
 
 /// A server of the failure domain, as the configuration has it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -65,6 +66,20 @@
     pub holders: FastMap<ServerName, SliceSet>,
     /// Slices that left the domain, by service, with nothing running.
     pub released: FastMap<ServiceName, SliceSet>,
+    /// The services that the domain has no server for any more.
+    ///
+    /// The planner moves their slices to other domains.
+    pub stranded: FastMap<ServiceName, StrandedCause>,
+}
+
+/// Why no server of a failure domain can be given slices of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum StrandedCause {
+    /// Every server is lost: nobody serves the slices.
+    Lost,
+    /// Every server is lost or leaving, and one that leaves still serves.
+    Leaving,
 }
 
 /// A move that placement asks for.
--- a/goldcrestramp-ownership/src/planner/round.rs
+++ b/goldcrestramp-ownership/src/planner/round.rs
@@ -1,21 +1,30 @@
 //! One round of the planner for one service.
 
 use goldcrestramp_config::TouchMark;
-use goldcrestramp_types::{DomainName, FastMap, SliceIndex, SliceSet};
+use goldcrestramp_types::{
+    DomainName, FastMap, FastSet, SliceIndex, SliceSet,
+};
 
 use super::{
     division::{DivisionTally, divide},
     policy::ServicePolicy,
     record::{ServiceRecord, SliceHolding},
 };
+use crate::plan::StrandedCause;
 
 /// The most slices of a service that are on the move at once.
 ///
-/// Each is without an owner for about a second when its holder releases
-/// it; 256 of 4,096 keep that to a sixteenth of the keys, and an entry of
-/// the record takes 12 bytes.
+/// Each is without an owner for a moment when its holder releases it; 256
+/// of 4,096 keep that to a sixteenth of the keys, and an entry of the
+/// record takes 12 bytes.
 const MOVING_LIMIT: usize = 256;
 
+/// The part of a larger service's slices that are on the move at once.
+///
+/// With 256 of 65,536 a domain's third would take 85 rounds, and a leaving
+/// server would serve for half a minute.
+const MOVING_PART: usize = 16;
+
 /// What a domain's own record says of the service.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct DomainView {
@@ -23,6 +32,8 @@
     pub held: SliceSet,
     /// The slices that it has released.
     pub released: SliceSet,
+    /// Why none of its servers can be given any, if none can.
+    pub stranded: Option<StrandedCause>,
 }
 
 /// A move between failure domains that placement asks for.
@@ -67,8 +78,15 @@
 impl RecordStage {
     /// The domains whose records a decision needs; none when nothing is
     /// on the move and nobody has to leave.
+    ///
+    /// `stranded`: the domains that were last heard to have no server for
+    /// the service; a hint, which their records confirm or not.
     #[must_use]
-    pub fn needs(&self, policy: &ServicePolicy) -> Vec<DomainName> {
+    pub fn needs(
+        &self,
+        policy: &ServicePolicy,
+        stranded: &FastSet<DomainName>,
+    ) -> Vec<DomainName> {
         let places = policy.shares.iter().map(|share| &share.domain);
         let Some(record) = &self.record else {
             // The first record needs to know that there was none before.
@@ -76,8 +94,9 @@
         };
         let moving = record.slices.iter().any(|h| h.target.is_some());
         let misplaced = record.domains.iter().any(|domain| {
-            let allowed = policy.allows(&domain.name);
-            !allowed && !record.held_by(&domain.name).is_empty()
+            let fit = policy.allows(&domain.name)
+                && !stranded.contains(&domain.name);
+            !fit && !record.held_by(&domain.name).is_empty()
         });
         if !moving && !misplaced {
             return Vec::new();
@@ -127,6 +146,7 @@
         change.take_from_lost();
         change.redirect();
         change.expel();
+        change.evacuate();
         change.begin(asked);
         let mut record = change.record;
         if record == before {
@@ -234,7 +254,7 @@
         let mut tally = DivisionTally::of(self.policy, &self.record);
         for slice in self.policy.count.indices() {
             let target = self.record.target_of(slice);
-            if target.is_none_or(|target| self.policy.allows(target)) {
+            if target.is_none_or(|target| self.is_usable(target)) {
                 continue;
             }
             if let Some(target) = self.choose(slice, &mut tally) {
@@ -263,11 +283,48 @@
         }
     }
 
+    /// Moves slices out of domains that have no server for them.
+    ///
+    /// Where all servers are lost, nobody serves the slices, so all of them
+    /// go at once; a server that leaves gives them up bit by bit. They do
+    /// not come back by themselves: each move costs callers a wait.
+    fn evacuate(&mut self) {
+        let mut tally = DivisionTally::of(self.policy, &self.record);
+        let mut room = self.room();
+        for slice in self.policy.count.indices() {
+            let Some(cause) = self.cause(slice) else {
+                continue;
+            };
+            let full = cause == StrandedCause::Leaving && room == 0;
+            if full || !self.may_begin(slice) {
+                continue;
+            }
+            if let Some(target) = self.choose(slice, &mut tally) {
+                let begun = usize::from(self.aim(slice, target));
+                room = room.saturating_sub(begun);
+            }
+        }
+    }
+
+    /// Why the domain of `slice` has no server for it, if it has none.
+    fn cause(&self, slice: SliceIndex) -> Option<StrandedCause> {
+        let domain = self.record.domain_of(slice)?;
+        self.views.get(domain)?.stranded
+    }
+
+    /// Whether `domain` may hold slices and has servers for them, as far
+    /// as is known.
+    fn is_usable(&self, domain: &DomainName) -> bool {
+        let stranded = |view: &DomainView| view.stranded.is_some();
+        let allowed = self.policy.allows(domain);
+        allowed && !self.views.get(domain).is_some_and(stranded)
+    }
+
     /// Begins the moves that were asked for and are possible.
     fn begin(&mut self, asked: &[DomainMove]) {
         let mut room = self.room();
         for wanted in asked {
-            let allowed = self.policy.allows(&wanted.target);
+            let allowed = self.is_usable(&wanted.target);
             let fit = self.may_take(&wanted.target, wanted.slice);
             if room == 0 || !allowed || !fit || !self.may_begin(wanted.slice) {
                 continue;
@@ -297,7 +354,8 @@
     /// How many more moves may begin.
     fn room(&self) -> usize {
         let moving = self.record.slices.iter().filter(|h| h.target.is_some());
-        MOVING_LIMIT.saturating_sub(moving.count())
+        let share = self.record.slices.len() / MOVING_PART;
+        MOVING_LIMIT.max(share).saturating_sub(moving.count())
     }
 
     /// Whether `domain` has nothing old on record that would keep it from
@@ -319,7 +377,9 @@
     ) -> Option<u16> {
         let holder = self.record.domain_of(slice).cloned();
         let domain = tally.take(|domain| {
-            holder.as_ref() != Some(domain) && self.may_take(domain, slice)
+            let other = holder.as_ref() != Some(domain);
+            let usable = self.is_usable(domain);
+            other && usable && self.may_take(domain, slice)
         })?;
         intern(&mut self.record, &domain, self.policy)
     }
--- a/goldcrestramp-ownership/src/steward/knowledge.rs
+++ b/goldcrestramp-ownership/src/steward/knowledge.rs
@@ -27,6 +27,8 @@
     /// Whether the store has answered for the record.
     pub(super) record_read: bool,
     pub(super) vms: Vec<RosterVoter>,
+    /// Whether a release was taken off the record since it was written.
+    pub(super) forgotten: bool,
     /// The highest number of a term seen anywhere.
     pub(super) highest: u64,
     pub(super) seen: Option<SeenSteward>,
@@ -62,6 +64,27 @@
         older
     }
 
+    /// Takes releases off the record that the plan in force has followed
+    /// up; whether there were any.
+    ///
+    /// One that stayed in the store would keep the slice from ever coming
+    /// back to this domain, though its servers may be the last.
+    pub(super) fn forget_releases(&mut self) -> bool {
+        let Some(plan) = self.plan.clone() else {
+            return false;
+        };
+        for service in &plan.services {
+            let released = self.record.released.get_mut(&service.service);
+            let Some(released) = released else { continue };
+            let before = released.len();
+            // What the service's record gives to another domain needs no
+            // protection against an old plan any more.
+            released.intersect_with(&service.slices);
+            self.forgotten |= released.len() != before;
+        }
+        std::mem::take(&mut self.forgotten)
+    }
+
     /// Takes a plan unless it is older than the one in force.
     pub(super) fn take_plan(&mut self, plan: Arc<DomainPlan>) -> bool {
         let known = self.plan.as_ref();
@@ -71,19 +94,12 @@
         if known.is_some_and(|known| *known == plan) {
             return false;
         }
-        for service in &plan.services {
-            let released = self.record.released.get_mut(&service.service);
-            if let Some(released) = released {
-                // What the service's record gives to another domain needs
-                // no protection against an old plan any more.
-                released.intersect_with(&service.slices);
-            }
-        }
         let leaving = plan.services.iter().any(|s| !s.leaving.is_empty());
         if leaving {
             self.floor = self.floor.max(plan.version);
         }
         self.plan = Some(plan);
+        self.forgotten = self.forget_releases();
         true
     }
 
--- a/goldcrestramp-ownership/src/steward/leader/decide.rs
+++ b/goldcrestramp-ownership/src/steward/leader/decide.rs
@@ -1,10 +1,12 @@
 //! What each server is to hold, and the orders that bring it there.
 
-use goldcrestramp_types::{FenceToken, ServerName, ServiceName, SliceSet};
+use goldcrestramp_types::{
+    FastMap, FenceToken, ServerName, ServiceName, SliceSet,
+};
 
 use super::LeadingSteward;
 use crate::{
-    plan::DomainPlan,
+    plan::{DomainPlan, ServicePlan, StrandedCause},
     steward::{
         knowledge::StewardKnowledge, led::LedServer, placement::place_service,
         publish::note_decisions,
@@ -29,6 +31,8 @@
         }
         self.drop_unlisted();
         self.note_releases(&plan, knowledge);
+        self.note_stranded(&plan, knowledge);
+        self.sequence += u64::from(knowledge.forget_releases());
         let token =
             FenceToken { term: self.claim.term, sequence: self.sequence };
         note_decisions(token, &self.servers, knowledge);
@@ -109,8 +113,58 @@
             if !gone.is_empty() {
                 entry.union_with(&gone);
                 self.sequence += 1;
+                self.records.hurry();
+            }
+        }
+    }
+
+    /// Puts on record for which services the domain has no server left.
+    fn note_stranded(
+        &mut self,
+        plan: &DomainPlan,
+        knowledge: &mut StewardKnowledge,
+    ) {
+        let settled = self.servers.values().all(|server| server.settled);
+        if !settled || !knowledge.record_read {
+            return;
+        }
+        let services = plan.services.iter();
+        let stranded: FastMap<ServiceName, StrandedCause> = services
+            .filter_map(|service| {
+                let cause = self.stranded(service)?;
+                Some((service.service.clone(), cause))
+            })
+            .collect();
+        if knowledge.record.stranded != stranded {
+            knowledge.record.stranded = stranded;
+            self.sequence += 1;
+            self.records.hurry();
+        }
+    }
+
+    /// Why no server here can be given slices of a service, if none can.
+    ///
+    /// A server that only lacks a keeper is not given up on: it has one
+    /// within a second, while a move between domains is for good.
+    fn stranded(&self, service: &ServicePlan) -> Option<StrandedCause> {
+        let servers = self.servers.values();
+        let mut mine = servers
+            .filter(|server| server.plan.service == service.service)
+            .peekable();
+        if mine.peek().is_none() && service.slices.is_empty() {
+            return None;
+        }
+        let mut cause = StrandedCause::Lost;
+        for server in mine {
+            if server.is_gone() {
+                continue;
+            }
+            if !server.is_leaving() {
+                return None;
             }
+            cause = StrandedCause::Leaving;
         }
+        Some(cause)
     }
 }
 
--- a/goldcrestramp-ownership/src/steward/leader/permit.rs
+++ b/goldcrestramp-ownership/src/steward/leader/permit.rs
@@ -121,9 +121,9 @@
         if let Some(state) = &report.state {
             self.seen = self.seen.max(state.fence.term).max(state.token.term);
         }
-        let before = (server.settled, server.is_eligible(), server.lost);
+        let before = facts(server);
         let changed = server.learn(now, report, moving, &self.timing);
-        let after = (server.settled, server.is_eligible(), server.lost);
+        let after = facts(server);
         if !changed && before == after {
             return;
         }
@@ -138,6 +138,12 @@
     }
 }
 
+/// What decisions rest on, beside what the server holds.
+const fn facts(server: &LedServer) -> [bool; 4] {
+    let usable = server.is_eligible();
+    [server.settled, usable, server.lost, server.is_gone()]
+}
+
 /// A settled server keeps what it holds.
 fn adopt_holdings(server: &mut LedServer) {
     if server.settled && server.order.slices.is_none() {
--- a/goldcrestramp-ownership/src/steward/led.rs
+++ b/goldcrestramp-ownership/src/steward/led.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_types::{FenceToken, LocalTime, SliceSet, VmName};
+use goldcrestramp_types::{FenceToken, LocalTime, SliceSet, TimeSpan, VmName};
 
 use crate::{
     message::{ServerOrder, ServerReport, ServerState},
@@ -11,6 +11,13 @@
     timing::TermTiming,
 };
 
+/// How long a server may take to answer for the first time in a term.
+///
+/// When a domain starts as a whole, its servers may be up seconds after its
+/// VMs. Taken for lost at once, all its slices would go to whichever domain
+/// was quicker, and stay there.
+const START_PATIENCE: TimeSpan = TimeSpan::from_millis(10_000);
+
 /// The order in force for a server.
 #[derive(Clone, Debug)]
 pub(super) struct StandingOrder {
@@ -67,6 +74,10 @@
     fence_due: bool,
     /// Whether its slices go to others.
     pub(super) lost: bool,
+    /// Whether it has answered any keeper in this term.
+    reached: bool,
+    /// Whether it is lost for so long that its domain may give up on it.
+    gone: bool,
 }
 
 impl LedServer {
@@ -97,6 +108,8 @@
             staffed: false,
             fence_due: false,
             lost: false,
+            reached: false,
+            gone: false,
         }
     }
 
@@ -116,12 +129,17 @@
     }
 
     /// Whether it may be given slices.
-    pub(super) fn is_eligible(&self) -> bool {
+    pub(super) const fn is_eligible(&self) -> bool {
         let usable = self.settled && self.reachable && !self.lost;
         let kept = self.keeper.is_some() && !self.probing;
         usable && kept && !self.is_leaving()
     }
 
+    /// Whether it is lost, and not only slow to start.
+    pub(super) const fn is_gone(&self) -> bool {
+        self.gone
+    }
+
     /// Whether its slices are to go elsewhere by the configuration.
     pub(super) const fn is_leaving(&self) -> bool {
         !self.listed || self.plan.draining
@@ -283,11 +301,15 @@
         if reachable {
             self.silent_since = None;
             self.lost = false;
+            self.reached = true;
+            self.gone = false;
             return;
         }
         let since = *self.silent_since.get_or_insert(now);
         let waits = timing.safeguards.has(Safeguard::LossWait);
         self.lost |= !waits || now.since(since) >= timing.missed_after;
+        let started = self.reached || now.since(since) >= START_PATIENCE;
+        self.gone = self.lost && started;
     }
 
     /// Whether the server itself has acted on the present order.
--- a/goldcrestramp-ownership/src/steward/publish.rs
+++ b/goldcrestramp-ownership/src/steward/publish.rs
@@ -23,6 +23,13 @@
 /// from all failure domains together.
 const SAVE_EVERY: TimeSpan = TimeSpan::from_millis(500);
 
+/// The least time between two writes when another domain waits for one.
+///
+/// A release, or the loss of a service's last server: keys may be unserved
+/// until it is on record. Ten domains that all give slices away at once
+/// write a hundred times a second then.
+const SAVE_SOON: TimeSpan = TimeSpan::from_millis(100);
+
 /// When a write that got no answer is made again.
 const SAVE_AGAIN: TimeSpan = TimeSpan::from_millis(2_000);
 
@@ -136,7 +143,11 @@
 pub(super) struct RecordKeeper {
     /// The newest decision that the store has acknowledged.
     saved: FenceToken,
-    next_at: LocalTime,
+    saved_at: LocalTime,
+    /// When a write that is under way is made again.
+    again_at: Option<LocalTime>,
+    /// Whether another domain waits for what the record says.
+    urgent: bool,
     read_at: LocalTime,
 }
 
@@ -148,13 +159,21 @@
         knowledge: &StewardKnowledge,
     ) -> Option<DomainRecord> {
         let newer = knowledge.record.token > self.saved;
-        if !newer || !knowledge.record_read || now < self.next_at {
+        let pause = if self.urgent { SAVE_SOON } else { SAVE_EVERY };
+        let next_at = self.again_at.unwrap_or(self.saved_at + pause);
+        if !newer || !knowledge.record_read || now < next_at {
             return None;
         }
-        self.next_at = now + SAVE_AGAIN;
+        self.again_at = Some(now + SAVE_AGAIN);
+        self.urgent = false;
         Some(knowledge.record.clone())
     }
 
+    /// Another domain waits for the record as it now is.
+    pub(super) fn hurry(&mut self) {
+        self.urgent = true;
+    }
+
     /// Whether to read the record, which the store has not shown yet.
     pub(super) fn read_due(
         &mut self,
@@ -171,13 +190,15 @@
     /// The store has the record with this token.
     pub(super) fn saved(&mut self, now: LocalTime, token: FenceToken) {
         self.saved = self.saved.max(token);
-        self.next_at = now + SAVE_EVERY;
+        self.saved_at = now;
+        self.again_at = None;
     }
 
     /// The store turned out to have an older record: write it again.
     pub(super) fn forget_saved(&mut self) {
         self.saved = FenceToken::default();
-        self.next_at = LocalTime::default();
+        self.saved_at = LocalTime::default();
+        self.again_at = None;
     }
 }
 
--- a/goldcrestramp-ownership/tests/planner.rs
+++ b/goldcrestramp-ownership/tests/planner.rs
@@ -8,7 +8,7 @@
 };
 use goldcrestramp_ownership::{
     DomainMove, DomainView, PlannerRound, ServicePolicy, ServiceRecord,
-    domain_plan,
+    StrandedCause, domain_plan,
 };
 use goldcrestramp_types::{
     DomainName, FastMap, RegionName, ServerName, ServiceName, SliceCount,
@@ -346,3 +346,91 @@
     assert!(version(&state, &record) < version(&state, &begun));
     assert!(version(&state, &begun) < version(&without, &begun));
 }
+
+/// Views in which a domain has no server for the service.
+fn stranded(
+    name: &str,
+    cause: StrandedCause,
+) -> FastMap<DomainName, DomainView> {
+    let mut views = views();
+    let view = views.get_mut(&domain(name)).expect("a view");
+    view.stranded = Some(cause);
+    views
+}
+
+/// The last server of a service in its domain is lost. Its keys are unserved
+/// until its slices are elsewhere, so all of them leave at once; back with a
+/// server, the domain gets none of them: nothing needs that.
+#[test]
+fn slices_leave_a_domain_without_servers_and_do_not_return() {
+    let state = state([1, 1, 2]);
+    let record = first(&state);
+    let away = stranded("a", StrandedCause::Lost);
+
+    let begun = decide(Some(&record), away.clone(), &state, &[]);
+    let begun = begun.expect("moves begun");
+    let mut after = away;
+    let leaving = begun.leaving(&domain("a"));
+    after.insert(domain("a"), view(leaving.clone()));
+    let ended = decide(Some(&begun), after, &state, &[]);
+    let ended = ended.expect("moves ended");
+
+    assert_eq!(leaving.len(), 16);
+    assert_eq!(held(&ended), [0, 21, 43]);
+    assert_eq!(decide(Some(&ended), views(), &state, &[]), None);
+}
+
+/// Every domain has lost its servers of a service. Moving its slices would
+/// help nobody: they stay, and are served as soon as any server is back.
+#[test]
+fn slices_stay_when_no_domain_has_a_server() {
+    let state = state([1, 1, 1]);
+    let record = first(&state);
+    let mut none = views();
+    for view in none.values_mut() {
+        view.stranded = Some(StrandedCause::Lost);
+    }
+    let mut one = none.clone();
+    one.insert(domain("c"), DomainView::default());
+
+    let stay = decide(Some(&record), none, &state, &[]);
+    let go = decide(Some(&record), one, &state, &[]).expect("moves begun");
+
+    assert_eq!(stay, None);
+    assert_eq!(go.leaving(&domain("a")).len(), 22);
+    assert_eq!(go.target_of(slice(0)), Some(&domain("c")));
+}
+
+/// The domain that is to get slices loses its last server before they are
+/// released. Given to it, their keys would wait for another move: they turn
+/// to a domain that can serve them.
+#[test]
+fn a_move_to_a_domain_that_lost_its_servers_turns() {
+    let state = state([1, 1, 1]);
+    let record = first(&state);
+    let begun = decide(Some(&record), views(), &state, &[to(0, "b")]);
+    let away = stranded("b", StrandedCause::Lost);
+
+    let turned = decide(begun.as_ref(), away, &state, &[]);
+
+    let turned = turned.expect("a change");
+    assert_eq!(turned.target_of(slice(0)), Some(&domain("c")));
+}
+
+/// The last servers of a large service leave their domain. Each slice waits
+/// for a moment on its way, so no more than a sixteenth moves at once.
+#[test]
+fn a_leaving_domain_gives_up_a_part_at_a_time() {
+    let mut state = state([1, 1, 0]);
+    state.services[0].slices = SliceCount::new(8_192).expect("a power of two");
+    let record = first(&state);
+    let leaving = stranded("a", StrandedCause::Leaving);
+    let lost = stranded("a", StrandedCause::Lost);
+    let begun = |views| {
+        let change = decide(Some(&record), views, &state, &[]);
+        change.expect("moves begun").leaving(&domain("a")).len()
+    };
+
+    assert_eq!(begun(leaving), 512);
+    assert_eq!(begun(lost), 4_096);
+}
--- a/goldcrestramp-ownership/tests/planner_history.rs
+++ b/goldcrestramp-ownership/tests/planner_history.rs
@@ -8,7 +8,7 @@
 use goldcrestramp_config::TouchMark;
 use goldcrestramp_ownership::{
     DomainMove, DomainShare, DomainView, PlannerRound, RecordStage,
-    ServicePolicy, ServiceRecord, ViewStage,
+    ServicePolicy, ServiceRecord, StrandedCause, ViewStage,
 };
 use goldcrestramp_types::{
     DomainName, FastMap, ServiceName, SliceCount, SliceIndex, SliceSet,
@@ -38,6 +38,8 @@
     Save(usize),
     /// It is replaced: the new one reads the record, servers hold on.
     Replace(usize),
+    /// It loses its last server, finds it leaving, or has one again.
+    Strand(usize, Option<StrandedCause>),
     /// An operator declares the domain lost; its servers and VMs have
     /// stopped.
     Lose(usize),
@@ -61,6 +63,7 @@
     released: SliceSet,
     plan: SliceSet,
     leaving: SliceSet,
+    stranded: Option<StrandedCause>,
     saved: DomainView,
     lost: bool,
     /// The last ticket that touched the domain.
@@ -118,6 +121,9 @@
             Step::Grant(domain) => self.domains[domain].grant(),
             Step::Save(domain) => self.domains[domain].save(),
             Step::Replace(domain) => self.domains[domain].replace(),
+            Step::Strand(domain, cause) => {
+                self.domains[domain].strand(cause);
+            }
             Step::Lose(domain) => {
                 let others = self.domains.iter().filter(|d| !d.lost).count();
                 if others > 1 && !self.domains[domain].lost {
@@ -191,6 +197,7 @@
 
     /// Lets everybody act until nothing changes: all slices are held.
     fn settle(&mut self) {
+        self.domains.iter_mut().for_each(|model| model.strand(None));
         for _ in 0..2 * SLICES {
             self.planners = <[PlannerStage; PLANNERS]>::default();
             self.take(Step::ReadRecord(0));
@@ -231,7 +238,17 @@
         let mut own = self.plan.clone();
         own.subtract(&self.leaving);
         own.subtract(&self.released);
-        self.held.union_with(&own);
+        if self.stranded.is_none() {
+            self.held.union_with(&own);
+        }
+    }
+
+    /// With its last server lost the domain holds nothing any more.
+    fn strand(&mut self, cause: Option<StrandedCause>) {
+        self.stranded = cause;
+        if cause == Some(StrandedCause::Lost) {
+            self.held = SliceSet::new();
+        }
     }
 
     fn save(&mut self) {
@@ -240,6 +257,7 @@
         }
         self.saved.held = self.held.clone();
         self.saved.released = self.released.clone();
+        self.saved.stranded = self.stranded;
     }
 
     /// Everything in the domain stops, and a ticket says so.
@@ -270,11 +288,20 @@
         4 => domain().prop_map(Step::Grant),
         4 => domain().prop_map(Step::Save),
         1 => domain().prop_map(Step::Replace),
+        2 => (domain(), cause()).prop_map(|(d, c)| Step::Strand(d, c)),
         1 => domain().prop_map(Step::Lose),
         1 => domain().prop_map(Step::Return),
     ]
 }
 
+fn cause() -> impl Strategy<Value = Option<StrandedCause>> {
+    prop::sample::select(vec![
+        None,
+        Some(StrandedCause::Lost),
+        Some(StrandedCause::Leaving),
+    ])
+}
+
 /// The number of cases; a longer run names it in the environment.
 fn cases() -> u32 {
     let named = std::env::var("PROPTEST_CASES").ok();
--- a/goldcrestramp-platform/src/records/domain.rs
+++ b/goldcrestramp-platform/src/records/domain.rs
@@ -7,9 +7,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use goldcrestramp_ownership::DomainRecord;
+use goldcrestramp_ownership::{DomainRecord, StrandedCause};
 use goldcrestramp_types::{
-    DomainName, FenceToken, ServerName, ServiceName, SliceSet,
+    DomainName, FastMap, FenceToken, ServerName, ServiceName, SliceSet,
 };
 use serde::{Deserialize, Serialize};
 
@@ -77,6 +77,9 @@
     pub token: FenceToken,
     /// Every shard of the record.
     pub shards: Vec<ShardMark>,
+    /// The services that the domain has no server for.
+    #[serde(default, skip_serializing_if = "FastMap::is_empty")]
+    pub stranded: FastMap<ServiceName, StrandedCause>,
 }
 
 impl DomainHead {
@@ -86,13 +89,14 @@
         domain: DomainName,
         token: FenceToken,
         shards: &[DomainShard],
+        stranded: FastMap<ServiceName, StrandedCause>,
     ) -> Self {
         let marks = shards.iter().map(|shard| ShardMark {
             service: shard.service.clone(),
             shard: shard.shard,
             token: shard.token,
         });
-        Self { domain, token, shards: marks.collect() }
+        Self { domain, token, shards: marks.collect(), stranded }
     }
 
     /// Splits a domain's record by service and shard.
@@ -126,6 +130,9 @@
         if self.shards.len() > SHARD_LIMIT {
             return Err(RecordError::TooMany("shards"));
         }
+        if self.stranded.len() > SHARD_LIMIT {
+            return Err(RecordError::TooMany("stranded services"));
+        }
         let mut seen = BTreeSet::new();
         for mark in &self.shards {
             if !seen.insert((&mark.service, mark.shard)) {
--- a/goldcrestramp-platform/src/records/domain/split.rs
+++ b/goldcrestramp-platform/src/records/domain/split.rs
@@ -45,8 +45,11 @@
     head: &DomainHead,
     shards: &[DomainShard],
 ) -> Result<DomainRecord, RecordError> {
-    let mut record =
-        DomainRecord { token: head.token, ..DomainRecord::default() };
+    let mut record = DomainRecord {
+        token: head.token,
+        stranded: head.stranded.clone(),
+        ..DomainRecord::default()
+    };
     for mark in &head.shards {
         let shard = find(head, shards, mark)?;
         for (server, slices) in &shard.holders {
--- a/goldcrestramp-platform/tests/records.rs
+++ b/goldcrestramp-platform/tests/records.rs
@@ -5,7 +5,7 @@
 use goldcrestramp_config::TouchMark;
 use goldcrestramp_ownership::{
     DomainRecord, RecordDomain, RosterVoter, ServiceRecord, SliceHolding,
-    VoterRoster,
+    StrandedCause, VoterRoster,
 };
 use goldcrestramp_platform::records::{
     DomainHead, DomainShard, PlannerRecord, RecordError, SHARD_SLICES,
@@ -71,6 +71,12 @@
             held.or_default().insert(slice);
         }
     }
+    let causes =
+        [("stock", StrandedCause::Lost), ("orders", StrandedCause::Leaving)];
+    // None, one or both.
+    for (_, (name, cause)) in (0..sequence % 3).zip(causes) {
+        record.stranded.insert(service(name), cause);
+    }
     record
 }
 
@@ -97,7 +103,7 @@
         let here = domain("sierra-a");
         let shards = DomainHead::split(&here, &record, &directory());
         let shards = shards.expect("a sound record");
-        let head = DomainHead::of(here, record.token, &shards);
+        let head = DomainHead::of(here, record.token, &shards, record.stranded.clone());
 
         let read: Vec<DomainShard> = shards
             .iter()
@@ -230,7 +236,8 @@
     let here = domain("sierra-a");
     let mut shards = DomainHead::split(&here, &record, &directory())
         .expect("a sound record");
-    let head = DomainHead::of(here, record.token, &shards);
+    let head =
+        DomainHead::of(here, record.token, &shards, record.stranded.clone());
 
     shards[0].token = token(7);
 
@@ -252,7 +259,12 @@
         [(service("stock"), slice)].into_iter().collect();
     let cases = [(two, FastMap::default()), (one, released)];
     for (holders, released) in cases {
-        let record = DomainRecord { token: token(1), holders, released };
+        let record = DomainRecord {
+            token: token(1),
+            holders,
+            released,
+            ..DomainRecord::default()
+        };
         let split = DomainHead::split(&domain("a"), &record, &directory());
         assert!(matches!(split, Err(RecordError::Twice(_))));
     }
