--- a/goldcrestramp-node/benches/control_cost.rs
+++ b/goldcrestramp-node/benches/control_cost.rs
@@ -10,45 +10,25 @@
     reason = "rates are printed to a few digits"
 )]
 
+mod deployment;
+
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr},
     time::{Duration, Instant},
 };
 
-use goldcrestramp_config::NodeSettings;
+use deployment::{BenchDeployment, DeploymentSize, KINDS};
 use goldcrestramp_node::NodeHandle;
-use goldcrestramp_platform::{CallKind, VmEntry, VmState};
-use goldcrestramp_standins::{
-    platform::PlatformStandin,
-    server::{ServerBehaviour, ServerStandin},
-};
-use goldcrestramp_types::{DomainName, RegionName, VmName};
-use serde_json::json;
+use goldcrestramp_platform::CallKind;
 
-/// Servers for each node, about as many as the users have.
-const SERVERS_A_NODE: usize = 2;
 /// Nodes in one failure domain at the size that is aimed for.
 const NODES_A_DOMAIN: usize = 64;
-/// Slices of the one service.
-const SLICES: u32 = 65_536;
 /// Time to elect, place and settle.
 const SETTLE: Duration = Duration::from_secs(12);
 /// Time that is measured.
 const MEASURE: Duration = Duration::from_secs(10);
 /// Clock ticks in a second, as the kernel counts a thread's CPU time.
 const TICKS_A_SECOND: f64 = 100.0;
-/// Kinds of control messages that are counted.
-const KINDS: [&str; 7] = [
-    "confirm",
-    "confirm-answer",
-    "permit",
-    "permit-answer",
-    "grant",
-    "grant-reply",
-    "table",
-];
-
 fn main() {
     let sizes: Vec<usize> =
         std::env::args().filter_map(|arg| arg.parse().ok()).collect();
@@ -76,33 +56,18 @@
     calls: u64,
 }
 
-async fn measure(size: usize) {
-    let platform = PlatformStandin::bind(loopback()).await.expect("bound");
-    let mut servers = Vec::new();
-    for _ in 0..size * SERVERS_A_NODE {
-        let behaviour = ServerBehaviour::default();
-        let server = ServerStandin::bind(loopback(), behaviour).await;
-        servers.push(server.expect("bound"));
-    }
+async fn measure(nodes: usize) {
+    let size =
+        DeploymentSize { nodes, nodes_a_domain: NODES_A_DOMAIN, callers: 0 };
+    let mut deployment = BenchDeployment::open(size).await;
     let with_servers = resident_kb();
-    let addresses: Vec<_> =
-        servers.iter().map(ServerStandin::address).collect();
-    put_config(platform.address(), size, &addresses).await;
-    let all: Vec<_> =
-        (0..size).map(|n| settings(n, platform.address())).collect();
-    platform.set_vms(all.iter().map(entry).collect());
-    let mut nodes = Vec::new();
-    for settings in all {
-        nodes.push(NodeHandle::spawn(settings).await.expect("started"));
-    }
+    deployment.start_nodes(size).await;
     tokio::time::sleep(SETTLE).await;
-    let first = sample(&nodes);
+    let first = sample(&deployment.nodes);
     tokio::time::sleep(MEASURE).await;
-    let last = sample(&nodes);
+    let last = sample(&deployment.nodes);
     let resident = resident_kb() - with_servers;
-    print_costs(size, &first, &last, resident);
-    drop(nodes);
-    drop(servers);
+    print_costs(nodes, &first, &last, resident);
 }
 
 fn print_costs(
@@ -142,7 +107,10 @@
 }
 
 fn sample(nodes: &[NodeHandle]) -> CostSample {
-    let metrics = |node: &NodeHandle| node.context().metrics.control_bytes();
+    let metrics = |node: &NodeHandle| {
+        let metrics = &node.context().metrics;
+        KINDS.map(|kind| metrics.control_bytes(kind)).iter().sum()
+    };
     let messages = nodes.iter().flat_map(|node| {
         KINDS.map(|kind| node.context().metrics.control_messages(kind))
     });
@@ -195,81 +163,3 @@
     let number = line.and_then(|line| line.split_whitespace().nth(1));
     number.and_then(|number| number.parse().ok()).unwrap_or(0)
 }
-
-fn loopback() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
-
-/// A node's own loopback address: ports of the common one may be taken by
-/// connections at any moment.
-fn own_address(node: usize, port: u16) -> SocketAddr {
-    let high = u8::try_from(node / 200).expect("below 51,000 nodes");
-    let low = u8::try_from(node % 200 + 1).expect("below 201");
-    SocketAddr::from((Ipv4Addr::new(127, 77, high, low), port))
-}
-
-fn domain_of(number: usize) -> String {
-    format!("domain-{}", number / NODES_A_DOMAIN)
-}
-
-fn settings(number: usize, platform: SocketAddr) -> NodeSettings {
-    let value = json!({
-        "deployment": "cost",
-        "vm": format!("{number}"),
-        "domain": domain_of(number),
-        "region": "sierra",
-        "callers_listen": own_address(number, 7_001),
-        "peers_listen": own_address(number, 7_002),
-        "control_listen": own_address(number, 7_003),
-        "platform_url": format!("http://{platform}"),
-        "operators": { "listen": "127.0.0.1:0" },
-    });
-    serde_json::from_value(value).expect("settings")
-}
-
-fn entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: VmName::new(settings.vm.as_str()).expect("a name"),
-        domain: DomainName::new(settings.domain.as_str()).expect("a name"),
-        region: RegionName::new("sierra").expect("a name"),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
-
-async fn put_config(
-    platform: SocketAddr,
-    size: usize,
-    servers: &[SocketAddr],
-) {
-    let servers: Vec<_> = servers
-        .iter()
-        .enumerate()
-        .map(|(number, address)| {
-            json!({
-                "name": format!("server-{number}"),
-                "service": "stock",
-                "domain": domain_of(number / SERVERS_A_NODE),
-                "address": address,
-                "slots": 4,
-                "connections": 120,
-                "checks_fence": true,
-            })
-        })
-        .collect();
-    let last = (size - 1) / NODES_A_DOMAIN;
-    let domains: Vec<_> = (0..=last)
-        .map(|n| json!({ "name": format!("domain-{n}"), "region": "sierra" }))
-        .collect();
-    let state = json!({
-        "version": 1,
-        "domains": domains,
-        "services": [{ "name": "stock", "slices": SLICES }],
-        "servers": servers,
-    });
-    let url = format!("http://{platform}/kv/config");
-    let put = reqwest::Client::new().put(url);
-    let put = put.header("if-none-match", "*").body(state.to_string());
-    let status = put.send().await.expect("an answer").status();
-    assert!(status.is_success(), "{status}");
-}
--- /dev/null
+++ b/goldcrestramp-node/benches/deployment/mod.rs
@@ -0,0 +1,155 @@
+//! Many daemons in this process, with their servers and their platform.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use goldcrestramp_config::NodeSettings;
+use goldcrestramp_node::NodeHandle;
+use goldcrestramp_platform::{VmEntry, VmState};
+use goldcrestramp_standins::{
+    platform::PlatformStandin,
+    server::{ServerBehaviour, ServerStandin},
+};
+use goldcrestramp_types::{DomainName, RegionName, VmName};
+use serde_json::json;
+
+/// Servers for each node, about as many as the users have.
+const SERVERS_A_NODE: usize = 2;
+/// Slices of the one service.
+const SLICES: u32 = 65_536;
+/// Kinds of control messages that are counted.
+pub(crate) const KINDS: [&str; 7] = [
+    "confirm",
+    "confirm-answer",
+    "permit",
+    "permit-answer",
+    "grant",
+    "grant-reply",
+    "table",
+];
+
+/// How large a deployment is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DeploymentSize {
+    pub(crate) nodes: usize,
+    pub(crate) nodes_a_domain: usize,
+    /// Callers in the configuration: they make it large.
+    pub(crate) callers: usize,
+}
+
+impl DeploymentSize {
+    fn domain_of(self, number: usize) -> String {
+        format!("domain-{:02}", number / self.nodes_a_domain)
+    }
+}
+
+/// Everything that runs; dropping it ends it.
+#[derive(Debug)]
+pub(crate) struct BenchDeployment {
+    pub(crate) nodes: Vec<NodeHandle>,
+    servers: Vec<ServerStandin>,
+    platform: PlatformStandin,
+}
+
+impl BenchDeployment {
+    /// Starts the platform and the servers.
+    pub(crate) async fn open(size: DeploymentSize) -> Self {
+        let platform = PlatformStandin::bind(loopback()).await.expect("bound");
+        let mut servers = Vec::new();
+        for _ in 0..size.nodes * SERVERS_A_NODE {
+            let behaviour = ServerBehaviour::default();
+            let server = ServerStandin::bind(loopback(), behaviour).await;
+            servers.push(server.expect("bound"));
+        }
+        let deployment = Self { nodes: Vec::new(), servers, platform };
+        deployment.put_config(size).await;
+        deployment
+    }
+
+    /// Starts the daemons.
+    pub(crate) async fn start_nodes(&mut self, size: DeploymentSize) {
+        let platform = self.platform.address();
+        let all: Vec<_> =
+            (0..size.nodes).map(|n| settings(n, size, platform)).collect();
+        self.platform.set_vms(all.iter().map(entry).collect());
+        for settings in all {
+            let node = NodeHandle::spawn(settings).await.expect("started");
+            self.nodes.push(node);
+        }
+    }
+
+    /// Writes the first configuration, its lists sorted by name as a ticket
+    /// would leave them.
+    async fn put_config(&self, size: DeploymentSize) {
+        let servers =
+            self.servers.iter().enumerate().map(|(number, server)| {
+                json!({
+                    "name": format!("server-{number:04}"),
+                    "service": "stock",
+                    "domain": size.domain_of(number / SERVERS_A_NODE),
+                    "address": server.address(),
+                    "slots": 4,
+                    "connections": 120,
+                    "checks_fence": true,
+                })
+            });
+        let last = (size.nodes - 1) / size.nodes_a_domain;
+        let domains = (0..=last).map(
+            |n| json!({ "name": format!("domain-{n:02}"), "region": "sierra" }),
+        );
+        let callers = (0..size.callers)
+            .map(|n| json!({ "name": format!("caller-{n:06}"), "weight": 2 }));
+        let state = json!({
+            "version": 1,
+            "domains": domains.collect::<Vec<_>>(),
+            "services": [{ "name": "stock", "slices": SLICES }],
+            "servers": servers.collect::<Vec<_>>(),
+            "callers": callers.collect::<Vec<_>>(),
+        });
+        let url = format!("http://{}/kv/config", self.platform.address());
+        let put = reqwest::Client::new().put(url);
+        let put = put.header("if-none-match", "*").body(state.to_string());
+        let status = put.send().await.expect("an answer").status();
+        assert!(status.is_success(), "{status}");
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// A node's own loopback address: ports of the common one may be taken by
+/// connections at any moment.
+fn own_address(node: usize, port: u16) -> SocketAddr {
+    let high = u8::try_from(node / 200).expect("below 51,000 nodes");
+    let low = u8::try_from(node % 200 + 1).expect("below 201");
+    SocketAddr::from((Ipv4Addr::new(127, 77, high, low), port))
+}
+
+fn settings(
+    number: usize,
+    size: DeploymentSize,
+    platform: SocketAddr,
+) -> NodeSettings {
+    let value = json!({
+        "deployment": "bench",
+        "vm": format!("{number}"),
+        "domain": size.domain_of(number),
+        "region": "sierra",
+        "callers_listen": own_address(number, 7_001),
+        "peers_listen": own_address(number, 7_002),
+        "control_listen": own_address(number, 7_003),
+        "platform_url": format!("http://{platform}"),
+        "operators": { "listen": "127.0.0.1:0" },
+    });
+    serde_json::from_value(value).expect("settings")
+}
+
+fn entry(settings: &NodeSettings) -> VmEntry {
+    VmEntry {
+        name: VmName::new(settings.vm.as_str()).expect("a name"),
+        domain: DomainName::new(settings.domain.as_str()).expect("a name"),
+        region: RegionName::new("sierra").expect("a name"),
+        address: settings.control_listen.to_string(),
+        state: VmState::Live,
+    }
+}
--- a/goldcrestramp-node/src/control/tables.rs
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -85,6 +85,7 @@
             return false;
         }
         set.config = Some(Arc::clone(state));
+        self.context.metrics.set_config_version(state.version);
         let callers = state.callers.iter();
         let weights = callers.map(|rules| (rules.name.clone(), rules.weight));
         self.context.weights.store(Arc::new(weights.collect()));
--- a/goldcrestramp-node/src/metrics.rs
+++ b/goldcrestramp-node/src/metrics.rs
@@ -41,8 +41,9 @@
     operators_refused: Family<ReasonLabel, Counter>,
     store_calls: Family<ReasonLabel, Counter>,
     control_messages: Family<ReasonLabel, Counter>,
-    control_bytes: Counter,
+    control_bytes: Family<ReasonLabel, Counter>,
     leading: Gauge,
+    config_version: Gauge,
     link_bytes: Family<LinkLabel, Counter>,
     /// Bounds the labels of `link_bytes`.
     link_volume: Mutex<LinkVolume>,
@@ -60,8 +61,9 @@
             operators_refused: Family::default(),
             store_calls: Family::default(),
             control_messages: Family::default(),
-            control_bytes: Counter::default(),
+            control_bytes: Family::default(),
             leading: Gauge::default(),
+            config_version: Gauge::default(),
             link_bytes: Family::default(),
             link_volume: Mutex::default(),
         };
@@ -110,12 +112,12 @@
         );
         registry.register(
             "control_messages",
-            "Control messages sent, by kind",
+            "Control messages sent and received, by kind",
             self.control_messages.clone(),
         );
         registry.register(
             "control_bytes",
-            "Bytes of control messages sent and received, without framing",
+            "Bytes of control messages, without framing, by kind",
             self.control_bytes.clone(),
         );
         registry.register(
@@ -123,6 +125,11 @@
             "1 while this VM is its failure domain's steward",
             self.leading.clone(),
         );
+        registry.register(
+            "config_version",
+            "Version of the configuration in force here; 0: none yet",
+            self.config_version.clone(),
+        );
         registry.register(
             "link_bytes",
             "Bytes of answers sent to other regions, by service and caller",
@@ -180,13 +187,14 @@
     /// bytes.
     pub fn count_control(&self, kind: &'static str, bytes: usize) {
         self.control_messages.get_or_create(&label(kind)).inc();
-        self.control_bytes.inc_by(bytes as u64);
+        let counter = self.control_bytes.get_or_create(&label(kind));
+        counter.inc_by(bytes as u64);
     }
 
-    /// Bytes of control messages so far, sent and received.
+    /// Bytes of control messages of this kind so far, sent and received.
     #[must_use]
-    pub fn control_bytes(&self) -> u64 {
-        self.control_bytes.get()
+    pub fn control_bytes(&self, kind: &'static str) -> u64 {
+        self.control_bytes.get_or_create(&label(kind)).get()
     }
 
     /// Control messages of this kind so far, sent and received.
@@ -217,6 +225,17 @@
         self.leading.set(i64::from(leading));
     }
 
+    /// Shows the version of the configuration in force.
+    pub fn set_config_version(&self, version: u64) {
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// The version of the configuration in force; 0: none yet.
+    #[must_use]
+    pub fn config_version(&self) -> u64 {
+        u64::try_from(self.config_version.get()).unwrap_or(0)
+    }
+
     /// All counters in the Prometheus text format.
     ///
     /// # Errors
