Let a candidate without a majority look for a newer roster

Cause: a steward that stood still or was lost just after it had written a roster to the store had told its voters nothing of it. A candidate by the former roster of two got no majority, nobody refused it, and so it never read the newer roster: the domain had no steward until that VM was back. Change: a candidate that gives up reads the roster again, at most once a lease.

--- a/goldcrestramp-ownership/src/steward/election.rs
+++ b/goldcrestramp-ownership/src/steward/election.rs
@@ -26,7 +26,7 @@
             }
             StewardRole::Candidate { give_up, .. } if now >= *give_up => {
                 self.follow(now);
-                Vec::new()
+                self.read_roster_again(now)
             }
             StewardRole::Candidate { claim, .. } => {
                 claim.asks(now, &self.me, false, &self.timing)
@@ -116,10 +116,23 @@
             self.follow(now);
         }
         let known = self.knowledge.roster.as_ref().map_or(0, |r| r.version);
-        if named <= known || now < self.read_again_at {
+        if named <= known {
             return Vec::new();
         }
         // Without the newest roster this VM could not follow the steward.
+        self.read_roster_again(now)
+    }
+
+    /// Reads the roster, at most once a lease.
+    ///
+    /// A steward that is lost just after it wrote a roster has told its
+    /// voters nothing of it. One that asks by the former roster gets no
+    /// majority where the lost VM was half of that, and without this read
+    /// nobody would ever lead the domain again.
+    fn read_roster_again(&mut self, now: LocalTime) -> Vec<StewardEffect> {
+        if now < self.read_again_at {
+            return Vec::new();
+        }
         self.read_again_at = now + self.timing.lease;
         vec![StewardEffect::ReadRoster]
     }
