Stream what a ticket changes in place of the whole configuration

Cause: each VM of a domain was sent the whole state with each ticket. And each steward read every service's division again with each ticket, though it watches them. Change: `StateChange`, the difference of two states by thing, checked by a digest of what it makes; streams send the changes since the state that the follower names, and the whole to start or on a gap. Divisions that are known are not read again. `apply` does not wait for a VM that stands still beyond what it was told, and names it.

--- a/goldcrestramp-config/src/lib.rs
+++ b/goldcrestramp-config/src/lib.rs
@@ -26,9 +26,9 @@
     },
     ticket::{
         AcceptOutcome, CapacityPreview, ChangeTicket, RefusalReason,
-        RemovalList, STATE_BYTES, ServicePreview, ThingId, ThingKind,
-        TicketDocument, TicketMark, TicketMarks, TicketPreview, TicketRefusal,
-        TouchMark, accept_ticket, merge_states, parse_ticket, preview_ticket,
-        read_ticket,
+        RemovalList, STATE_BYTES, ServicePreview, StateChange, StateMark,
+        ThingId, ThingKind, TicketDocument, TicketMark, TicketMarks,
+        TicketPreview, TicketRefusal, TouchMark, accept_ticket, merge_states,
+        parse_ticket, preview_ticket, read_ticket,
     },
 };
--- a/goldcrestramp-config/src/ticket/accept.rs
+++ b/goldcrestramp-config/src/ticket/accept.rs
@@ -125,5 +125,5 @@
     let ids: Vec<ThingId> = new.iter().map(ConfiguredThing::id).collect();
     list.retain(|thing| !ids.contains(&thing.id()));
     list.extend(new.iter().cloned());
-    list.sort_by_key(ConfiguredThing::id);
+    list.sort_by_cached_key(ConfiguredThing::id);
 }
--- a/goldcrestramp-config/src/ticket/mod.rs
+++ b/goldcrestramp-config/src/ticket/mod.rs
@@ -6,6 +6,7 @@
 //! [`merge_states`] possible when a store comes back with older data.
 
 mod accept;
+mod change;
 mod check;
 mod marks;
 mod merge;
@@ -19,6 +20,7 @@
 
 pub use self::{
     accept::{AcceptOutcome, STATE_BYTES, accept_ticket},
+    change::{StateChange, StateMark},
     marks::{TicketMark, TicketMarks, TouchMark},
     merge::merge_states,
     preview::{
--- a/goldcrestramp-node/benches/control_cost.rs
+++ b/goldcrestramp-node/benches/control_cost.rs
@@ -17,7 +17,7 @@
     time::{Duration, Instant},
 };
 
-use deployment::{BenchDeployment, DeploymentSize, KINDS};
+use deployment::{BenchDeployment, DeploymentSize};
 use goldcrestramp_node::NodeHandle;
 use goldcrestramp_platform::CallKind;
 
@@ -29,6 +29,17 @@
 const MEASURE: Duration = Duration::from_secs(10);
 /// Clock ticks in a second, as the kernel counts a thread's CPU time.
 const TICKS_A_SECOND: f64 = 100.0;
+/// Kinds of control messages that are counted.
+const KINDS: [&str; 7] = [
+    "confirm",
+    "confirm-answer",
+    "permit",
+    "permit-answer",
+    "grant",
+    "grant-reply",
+    "table",
+];
+
 fn main() {
     let sizes: Vec<usize> =
         std::env::args().filter_map(|arg| arg.parse().ok()).collect();
--- a/goldcrestramp-node/benches/deployment/mod.rs
+++ b/goldcrestramp-node/benches/deployment/mod.rs
@@ -16,17 +16,6 @@
 const SERVERS_A_NODE: usize = 2;
 /// Slices of the one service.
 const SLICES: u32 = 65_536;
-/// Kinds of control messages that are counted.
-pub(crate) const KINDS: [&str; 7] = [
-    "confirm",
-    "confirm-answer",
-    "permit",
-    "permit-answer",
-    "grant",
-    "grant-reply",
-    "table",
-];
-
 /// How large a deployment is.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DeploymentSize {
--- a/goldcrestramp-node/src/control/follow.rs
+++ b/goldcrestramp-node/src/control/follow.rs
@@ -6,6 +6,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use goldcrestramp_config::{DeploymentState, StateChange};
 use goldcrestramp_ownership::{DomainTable, ServiceRecord};
 use goldcrestramp_platform::{VmEntry, records::StoreRecord};
 use goldcrestramp_types::{DomainName, FastMap, FastSet};
@@ -145,12 +146,7 @@
         let Some(mut client) = self.links.stream(&self.address).await else {
             return;
         };
-        let domain = self.domain.as_ref().map(ToString::to_string);
-        let request = TablesRequest {
-            vm: self.context.vm().to_string(),
-            domain: domain.unwrap_or_default(),
-        };
-        let Ok(response) = client.tables(request).await else {
+        let Ok(response) = client.tables(self.request()).await else {
             self.links.forget(&self.address);
             return;
         };
@@ -177,6 +173,18 @@
         }
     }
 
+    /// What is asked for, and what need not be sent.
+    fn request(&self) -> TablesRequest {
+        let domain = self.domain.as_ref().map(ToString::to_string);
+        let config = self.tables.borrow().config_mark;
+        TablesRequest {
+            vm: self.context.vm().to_string(),
+            domain: domain.unwrap_or_default(),
+            config_version: config.version,
+            config_digest: config.digest,
+        }
+    }
+
     /// Whether this is still the VM to follow.
     async fn is_right(&self) -> bool {
         if self.links.is_cut(&self.address) {
@@ -202,9 +210,8 @@
                 drop(self.actor.send(notice).await);
             }
         }
-        if let Ok(state) = serde_json::from_slice(&update.config) {
-            let notice = ConfigNotice(Arc::new(state));
-            drop(self.actor.send(notice).await);
+        if !self.take_config(update).await {
+            return false;
         }
         match self.table(update) {
             Ok(table) => {
@@ -215,6 +222,48 @@
         }
     }
 
+    /// Takes the configuration of an update, whole or by its changes.
+    ///
+    /// `false`: a change does not fit what this VM has. The stream is
+    /// opened again and begins with the whole; going on would leave this
+    /// VM behind until the next steward. What this program does not
+    /// understand it leaves: asking again would not help.
+    async fn take_config(&self, update: &TableUpdate) -> bool {
+        if !update.config.is_empty() {
+            self.hand_over(serde_json::from_slice(&update.config)).await;
+        }
+        for change in &update.config_changes {
+            let change = serde_json::from_slice::<StateChange>(change);
+            let known = self.tables.borrow().config.clone();
+            let known = known.unwrap_or_default();
+            let newer = change
+                .as_ref()
+                .map_or(true, |change| change.next.version > known.version);
+            if !newer {
+                continue;
+            }
+            let state = change.map(|change| change.apply(&known));
+            match state.transpose() {
+                Some(state) => self.hand_over(state).await,
+                None => return false,
+            }
+        }
+        true
+    }
+
+    /// Gives the actor a configuration that could be read.
+    async fn hand_over(&self, state: serde_json::Result<DeploymentState>) {
+        match state {
+            Ok(state) => {
+                let notice = ConfigNotice(Arc::new(state));
+                drop(self.actor.send(notice).await);
+            }
+            Err(error) => {
+                log::warn!("store: a configuration is not read: {error}.");
+            }
+        }
+    }
+
     /// The whole table of an update.
     fn table(&self, update: &TableUpdate) -> Result<DomainTable, TableFault> {
         if update.domain.is_empty() {
--- a/goldcrestramp-node/src/control/reader.rs
+++ b/goldcrestramp-node/src/control/reader.rs
@@ -82,7 +82,7 @@
     let Some(stored) = store.get(keys::CONFIG).await? else {
         return Ok(false);
     };
-    let taken = take_config(store, &stored.value, actor).await?;
+    let taken = take_config(store, None, &stored.value, actor).await?;
     Ok(domain_plan(&taken.state, domain, &taken.records).is_some())
 }
 
@@ -136,7 +136,7 @@
         drop(actor.send(ConfigNotice(Arc::new(joined))).await);
         return Ok(());
     }
-    take_config(store, value, actor).await.map(drop)
+    take_config(store, Some(hub), value, actor).await.map(drop)
 }
 
 /// While this VM leads, reads the VM list for its domain.
@@ -172,14 +172,22 @@
 }
 
 /// Takes a configuration with the divisions of its services.
+///
+/// Those that `hub` has are watched already: reading them again with each
+/// ticket would cost the store a read for each service and domain.
 async fn take_config(
     store: &PlatformClient,
+    hub: Option<&TableHub>,
     value: &Bytes,
     actor: &Address<ControlActor>,
 ) -> Result<TakenConfig, StoreError> {
     let state = Arc::new(decode::<DeploymentState>(value)?);
     let mut records = Vec::new();
+    let known = hub.map(|hub| hub.set().homes.clone()).unwrap_or_default();
     for rules in &state.services {
+        if known.contains_key(&rules.name) {
+            continue;
+        }
         let read = read_division(store, &rules.name).await?;
         if let Some((_, record)) = read {
             let record = Arc::new(record);
--- a/goldcrestramp-node/src/control/service.rs
+++ b/goldcrestramp-node/src/control/service.rs
@@ -3,6 +3,7 @@
 use std::{pin::Pin, sync::Arc};
 
 use futures_util::Stream;
+use goldcrestramp_config::StateMark;
 use goldcrestramp_types::DomainName;
 use goldcrestramp_wire::{
     delta::{DeltaDecoder, DeltaEncoder},
@@ -99,7 +100,10 @@
         &self,
         request: Request<TablesRequest>,
     ) -> Result<Response<Self::TablesStream>, Status> {
-        let only = request.into_inner().domain;
+        let request = request.into_inner();
+        let version = request.config_version;
+        let config = StateMark { version, digest: request.config_digest };
+        let only = request.domain;
         let only = if only.is_empty() {
             None
         } else {
@@ -109,7 +113,8 @@
         let (sender, receiver) = mpsc::channel(STREAM_QUEUE);
         let context = Arc::clone(&self.context);
         let tables = self.tables.clone();
-        tokio::spawn(stream_tables(context, tables, only, sender));
+        let cursor = StreamCursor::new(config);
+        tokio::spawn(stream_tables(context, tables, only, cursor, sender));
         Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
     }
 }
@@ -167,9 +172,9 @@
     context: Arc<NodeContext>,
     mut tables: watch::Receiver<Arc<TableSet>>,
     only: Option<DomainName>,
+    mut cursor: StreamCursor,
     sender: mpsc::Sender<Result<TableUpdate, Status>>,
 ) {
-    let mut cursor = StreamCursor::default();
     loop {
         context.faults.wait().await;
         let set = Arc::clone(&tables.borrow_and_update());
--- a/goldcrestramp-node/src/control/tables.rs
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_config::DeploymentState;
+use goldcrestramp_config::{DeploymentState, StateChange, StateMark};
 use goldcrestramp_ownership::{DomainTable, ServiceRecord, TableChange};
 use goldcrestramp_platform::records::StoreRecord;
 use goldcrestramp_types::{DomainName, FastMap, ServiceName, TableVersion};
@@ -11,6 +11,12 @@
 
 use crate::{context::NodeContext, convert, routing::RoutingTable};
 
+/// Changes of the configuration that are kept for those who are behind.
+///
+/// A subscriber takes them in milliseconds; one that is further behind
+/// gets the whole state.
+const CHANGES_KEPT: usize = 16;
+
 /// Everything that streams from VM to VM.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TableSet {
@@ -19,9 +25,39 @@
     /// subscribers that have that one.
     pub(crate) changes: FastMap<DomainName, Arc<TableChange>>,
     pub(crate) config: Option<Arc<DeploymentState>>,
+    /// The mark of `config`.
+    pub(crate) config_mark: StateMark,
+    /// The last changes that made it, each of the one before.
+    pub(crate) config_changes: Vec<Arc<StateChange>>,
     pub(crate) homes: FastMap<ServiceName, Arc<ServiceRecord>>,
 }
 
+impl TableSet {
+    /// The changes that make the configuration of the one with this mark;
+    /// `None`: it is not known, and the whole must be sent.
+    fn changes_since(&self, mark: StateMark) -> Option<&[Arc<StateChange>]> {
+        let mut changes = self.config_changes.iter();
+        let first = changes.position(|change| change.base == mark)?;
+        self.config_changes.get(first..)
+    }
+
+    /// Notes how the configuration came from the one before it.
+    fn note_config(&mut self, state: &Arc<DeploymentState>) {
+        let known = self.config.as_deref();
+        let change = known.and_then(|old| StateChange::between(old, state));
+        self.config = Some(Arc::clone(state));
+        let Some(change) = change else {
+            self.config_mark = StateMark::of(state);
+            self.config_changes.clear();
+            return;
+        };
+        self.config_mark = change.next;
+        self.config_changes.push(Arc::new(change));
+        let excess = self.config_changes.len().saturating_sub(CHANGES_KEPT);
+        self.config_changes.drain(..excess);
+    }
+}
+
 /// Holds the newest of everything and tells the streams.
 #[derive(Debug)]
 pub(crate) struct TableHub {
@@ -84,7 +120,7 @@
         if known.is_some_and(|known| known.version >= state.version) {
             return false;
         }
-        set.config = Some(Arc::clone(state));
+        set.note_config(state);
         self.context.metrics.set_config_version(state.version);
         let callers = state.callers.iter();
         let weights = callers.map(|rules| (rules.name.clone(), rules.weight));
@@ -113,11 +149,16 @@
 #[derive(Debug, Default)]
 pub(crate) struct StreamCursor {
     tables: FastMap<DomainName, TableVersion>,
-    config: u64,
+    config: StateMark,
     homes: FastMap<ServiceName, u64>,
 }
 
 impl StreamCursor {
+    /// A subscriber that has this configuration, and no table.
+    pub(crate) fn new(config: StateMark) -> Self {
+        Self { config, ..Self::default() }
+    }
+
     /// The updates that bring a subscriber up to `set`.
     ///
     /// `only`: the one domain that it asked for; others are left out.
@@ -156,13 +197,7 @@
             return Vec::new();
         }
         let mut update = TableUpdate::default();
-        if let Some(state) = &set.config
-            && state.version > self.config
-        {
-            self.config = state.version;
-            update.config_version = state.version;
-            update.config = json(state.as_ref());
-        }
+        self.config_update(set, &mut update);
         for homes in set.homes.values() {
             let before = self.homes.get(&homes.service).copied();
             if before.is_some_and(|before| before >= homes.revision) {
@@ -175,11 +210,30 @@
                 record: homes.encode().unwrap_or_default(),
             });
         }
-        if update.config.is_empty() && update.homes.is_empty() {
+        if update == TableUpdate::default() {
             return Vec::new();
         }
         vec![update]
     }
+
+    /// The configuration: its changes where they fit, else the whole.
+    fn config_update(&mut self, set: &TableSet, update: &mut TableUpdate) {
+        let Some(state) = &set.config else {
+            return;
+        };
+        if state.version <= self.config.version {
+            return;
+        }
+        match set.changes_since(self.config) {
+            Some(changes) => {
+                let changes = changes.iter().map(|change| json(&**change));
+                update.config_changes = changes.collect();
+            }
+            None => update.config = json(state.as_ref()),
+        }
+        update.config_version = state.version;
+        self.config = set.config_mark;
+    }
 }
 
 fn json<T: serde::Serialize>(value: &T) -> bytes::Bytes {
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -309,6 +309,11 @@
     /// The one domain asked for; empty: every domain that is known.
     #[prost(string, tag = "2")]
     pub domain: ::prost::alloc::string::String,
+    /// The configuration that the VM has: only what came after it is sent.
+    #[prost(uint64, tag = "3")]
+    pub config_version: u64,
+    #[prost(fixed64, tag = "4")]
+    pub config_digest: u64,
 }
 /// A run of slices and its owner; no server means no owner.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
@@ -358,8 +363,8 @@
     pub base: ::core::option::Option<Token>,
     #[prost(message, repeated, tag = "5")]
     pub services: ::prost::alloc::vec::Vec<ServiceTable>,
-    /// The configuration, as JSON, when this is the steward's own domain
-    /// and it changed; empty otherwise.
+    /// The whole configuration, as JSON, when the VM lacks the state that
+    /// the steward's changes build on; only within a failure domain.
     #[prost(uint64, tag = "6")]
     pub config_version: u64,
     #[prost(bytes = "bytes", tag = "7")]
@@ -367,6 +372,9 @@
     /// The slices of each service by failure domain, as the store has them.
     #[prost(message, repeated, tag = "8")]
     pub homes: ::prost::alloc::vec::Vec<ServiceDomains>,
+    /// Changes of the configuration, as JSON, in the order of their versions.
+    #[prost(bytes = "bytes", repeated, tag = "9")]
+    pub config_changes: ::prost::alloc::vec::Vec<::prost::bytes::Bytes>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ServiceDomains {
--- a/src/commands/apply.rs
+++ b/src/commands/apply.rs
@@ -9,6 +9,7 @@
 use goldcrestramp_config::{TicketDocument, read_ticket};
 use goldcrestramp_node::{StatusReport, TicketAnswer, TicketOutcome};
 use serde_json::json;
+use tokio::time::timeout_at;
 
 use super::{
     CommandExit, arguments,
@@ -17,6 +18,8 @@
 
 /// How often the VMs are asked whether the ticket is in force.
 const ASK_EVERY: Duration = Duration::from_millis(100);
+/// How long after the wait the last answers may come.
+const ANSWER_GRACE: Duration = Duration::from_millis(500);
 /// How long to wait for all VMs, unless told otherwise.
 const WAIT_SECONDS: &str = "60";
 
@@ -161,7 +164,7 @@
     async fn wait_in_force(&self, version: u64) -> Vec<LaggingVm> {
         let until = Instant::now() + Duration::from_secs(self.wait);
         loop {
-            let lagging = self.lagging(version).await;
+            let lagging = self.lagging(version, until + ANSWER_GRACE).await;
             if lagging.is_empty() || Instant::now() >= until {
                 return lagging;
             }
@@ -169,13 +172,22 @@
         }
     }
 
-    async fn lagging(&self, version: u64) -> Vec<LaggingVm> {
+    /// The VMs that do not show `version` by `until`.
+    ///
+    /// A VM that stands still keeps its connections and answers nothing;
+    /// without an end the others would be waited with for its sake.
+    async fn lagging(&self, version: u64, until: Instant) -> Vec<LaggingVm> {
         let asked = self.vms.iter().map(|vm| async {
-            let report = self.link.get::<StatusReport>(vm, "/status").await;
-            let why = match report {
-                Ok(report) if report.config_version >= version => return None,
-                Ok(report) => format!("has version {}", report.config_version),
-                Err(error) => error.to_string(),
+            let report = self.link.get::<StatusReport>(vm, "/status");
+            let why = match timeout_at(until.into(), report).await {
+                Ok(Ok(report)) if report.config_version >= version => {
+                    return None;
+                }
+                Ok(Ok(report)) => {
+                    format!("has version {}", report.config_version)
+                }
+                Ok(Err(error)) => error.to_string(),
+                Err(_elapsed) => "no answer in time".to_owned(),
             };
             Some(LaggingVm { vm: vm.clone(), why })
         });
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -185,6 +185,30 @@
     healed.says(0, "in force on all 2 VMs");
 }
 
+// The second VM stands still: it keeps its connections and answers nothing.
+// The command must not wait for it beyond what it was told, and name it;
+// once the VM goes on, it has the ticket in force too.
+#[tokio::test]
+async fn a_vm_that_stands_still_lags_and_is_named() {
+    let mut operated = operated().await;
+    let first = operated.apply("first", &operated.first_ticket()).await;
+    first.says(0, "in force");
+    let path = operated.write("second", &caller(2, 3));
+    let path = path.to_str().expect("a path in text");
+    operated.second.process.freeze();
+
+    let frozen = operated.command(&["apply", path, "--wait", "1"]).await;
+    operated.second.process.thaw();
+    let thawed = operated.command(&["apply", path]).await;
+
+    let lag = format!(
+        "lags: http://{}: no answer in time",
+        operated.second.operators
+    );
+    frozen.says(1, &lag);
+    thawed.says(0, "in force on all 2 VMs");
+}
+
 // What is wrong is told at its place, with status 2 for what can't be read
 // and 1 for what the configuration refuses; nothing is applied.
 #[tokio::test]
