--- a/goldcrestramp-node/tests/resend.rs
+++ b/goldcrestramp-node/tests/resend.rs
@@ -33,6 +33,22 @@
     outcome.to_str().expect("a code").to_owned()
 }
 
+/// Sends an order, and moves its slice to the other server on a plan; the
+/// first answer, and the VMs that keep the server before and after.
+async fn order_and_move(
+    domain: &mut OneDomain,
+) -> ((String, String), [usize; 2]) {
+    let first = order(domain, 0, false).await;
+    let owner = domain.runs("order-1").iter().position(|runs| *runs > 0);
+    let owner = owner.expect("it ran");
+    let next = 1 - owner;
+    let keepers =
+        [domain.keeper_of(owner).await, domain.keeper_of(next).await];
+    domain.drain_server(owner).await;
+    domain.wait_until_run_by(next, KEY).await;
+    (first, keepers)
+}
+
 /// A phone sends an order and loses the answer. Its server is taken out of
 /// service on a plan, and its slices move to another one, kept by another
 /// VM, which has never seen the order. The phone sends it again, through a
@@ -40,24 +56,35 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_resend_after_a_planned_move_gets_the_first_answer() {
     let mut domain = OneDomain::spawn(11, 3).await;
-    let first = order(&domain, 0, false).await;
-    let owner = domain.runs("order-1").iter().position(|runs| *runs > 0);
-    let owner = owner.expect("it ran");
-    let next = 1 - owner;
-    let keepers =
-        (domain.keeper_of(owner).await, domain.keeper_of(next).await);
-    domain.drain_server(owner).await;
-    domain.wait_until_run_by(next, KEY).await;
-    let third = (0..3).find(|node| *node != keepers.0 && *node != keepers.1);
+    let (first, keepers) = order_and_move(&mut domain).await;
+    let third = (0..3).find(|node| !keepers.contains(node));
 
     let again = order(&domain, third.expect("a third VM"), true).await;
 
-    assert_ne!(keepers.0, keepers.1, "two VMs keep a server each");
+    assert_ne!(keepers[0], keepers[1], "two VMs keep a server each");
     assert_eq!(first.0, "done");
     assert_eq!(again, first);
     assert_eq!(domain.runs("order-1").iter().sum::<usize>(), 1);
 }
 
+/// After such a move the new keeper's VM is stopped on a plan too. It knew
+/// of the order by hearsay alone, and tells the third one before it ends.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_resend_after_a_planned_stop_gets_the_first_answer() {
+    let mut domain = OneDomain::spawn(13, 3).await;
+    let (first, [_, keeper]) = order_and_move(&mut domain).await;
+    let heard = order(&domain, keeper, true).await;
+    domain.nodes[keeper].drain().await;
+    let stopped = domain.nodes.remove(keeper);
+    drop(stopped);
+
+    let again = order(&domain, 0, true).await;
+
+    assert_eq!(first.0, "done");
+    assert_eq!((&heard, &again), (&first, &first));
+    assert_eq!(domain.runs("order-1").iter().sum::<usize>(), 1);
+}
+
 /// The first frame of a keeper's answer to an order that arrives past its
 /// deadline, as it does after a slow way.
 async fn late_order(domain: &OneDomain, is_resend: bool) -> RouteFrame {
