Move keys away from a slow or silent server

Cause: that a server was slow or silent was logged and nothing else. By slot time a held server looks idle, so placement gave it more slices; a slow one that is asked little keeps its keys, and their callers wait 20 times as long. Change: a keeper reports such a server as full, in proportion to what its slices used, until 10 s after it was last seen so. Placement empties it as far as others have room. EjectionGuard goes with its test: the band around the mean load does its work, proven by full_servers_are_relieved_only_while_others_have_room (all full or the rest busy: nothing moves). ServerLimit::hinted goes with its test: no health page is read, so there is none to mistrust.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -40,10 +40,7 @@
     },
     deadline::span_to_send,
     gateway::GatewayLimit,
-    limit::{
-        EjectionGuard, FleetLoad, HealthHint, LimitVerdict, OwnerAdvice,
-        ServerLimit, ServerSign,
-    },
+    limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSign},
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReading, REPORTED_SLICES, ServerLoad},
     placement::{
--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -8,7 +8,8 @@
 only to refuse.
 
 What the keeper itself saw decides: answers, refusals, breaks and silence.
-The health page can call for caution, never for trust.
+The health page is not read: a server at work shows more by its answers, and
+one that is idle is asked one request at a time anyway.
 
 - *Cold*: it starts with one request; the limit grows with its answers.
 - *Shedding*: a refusal halves the limit; a run of answers adds one.
@@ -16,20 +17,19 @@
   failed probe; then one request goes as a probe, and its answer lets the
   limit grow again by degrees.
 - *Slow*: it keeps its slots, since fewer would only serve less, but
-  [`OwnerAdvice::MoveAway`] tells the steward.
+  [`OwnerAdvice::MoveAway`] has it reported as full.
 
 The only owner of a key cannot be routed around. While it is held, the queue
 refuses at once what cannot wait for the next probe, and says when to come
-back; what can wait, waits. Moving the ownership is the steward's decision,
-under [`EjectionGuard`].
+back; what can wait, waits. Moving the ownership is the steward's decision:
+its placement empties a server that is reported as full as far as the others
+have room, see [`ServerLoad`](crate::ServerLoad).
 */
 
-mod guard;
 mod pace;
 
 use goldcrestramp_types::{LocalTime, RequestClass, TimeSpan};
 
-pub use crate::limit::guard::{EjectionGuard, FleetLoad};
 use crate::limit::pace::ServerPace;
 
 /// Failures in a row after which a server is held: two may be chance, on
@@ -66,15 +66,6 @@
     Cancelled,
 }
 
-/// What its health page says.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum HealthHint {
-    /// It claims to be well.
-    Good,
-    /// It claims to be unwell.
-    Bad,
-}
-
 /// What may be sent to a server now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LimitVerdict {
@@ -84,7 +75,7 @@
     Held(LocalTime),
 }
 
-/// What the steward is told.
+/// Where a server's keys are served best.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OwnerAdvice {
     /// The server does its work.
@@ -213,17 +204,6 @@
         }
     }
 
-    /// Takes what the health page says: a bad word from a server at work
-    /// takes it back to one request at a time, a good word does nothing.
-    ///
-    /// A page that is wrong for the worse costs a few answers' time.
-    pub const fn hinted(&mut self, hint: HealthHint) {
-        if let (HealthHint::Bad, LimitStage::Open { .. }) = (hint, self.stage)
-        {
-            self.stage = LimitStage::Open { limit: 1, answers: 0 };
-        }
-    }
-
     /// Takes a new run of the server, which is cold again.
     pub fn restarted(&mut self, now: LocalTime) {
         *self = Self::open(now, self.slots);
--- a/goldcrestramp-decisions/tests/limit.rs
+++ b/goldcrestramp-decisions/tests/limit.rs
@@ -1,8 +1,7 @@
 //! What a keeper sends to servers that are not well.
 
 use goldcrestramp_decisions::{
-    EjectionGuard, FleetLoad, HealthHint, LimitVerdict, OwnerAdvice,
-    ServerLimit, ServerSign,
+    LimitVerdict, OwnerAdvice, ServerLimit, ServerSign,
 };
 use goldcrestramp_types::{LocalTime, RequestClass, TimeSpan};
 
@@ -121,45 +120,9 @@
     assert_eq!(limit.advice(at(4_000)), OwnerAdvice::MoveAway);
 }
 
-/// The page says that a frozen server is well: it stays held. The page says
-/// that a server at work is unwell: it is asked with care, and its answers
-/// win.
-#[test]
-fn the_health_page_is_never_trusted() {
-    let mut held = warm();
-    for turn in 0..3 {
-        run(&mut held, 2_000 + turn, 1, ServerSign::Broken);
-    }
-    held.hinted(HealthHint::Good);
-    assert!(matches!(held.verdict(at(2_003)), LimitVerdict::Held(_)));
-    let mut well = warm();
-    well.hinted(HealthHint::Bad);
-    assert_eq!(well.verdict(at(2_000)), LimitVerdict::Open(1));
-    for turn in 0..12 {
-        run(&mut well, 2_000 + turn * 5, 5, answered(5));
-    }
-    assert_eq!(well.verdict(at(2_060)), LimitVerdict::Open(4));
-}
-
 #[test]
 fn a_new_run_of_a_server_is_cold() {
     let mut limit = warm();
     limit.restarted(at(2_000));
     assert_eq!(limit.verdict(at(2_000)), LimitVerdict::Open(1));
 }
-
-#[test]
-fn ejection_stops_before_the_rest_fall_over() {
-    let cases = [
-        (9, 0, 36, 12_000, true, "room for all"),
-        (9, 2, 28, 12_000, true, "the third of nine"),
-        (9, 3, 24, 12_000, false, "more than a third"),
-        (9, 0, 36, 26_000, false, "32 slots at 81%"),
-        (1, 0, 4, 0, false, "the last one"),
-        (2, 0, 8, 100, false, "half of all"),
-    ];
-    for (servers, ejected, slots, used_millislots, expected, case) in cases {
-        let load = FleetLoad { servers, ejected, slots, used_millislots };
-        assert_eq!(EjectionGuard.may_eject(load, 4), expected, "{case}");
-    }
-}
--- a/goldcrestramp-decisions/tests/load.rs
+++ b/goldcrestramp-decisions/tests/load.rs
@@ -15,7 +15,7 @@
         load.record(slice(number), span);
         load.record(slice(3), TimeSpan::from_micros(2));
     }
-    let reading = load.take();
+    let reading = load.take(LocalTime::from_micros(0));
     assert_eq!(reading.busy, TimeSpan::from_micros(499_500 + 2_000));
     assert_eq!(reading.slices.len(), REPORTED_SLICES);
     let first = (slice(3), TimeSpan::from_micros(2_003));
@@ -24,6 +24,28 @@
     assert_eq!(reading.slices[1], second);
 }
 
+/// A frozen server ends no request, so by its slot time it would look idle.
+/// It is reported as full, until it has not been seen frozen for a while.
+#[test]
+fn a_slow_or_silent_server_is_reported_as_full() {
+    let at = |millis: u64| LocalTime::from_micros(millis * 1_000);
+    let mut load = ServerLoad::default();
+    load.record(slice(3), TimeSpan::from_millis(1));
+    load.take(at(1_000));
+    load.set_full(at(1_100), 4);
+    load.record(slice(3), TimeSpan::from_millis(1));
+    load.record(slice(4), TimeSpan::from_millis(3));
+    let full = load.take(at(1_300));
+    let still = load.take(at(11_100));
+    let later = load.take(at(11_400));
+    assert_eq!(full.busy, TimeSpan::from_millis(4 * 300));
+    let parts = [(slice(4), 900), (slice(3), 300)];
+    let parts = parts.map(|(s, millis)| (s, TimeSpan::from_millis(millis)));
+    assert_eq!(full.slices, parts, "in proportion to their use");
+    assert_eq!(still.busy, TimeSpan::from_millis(4 * 9_800));
+    assert_eq!(later.busy, TimeSpan::ZERO);
+}
+
 #[test]
 fn a_reader_that_stalls_is_cut_off_sooner_when_others_wait() {
     let cases = [
--- a/goldcrestramp-decisions/tests/placement.rs
+++ b/goldcrestramp-decisions/tests/placement.rs
@@ -100,6 +100,25 @@
 
 /// Servers are uneven, but idle: nobody waits, so nothing is saved and a
 /// move would cost its cold start.
+/// Slow servers are reported as full. One of three gives slices away; when
+/// all are, or the others have no room, nothing moves: they would fall over
+/// one after the other.
+#[test]
+fn full_servers_are_relieved_only_while_others_have_room() {
+    let full: &[u32] = &[50; 8];
+    let idle: &[u32] = &[15; 8];
+    let busy: &[u32] = &[46; 8];
+    let moves = |loads: &[&[u32]]| {
+        let moves = decide(loads);
+        assert!(moves.iter().all(|moved| moved.source == 0));
+        moves.len()
+    };
+    assert!(moves(&[full, idle, idle]) > 0);
+    assert_eq!(moves(&[full, full, full]), 0);
+    assert_eq!(moves(&[full, busy, busy]), 0);
+    assert_eq!(moves(&[full]), 0);
+}
+
 #[test]
 fn nothing_moves_when_the_saving_is_below_the_cost() {
     assert_eq!(decide(&[&[20, 20, 20, 20], &[0], &[0]]), []);
--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -237,7 +237,7 @@
         self.keeper.set_leaving(self.context.leaving());
         let mut report = self.keeper.report(now);
         for server in &mut report.servers {
-            let reading = self.context.loads.take(&server.server);
+            let reading = self.context.loads.take(now, &server.server);
             server.busy = reading.busy;
             let slices = reading.slices.into_iter();
             let loads = slices.map(|(slice, busy)| SliceLoad { slice, busy });
--- a/goldcrestramp-node/src/keeper/admission.rs
+++ b/goldcrestramp-node/src/keeper/admission.rs
@@ -83,6 +83,7 @@
 pub(crate) struct ServerAdmission {
     context: Arc<NodeContext>,
     server: ServerName,
+    slots: usize,
     state: Mutex<AdmissionState>,
     timer: Arc<Notify>,
 }
@@ -108,6 +109,7 @@
         let admission = Arc::new(Self {
             context,
             server,
+            slots,
             state: Mutex::new(state),
             timer: Arc::clone(&timer),
         });
@@ -195,6 +197,7 @@
 
     /// Carries out what the queue decides until it has nothing more to do.
     fn pump(&self, state: &mut AdmissionState, now: LocalTime) {
+        self.take_advice(state, now);
         state.apply_limit(now);
         while let Some(event) = state.queue.poll(now, rand::random()) {
             match event {
@@ -216,7 +219,6 @@
         let now = self.context.now();
         let mut state = self.lock();
         state.limit.tick(now, rand::random());
-        self.log_advice(&mut state, now);
         state.timer_at = Some(now);
         self.pump(&mut state, now);
         state.timer_at = state.wake_at();
@@ -226,14 +228,17 @@
         state.timer_at.map(|wake| wake.since(now).max(pause))
     }
 
-    /// Tells operators when a server's keys would be better off elsewhere.
-    fn log_advice(&self, state: &mut AdmissionState, now: LocalTime) {
+    /// Lets a server's keys move when they would be better off elsewhere.
+    fn take_advice(&self, state: &mut AdmissionState, now: LocalTime) {
         let advice = state.limit.advice(now);
+        let server = &self.server;
+        if advice == OwnerAdvice::MoveAway {
+            self.context.loads.set_full(now, server, self.slots);
+        }
         if advice == state.advice {
             return;
         }
         state.advice = advice;
-        let server = &self.server;
         match advice {
             OwnerAdvice::MoveAway => {
                 log::warn!("keeper: {server} is slow or silent.");
--- a/goldcrestramp-node/src/load.rs
+++ b/goldcrestramp-node/src/load.rs
@@ -3,7 +3,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use goldcrestramp_decisions::{LoadReading, ServerLoad};
-use goldcrestramp_types::{FastMap, ServerName, SliceIndex, TimeSpan};
+use goldcrestramp_types::{
+    FastMap, LocalTime, ServerName, SliceIndex, TimeSpan,
+};
 
 /// Filled by the traffic threads, read by the control thread's reports.
 #[derive(Clone, Debug, Default)]
@@ -27,10 +29,27 @@
         loads.entry(server.clone()).or_default().record(slice, span);
     }
 
+    /// Notes that a server of so many slots is slow or silent.
+    pub(crate) fn set_full(
+        &self,
+        now: LocalTime,
+        server: &ServerName,
+        slots: usize,
+    ) {
+        let mut loads = self.lock();
+        let load = loads.entry(server.clone()).or_default();
+        load.set_full(now, slots);
+    }
+
     /// What was used at a server since it was last read.
-    pub(crate) fn take(&self, server: &ServerName) -> LoadReading {
+    pub(crate) fn take(
+        &self,
+        now: LocalTime,
+        server: &ServerName,
+    ) -> LoadReading {
         let mut loads = self.lock();
-        loads.get_mut(server).map(ServerLoad::take).unwrap_or_default()
+        let load = loads.get_mut(server);
+        load.map(|load| load.take(now)).unwrap_or_default()
     }
 
     fn lock(&self) -> MutexGuard<'_, FastMap<ServerName, ServerLoad>> {
--- a/goldcrestramp-node/tests/resend.rs
+++ b/goldcrestramp-node/tests/moves.rs
@@ -1,7 +1,10 @@
-//! Orders that their callers send again.
+//! What callers receive around moves of their keys.
 
 mod one_domain;
 
+use std::time::Duration;
+
+use goldcrestramp_standins::server::ServerFaults;
 use goldcrestramp_wire::peer::{
     RouteFrame, RouteRequest, peer_client::PeerClient, route_frame::Frame,
 };
@@ -9,6 +12,8 @@
 use reqwest::{Method, Response};
 
 const KEY: &str = "rice";
+/// Longer than a move takes by far; only a failed test sees it.
+const LIMIT: Duration = Duration::from_mins(1);
 
 /// Sends the same order through one of the daemons; outcome and body.
 async fn order(
@@ -122,3 +127,49 @@
     assert!(matches!(first, Some(Frame::NotRun(_))), "{first:?}");
     assert!(matches!(again, Some(Frame::Unknown(_))), "{again:?}");
 }
+
+/// Asks for each key once; those that the first server ran.
+async fn run_by_first(
+    domain: &OneDomain,
+    round: u32,
+    keys: &[String],
+) -> Vec<String> {
+    let mut run = Vec::new();
+    for key in keys {
+        let id = format!("{round}-{key}");
+        let ask = domain.request(0, Method::GET, key);
+        let ask = ask.header("goldcrestramp-request", &id);
+        ask.send().await.expect("an answer");
+        if domain.runs(&id)[0] > 0 {
+            run.push(key.clone());
+        }
+    }
+    run
+}
+
+/// A server becomes twenty times slower. It is asked so little that its slots
+/// never fill, so by its load alone it would keep its keys, and their
+/// callers would wait for each answer twenty times as long. Its keeper reports
+/// it as full, and most of its keys move to the other server.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_slow_servers_keys_move_away() {
+    let domain = OneDomain::spawn(21, 2).await;
+    let all: Vec<_> = (0..30).map(|n| format!("k{n}")).collect();
+    let keys = run_by_first(&domain, 0, &all).await;
+    domain.servers[0].set_faults(ServerFaults {
+        slow_percent: 2_000,
+        ..ServerFaults::default()
+    });
+
+    let asking = async {
+        for round in 1.. {
+            let left = run_by_first(&domain, round, &keys).await;
+            if left.len() * 2 < keys.len() {
+                return;
+            }
+        }
+    };
+
+    let moved = tokio::time::timeout(LIMIT, asking).await;
+    assert!(moved.is_ok(), "most of {} keys are left", keys.len());
+}
--- a/goldcrestramp-node/tests/one_domain/mod.rs
+++ b/goldcrestramp-node/tests/one_domain/mod.rs
@@ -13,7 +13,7 @@
 };
 use goldcrestramp_standins::{
     platform::PlatformStandin,
-    server::{ServerBehaviour, ServerStandin},
+    server::{ServerBehaviour, ServerStandin, WorkTimes},
 };
 use goldcrestramp_types::{DomainName, RegionName, VmName};
 use reqwest::{Method, RequestBuilder};
@@ -22,6 +22,9 @@
 const DOMAIN: &str = "sierra-a";
 /// Longer than anything here takes; only a failed test sees it.
 const LIMIT: Duration = Duration::from_secs(30);
+/// What each request takes at a server: more than the way there, so that a
+/// slow server is told from a busy machine.
+const WORK_MS: u64 = 10;
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// What a test talks to.
@@ -42,7 +45,8 @@
         let platform = PlatformStandin::bind(loopback()).await.expect("bound");
         let mut servers = Vec::new();
         for _ in 0..2 {
-            let behaviour = ServerBehaviour::default();
+            let work = WorkTimes::fixed(WORK_MS);
+            let behaviour = ServerBehaviour { work, ..Default::default() };
             let server = ServerStandin::bind(loopback(), behaviour).await;
             servers.push(server.expect("bound"));
         }
