Show in running daemons that each check can fail

Cause: doubled, not_run_but_ran, owner_overlaps, wrong_answers, cut_answers and broken histories were shown to turn non-zero on made-up logs alone.

Change: one enum of safeguards that a daemon can leave out, switched by tests, at one relaxed atomic load each: work sent beside the owner, a started order sent again, "not run" said of the unknown, an answer under another's id or cut short passed on.

--- a/goldcrestramp-node/src/faults.rs
+++ b/goldcrestramp-node/src/faults.rs
@@ -3,19 +3,55 @@
 //! Real processes are killed, frozen and cut off from outside; several
 //! daemons in one process need these switches instead.
 
-use std::sync::{PoisonError, RwLock};
+use std::sync::{
+    PoisonError, RwLock,
+    atomic::{AtomicU8, Ordering},
+};
 
 use goldcrestramp_types::FastSet;
 use tokio::sync::watch;
 
+/// A safeguard that a daemon leaves out on purpose.
+///
+/// A check that cannot fail proves nothing: with one of these, the checks
+/// after a run must find what the safeguard prevents.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[repr(u8)]
+pub enum PlantedFault {
+    /// A keeper sends to another server than the owner.
+    WrongServer = 1,
+    /// An order that may have run is sent again, and its keeper has
+    /// forgotten the first.
+    StartedRetried,
+    /// A caller is told "not run" where nobody knows.
+    UnknownDenied,
+    /// An answer under another request's id is passed on.
+    CrossedPassed,
+    /// An answer that broke off ends as if it were whole.
+    CutPassed,
+}
+
 /// The switches of one daemon; all off at first.
 #[derive(Debug, Default)]
 pub struct NodeFaults {
+    /// A [`PlantedFault`], or 0.
+    planted: AtomicU8,
     paused: watch::Sender<bool>,
     cut: RwLock<FastSet<String>>,
 }
 
 impl NodeFaults {
+    /// Leaves a safeguard out, or none.
+    pub fn plant(&self, fault: Option<PlantedFault>) {
+        let number = fault.map_or(0, |fault| fault as u8);
+        self.planted.store(number, Ordering::Relaxed);
+    }
+
+    /// Whether a safeguard is left out.
+    pub(crate) fn has(&self, fault: PlantedFault) -> bool {
+        self.planted.load(Ordering::Relaxed) == fault as u8
+    }
+
     /// Makes the daemon stand still, as a paused VM does.
     pub fn pause(&self, paused: bool) {
         self.paused.send_replace(paused);
--- a/goldcrestramp-node/src/gateway/answer.rs
+++ b/goldcrestramp-node/src/gateway/answer.rs
@@ -79,7 +79,8 @@
     if !head.content_type.is_empty() {
         builder = builder.header(header::CONTENT_TYPE, &head.content_type);
     }
-    if let Some(length) = head.length {
+    let length = head.length.filter(|_length| !frames.passes_cut());
+    if let Some(length) = length {
         builder = builder.header(header::CONTENT_LENGTH, length);
     }
     let body = warp::reply::stream(body_stream(frames, guard));
@@ -113,6 +114,7 @@
                 frames.metrics().count_done();
                 None
             }
+            _ if frames.passes_cut() => None,
             _ => {
                 frames.metrics().count_cut();
                 Some((Err(broken_off()), None))
--- a/goldcrestramp-node/src/gateway/attempt.rs
+++ b/goldcrestramp-node/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use goldcrestramp_decisions::{RefusedBy, span_to_send};
+use goldcrestramp_decisions::RefusedBy;
 use goldcrestramp_types::{
     NotRunReason, RequestEffect, RetryReason, ServerName, TimeSpan,
     UnknownReason, slice_of,
@@ -38,19 +38,17 @@
     Refused(NotRunReason, TimeSpan),
 }
 
-/// Sends a request; its first frame, how long the keeper took for it, and
-/// the frames that follow.
+/// Sends a request; its first frame, and those that follow.
 ///
 /// `None`: the keeper went silent or broke off before the first.
 pub(super) async fn first_frame(
     channel: Channel,
     message: RouteRequest,
-) -> Option<(Frame, TimeSpan, Streaming<RouteFrame>)> {
+) -> Option<(Frame, Streaming<RouteFrame>)> {
     let response = PeerClient::new(channel).route(message).await.ok()?;
     let mut frames = response.into_inner();
     let first = frames.message().await.ok()??;
-    let spent = TimeSpan::from_micros(first.spent_micros);
-    Some((first.frame?, spent, frames))
+    Some((first.frame?, frames))
 }
 
 impl RequestRouter {
@@ -64,20 +62,12 @@
         let Ok(channel) = self.channels.open(address).await else {
             return TryOutcome::Again(RetryReason::KeeperUnreachable, None);
         };
-        let now = self.context.now();
-        let left = request.deadline.since(now);
-        let way = self.channels.one_way(address);
-        // Sent without the time of the way, a request could start after its
-        // caller has given it up, and hold a slot for nobody.
-        let Some(rest) = span_to_send(now, request.deadline, way) else {
-            let reason = if left == TimeSpan::ZERO {
-                NotRunReason::DeadlinePassed
-            } else {
-                NotRunReason::DeadlineTooShort
-            };
+        let left = self.left(request);
+        if left == TimeSpan::ZERO {
+            let reason = NotRunReason::DeadlinePassed;
             return TryOutcome::Answer(refused(reason));
-        };
-        let message = self.message(request, &place.server, rest);
+        }
+        let message = self.message(request, &place.server, left);
         let call = first_frame(channel, message);
         // The keeper answers by the deadline; the margin is for its way
         // back, so that its own, truer answer is not missed.
@@ -97,11 +87,7 @@
             }
         };
         match answered {
-            Ok(Some((first, spent, frames))) => {
-                let waited = self.context.now().since(now);
-                self.channels.record_trip(address, waited.minus(spent));
-                self.first(request, first, frames)
-            }
+            Ok(Some((first, frames))) => self.first(request, first, frames),
             Ok(None) => {
                 self.channels.forget(address);
                 self.lost(request, place, left).await
@@ -153,7 +139,7 @@
         place: &KeeperPlace,
         left: TimeSpan,
     ) -> TryOutcome {
-        match request.class.effect() {
+        match self.effect(request) {
             RequestEffect::Idempotent => {
                 TryOutcome::BrokenOff(UnknownReason::KeeperLost)
             }
@@ -221,7 +207,7 @@
             Frame::Unknown(unknown) => {
                 let reason = UnknownReason::from_code(&unknown.reason)
                     .unwrap_or(UnknownReason::ServerLost);
-                undecided(request, reason)
+                undecided(self.effect(request), reason)
             }
             Frame::Data(_) | Frame::End(_) => {
                 let reason = UnknownReason::CrossedAnswer;
@@ -232,12 +218,12 @@
 }
 
 /// An idempotent request whose server fell silent is sent again.
-fn undecided(request: &CallerRequest, reason: UnknownReason) -> TryOutcome {
+fn undecided(effect: RequestEffect, reason: UnknownReason) -> TryOutcome {
     let again = matches!(
         reason,
         UnknownReason::ServerLost | UnknownReason::CrossedAnswer
     );
-    if again && request.class.effect() == RequestEffect::Idempotent {
+    if again && effect == RequestEffect::Idempotent {
         return TryOutcome::BrokenOff(reason);
     }
     TryOutcome::Answer(RouteAnswer::unknown(reason))
--- a/goldcrestramp-node/src/gateway/retry.rs
+++ b/goldcrestramp-node/src/gateway/retry.rs
@@ -9,7 +9,9 @@
 use goldcrestramp_decisions::{
     AttemptStart, FailedAttempt, RetryDecision, RetryPolicy,
 };
-use goldcrestramp_types::{LocalTime, NotRunReason, RetryReason, TimeSpan};
+use goldcrestramp_types::{
+    LocalTime, NotRunReason, RequestEffect, RetryReason, TimeSpan,
+};
 
 use crate::gateway::request::CallerRequest;
 
@@ -34,6 +36,7 @@
         &self,
         now: LocalTime,
         request: &CallerRequest,
+        effect: RequestEffect,
         failed: &FailedTry,
     ) -> RetryDecision {
         // One who cannot come back in time has its answer now.
@@ -45,7 +48,7 @@
         let attempt = FailedAttempt {
             caller: &request.caller,
             service: &request.service,
-            effect: request.class.effect(),
+            effect,
             start: failed.start,
             reason: failed.reason,
             refusal: failed.refusal,
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -4,14 +4,15 @@
 
 use goldcrestramp_decisions::{RefusalProof, RefusedBy, RetryDecision};
 use goldcrestramp_types::{
-    LocalTime, NotRunReason, RetryReason, ServerName, TimeSpan, UnknownReason,
-    slice_of,
+    LocalTime, NotRunReason, RequestEffect, RetryReason, ServerName, TimeSpan,
+    UnknownReason, slice_of,
 };
 use goldcrestramp_wire::peer::{RouteFrame, RouteHead};
 use tonic::Streaming;
 
 use crate::{
     context::NodeContext,
+    faults::PlantedFault,
     gateway::{
         attempt::TryOutcome,
         request::CallerRequest,
@@ -80,6 +81,11 @@
         self.frames.message().await.ok().flatten()
     }
 
+    /// Whether an answer that broke off is to end as if it were whole.
+    pub(crate) fn passes_cut(&self) -> bool {
+        self.context.faults.has(PlantedFault::CutPassed)
+    }
+
     pub(crate) fn metrics(&self) -> &NodeMetrics {
         &self.context.metrics
     }
@@ -108,9 +114,13 @@
 
     /// Routes a request until it has an outcome or its deadline passes.
     pub(crate) async fn route(&self, request: &CallerRequest) -> RouteAnswer {
-        let effect = request.class.effect();
+        let effect = self.effect(request);
         let mut proof = RefusalProof::new(effect, request.resend);
         let answer = self.route_tries(request, &mut proof).await;
+        let open = matches!(answer, RouteAnswer::Unknown { .. });
+        if open && self.context.faults.has(PlantedFault::UnknownDenied) {
+            return refused(NotRunReason::Cancelled);
+        }
         let RouteAnswer::NotRun { reason, retry_after, by } = answer else {
             return answer;
         };
@@ -122,6 +132,14 @@
         }
     }
 
+    /// What a second run of the request would do.
+    pub(super) fn effect(&self, request: &CallerRequest) -> RequestEffect {
+        if self.context.faults.has(PlantedFault::StartedRetried) {
+            return RequestEffect::Idempotent;
+        }
+        request.class.effect()
+    }
+
     /// Tries until a try ends the request; notes in `proof` which of them
     /// may have run.
     async fn route_tries(
@@ -180,7 +198,8 @@
         failed: FailedTry,
     ) -> Option<RouteAnswer> {
         let now = self.context.now();
-        let decision = self.retries.decide(now, request, &failed);
+        let effect = self.effect(request);
+        let decision = self.retries.decide(now, request, effect, &failed);
         let time = match decision {
             RetryDecision::Again(time, reason) => {
                 self.context.metrics.count_retry(reason);
--- a/goldcrestramp-node/src/keeper/attempts.rs
+++ b/goldcrestramp-node/src/keeper/attempts.rs
@@ -88,12 +88,7 @@
         kept: &KeptServer,
         request: &ServerRequest,
     ) -> AttemptStep {
-        let guard = |id| AttemptGuard {
-            attempts: self.clone(),
-            server: kept.order.server.clone(),
-            id,
-            outcome: AttemptOutcome::NotRun(NotRunReason::Cancelled),
-        };
+        let guard = |id| self.guard(kept, id);
         if request.class != RequestClass::Order {
             return AttemptStep::Run(guard(None));
         }
@@ -122,6 +117,20 @@
         }
     }
 
+    /// Takes any request as a new one: a fault that tests plant.
+    pub(crate) fn forget(&self, kept: &KeptServer) -> AttemptStep {
+        AttemptStep::Run(self.guard(kept, None))
+    }
+
+    fn guard(&self, kept: &KeptServer, id: Option<AttemptId>) -> AttemptGuard {
+        AttemptGuard {
+            attempts: self.clone(),
+            server: kept.order.server.clone(),
+            id,
+            outcome: AttemptOutcome::NotRun(NotRunReason::Cancelled),
+        }
+    }
+
     /// What is known here of an order, whoever has its slice by now.
     ///
     /// Asked before anything can refuse it: what was started here must not
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -22,13 +22,16 @@
 use tokio::sync::mpsc;
 use tonic::Status;
 
-use crate::keeper::{
-    attempts::AttemptGuard,
-    frames,
-    link::LinkCrossing,
-    prove,
-    slot::{ServerSlot, SlotEnd},
-    view::KeptServer,
+use crate::{
+    faults::{NodeFaults, PlantedFault},
+    keeper::{
+        attempts::AttemptGuard,
+        frames,
+        link::LinkCrossing,
+        prove,
+        slot::{ServerSlot, SlotEnd},
+        view::KeptServer,
+    },
 };
 
 /// The share of a span that surely fits into it on a faster clock.
@@ -92,7 +95,7 @@
 /// completes when an idempotent request is better sent to another server.
 /// What became of the request is noted in `slot` and `attempt`.
 pub(crate) async fn send(
-    http: &reqwest::Client,
+    (http, faults): (&reqwest::Client, &NodeFaults),
     kept: &KeptServer,
     request: &ServerRequest,
     left: TimeSpan,
@@ -143,7 +146,9 @@
     // Passing on another request's answer would show one caller the data of
     // another; the id that the server echoes tells.
     let echoed = response.headers().get(HEADER_REQUEST);
-    if echoed.is_none_or(|id| id.as_bytes() != request.id.as_bytes()) {
+    let crossed =
+        echoed.is_none_or(|id| id.as_bytes() != request.id.as_bytes());
+    if crossed && !faults.has(PlantedFault::CrossedPassed) {
         let crossed = UnknownReason::CrossedAnswer;
         slot.fail(SlotEnd::Broken);
         give(frames, frames::unknown(crossed)).await;
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -2,7 +2,7 @@
 
 use std::{hash::Hasher, pin::Pin, sync::Arc, time::Duration};
 
-use futures_util::{Stream, StreamExt};
+use futures_util::Stream;
 use goldcrestramp_decisions::{AttemptId, QueueRefusal, QueuedRequest};
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
@@ -18,6 +18,7 @@
 
 use crate::{
     context::NodeContext,
+    faults::PlantedFault,
     keeper::{
         admission::{QueuePlace, ServerQueues},
         attempts::{AttemptGuard, AttemptStep, ServerAttempts},
@@ -129,7 +130,12 @@
             Err(reason) => return decline(frames, had, reason).await,
         }
         let now = self.context.now();
-        match self.attempts.begin(now, &kept, &request) {
+        let step = if self.context.faults.has(PlantedFault::StartedRetried) {
+            self.attempts.forget(&kept)
+        } else {
+            self.attempts.begin(now, &kept, &request)
+        };
+        match step {
             AttemptStep::Run(attempt) => {
                 self.queue(&kept, &request, frames, attempt).await;
             }
@@ -272,8 +278,10 @@
         if let Some(call) = &mut cancel.call {
             let notes = (&mut call.slot, &mut attempt);
             let moved = self.moved(request, server, once);
-            send::send(&self.http, kept, request, left, frames, notes, moved)
-                .await;
+            let wrong = self.wrong_server(kept);
+            let kept = wrong.as_ref().unwrap_or(kept);
+            let tools = (&self.http, &*self.context.faults);
+            send::send(tools, kept, request, left, frames, notes, moved).await;
         }
         cancel.disarm();
         // Its end is noted before its slice may be released, so that the
@@ -285,6 +293,12 @@
         }
     }
 
+    /// Another server than the owner, if that fault is planted.
+    fn wrong_server(&self, kept: &KeptServer) -> Option<KeptServer> {
+        let planted = self.context.faults.has(PlantedFault::WrongServer);
+        planted.then(|| self.context.view.load().another(kept)).flatten()
+    }
+
     /// Completes when an idempotent request's slice has surely left the
     /// server that was sent it.
     ///
@@ -370,16 +384,8 @@
     ) -> Result<Response<Self::RouteStream>, Status> {
         let (sender, receiver) = mpsc::channel(FRAME_QUEUE);
         let service = self.clone();
-        let mut arrived = Some(self.context.now());
-        let context = Arc::clone(&self.context);
         tokio::spawn(service.run(request.into_inner(), sender));
-        let frames = ReceiverStream::new(receiver).map(move |frame| {
-            let first = arrived.take();
-            let spent = first.map(|at| context.now().since(at).as_micros());
-            let spent_micros = spent.unwrap_or_default();
-            frame.map(|frame| RouteFrame { spent_micros, ..frame })
-        });
-        Ok(Response::new(Box::pin(frames)))
+        Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
     }
 
     async fn remember(
--- a/goldcrestramp-node/src/keeper/view.rs
+++ b/goldcrestramp-node/src/keeper/view.rs
@@ -34,6 +34,19 @@
         order.map(AsRef::as_ref)
     }
 
+    /// Another server of the same service that this VM keeps.
+    pub(crate) fn another(&self, kept: &KeptServer) -> Option<KeptServer> {
+        let mut servers = self.servers.iter();
+        let other = servers.find(|order| {
+            order.service == kept.order.service
+                && order.server != kept.order.server
+        });
+        other.map(|order| KeptServer {
+            order: Arc::clone(order),
+            pass: kept.pass,
+        })
+    }
+
     /// The server of this VM that may run requests on `slice` now.
     ///
     /// A VM keeps a handful of servers, so they are looked through.
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -27,7 +27,7 @@
 pub use crate::{
     context::NodeContext,
     control::ControlStatus,
-    faults::NodeFaults,
+    faults::{NodeFaults, PlantedFault},
     handle::{NodeAddresses, NodeHandle},
     metrics::NodeMetrics,
     operators::{
