--- a/goldcrestramp-decisions/src/deadline.rs
+++ b/goldcrestramp-decisions/src/deadline.rs
@@ -33,3 +33,69 @@
     let left = deadline.since(now + transit);
     (left > TimeSpan::ZERO).then_some(left)
 }
+
+/// Round trips before the way is known: one alone may have met a pause.
+const TRIPS_LEAST: u32 = 3;
+
+/// The way is forgotten when no answer came for so long.
+///
+/// A wrong estimate refuses requests that would correct it: without an end
+/// callers with short deadlines would be turned away for good.
+const TRIP_KEPT: TimeSpan = TimeSpan::from_millis(5_000);
+
+/// A longer trip than the estimate moves it by this part of the difference.
+const RISE_PART: u64 = 64;
+
+/// The usual time of one way to a peer.
+///
+/// It follows the shortest round trips, as the longer ones hold waits that
+/// the next request need not meet.
+///
+/// # Example
+///
+/// ```
+/// use goldcrestramp_decisions::TransitEstimate;
+/// use goldcrestramp_types::{LocalTime, TimeSpan};
+///
+/// let now = LocalTime::from_micros(0);
+/// let mut transit = TransitEstimate::default();
+/// for millis in [30, 24, 90] {
+///     transit.record(now, TimeSpan::from_millis(millis));
+/// }
+/// let way = transit.one_way(now);
+/// assert!(way >= TimeSpan::from_millis(12));
+/// assert!(way < TimeSpan::from_millis(13));
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TransitEstimate {
+    trip: TimeSpan,
+    trips: u32,
+    seen: LocalTime,
+}
+
+impl TransitEstimate {
+    /// Takes a round trip, without the time spent at the peer.
+    pub fn record(&mut self, now: LocalTime, trip: TimeSpan) {
+        if now.since(self.seen) > TRIP_KEPT {
+            self.trips = 0;
+        }
+        let rise = trip.minus(self.trip).as_micros() / RISE_PART;
+        self.trip = if self.trips == 0 || trip < self.trip {
+            trip
+        } else {
+            self.trip.plus(TimeSpan::from_micros(rise))
+        };
+        self.trips = self.trips.saturating_add(1);
+        self.seen = now;
+    }
+
+    /// The time of one way; zero while it is not known.
+    #[must_use]
+    pub fn one_way(&self, now: LocalTime) -> TimeSpan {
+        let known = self.trips >= TRIPS_LEAST;
+        if known && now.since(self.seen) <= TRIP_KEPT {
+            return self.trip.percent(50);
+        }
+        TimeSpan::ZERO
+    }
+}
--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -38,7 +38,7 @@
         AttemptOutcome, AttemptRecord, AttemptSent, AttemptVerdict,
         MemorySettings, StoredAnswer,
     },
-    deadline::span_to_send,
+    deadline::{TransitEstimate, span_to_send},
     gateway::GatewayLimit,
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSign},
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
--- a/goldcrestramp-decisions/tests/retry.rs
+++ b/goldcrestramp-decisions/tests/retry.rs
@@ -2,7 +2,7 @@
 
 use goldcrestramp_decisions::{
     AttemptStart, FailedAttempt, REDIRECT_LIMIT, RefusalProof, RefusedBy,
-    RetryDecision, RetryPolicy, span_to_send,
+    RetryDecision, RetryPolicy, TransitEstimate, span_to_send,
 };
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestEffect, RetryReason,
@@ -155,6 +155,29 @@
     assert_eq!(left(200), None);
 }
 
+/// A way is believed after three trips. A wrong estimate would refuse just
+/// the requests that could correct it, so it is forgotten after a while.
+#[test]
+fn a_way_is_learned_from_the_shortest_trips_and_forgotten() {
+    let trip = TimeSpan::from_millis;
+    let mut transit = TransitEstimate::default();
+    transit.record(at(0), trip(400));
+    transit.record(at(1), trip(300));
+    let early = transit.one_way(at(1));
+    transit.record(at(2), trip(24));
+    let known = transit.one_way(at(5_002));
+    for _ in 0..64 {
+        transit.record(at(5_002), trip(200));
+    }
+    let risen = transit.one_way(at(5_002));
+    assert_eq!(early, TimeSpan::ZERO);
+    assert_eq!(known, trip(12));
+    assert!(risen > trip(50) && risen < trip(100), "{risen:?}");
+    assert_eq!(transit.one_way(at(10_003)), TimeSpan::ZERO);
+    transit.record(at(10_003), trip(24));
+    assert_eq!(transit.one_way(at(10_003)), TimeSpan::ZERO);
+}
+
 /// A request is refused after other tries of it. The refusal is passed on as
 /// "not run" only if whoever refused knows of all of them.
 #[test]
--- a/goldcrestramp-node/src/gateway/attempt.rs
+++ b/goldcrestramp-node/src/gateway/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use goldcrestramp_decisions::RefusedBy;
+use goldcrestramp_decisions::{RefusedBy, span_to_send};
 use goldcrestramp_types::{
     NotRunReason, RequestEffect, RetryReason, ServerName, TimeSpan,
     UnknownReason, slice_of,
@@ -38,17 +38,19 @@
     Refused(NotRunReason, TimeSpan),
 }
 
-/// Sends a request; its first frame, and those that follow.
+/// Sends a request; its first frame, how long the keeper took for it, and
+/// the frames that follow.
 ///
 /// `None`: the keeper went silent or broke off before the first.
 pub(super) async fn first_frame(
     channel: Channel,
     message: RouteRequest,
-) -> Option<(Frame, Streaming<RouteFrame>)> {
+) -> Option<(Frame, TimeSpan, Streaming<RouteFrame>)> {
     let response = PeerClient::new(channel).route(message).await.ok()?;
     let mut frames = response.into_inner();
     let first = frames.message().await.ok()??;
-    Some((first.frame?, frames))
+    let spent = TimeSpan::from_micros(first.spent_micros);
+    Some((first.frame?, spent, frames))
 }
 
 impl RequestRouter {
@@ -62,12 +64,20 @@
         let Ok(channel) = self.channels.open(address).await else {
             return TryOutcome::Again(RetryReason::KeeperUnreachable, None);
         };
-        let left = self.left(request);
-        if left == TimeSpan::ZERO {
-            let reason = NotRunReason::DeadlinePassed;
+        let now = self.context.now();
+        let left = request.deadline.since(now);
+        let way = self.channels.one_way(address);
+        // Sent without the time of the way, a request could start after its
+        // caller has given it up, and hold a slot for nobody.
+        let Some(rest) = span_to_send(now, request.deadline, way) else {
+            let reason = if left == TimeSpan::ZERO {
+                NotRunReason::DeadlinePassed
+            } else {
+                NotRunReason::DeadlineTooShort
+            };
             return TryOutcome::Answer(refused(reason));
-        }
-        let message = self.message(request, &place.server, left);
+        };
+        let message = self.message(request, &place.server, rest);
         let call = first_frame(channel, message);
         // The keeper answers by the deadline; the margin is for its way
         // back, so that its own, truer answer is not missed.
@@ -87,7 +97,11 @@
             }
         };
         match answered {
-            Ok(Some((first, frames))) => self.first(request, first, frames),
+            Ok(Some((first, spent, frames))) => {
+                let waited = self.context.now().since(now);
+                self.channels.record_trip(address, waited.minus(spent));
+                self.first(request, first, frames)
+            }
             Ok(None) => {
                 self.channels.forget(address);
                 self.lost(request, place, left).await
--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -69,7 +69,7 @@
         };
         let call = first_frame(channel, message);
         let asked = tokio::time::timeout(left.to_std(), call).await;
-        let Some((first, frames)) = asked.ok().flatten() else {
+        let Some((first, _spent, frames)) = asked.ok().flatten() else {
             self.channels.forget(&address);
             return None;
         };
--- a/goldcrestramp-node/src/keeper/frames.rs
+++ b/goldcrestramp-node/src/keeper/frames.rs
@@ -9,7 +9,7 @@
 };
 
 const fn frame(frame: Frame) -> RouteFrame {
-    RouteFrame { frame: Some(frame) }
+    RouteFrame { frame: Some(frame), spent_micros: 0 }
 }
 
 pub(crate) fn not_run(reason: NotRunReason, wait: TimeSpan) -> RouteFrame {
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -2,7 +2,7 @@
 
 use std::{hash::Hasher, pin::Pin, sync::Arc, time::Duration};
 
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
 use goldcrestramp_decisions::{AttemptId, QueueRefusal, QueuedRequest};
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
@@ -384,8 +384,16 @@
     ) -> Result<Response<Self::RouteStream>, Status> {
         let (sender, receiver) = mpsc::channel(FRAME_QUEUE);
         let service = self.clone();
+        let mut arrived = Some(self.context.now());
+        let context = Arc::clone(&self.context);
         tokio::spawn(service.run(request.into_inner(), sender));
-        Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
+        let frames = ReceiverStream::new(receiver).map(move |frame| {
+            let first = arrived.take();
+            let spent = first.map(|at| context.now().since(at).as_micros());
+            let spent_micros = spent.unwrap_or_default();
+            frame.map(|frame| RouteFrame { spent_micros, ..frame })
+        });
+        Ok(Response::new(Box::pin(frames)))
     }
 
     async fn remember(
--- a/goldcrestramp-node/src/peers.rs
+++ b/goldcrestramp-node/src/peers.rs
@@ -5,7 +5,8 @@
     time::Duration,
 };
 
-use goldcrestramp_types::FastMap;
+use goldcrestramp_decisions::TransitEstimate;
+use goldcrestramp_types::{FastMap, TimeSpan};
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::{Channel, Endpoint, server::Router};
@@ -29,6 +30,7 @@
 pub(crate) struct PeerChannels {
     context: Arc<NodeContext>,
     channels: Mutex<FastMap<Arc<str>, Channel>>,
+    transits: Mutex<FastMap<Arc<str>, TransitEstimate>>,
 }
 
 /// Why no message could be sent to a peer; none was.
@@ -37,7 +39,8 @@
 
 impl PeerChannels {
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
-        Self { context, channels: Mutex::default() }
+        let (channels, transits) = Default::default();
+        Self { context, channels, transits }
     }
 
     /// An open channel to the peer at `address`.
@@ -67,6 +70,26 @@
     /// Drops the channel after a failure, so that the next is new.
     pub(crate) fn forget(&self, address: &Arc<str>) {
         self.lock().remove(address);
+        let transits = self.transits.lock();
+        transits.unwrap_or_else(PoisonError::into_inner).remove(address);
+    }
+
+    /// The usual time of one way to a peer; zero while it is not known.
+    pub(crate) fn one_way(&self, address: &Arc<str>) -> TimeSpan {
+        let transits =
+            self.transits.lock().unwrap_or_else(PoisonError::into_inner);
+        let transit = transits.get(address);
+        let now = self.context.now();
+        transit.map_or(TimeSpan::ZERO, |transit| transit.one_way(now))
+    }
+
+    /// Takes the time that a peer's answer was on its way, there and back.
+    pub(crate) fn record_trip(&self, address: &Arc<str>, trip: TimeSpan) {
+        let mut transits =
+            self.transits.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.context.now();
+        let transit = transits.entry(Arc::clone(address)).or_default();
+        transit.record(now, trip);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, FastMap<Arc<str>, Channel>> {
--- a/goldcrestramp-node/tests/moves.rs
+++ b/goldcrestramp-node/tests/moves.rs
@@ -1,5 +1,6 @@
-//! What callers receive around moves of their keys.
+//! What callers receive of moves, losses and ways between daemons.
 
+mod far_link;
 mod one_domain;
 
 use std::time::Duration;
@@ -10,6 +11,7 @@
 };
 use one_domain::OneDomain;
 use reqwest::{Method, Response};
+use tokio::net::TcpListener;
 
 const KEY: &str = "rice";
 /// Longer than a move takes by far; only a failed test sees it.
@@ -173,3 +175,39 @@
     let moved = tokio::time::timeout(LIMIT, asking).await;
     assert!(moved.is_ok(), "most of {} keys are left", keys.len());
 }
+
+/// A keeper is far: each way takes 150 ms. A caller waits 100 ms for a
+/// lookup. The request would reach the keeper after that, with the time
+/// that was left at its gateway, and hold a slot for nobody; the gateway
+/// knows the way by then, and says at once that it cannot be in time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn what_cannot_arrive_in_time_is_not_sent() {
+    let way = Duration::from_millis(150);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let far = listener.local_addr().expect("an address");
+    let mut listener = Some(listener);
+    let domain = OneDomain::spawn_with(14, 1, |settings| {
+        settings.peers_address = Some(far);
+        if let Some(listener) = listener.take() {
+            let near = settings.peers_listen;
+            tokio::spawn(far_link::serve(listener, near, way));
+        }
+    })
+    .await;
+    let ask = |deadline_ms: u32, id: &'static str| {
+        domain
+            .request_within(deadline_ms, 0, Method::GET, KEY)
+            .header("goldcrestramp-request", id)
+            .send()
+    };
+    for _ in 0..3 {
+        ask(20_000, "patient").await.expect("an answer");
+    }
+
+    let late = ask(100, "late").await.expect("an answer");
+    let patient = ask(20_000, "patient").await.expect("an answer");
+
+    assert_eq!(outcome(&late), "not-run");
+    assert_eq!(domain.runs("late").iter().sum::<usize>(), 0);
+    assert_eq!(outcome(&patient), "done");
+}
--- a/goldcrestramp-node/tests/one_domain/mod.rs
+++ b/goldcrestramp-node/tests/one_domain/mod.rs
@@ -42,6 +42,15 @@
     ///
     /// `host`: another number for each test of the process.
     pub(crate) async fn spawn(host: u8, vms: usize) -> Self {
+        Self::spawn_with(host, vms, |_| {}).await
+    }
+
+    /// The same, with the daemons' settings changed by `prepare`.
+    pub(crate) async fn spawn_with(
+        host: u8,
+        vms: usize,
+        prepare: impl FnMut(&mut NodeSettings),
+    ) -> Self {
         let platform = PlatformStandin::bind(loopback()).await.expect("bound");
         let mut servers = Vec::new();
         for _ in 0..2 {
@@ -61,10 +70,11 @@
         };
         domain.put_config(1).await;
         let listen = draw_addresses(host, 4 * vms);
-        let settings: Vec<_> = (0..)
+        let mut settings: Vec<_> = (0..)
             .zip(listen.chunks(4))
             .map(|(n, listen): (u32, _)| settings(n, &url, listen))
             .collect();
+        settings.iter_mut().for_each(prepare);
         let entries = settings.iter().map(vm_entry);
         domain.platform.set_vms(entries.collect());
         for settings in settings {
@@ -77,19 +87,30 @@
         domain
     }
 
-    /// A request through one of the daemons.
+    /// A request through one of the daemons, by a patient caller.
     pub(crate) fn request(
         &self,
         node: usize,
         method: Method,
         key: &str,
+    ) -> RequestBuilder {
+        self.request_within(20_000, node, method, key)
+    }
+
+    /// A request whose caller waits for so many milliseconds.
+    pub(crate) fn request_within(
+        &self,
+        deadline_ms: u32,
+        node: usize,
+        method: Method,
+        key: &str,
     ) -> RequestBuilder {
         let callers = self.nodes[node].addresses().callers;
         let url = format!("http://{callers}/v1/stock/{key}");
         self.http
             .request(method, url)
             .header("goldcrestramp-caller", "tienda")
-            .header("goldcrestramp-deadline-ms", 20_000)
+            .header("goldcrestramp-deadline-ms", deadline_ms)
     }
 
     /// A ticket takes a server out of service.
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -238,6 +238,10 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RouteFrame {
+    /// In the first: microseconds from the request's arrival until it left.
+    /// The rest of the gateway's wait is the way there and back.
+    #[prost(uint64, tag = "7")]
+    pub spent_micros: u64,
     #[prost(oneof = "route_frame::Frame", tags = "1, 2, 3, 4, 5, 6")]
     pub frame: ::core::option::Option<route_frame::Frame>,
 }
