Grant a restarted server nothing under an earlier permit

A keeper was cut off from its steward alone; another raised the fence and a slice left the server. Then the server restarted, forgot its fence, and the former keeper, whose permit lasted 0.5 s more, granted the new run all that it had held. "At a checking server the new one raises the fence and goes on at once" is what broke. Change: a keeper grants a run nothing until it has had a permit for a question sent after it first saw that run. While it only asks, it no longer asks again with each reply, about 700 times a second in the trace.

--- a/goldcrestramp-ownership/src/keeper/mod.rs
+++ b/goldcrestramp-ownership/src/keeper/mod.rs
@@ -147,7 +147,7 @@
         self.poll_at = now + again.min(self.timing.renew_every);
         self.follow(now, orders);
         for kept in self.servers.values_mut() {
-            kept.renew(now, &self.timing);
+            kept.renew(now, sent, &self.timing);
         }
     }
 
--- a/goldcrestramp-ownership/src/keeper/server.rs
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -12,6 +12,7 @@
 use crate::{
     keeper::pass::{SendPass, ServerPasses},
     message::{ServerOrder, ServerReport, ServerState},
+    safeguard::Safeguard,
     timing::TermTiming,
 };
 
@@ -53,6 +54,10 @@
     since: FenceToken,
     reading: Option<ClockReading>,
     run: u64,
+    /// When that run was first seen.
+    run_seen: LocalTime,
+    /// Whether the steward has permitted this keeper since.
+    run_permitted: bool,
     token: FenceToken,
     fence: FenceToken,
     held: SliceSet,
@@ -81,6 +86,8 @@
             order: Arc::new(order),
             reading: None,
             run: 0,
+            run_seen: LocalTime::default(),
+            run_permitted: false,
             token: FenceToken::default(),
             fence: FenceToken::default(),
             held: SliceSet::new(),
@@ -129,7 +136,17 @@
     /// Renews the grant right after the permit, when most is left of it.
     ///
     /// Renewed just before, the grant would end a whole renewal sooner.
-    pub(super) fn renew(&mut self, now: LocalTime, timing: &TermTiming) {
+    pub(super) fn renew(
+        &mut self,
+        now: LocalTime,
+        sent: LocalTime,
+        timing: &TermTiming,
+    ) {
+        let seen = self.reading.is_some() && sent >= self.run_seen;
+        if seen && !self.run_permitted {
+            self.run_permitted = true;
+            self.next_at = self.next_at.min(now);
+        }
         if now.since(self.sent_at) >= timing.renew_every.percent(50) {
             self.next_at = self.next_at.min(now);
         }
@@ -204,7 +221,13 @@
             run: self.run,
             ..GrantOrder::default()
         };
-        let usable = self.sets_known && !self.order.ask_only;
+        // A server that restarts forgets its fence, and so would take the
+        // grant of a former keeper whose permit still lasts; its slices may
+        // have moved. A question to the steward that is sent after the
+        // restart tells a former keeper that it is one.
+        let guarded = timing.safeguards.has(Safeguard::RunPermit);
+        let permitted = self.run_permitted || !guarded;
+        let usable = self.sets_known && !self.order.ask_only && permitted;
         let Some(reading) = self.reading.filter(|_| usable) else {
             return order;
         };
@@ -260,11 +283,13 @@
         };
         self.reachable = true;
         let reading = ClockReading { clock: reply.clock, received: now };
-        if reply.run != self.run {
+        if reply.run != self.run || self.reading.is_none() {
             // Orders for the former run are refused by the new one.
             self.strays.clear();
             self.ends_at = now;
             self.run = reply.run;
+            self.run_seen = now;
+            self.run_permitted = false;
             self.sets_known = false;
         } else if reply.accepted {
             self.remember_grant(order, timing);
@@ -309,7 +334,9 @@
     }
 
     fn needs_grant(&self) -> bool {
-        !self.order.extend_only && self.token != self.order.token
+        let asks = self.order.ask_only || !self.run_permitted;
+        let grants = !self.order.extend_only && !asks;
+        grants && self.token != self.order.token
     }
 
     fn take_sets(&mut self, reply: &GrantReply) {
--- a/goldcrestramp-ownership/src/safeguard.rs
+++ b/goldcrestramp-ownership/src/safeguard.rs
@@ -27,6 +27,8 @@
     LateOrder,
     /// A copy of an answered grant may still reach a server without fences.
     GrantCopy,
+    /// A server's new run is granted nothing under a permit of before it.
+    RunPermit,
 }
 
 /// All safeguards, less at most one.
