--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -34,15 +34,13 @@
 
 pub use crate::{
     attempt::{
-        ANSWER_LIMIT, AttemptId, AttemptMemory, AttemptOutcome, AttemptRecord,
-        AttemptVerdict, MemorySettings, SliceMemory, StoredAnswer,
+        ANSWER_LIMIT, AttemptArrival, AttemptId, AttemptMemory,
+        AttemptOutcome, AttemptRecord, AttemptSent, AttemptVerdict,
+        MemorySettings, StoredAnswer,
     },
     deadline::span_to_send,
     gateway::GatewayLimit,
-    limit::{
-        EjectionGuard, FleetLoad, HealthHint, LimitVerdict, OwnerAdvice,
-        ServerLimit, ServerSign,
-    },
+    limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSign},
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReading, REPORTED_SLICES, ServerLoad},
     placement::{
--- a/goldcrestramp-node/src/handle.rs
+++ b/goldcrestramp-node/src/handle.rs
@@ -15,7 +15,7 @@
     },
     faults::NodeFaults,
     gateway::{CallerListener, gateway_routes},
-    keeper::KeeperService,
+    keeper::{KeeperService, MemoryHandover},
     operators::{NodeOperators, OperatorPolicy, operator_routes},
     peer_tls::PeerTls,
     peers::serve_router,
@@ -51,6 +51,7 @@
     callers: CallerListener,
     _operators: CallerListener,
     peers: JoinHandle<()>,
+    handover: MemoryHandover,
     addresses: NodeAddresses,
     counts: Arc<CallCounts>,
 }
@@ -86,7 +87,9 @@
             control: control.address,
             operators: operators.address(),
         };
-        let peers = serve_peers(&context, peers);
+        let keeper = KeeperService::new(Arc::clone(&context));
+        let handover = keeper.handover();
+        let peers = serve_peers(&context, keeper, peers);
         log::info!("gateway: callers are served at {}.", addresses.callers);
         log::info!("operators: served at {}.", addresses.operators);
         Ok(Self {
@@ -95,6 +98,7 @@
             callers,
             _operators: operators,
             peers,
+            handover,
             addresses,
             counts,
         })
@@ -128,6 +132,7 @@
     pub async fn drain(&mut self) {
         self.context.leave();
         self.wait_handed_over().await;
+        self.handover.finish().await;
         self.wait_dispensable().await;
         self.callers.drain().await;
         while self.context.requests() > 0 {
@@ -183,9 +188,9 @@
 
 fn serve_peers(
     context: &Arc<NodeContext>,
+    service: KeeperService,
     listener: TcpListener,
 ) -> JoinHandle<()> {
-    let service = KeeperService::new(Arc::clone(context));
     let limit = context.settings.body_bytes as usize + MESSAGE_ROOM;
     let service = PeerServer::new(service).max_decoding_message_size(limit);
     let server = Server::builder().tcp_nodelay(true).add_service(service);
