--- a/goldcrestramp-ownership/src/safeguard.rs
+++ b/goldcrestramp-ownership/src/safeguard.rs
@@ -27,6 +27,12 @@
     LateOrder,
     /// A copy of an answered grant may still reach a server without fences.
     GrantCopy,
+    /// A server's new run is granted nothing under a permit of before it.
+    RunPermit,
+    /// A candidate reduces only a roster by which a steward has counted.
+    RosterAdopted,
+    /// A steward whose time has ended is not confirmed by a late answer.
+    LateAnswer,
 }
 
 /// All safeguards, less at most one.
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -45,6 +45,10 @@
     /// The oldest plan with which anybody may lead from now on.
     #[prost(uint64, tag = "8")]
     pub plan_floor: u64,
+    /// The version of the roster whose majority has confirmed the term; zero
+    /// before one has.
+    #[prost(uint64, tag = "9")]
+    pub counted_version: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfirmReply {
@@ -238,6 +242,10 @@
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RouteFrame {
+    /// In the first: microseconds from the request's arrival until it left.
+    /// The rest of the gateway's wait is the way there and back.
+    #[prost(uint64, tag = "7")]
+    pub spent_micros: u64,
     #[prost(oneof = "route_frame::Frame", tags = "1, 2, 3, 4, 5, 6")]
     pub frame: ::core::option::Option<route_frame::Frame>,
 }
