Show from any VM what every VM of its domain has in force

Cause: `status` told versions of the one VM alone, servers and moves on the steward alone, and nothing of the age of other domains' tables. Change: keepers report their configuration's and table's version when they change; the steward answers a `View` call with its VMs and who lags, servers with what they have yet to get and give up, moves, and when it last heard the other domains. A VM that gets no answer shows the last one and its age. Slices between domains, unknown answers and retries are shown; `explain` has the token from the steward's view.

--- a/goldcrestramp-node/benches/ticket_reach.rs
+++ b/goldcrestramp-node/benches/ticket_reach.rs
@@ -106,7 +106,19 @@
         }
         last = bytes;
     }
-    println!("not settled");
+    for node in nodes {
+        let status = node.status().await.expect("running");
+        let steward = status.steward;
+        if steward.leading {
+            println!(
+                "not settled: {}, term {}, {} servers in a move, {} moved",
+                node.context().domain(),
+                steward.term.number,
+                steward.moving,
+                steward.moved
+            );
+        }
+    }
 }
 
 fn print_reach(
--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -21,6 +21,7 @@
         messages::StewardNotice,
         permit_stream::{PermitQuestion, PermitStream},
         permits::StewardSearch,
+        seen::{SeenBook, VmVersions},
         tables::TableHub,
     },
     convert,
@@ -44,6 +45,7 @@
     pub(super) hub: Arc<TableHub>,
     pub(super) feed: PlacementFeed,
     pub(super) search: StewardSearch,
+    pub(super) seen: SeenBook,
     pub(super) permits: PermitStream,
     pub(super) address: Option<WeakAddress<Self>>,
     pub(super) ask_at: LocalTime,
@@ -90,6 +92,7 @@
             hub,
             feed: PlacementFeed::default(),
             search: StewardSearch::default(),
+            seen: SeenBook::default(),
             permits: PermitStream::default(),
             address: None,
             ask_at: now,
@@ -225,14 +228,22 @@
         };
         self.asking = true;
         let domain = self.context.domain();
-        let question = PermitQuestion {
-            sent: now,
-            address,
-            message: convert::report_out(&report, domain),
-        };
+        let versions = self.versions();
+        let message = convert::report_out(&report, domain, versions);
+        let question = PermitQuestion { sent: now, address, message };
         self.permits.ask(&self.links, actor, question);
     }
 
+    /// What this VM has in force.
+    pub(super) fn versions(&self) -> VmVersions {
+        let set = self.hub.set();
+        let table = set.domains.get(self.context.domain());
+        VmVersions {
+            config: set.config_mark.version,
+            table: table.map(|table| table.version),
+        }
+    }
+
     pub(super) fn report(&mut self, now: LocalTime) -> KeeperReport {
         self.keeper.set_leaving(self.context.leaving());
         let mut report = self.keeper.report(now);
@@ -323,6 +334,9 @@
     pub(super) fn show_leading(&mut self) {
         let leading = self.steward.leads(self.context.now());
         self.context.metrics.set_leading(leading);
+        if !leading {
+            self.seen.clear();
+        }
         self.leading.send_if_modified(|shown| {
             let changed = *shown != leading;
             *shown = leading;
--- a/goldcrestramp-node/src/control/follow.rs
+++ b/goldcrestramp-node/src/control/follow.rs
@@ -57,6 +57,7 @@
                 actor: actor.clone(),
                 address,
                 domain: None,
+                hub: Arc::clone(&hub),
                 tables: hub.subscribe(),
             };
             stream.follow().await;
@@ -124,6 +125,7 @@
         actor: actor.clone(),
         address: Arc::from(vm.address.as_str()),
         domain: Some(domain.clone()),
+        hub: Arc::clone(hub),
         tables: hub.subscribe(),
     })
 }
@@ -136,6 +138,7 @@
     address: Arc<str>,
     /// The one domain asked for; none: all of them, from the steward.
     domain: Option<DomainName>,
+    hub: Arc<TableHub>,
     /// The newest tables of this VM.
     tables: watch::Receiver<Arc<TableSet>>,
 }
@@ -170,6 +173,8 @@
                 }
                 Err(_nothing_new) => {}
             }
+            let own = self.context.domain();
+            self.hub.note_heard(self.domain.as_ref().unwrap_or(own));
         }
     }
 
--- a/goldcrestramp-node/src/control/handlers.rs
+++ b/goldcrestramp-node/src/control/handlers.rs
@@ -53,11 +53,12 @@
 
     async fn handle(
         &mut self,
-        PermitAsk(report): PermitAsk,
+        PermitAsk { report, versions }: PermitAsk,
         _: &mut Context<Self>,
     ) -> PermitAnswer {
         let now = self.context.now();
         if self.steward.leads(now) {
+            self.seen.note(now, report.vm.clone(), versions);
             self.feed.take(now, &report);
         }
         let answer = self.steward.permit(now, report);
@@ -185,6 +186,7 @@
         _: &mut Context<Self>,
     ) {
         self.context.vms.store(Arc::new(vms.clone()));
+        self.seen.keep_listed(&vms);
         let domain = self.context.domain();
         let voters = reader::domain_voters(&vms, domain);
         self.steward_event(StewardEvent::VmsRead(voters));
@@ -211,6 +213,10 @@
             config: set.config.clone(),
             tables: set.domains.clone(),
             keeps: keeps.map(|(s, p)| (s.clone(), p.until)).collect(),
+            versions: self.versions(),
+            seen: self.seen.list(),
+            heard: self.hub.heard(),
+            homes: set.homes.values().cloned().collect(),
         }
     }
 }
--- a/goldcrestramp-node/src/control/links.rs
+++ b/goldcrestramp-node/src/control/links.rs
@@ -2,8 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use goldcrestramp_ownership::{ConfirmAnswer, ConfirmAsk};
-use goldcrestramp_wire::peer::control_client::ControlClient;
+use goldcrestramp_wire::peer::{ViewRequest, control_client::ControlClient};
 use prost::Message;
 use tonic::Request;
 
@@ -46,6 +47,19 @@
         Some(convert::confirm_in(&reply))
     }
 
+    /// Asks the steward at `address` what it knows, as JSON; `None`: it did
+    /// not answer, or is no steward.
+    pub(crate) async fn view(&self, address: &Arc<str>) -> Option<Bytes> {
+        let mut client = self.stream(address).await?;
+        let message = ViewRequest {
+            vm: self.context.vm().to_string(),
+            domain: self.context.domain().to_string(),
+        };
+        let call = client.view(message);
+        let view = self.answered(address, call).await?.view;
+        (!view.is_empty()).then_some(view)
+    }
+
     /// A channel for a stream.
     pub(crate) async fn stream(
         &self,
--- a/goldcrestramp-node/src/control/messages.rs
+++ b/goldcrestramp-node/src/control/messages.rs
@@ -10,6 +10,8 @@
 use goldcrestramp_types::{LocalTime, ServerName, VmName};
 use goldcrestramp_wire::server::GrantReply;
 
+use crate::control::seen::VmVersions;
+
 /// Time has passed.
 #[derive(Debug)]
 pub(crate) struct TickNotice;
@@ -18,9 +20,12 @@
 #[derive(Debug)]
 pub(crate) struct VoteAsk(pub(crate) ConfirmAsk);
 
-/// A keeper asks this VM's steward.
+/// A keeper asks this VM's steward, and tells what it has in force.
 #[derive(Debug)]
-pub(crate) struct PermitAsk(pub(crate) KeeperReport);
+pub(crate) struct PermitAsk {
+    pub(crate) report: KeeperReport,
+    pub(crate) versions: VmVersions,
+}
 
 /// Something for the steward.
 #[derive(Debug)]
--- a/goldcrestramp-node/src/control/service.rs
+++ b/goldcrestramp-node/src/control/service.rs
@@ -9,7 +9,7 @@
     delta::{DeltaDecoder, DeltaEncoder},
     peer::{
         ConfirmReply, ConfirmRequest, PermitReply, PermitRequest, TableUpdate,
-        TablesRequest, control_server::Control,
+        TablesRequest, ViewReply, ViewRequest, control_server::Control,
     },
 };
 use prost::Message;
@@ -22,10 +22,11 @@
     context::NodeContext,
     control::{
         actor::ControlActor,
-        messages::{PermitAsk, VoteAsk},
+        messages::{PermitAsk, StatusAsk, VoteAsk},
         tables::{StreamCursor, TableSet},
     },
     convert,
+    operators::steward_view,
     peer_tls::ProvenPeer,
 };
 
@@ -93,6 +94,23 @@
         Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
     }
 
+    async fn view(
+        &self,
+        request: Request<ViewRequest>,
+    ) -> Result<Response<ViewReply>, Status> {
+        self.context.faults.wait().await;
+        let peer = ProvenPeer::of(self.context.tls.as_deref(), &request)?;
+        let request = request.into_inner();
+        peer.check(&request.domain, &request.vm)?;
+        check_domain(&self.context, &request.domain)?;
+        let status = self.actor.send(StatusAsk).await.map_err(ended)?;
+        let now = self.context.now();
+        let view = steward_view(self.context.vm(), &status, now);
+        let view = view.and_then(|view| serde_json::to_vec(&view).ok());
+        let view = view.unwrap_or_default().into();
+        Ok(Response::new(ViewReply { view }))
+    }
+
     type TablesStream =
         Pin<Box<dyn Stream<Item = Result<TableUpdate, Status>> + Send>>;
 
@@ -162,7 +180,8 @@
         self.peer.check(&request.domain, &request.vm)?;
         check_domain(&self.context, &request.domain)?;
         let report = convert::report_in(request).map_err(bad_message)?;
-        let answer = self.actor.send(PermitAsk(report)).await;
+        let versions = convert::versions_in(request);
+        let answer = self.actor.send(PermitAsk { report, versions }).await;
         Ok(convert::permit_out(&answer.map_err(ended)?))
     }
 }
--- a/goldcrestramp-node/src/control/tables.rs
+++ b/goldcrestramp-node/src/control/tables.rs
@@ -1,11 +1,13 @@
 //! What this VM knows of every failure domain, and who is told.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use goldcrestramp_config::{DeploymentState, StateChange, StateMark};
 use goldcrestramp_ownership::{DomainTable, ServiceRecord, TableChange};
 use goldcrestramp_platform::records::StoreRecord;
-use goldcrestramp_types::{DomainName, FastMap, ServiceName, TableVersion};
+use goldcrestramp_types::{
+    DomainName, FastMap, LocalTime, ServiceName, TableVersion,
+};
 use goldcrestramp_wire::peer::{ServiceDomains, TableUpdate};
 use tokio::sync::watch;
 
@@ -63,11 +65,14 @@
 pub(crate) struct TableHub {
     context: Arc<NodeContext>,
     set: watch::Sender<Arc<TableSet>>,
+    /// When the VM that a domain's table comes from was last heard.
+    heard: Mutex<FastMap<DomainName, LocalTime>>,
 }
 
 impl TableHub {
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
-        Self { context, set: watch::Sender::default() }
+        let heard = Mutex::default();
+        Self { context, set: watch::Sender::default(), heard }
     }
 
     pub(crate) const fn context(&self) -> &Arc<NodeContext> {
@@ -78,6 +83,20 @@
         self.set.subscribe()
     }
 
+    /// Notes that the stream of a domain's table stands.
+    pub(crate) fn note_heard(&self, domain: &DomainName) {
+        let now = self.context.now();
+        let heard = self.heard.lock();
+        let mut heard = heard.unwrap_or_else(PoisonError::into_inner);
+        heard.insert(domain.clone(), now);
+    }
+
+    /// When the streams were last known to stand, by domain.
+    pub(crate) fn heard(&self) -> FastMap<DomainName, LocalTime> {
+        let heard = self.heard.lock();
+        heard.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     pub(crate) fn set(&self) -> Arc<TableSet> {
         Arc::clone(&self.set.borrow())
     }
--- a/goldcrestramp-node/src/convert/mod.rs
+++ b/goldcrestramp-node/src/convert/mod.rs
@@ -17,6 +17,8 @@
 };
 use goldcrestramp_wire::peer;
 
+use crate::control::VmVersions;
+
 pub(crate) use self::tables::{change_in, change_out, table_in, table_out};
 
 /// A peer's message that makes no sense.
@@ -151,6 +153,7 @@
 pub(crate) fn report_out(
     report: &KeeperReport,
     domain: &DomainName,
+    versions: VmVersions,
 ) -> peer::PermitRequest {
     peer::PermitRequest {
         vm: report.vm.to_string(),
@@ -159,7 +162,8 @@
         domain: domain.to_string(),
         leaving: report.leaving,
         servers: report.servers.iter().map(server_report_out).collect(),
-        config_version: 0,
+        config_version: versions.config,
+        table: versions.table.map(version_out),
         sequence: report.sequence,
         term: Some(term_out(report.term)),
         gone: Vec::new(),
@@ -182,6 +186,14 @@
     })
 }
 
+pub(crate) fn versions_in(request: &peer::PermitRequest) -> VmVersions {
+    let table = request.table;
+    VmVersions {
+        config: request.config_version,
+        table: table.map(|table| version_in(Some(table))),
+    }
+}
+
 fn server_report_out(report: &ServerReport) -> peer::ServerReport {
     let loads = report.loads.iter().map(|load| peer::SliceLoad {
         slice: u32::from(load.slice.get()),
--- a/goldcrestramp-node/src/handle.rs
+++ b/goldcrestramp-node/src/handle.rs
@@ -181,7 +181,7 @@
     let policy = OperatorPolicy::open(settings)?;
     let context = Arc::clone(context);
     let actor = control.actor.clone();
-    let node = NodeOperators { context, actor, store };
+    let node = NodeOperators::new(context, actor, store);
     let routes = operator_routes(node, policy);
     Ok(CallerListener::bind(settings.listen, routes).await?)
 }
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -26,14 +26,15 @@
 
 pub use crate::{
     context::NodeContext,
-    control::ControlStatus,
+    control::{ControlStatus, SeenVm, VmVersions},
     faults::{NodeFaults, PlantedFault},
     handle::{NodeAddresses, NodeHandle},
     metrics::NodeMetrics,
     operators::{
-        ApplyOutcome, DomainReport, ExplainReport, KeepReport, MoveReport,
-        OperatorControl, OperatorPolicy, OperatorRefusal, PolicyError,
-        RefusalLine, ServerReport, StatusReport, StewardReport, TicketAnswer,
+        ApplyOutcome, DomainReport, ExplainReport, HeardReport, KeepReport,
+        LeavingReport, MoveReport, NodeReport, OperatorControl,
+        OperatorPolicy, OperatorRefusal, PolicyError, RefusalLine,
+        ServerReport, StatusReport, StewardReport, StewardView, TicketAnswer,
         TicketOutcome, apply_ticket, operator_routes, restore_config,
     },
     peer_tls::{
--- a/goldcrestramp-node/src/metrics.rs
+++ b/goldcrestramp-node/src/metrics.rs
@@ -169,10 +169,20 @@
 
     /// How often requests were refused, for each reason that occurred.
     pub fn not_run_counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
-        NotRunReason::ALL.iter().filter_map(|reason| {
-            let counter = self.not_run.get(&label(reason.code()))?;
-            Some((reason.code(), counter.get()))
-        })
+        let codes = NotRunReason::ALL.iter().map(|reason| reason.code());
+        counts(&self.not_run, codes)
+    }
+
+    /// How many requests may have run, for each reason that occurred.
+    pub fn unknown_counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let codes = UnknownReason::ALL.iter().map(|reason| reason.code());
+        counts(&self.unknown, codes)
+    }
+
+    /// How often requests were sent again, for each reason that occurred.
+    pub fn retry_counts(&self) -> impl Iterator<Item = (&'static str, u64)> {
+        let codes = RetryReason::ALL.iter().map(|reason| reason.code());
+        counts(&self.retries, codes)
     }
 
     /// Shows the calls to the platform that were counted so far.
@@ -251,3 +261,13 @@
 const fn label(reason: &'static str) -> ReasonLabel {
     ReasonLabel { reason }
 }
+
+fn counts(
+    family: &Family<ReasonLabel, Counter>,
+    codes: impl Iterator<Item = &'static str>,
+) -> impl Iterator<Item = (&'static str, u64)> {
+    codes.filter_map(|code| {
+        let counter = family.get(&label(code))?;
+        Some((code, counter.get()))
+    })
+}
--- a/goldcrestramp-node/src/operators/mod.rs
+++ b/goldcrestramp-node/src/operators/mod.rs
@@ -21,15 +21,16 @@
 mod routes;
 mod show;
 
-pub(crate) use self::node::NodeOperators;
 pub use self::{
     answer::{RefusalLine, TicketAnswer, TicketOutcome},
     apply::{ApplyOutcome, apply_ticket, restore_config},
     control::{OperatorControl, OperatorRefusal},
     policy::{OperatorPolicy, PolicyError},
     report::{
-        DomainReport, ExplainReport, KeepReport, MoveReport, ServerReport,
-        StatusReport, StewardReport,
+        DomainReport, ExplainReport, HeardReport, KeepReport, LeavingReport,
+        MoveReport, NodeReport, ServerReport, StatusReport, StewardReport,
+        StewardView,
     },
     routes::operator_routes,
 };
+pub(crate) use self::{node::NodeOperators, show::steward_view};
--- a/goldcrestramp-node/src/operators/node.rs
+++ b/goldcrestramp-node/src/operators/node.rs
@@ -1,21 +1,23 @@
 //! The daemon behind its operators' listener.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use goldcrestramp_config::{ChangeTicket, DeploymentState};
 use goldcrestramp_platform::PlatformClient;
-use goldcrestramp_types::ServiceName;
+use goldcrestramp_types::{LocalTime, ServiceName};
 use xtra::Address;
 
 use super::{
     apply::{ApplyOutcome, apply_ticket},
     control::{OperatorControl, OperatorRefusal},
-    report::{ExplainReport, StatusReport},
+    report::{ExplainReport, StatusReport, StewardView},
     show::{self, TrafficState},
 };
 use crate::{
     context::NodeContext,
-    control::{ConfigNotice, ControlActor, ControlStatus, StatusAsk},
+    control::{
+        ConfigNotice, ControlActor, ControlLinks, ControlStatus, StatusAsk,
+    },
 };
 
 /// One daemon, as its operators' listener sees it.
@@ -24,20 +26,64 @@
     pub(crate) context: Arc<NodeContext>,
     pub(crate) actor: Address<ControlActor>,
     pub(crate) store: PlatformClient,
+    links: ControlLinks,
+    /// What the steward last said, and when.
+    known: Arc<Mutex<Option<KnownView>>>,
+}
+
+/// A steward's view as it came.
+#[derive(Clone, Debug)]
+struct KnownView {
+    view: StewardView,
+    came: LocalTime,
 }
 
 impl NodeOperators {
+    pub(crate) fn new(
+        context: Arc<NodeContext>,
+        actor: Address<ControlActor>,
+        store: PlatformClient,
+    ) -> Self {
+        let links = ControlLinks::new(Arc::clone(&context));
+        Self { context, actor, store, links, known: Arc::default() }
+    }
+
+    /// What the steward of this failure domain knows: its own view, else
+    /// what it answers, else what it last answered, with its age.
+    async fn view(&self, status: &ControlStatus) -> Option<StewardView> {
+        let heard = match &status.steward_seen {
+            _ if status.steward.leading => {
+                let now = self.context.now();
+                show::steward_view(self.context.vm(), status, now)
+            }
+            Some((_, address)) => {
+                let view = self.links.view(address).await;
+                view.and_then(|view| serde_json::from_slice(&view).ok())
+            }
+            None => None,
+        };
+        let known = self.known.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        if let Some(view) = heard {
+            *known = Some(KnownView { view, came: self.context.now() });
+        }
+        let KnownView { mut view, came } = known.clone()?;
+        view.age_ms += self.context.now().since(came).as_millis();
+        Some(view)
+    }
+
     async fn control_status(&self) -> Option<ControlStatus> {
         self.actor.send(StatusAsk).await.ok()
     }
 
     fn traffic_state(&self) -> TrafficState {
-        let refused = self.context.metrics.not_run_counts();
-        let refused = refused.map(|(code, count)| (code.to_owned(), count));
+        let metrics = &self.context.metrics;
         TrafficState {
             leaving: self.context.leaving(),
             requests: self.context.requests() as u64,
-            refused: refused.collect(),
+            refused: owned(metrics.not_run_counts()),
+            unknown: owned(metrics.unknown_counts()),
+            retried: owned(metrics.retry_counts()),
         }
     }
 }
@@ -47,8 +93,9 @@
         let status = self.control_status().await?;
         let settings = &self.context.settings;
         let traffic = self.traffic_state();
+        let view = self.view(&status).await;
         let now = self.context.now();
-        Some(show::status_report(settings, traffic, &status, now))
+        Some(show::status_report(settings, traffic, &status, view, now))
     }
 
     async fn config(&self) -> Option<DeploymentState> {
@@ -64,14 +111,16 @@
         key: &str,
     ) -> Option<ExplainReport> {
         let status = self.control_status().await?;
+        let view = self.view(&status).await;
         let now = self.context.now();
-        let view = self.context.view.load_full();
+        let kept = self.context.view.load_full();
         let token = |slice| {
-            let kept = view.find(now, service, slice)?;
+            let kept = kept.find(now, service, slice)?;
             Some(kept.pass.token)
         };
         let settings = &self.context.settings;
-        show::explain_report(settings, &status, service, key, token, now)
+        let view = view.as_ref();
+        show::explain_report(settings, &status, view, service, key, token, now)
     }
 
     async fn apply(&self, ticket: ChangeTicket) -> ApplyOutcome {
@@ -110,3 +159,9 @@
         self.context.metrics.count_operator_refusal(refusal.code());
     }
 }
+
+fn owned(
+    counts: impl Iterator<Item = (&'static str, u64)>,
+) -> Vec<(String, u64)> {
+    counts.map(|(code, count)| (code.to_owned(), count)).collect()
+}
--- a/goldcrestramp-node/src/operators/report.rs
+++ b/goldcrestramp-node/src/operators/report.rs
@@ -33,10 +33,17 @@
     pub domains: Vec<DomainReport>,
     /// The servers that this VM keeps.
     pub keeps: Vec<KeepReport>,
-    /// The servers of this failure domain; known to its steward alone.
-    pub servers: Vec<ServerReport>,
+    /// What the steward of this VM's failure domain knows, as last heard;
+    /// `None`: it was never heard.
+    pub view: Option<StewardView>,
+    /// Slices on their way between failure domains.
+    pub moving: Vec<LeavingReport>,
     /// What this VM refused, by reason, since it started.
     pub refused: Vec<(String, u64)>,
+    /// Requests that may have run, by reason, since it started.
+    pub unknown: Vec<(String, u64)>,
+    /// What this VM sent again or elsewhere, by reason, since it started.
+    pub retried: Vec<(String, u64)>,
 }
 
 /// A failure domain's steward, as one VM sees it.
@@ -48,11 +55,61 @@
     pub here: bool,
     /// The term.
     pub term: TermId,
-    /// How long it may act unless it is confirmed again, in milliseconds;
-    /// known to the steward alone.
-    pub deadline_left_ms: Option<u64>,
-    /// What moves, when this VM is the steward.
-    pub moves: Option<MoveReport>,
+}
+
+/// What a steward knows of its failure domain.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StewardView {
+    /// The steward's VM.
+    pub vm: VmName,
+    /// How old this is, in milliseconds; all other spans of the view are as
+    /// of then.
+    pub age_ms: u64,
+    /// How long it may act unless it is confirmed again, in milliseconds.
+    pub deadline_left_ms: u64,
+    /// What moves within the domain.
+    pub moves: MoveReport,
+    /// The domain's VMs, the steward's own among them.
+    pub nodes: Vec<NodeReport>,
+    /// The domain's servers.
+    pub servers: Vec<ServerReport>,
+    /// The other failure domains whose tables it follows.
+    pub heard: Vec<HeardReport>,
+}
+
+/// What a VM has in force, as its steward knows.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeReport {
+    /// The VM.
+    pub vm: VmName,
+    /// Its configuration's version; 0: none.
+    pub config_version: u64,
+    /// The version of its table of this failure domain.
+    pub table: Option<TableVersion>,
+    /// How long ago it told this, in milliseconds.
+    pub heard_ms: u64,
+    /// Whether its configuration or its table is older than the steward's.
+    pub lags: bool,
+}
+
+/// When a failure domain was last heard.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeardReport {
+    /// The failure domain.
+    pub domain: DomainName,
+    /// How long ago, in milliseconds. A cut may show up to 2,500 ms late.
+    pub heard_ms: u64,
+}
+
+/// Slices of a service that are to leave a failure domain.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeavingReport {
+    /// The service.
+    pub service: ServiceName,
+    /// The failure domain that still holds them.
+    pub domain: DomainName,
+    /// How many are left.
+    pub slices: u64,
 }
 
 /// How far moves within a failure domain have come.
@@ -75,6 +132,9 @@
     pub lost: bool,
     /// The table's version; `None`: no table has come.
     pub table: Option<TableVersion>,
+    /// How long ago the table was surely the newest there, in milliseconds;
+    /// `None`: not known. A cut may show up to 2,500 ms late.
+    pub age_ms: Option<u64>,
     /// Slices that the table gives an owner.
     pub owned_slices: u64,
 }
@@ -97,6 +157,12 @@
     pub keeper: Option<VmName>,
     /// How many slices it owns.
     pub slices: u64,
+    /// How many it is to get yet.
+    pub gains: u64,
+    /// How many it is to give up yet.
+    pub releases: u64,
+    /// The fencing token of its order.
+    pub token: Option<FenceToken>,
 }
 
 /// Who owns a key, and why there.
@@ -120,7 +186,7 @@
     pub server: Option<ServerName>,
     /// The owner's keeper.
     pub keeper: Option<VmName>,
-    /// The fencing token, when this VM keeps the owner.
+    /// The fencing token; known in the owner's failure domain.
     pub token: Option<FenceToken>,
     /// The version of the table that says so.
     pub table: Option<TableVersion>,
--- a/goldcrestramp-node/src/operators/show.rs
+++ b/goldcrestramp-node/src/operators/show.rs
@@ -4,14 +4,15 @@
 use goldcrestramp_ownership::{DomainTable, ServiceTable, TableServer};
 use goldcrestramp_types::{
     DomainName, FenceToken, LocalTime, RegionName, ServiceName, SliceIndex,
-    slice_of,
+    VmName, slice_of,
 };
 
 use super::report::{
-    DomainReport, ExplainReport, KeepReport, MoveReport, ServerReport,
-    StatusReport, StewardReport,
+    DomainReport, ExplainReport, HeardReport, KeepReport, LeavingReport,
+    MoveReport, NodeReport, ServerReport, StatusReport, StewardReport,
+    StewardView,
 };
-use crate::control::ControlStatus;
+use crate::control::{ControlStatus, VmVersions};
 
 /// What only the traffic side of the VM knows.
 #[derive(Debug, Default)]
@@ -19,6 +20,8 @@
     pub(super) leaving: bool,
     pub(super) requests: u64,
     pub(super) refused: Vec<(String, u64)>,
+    pub(super) unknown: Vec<(String, u64)>,
+    pub(super) retried: Vec<(String, u64)>,
 }
 
 /// The report of a VM at `now`, from the state it took a little before.
@@ -26,6 +29,7 @@
     settings: &NodeSettings,
     traffic: TrafficState,
     status: &ControlStatus,
+    view: Option<StewardView>,
     now: LocalTime,
 ) -> StatusReport {
     let config = status.config.as_deref();
@@ -41,41 +45,138 @@
         requests: traffic.requests,
         config_version: config.map_or(0, |config| config.version),
         last_ticket: last.map(|(number, _)| *number),
-        steward: steward_report(settings, status, now),
-        domains: domain_reports(config, status),
+        steward: steward_report(settings, status),
+        domains: domain_reports(settings, status, view.as_ref(), now),
         keeps: keep_reports(status, now),
-        servers: server_reports(status),
+        view,
+        moving: leaving_reports(status),
         refused: traffic.refused,
+        unknown: traffic.unknown,
+        retried: traffic.retried,
     }
 }
 
 fn steward_report(
     settings: &NodeSettings,
     status: &ControlStatus,
-    now: LocalTime,
 ) -> StewardReport {
     let steward = &status.steward;
     let here = steward.leading;
     let seen = status.steward_seen.as_ref().map(|(vm, _)| vm.clone());
-    let left = steward.until.since(now).as_millis();
+    StewardReport {
+        vm: if here { Some(settings.vm.to_string()) } else { seen },
+        here,
+        term: steward.term,
+    }
+}
+
+/// What this VM knows as a steward; `None`: it is none.
+pub(crate) fn steward_view(
+    vm: &VmName,
+    status: &ControlStatus,
+    now: LocalTime,
+) -> Option<StewardView> {
+    let steward = &status.steward;
+    if !steward.leading {
+        return None;
+    }
     let moves = MoveReport {
         may_move: steward.may_move,
         moving: steward.moving as u64,
         moved: steward.moved,
     };
-    StewardReport {
-        vm: if here { Some(settings.vm.to_string()) } else { seen },
-        here,
-        term: steward.term,
-        deadline_left_ms: here.then_some(left),
-        moves: here.then_some(moves),
+    let heard = status.heard.iter().map(|(domain, at)| HeardReport {
+        domain: domain.clone(),
+        heard_ms: now.since(*at).as_millis(),
+    });
+    let mut heard: Vec<_> = heard.collect();
+    heard.sort_unstable_by(|a, b| a.domain.cmp(&b.domain));
+    Some(StewardView {
+        vm: vm.clone(),
+        age_ms: now.since(status.taken).as_millis(),
+        deadline_left_ms: steward.until.since(now).as_millis(),
+        moves,
+        nodes: node_reports(vm, status, now),
+        servers: server_reports(status),
+        heard,
+    })
+}
+
+fn node_reports(
+    own: &VmName,
+    status: &ControlStatus,
+    now: LocalTime,
+) -> Vec<NodeReport> {
+    let newest = status.versions;
+    let report = |vm: &VmName, versions: VmVersions, heard: LocalTime| {
+        let behind = versions.config < newest.config;
+        NodeReport {
+            vm: vm.clone(),
+            config_version: versions.config,
+            table: versions.table,
+            heard_ms: now.since(heard).as_millis(),
+            lags: behind || versions.table < newest.table,
+        }
+    };
+    let others = status.seen.iter().filter(|(vm, _)| vm != own);
+    let others =
+        others.map(|(vm, seen)| report(vm, seen.versions, seen.heard));
+    let mut nodes: Vec<_> = others.collect();
+    nodes.push(report(own, newest, status.taken));
+    nodes.sort_unstable_by(|a, b| a.vm.cmp(&b.vm));
+    nodes
+}
+
+/// Slices on their way between failure domains.
+fn leaving_reports(status: &ControlStatus) -> Vec<LeavingReport> {
+    let names = status.tables.keys();
+    let pairs = status
+        .homes
+        .iter()
+        .flat_map(|record| names.clone().map(move |name| (record, name)));
+    let reports = pairs.map(|(record, domain)| LeavingReport {
+        service: record.service.clone(),
+        domain: domain.clone(),
+        slices: record.leaving(domain).len() as u64,
+    });
+    let mut reports: Vec<_> = reports.filter(|r| r.slices > 0).collect();
+    reports.sort_unstable_by(|a, b| {
+        (&a.service, &a.domain).cmp(&(&b.service, &b.domain))
+    });
+    reports
+}
+
+/// How long ago a domain's table was surely the newest there.
+///
+/// A steward makes its own domain's table and follows those of others; the
+/// other VMs follow the steward, and know of other domains what it said.
+fn table_age(
+    settings: &NodeSettings,
+    status: &ControlStatus,
+    view: Option<&StewardView>,
+    domain: &DomainName,
+    now: LocalTime,
+) -> Option<u64> {
+    let own = *domain == settings.domain;
+    if own && status.steward.leading {
+        return Some(0);
     }
+    if own || status.steward.leading {
+        let heard = status.heard.get(domain)?;
+        return Some(now.since(*heard).as_millis());
+    }
+    let view = view?;
+    let heard = view.heard.iter().find(|heard| heard.domain == *domain)?;
+    Some(view.age_ms + heard.heard_ms)
 }
 
 fn domain_reports(
-    config: Option<&DeploymentState>,
+    settings: &NodeSettings,
     status: &ControlStatus,
+    view: Option<&StewardView>,
+    now: LocalTime,
 ) -> Vec<DomainReport> {
+    let config = status.config.as_deref();
     let rules = config.map_or(&[][..], |config| &config.domains);
     let mut names: Vec<_> = rules.iter().map(|d| &d.name).collect();
     names.extend(status.tables.keys());
@@ -88,6 +189,7 @@
             domain: name.clone(),
             lost: rules.iter().any(|d| d.name == *name && d.lost),
             table: table.map(|table| table.version),
+            age_ms: table_age(settings, status, view, name, now),
             owned_slices: owned,
         }
     });
@@ -111,13 +213,16 @@
 
 fn server_reports(status: &ControlStatus) -> Vec<ServerReport> {
     let steward = &status.steward;
-    if !steward.leading {
-        return Vec::new();
-    }
     let servers = steward.holders.iter().map(|(server, slices)| {
-        let keeper = steward.keepers.get(server).cloned();
-        let slices = slices.len() as u64;
-        ServerReport { server: server.clone(), keeper, slices }
+        let due = steward.due.get(server).copied().unwrap_or_default();
+        ServerReport {
+            server: server.clone(),
+            keeper: steward.keepers.get(server).cloned(),
+            slices: slices.len() as u64,
+            gains: due.gains as u64,
+            releases: due.releases as u64,
+            token: steward.tokens.get(server).copied(),
+        }
     });
     let mut servers: Vec<_> = servers.collect();
     servers.sort_by(|a, b| a.server.cmp(&b.server));
@@ -126,10 +231,12 @@
 
 /// Who owns `key`; `None`: the configuration names no such service.
 ///
-/// `token` gives the token of a slice when this VM keeps its owner.
+/// `token` gives the token of a slice when this VM keeps its owner; else
+/// the steward's view has it, if the owner is in this failure domain.
 pub(super) fn explain_report(
     settings: &NodeSettings,
     status: &ControlStatus,
+    view: Option<&StewardView>,
     service: &ServiceName,
     key: &str,
     token: impl Fn(SliceIndex) -> Option<FenceToken>,
@@ -151,12 +258,20 @@
         domain: table.map(|table| table.domain.clone()),
         server: owner.map(|owner| owner.server.clone()),
         keeper: owner.map(|owner| owner.keeper.clone()),
-        token: token(slice),
+        token: token(slice).or_else(|| viewed_token(view?, owner?)),
         table: table.map(|table| table.version),
         why: reasons(config, rules, status, found),
     })
 }
 
+fn viewed_token(
+    view: &StewardView,
+    owner: &TableServer,
+) -> Option<FenceToken> {
+    let mut servers = view.servers.iter();
+    servers.find(|server| server.server == owner.server)?.token
+}
+
 type FoundOwner<'a> = Option<(&'a DomainTable, &'a TableServer)>;
 
 /// The owner by the table with the highest version that names one.
--- a/goldcrestramp-node/tests/fleet/mod.rs
+++ b/goldcrestramp-node/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
 };
 
 use goldcrestramp_config::{DeploymentState, NodeSettings};
-use goldcrestramp_node::{NodeHandle, TicketAnswer};
+use goldcrestramp_node::{NodeHandle, StatusReport, TicketAnswer};
 use goldcrestramp_ownership::VoterRoster;
 use goldcrestramp_platform::{
     PlatformClient, StoreAccess, VmEntry, VmState,
@@ -116,6 +116,11 @@
         self.get(vm, "/config").await
     }
 
+    /// What a VM shows.
+    pub(crate) async fn status(&self, vm: usize) -> StatusReport {
+        self.get(vm, "/status").await
+    }
+
     async fn get<T: DeserializeOwned>(&self, vm: usize, path: &str) -> T {
         let answer = self.http.get(self.url(vm, path)).send().await;
         answer.expect("an answer").json().await.expect("JSON")
--- a/goldcrestramp-node/tests/peer_tls.rs
+++ b/goldcrestramp-node/tests/peer_tls.rs
@@ -53,7 +53,7 @@
     use goldcrestramp_node::{PeerTls, ProvenPeer};
     use goldcrestramp_wire::peer::{
         ConfirmReply, ConfirmRequest, PermitReply, PermitRequest, TableUpdate,
-        TablesRequest, control_server::Control,
+        TablesRequest, ViewReply, ViewRequest, control_server::Control,
     };
     use tonic::{Request, Response, Status, Streaming};
 
@@ -83,6 +83,13 @@
             Err(Status::unimplemented("not used here"))
         }
 
+        async fn view(
+            &self,
+            _request: Request<ViewRequest>,
+        ) -> Result<Response<ViewReply>, Status> {
+            Err(Status::unimplemented("not used here"))
+        }
+
         type TablesStream = Answers<TableUpdate>;
 
         async fn tables(
--- a/goldcrestramp-node/tests/tickets.rs
+++ b/goldcrestramp-node/tests/tickets.rs
@@ -1,11 +1,12 @@
-//! Tickets on their way to every VM of several failure domains.
+//! Tickets on their way to every VM of several failure domains, and what
+//! the VMs show of it.
 
 mod fleet;
 
 use std::sync::Arc;
 
 use fleet::{CALLERS, VmFleet, wait_until, weight_of, weight_ticket};
-use goldcrestramp_node::{NodeContext, NodeHandle};
+use goldcrestramp_node::{NodeContext, NodeHandle, NodeReport, StatusReport};
 use tokio::task::JoinHandle;
 
 /// Bytes of a caller's entry in a configuration, at least.
@@ -136,3 +137,93 @@
     }
     assert_eq!(weight_of(&fleet.config(8).await, 6), Some(7));
 }
+
+/// The place in the fleet of the steward of the first domain.
+async fn steward(fleet: &VmFleet) -> usize {
+    wait_until(async || fleet.status(0).await.view.is_some()).await;
+    let view = fleet.status(0).await.view.expect("a view");
+    let mut nodes = fleet.nodes.iter();
+    let found = nodes.position(|node| *node.context().vm() == view.vm);
+    found.expect("a VM of the fleet")
+}
+
+// Any VM shows what each VM of its domain has in force, the steward or not:
+// here all have the last ticket, and the tables of other domains are fresh.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn any_vm_shows_the_versions_of_its_domain() {
+    let fleet = VmFleet::spawn(4).await;
+    let version = fleet.apply(0, &weight_ticket(2, 1, 7)).await;
+    fleet.wait_for_weight(1, 7).await;
+
+    for vm in 0..fleet.nodes.len() {
+        let all = async || {
+            let report = fleet.status(vm).await;
+            let view = report.view.as_ref();
+            let nodes = view.map(|view| view.nodes.as_slice());
+            let nodes = nodes.unwrap_or_default();
+            let current =
+                |n: &&NodeReport| n.config_version == version && !n.lags;
+            let ages = report.domains.iter().all(|d| d.age_ms.is_some());
+            nodes.iter().filter(current).count() == 3 && ages
+        };
+        wait_until(all).await;
+    }
+}
+
+// A VM that follows stands still while a ticket comes into force: the others
+// of its domain show that it lags, and by which versions.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_lags_is_shown_by_the_others() {
+    let fleet = VmFleet::spawn(5).await;
+    let steward = steward(&fleet).await;
+    let (slow, other) = ((steward + 1) % 3, (steward + 2) % 3);
+    fleet.nodes[slow].context().faults.pause(true);
+    let version = fleet.apply(3, &weight_ticket(2, 1, 7)).await;
+    wait_until(async || has(&fleet.nodes[other], version)).await;
+
+    let report = fleet.status(other).await;
+
+    let view = report.view.expect("a view");
+    let name = fleet.nodes[slow].context().vm();
+    let node = view.nodes.iter().find(|node| node.vm == *name);
+    let node = node.expect("the slow VM");
+    assert!(node.lags && node.config_version < version, "{node:?}");
+    fleet.nodes[slow].context().faults.pause(false);
+    let caught_up = async || {
+        let view = fleet.status(other).await.view;
+        view.is_some_and(|view| view.nodes.iter().all(|node| !node.lags))
+    };
+    wait_until(caught_up).await;
+}
+
+// A VM is cut off from all others. It shows what it last heard of its
+// steward and of the other domains, and that this grows old.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_is_cut_off_says_how_old_its_view_is() {
+    let fleet = VmFleet::spawn(6).await;
+    let cut = (steward(&fleet).await + 1) % 3;
+    wait_until(async || fleet.status(cut).await.view.is_some()).await;
+    let others = fleet.nodes.iter().enumerate();
+    let others = others.filter(|(vm, _)| *vm != cut);
+    let addresses = others.flat_map(|(_, node)| {
+        let addresses = node.addresses();
+        [addresses.control.to_string(), addresses.peers.to_string()]
+    });
+    let context = fleet.nodes[cut].context();
+    context.faults.cut(addresses);
+
+    let first = fleet.status(cut).await;
+    let older = async || {
+        let report = fleet.status(cut).await;
+        let age = |report: &StatusReport| {
+            let view = report.view.as_ref().map(|view| view.age_ms);
+            let domains = report.domains.iter().map(|d| d.age_ms);
+            (view, domains.collect::<Vec<_>>())
+        };
+        let (before, after) = (age(&first), age(&report));
+        let risen = before.1.iter().zip(&after.1).all(|(b, a)| a > b);
+        after.0 > before.0 && risen
+    };
+
+    wait_until(older).await;
+}
--- a/goldcrestramp-ownership/src/lib.rs
+++ b/goldcrestramp-ownership/src/lib.rs
@@ -72,7 +72,9 @@
     },
     roster::{RosterVoter, VoterRoster},
     safeguard::{Safeguard, Safeguards},
-    steward::{StewardEffect, StewardEvent, StewardMachine, StewardStatus},
+    steward::{
+        DueSlices, StewardEffect, StewardEvent, StewardMachine, StewardStatus,
+    },
     table::{DomainTable, ServiceTable, TableServer},
     table_change::{OwnerRun, ServiceChange, TableChange},
     timing::TermTiming,
--- a/goldcrestramp-ownership/src/steward/event.rs
+++ b/goldcrestramp-ownership/src/steward/event.rs
@@ -101,4 +101,17 @@
     pub holders: FastMap<ServerName, SliceSet>,
     /// Each server's keeper.
     pub keepers: FastMap<ServerName, VmName>,
+    /// The fencing token of each server's order.
+    pub tokens: FastMap<ServerName, FenceToken>,
+    /// The servers that do not hold yet what they are to hold.
+    pub due: FastMap<ServerName, DueSlices>,
+}
+
+/// How far a server is from what it is to hold.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct DueSlices {
+    /// Slices that it is to get.
+    pub gains: usize,
+    /// Slices that it is to give up.
+    pub releases: usize,
 }
--- a/goldcrestramp-ownership/src/steward/led.rs
+++ b/goldcrestramp-ownership/src/steward/led.rs
@@ -4,6 +4,7 @@
 
 use goldcrestramp_types::{FenceToken, LocalTime, SliceSet, TimeSpan, VmName};
 
+use super::event::DueSlices;
 use crate::{
     message::{ServerOrder, ServerReport, ServerState},
     plan::ServerPlan,
@@ -417,6 +418,19 @@
         working || self.retiring || (moving && due)
     }
 
+    /// How far it is from what it is to hold.
+    pub(super) fn due(&self) -> DueSlices {
+        let missing = |from: &SliceSet, what: &SliceSet| {
+            let mut set = from.clone();
+            set.subtract(what);
+            set.len()
+        };
+        DueSlices {
+            gains: missing(&self.target, &self.bound),
+            releases: missing(&self.bound, &self.target),
+        }
+    }
+
     /// The order as its keeper gets it.
     pub(super) fn order_message(&self) -> ServerOrder {
         let known = self.known.as_ref();
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -17,7 +17,7 @@
 
 use goldcrestramp_types::{DomainName, LocalTime, TermId, VmName};
 
-pub use self::event::{StewardEffect, StewardEvent, StewardStatus};
+pub use self::event::{DueSlices, StewardEffect, StewardEvent, StewardStatus};
 use self::{
     claim::TermClaim, identity::StewardIdentity, knowledge::StewardKnowledge,
     leader::LeadingSteward,
@@ -195,6 +195,10 @@
             if let Some(keeper) = &server.keeper {
                 status.keepers.insert(name.clone(), keeper.clone());
             }
+            status.tokens.insert(name.clone(), server.order.token);
+            if server.target != server.bound {
+                status.due.insert(name.clone(), server.due());
+            }
         }
         status
     }
--- a/goldcrestramp-wire/src/delta.rs
+++ b/goldcrestramp-wire/src/delta.rs
@@ -87,6 +87,8 @@
         address: request.address.clone(),
         domain: request.domain.clone(),
         start: request.start,
+        config_version: request.config_version,
+        table: request.table,
         ..PermitRequest::default()
     }
 }
@@ -111,6 +113,12 @@
             delta.domain.clear();
             delta.start = 0;
         }
+        if last.config_version == delta.config_version {
+            delta.config_version = 0;
+        }
+        if last.table == delta.table {
+            delta.table = None;
+        }
         delta
     }
 
@@ -142,9 +150,12 @@
             whole.address.clone_from(&self.last.address);
             whole.domain.clone_from(&self.last.domain);
             whole.start = self.last.start;
-        } else {
-            self.last = identity(&whole);
         }
+        if whole.config_version == 0 {
+            whole.config_version = self.last.config_version;
+        }
+        whole.table = whole.table.or(self.last.table);
+        self.last = identity(&whole);
         Some(whole)
     }
 
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -125,8 +125,12 @@
     pub leaving: bool,
     #[prost(message, repeated, tag = "6")]
     pub servers: ::prost::alloc::vec::Vec<ServerReport>,
+    /// What the VM has in force: its configuration, and the table of its own
+    /// failure domain. Left out while they are as in the message before.
     #[prost(uint64, tag = "7")]
     pub config_version: u64,
+    #[prost(message, optional, tag = "11")]
+    pub table: ::core::option::Option<Token>,
     /// Rises with each report; an answer to an earlier one is void.
     #[prost(uint64, tag = "8")]
     pub sequence: u64,
@@ -311,6 +315,19 @@
     pub server: ::prost::alloc::string::String,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ViewRequest {
+    #[prost(string, tag = "1")]
+    pub vm: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub domain: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ViewReply {
+    /// As JSON; empty: this VM is not the steward.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub view: ::prost::bytes::Bytes,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct TablesRequest {
     #[prost(string, tag = "1")]
     pub vm: ::prost::alloc::string::String,
@@ -602,6 +619,28 @@
                 .insert(GrpcMethod::new("goldcrestramp.peer.v1.Control", "Tables"));
             self.inner.server_streaming(req, path, codec).await
         }
+        /// What the steward knows of its failure domain, for operators.
+        pub async fn view(
+            &mut self,
+            request: impl tonic::IntoRequest<super::ViewRequest>,
+        ) -> std::result::Result<tonic::Response<super::ViewReply>, tonic::Status> {
+            self.inner
+                .ready()
+                .await
+                .map_err(|e| {
+                    tonic::Status::unknown(
+                        format!("Service was not ready: {}", e.into()),
+                    )
+                })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static(
+                "/goldcrestramp.peer.v1.Control/View",
+            );
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("goldcrestramp.peer.v1.Control", "View"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -645,6 +684,11 @@
             &self,
             request: tonic::Request<super::TablesRequest>,
         ) -> std::result::Result<tonic::Response<Self::TablesStream>, tonic::Status>;
+        /// What the steward knows of its failure domain, for operators.
+        async fn view(
+            &self,
+            request: tonic::Request<super::ViewRequest>,
+        ) -> std::result::Result<tonic::Response<super::ViewReply>, tonic::Status>;
     }
     /// Served by the control thread, on a listener of its own: traffic that
     /// fills the other listener cannot delay a confirmation or a permit.
@@ -861,6 +905,49 @@
                     };
                     Box::pin(fut)
                 }
+                "/goldcrestramp.peer.v1.Control/View" => {
+                    #[allow(non_camel_case_types)]
+                    struct ViewSvc<T: Control>(pub Arc<T>);
+                    impl<T: Control> tonic::server::UnaryService<super::ViewRequest>
+                    for ViewSvc<T> {
+                        type Response = super::ViewReply;
+                        type Future = BoxFuture<
+                            tonic::Response<Self::Response>,
+                            tonic::Status,
+                        >;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::ViewRequest>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move {
+                                <T as Control>::view(&inner, request).await
+                            };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ViewSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => {
                     Box::pin(async move {
                         let mut response = http::Response::new(
--- a/goldcrestramp-wire/tests/delta.rs
+++ b/goldcrestramp-wire/tests/delta.rs
@@ -2,7 +2,7 @@
 
 use goldcrestramp_wire::{
     delta::{DeltaDecoder, DeltaEncoder},
-    peer::{PermitReply, PermitRequest, ServerOrder, ServerReport},
+    peer::{PermitReply, PermitRequest, ServerOrder, ServerReport, Token},
 };
 use proptest::prelude::*;
 
@@ -37,6 +37,11 @@
                 domain: "sierra-a".to_owned(),
                 start,
                 sequence,
+                config_version: sequence / 3,
+                table: (sequence > 4).then(|| Token {
+                    sequence: sequence / 4,
+                    ..Token::default()
+                }),
                 servers: servers.collect(),
                 ..PermitRequest::default()
             };
--- a/src/commands/text.rs
+++ b/src/commands/text.rs
@@ -4,7 +4,8 @@
 
 use goldcrestramp_config::{CapacityPreview, ServicePreview, TicketPreview};
 use goldcrestramp_node::{
-    DomainReport, ExplainReport, StatusReport, StewardReport,
+    DomainReport, ExplainReport, LeavingReport, StatusReport, StewardReport,
+    StewardView,
 };
 use goldcrestramp_types::TableVersion;
 
@@ -79,35 +80,66 @@
             let (server, left) = (&keep.server, keep.permit_left_ms);
             writeln!(text, "  keeps {server}, {left} ms left")?;
         }
-        for server in &report.servers {
-            let keeper = server.keeper.as_ref().map_or(NONE, |k| k.as_str());
-            let (name, slices) = (&server.server, server.slices);
-            writeln!(
-                text,
-                "  server {name}: {slices} slices, keeper {keeper}"
-            )?;
+        if let Some(view) = &report.view {
+            text.push_str(&steward_view(view));
+        }
+        for leaving in &report.moving {
+            let LeavingReport { service, domain, slices } = leaving;
+            writeln!(text, "  {service}: {slices} slices to leave {domain}")?;
         }
         for (reason, count) in &report.refused {
             writeln!(text, "  refused {reason}: {count}")?;
         }
+        for (reason, count) in &report.unknown {
+            writeln!(text, "  unknown {reason}: {count}")?;
+        }
+        for (reason, count) in &report.retried {
+            writeln!(text, "  sent again {reason}: {count}")?;
+        }
         Ok(())
     })
 }
 
 fn steward(steward: &StewardReport) -> String {
-    written(|line| {
-        let vm = steward.vm.as_deref().unwrap_or("none known");
-        write!(line, "{vm}, term {}", steward.term.number)?;
-        if let Some(left) = steward.deadline_left_ms {
-            write!(line, ", here, {left} ms left")?;
-        }
-        if let Some(moves) = &steward.moves {
-            let (begun, ended) = (moves.moving, moves.moved);
-            write!(line, ", {begun} moves under way, ")?;
-            write!(line, "{ended} slices moved")?;
+    let vm = steward.vm.as_deref().unwrap_or("none known");
+    let here = if steward.here { ", here" } else { "" };
+    format!("{vm}, term {}{here}", steward.term.number)
+}
+
+fn steward_view(view: &StewardView) -> String {
+    written(|text| {
+        let StewardView { vm, age_ms, deadline_left_ms, moves, .. } = view;
+        let (begun, ended) = (moves.moving, moves.moved);
+        write!(
+            text,
+            "  as steward {vm} knew {age_ms} ms ago: {deadline_left_ms} ms \
+             left, {begun} servers in a move, {ended} slices moved"
+        )?;
+        writeln!(
+            text,
+            "{}",
+            if moves.may_move { "" } else { ", may not move yet" }
+        )?;
+        for node in &view.nodes {
+            let (name, version) = (&node.vm, node.config_version);
+            let (table, heard) = (table_version(node.table), node.heard_ms);
+            let lags = if node.lags { ", LAGS" } else { "" };
+            writeln!(
+                text,
+                "    vm {name}: configuration {version}, table {table}, \
+                 heard {heard} ms before{lags}"
+            )?;
         }
-        if steward.moves.is_some_and(|moves| !moves.may_move) {
-            write!(line, ", may not move yet")?;
+        for server in &view.servers {
+            let keeper = server.keeper.as_ref().map_or(NONE, |k| k.as_str());
+            let (name, slices) = (&server.server, server.slices);
+            write!(text, "    server {name}: {slices} slices, ")?;
+            write!(text, "keeper {keeper}")?;
+            if server.gains + server.releases > 0 {
+                let (gains, releases) = (server.gains, server.releases);
+                write!(text, ", {gains} to get, {releases} to give up")?;
+            }
+            writeln!(text)?;
         }
         Ok(())
     })
@@ -117,7 +149,11 @@
     let lost = if domain.lost { ", declared lost" } else { "" };
     let (name, owned) = (&domain.domain, domain.owned_slices);
     let table = table_version(domain.table);
-    format!("{name}: {owned} slices owned, table {table}{lost}")
+    let age = domain.age_ms.map_or_else(
+        || "age not known".to_owned(),
+        |age| format!("{age} ms old"),
+    );
+    format!("{name}: {owned} slices owned, table {table}, {age}{lost}")
 }
 
 fn table_version(version: Option<TableVersion>) -> String {
