Let the timer of a server's queue rest when nothing is due

A server's hold that has ended stayed its time to wake while no request came, as after the loss of a server whose slices have gone to others; the timer's own look took that time for earlier than its own and notified itself. So every loss of a server took a thread of its keeper's VM for good. Change: an ended hold is no time to wake; the timer's own looks notify nobody.

--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -220,10 +220,14 @@
     }
 
     /// When something changes without an event.
+    ///
+    /// A hold that has ended waits for a request to be its probe, and its
+    /// end is no such time any more: a keeper of a lost server, for which
+    /// nothing waited, looked again and again without a pause.
     #[must_use]
-    pub fn wake_at(&self) -> Option<LocalTime> {
+    pub fn wake_at(&self, now: LocalTime) -> Option<LocalTime> {
         let held = match self.stage {
-            LimitStage::Held { until, .. } => Some(until),
+            LimitStage::Held { until, .. } => Some(until).filter(|t| *t > now),
             LimitStage::Open { .. } | LimitStage::Probing { .. } => None,
         };
         held.into_iter().chain(self.pace.silent_at()).min()
--- a/goldcrestramp-decisions/tests/limit.rs
+++ b/goldcrestramp-decisions/tests/limit.rs
@@ -73,7 +73,7 @@
     for _ in 0..4 {
         limit.started(at(2_000), RequestClass::Lookup);
     }
-    let silent = limit.wake_at().expect("requests run");
+    let silent = limit.wake_at(at(2_000)).expect("requests run");
     assert_eq!(silent, at(2_300), "300 ms is the least silence");
     limit.tick(silent, 0);
     assert_eq!(limit.verdict(silent), LimitVerdict::Held(at(2_400)));
@@ -85,15 +85,31 @@
     assert_eq!(limit.advice(at(3_300)), OwnerAdvice::MoveAway);
 }
 
+/// A server is lost, and its slices have gone to others: nothing waits for
+/// it any more. Its hold ends, and there is nothing to wake up for until
+/// a request comes.
+#[test]
+fn an_ended_hold_wakes_nobody() {
+    let mut limit = warm();
+    for _ in 0..3 {
+        run(&mut limit, 2_000, 50, ServerSign::Unreachable);
+    }
+    let LimitVerdict::Held(until) = limit.verdict(at(2_050)) else {
+        panic!("three failures hold it");
+    };
+    assert_eq!(limit.wake_at(at(2_050)), Some(until));
+    assert_eq!(limit.wake_at(until), None);
+}
+
 /// A phone stops reading a download that has begun: the server is not taken
 /// for frozen.
 #[test]
 fn an_answer_that_has_begun_is_no_silence() {
     let mut limit = warm();
     limit.started(at(2_000), RequestClass::Long);
-    assert_eq!(limit.wake_at(), Some(at(12_000)));
+    assert_eq!(limit.wake_at(at(2_000)), Some(at(12_000)));
     limit.replied(at(2_100));
-    assert_eq!(limit.wake_at(), None);
+    assert_eq!(limit.wake_at(at(2_100)), None);
 }
 
 #[test]
--- a/goldcrestramp-decisions/tests/overload/policy.rs
+++ b/goldcrestramp-decisions/tests/overload/policy.rs
@@ -141,10 +141,9 @@
     }
 
     fn wake_at(&self) -> Option<LocalTime> {
-        let times = self
-            .servers
-            .iter()
-            .flat_map(|(queue, limit)| [queue.wake_at(), limit.wake_at()]);
+        let times = self.servers.iter().flat_map(|(queue, limit)| {
+            [queue.wake_at(), limit.wake_at(LocalTime::default())]
+        });
         times.flatten().min()
     }
 }
--- a/goldcrestramp-node/src/keeper/admission.rs
+++ b/goldcrestramp-node/src/keeper/admission.rs
@@ -208,7 +208,9 @@
             }
             state.apply_limit(now);
         }
-        let wake = state.wake_at();
+        // The timer's own looks find it set below all that is due, or each
+        // would wake it for the next.
+        let wake = state.wake_at(now);
         if wake.is_some_and(|wake| state.timer_at.is_none_or(|at| wake < at)) {
             self.timer.notify_one();
         }
@@ -219,9 +221,9 @@
         let now = self.context.now();
         let mut state = self.lock();
         state.limit.tick(now, rand::random());
-        state.timer_at = Some(now);
+        state.timer_at = Some(LocalTime::default());
         self.pump(&mut state, now);
-        state.timer_at = state.wake_at();
+        state.timer_at = state.wake_at(now);
         // A time that is over has been acted on; the pause keeps a clock
         // that reads coarsely from spinning.
         let pause = TimeSpan::from_millis(1);
@@ -309,8 +311,8 @@
         self.limit.finished(now, sign, rand::random());
     }
 
-    fn wake_at(&self) -> Option<LocalTime> {
-        let wakes = [self.queue.wake_at(), self.limit.wake_at()];
+    fn wake_at(&self, now: LocalTime) -> Option<LocalTime> {
+        let wakes = [self.queue.wake_at(), self.limit.wake_at(now)];
         wakes.into_iter().flatten().min()
     }
 }
