--- a/goldcrestramp-node/tests/idle.rs
+++ b/goldcrestramp-node/tests/idle.rs
@@ -42,7 +42,7 @@
 
     let before = cpu_time();
     tokio::time::sleep(LOOK).await;
-    let used = cpu_time() - before;
+    let used = cpu_time().saturating_sub(before);
 
     // A thread that never rests uses all of it, unless the machine is so
     // busy that the process gets next to nothing.
