Let a former steward tell how old the tables it followed are

Cause: a steward that was cut off led no more, and had no view but its own of before: its own domain's table had no age at all. Seen in one of two runs of the test of a VM that is cut off, when that VM happened to be the steward. Change: the age counts from the later of what the VM itself heard and what its steward told; a steward hears its own domain while it leads.

--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -334,7 +334,9 @@
     pub(super) fn show_leading(&mut self) {
         let leading = self.steward.leads(self.context.now());
         self.context.metrics.set_leading(leading);
-        if !leading {
+        if leading {
+            self.hub.note_heard(self.context.domain());
+        } else {
             self.seen.clear();
         }
         self.leading.send_if_modified(|shown| {
--- a/goldcrestramp-node/src/operators/show.rs
+++ b/goldcrestramp-node/src/operators/show.rs
@@ -46,7 +46,7 @@
         config_version: config.map_or(0, |config| config.version),
         last_ticket: last.map(|(number, _)| *number),
         steward: steward_report(settings, status),
-        domains: domain_reports(settings, status, view.as_ref(), now),
+        domains: domain_reports(status, view.as_ref(), now),
         keeps: keep_reports(status, now),
         view,
         moving: leaving_reports(status),
@@ -148,30 +148,25 @@
 
 /// How long ago a domain's table was surely the newest there.
 ///
-/// A steward makes its own domain's table and follows those of others; the
-/// other VMs follow the steward, and know of other domains what it said.
+/// This VM may have followed the domain as a steward, or heard of it from
+/// its steward; the later of both counts.
 fn table_age(
-    settings: &NodeSettings,
     status: &ControlStatus,
     view: Option<&StewardView>,
     domain: &DomainName,
     now: LocalTime,
 ) -> Option<u64> {
-    let own = *domain == settings.domain;
-    if own && status.steward.leading {
-        return Some(0);
-    }
-    if own || status.steward.leading {
-        let heard = status.heard.get(domain)?;
-        return Some(now.since(*heard).as_millis());
-    }
-    let view = view?;
-    let heard = view.heard.iter().find(|heard| heard.domain == *domain)?;
-    Some(view.age_ms + heard.heard_ms)
+    let own = status.heard.get(domain);
+    let own = own.map(|heard| now.since(*heard).as_millis());
+    let viewed = view.and_then(|view| {
+        let mut heard = view.heard.iter();
+        let heard = heard.find(|heard| heard.domain == *domain)?;
+        Some(view.age_ms + heard.heard_ms)
+    });
+    [own, viewed].into_iter().flatten().min()
 }
 
 fn domain_reports(
-    settings: &NodeSettings,
     status: &ControlStatus,
     view: Option<&StewardView>,
     now: LocalTime,
@@ -189,7 +184,7 @@
             domain: name.clone(),
             lost: rules.iter().any(|d| d.name == *name && d.lost),
             table: table.map(|table| table.version),
-            age_ms: table_age(settings, status, view, name, now),
+            age_ms: table_age(status, view, name, now),
             owned_slices: owned,
         }
     });
