--- a/goldcrestramp-standins/src/checker/mod.rs
+++ b/goldcrestramp-standins/src/checker/mod.rs
@@ -46,7 +46,9 @@
             not_run_but_ran: promises::to_count(
                 promises::false_not_run(executions, calls).len(),
             ),
-            owner_overlaps: ownership::count_overlaps(servers),
+            owner_overlaps: promises::to_count(
+                ownership::overlaps(servers).len(),
+            ),
             wrong_answers: answers.wrong,
             cut_answers: answers.cut,
         }
@@ -73,3 +75,12 @@
     }
     lines.join("\n")
 }
+
+/// Tells of every moment at which a slice had two owners, which; for
+/// finding the cause.
+#[must_use]
+pub fn trace_overlaps(servers: &ServerLog) -> String {
+    let found = ownership::overlaps(servers);
+    let lines: Vec<_> = found.iter().map(|one| format!("{one:?}")).collect();
+    lines.join("\n")
+}
--- a/goldcrestramp-standins/src/records.rs
+++ b/goldcrestramp-standins/src/records.rs
@@ -59,6 +59,8 @@
 pub struct ExecutionEntry {
     /// The server.
     pub server: Arc<str>,
+    /// The server's failure domain.
+    pub domain: Arc<str>,
     /// The server's run.
     pub run: u64,
     /// The request's id, `caller/request`.
--- a/goldcrestramp-standins/src/server/behaviour.rs
+++ b/goldcrestramp-standins/src/server/behaviour.rs
@@ -10,6 +10,8 @@
 pub struct ServerBehaviour {
     /// Its name, for its log.
     pub name: String,
+    /// Its failure domain, for its log.
+    pub domain: String,
     /// Whether it refuses old tokens.
     pub checks_fence: bool,
     /// How many requests it runs at once.
@@ -38,6 +40,7 @@
     fn default() -> Self {
         Self {
             name: "server".to_owned(),
+            domain: String::new(),
             checks_fence: true,
             slots: 4,
             queue: 0,
--- a/goldcrestramp-standins/src/server/state.rs
+++ b/goldcrestramp-standins/src/server/state.rs
@@ -247,6 +247,7 @@
     ) -> ExecutionEntry {
         ExecutionEntry {
             server: Arc::from(self.behaviour.name.as_str()),
+            domain: Arc::from(self.behaviour.domain.as_str()),
             run: self.run,
             request: Arc::clone(&order.request),
             service: Arc::clone(&order.service),
--- a/src/commands/demo/mod.rs
+++ b/src/commands/demo/mod.rs
@@ -15,8 +15,8 @@
 use goldcrestramp_standins::{
     CallEntry, MachineTime,
     checker::{
-        PromiseFigures, count_moves, imbalance, unavailable_time,
-        unlinearizable_keys,
+        PromiseFigures, count_moves, imbalance, trace_denied, trace_overlaps,
+        unavailable_time, unlinearizable_keys,
     },
     load::{LoadPlan, LoadProgress, LoadReport, run_load},
 };
@@ -152,6 +152,10 @@
     faults: &FaultRunner,
 ) -> DemoFigures {
     let log = deployment.log();
+    let broken_promises = [trace_denied(&log, calls), trace_overlaps(&log)];
+    for trace in broken_promises.iter().filter(|trace| !trace.is_empty()) {
+        eprintln!("{trace}");
+    }
     let report = LoadReport::new(calls, Vec::new());
     let broken = unlinearizable_keys(calls).len();
     DemoFigures {
--- a/src/commands/demo/place.rs
+++ b/src/commands/demo/place.rs
@@ -219,6 +219,7 @@
     seed: u64,
 ) -> ServerBehaviour {
     let mut behaviour = ServerBehaviour {
+        domain: rules.domain.to_string(),
         name: rules.name.as_str().to_owned(),
         checks_fence: rules.checks_fence,
         slots: usize::try_from(rules.slots).unwrap_or(1),
