--- a/goldcrestramp-config/src/document/tree.rs
+++ b/goldcrestramp-config/src/document/tree.rs
@@ -48,8 +48,9 @@
         }
     };
     if let Err(error) = serde_json::from_str::<IgnoredAny>(&stripped) {
-        let place =
-            SourcePosition { line: error.line(), column: error.column() };
+        // The parser counts columns from 0 at a line's very beginning.
+        let (line, column) = (error.line().max(1), error.column().max(1));
+        let place = SourcePosition { line, column };
         faults.add(place, "", format!("no valid JSON: {error}"));
         return None;
     }
