--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -8,7 +8,7 @@
     net::TcpListener,
     sync::{oneshot, watch},
 };
-use tonic::transport::Server;
+
 use xtra::{Address, Mailbox};
 
 use crate::{
@@ -22,7 +22,7 @@
         service::ControlService,
         tables::TableHub,
     },
-    peers::serve_router,
+    peers::{bounded_server, serve_router},
     planner::run_planner,
     store::watch_divisions,
 };
@@ -152,7 +152,7 @@
     };
     let service =
         ControlServer::new(service).max_decoding_message_size(MESSAGE_LIMIT);
-    let server = Server::builder().add_service(service);
+    let server = bounded_server().add_service(service);
     let server = serve_router(context.tls.clone(), listener, server);
     tokio::spawn(async move {
         if let Err(error) = server.await {
--- a/goldcrestramp-node/src/handle.rs
+++ b/goldcrestramp-node/src/handle.rs
@@ -6,7 +6,6 @@
 use goldcrestramp_platform::{CallCounts, PlatformClient};
 use goldcrestramp_wire::peer::peer_server::PeerServer;
 use tokio::{net::TcpListener, task::JoinHandle, time::Instant};
-use tonic::transport::Server;
 
 use crate::{
     context::NodeContext,
@@ -18,7 +17,7 @@
     keeper::{KeeperService, MemoryHandover},
     operators::{NodeOperators, OperatorPolicy, operator_routes},
     peer_tls::PeerTls,
-    peers::serve_router,
+    peers::{bounded_server, serve_router},
 };
 
 /// How often a stopping daemon looks whether it is done.
@@ -193,7 +192,7 @@
 ) -> JoinHandle<()> {
     let limit = context.settings.body_bytes as usize + MESSAGE_ROOM;
     let service = PeerServer::new(service).max_decoding_message_size(limit);
-    let server = Server::builder().tcp_nodelay(true).add_service(service);
+    let server = bounded_server().add_service(service);
     let server = serve_router(context.tls.clone(), listener, server);
     tokio::spawn(async move {
         if let Err(error) = server.await {
--- a/goldcrestramp-node/src/keeper/link.rs
+++ b/goldcrestramp-node/src/keeper/link.rs
@@ -16,6 +16,10 @@
 /// modem's share of the link.
 const FLOW_LIMIT: usize = 64;
 
+/// The most regions that are told apart. A peer names its region itself, so
+/// a broken one could otherwise fill the memory with links.
+const REGIONS_MOST: usize = 64;
+
 /// The links to other regions, by region.
 #[derive(Debug)]
 pub(crate) struct RegionLinks {
@@ -37,6 +41,9 @@
         }
         let mut links =
             self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        if links.len() >= REGIONS_MOST && !links.contains_key(&region) {
+            return links.values().next().map(Arc::clone);
+        }
         let link = links
             .entry(region)
             .or_insert_with(|| RegionLink::open(Arc::clone(&self.context)));
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -17,6 +17,7 @@
 mod load;
 mod metrics;
 mod operators;
+mod peer_accept;
 mod peer_tls;
 mod peers;
 mod planner;
@@ -36,6 +37,7 @@
         RefusalLine, ServerReport, StatusReport, StewardReport, TicketAnswer,
         TicketOutcome, apply_ticket, operator_routes, restore_config,
     },
+    peer_accept::PlacedStream,
     peer_tls::{
         PeerIdentity, PeerIncoming, PeerTls, PeerTlsError, ProvenPeer,
     },
--- a/goldcrestramp-node/src/peer_tls/accept.rs
+++ b/goldcrestramp-node/src/peer_tls/accept.rs
@@ -16,6 +16,8 @@
 };
 use tokio_rustls::{TlsAcceptor, server::TlsStream};
 
+use crate::peer_accept::{ACCEPT_PAUSE, CONNECTIONS_MOST, PlacedStream};
+
 use super::{PeerTls, identity::PeerIdentity};
 
 /// A peer that has not proved itself by then is cut off.
@@ -24,11 +26,9 @@
 const HANDSHAKES_MOST: usize = 256;
 /// Accepted connections that wait for the server.
 const QUEUE: usize = 64;
-/// A pause after the system refused to accept: out of file descriptors
-/// ends by itself, and spinning would not help.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 type PeerStream = TlsStream<TcpStream>;
+type PlacedPeer = PlacedStream<PeerStream>;
 
 /// Connections of peers that have proved who they are.
 ///
@@ -36,7 +36,7 @@
 /// middle of one keeps nobody else waiting.
 #[derive(Debug)]
 pub struct PeerIncoming {
-    accepted: mpsc::Receiver<PeerStream>,
+    accepted: mpsc::Receiver<PlacedPeer>,
     task: JoinHandle<()>,
 }
 
@@ -51,7 +51,7 @@
 }
 
 impl Stream for PeerIncoming {
-    type Item = io::Result<PeerStream>;
+    type Item = io::Result<PlacedPeer>;
 
     fn poll_next(
         mut self: Pin<&mut Self>,
@@ -70,10 +70,14 @@
 async fn accept(
     listener: TcpListener,
     tls: Arc<PeerTls>,
-    sender: mpsc::Sender<PeerStream>,
+    sender: mpsc::Sender<PlacedPeer>,
 ) {
     let room = Arc::new(Semaphore::new(HANDSHAKES_MOST));
-    while let Ok(permit) = Arc::clone(&room).acquire_owned().await {
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
+    while let (Ok(permit), Ok(place)) = (
+        Arc::clone(&room).acquire_owned().await,
+        Arc::clone(&places).acquire_owned().await,
+    ) {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
@@ -81,6 +85,7 @@
         let (tls, sender) = (Arc::clone(&tls), sender.clone());
         tokio::spawn(async move {
             if let Some(stream) = handshake(stream, &tls).await {
+                let stream = PlacedStream::new(stream, place);
                 // The server that would take it may have ended.
                 drop(sender.send(stream).await);
             }
--- a/goldcrestramp-node/src/peers.rs
+++ b/goldcrestramp-node/src/peers.rs
@@ -8,11 +8,11 @@
 use goldcrestramp_decisions::TransitEstimate;
 use goldcrestramp_types::{FastMap, TimeSpan};
 use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::transport::{Channel, Endpoint, server::Router};
+use tonic::transport::{Channel, Endpoint, Server, server::Router};
 
 use crate::{
     context::NodeContext,
+    peer_accept::PlainIncoming,
     peer_tls::{PeerIncoming, PeerTls},
 };
 
@@ -25,6 +25,11 @@
 /// A probe without an answer for so long ends the connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The most peers whose channels and ways are kept: three times the VMs of
+/// the largest deployment. VMs are replaced at any time, and those that are
+/// gone would otherwise stay for good.
+const PEERS_MOST: usize = 2_048;
+
 /// Open channels to peers by address.
 #[derive(Debug)]
 pub(crate) struct PeerChannels {
@@ -63,7 +68,9 @@
         let endpoint = endpoint(address, tls).ok_or(PeerUnreachable)?;
         let channel =
             endpoint.connect().await.map_err(|_error| PeerUnreachable)?;
-        self.lock().insert(Arc::clone(address), channel.clone());
+        let mut channels = self.lock();
+        make_room(&mut channels);
+        channels.insert(Arc::clone(address), channel.clone());
         Ok(channel)
     }
 
@@ -88,6 +95,9 @@
         let mut transits =
             self.transits.lock().unwrap_or_else(PoisonError::into_inner);
         let now = self.context.now();
+        if !transits.contains_key(address) {
+            make_room(&mut transits);
+        }
         let transit = transits.entry(Arc::clone(address)).or_default();
         transit.record(now, trip);
     }
@@ -97,6 +107,14 @@
     }
 }
 
+/// Forgets all peers when there are too many; those in use are back at
+/// once, and requests under way keep their channels.
+fn make_room<T>(peers: &mut FastMap<Arc<str>, T>) {
+    if peers.len() >= PEERS_MOST {
+        peers.clear();
+    }
+}
+
 /// How a peer is connected to.
 pub(crate) fn endpoint(
     address: &str,
@@ -117,6 +135,26 @@
     }
 }
 
+/// Requests under way on one connection of a peer; others wait at the peer.
+const STREAMS_MOST: u32 = 200;
+/// The largest head of a peer's request, in bytes.
+const HEAD_LIMIT: u32 = 16 * 1_024;
+/// How often a peer's connection is probed here: one whose VM is gone would
+/// otherwise hold its place for good.
+const SERVER_PROBE_EVERY: Duration = Duration::from_secs(10);
+/// A probe without an answer for so long ends the connection.
+const SERVER_PROBE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A server of peers with all its bounds.
+pub(crate) fn bounded_server() -> Server {
+    Server::builder()
+        .tcp_nodelay(true)
+        .max_concurrent_streams(STREAMS_MOST)
+        .http2_max_header_list_size(HEAD_LIMIT)
+        .http2_keepalive_interval(Some(SERVER_PROBE_EVERY))
+        .http2_keepalive_timeout(Some(SERVER_PROBE_TIMEOUT))
+}
+
 /// Serves peers on `listener`, by TLS when there are keys for it.
 pub(crate) async fn serve_router(
     tls: Option<Arc<PeerTls>>,
@@ -127,6 +165,5 @@
         let incoming = PeerIncoming::spawn(listener, tls);
         return router.serve_with_incoming(incoming).await;
     }
-    let incoming = TcpListenerStream::new(listener);
-    router.serve_with_incoming(incoming).await
+    router.serve_with_incoming(PlainIncoming::spawn(listener)).await
 }
