Measure imbalance, churn and unavailable time on the steward

Cause: the users weigh these three, and no counter showed them; the operators' page named a label that `control_bytes` lacked, and nothing kept page and counters together. Change: `imbalance`, `slices_moved`, `slices_moved_needless`, `slices_unserved` and `unserved_slice_seconds` by service; a test that the page names each metric and each reason, and no other metric.

--- a/goldcrestramp-node/benches/ticket_reach.rs
+++ b/goldcrestramp-node/benches/ticket_reach.rs
@@ -106,6 +106,7 @@
         }
         last = bytes;
     }
+    println!("not settled: {last:?} bytes of tables");
     for node in nodes {
         let status = node.status().await.expect("running");
         let steward = status.steward;
--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -16,6 +16,7 @@
 use crate::{
     context::NodeContext,
     control::{
+        churn::MoveMeter,
         grants,
         links::ControlLinks,
         messages::StewardNotice,
@@ -23,6 +24,7 @@
         permits::StewardSearch,
         seen::{SeenBook, VmVersions},
         tables::TableHub,
+        unserved::UnservedMeter,
     },
     convert,
     keeper::KeeperView,
@@ -46,6 +48,8 @@
     pub(super) feed: PlacementFeed,
     pub(super) search: StewardSearch,
     pub(super) seen: SeenBook,
+    pub(super) churn: MoveMeter,
+    pub(super) unserved: UnservedMeter,
     pub(super) permits: PermitStream,
     pub(super) address: Option<WeakAddress<Self>>,
     pub(super) ask_at: LocalTime,
@@ -93,6 +97,8 @@
             feed: PlacementFeed::default(),
             search: StewardSearch::default(),
             seen: SeenBook::default(),
+            churn: MoveMeter::default(),
+            unserved: UnservedMeter::default(),
             permits: PermitStream::default(),
             address: None,
             ask_at: now,
@@ -127,6 +133,9 @@
                 self.voter.learn_roster(version);
             }
             StewardEffect::Publish(table) => {
+                for (service, tally) in self.churn.take(&table) {
+                    self.context.metrics.count_moves(&service, tally);
+                }
                 self.hub.take_table(&table);
             }
             StewardEffect::SaveRoster(roster) => {
@@ -302,27 +311,6 @@
         }
     }
 
-    /// Asks the steward for the moves that the reports call for.
-    pub(super) fn weigh_moves(&mut self) {
-        let now = self.context.now();
-        if !self.feed.due(now) {
-            return;
-        }
-        let status = self.steward.status(now);
-        let set = self.hub.set();
-        let Some(config) = set.config.as_ref().filter(|_| status.leading)
-        else {
-            self.feed.clear();
-            return;
-        };
-        let domain = self.context.domain();
-        let moves = self.feed.weigh(now, config, domain, &status);
-        if !moves.is_empty() {
-            log::info!("planner: {} moves are asked for.", moves.len());
-            self.steward_event(StewardEvent::MovesAsked(moves));
-        }
-    }
-
     /// Tells the keeper what must end before a slice is released.
     pub(super) fn tell_running(&mut self) {
         for order in self.keeper.servers() {
@@ -330,21 +318,6 @@
             self.keeper.set_running(&order.server, slices);
         }
     }
-
-    pub(super) fn show_leading(&mut self) {
-        let leading = self.steward.leads(self.context.now());
-        self.context.metrics.set_leading(leading);
-        if leading {
-            self.hub.note_heard(self.context.domain());
-        } else {
-            self.seen.clear();
-        }
-        self.leading.send_if_modified(|shown| {
-            let changed = *shown != leading;
-            *shown = leading;
-            changed
-        });
-    }
 }
 
 fn answered(
--- a/goldcrestramp-node/src/control/handlers.rs
+++ b/goldcrestramp-node/src/control/handlers.rs
@@ -29,6 +29,7 @@
         self.steward_event(StewardEvent::Tick);
         self.show_leading();
         self.weigh_moves();
+        self.count_unserved();
         self.tell_running();
         self.ask_permit();
         self.send_orders();
--- a/goldcrestramp-node/src/control/mod.rs
+++ b/goldcrestramp-node/src/control/mod.rs
@@ -1,10 +1,12 @@
 //! The control thread: steward, grants, voter, and their messages.
 
 mod actor;
+mod churn;
 mod follow;
 mod grants;
 mod handlers;
 mod links;
+mod measure;
 mod messages;
 mod permit_stream;
 mod permits;
@@ -14,6 +16,7 @@
 mod status;
 mod tables;
 mod thread;
+mod unserved;
 
 pub(crate) use crate::control::{
     actor::ControlActor,
@@ -25,6 +28,7 @@
     thread::ControlThread,
 };
 pub use crate::control::{
+    churn::{MoveMeter, MoveTally},
     seen::{SeenVm, VmVersions},
     status::ControlStatus,
 };
--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -27,7 +27,7 @@
 
 pub use crate::{
     context::NodeContext,
-    control::{ControlStatus, SeenVm, VmVersions},
+    control::{ControlStatus, MoveMeter, MoveTally, SeenVm, VmVersions},
     faults::{NodeFaults, PlantedFault},
     handle::{NodeAddresses, NodeHandle},
     metrics::NodeMetrics,
--- a/goldcrestramp-node/src/metrics.rs
+++ b/goldcrestramp-node/src/metrics/mod.rs
@@ -1,18 +1,24 @@
 //! Counters, one for each refusal and retry reason.
 
+mod book;
+mod domain;
+
 use std::sync::{Mutex, PoisonError, atomic::Ordering};
 
 use goldcrestramp_decisions::LinkVolume;
 use goldcrestramp_platform::{CallCounts, CallKind};
 use goldcrestramp_types::{
-    CallerName, NotRunReason, RetryReason, ServiceName, UnknownReason,
+    CallerName, NotRunReason, RetryReason, ServiceName, TimeSpan,
+    UnknownReason,
 };
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{counter::Counter, family::Family, gauge::Gauge},
-    registry::Registry,
 };
 
+use self::{book::MetricBook, domain::DomainMetrics};
+use crate::control::MoveTally;
+
 /// The label of a counter that is kept by reason, kind or outcome.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct ReasonLabel {
@@ -32,7 +38,7 @@
 /// The counters of one daemon.
 #[derive(Debug)]
 pub struct NodeMetrics {
-    registry: Registry,
+    book: MetricBook,
     done: Counter,
     cut: Counter,
     not_run: Family<ReasonLabel, Counter>,
@@ -45,6 +51,7 @@
     leading: Gauge,
     config_version: Gauge,
     link_bytes: Family<LinkLabel, Counter>,
+    domain: DomainMetrics,
     /// Bounds the labels of `link_bytes`.
     link_volume: Mutex<LinkVolume>,
 }
@@ -52,7 +59,7 @@
 impl Default for NodeMetrics {
     fn default() -> Self {
         let mut metrics = Self {
-            registry: Registry::with_prefix("goldcrestramp"),
+            book: MetricBook::default(),
             done: Counter::default(),
             cut: Counter::default(),
             not_run: Family::default(),
@@ -65,16 +72,18 @@
             leading: Gauge::default(),
             config_version: Gauge::default(),
             link_bytes: Family::default(),
+            domain: DomainMetrics::default(),
             link_volume: Mutex::default(),
         };
         metrics.register();
+        metrics.domain.register(&mut metrics.book);
         metrics
     }
 }
 
 impl NodeMetrics {
     fn register(&mut self) {
-        let registry = &mut self.registry;
+        let registry = &mut self.book;
         registry.register(
             "requests_done",
             "Requests that got their whole answer",
@@ -230,6 +239,32 @@
         self.link_bytes.get_or_create(&label).inc_by(bytes);
     }
 
+    /// Shows how evenly a service's servers work in this failure domain.
+    pub fn set_imbalance(&self, service: &ServiceName, ratio: f64) {
+        self.domain.set_imbalance(service, ratio);
+    }
+
+    /// Shows nothing more of a failure domain whose steward is elsewhere;
+    /// the counters stay.
+    pub fn forget_domain(&self) {
+        self.domain.forget_domain();
+    }
+
+    /// Counts slices that came to another server.
+    pub fn count_moves(&self, service: &ServiceName, tally: MoveTally) {
+        self.domain.count_moves(service, tally);
+    }
+
+    /// Counts slices that are not served, and for how long.
+    pub fn count_unserved(
+        &self,
+        service: &ServiceName,
+        slices: usize,
+        span: TimeSpan,
+    ) {
+        self.domain.count_unserved(service, slices, span);
+    }
+
     /// Shows whether this VM is the steward.
     pub fn set_leading(&self, leading: bool) {
         self.leading.set(i64::from(leading));
@@ -246,6 +281,12 @@
         u64::try_from(self.config_version.get()).unwrap_or(0)
     }
 
+    /// Every name, without the prefix and `_total`.
+    #[must_use]
+    pub fn names(&self) -> &[&'static str] {
+        &self.book.names
+    }
+
     /// All counters in the Prometheus text format.
     ///
     /// # Errors
@@ -253,7 +294,7 @@
     /// [`std::fmt::Error`] if they can't be written as text.
     pub fn encode(&self) -> Result<String, std::fmt::Error> {
         let mut text = String::new();
-        encode(&mut text, &self.registry)?;
+        encode(&mut text, &self.book.registry)?;
         Ok(text)
     }
 }
--- a/goldcrestramp-node/src/planner/feed.rs
+++ b/goldcrestramp-node/src/planner/feed.rs
@@ -37,9 +37,18 @@
     began: LocalTime,
     sums: FastMap<ServerName, LoadSum>,
     services: FastMap<ServiceName, ServicePlacement>,
+    imbalances: FastMap<ServiceName, f64>,
 }
 
 impl PlacementFeed {
+    /// The slot time of the busiest server over the mean of the service's
+    /// servers in this domain, in the last round; 1 is even.
+    pub(crate) fn imbalances(
+        &self,
+    ) -> impl Iterator<Item = (&ServiceName, &f64)> {
+        self.imbalances.iter()
+    }
+
     /// Takes a keeper's report.
     pub(crate) fn take(&mut self, now: LocalTime, report: &KeeperReport) {
         if self.sums.is_empty() {
@@ -78,6 +87,7 @@
     ) -> Vec<SliceMove> {
         let span = now.since(self.began);
         let sums = std::mem::take(&mut self.sums);
+        self.imbalances = imbalances(config, domain, &sums);
         if !status.may_move || status.moving > 0 {
             return Vec::new();
         }
@@ -113,6 +123,26 @@
     }
 }
 
+#[expect(clippy::cast_precision_loss, reason = "spans of seconds")]
+fn imbalances(
+    config: &DeploymentState,
+    domain: &DomainName,
+    sums: &FastMap<ServerName, LoadSum>,
+) -> FastMap<ServiceName, f64> {
+    let services = config.services.iter().map(|service| {
+        let servers = servers_of(config, domain, &service.name);
+        let busy = servers.iter().map(|rules| {
+            sums.get(&rules.name).map_or(0.0, |sum| sum.busy_micros as f64)
+        });
+        let busy: Vec<f64> = busy.collect();
+        let most = busy.iter().copied().fold(0.0, f64::max);
+        let mean = busy.iter().sum::<f64>() / busy.len().max(1) as f64;
+        let ratio = if mean > 0.0 { most / mean } else { 1.0 };
+        (service.name.clone(), ratio)
+    });
+    services.collect()
+}
+
 /// The domain's servers of a service, in the configuration's order.
 fn servers_of<'a>(
     config: &'a DeploymentState,
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -15,7 +15,9 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_types::{DomainName, LocalTime, TermId, VmName};
+use goldcrestramp_types::{
+    DomainName, LocalTime, ServiceName, TermId, VmName,
+};
 
 pub use self::event::{DueSlices, StewardEffect, StewardEvent, StewardStatus};
 use self::{
@@ -173,6 +175,36 @@
         roster.is_some_and(|r| r.voters.len() > 1 && r.has(&self.me.vm))
     }
 
+    /// Slices of each service that this domain holds and no server of it
+    /// surely serves, as far as a steward that may move them knows.
+    ///
+    /// What a lost server held counts from when its loss was noticed until
+    /// another server has it. `None`: this VM does not lead, or does not
+    /// know yet.
+    #[must_use]
+    pub fn unserved(&self) -> Option<Vec<(ServiceName, usize)>> {
+        let StewardRole::Leading(leading) = &self.role else {
+            return None;
+        };
+        let plan = self.knowledge.plan.as_ref()?;
+        let services = plan.services.iter();
+        let counts = services.map(|service| {
+            let mut left = service.slices.clone();
+            left.subtract(&service.leaving);
+            let servers = leading.servers.values();
+            for server in servers.filter(|s| s.plan.service == service.service)
+            {
+                let mut served = server.target.clone();
+                served.intersect_with(&server.bound);
+                if !server.lost {
+                    left.subtract(&served);
+                }
+            }
+            (service.service.clone(), left.len())
+        });
+        leading.may_move().then(|| counts.collect())
+    }
+
     /// What operators are shown.
     #[must_use]
     pub fn status(&self, now: LocalTime) -> StewardStatus {
