--- a/goldcrestramp-node/src/lib.rs
+++ b/goldcrestramp-node/src/lib.rs
@@ -17,6 +17,7 @@
 mod load;
 mod metrics;
 mod operators;
+mod peer_accept;
 mod peer_tls;
 mod peers;
 mod planner;
@@ -27,7 +28,7 @@
 pub use crate::{
     context::NodeContext,
     control::ControlStatus,
-    faults::NodeFaults,
+    faults::{NodeFaults, PlantedFault},
     handle::{NodeAddresses, NodeHandle},
     metrics::NodeMetrics,
     operators::{
@@ -36,6 +37,7 @@
         RefusalLine, ServerReport, StatusReport, StewardReport, TicketAnswer,
         TicketOutcome, apply_ticket, operator_routes, restore_config,
     },
+    peer_accept::PlacedStream,
     peer_tls::{
         PeerIdentity, PeerIncoming, PeerTls, PeerTlsError, ProvenPeer,
     },
--- a/goldcrestramp-node/src/peers.rs
+++ b/goldcrestramp-node/src/peers.rs
@@ -5,13 +5,14 @@
     time::Duration,
 };
 
-use goldcrestramp_types::FastMap;
+use goldcrestramp_decisions::TransitEstimate;
+use goldcrestramp_types::{FastMap, TimeSpan};
 use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
-use tonic::transport::{Channel, Endpoint, server::Router};
+use tonic::transport::{Channel, Endpoint, Server, server::Router};
 
 use crate::{
     context::NodeContext,
+    peer_accept::PlainIncoming,
     peer_tls::{PeerIncoming, PeerTls},
 };
 
@@ -24,11 +25,17 @@
 /// A probe without an answer for so long ends the connection.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The most peers whose channels and ways are kept: three times the VMs of
+/// the largest deployment. VMs are replaced at any time, and those that are
+/// gone would otherwise stay for good.
+const PEERS_MOST: usize = 2_048;
+
 /// Open channels to peers by address.
 #[derive(Debug)]
 pub(crate) struct PeerChannels {
     context: Arc<NodeContext>,
     channels: Mutex<FastMap<Arc<str>, Channel>>,
+    transits: Mutex<FastMap<Arc<str>, TransitEstimate>>,
 }
 
 /// Why no message could be sent to a peer; none was.
@@ -37,7 +44,8 @@
 
 impl PeerChannels {
     pub(crate) fn new(context: Arc<NodeContext>) -> Self {
-        Self { context, channels: Mutex::default() }
+        let (channels, transits) = Default::default();
+        Self { context, channels, transits }
     }
 
     /// An open channel to the peer at `address`.
@@ -60,13 +68,38 @@
         let endpoint = endpoint(address, tls).ok_or(PeerUnreachable)?;
         let channel =
             endpoint.connect().await.map_err(|_error| PeerUnreachable)?;
-        self.lock().insert(Arc::clone(address), channel.clone());
+        let mut channels = self.lock();
+        make_room(&mut channels);
+        channels.insert(Arc::clone(address), channel.clone());
         Ok(channel)
     }
 
     /// Drops the channel after a failure, so that the next is new.
     pub(crate) fn forget(&self, address: &Arc<str>) {
         self.lock().remove(address);
+        let transits = self.transits.lock();
+        transits.unwrap_or_else(PoisonError::into_inner).remove(address);
+    }
+
+    /// The usual time of one way to a peer; zero while it is not known.
+    pub(crate) fn one_way(&self, address: &Arc<str>) -> TimeSpan {
+        let transits =
+            self.transits.lock().unwrap_or_else(PoisonError::into_inner);
+        let transit = transits.get(address);
+        let now = self.context.now();
+        transit.map_or(TimeSpan::ZERO, |transit| transit.one_way(now))
+    }
+
+    /// Takes the time that a peer's answer was on its way, there and back.
+    pub(crate) fn record_trip(&self, address: &Arc<str>, trip: TimeSpan) {
+        let mut transits =
+            self.transits.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.context.now();
+        if !transits.contains_key(address) {
+            make_room(&mut transits);
+        }
+        let transit = transits.entry(Arc::clone(address)).or_default();
+        transit.record(now, trip);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, FastMap<Arc<str>, Channel>> {
@@ -74,6 +107,14 @@
     }
 }
 
+/// Forgets all peers when there are too many; those in use are back at
+/// once, and requests under way keep their channels.
+fn make_room<T>(peers: &mut FastMap<Arc<str>, T>) {
+    if peers.len() >= PEERS_MOST {
+        peers.clear();
+    }
+}
+
 /// How a peer is connected to.
 pub(crate) fn endpoint(
     address: &str,
@@ -94,6 +135,26 @@
     }
 }
 
+/// Requests under way on one connection of a peer; others wait at the peer.
+const STREAMS_MOST: u32 = 200;
+/// The largest head of a peer's request, in bytes.
+const HEAD_LIMIT: u32 = 16 * 1_024;
+/// How often a peer's connection is probed here: one whose VM is gone would
+/// otherwise hold its place for good.
+const SERVER_PROBE_EVERY: Duration = Duration::from_secs(10);
+/// A probe without an answer for so long ends the connection.
+const SERVER_PROBE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A server of peers with all its bounds.
+pub(crate) fn bounded_server() -> Server {
+    Server::builder()
+        .tcp_nodelay(true)
+        .max_concurrent_streams(STREAMS_MOST)
+        .http2_max_header_list_size(HEAD_LIMIT)
+        .http2_keepalive_interval(Some(SERVER_PROBE_EVERY))
+        .http2_keepalive_timeout(Some(SERVER_PROBE_TIMEOUT))
+}
+
 /// Serves peers on `listener`, by TLS when there are keys for it.
 pub(crate) async fn serve_router(
     tls: Option<Arc<PeerTls>>,
@@ -104,6 +165,5 @@
         let incoming = PeerIncoming::spawn(listener, tls);
         return router.serve_with_incoming(incoming).await;
     }
-    let incoming = TcpListenerStream::new(listener);
-    router.serve_with_incoming(incoming).await
+    router.serve_with_incoming(PlainIncoming::spawn(listener)).await
 }
