--- /dev/null
+++ b/goldcrestramp-ownership/tests/keeper.rs
@@ -0,0 +1,126 @@
+//! A keeper by itself, with a server whose messages come late or get lost.
+
+use std::sync::Arc;
+
+use goldcrestramp_ownership::{
+    GrantHolder, KeeperMachine, PermitAnswer, Safeguard, Safeguards,
+    ServerOrder, TermTiming,
+};
+use goldcrestramp_types::{
+    FenceToken, LocalTime, ServerName, ServerTime, ServiceName, SliceIndex,
+    SliceSet, TermId, TimeSpan, VmName,
+};
+use goldcrestramp_wire::server::GrantOrder;
+
+const fn at(millis: u64) -> LocalTime {
+    LocalTime::from_micros(millis * 1_000)
+}
+
+const fn clock(millis: u64) -> ServerTime {
+    ServerTime::from_micros(millis * 1_000)
+}
+
+fn slice() -> SliceIndex {
+    SliceIndex::new(1).expect("in range")
+}
+
+fn token(sequence: u64) -> FenceToken {
+    let term = TermId { number: 1, vm: 1, start: 1 };
+    FenceToken { term, sequence }
+}
+
+fn server() -> ServerName {
+    ServerName::new("s-1").expect("a name")
+}
+
+/// A keeper, and the server without fences that it keeps.
+struct KeptPair {
+    keeper: KeeperMachine,
+    holder: GrantHolder,
+}
+
+impl KeptPair {
+    fn new(safeguards: Safeguards) -> Self {
+        let timing = TermTiming { safeguards, ..TermTiming::default() };
+        let vm = VmName::new("vm-1").expect("a name");
+        let address = Arc::from("10.0.0.1:1");
+        let keeper = KeeperMachine::new(vm, address, 1, timing);
+        Self { keeper, holder: GrantHolder::new(7, false) }
+    }
+
+    /// Gets a permit for a second, with the order to hold `slices`.
+    fn permit(&mut self, now: u64, sequence: u64, slices: &[SliceIndex]) {
+        let report = self.keeper.report(at(now));
+        let order = ServerOrder {
+            server: server(),
+            service: ServiceName::new("stock").expect("a name"),
+            address: Arc::from("10.1.0.1:1"),
+            checks_fence: false,
+            slots: 4,
+            connections: 8,
+            token: token(sequence),
+            extend_only: false,
+            slices: slices.iter().copied().collect(),
+            release: SliceSet::new(),
+            ask_only: false,
+            retire: false,
+            seen: 0,
+        };
+        let answer = PermitAnswer::Permitted {
+            term: token(1).term,
+            sequence: report.sequence,
+            valid: TimeSpan::from_millis(1_000),
+            again: TimeSpan::from_millis(200),
+            orders: vec![order],
+        };
+        self.keeper.permitted(at(now), at(now), answer);
+    }
+
+    /// What the keeper sends now.
+    fn order(&mut self, now: u64) -> GrantOrder {
+        let orders = self.keeper.orders(at(now));
+        orders.into_iter().next().expect("an order is due").2
+    }
+
+    /// An order reaches the server; its reply is lost.
+    fn arrive(&mut self, now: u64, order: &GrantOrder) {
+        self.holder.apply(clock(now), order);
+    }
+
+    /// The keeper sends what is due, and the server answers at once.
+    fn talk(&mut self, now: u64) {
+        let order = self.order(now);
+        let reply = self.holder.apply(clock(now), &order);
+        self.keeper.replied(at(now), at(now), &server(), &reply);
+    }
+}
+
+// A grant gets no answer, a later order takes its slice away, and is
+// answered; then the grant arrives after all. The next extension must not
+// prolong it: its slice goes to another owner once its deadline has passed.
+#[test]
+fn no_extension_prolongs_what_a_late_grant_brought_back() {
+    for (safeguards, prolonged) in [
+        (Safeguards::default(), false),
+        (Safeguards::without(Safeguard::NamedSet), true),
+    ] {
+        let mut pair = KeptPair::new(safeguards);
+        pair.permit(5_000, 1, &[slice()]);
+        pair.talk(5_000);
+        pair.permit(5_010, 1, &[slice()]);
+        let late = pair.order(5_010);
+        pair.keeper.unanswered(at(5_210), at(5_010), &server());
+        pair.permit(5_300, 2, &[]);
+        pair.talk(5_300);
+        pair.arrive(5_310, &late);
+        assert!(pair.holder.may_start(clock(5_320), slice(), token(2)));
+
+        pair.permit(5_500, 2, &[]);
+        let renewal = pair.order(5_500);
+        pair.arrive(5_500, &renewal);
+
+        let after = late.deadline.as_micros() / 1_000 + 1;
+        let starts = pair.holder.may_start(clock(after), slice(), token(2));
+        assert_eq!(starts, prolonged);
+    }
+}
