Tell those that come in a rush at once

Cause: all 23 late refusals at 10x were let in during the first 150 ms, when the queue is not yet a standing one and a wait may fill 80% of a request's time. Forecasts are short by up to half then, because callers that asked for less come later and go before; the requests were given up after 190 ms. Change: a forecast may be short by half (margin 200 in place of 125).

--- a/goldcrestramp-decisions/src/queue/admission.rs
+++ b/goldcrestramp-decisions/src/queue/admission.rs
@@ -29,9 +29,12 @@
 /// each slot, or slots would run dry between an end and the next arrival.
 const STANDING_SLOT_TIMES: u64 = 1;
 
-/// A forecast may be short by this part before the deadline is missed: the
-/// mean error of the waits measured in the overload tests.
-const MARGIN_PERCENT: u64 = 125;
+/// A forecast may be short by this part before the deadline is missed.
+///
+/// In the first 150 ms of a rush it is short by up to half: who comes later
+/// and has asked for less goes before. At 125, the mean error, those that
+/// came then were told after 190 ms of waiting what could be told at once.
+const MARGIN_PERCENT: u64 = 200;
 
 /// A caller may have this many waiting whatever the standing queue: one
 /// whose turn it is, and one behind it, keep its share in use.
--- a/goldcrestramp-decisions/tests/overload/main.rs
+++ b/goldcrestramp-decisions/tests/overload/main.rs
@@ -88,9 +88,9 @@
     part * 100 >= whole * percent
 }
 
-/// Whether at most `permille` of the refusals took more than 5 ms.
-fn is_immediate(report: &RunReport, permille: usize) -> bool {
-    report.slow_refusals * 1_000 <= report.refusals() * permille
+/// Whether at most so many in ten thousand refusals took more than 5 ms.
+fn is_immediate(report: &RunReport, most: usize) -> bool {
+    report.slow_refusals * 10_000 <= report.refusals() * most
 }
 
 /// Eight callers ask for once, twice, five and ten times what the server
@@ -105,7 +105,7 @@
         let [router, fifo, fixed] = comparison.reports(&name, |_| true);
         assert!(is_percent(router.good, base.good, 95), "{router}");
         assert!(router.percentile(99) <= 200.0, "{router}");
-        assert!(is_immediate(&router, 1), "{router}");
+        assert!(is_immediate(&router, 2), "{router}");
         assert!(router.good > fifo.good, "{router} / {fifo}");
         assert!(is_percent(router.good, fixed.good, 95), "{fixed}");
         for caller in CALLERS {
@@ -134,7 +134,7 @@
     assert!(is_percent(others.good, others.offered, 99), "{others}");
     assert!(others.good > fifo.good && others.good > fixed.good);
     assert!(is_percent(hot.good + others.good, 8_000, 95), "{hot}");
-    assert!(is_immediate(&hot, 3), "{hot}");
+    assert!(is_immediate(&hot, 5), "{hot}");
 }
 
 /// A caller asks for one key five times as often as the server can answer,
@@ -151,7 +151,7 @@
     assert!(is_percent(others.good, others.offered, 99), "{others}");
     assert!(others.good > fifo.good && others.good > fixed.good);
     assert!(is_percent(all.good, 8_000, 95), "{all}");
-    assert!(is_immediate(&all, 3), "{all}");
+    assert!(is_immediate(&all, 1), "{all}");
 }
 
 /// Shops open: at a third of the load, some 170 requests come within 50 ms. All
--- a/goldcrestramp-node/tests/admission.rs
+++ b/goldcrestramp-node/tests/admission.rs
@@ -203,3 +203,70 @@
     assert_eq!(outcome(&lookup), "done");
     assert!(rest.is_err(), "an answer that is not whole must not look so");
 }
+
+/// What one request of the overload came to.
+struct LoadedCall {
+    caller: usize,
+    id: String,
+    answer: Response,
+}
+
+/// Callers in equal parts send ten times what a server can do, for two
+/// seconds: orders and lookups, whose callers wait a second each.
+async fn tenfold_load(one: &OneNode) -> Vec<LoadedCall> {
+    let calls = (0..CALLS).map(|number| async move {
+        tokio::time::sleep(CALL_EVERY * number).await;
+        let caller = number as usize % CALLERS;
+        let class = number as usize / CALLERS % 2;
+        let method = [Method::POST, Method::GET][class].clone();
+        let (key, name) = (format!("k{number}"), format!("c{caller}"));
+        let id = format!("n{number}");
+        let ask = one.request(method, &key, &name, 1_000);
+        let ask = ask.header("goldcrestramp-request", &id);
+        let answer = ask.send().await.expect("an answer");
+        LoadedCall { caller, id, answer }
+    });
+    join_all(calls).await
+}
+
+const CALLERS: usize = 8;
+/// Ten times what two slots of 50 ms do: 400 a second.
+const CALLS: u32 = 800;
+const CALL_EVERY: Duration = Duration::from_micros(2_500);
+
+/// Ten times more comes than a server can do. Whoever is refused is told
+/// why and when to come back, and that is true; nothing runs twice; the
+/// server is kept at work, and equal callers get about the same of it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn tenfold_overload_is_refused_truly_and_shared() {
+    let one = OneNode::spawn(2, 50).await;
+    let began = std::time::Instant::now();
+    let calls = tenfold_load(&one).await;
+    let took = began.elapsed().as_secs_f64();
+
+    let runs = |id: &str| {
+        let log = one.server.log();
+        let executions = log.executions.iter();
+        executions.filter(|e| e.request.ends_with(&format!("/{id}"))).count()
+    };
+    let mut done = [0_u32; CALLERS];
+    for call in &calls {
+        let headers = call.answer.headers();
+        match outcome(&call.answer).as_str() {
+            "done" => {
+                done[call.caller] += 1;
+                assert_eq!(runs(&call.id), 1, "{}", call.id);
+            }
+            "not-run" => {
+                assert!(headers.contains_key("retry-after"), "{headers:?}");
+                assert_eq!(runs(&call.id), 0, "{}", call.id);
+            }
+            _ => assert!(runs(&call.id) <= 1, "{}", call.id),
+        }
+    }
+    let all: u32 = done.iter().sum();
+    // Two slots do 40 a second; the bound leaves a slow machine room.
+    assert!(f64::from(all) > 40.0 * took / 4.0, "{done:?} in {took} s");
+    let least = done.iter().min().expect("eight callers");
+    assert!(least * 8 * 4 > all, "{done:?}");
+}
