Leave the time until a probe out of the margin

Cause: the margin for a forecast's error was laid on the wait for a held server's probe too, whose moment is known. With a margin of 200 a patient request was refused (a_held_server_is_sent_nothing_before_its_probe failed). Change: the margin is laid on the rest of the wait alone.

--- a/goldcrestramp-decisions/src/queue/admission.rs
+++ b/goldcrestramp-decisions/src/queue/admission.rs
@@ -51,6 +51,8 @@
     pub(crate) expected: TimeSpan,
     /// The same, corrected by how such expectations turned out.
     pub(crate) wait: TimeSpan,
+    /// The part of it until a held server is probed, which is certain.
+    pub(crate) held: TimeSpan,
     /// The wait after which it could not end in time.
     pub(crate) budget: TimeSpan,
     /// The expected slot time of its class.
@@ -76,7 +78,8 @@
 impl WaitForecast {
     /// Whether the request may wait.
     pub(crate) fn judge(&self, now: LocalTime) -> WaitVerdict {
-        if self.wait.percent(MARGIN_PERCENT) > self.budget {
+        let uncertain = self.wait.minus(self.held).percent(MARGIN_PERCENT);
+        if self.held.plus(uncertain) > self.budget {
             return WaitVerdict::TooLate;
         }
         let standing = self
--- a/goldcrestramp-decisions/src/queue/entry.rs
+++ b/goldcrestramp-decisions/src/queue/entry.rs
@@ -30,6 +30,10 @@
         WaitForecast {
             expected,
             wait,
+            held: self
+                .slots
+                .hold(now)
+                .map_or(TimeSpan::ZERO, |t| t.since(now)),
             budget: (deadline - estimate.needed(now)).since(now),
             service,
             busy_since,
