Send frames of an answer without waiting for acknowledgements

The peers' listener set "no delay" on the server builder, which applies only to listeners that it binds itself; ours takes connections on its own. So each answer's second frame waited for the delayed acknowledgement of the first. Connections by TLS were not affected: their listener sets it. Change: set on each accepted connection. No test: only a clock could show it.

--- a/goldcrestramp-node/src/handle.rs
+++ b/goldcrestramp-node/src/handle.rs
@@ -169,7 +169,7 @@
 ) -> JoinHandle<()> {
     let limit = context.settings.body_bytes as usize + MESSAGE_ROOM;
     let service = PeerServer::new(service).max_decoding_message_size(limit);
-    let server = Server::builder().tcp_nodelay(true).add_service(service);
+    let server = Server::builder().add_service(service);
     let server = serve_router(context.tls.clone(), listener, server);
     tokio::spawn(async move {
         if let Err(error) = server.await {
--- a/goldcrestramp-node/src/peers.rs
+++ b/goldcrestramp-node/src/peers.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use futures_util::StreamExt;
 use goldcrestramp_decisions::TransitEstimate;
 use goldcrestramp_types::{FastMap, TimeSpan};
 use tokio::net::TcpListener;
@@ -127,6 +128,11 @@
         let incoming = PeerIncoming::spawn(listener, tls);
         return router.serve_with_incoming(incoming).await;
     }
-    let incoming = TcpListenerStream::new(listener);
+    // The router's own setting is for listeners that it binds itself.
+    // Without this the frames of an answer wait for the acknowledgement of
+    // the ones before, 40 ms on a kernel that delays it.
+    let incoming = TcpListenerStream::new(listener).inspect(|stream| {
+        drop(stream.as_ref().map(|stream| stream.set_nodelay(true)));
+    });
     router.serve_with_incoming(incoming).await
 }
