--- a/goldcrestramp-node/src/gateway/attempt.rs
+++ b/goldcrestramp-node/src/gateway/attempt.rs
@@ -153,7 +153,7 @@
         place: &KeeperPlace,
         left: TimeSpan,
     ) -> TryOutcome {
-        match request.class.effect() {
+        match self.effect(request) {
             RequestEffect::Idempotent => {
                 TryOutcome::BrokenOff(UnknownReason::KeeperLost)
             }
@@ -221,7 +221,7 @@
             Frame::Unknown(unknown) => {
                 let reason = UnknownReason::from_code(&unknown.reason)
                     .unwrap_or(UnknownReason::ServerLost);
-                undecided(request, reason)
+                undecided(self.effect(request), reason)
             }
             Frame::Data(_) | Frame::End(_) => {
                 let reason = UnknownReason::CrossedAnswer;
@@ -232,12 +232,12 @@
 }
 
 /// An idempotent request whose server fell silent is sent again.
-fn undecided(request: &CallerRequest, reason: UnknownReason) -> TryOutcome {
+fn undecided(effect: RequestEffect, reason: UnknownReason) -> TryOutcome {
     let again = matches!(
         reason,
         UnknownReason::ServerLost | UnknownReason::CrossedAnswer
     );
-    if again && request.class.effect() == RequestEffect::Idempotent {
+    if again && effect == RequestEffect::Idempotent {
         return TryOutcome::BrokenOff(reason);
     }
     TryOutcome::Answer(RouteAnswer::unknown(reason))
