Let a VM that is no voter find its steward

Cause: a steward asks its voters alone, five at most, and a VM read the roster only until it had a plan. Of a domain of more than five VMs that started as a whole with its configuration in the store, the VMs that became no voters had read no roster and knew nobody to ask: they kept no server and got no table and no ticket for ever. VMs that outlive all voters they know of would have come to the same. Change: a VM that has known no steward for two seconds reads the roster again, with growing pauses. A read of the store a VM every two seconds or less often, and only while it knows no steward.

--- a/goldcrestramp-node/src/control/reader.rs
+++ b/goldcrestramp-node/src/control/reader.rs
@@ -4,7 +4,9 @@
 
 use bytes::Bytes;
 use goldcrestramp_config::{DeploymentState, merge_states};
-use goldcrestramp_ownership::{RosterVoter, ServiceRecord, domain_plan};
+use goldcrestramp_ownership::{
+    RosterVoter, ServiceRecord, StewardEvent, domain_plan,
+};
 use goldcrestramp_platform::{
     PlatformClient, StoreAccess, StoreError, VmEntry,
     records::{StoreRecord, keys},
@@ -16,15 +18,22 @@
 use crate::{
     control::{
         actor::ControlActor,
-        messages::{ConfigNotice, HomesNotice, RosterNotice, VmsNotice},
+        messages::{
+            ConfigNotice, HomesNotice, RosterNotice, StewardAsk, StewardPlace,
+            VmsNotice,
+        },
         tables::TableHub,
     },
     operators::restore_config,
-    store::{StorePause, read_division},
+    store::{StorePause, read_division, read_roster},
 };
 
 /// How long one watch waits; each is one call for the service to count.
 const WATCH_SPAN: TimeSpan = TimeSpan::from_millis(10_000);
+/// How long a VM looks for a steward before it reads the roster again.
+///
+/// Longer than an election, after which every voter names the new one.
+const ROSTER_EVERY: Duration = Duration::from_secs(2);
 /// How often the steward reads the VM list.
 const VMS_EVERY: Duration = Duration::from_secs(1);
 
@@ -67,6 +76,36 @@
     }
 }
 
+/// Reads the roster again while this VM knows no steward.
+///
+/// A steward asks its voters alone. Of a domain that starts as a whole, the
+/// VMs that are no voters find no roster at first; those that run for long
+/// know one whose voters have all been replaced. Either would never learn
+/// who leads, and would keep no server and get no table for ever.
+pub(crate) async fn read_roster_again(
+    store: PlatformClient,
+    domain: DomainName,
+    actor: Address<ControlActor>,
+) {
+    let mut pause = StorePause::new();
+    loop {
+        tokio::time::sleep(ROSTER_EVERY).await;
+        match actor.send(StewardAsk).await {
+            Ok(StewardPlace::Unknown) => {}
+            Ok(_known) => {
+                pause.reset();
+                continue;
+            }
+            Err(_ended) => return,
+        }
+        let read = read_roster(store.clone(), domain.clone()).await;
+        if let Some(StewardEvent::RosterRead(roster)) = read {
+            drop(actor.send(RosterNotice(roster)).await);
+        }
+        pause.wait().await;
+    }
+}
+
 async fn read_all(
     store: &PlatformClient,
     domain: &DomainName,
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -111,6 +111,11 @@
         context.domain().clone(),
         actor.clone(),
     ));
+    tokio::spawn(reader::read_roster_again(
+        store.clone(),
+        context.domain().clone(),
+        actor.clone(),
+    ));
     tokio::spawn(reader::watch_config(
         store.clone(),
         Arc::clone(&hub),
--- a/goldcrestramp-node/tests/fleet/mod.rs
+++ b/goldcrestramp-node/tests/fleet/mod.rs
@@ -5,11 +5,13 @@
     time::Duration,
 };
 
-use goldcrestramp_config::{DeploymentState, NodeSettings};
+use goldcrestramp_config::{
+    AcceptOutcome, DeploymentState, NodeSettings, accept_ticket, parse_ticket,
+};
 use goldcrestramp_node::{NodeHandle, StatusReport, TicketAnswer};
 use goldcrestramp_ownership::VoterRoster;
 use goldcrestramp_platform::{
-    PlatformClient, StoreAccess, VmEntry, VmState,
+    PlatformClient, PutCondition, StoreAccess, VmEntry, VmState,
     records::{StoreRecord, keys},
 };
 use goldcrestramp_standins::platform::PlatformStandin;
@@ -45,9 +47,33 @@
     ///
     /// `seat`: another number for each test of the process.
     pub(crate) async fn spawn(seat: u8) -> Self {
+        let vms = DOMAINS.len() * VMS_A_DOMAIN;
+        let domain_of = |vm| DOMAINS[vm / VMS_A_DOMAIN];
+        let fleet = Self::start(seat, vms, false, domain_of).await;
+        fleet.apply(0, &first_ticket()).await;
+        fleet.wait_for_weight(0, 1).await;
+        for domain in DOMAINS {
+            wait_until(async || fleet.voters(domain).await == VMS_A_DOMAIN)
+                .await;
+        }
+        fleet
+    }
+
+    /// Starts so many VMs of one failure domain, whose configuration is in
+    /// the store already.
+    pub(crate) async fn spawn_one_domain(seat: u8, vms: usize) -> Self {
+        Self::start(seat, vms, true, |_| DOMAINS[0]).await
+    }
+
+    async fn start(
+        seat: u8,
+        vms: usize,
+        configured: bool,
+        domain_of: impl Fn(usize) -> &'static str,
+    ) -> Self {
         let platform = PlatformStandin::bind(loopback()).await.expect("bound");
-        let all: Vec<_> = (0..DOMAINS.len() * VMS_A_DOMAIN)
-            .map(|vm| settings(seat, vm, platform.address()))
+        let all: Vec<_> = (0..vms)
+            .map(|vm| settings(seat, vm, domain_of(vm), platform.address()))
             .collect();
         platform.set_vms(all.iter().map(vm_entry).collect());
         let http = reqwest::Client::new();
@@ -55,19 +81,30 @@
             PlatformClient::open(&format!("http://{}", platform.address()));
         let store = store.expect("a client");
         let mut fleet = Self { platform, nodes: Vec::new(), store, http };
+        if configured {
+            fleet.put_config().await;
+        }
         for settings in all {
             let node = NodeHandle::spawn(settings).await.expect("started");
             fleet.nodes.push(node);
         }
-        fleet.apply(0, &first_ticket()).await;
-        fleet.wait_for_weight(0, 1).await;
-        for domain in DOMAINS {
-            wait_until(async || fleet.voters(domain).await == VMS_A_DOMAIN)
-                .await;
-        }
         fleet
     }
 
+    async fn put_config(&self) {
+        let text = first_ticket().to_string();
+        let ticket = parse_ticket("first", &text).expect("a ticket").ticket;
+        let empty = DeploymentState::default();
+        let accepted = accept_ticket(&empty, &ticket);
+        let AcceptOutcome::Accepted(state) = accepted else {
+            panic!("{accepted:?}");
+        };
+        let value = state.encode().expect("JSON");
+        let absent = PutCondition::Absent;
+        let put = self.store.put(keys::CONFIG, absent, value, None);
+        put.await.expect("written");
+    }
+
     /// How many voters the store's roster of a domain has.
     async fn voters(&self, domain: &str) -> usize {
         let domain = DomainName::new(domain).expect("a name");
@@ -175,7 +212,12 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-fn settings(seat: u8, vm: usize, platform: SocketAddr) -> NodeSettings {
+fn settings(
+    seat: u8,
+    vm: usize,
+    domain: &str,
+    platform: SocketAddr,
+) -> NodeSettings {
     // A host of the VM's own: no connection or other listener takes a
     // drawn port before the daemon binds it.
     let [_, _, high, low] = std::process::id().to_be_bytes();
@@ -187,7 +229,7 @@
     let value = json!({
         "deployment": "fleet",
         "vm": format!("vm-{vm}"),
-        "domain": DOMAINS[vm / VMS_A_DOMAIN],
+        "domain": domain,
         "region": "sierra",
         "callers_listen": listen[0],
         "peers_listen": listen[1],
--- a/goldcrestramp-node/tests/tickets.rs
+++ b/goldcrestramp-node/tests/tickets.rs
@@ -43,6 +43,22 @@
     }
 }
 
+// A domain of more VMs than it has voters starts as a whole: none finds a
+// roster, and the steward that comes of it asks its voters alone. The others
+// must find it too, or they keep no server and never see a ticket.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_is_no_voter_finds_its_steward() {
+    let fleet = VmFleet::spawn_one_domain(7, 8).await;
+
+    for vm in 0..fleet.nodes.len() {
+        wait_until(async || {
+            let view = fleet.status(vm).await.view;
+            view.is_some_and(|view| view.nodes.len() == 8)
+        })
+        .await;
+    }
+}
+
 // Tickets go to VMs of all failure domains, stewards or not. Each domain's
 // steward sees them in the store and streams them to its own VMs: every VM
 // must end with all of them.
