Publish the keeper's view only when it can have changed

Cause: each tick of the control thread replaced the view of the traffic threads, 20 times a second, though only reports, permits and servers' replies change it. Change: the tick publishes nothing; a report does, because it may drop servers.

--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -229,6 +229,8 @@
             self.publish_view();
             return;
         }
+        // What a report drops must be sent no request any more.
+        self.publish_view();
         let Some(address) = self.search.next() else {
             return;
         };
@@ -284,6 +286,9 @@
     }
 
     /// Shows the traffic threads what they may send.
+    ///
+    /// Only after a report, a permit or a server's reply: nothing else
+    /// changes it, and what has run out the threads see by its deadline.
     pub(super) fn publish_view(&mut self) {
         let passes = self.keeper.passes(self.context.now());
         let view = KeeperView::new(passes, self.keeper.servers());
--- a/goldcrestramp-node/src/control/handlers.rs
+++ b/goldcrestramp-node/src/control/handlers.rs
@@ -33,7 +33,6 @@
         self.tell_running();
         self.ask_permit();
         self.send_orders();
-        self.publish_view();
     }
 }
 
