Apply a demo's drain again while the store is away

Change: the same ticket is applied again, as an operator is told to, while faults that end meanwhile end on time.

--- a/src/commands/demo/fault.rs
+++ b/src/commands/demo/fault.rs
@@ -14,6 +14,10 @@
 
 /// How long a fault lasts that ends by itself.
 const FAULT_TIME: Duration = Duration::from_secs(4);
+/// How often a drain is applied to a store that is away, and the pause
+/// between: together longer than [`FAULT_TIME`].
+const DRAIN_TRIES: u32 = 50;
+const DRAIN_PAUSE: Duration = Duration::from_millis(200);
 /// How many writes lose their answers.
 const LOST_ANSWERS: u32 = 3;
 
@@ -163,6 +167,44 @@
         }
     }
 
+    /// Applies a ticket that drains a server.
+    ///
+    /// The store may be what another fault struck: the same ticket again is
+    /// safe, and tells what became of the first. Faults that end meanwhile
+    /// end on time; those that begin are late.
+    async fn drain_server(
+        &mut self,
+        deployment: &mut DemoDeployment,
+        index: usize,
+    ) -> eyre::Result<()> {
+        let mut rules = deployment.servers[index].rules.clone();
+        rules.drain = true;
+        let ticket = ChangeTicket {
+            ticket: deployment.state.version + 1,
+            servers: vec![rules],
+            ..ChangeTicket::default()
+        };
+        for _ in 0..DRAIN_TRIES {
+            let (store, held) = (&deployment.store, &deployment.state);
+            match apply_ticket(store, held, &ticket).await {
+                ApplyOutcome::Accepted(state)
+                | ApplyOutcome::AcceptedAlready(state) => {
+                    deployment.state = *state;
+                    return Ok(());
+                }
+                refused @ ApplyOutcome::Refused { .. } => {
+                    bail!("the drain was not accepted: {refused:?}");
+                }
+                ApplyOutcome::NotApplied(_) | ApplyOutcome::Unknown(_) => {
+                    let next = Instant::now() + DRAIN_PAUSE;
+                    self.end_until(deployment, next).await;
+                    tokio::time::sleep_until(next).await;
+                }
+            }
+        }
+        bail!("the drain was not accepted: the store stayed away");
+    }
+
     async fn begin(
         &mut self,
         deployment: &mut DemoDeployment,
@@ -180,7 +222,7 @@
             }
             FaultName::ServerDrain => {
                 let index = self.pick_server(deployment);
-                drain_server(deployment, index).await?;
+                self.drain_server(deployment, index).await?;
             }
             FaultName::VmLoss => {
                 let index = self.pick_node(deployment)?;
@@ -357,24 +399,3 @@
     let faults = PlatformFaults { outage, ..deployment.platform.faults() };
     deployment.platform.set_faults(faults);
 }
-
-/// Applies a ticket that drains a server.
-async fn drain_server(
-    deployment: &mut DemoDeployment,
-    index: usize,
-) -> eyre::Result<()> {
-    let mut rules = deployment.servers[index].rules.clone();
-    rules.drain = true;
-    let ticket = ChangeTicket {
-        ticket: deployment.state.version + 1,
-        servers: vec![rules],
-        ..ChangeTicket::default()
-    };
-    let applied =
-        apply_ticket(&deployment.store, &deployment.state, &ticket).await;
-    match applied {
-        ApplyOutcome::Accepted(state) => deployment.state = *state,
-        other => bail!("the drain was not accepted: {other:?}"),
-    }
-    Ok(())
-}
