Keep a hot caller from filling the way to a keeper

Cause: a connection between two VMs carried 200 requests at once. One caller with more than that waiting at a keeper took all of them, and the requests of others waited at their gateway, first come first served, where no fair share is kept; a refusal could not come at once either. Change: as many as may wait for a server, 10,000. Figures: a_hot_caller_does_not_fill_the_way_to_the_keeper, 400 lookups of a hot caller and five of another one, one slot of 10 ms: before, 217 executions went by until the five were answered; after, it passes (below 100).

--- a/goldcrestramp-node/src/peers.rs
+++ b/goldcrestramp-node/src/peers.rs
@@ -136,7 +136,10 @@
 }
 
 /// Requests under way on one connection of a peer; others wait at the peer.
-const STREAMS_MOST: u32 = 200;
+///
+/// As many as may wait for a server: those that wait at the peer do so in
+/// the order of their coming, where a hot caller takes the whole way.
+const STREAMS_MOST: u32 = 10_000;
 /// The largest head of a peer's request, in bytes.
 const HEAD_LIMIT: u32 = 16 * 1_024;
 /// How often a peer's connection is probed here: one whose VM is gone would
--- a/goldcrestramp-node/tests/admission.rs
+++ b/goldcrestramp-node/tests/admission.rs
@@ -270,3 +270,29 @@
     let least = done.iter().min().expect("eight callers");
     assert!(least * 8 * 4 > all, "{done:?}");
 }
+
+/// A hot caller has more requests waiting at one keeper than a connection
+/// between two VMs carries at once. Another caller's lookups still reach
+/// the keeper's queue and get their share there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_hot_caller_does_not_fill_the_way_to_the_keeper() {
+    let one = OneNode::spawn(1, 10).await;
+    let hot = (0..400).map(|number| {
+        let key = format!("h{number}");
+        one.request(Method::GET, &key, "hot", PATIENT_MS).send()
+    });
+    let rare = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let began = executions(&one).len();
+        for number in 0..5 {
+            let key = format!("r{number}");
+            let ask = one.request(Method::GET, &key, "rare", PATIENT_MS);
+            assert_eq!(outcome(&ask.send().await.expect("whole")), "done");
+        }
+        executions(&one).len() - began
+    };
+    let (_hot, passed) = tokio::join!(join_all(hot), rare);
+
+    // Turn by turn they take ten, and a few on the way between two.
+    assert!(passed < 100, "{passed} of the others went before");
+}
