Break off an answer whose server has fallen silent

Cause: a keeper looked for a lost server only until an answer's first byte; after it, it waited for the next part without an end, and the caller until its deadline.

Change: a server that has sent nothing for 2 s is asked what it knows of the request. Any answer shows that it lives, also while it is drained; three questions without one end the answer without its end mark.

--- a/goldcrestramp-node/src/keeper/mod.rs
+++ b/goldcrestramp-node/src/keeper/mod.rs
@@ -11,6 +11,7 @@
 mod recover;
 mod send;
 mod service;
+mod silence;
 mod slot;
 mod view;
 
--- a/goldcrestramp-node/src/keeper/recover.rs
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -15,6 +15,7 @@
 use crate::keeper::{
     frames, prove,
     send::{self, FrameSender, ServerRequest},
+    silence::SilenceWatch,
 };
 
 /// How often a server is asked whether a request has ended.
@@ -128,7 +129,9 @@
     if !response.status().is_success() || !same {
         return unknown(frames, UnknownReason::KeeperLost).await;
     }
-    send::pass_on(response, lost.request, frames, None, None).await;
+    let (address, request) = (&*lost.address, &*lost.request.id);
+    let watch = SilenceWatch { http, address, request };
+    send::pass_on(response, lost.request, frames, watch, None, None).await;
 }
 
 async fn unknown(frames: &FrameSender, reason: UnknownReason) {
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::StreamExt;
 use goldcrestramp_decisions::{ANSWER_LIMIT, AttemptId, StoredAnswer};
 use goldcrestramp_types::{
     CallerName, LocalTime, NotRunReason, RequestClass, RequestEffect,
@@ -29,6 +28,7 @@
         frames,
         link::LinkCrossing,
         prove,
+        silence::SilenceWatch,
         slot::{ServerSlot, SlotEnd},
         view::KeptServer,
     },
@@ -158,7 +158,10 @@
     let once = request.class.effect() == RequestEffect::NonIdempotent;
     let mut copy = once.then(|| AnswerCopy::new(&response));
     let copied = copy.as_mut();
-    match pass_on(response, request, frames, Some(slot), copied).await {
+    let (address, id) = (&*kept.order.address, &*request.id);
+    let watch = SilenceWatch { http, address, request: id };
+    let passed = pass_on(response, request, frames, watch, Some(slot), copied);
+    match passed.await {
         PassEnd::Whole => {
             slot.complete();
             if let Some(copy) = copy {
@@ -223,6 +226,7 @@
     response: Response,
     request: &ServerRequest,
     frames: &FrameSender,
+    watch: SilenceWatch<'_>,
     slot: Option<&ServerSlot>,
     mut copy: Option<&mut AnswerCopy>,
 ) -> PassEnd {
@@ -238,7 +242,7 @@
     }
     let mut passed = 0;
     let mut chunks = response.bytes_stream();
-    while let Some(chunk) = chunks.next().await {
+    while let Some(chunk) = watch.next(&mut chunks).await {
         let Ok(chunk) = chunk else {
             broken(frames);
             return PassEnd::ServerBroke;
