--- a/goldcrestramp-node/src/keeper/recover.rs
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -129,7 +129,7 @@
     if !response.status().is_success() || !same {
         return unknown(frames, UnknownReason::KeeperLost).await;
     }
-    let (address, request) = (&*lost.address, &*lost.request.id);
+    let (address, request) = (lost.address, &*lost.request.id);
     let watch = SilenceWatch { http, address, request };
     send::pass_on(response, lost.request, frames, watch, None, None).await;
 }
