Let no shorter permit end a longer one of the same term

Cause: 60,000 more cases in a domain of three gave two owners ('slice 4 at s-0 and s-1', 15.97 s), under one steward and one keeper. The steward added a voter whose last confirmation was old, so its own time, and the next permit, ended 0.6 s sooner than the one before had allowed. The keeper took the shorter permit, lapsed, and forgot a server without fences with a grant under way; named again, it reported that the server held nothing. Change: a permit never shortens one of the same term; the steward reckons with the longest already.

--- a/goldcrestramp-ownership/src/keeper/mod.rs
+++ b/goldcrestramp-ownership/src/keeper/mod.rs
@@ -14,6 +14,7 @@
 use self::server::KeptServer;
 use crate::{
     message::{KeeperReport, PermitAnswer, ServerOrder},
+    safeguard::Safeguard,
     timing::TermTiming,
 };
 
@@ -142,8 +143,17 @@
             self.poll_at = now;
             return;
         }
+        // A steward that counts by a larger roster may permit less than
+        // before. The grants of before live on: with its permit ended, this
+        // keeper would forget them, and say that the server holds nothing.
+        // The steward reckons with the longest permit that it gave.
+        let longest = self.timing.safeguards.has(Safeguard::LongestPermit);
+        let mut until = sent + self.timing.shortened(valid);
+        if longest && term == self.term {
+            until = until.max(self.until);
+        }
         self.term = term;
-        self.until = sent + self.timing.shortened(valid);
+        self.until = until;
         self.poll_at = now + again.min(self.timing.renew_every);
         self.follow(now, orders);
         for kept in self.servers.values_mut() {
--- a/goldcrestramp-ownership/src/safeguard.rs
+++ b/goldcrestramp-ownership/src/safeguard.rs
@@ -27,6 +27,8 @@
     LateOrder,
     /// A copy of an answered grant may still reach a server without fences.
     GrantCopy,
+    /// A later, shorter permit of the same term ends no longer one.
+    LongestPermit,
     /// No extension prolongs what a late grant may bring back.
     NamedSet,
     /// A server's new run is granted nothing under a permit of before it.
--- a/goldcrestramp-ownership/tests/keeper.rs
+++ b/goldcrestramp-ownership/tests/keeper.rs
@@ -50,6 +50,16 @@
 
     /// Gets a permit for a second, with the order to hold `slices`.
     fn permit(&mut self, now: u64, sequence: u64, slices: &[SliceIndex]) {
+        self.permit_for(now, 1_000, sequence, slices);
+    }
+
+    fn permit_for(
+        &mut self,
+        now: u64,
+        valid: u64,
+        sequence: u64,
+        slices: &[SliceIndex],
+    ) {
         let report = self.keeper.report(at(now));
         let order = ServerOrder {
             server: server(),
@@ -69,7 +79,7 @@
         let answer = PermitAnswer::Permitted {
             term: token(1).term,
             sequence: report.sequence,
-            valid: TimeSpan::from_millis(1_000),
+            valid: TimeSpan::from_millis(valid),
             again: TimeSpan::from_millis(200),
             orders: vec![order],
         };
@@ -124,3 +134,26 @@
         assert_eq!(starts, prolonged);
     }
 }
+
+// A steward adds a voter that confirmed it long ago, and so permits less
+// than before. The server's grant outlives that shorter permit: a keeper
+// that forgot it then would report a server that holds nothing.
+#[test]
+fn a_shorter_permit_lets_no_grant_be_forgotten() {
+    for (safeguards, remembers) in [
+        (Safeguards::default(), true),
+        (Safeguards::without(Safeguard::LongestPermit), false),
+    ] {
+        let mut pair = KeptPair::new(safeguards);
+        pair.permit(5_000, 1, &[slice()]);
+        pair.talk(5_000);
+        pair.permit(5_010, 1, &[slice()]);
+        pair.talk(5_010);
+        pair.permit_for(5_020, 100, 1, &[slice()]);
+
+        let report = pair.keeper.report(at(5_300));
+
+        assert!(pair.holder.may_start(clock(5_300), slice(), token(1)));
+        assert_eq!(report.servers.len() == 1, remembers);
+    }
+}
--- a/goldcrestramp-ownership/tests/ownership/late_grants.rs
+++ b/goldcrestramp-ownership/tests/ownership/late_grants.rs
@@ -137,9 +137,49 @@
     ]
 }
 
+/// A grant that was forgotten, in a domain of three VMs.
+fn forgotten_among_three() -> Vec<Fault> {
+    vec![
+        Fault::StoreDown,
+        run(26, 0),
+        run(33, 0),
+        run(2156, 9734171605935463771),
+        weather(38, 15, 2100),
+        run(2485, 7473184008592157642),
+        Fault::StoreUp,
+        Fault::CutServer(1, 3),
+        weather(0, 0, 5),
+        run(479, 15544952922021677414),
+        Fault::LeavingVm(0, true),
+        run(916, 8436869398337533746),
+        Fault::HealLinks,
+        weather(0, 10, 1315),
+        run(575, 15559076093219259664),
+        Fault::StartVm(1),
+        Fault::StoreUp,
+        run(367, 8088376815254008286),
+        run(52, 1522907298084553173),
+        run(525, 11308970177042981299),
+        Fault::PauseVm(0),
+        run(1132, 4845466518758889300),
+        Fault::StartServer(0),
+        run(1689, 4568698246420048130),
+        run(605, 12677092485105067355),
+        weather(0, 0, 5),
+        Fault::KillVm(2),
+        Fault::StartServer(2),
+        Fault::SlowServer(1, 1, 199),
+        run(1, 0),
+        run(282, 15103356101524282337),
+        run(499, 6873469476008922196),
+    ]
+}
+
 #[test]
 fn what_late_grants_once_did_is_over() {
-    for (vms, faults) in [(4, among_four()), (3, among_three())] {
+    for (vms, faults) in
+        [(4, among_four()), (3, among_three()), (3, forgotten_among_three())]
+    {
         let wrong = judge_domain(vms, &faults, Safeguards::default());
         assert_eq!(wrong, None, "among {vms}");
     }
