--- a/goldcrestramp-node/src/keeper/mod.rs
+++ b/goldcrestramp-node/src/keeper/mod.rs
@@ -13,6 +13,7 @@
 mod request;
 mod send;
 mod service;
+mod silence;
 mod slot;
 mod view;
 
--- a/goldcrestramp-node/src/keeper/pass_on.rs
+++ b/goldcrestramp-node/src/keeper/pass_on.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use futures_util::StreamExt;
 use goldcrestramp_decisions::{ANSWER_LIMIT, StoredAnswer};
 use goldcrestramp_wire::peer::{RouteFrame, RouteHead};
 use reqwest::{Response, header::CONTENT_TYPE};
@@ -11,7 +10,8 @@
 use tonic::Status;
 
 use crate::keeper::{
-    attempts::AttemptGuard, frames, request::ServerRequest, slot::ServerSlot,
+    attempts::AttemptGuard, frames, request::ServerRequest,
+    silence::SilenceWatch, slot::ServerSlot,
 };
 
 /// How often an answer that does not move is looked at.
@@ -36,6 +36,7 @@
     response: Response,
     request: &ServerRequest,
     frames: &FrameSender,
+    watch: SilenceWatch<'_>,
     slot: Option<&ServerSlot>,
     mut copy: Option<AnswerCopy<'_>>,
 ) -> PassEnd {
@@ -51,7 +52,7 @@
     }
     let mut passed = 0;
     let mut chunks = response.bytes_stream();
-    while let Some(chunk) = chunks.next().await {
+    while let Some(chunk) = watch.next(&mut chunks).await {
         let Ok(chunk) = chunk else {
             broken(frames);
             return PassEnd::ServerBroke;
--- a/goldcrestramp-node/src/keeper/recover.rs
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -17,6 +17,7 @@
     pass_on::{self, FrameSender},
     prove,
     request::ServerRequest,
+    silence::SilenceWatch,
 };
 
 /// How often a server is asked whether a request has ended.
@@ -130,7 +131,9 @@
     if !response.status().is_success() || !same {
         return unknown(frames, UnknownReason::KeeperLost).await;
     }
-    pass_on::pass_on(response, lost.request, frames, None, None).await;
+    let (address, request) = (lost.address, &*lost.request.id);
+    let watch = SilenceWatch { http, address, request };
+    pass_on::pass_on(response, lost.request, frames, watch, None, None).await;
 }
 
 async fn unknown(frames: &FrameSender, reason: UnknownReason) {
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -22,6 +22,7 @@
         pass_on::{AnswerCopy, FrameSender, PassEnd, give, pass_on},
         prove,
         request::ServerRequest,
+        silence::SilenceWatch,
         slot::{ServerSlot, SlotEnd},
         view::KeptServer,
     },
@@ -111,7 +112,10 @@
     slot.begin();
     let once = request.class.effect() == RequestEffect::NonIdempotent;
     let copy = once.then(|| AnswerCopy::new(attempt, &response));
-    match pass_on(response, request, frames, Some(slot), copy).await {
+    let (address, id) = (&*kept.order.address, &*request.id);
+    let watch = SilenceWatch { http, address, request: id };
+    let passed = pass_on(response, request, frames, watch, Some(slot), copy);
+    match passed.await {
         PassEnd::Whole => slot.complete(),
         PassEnd::ServerBroke => slot.fail(SlotEnd::Broken),
         PassEnd::ReaderGone => slot.fail(SlotEnd::Cancelled),
