Let a domain declared lost by mistake stop before its slices are taken

The planner takes a lost domain's slices without a release, at once. Change: for 10 s after the planner saw the ticket (8 s until it is in force everywhere, a lease, clocks) a lost domain's slices move by release alone; then they are taken. Keys of a region that is truly lost wait up to 10 s longer after its ticket.

--- a/goldcrestramp-node/src/planner/mod.rs
+++ b/goldcrestramp-node/src/planner/mod.rs
@@ -7,6 +7,7 @@
 mod feed;
 mod heads;
 mod lease;
+mod lost;
 mod round;
 
 use std::{sync::Arc, time::Duration};
@@ -16,7 +17,9 @@
 use tokio::sync::watch;
 
 pub(crate) use self::feed::PlacementFeed;
-use self::{heads::HeadWatch, lease::LeaseHold, round::plan_all};
+use self::{
+    heads::HeadWatch, lease::LeaseHold, lost::LostBook, round::plan_all,
+};
 use crate::{context::NodeContext, control::TableSet, store::StorePause};
 
 /// How often the planner looks while slices are on the move, should it not
@@ -42,6 +45,7 @@
     });
     let mut pause = StorePause::new();
     let mut heads = HeadWatch::default();
+    let mut lost = LostBook::default();
     loop {
         if !*leading.borrow() {
             heads = HeadWatch::default();
@@ -56,7 +60,9 @@
             Ok(true) => {
                 heads.follow(&store, &domains(&set));
                 let book = heads.look();
-                plan_all(&store, &set, &book, &context.faults).await
+                let stopping = lost.stopping(context.now(), &set);
+                let faults = &context.faults;
+                plan_all(&store, &set, &book, &stopping, faults).await
             }
             Ok(false) => {
                 heads = HeadWatch::default();
--- a/goldcrestramp-node/src/planner/round.rs
+++ b/goldcrestramp-node/src/planner/round.rs
@@ -25,6 +25,7 @@
     store: &PlatformClient,
     set: &TableSet,
     heads: &HeadBook,
+    stopping: &FastSet<DomainName>,
     faults: &NodeFaults,
 ) -> Result<bool, StoreError> {
     let Some(config) = &set.config else {
@@ -33,6 +34,7 @@
     let mut busy = false;
     for service in &config.services {
         let policy = ServicePolicy::of(config, service);
+        let policy = policy.with_stopping(stopping.clone());
         let known = set.homes.get(&service.name);
         let stranded = heads.stranded(&service.name);
         let look = ServiceLook { service, policy, known, stranded };
--- a/goldcrestramp-ownership/src/planner/policy.rs
+++ b/goldcrestramp-ownership/src/planner/policy.rs
@@ -30,6 +30,8 @@
     pub shares: Vec<DomainShare>,
     /// The domains that an operator has declared lost.
     pub lost: FastSet<DomainName>,
+    /// Those of them whose servers may not have heard of it yet.
+    pub stopping: FastSet<DomainName>,
     /// The last ticket that touched each configured domain.
     pub tickets: FastMap<DomainName, TouchMark>,
 }
@@ -58,6 +60,7 @@
             count: service.slices,
             shares: shares.collect(),
             lost: lost.map(|domain| domain.name.clone()).collect(),
+            stopping: FastSet::default(),
             tickets: tickets.collect(),
         }
     }
@@ -80,6 +83,23 @@
         self.shares.iter().any(|share| share.domain == *domain)
     }
 
+    /// The same rules, while these lost domains may still be serving.
+    #[must_use]
+    pub fn with_stopping(mut self, stopping: FastSet<DomainName>) -> Self {
+        self.stopping = stopping;
+        self
+    }
+
+    /// Whether the slices of `domain` may be taken without its release.
+    ///
+    /// A domain that was declared lost by mistake serves until it hears of
+    /// it. Taken before, its slices had two owners for 56 ms. Within the
+    /// wait it releases them, and they move at once, as in any move.
+    #[must_use]
+    pub fn may_take_from(&self, domain: &DomainName) -> bool {
+        self.is_lost(domain) && !self.stopping.contains(domain)
+    }
+
     /// Whether an operator has declared `domain` lost.
     #[must_use]
     pub fn is_lost(&self, domain: &DomainName) -> bool {
--- a/goldcrestramp-ownership/src/planner/round.rs
+++ b/goldcrestramp-ownership/src/planner/round.rs
@@ -237,7 +237,7 @@
         let mut tally = DivisionTally::of(self.policy, &self.record);
         for slice in self.policy.count.indices() {
             let domain = self.record.domain_of(slice);
-            if domain.is_none_or(|domain| !self.policy.is_lost(domain)) {
+            if domain.is_none_or(|d| !self.policy.may_take_from(d)) {
                 continue;
             }
             if let Some(target) = self.choose(slice, &mut tally) {
--- a/goldcrestramp-ownership/tests/planner.rs
+++ b/goldcrestramp-ownership/tests/planner.rs
@@ -11,8 +11,8 @@
     StrandedCause, domain_plan,
 };
 use goldcrestramp_types::{
-    DomainName, FastMap, RegionName, ServerName, ServiceName, SliceCount,
-    SliceIndex, SliceSet,
+    DomainName, FastMap, FastSet, RegionName, ServerName, ServiceName,
+    SliceCount, SliceIndex, SliceSet,
 };
 
 const COUNT: u32 = 64;
@@ -214,6 +214,32 @@
     assert_eq!(decide(Some(&noted), views(), &state, &[]), None);
 }
 
+/// A domain is declared lost by mistake. Until it has heard of that its
+/// server serves on: the slices stay its own, are asked for, and move when
+/// it has released them. Taken at once, each had two owners for a moment.
+#[test]
+fn a_lost_domain_that_may_still_serve_gives_its_slices_up_first() {
+    let mut state = state([2, 1, 1]);
+    let record = first(&state);
+    set_lost(&mut state, 0, true, 2);
+    let stopping: FastSet<_> = [domain("a")].into_iter().collect();
+    let policy = policy(&state).with_stopping(stopping);
+    let decide = |record: &ServiceRecord, views| {
+        let round = PlannerRound::open(Some(record.clone()));
+        round.viewed(views).decide(&policy, &[])
+    };
+
+    let asked = decide(&record, views()).expect("slices asked for");
+    let released = asked.leaving(&domain("a"));
+    let mut views = views();
+    views.insert(domain("a"), view(released.clone()));
+    let moved = decide(&asked, views).expect("slices moved");
+
+    assert_eq!(held(&asked), held(&record));
+    assert!(!released.is_empty());
+    assert_eq!(moved.held_by(&domain("a")).len() + released.len(), 32);
+}
+
 /// A domain is declared lost and soon returns. A planner that was paused
 /// knows only of the loss and wakes after the domain has begun to serve
 /// again: it must not take the slices. Its write fails because the record
--- a/goldcrestramp-ownership/tests/planner_history.rs
+++ b/goldcrestramp-ownership/tests/planner_history.rs
@@ -11,7 +11,8 @@
     ServicePolicy, ServiceRecord, StrandedCause, ViewStage,
 };
 use goldcrestramp_types::{
-    DomainName, FastMap, ServiceName, SliceCount, SliceIndex, SliceSet,
+    DomainName, FastMap, FastSet, ServiceName, SliceCount, SliceIndex,
+    SliceSet,
 };
 use proptest::prelude::*;
 
@@ -93,6 +94,7 @@
             count: SliceCount::new(SLICES).expect("a power of two"),
             shares: shares.collect(),
             lost: lost.map(name).collect(),
+            stopping: FastSet::default(),
             tickets: (0..DOMAINS)
                 .map(|d| (name(d), self.domains[d].ticket))
                 .collect(),
