--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -9,8 +9,8 @@
     domain_plan,
 };
 use goldcrestramp_platform::PlatformClient;
-use goldcrestramp_types::{LocalTime, VmName};
-use tokio::sync::watch;
+use goldcrestramp_types::{FastSet, LocalTime, VmName};
+use tokio::sync::{broadcast, watch};
 use xtra::{Actor, Address, Mailbox, WeakAddress};
 
 use crate::{
@@ -29,6 +29,9 @@
     store::{self, RecordStore},
 };
 
+/// Tells the streams of keepers for whom the steward has new orders.
+pub(crate) type NewsSender = broadcast::Sender<Arc<FastSet<VmName>>>;
+
 /// Steward, grants and voter of one VM, with all that they need.
 #[derive(Debug)]
 pub(crate) struct ControlActor {
@@ -49,6 +52,8 @@
     pub(super) ask_at: LocalTime,
     pub(super) asking: bool,
     pub(super) leading: watch::Sender<bool>,
+    /// The VMs whose keepers are to fetch new orders.
+    pub(super) news: NewsSender,
 }
 
 impl ControlActor {
@@ -58,6 +63,7 @@
         store: PlatformClient,
         hub: Arc<TableHub>,
         leading: watch::Sender<bool>,
+        news: NewsSender,
     ) -> Self {
         let timing = TermTiming::default();
         let now = context.now();
@@ -95,6 +101,7 @@
             ask_at: now,
             asking: false,
             leading,
+            news,
             context,
         }
     }
@@ -149,6 +156,34 @@
         }
     }
 
+    /// Acts at once on what the steward has just learned.
+    ///
+    /// A slice that moves has no owner between its release and its grant.
+    /// Left to the next tick and the next report of each keeper, that took
+    /// 200 to 300 ms.
+    pub(super) fn act_on_news(&mut self) {
+        if self.steward.is_due() {
+            self.steward_event(StewardEvent::Tick);
+        }
+        let news = self.steward.take_news();
+        if news.is_empty() {
+            return;
+        }
+        if news.contains(self.context.vm()) {
+            self.ask_now();
+        }
+        // Nobody listens while no keeper has a stream open.
+        let _listeners = self.news.send(Arc::new(news));
+    }
+
+    /// Fetches new orders and passes them on.
+    pub(super) fn ask_now(&mut self) {
+        self.keeper.ask_now();
+        self.ask_permit();
+        self.send_orders();
+        self.publish_view();
+    }
+
     /// Runs a call to the store and hands its event to the steward.
     pub(super) fn spawn_store(
         &self,
--- a/goldcrestramp-node/src/control/handlers.rs
+++ b/goldcrestramp-node/src/control/handlers.rs
@@ -8,9 +8,10 @@
 use crate::control::{
     actor::ControlActor,
     messages::{
-        ConfigNotice, DrainedAsk, GrantNotice, HomesNotice, PermitAsk,
-        PermitNotice, RosterNotice, StatusAsk, StewardAsk, StewardNotice,
-        StewardPlace, TableNotice, TickNotice, VmsNotice, VoteAsk,
+        AskNotice, ConfigNotice, DrainedAsk, GrantNotice, HomesNotice,
+        PermitAsk, PermitNotice, RosterNotice, StatusAsk, StewardAsk,
+        StewardNotice, StewardPlace, TableNotice, TickNotice, VmsNotice,
+        VoteAsk,
     },
     reader,
     status::ControlStatus,
@@ -32,6 +33,7 @@
         self.ask_permit();
         self.send_orders();
         self.publish_view();
+        self.act_on_news();
     }
 }
 
@@ -60,6 +62,7 @@
             self.feed.take(now, &report);
         }
         let answer = self.steward.permit(now, report);
+        self.act_on_news();
         if let PermitAnswer::NotSteward { steward: None } = &answer {
             let steward = self.search.known().cloned();
             return PermitAnswer::NotSteward { steward };
@@ -82,6 +85,16 @@
             self.search.take_roster(roster);
         }
         self.steward_event(event);
+        self.act_on_news();
+    }
+}
+
+impl Handler<AskNotice> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: AskNotice, _: &mut Context<Self>) {
+        self.context.faults.wait().await;
+        self.ask_now();
     }
 }
 
@@ -103,6 +116,8 @@
         self.keeper.permitted(now, sent, answer);
         self.send_orders();
         self.publish_view();
+        // News may have come while the question was under way.
+        self.ask_permit();
     }
 }
 
@@ -117,8 +132,10 @@
             Some(reply) => self.keeper.replied(now, sent, &server, &reply),
             None => self.keeper.unanswered(now, sent, &server),
         }
+        self.ask_permit();
         self.send_orders();
         self.publish_view();
+        self.act_on_news();
     }
 }
 
@@ -131,6 +148,7 @@
         _: &mut Context<Self>,
     ) {
         self.take_config(&state);
+        self.act_on_news();
     }
 }
 
@@ -144,6 +162,7 @@
     ) {
         if self.hub.take_homes(homes) {
             self.refresh_plan();
+            self.act_on_news();
         }
     }
 }
--- a/goldcrestramp-node/src/control/messages.rs
+++ b/goldcrestramp-node/src/control/messages.rs
@@ -33,6 +33,10 @@
     pub(crate) answer: Option<PermitAnswer>,
 }
 
+/// The steward has new orders for this VM's keeper.
+#[derive(Debug)]
+pub(crate) struct AskNotice;
+
 /// A server replied to an order, or did not.
 #[derive(Debug)]
 pub(crate) struct GrantNotice {
--- a/goldcrestramp-node/src/control/permit_stream.rs
+++ b/goldcrestramp-node/src/control/permit_stream.rs
@@ -18,7 +18,9 @@
 
 use crate::{
     control::{
-        actor::ControlActor, links::ControlLinks, messages::PermitNotice,
+        actor::ControlActor,
+        links::ControlLinks,
+        messages::{AskNotice, PermitNotice},
     },
     convert,
 };
@@ -88,7 +90,21 @@
     mut questions: mpsc::Receiver<PermitQuestion>,
 ) {
     let mut stream: Option<OpenStream> = None;
-    while let Some(question) = questions.recv().await {
+    loop {
+        let question = tokio::select! {
+            question = questions.recv() => question,
+            told = news(&mut stream) => {
+                if !told {
+                    stream = None;
+                } else if actor.send(AskNotice).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        let Some(question) = question else {
+            return;
+        };
         let sent = question.sent;
         let end = Instant::now() + ANSWER_TIMEOUT;
         let kept = stream.take().filter(|s| s.address == question.address);
@@ -102,6 +118,16 @@
     }
 }
 
+/// Waits while no question is under way; `true`: the steward has orders,
+/// `false`: the stream is of no use any more.
+async fn news(stream: &mut Option<OpenStream>) -> bool {
+    let Some(stream) = stream else {
+        return std::future::pending().await;
+    };
+    let reply = stream.replies.message().await.ok().flatten();
+    reply.is_some_and(|reply| reply.ask_now)
+}
+
 /// One question and its answer; `None`: the stream is of no use any more.
 async fn exchange(
     links: &ControlLinks,
@@ -116,8 +142,7 @@
     let sequence = delta.sequence;
     links.count("permit", &delta);
     stream.requests.send(delta).await.ok()?;
-    let reply = stream.replies.message().await.ok().flatten();
-    let Some(reply) = reply else {
+    let Some(reply) = answer(&mut stream).await else {
         links.forget(&stream.address);
         return None;
     };
@@ -131,6 +156,17 @@
     Some((stream, answer))
 }
 
+/// The answer to the question under way; word of orders that comes before
+/// is out of date, because the answer holds them.
+async fn answer(stream: &mut OpenStream) -> Option<PermitReply> {
+    loop {
+        let reply = stream.replies.message().await.ok()??;
+        if !reply.ask_now {
+            return Some(reply);
+        }
+    }
+}
+
 async fn open(links: &ControlLinks, address: Arc<str>) -> Option<OpenStream> {
     let mut client = links.stream(&address).await?;
     let (requests, receiver) = mpsc::channel(QUESTION_QUEUE);
--- a/goldcrestramp-node/src/control/service.rs
+++ b/goldcrestramp-node/src/control/service.rs
@@ -3,7 +3,7 @@
 use std::{pin::Pin, sync::Arc};
 
 use futures_util::Stream;
-use goldcrestramp_types::DomainName;
+use goldcrestramp_types::{DomainName, FastSet, VmName};
 use goldcrestramp_wire::{
     delta::{DeltaDecoder, DeltaEncoder},
     peer::{
@@ -12,7 +12,10 @@
     },
 };
 use prost::Message;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{
+    broadcast::{self, error::RecvError},
+    mpsc, watch,
+};
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 use xtra::Address;
@@ -20,7 +23,7 @@
 use crate::{
     context::NodeContext,
     control::{
-        actor::ControlActor,
+        actor::{ControlActor, NewsSender},
         messages::{PermitAsk, VoteAsk},
         tables::{StreamCursor, TableSet},
     },
@@ -32,12 +35,17 @@
 /// there is room, so a slow one skips versions and holds no memory.
 const STREAM_QUEUE: usize = 4;
 
+/// Brings word of new orders to one stream.
+type NewsReceiver = broadcast::Receiver<Arc<FastSet<VmName>>>;
+
 /// The gRPC service of the control thread.
 #[derive(Debug)]
 pub(crate) struct ControlService {
     pub(crate) context: Arc<NodeContext>,
     pub(crate) actor: Address<ControlActor>,
     pub(crate) tables: watch::Receiver<Arc<TableSet>>,
+    /// Whose keepers are to fetch new orders.
+    pub(crate) news: NewsSender,
 }
 
 impl ControlService {
@@ -88,7 +96,8 @@
         let actor = self.actor.clone();
         let service = PermitService { context, actor, peer };
         let requests = request.into_inner();
-        tokio::spawn(answer_permits(service, requests, sender));
+        let news = self.news.subscribe();
+        tokio::spawn(answer_permits(service, requests, news, sender));
         Ok(Response::new(Box::pin(ReceiverStream::new(receiver))))
     }
 
@@ -118,17 +127,36 @@
 async fn answer_permits(
     service: PermitService,
     mut requests: Streaming<PermitRequest>,
+    mut news: NewsReceiver,
     sender: mpsc::Sender<Result<PermitReply, Status>>,
 ) {
     let context = &service.context;
     let mut reports = DeltaDecoder::default();
     let mut replies = DeltaEncoder::default();
-    while let Ok(Some(delta)) = requests.message().await {
+    let mut vm = String::new();
+    loop {
+        let message = tokio::select! {
+            message = requests.message() => message,
+            () = named(&mut news, &vm) => {
+                context.faults.wait().await;
+                let word = PermitReply { ask_now: true, ..Default::default() };
+                let bytes = word.encoded_len();
+                context.metrics.count_control("permit-answer", bytes);
+                if sender.send(Ok(word)).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        let Ok(Some(delta)) = message else {
+            return;
+        };
         context.faults.wait().await;
         context.metrics.count_control("permit", delta.encoded_len());
         let Some(request) = reports.request(delta) else {
             return;
         };
+        vm.clone_from(&request.vm);
         let answer = service.permit(&request).await;
         let reply = answer.map(|whole| replies.reply(whole));
         let failed = reply.is_err();
@@ -142,6 +170,18 @@
     }
 }
 
+/// Completes when the steward has new orders for the keeper of `vm`.
+async fn named(news: &mut NewsReceiver, vm: &str) {
+    loop {
+        match news.recv().await {
+            Ok(vms) if !vms.iter().any(|named| named.as_str() == vm) => {}
+            // Too slow for each: it may have been named among them.
+            Ok(_) | Err(RecvError::Lagged(_)) => return,
+            Err(RecvError::Closed) => std::future::pending().await,
+        }
+    }
+}
+
 /// Answers the reports of one keeper.
 struct PermitService {
     context: Arc<NodeContext>,
--- a/goldcrestramp-node/src/control/thread.rs
+++ b/goldcrestramp-node/src/control/thread.rs
@@ -6,7 +6,7 @@
 use goldcrestramp_wire::peer::control_server::ControlServer;
 use tokio::{
     net::TcpListener,
-    sync::{oneshot, watch},
+    sync::{broadcast, oneshot, watch},
 };
 use tonic::transport::Server;
 use xtra::{Address, Mailbox};
@@ -14,7 +14,7 @@
 use crate::{
     context::NodeContext,
     control::{
-        actor::ControlActor,
+        actor::{ControlActor, NewsSender},
         follow::{follow_domains, follow_steward},
         links::MESSAGE_LIMIT,
         messages::TickNotice,
@@ -29,6 +29,8 @@
 
 /// How often the machines are told that time has passed.
 const TICK_EVERY: Duration = Duration::from_millis(50);
+/// Decisions whose word a slow stream may miss without being told so.
+const NEWS_QUEUE: usize = 64;
 /// Messages that wait for the actor; a sender waits when it is full.
 const MAILBOX_SIZE: usize = 1_024;
 
@@ -97,14 +99,16 @@
     let address = listener.local_addr()?;
     let hub = Arc::new(TableHub::new(Arc::clone(&context)));
     let leading = watch::Sender::new(false);
+    let news = broadcast::Sender::new(NEWS_QUEUE);
     let actor = ControlActor::new(
         Arc::clone(&context),
         store.clone(),
         Arc::clone(&hub),
         leading.clone(),
+        news.clone(),
     );
     let actor = xtra::spawn_tokio(actor, Mailbox::bounded(MAILBOX_SIZE));
-    serve(&context, &hub, listener, &actor);
+    serve(&context, &hub, listener, &actor, news);
     tokio::spawn(tick(actor.clone()));
     tokio::spawn(reader::read_at_start(
         store.clone(),
@@ -144,8 +148,10 @@
     hub: &TableHub,
     listener: TcpListener,
     actor: &Address<ControlActor>,
+    news: NewsSender,
 ) {
     let service = ControlService {
+        news,
         context: Arc::clone(context),
         actor: actor.clone(),
         tables: hub.subscribe(),
--- a/goldcrestramp-ownership/src/keeper/mod.rs
+++ b/goldcrestramp-ownership/src/keeper/mod.rs
@@ -204,11 +204,19 @@
         sent: LocalTime,
         server: &ServerName,
     ) {
-        if let Some(kept) = self.servers.get_mut(server) {
-            kept.unanswered(now, sent);
+        if let Some(kept) = self.servers.get_mut(server)
+            && kept.unanswered(now, sent)
+        {
+            // The steward counts from when it hears of it.
+            self.poll_at = self.poll_at.min(now);
         }
     }
 
+    /// The steward has new orders: report at once.
+    pub fn ask_now(&mut self) {
+        self.poll_at = LocalTime::default();
+    }
+
     /// What the traffic threads may do from now on.
     #[must_use]
     pub fn passes(&self, now: LocalTime) -> PassBook {
--- a/goldcrestramp-ownership/src/keeper/server.rs
+++ b/goldcrestramp-ownership/src/keeper/server.rs
@@ -324,20 +324,25 @@
         self.fence = reply.fence;
     }
 
-    /// Notes that the order under way got no reply.
-    pub(super) fn unanswered(&mut self, now: LocalTime, sent: LocalTime) {
+    /// Notes that the order under way got no reply; whether the server is
+    /// out of reach since.
+    pub(super) fn unanswered(
+        &mut self,
+        now: LocalTime,
+        sent: LocalTime,
+    ) -> bool {
         let Some(order) = self.under_way.take() else {
-            return;
+            return false;
         };
         if sent < order.sent {
             self.under_way = Some(order);
-            return;
+            return false;
         }
         if order.void_at > order.sent {
             self.strays.push(order);
         }
-        self.reachable = false;
         self.next_at = now + RETRY_AFTER;
+        std::mem::replace(&mut self.reachable, false)
     }
 
     fn refresh_slices(&mut self) {
--- a/goldcrestramp-ownership/src/steward/leader/decide.rs
+++ b/goldcrestramp-ownership/src/steward/leader/decide.rs
@@ -73,6 +73,7 @@
                 let before = server.order.slices.take();
                 self.moved += gained(before.as_ref(), &slices);
                 server.instruct(token, slices);
+                self.news.extend(server.keeper.clone());
             }
         }
     }
--- a/goldcrestramp-ownership/src/steward/leader/mod.rs
+++ b/goldcrestramp-ownership/src/steward/leader/mod.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeMap;
 
 use goldcrestramp_types::{
-    FastMap, FenceToken, LocalTime, ServerName, ServiceName, SliceSet, TermId,
+    FastMap, FastSet, FenceToken, LocalTime, ServerName, ServiceName,
+    SliceSet, TermId, VmName,
 };
 
 use crate::{
@@ -60,6 +61,8 @@
     dirty: bool,
     /// Whether a lapse waits for a confirmation.
     waits: bool,
+    /// The VMs whose keepers have not yet fetched their newest orders.
+    pub(in crate::steward) news: FastSet<VmName>,
     pub(in crate::steward) roster: RosterChange,
     table: TablePublisher,
     pub(in crate::steward) records: RecordKeeper,
@@ -94,6 +97,7 @@
             owned: FastMap::default(),
             dirty: true,
             waits: false,
+            news: FastSet::default(),
             roster: RosterChange::default(),
             table: TablePublisher::default(),
             records: RecordKeeper::default(),
@@ -214,6 +218,7 @@
                 self.sequence += 1;
                 let sequence = self.sequence;
                 server.raise_fence(FenceToken { term, sequence });
+                self.news.extend(server.keeper.clone());
             }
         }
     }
@@ -279,6 +284,15 @@
         }
     }
 
+    /// Whether the next tick has something to do beside what time brings.
+    pub(in crate::steward) fn is_due(&self) -> bool {
+        let begun = self.claim.begun().unwrap_or_default();
+        let settles = |server: &LedServer| server.may_settle(begun);
+        let settles = self.waits && self.servers.values().any(settles);
+        let decides = self.dirty && self.may_move();
+        settles || decides || self.table.is_dirty() || self.records.is_new()
+    }
+
     /// Looks at everything again, after knowledge has changed.
     pub(in crate::steward) fn reconsider(&mut self) {
         self.dirty = true;
--- a/goldcrestramp-ownership/src/steward/leader/permit.rs
+++ b/goldcrestramp-ownership/src/steward/leader/permit.rs
@@ -43,6 +43,8 @@
             until = now + self.timing.lease;
         }
         self.keepers.note_permit(&vm, until);
+        // This answer brings them.
+        self.news.remove(&vm);
         Some(self.answer(now, &vm, sequence, until))
     }
 
@@ -69,6 +71,13 @@
         if !moving {
             again = again.min(self.move_at.since(now));
         }
+        // A server that falls silent is lost at a certain moment, not with
+        // the report after it.
+        let timing = &self.timing;
+        let missed = kept.iter().filter_map(|s| s.missed_at(now, timing));
+        if let Some(at) = missed.min() {
+            again = again.min(at.since(now));
+        }
         PermitAnswer::Permitted {
             term: self.claim.term,
             sequence,
--- a/goldcrestramp-ownership/src/steward/led.rs
+++ b/goldcrestramp-ownership/src/steward/led.rs
@@ -359,14 +359,28 @@
         }
     }
 
+    /// Whether [`settle_lapse`](Self::settle_lapse) would change anything.
+    pub(super) fn may_settle(&self, begun: LocalTime) -> bool {
+        self.lapsed_at.is_some_and(|at| begun > at)
+    }
+
+    /// When a server that has fallen silent is lost, if that is to come.
+    pub(super) fn missed_at(
+        &self,
+        now: LocalTime,
+        timing: &TermTiming,
+    ) -> Option<LocalTime> {
+        let at = self.silent_since? + timing.missed_after;
+        (at > now).then_some(at)
+    }
+
     /// Settles a lapse once a majority has confirmed after it.
     ///
     /// A newer steward could have had the grant extended in time; then its
     /// voters refuse this one, and no confirmation begun later comes.
     /// Returns whether anything changed.
     pub(super) fn settle_lapse(&mut self, begun: LocalTime) -> bool {
-        let confirmed = self.lapsed_at.is_some_and(|at| begun > at);
-        if !confirmed {
+        if !self.may_settle(begun) {
             return false;
         }
         self.lapsed_at = None;
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -15,7 +15,7 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_types::{DomainName, LocalTime, TermId, VmName};
+use goldcrestramp_types::{DomainName, FastSet, LocalTime, TermId, VmName};
 
 pub use self::event::{StewardEffect, StewardEvent, StewardStatus};
 use self::{
@@ -131,6 +131,27 @@
         answer.unwrap_or_else(|| self.not_steward(now))
     }
 
+    /// Whether something has changed that a tick would act on.
+    ///
+    /// A slice that moves has no owner meanwhile, so its steward does not
+    /// wait for the next one.
+    #[must_use]
+    pub fn is_due(&self) -> bool {
+        let StewardRole::Leading(leading) = &self.role else {
+            return false;
+        };
+        leading.is_due()
+    }
+
+    /// The VMs whose keepers have got new orders since they last reported;
+    /// each is named once.
+    pub fn take_news(&mut self) -> FastSet<VmName> {
+        let StewardRole::Leading(leading) = &mut self.role else {
+            return FastSet::default();
+        };
+        std::mem::take(&mut leading.news)
+    }
+
     fn not_steward(&self, now: LocalTime) -> PermitAnswer {
         let seen = self.knowledge.seen.as_ref();
         let fresh = seen.filter(|s| now.since(s.at) < self.timing.lease);
--- a/goldcrestramp-ownership/src/steward/publish.rs
+++ b/goldcrestramp-ownership/src/steward/publish.rs
@@ -46,6 +46,11 @@
         self.dirty |= changed;
     }
 
+    /// Whether it may have changed.
+    pub(super) const fn is_dirty(&self) -> bool {
+        self.dirty
+    }
+
     /// The table, if it differs from the last one.
     ///
     /// A new steward that has not heard of every server would name no
@@ -169,6 +174,11 @@
         Some(knowledge.record.clone())
     }
 
+    /// Whether another domain waits for a record that is not on its way.
+    pub(super) const fn is_new(&self) -> bool {
+        self.urgent && self.again_at.is_none()
+    }
+
     /// Another domain waits for the record as it now is.
     pub(super) fn hurry(&mut self) {
         self.urgent = true;
--- a/goldcrestramp-wire/src/generated.rs
+++ b/goldcrestramp-wire/src/generated.rs
@@ -194,6 +194,10 @@
     /// Servers that were in the message before and are not any more.
     #[prost(string, repeated, tag = "9")]
     pub gone: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// The steward has new orders for this keeper, which is to report at once;
+    /// nothing else is set, and no report is answered by it.
+    #[prost(bool, tag = "10")]
+    pub ask_now: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RouteRequest {
