--- a/goldcrestramp-node/src/planner/heads.rs
+++ b/goldcrestramp-node/src/planner/heads.rs
@@ -42,9 +42,9 @@
         found.map(|(domain, _)| domain.clone()).collect()
     }
 
-    fn take(&mut self, domain: &DomainName, head: Option<&DomainHead>) {
-        let names = head.map(|head| head.stranded.keys().cloned().collect());
-        self.stranded.insert(domain.clone(), names.unwrap_or_default());
+    fn take(&mut self, domain: &DomainName, head: &DomainHead) {
+        let names = head.stranded.keys().cloned().collect();
+        self.stranded.insert(domain.clone(), names);
         self.changes += 1;
     }
 
@@ -119,26 +119,17 @@
     let mut pause = StorePause::new();
     let mut seen = 0;
     loop {
-        // The first look is a read: a watch would wait for a change.
-        let found = if seen == 0 {
-            store.get(&key).await
-        } else {
-            store.watch(&key, seen, WATCH_SPAN).await
-        };
-        match found {
+        // A value that is there already is given at once; one that is not
+        // yet, as soon as its domain writes it.
+        match store.watch(&key, seen, WATCH_SPAN).await {
             Ok(Some(stored)) => {
                 pause.reset();
                 seen = stored.version;
                 if let Some(head) = decode(&key, &stored) {
-                    book.send_modify(|book| book.take(&domain, Some(&head)));
+                    book.send_modify(|book| book.take(&domain, &head));
                 }
             }
-            Ok(None) if seen == 0 => {
-                book.send_modify(|book| book.take(&domain, None));
-                pause.wait().await;
-            }
-            // A watch that ends unchanged; a value that went is read again
-            // now and then.
+            // Unchanged, or gone: what is there is looked at anew.
             Ok(None) => {
                 pause.reset();
                 seen = 0;
