--- a/tests/process/deployment.rs
+++ b/tests/process/deployment.rs
@@ -38,6 +38,10 @@
     pub process: ChildProcess,
     /// The name of its VM.
     pub vm: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Its region.
+    pub region: String,
     /// Where callers are served.
     pub callers: SocketAddr,
     /// Where operators are served.
@@ -105,6 +109,16 @@
 
     /// Starts a daemon; it may not serve yet when this returns.
     pub async fn daemon(&self, vm: &str, domain: &str) -> DaemonProcess {
+        self.daemon_in(vm, domain, "sierra").await
+    }
+
+    /// Starts a daemon in a region of that name.
+    pub async fn daemon_in(
+        &self,
+        vm: &str,
+        domain: &str,
+        region: &str,
+    ) -> DaemonProcess {
         let [callers, peers, control, operators] = self.free_addresses();
         let any = SocketAddr::from((self.host, 0));
         let peer_relay = TcpRelay::bind(any, peers).await;
@@ -114,7 +128,7 @@
             "deployment": "process-test",
             "vm": vm,
             "domain": domain,
-            "region": "sierra",
+            "region": region,
             "callers_listen": callers,
             "peers_listen": peers,
             "peers_address": peer_relay.address(),
@@ -129,6 +143,8 @@
         DaemonProcess {
             process,
             vm: vm.to_owned(),
+            domain: domain.to_owned(),
+            region: region.to_owned(),
             callers,
             operators,
             peer_relay,
--- a/tests/process/mod.rs
+++ b/tests/process/mod.rs
@@ -19,5 +19,5 @@
     child::ChildProcess,
     deployment::{DaemonProcess, ProcessDeployment, wait_until},
     relay::TcpRelay,
-    trial::{ProcessTrial, outcomes},
+    trial::{ProcessTrial, TrialPlace, outcomes},
 };
--- a/tests/process/trial.rs
+++ b/tests/process/trial.rs
@@ -16,8 +16,11 @@
     deployment::{DaemonProcess, ProcessDeployment, wait_until},
 };
 
-/// The one failure domain of a trial.
-const DOMAIN: &str = "sierra-a";
+/// A failure domain and its region.
+pub type TrialPlace = (&'static str, &'static str);
+
+/// The one failure domain of most trials.
+const HOME: TrialPlace = ("sierra-a", "sierra");
 /// Keys that are asked for to see whether all is served.
 const PROBES: usize = 32;
 /// The seed of the first load, and the step to the next.
@@ -33,6 +36,8 @@
     pub process: ChildProcess,
     log: PathBuf,
     lost: Option<MachineTime>,
+    /// As the configuration has it.
+    rules: Value,
 }
 
 impl TrialServer {
@@ -43,7 +48,7 @@
     }
 }
 
-/// Three daemons of one failure domain and three servers of one service.
+/// Daemons and servers of one service, in one failure domain or several.
 #[derive(Debug)]
 pub struct ProcessTrial {
     /// The platform, and what tests ask it for.
@@ -54,39 +59,104 @@
     pub servers: Vec<TrialServer>,
     /// The seed of the next load; requests' ids hold it.
     seed: u64,
+    /// The last ticket.
+    ticket: u64,
 }
 
 impl ProcessTrial {
-    /// Starts everything and waits until every key is served.
+    /// Starts three daemons and three servers in one failure domain, and
+    /// waits until every key is served.
     pub async fn spawn() -> Self {
+        Self::spawn_in(&[HOME; 3], &[HOME; 3]).await
+    }
+
+    /// Starts a daemon and a server in each of these places, and waits
+    /// until every key is served.
+    pub async fn spawn_in(vms: &[TrialPlace], places: &[TrialPlace]) -> Self {
         let deployment = ProcessDeployment::spawn();
         let mut servers = Vec::new();
-        let mut rules = Vec::new();
-        for number in 0..3 {
+        for (number, (domain, _)) in places.iter().enumerate() {
             let name = format!("stock-{number}");
-            let (server, address) = spawn_server(&deployment, &name);
-            rules.push(server_rules(&name, address));
-            servers.push(server);
+            servers.push(spawn_server(&deployment, &name, domain));
         }
+        let rules: Vec<_> = servers.iter().map(|s| &s.rules).collect();
         let config = json!({
             "version": 1,
-            "domains": [{ "name": DOMAIN, "region": "sierra" }],
+            "domains": domain_rules(vms),
             "services": [{ "name": "stock", "slices": 64 }],
             "servers": rules,
         });
         deployment.put_first("config", &config).await;
-        let mut daemons = Vec::new();
-        for number in 0..3 {
+        let mut trial = Self {
+            deployment,
+            daemons: Vec::new(),
+            servers,
+            seed: SEED,
+            ticket: 1,
+        };
+        for (number, (domain, region)) in vms.iter().enumerate() {
             let vm = format!("vm-{number}");
-            daemons.push(deployment.daemon(&vm, DOMAIN).await);
+            let daemon = trial.deployment.daemon_in(&vm, domain, region);
+            trial.daemons.push(daemon.await);
         }
-        let list: Vec<Value> = daemons.iter().map(vm_entry).collect();
-        deployment.put_vms(&json!(list)).await;
-        let trial = Self { deployment, daemons, servers, seed: SEED };
+        trial.list_vms().await;
         trial.wait_served().await;
         trial
     }
 
+    /// Puts the daemons on the platform's VM list.
+    pub async fn list_vms(&self) {
+        let list: Vec<Value> = self.daemons.iter().map(vm_entry).collect();
+        self.deployment.put_vms(&json!(list)).await;
+    }
+
+    /// Replaces a VM by one of another name and address.
+    pub async fn replace_vm(&mut self, number: usize, name: &str) {
+        let (domain, region) = {
+            let old = &mut self.daemons[number];
+            old.process.kill();
+            (old.domain.clone(), old.region.clone())
+        };
+        let new = self.deployment.daemon_in(name, &domain, &region).await;
+        self.daemons[number] = new;
+        self.list_vms().await;
+    }
+
+    /// Drains a server, or takes it back.
+    pub async fn drain(&mut self, number: usize, drain: bool) {
+        let rules = &mut self.servers[number].rules;
+        rules["drain"] = json!(drain);
+        let change = json!({ "servers": [rules.clone()] });
+        self.apply(change).await;
+    }
+
+    /// Declares a failure domain lost, or back.
+    pub async fn declare_lost(&mut self, place: TrialPlace, lost: bool) {
+        let (name, region) = place;
+        let rules = json!({ "name": name, "region": region, "lost": lost });
+        self.apply(json!({ "domains": [rules] })).await;
+    }
+
+    /// Gives a ticket to whichever running VM takes it.
+    async fn apply(&mut self, mut ticket: Value) {
+        self.ticket += 1;
+        ticket["ticket"] = json!(self.ticket);
+        wait_until("a VM to take the ticket", async || {
+            for daemon in &self.daemons {
+                let url = format!("http://{}/tickets", daemon.operators);
+                let post = self.deployment.http().post(url).json(&ticket);
+                let post = post.timeout(Duration::from_secs(2));
+                if let Ok(answer) = post.send().await
+                    && answer.status().is_success()
+                {
+                    return Some(());
+                }
+            }
+            None
+        })
+        .await;
+    }
+
     /// Waits until every probed key is served through a running daemon.
     pub async fn wait_served(&self) {
         for number in 0..PROBES {
@@ -195,10 +265,23 @@
     format!("{counts:?}")
 }
 
+/// The failure domains of these places, each once.
+fn domain_rules(places: &[TrialPlace]) -> Vec<Value> {
+    let mut seen = Vec::new();
+    for place in places {
+        if !seen.contains(place) {
+            seen.push(*place);
+        }
+    }
+    let rule = |(name, region)| json!({ "name": name, "region": region });
+    seen.into_iter().map(rule).collect()
+}
+
 fn spawn_server(
     deployment: &ProcessDeployment,
     name: &str,
-) -> (TrialServer, SocketAddr) {
+    domain: &str,
+) -> TrialServer {
     let behaviour = json!({
         "name": name,
         "work": { "lookup_ms": 3.0, "order_ms": 30.0, "long_ms": 1500.0 },
@@ -207,14 +290,15 @@
     let log = deployment.temporary(&format!("{name}.log"));
     let (process, address) =
         deployment.server_with_log(name, &behaviour, Some(&log));
-    (TrialServer { process, log, lost: None }, address)
+    let rules = server_rules(name, domain, address);
+    TrialServer { process, log, lost: None, rules }
 }
 
-fn server_rules(name: &str, address: SocketAddr) -> Value {
+fn server_rules(name: &str, domain: &str, address: SocketAddr) -> Value {
     json!({
         "name": name,
         "service": "stock",
-        "domain": DOMAIN,
+        "domain": domain,
         "address": address,
         "slots": 4,
         "connections": 120,
@@ -225,8 +309,8 @@
 fn vm_entry(daemon: &DaemonProcess) -> Value {
     json!({
         "name": daemon.vm,
-        "domain": DOMAIN,
-        "region": "sierra",
+        "domain": daemon.domain,
+        "region": daemon.region,
         "address": daemon.control_relay.address().to_string(),
         "state": "live",
     })
