--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -38,12 +38,9 @@
         AttemptOutcome, AttemptRecord, AttemptSent, AttemptVerdict,
         MemorySettings, StoredAnswer,
     },
-    deadline::span_to_send,
+    deadline::{TransitEstimate, span_to_send},
     gateway::GatewayLimit,
-    limit::{
-        EjectionGuard, FleetLoad, HealthHint, LimitVerdict, OwnerAdvice,
-        ServerLimit, ServerSign,
-    },
+    limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSign},
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReading, REPORTED_SLICES, ServerLoad},
     placement::{
--- a/goldcrestramp-standins/src/server/log.rs
+++ b/goldcrestramp-standins/src/server/log.rs
@@ -4,8 +4,10 @@
     fs::{File, OpenOptions},
     io::Write,
     path::Path,
+    sync::Arc,
 };
 
+use goldcrestramp_types::FastMap;
 use serde::{Deserialize, Serialize};
 
 use crate::records::{ExecutionEntry, HoldEntry, MachineTime};
@@ -25,8 +27,14 @@
     pub executions: Vec<ExecutionEntry>,
     /// Times of holding, in the order of their beginnings.
     pub holds: Vec<HoldEntry>,
+    /// The servers' failure domains, as far as they are known.
+    #[serde(default, skip_serializing_if = "ServerPlaces::is_empty")]
+    pub places: ServerPlaces,
 }
 
+/// The failure domain of each server.
+pub type ServerPlaces = FastMap<Arc<str>, Arc<str>>;
+
 impl ServerLog {
     /// Reads the log file of a server that may have been killed.
     ///
@@ -56,6 +64,7 @@
     pub fn append(&mut self, mut other: Self) {
         self.executions.append(&mut other.executions);
         self.holds.append(&mut other.holds);
+        self.places.extend(other.places);
     }
 }
 
--- a/goldcrestramp-standins/src/server/mod.rs
+++ b/goldcrestramp-standins/src/server/mod.rs
@@ -24,7 +24,7 @@
 pub use self::{
     behaviour::{ServerBehaviour, WorkTimes},
     faults::ServerFaults,
-    log::ServerLog,
+    log::{ServerLog, ServerPlaces},
     storage::KeyStorage,
 };
 use self::{
--- a/src/commands/demo/place.rs
+++ b/src/commands/demo/place.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::Arc,
     time::Duration,
 };
 
@@ -149,6 +150,9 @@
         let mut log = ServerLog::default();
         for server in &self.servers {
             log.append(server.standin.log());
+            let rules = &server.rules;
+            let name = Arc::from(rules.name.as_str());
+            log.places.insert(name, Arc::from(rules.domain.as_str()));
         }
         log
     }
--- a/tests/process/trial.rs
+++ b/tests/process/trial.rs
@@ -237,6 +237,8 @@
             {
                 hold.until = hold.until.min(lost);
             }
+            let text = |name: &str| server.rules[name].as_str().map(Arc::from);
+            own.places.extend(text("name").zip(text("domain")));
             log.append(own);
         }
         log
