--- a/goldcrestramp-node/src/control/actor.rs
+++ b/goldcrestramp-node/src/control/actor.rs
@@ -162,7 +162,7 @@
     /// Left to the next tick and the next report of each keeper, that took
     /// 200 to 300 ms.
     pub(super) fn act_on_news(&mut self) {
-        if self.steward.is_due() {
+        if self.steward.is_due(self.context.now()) {
             self.steward_event(StewardEvent::Tick);
         }
         let news = self.steward.take_news();
--- a/goldcrestramp-ownership/src/steward/leader/mod.rs
+++ b/goldcrestramp-ownership/src/steward/leader/mod.rs
@@ -285,12 +285,19 @@
     }
 
     /// Whether the next tick has something to do beside what time brings.
-    pub(in crate::steward) fn is_due(&self) -> bool {
+    pub(in crate::steward) fn is_due(
+        &self,
+        now: LocalTime,
+        knowledge: &StewardKnowledge,
+    ) -> bool {
         let begun = self.claim.begun().unwrap_or_default();
         let settles = |server: &LedServer| server.may_settle(begun);
         let settles = self.waits && self.servers.values().any(settles);
-        let decides = self.dirty && self.may_move();
-        settles || decides || self.table.is_dirty() || self.records.is_new()
+        let decides = self.may_move() && self.claim.has_floor();
+        settles
+            || (self.dirty && decides)
+            || self.table.is_due()
+            || self.records.is_due(now, knowledge)
     }
 
     /// Looks at everything again, after knowledge has changed.
--- a/goldcrestramp-ownership/src/steward/mod.rs
+++ b/goldcrestramp-ownership/src/steward/mod.rs
@@ -142,13 +142,14 @@
     /// Whether something has changed that a tick would act on.
     ///
     /// A slice that moves has no owner meanwhile, so its steward does not
-    /// wait for the next one.
+    /// wait for the next one. A tick always ends this: answers of voters
+    /// that are asked in it would else lead to the next one without pause.
     #[must_use]
-    pub fn is_due(&self) -> bool {
+    pub fn is_due(&self, now: LocalTime) -> bool {
         let StewardRole::Leading(leading) = &self.role else {
             return false;
         };
-        leading.is_due()
+        leading.is_due(now, &self.knowledge)
     }
 
     /// The VMs whose keepers have got new orders since they last reported;
--- a/goldcrestramp-ownership/src/steward/publish.rs
+++ b/goldcrestramp-ownership/src/steward/publish.rs
@@ -46,9 +46,9 @@
         self.dirty |= changed;
     }
 
-    /// Whether it may have changed.
-    pub(super) const fn is_dirty(&self) -> bool {
-        self.dirty
+    /// Whether it may have changed since it was published.
+    pub(super) const fn is_due(&self) -> bool {
+        self.dirty && self.published.is_some()
     }
 
     /// The table, if it differs from the last one.
@@ -163,10 +163,7 @@
         now: LocalTime,
         knowledge: &StewardKnowledge,
     ) -> Option<DomainRecord> {
-        let newer = knowledge.record.token > self.saved;
-        let pause = if self.urgent { SAVE_SOON } else { SAVE_EVERY };
-        let next_at = self.again_at.unwrap_or(self.saved_at + pause);
-        if !newer || !knowledge.record_read || now < next_at {
+        if !self.is_due(now, knowledge) {
             return None;
         }
         self.again_at = Some(now + SAVE_AGAIN);
@@ -174,9 +171,16 @@
         Some(knowledge.record.clone())
     }
 
-    /// Whether another domain waits for a record that is not on its way.
-    pub(super) const fn is_new(&self) -> bool {
-        self.urgent && self.again_at.is_none()
+    /// Whether the store lacks the record and it is time to write it.
+    pub(super) fn is_due(
+        &self,
+        now: LocalTime,
+        knowledge: &StewardKnowledge,
+    ) -> bool {
+        let newer = knowledge.record.token > self.saved;
+        let pause = if self.urgent { SAVE_SOON } else { SAVE_EVERY };
+        let next_at = self.again_at.unwrap_or(self.saved_at + pause);
+        newer && knowledge.record_read && now >= next_at
     }
 
     /// Another domain waits for the record as it now is.
--- a/goldcrestramp-ownership/src/steward/reads.rs
+++ b/goldcrestramp-ownership/src/steward/reads.rs
@@ -77,14 +77,17 @@
         if !self.knowledge.take_plan(Arc::clone(plan)) {
             return Vec::new();
         }
-        let learn = StewardEffect::LearnPlan(plan.version);
+        let mut effects = vec![StewardEffect::LearnPlan(plan.version)];
         if let StewardRole::Leading(leading) = &mut self.role {
             leading.take_plan(now, plan);
             let floor = self.knowledge.floor;
             leading.claim.set_plan(now, plan.version, floor);
+            // A release waits for voters that refuse older plans.
             leading.claim.ask_soon();
+            let asks = leading.claim.asks(now, &self.me, true, &self.timing);
+            effects.extend(asks);
         }
-        vec![learn]
+        effects
     }
 
     pub(super) fn record_read(
--- a/tests/domains.rs
+++ b/tests/domains.rs
@@ -103,7 +103,6 @@
 async fn a_rack_is_lost() {
     for number in 0..3 {
         let mut trial = ProcessTrial::spawn().await;
-
         let calls = trial
             .load_under(async |trial| {
                 trial.daemons[number].process.kill();
