--- a/goldcrestramp-node/benches/deployment/mod.rs
+++ b/goldcrestramp-node/benches/deployment/mod.rs
@@ -4,12 +4,10 @@
 
 use goldcrestramp_config::NodeSettings;
 use goldcrestramp_node::NodeHandle;
-use goldcrestramp_platform::{VmEntry, VmState};
 use goldcrestramp_standins::{
-    platform::PlatformStandin,
+    platform::{PlatformStandin, live_entry},
     server::{ServerBehaviour, ServerStandin},
 };
-use goldcrestramp_types::{DomainName, RegionName, VmName};
 use serde_json::json;
 
 /// Servers for each node, about as many as the users have.
@@ -59,7 +57,7 @@
         let platform = self.platform.address();
         let all: Vec<_> =
             (0..size.nodes).map(|n| settings(n, size, platform)).collect();
-        self.platform.set_vms(all.iter().map(entry).collect());
+        self.platform.set_vms(all.iter().map(live_entry).collect());
         for settings in all {
             let node = NodeHandle::spawn(settings).await.expect("started");
             self.nodes.push(node);
@@ -132,13 +130,3 @@
     });
     serde_json::from_value(value).expect("settings")
 }
-
-fn entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: VmName::new(settings.vm.as_str()).expect("a name"),
-        domain: DomainName::new(settings.domain.as_str()).expect("a name"),
-        region: RegionName::new("sierra").expect("a name"),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
--- a/goldcrestramp-node/benches/router_cost.rs
+++ b/goldcrestramp-node/benches/router_cost.rs
@@ -22,12 +22,11 @@
 
 use goldcrestramp_config::NodeSettings;
 use goldcrestramp_node::NodeHandle;
-use goldcrestramp_platform::{VmEntry, VmState};
 use goldcrestramp_standins::{
-    platform::PlatformStandin,
+    platform::{PlatformStandin, live_entry},
     server::{ServerBehaviour, ServerFaults, ServerStandin, WorkTimes},
 };
-use goldcrestramp_types::{DomainName, FenceToken, RegionName, VmName};
+use goldcrestramp_types::FenceToken;
 use goldcrestramp_wire::server::{
     HEADER_CLASS, HEADER_DEADLINE, HEADER_KEY, HEADER_REQUEST, HEADER_SERVICE,
     HEADER_SLICE, HEADER_START_BY, HEADER_TOKEN, encode_token,
@@ -58,7 +57,7 @@
     let caller = runtime("caller", 4);
     let (platform, server) = others.block_on(start_others());
     let settings = settings(platform.address());
-    platform.set_vms(vec![entry(&settings)]);
+    platform.set_vms(vec![live_entry(&settings)]);
     let node = router.block_on(NodeHandle::spawn(settings)).expect("started");
     let target = CallTarget {
         http: reqwest::Client::new(),
@@ -245,16 +244,6 @@
     serde_json::from_value(value).expect("settings")
 }
 
-fn entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: VmName::new(settings.vm.as_str()).expect("a name"),
-        domain: DomainName::new("sierra-a").expect("a name"),
-        region: RegionName::new("sierra").expect("a name"),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
-
 async fn put_config(platform: SocketAddr, server: SocketAddr) {
     let state = json!({
         "version": 1,
--- a/goldcrestramp-node/tests/fleet/mod.rs
+++ b/goldcrestramp-node/tests/fleet/mod.rs
@@ -11,11 +11,11 @@
 use goldcrestramp_node::{NodeHandle, StatusReport, TicketAnswer};
 use goldcrestramp_ownership::VoterRoster;
 use goldcrestramp_platform::{
-    PlatformClient, PutCondition, StoreAccess, VmEntry, VmState,
+    PlatformClient, PutCondition, StoreAccess,
     records::{StoreRecord, keys},
 };
-use goldcrestramp_standins::platform::PlatformStandin;
-use goldcrestramp_types::{DomainName, RegionName, VmName};
+use goldcrestramp_standins::platform::{PlatformStandin, live_entry};
+use goldcrestramp_types::DomainName;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 
@@ -75,7 +75,7 @@
         let all: Vec<_> = (0..vms)
             .map(|vm| settings(seat, vm, domain_of(vm), platform.address()))
             .collect();
-        platform.set_vms(all.iter().map(vm_entry).collect());
+        platform.set_vms(all.iter().map(live_entry).collect());
         let http = reqwest::Client::new();
         let store =
             PlatformClient::open(&format!("http://{}", platform.address()));
@@ -239,13 +239,3 @@
     });
     serde_json::from_value(value).expect("settings")
 }
-
-fn vm_entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: VmName::new(settings.vm.as_str()).expect("a name"),
-        domain: DomainName::new(settings.domain.as_str()).expect("a name"),
-        region: RegionName::new("sierra").expect("a name"),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
--- a/goldcrestramp-node/tests/one_domain/mod.rs
+++ b/goldcrestramp-node/tests/one_domain/mod.rs
@@ -9,13 +9,12 @@
 use goldcrestramp_config::{NodeSettings, ThingId, ThingKind, TouchMark};
 use goldcrestramp_node::NodeHandle;
 use goldcrestramp_platform::{
-    PlatformClient, PutCondition, StoreAccess, VmEntry, VmState, records::keys,
+    PlatformClient, PutCondition, StoreAccess, records::keys,
 };
 use goldcrestramp_standins::{
-    platform::PlatformStandin,
+    platform::{PlatformStandin, live_entry},
     server::{ServerBehaviour, ServerStandin, WorkTimes},
 };
-use goldcrestramp_types::{DomainName, RegionName, VmName};
 use reqwest::{Method, RequestBuilder};
 use serde_json::{Value, json};
 
@@ -75,7 +74,7 @@
             .map(|(n, listen): (u32, _)| settings(n, &url, listen))
             .collect();
         settings.iter_mut().for_each(prepare);
-        let entries = settings.iter().map(vm_entry);
+        let entries = settings.iter().map(live_entry);
         domain.platform.set_vms(entries.collect());
         for settings in settings {
             let node = NodeHandle::spawn(settings).await.expect("started");
@@ -242,16 +241,6 @@
     serde_json::from_value(value).expect("settings")
 }
 
-fn vm_entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: VmName::new(settings.vm.as_str()).expect("a name"),
-        domain: DomainName::new(DOMAIN).expect("a name"),
-        region: RegionName::new("sierra").expect("a name"),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
-
 fn first_state(servers: &[ServerStandin]) -> Value {
     let servers: Vec<_> = (0..)
         .zip(servers)
--- a/goldcrestramp-node/tests/one_node/mod.rs
+++ b/goldcrestramp-node/tests/one_node/mod.rs
@@ -7,12 +7,10 @@
 
 use goldcrestramp_config::NodeSettings;
 use goldcrestramp_node::NodeHandle;
-use goldcrestramp_platform::{VmEntry, VmState};
 use goldcrestramp_standins::{
-    platform::PlatformStandin,
+    platform::{PlatformStandin, live_entry},
     server::{ServerBehaviour, ServerStandin, WorkTimes},
 };
-use goldcrestramp_types::{DomainName, RegionName, VmName};
 use reqwest::{Method, RequestBuilder};
 use serde_json::json;
 
@@ -53,7 +51,7 @@
         let server = server.expect("bound");
         put_config(platform.address(), server.address(), slots).await;
         let settings = settings(platform.address());
-        platform.set_vms(vec![vm_entry(&settings)]);
+        platform.set_vms(vec![live_entry(&settings)]);
         let node = NodeHandle::spawn(settings).await.expect("started");
         let http = reqwest::Client::new();
         let one = Self { server, node, http, _platform: platform };
@@ -118,16 +116,6 @@
     serde_json::from_value(value).expect("settings")
 }
 
-fn vm_entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: VmName::new(settings.vm.as_str()).expect("a name"),
-        domain: DomainName::new(DOMAIN).expect("a name"),
-        region: RegionName::new("sierra").expect("a name"),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
-
 async fn put_config(platform: SocketAddr, server: SocketAddr, slots: u32) {
     let state = json!({
         "version": 1,
--- a/goldcrestramp-node/tests/small_domain/mod.rs
+++ b/goldcrestramp-node/tests/small_domain/mod.rs
@@ -7,12 +7,10 @@
 
 use goldcrestramp_config::NodeSettings;
 use goldcrestramp_node::NodeHandle;
-use goldcrestramp_platform::{VmEntry, VmState};
 use goldcrestramp_standins::{
-    platform::PlatformStandin,
+    platform::{PlatformStandin, live_entry},
     server::{KeyStorage, ServerBehaviour, ServerStandin},
 };
-use goldcrestramp_types::VmName;
 use reqwest::{Method, RequestBuilder};
 use serde_json::json;
 
@@ -63,7 +61,7 @@
             .map(|(number, listen)| settings(number, address, listen))
             .collect();
         all.iter_mut().for_each(prepare);
-        platform.set_vms(all.iter().map(vm_entry).collect());
+        platform.set_vms(all.iter().map(live_entry).collect());
         let mut nodes = Vec::new();
         for settings in all {
             nodes.push(NodeHandle::spawn(settings).await.expect("started"));
@@ -160,16 +158,6 @@
     serde_json::from_value(value).expect("settings")
 }
 
-fn vm_entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: VmName::new(settings.vm.as_str()).expect("a name"),
-        domain: settings.domain.clone(),
-        region: settings.region.clone(),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
-
 async fn put_config(
     platform: SocketAddr,
     servers: &[ServerStandin],
--- a/goldcrestramp-node/tests/two_domains/mod.rs
+++ b/goldcrestramp-node/tests/two_domains/mod.rs
@@ -7,17 +7,15 @@
 use goldcrestramp_node::NodeHandle;
 use goldcrestramp_ownership::{DomainRecord, ServiceRecord};
 use goldcrestramp_platform::{
-    PlatformClient, PutCondition, StoreAccess, VmEntry, VmState,
+    PlatformClient, PutCondition, StoreAccess,
     records::{DomainHead, DomainShard, StoreRecord, keys},
 };
 use goldcrestramp_standins::{
     HoldEntry,
-    platform::PlatformStandin,
+    platform::{PlatformStandin, live_entry},
     server::{ServerBehaviour, ServerStandin},
 };
-use goldcrestramp_types::{
-    DomainName, RegionName, ServiceName, SliceSet, VmName,
-};
+use goldcrestramp_types::{DomainName, ServiceName, SliceSet};
 use serde_json::json;
 
 /// The two failure domains, in one region.
@@ -47,7 +45,7 @@
         let store =
             PlatformClient::open(&format!("http://{}", platform.address()));
         let settings = [0, 1].map(|n| settings(seat, n, platform.address()));
-        platform.set_vms(settings.iter().map(vm_entry).collect());
+        platform.set_vms(settings.iter().map(live_entry).collect());
         let mut two = Self {
             store: store.expect("a client"),
             platform,
@@ -355,13 +353,3 @@
     });
     serde_json::from_value(value).expect("settings")
 }
-
-fn vm_entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: VmName::new(settings.vm.as_str()).expect("a name"),
-        domain: DomainName::new(settings.domain.as_str()).expect("a name"),
-        region: RegionName::new("sierra").expect("a name"),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
--- /dev/null
+++ b/goldcrestramp-standins/src/platform/listing.rs
@@ -0,0 +1,16 @@
+//! The VM list's entry of a daemon.
+
+use goldcrestramp_config::NodeSettings;
+use goldcrestramp_platform::{VmEntry, VmState};
+
+/// The entry of a live VM whose daemon has these settings.
+#[must_use]
+pub fn live_entry(settings: &NodeSettings) -> VmEntry {
+    VmEntry {
+        name: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        region: settings.region.clone(),
+        address: settings.control_listen.to_string(),
+        state: VmState::Live,
+    }
+}
--- a/goldcrestramp-standins/src/platform/mod.rs
+++ b/goldcrestramp-standins/src/platform/mod.rs
@@ -17,6 +17,7 @@
 mod admin;
 mod faults;
 mod front;
+mod listing;
 mod rates;
 mod routes;
 mod serve;
@@ -32,6 +33,7 @@
 
 pub use self::{
     faults::{LossKind, OutageKind, PlatformFaults},
+    listing::live_entry,
     rates::CallTally,
 };
 use self::{front::FrontHandle, routes::routes, shared::PlatformShared};
--- a/src/commands/demo/fault.rs
+++ b/src/commands/demo/fault.rs
@@ -6,11 +6,13 @@
 use goldcrestramp_config::ChangeTicket;
 use goldcrestramp_node::{ApplyOutcome, apply_ticket};
 use goldcrestramp_platform::VmState;
-use goldcrestramp_standins::platform::{OutageKind, PlatformFaults};
+use goldcrestramp_standins::platform::{
+    OutageKind, PlatformFaults, live_entry,
+};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{task::JoinHandle, time::Instant};
 
-use super::place::{DemoDeployment, vm_entry};
+use super::place::DemoDeployment;
 
 /// How long a fault lasts that ends by itself.
 const FAULT_TIME: Duration = Duration::from_secs(4);
@@ -385,7 +387,7 @@
 fn list_vms(deployment: &DemoDeployment, leaving: Option<usize>) {
     let nodes = deployment.nodes.iter().enumerate();
     let entries = nodes.filter_map(|(index, node)| {
-        let mut entry = vm_entry(&node.settings);
+        let mut entry = live_entry(&node.settings);
         if leaving == Some(index) {
             entry.state = VmState::Leaving;
             return Some(entry);
--- a/src/commands/demo/place.rs
+++ b/src/commands/demo/place.rs
@@ -11,10 +11,10 @@
     DeploymentState, ExampleDeployment, NodeSettings, ServerRules, TrafficMix,
 };
 use goldcrestramp_node::{ApplyOutcome, NodeHandle, apply_ticket};
-use goldcrestramp_platform::{PlatformClient, VmEntry, VmState};
+use goldcrestramp_platform::PlatformClient;
 use goldcrestramp_standins::{
     MachineTime,
-    platform::{PlatformFaults, PlatformStandin},
+    platform::{PlatformFaults, PlatformStandin, live_entry},
     server::{
         KeyStorage, ServerBehaviour, ServerLog, ServerStandin, WorkTimes,
     },
@@ -75,7 +75,7 @@
                 .map_err(|error| eyre!("{error}"))?;
         let state = put_ticket(&store, example, &servers).await?;
         let settings = node_settings(example, host, &platform)?;
-        platform.set_vms(settings.iter().map(vm_entry).collect());
+        platform.set_vms(settings.iter().map(live_entry).collect());
         let mut nodes = Vec::new();
         for settings in settings {
             let handle = NodeHandle::spawn(settings.clone()).await?;
@@ -164,17 +164,6 @@
     }
 }
 
-/// What the platform's list says of a VM.
-pub(super) fn vm_entry(settings: &NodeSettings) -> VmEntry {
-    VmEntry {
-        name: settings.vm.clone(),
-        domain: settings.domain.clone(),
-        region: settings.region.clone(),
-        address: settings.control_listen.to_string(),
-        state: VmState::Live,
-    }
-}
-
 /// So many of `count` as the factor says, one at least.
 #[expect(
     clippy::cast_possible_truncation,
