--- /dev/null
+++ b/goldcrestramp-assignment/src/edit.rs
@@ -0,0 +1,76 @@
+//! A table while its next version is worked out.
+
+use goldcrestramp_types::{SliceIndex, SliceRange};
+
+use crate::table::{AssignedRun, AssignmentTable, LifeKey, ServerLife};
+
+impl AssignmentTable {
+    /// A token above every one that was written for the service.
+    pub(crate) const fn next_token(&mut self) -> u64 {
+        self.highest_token += 1;
+        self.highest_token
+    }
+
+    /// The place of a server, made if it has none; nothing if all places
+    /// are taken.
+    pub(crate) fn place_of(&mut self, life: &ServerLife) -> Option<LifeKey> {
+        let known = self.lives.iter().position(|other| other == life);
+        let place = known.unwrap_or(self.lives.len());
+        let key = u16::try_from(place).ok().map(LifeKey)?;
+        if known.is_none() {
+            self.lives.push(life.clone());
+        }
+        Some(key)
+    }
+
+    /// Cuts runs so that one run is exactly `range`; the pieces keep what
+    /// they had. Nothing is cut if no single run covers `range`.
+    pub(crate) fn carve(&mut self, range: SliceRange) -> Option<usize> {
+        let covers = |run: &AssignedRun| run.range.covers(range);
+        let position = self.runs.iter().position(covers)?;
+        let whole = self.runs[position].clone();
+        let part = |first: SliceIndex, last: SliceIndex| AssignedRun {
+            range: SliceRange { first, last },
+            ..whole.clone()
+        };
+        let mut pieces = Vec::with_capacity(3);
+        if let Some(last) = before(range.first)
+            && whole.range.first < range.first
+        {
+            pieces.push(part(whole.range.first, last));
+        }
+        let carved = position + pieces.len();
+        pieces.push(part(range.first, range.last));
+        if let Some(first) = after(range.last)
+            && range.last < whole.range.last
+        {
+            pieces.push(part(first, whole.range.last));
+        }
+        self.runs.splice(position..=position, pieces);
+        Some(carved)
+    }
+
+    /// Leaves out servers that hold nothing, so that the table does not
+    /// grow with every server that ever was.
+    pub(crate) fn forget_unused(&mut self) {
+        let mut places = vec![None; self.lives.len()];
+        let mut kept = Vec::new();
+        for run in &mut self.runs {
+            let old = usize::from(run.life.0);
+            let new = *places[old].get_or_insert_with(|| {
+                kept.push(self.lives[old].clone());
+                kept.len() - 1
+            });
+            run.life = LifeKey(u16::try_from(new).unwrap_or(u16::MAX));
+        }
+        self.lives = kept;
+    }
+}
+
+fn before(slice: SliceIndex) -> Option<SliceIndex> {
+    slice.get().checked_sub(1).map(SliceIndex::from)
+}
+
+fn after(slice: SliceIndex) -> Option<SliceIndex> {
+    slice.get().checked_add(1).map(SliceIndex::from)
+}
--- /dev/null
+++ b/goldcrestramp-assignment/src/holds.rs
@@ -0,0 +1,87 @@
+//! How long a server that does not answer may still hold keys.
+
+use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
+
+use crate::table::ServerLife;
+
+/// A server's clock may run 2% slow; one percent more covers the rounding
+/// of spans to whole milliseconds on the wire.
+const SLOW_CLOCK_PERCENT: u64 = 103;
+
+/// A grant may still be on its way when its sender has closed the
+/// connection: one way between regions, with room for a long queue.
+const TRANSIT_MOST: TimeSpan = TimeSpan::from_millis(300);
+
+/// What is known of one server's hold.
+#[derive(Clone, Copy, Debug, Default)]
+struct HoldBound {
+    until: LocalTime,
+    in_flight: u32,
+}
+
+/// The latest end of each server's hold.
+///
+/// The failure: a server that can't be reached is taken for dead, its keys
+/// go to another, and the first one serves on. The symptom is two owners.
+/// The end of every grant that it may have got, by the slowest clock, is
+/// enough: a server runs no request on keys whose hold is over.
+#[derive(Clone, Debug)]
+pub struct HoldBounds {
+    hold: TimeSpan,
+    /// For servers of which this planner has sent nothing.
+    inherited: LocalTime,
+    lives: FastMap<ServerLife, HoldBound>,
+}
+
+impl HoldBounds {
+    /// Bounds of a new planner: a former one may have sent grants of
+    /// `hold` until `sent_until`.
+    #[must_use]
+    pub fn open(hold: TimeSpan, sent_until: LocalTime) -> Self {
+        let mut bounds = Self {
+            hold,
+            inherited: LocalTime::default(),
+            lives: FastMap::default(),
+        };
+        bounds.inherited = bounds.end_of(sent_until);
+        bounds
+    }
+
+    /// Takes the knowledge that the former planner sent its last grant
+    /// before `sent_until`.
+    pub fn inherit(&mut self, sent_until: LocalTime) {
+        self.inherited = self.inherited.min(self.end_of(sent_until));
+    }
+
+    /// Notes that a grant is on its way to a server.
+    pub fn sending(&mut self, life: &ServerLife) {
+        self.lives.entry(life.clone()).or_default().in_flight += 1;
+    }
+
+    /// Notes that a grant's way has ended at `now`; `sent`: it may have
+    /// arrived.
+    pub fn ended(&mut self, now: LocalTime, life: &ServerLife, sent: bool) {
+        let until = self.end_of(now);
+        let bound = self.lives.entry(life.clone()).or_default();
+        bound.in_flight = bound.in_flight.saturating_sub(1);
+        if sent {
+            bound.until = bound.until.max(until);
+        }
+    }
+
+    /// Whether the server can hold nothing any more.
+    #[must_use]
+    pub fn are_over(&self, now: LocalTime, life: &ServerLife) -> bool {
+        let bound = self.lives.get(life).copied().unwrap_or_default();
+        bound.in_flight == 0 && now > bound.until.max(self.inherited)
+    }
+
+    /// Leaves out servers that are no longer asked about.
+    pub fn retain(&mut self, keep: impl Fn(&ServerLife) -> bool) {
+        self.lives.retain(|life, bound| bound.in_flight > 0 || keep(life));
+    }
+
+    fn end_of(&self, sent: LocalTime) -> LocalTime {
+        sent + TRANSIT_MOST + self.hold.percent(SLOW_CLOCK_PERCENT)
+    }
+}
--- /dev/null
+++ b/goldcrestramp-assignment/src/planner.rs
@@ -0,0 +1,393 @@
+//! The next table, and the orders that make servers follow this one.
+
+use goldcrestramp_types::{
+    FastMap, FastSet, LocalTime, SliceRange, TimeSpan,
+};
+
+use crate::{
+    holds::HoldBounds,
+    memo::MemoBook,
+    order::{OrderKind, OrderOutcome, ServerOrder},
+    table::{AssignedRun, AssignmentTable, LifeKey, RunPhase, ServerLife},
+};
+
+/// How often holds are renewed, and how long they are.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerTiming {
+    /// How long a grant holds from its arrival.
+    pub hold: TimeSpan,
+    /// How long after a grant it is sent again.
+    pub renew_after: TimeSpan,
+    /// How long after an order without an answer it is sent again.
+    pub retry_after: TimeSpan,
+}
+
+/// What is known of the holder of a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HolderFate {
+    /// It serves.
+    Serving,
+    /// It is there, and its keys are to go elsewhere.
+    Leaving,
+    /// It does not say that it is there; it may serve all the same.
+    Missing,
+    /// This run of the server has certainly ended.
+    Ended,
+}
+
+/// A server that may be given keys.
+#[derive(Clone, Debug)]
+pub struct ServerSight {
+    /// The server.
+    pub life: ServerLife,
+    /// Whether it may be given more keys.
+    pub open: bool,
+}
+
+/// A run of keys that would be served better elsewhere.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MoveWish {
+    /// The keys; they have one holder now.
+    pub range: SliceRange,
+    /// The server that is to have them.
+    pub target: ServerLife,
+}
+
+/// Plans one service's table while this VM is the planning one.
+#[derive(Clone, Debug)]
+pub struct TablePlanner {
+    timing: PlannerTiming,
+    table: AssignmentTable,
+    holds: HoldBounds,
+    memos: MemoBook,
+    /// Where runs that are being released are to go.
+    wishes: FastMap<SliceRange, ServerLife>,
+    /// Lives that are known to have ended, by an answer of another.
+    ended: FastSet<ServerLife>,
+}
+
+impl TablePlanner {
+    /// Takes up a committed table; `sent_until` bounds when a former
+    /// planner may have sent its last grant.
+    #[must_use]
+    pub fn open(
+        timing: PlannerTiming,
+        table: AssignmentTable,
+        sent_until: LocalTime,
+    ) -> Self {
+        Self {
+            timing,
+            table,
+            holds: HoldBounds::open(timing.hold, sent_until),
+            memos: MemoBook::default(),
+            wishes: FastMap::default(),
+            ended: FastSet::default(),
+        }
+    }
+
+    /// The committed table.
+    #[must_use]
+    pub const fn table(&self) -> &AssignmentTable {
+        &self.table
+    }
+
+    /// Takes the knowledge that the former planner sent its last grant
+    /// before `sent_until`.
+    pub fn inherit(&mut self, sent_until: LocalTime) {
+        self.holds.inherit(sent_until);
+    }
+
+    /// Takes a table that was committed; the orders follow it from here.
+    pub fn committed(&mut self, table: AssignmentTable) {
+        self.table = table;
+        self.memos.retain(&self.table.runs);
+        let releasing: FastSet<SliceRange> = self
+            .table
+            .runs
+            .iter()
+            .filter(|run| run.phase == RunPhase::Releasing)
+            .map(|run| run.range)
+            .collect();
+        self.wishes.retain(|range, _target| releasing.contains(range));
+        let lives: FastSet<&ServerLife> = self.table.lives.iter().collect();
+        self.holds.retain(|life| lives.contains(life));
+        self.ended.retain(|life| self.table.lives.contains(life));
+    }
+
+    /// The next table, if something is to change.
+    ///
+    /// `fate` tells of holders; `place` picks a server for keys that have
+    /// none. Nothing takes effect before [`committed`](Self::committed).
+    pub fn plan(
+        &mut self,
+        now: LocalTime,
+        fate: impl Fn(&ServerLife) -> HolderFate,
+        wishes: &[MoveWish],
+        mut place: impl FnMut(SliceRange) -> Option<ServerLife>,
+    ) -> Option<AssignmentTable> {
+        let fate = |life: &ServerLife| {
+            if self.ended.contains(life) { HolderFate::Ended } else { fate(life) }
+        };
+        let mut next = self.table.clone();
+        let mut changed = false;
+        let mut targets = FastMap::default();
+        for wish in wishes {
+            changed |= begin_move(&mut next, wish, &fate, &mut targets);
+        }
+        changed |= begin_releases(&mut next, &fate);
+        changed |= self.regrant_outdated(&mut next);
+        let freed: Vec<usize> = next
+            .runs
+            .iter()
+            .enumerate()
+            .filter(|(_, run)| self.is_free(now, run, &fate))
+            .map(|(position, _)| position)
+            .collect();
+        for position in freed {
+            let range = next.runs[position].range;
+            let wished = self.wishes.get(&range).cloned();
+            let usable = |life: &ServerLife| {
+                fate(life) == HolderFate::Serving
+            };
+            let Some(target) =
+                wished.filter(usable).or_else(|| place(range))
+            else {
+                continue;
+            };
+            changed |= self.give(&mut next, position, &target);
+        }
+        self.wishes.extend(targets);
+        next.forget_unused();
+        changed.then_some(next)
+    }
+
+    /// The orders that are due; each is to be answered by
+    /// [`order_ended`](Self::order_ended).
+    pub fn orders(&mut self, now: LocalTime) -> Vec<ServerOrder> {
+        let emptied = self.emptied_lives();
+        let mut orders = Vec::new();
+        for run in &self.table.runs {
+            let life = self.table.life(run.life);
+            // One order empties a server: asked run by run, it would take
+            // the time of the longest work on each.
+            let whole = run.phase == RunPhase::Releasing
+                && emptied.get(&run.life) == Some(&run.token);
+            let memo = self.memos.entry(run);
+            let quiet = memo.in_flight || memo.outdated;
+            if quiet || memo.released.is_some() || now < memo.due {
+                continue;
+            }
+            if self.ended.contains(life) {
+                continue;
+            }
+            memo.in_flight = true;
+            let kind = match run.phase {
+                RunPhase::Granted => {
+                    self.holds.sending(life);
+                    OrderKind::Grant {
+                        hold: self.timing.hold,
+                        handover: run.handover.clone(),
+                    }
+                }
+                RunPhase::Releasing => OrderKind::Release,
+            };
+            let range = if whole { SliceRange::ALL } else { run.range };
+            let order = ServerOrder {
+                life: life.clone(),
+                range,
+                token: run.token,
+                kind,
+            };
+            if !(whole && orders.contains(&order)) {
+                orders.push(order);
+            }
+        }
+        orders
+    }
+
+    /// Takes what became of an order.
+    pub fn order_ended(
+        &mut self,
+        now: LocalTime,
+        order: &ServerOrder,
+        outcome: &OrderOutcome,
+    ) {
+        let grant = matches!(order.kind, OrderKind::Grant { .. });
+        if grant {
+            let sent = *outcome != OrderOutcome::NotSent;
+            self.holds.ended(now, &order.life, sent);
+        }
+        if *outcome == OrderOutcome::Ended {
+            self.ended.insert(order.life.clone());
+        }
+        let timing = self.timing;
+        let table = &self.table;
+        let runs = table.runs.iter().filter(|run| {
+            run.token == order.token
+                && order.range.covers(run.range)
+                && *table.life(run.life) == order.life
+        });
+        for run in runs {
+            let memo = self.memos.entry(run);
+            memo.in_flight = false;
+            memo.due = now + timing.retry_after;
+            match outcome {
+                OrderOutcome::Done { .. } if grant => {
+                    memo.due = now + timing.renew_after;
+                }
+                OrderOutcome::Done { handover } => {
+                    memo.released = Some(handover.clone());
+                }
+                OrderOutcome::Outdated => memo.outdated = grant,
+                OrderOutcome::Ended
+                | OrderOutcome::NotSent
+                | OrderOutcome::Unknown => {}
+            }
+        }
+    }
+
+    /// When the next order is due, for one that waits.
+    #[must_use]
+    pub fn wake_at(&self) -> Option<LocalTime> {
+        let due = |run: &AssignedRun| {
+            let memo = self.memos.get(run)?;
+            let rests = memo.in_flight || memo.released.is_some();
+            (!rests).then_some(memo.due)
+        };
+        self.table.runs.iter().filter_map(due).min()
+    }
+
+    /// Whether nobody can hold the keys of a run any more.
+    fn is_free(
+        &self,
+        now: LocalTime,
+        run: &AssignedRun,
+        fate: impl Fn(&ServerLife) -> HolderFate,
+    ) -> bool {
+        let Some(life) = self.table.lives.get(usize::from(run.life.0)) else {
+            return false;
+        };
+        // Only what was committed as releasing has had its grants stopped.
+        let committed = self.table.runs.iter().any(|known| {
+            known.phase == RunPhase::Releasing
+                && known.range == run.range
+                && known.token == run.token
+        });
+        if run.phase != RunPhase::Releasing {
+            return false;
+        }
+        if fate(life) == HolderFate::Ended {
+            return true;
+        }
+        let memo = self.memos.get(run);
+        let released = memo.is_some_and(|memo| memo.released.is_some());
+        committed && (released || self.holds.are_over(now, life))
+    }
+
+    /// Gives a free run to a server.
+    fn give(
+        &self,
+        next: &mut AssignmentTable,
+        position: usize,
+        target: &ServerLife,
+    ) -> bool {
+        let Some(place) = next.place_of(target) else { return false };
+        let token = next.next_token();
+        let memo = self.memos.get(&next.runs[position]);
+        let handover = memo.and_then(|memo| memo.released.clone()).flatten();
+        let run = &mut next.runs[position];
+        run.life = place;
+        run.token = token;
+        run.phase = RunPhase::Granted;
+        run.handover = handover;
+        true
+    }
+
+    /// Grants anew, with a higher token, what a server calls outdated.
+    fn regrant_outdated(&self, next: &mut AssignmentTable) -> bool {
+        let outdated: Vec<usize> = next
+            .runs
+            .iter()
+            .enumerate()
+            .filter(|(_, run)| {
+                let memo = self.memos.get(run);
+                run.phase == RunPhase::Granted
+                    && memo.is_some_and(|memo| memo.outdated)
+            })
+            .map(|(position, _)| position)
+            .collect();
+        for position in &outdated {
+            let token = next.next_token();
+            next.runs[*position].token = token;
+        }
+        !outdated.is_empty()
+    }
+
+    /// The servers of which every run is being released with one token.
+    fn emptied_lives(&self) -> FastMap<LifeKey, u64> {
+        let mut tokens = FastMap::default();
+        let mut mixed = FastSet::default();
+        for run in &self.table.runs {
+            let first = *tokens.entry(run.life).or_insert(run.token);
+            if run.phase == RunPhase::Granted || first != run.token {
+                mixed.insert(run.life);
+            }
+        }
+        tokens.retain(|life, _token| !mixed.contains(life));
+        tokens
+    }
+}
+
+/// Begins a wished move, if its keys still have one serving holder.
+fn begin_move(
+    next: &mut AssignmentTable,
+    wish: &MoveWish,
+    fate: impl Fn(&ServerLife) -> HolderFate,
+    targets: &mut FastMap<SliceRange, ServerLife>,
+) -> bool {
+    let run = next.find(wish.range.first);
+    let holder = next.life(run.life);
+    let movable = run.phase == RunPhase::Granted
+        && run.range.covers(wish.range)
+        && *holder != wish.target
+        && fate(holder) == HolderFate::Serving;
+    if !movable {
+        return false;
+    }
+    let Some(position) = next.carve(wish.range) else { return false };
+    let token = next.next_token();
+    let run = &mut next.runs[position];
+    run.phase = RunPhase::Releasing;
+    run.token = token;
+    targets.insert(wish.range, wish.target.clone());
+    true
+}
+
+/// Begins to take back what is held by servers that leave or are gone.
+fn begin_releases(
+    next: &mut AssignmentTable,
+    fate: impl Fn(&ServerLife) -> HolderFate,
+) -> bool {
+    let lives: Vec<LifeKey> = next
+        .lives()
+        .filter(|(_, life)| fate(life) != HolderFate::Serving)
+        .map(|(key, _)| key)
+        .collect();
+    let mut changed = false;
+    for key in lives {
+        let held = next.runs.iter().any(|run| {
+            run.life == key && run.phase == RunPhase::Granted
+        });
+        if !held {
+            continue;
+        }
+        let token = next.next_token();
+        let runs = next.runs.iter_mut().filter(|run| run.life == key);
+        for run in runs.filter(|run| run.phase == RunPhase::Granted) {
+            run.phase = RunPhase::Releasing;
+            run.token = token;
+        }
+        changed = true;
+    }
+    changed
+}
--- /dev/null
+++ b/goldcrestramp-assignment/src/table.rs
@@ -0,0 +1,186 @@
+//! The record of who owns which keys of one service.
+
+use std::{fmt, net::SocketAddr, sync::Arc};
+
+use goldcrestramp_types::{SliceIndex, SliceRange};
+use serde::{Deserialize, Serialize};
+
+/// The version of the record's encoding, its first byte.
+const ENCODING: u8 = 1;
+
+/// One run of a backend server, from its start to its end.
+///
+/// A server that starts again under its id holds nothing of before, so the
+/// start is part of its identity.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct ServerLife {
+    /// The server's id.
+    pub id: Arc<str>,
+    /// The Unix millisecond of its start.
+    pub started_ms: u64,
+    /// Where it takes orders.
+    ///
+    /// Kept here because the server's own entry may be gone by the time
+    /// that its keys have to be taken back.
+    pub address: SocketAddr,
+}
+
+/// The place of a [`ServerLife`] in its table.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+pub struct LifeKey(pub(crate) u16);
+
+/// Where a run of keys stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum RunPhase {
+    /// The holder may hold the keys.
+    Granted,
+    /// The keys are being taken back from the holder.
+    Releasing,
+}
+
+/// A run of adjacent keys with its holder.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct AssignedRun {
+    /// The keys.
+    pub range: SliceRange,
+    /// The server that holds them, or held them last.
+    pub life: LifeKey,
+    /// The fencing token of the grant, or of the release.
+    pub token: u64,
+    /// Where the run stands.
+    pub phase: RunPhase,
+    /// What the former holder left for this one.
+    pub handover: Option<Arc<str>>,
+}
+
+/// Bytes that are no table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TableError;
+
+impl fmt::Display for TableError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "the bytes are no assignment table")
+    }
+}
+
+impl std::error::Error for TableError {}
+
+/// Who owns which keys of one service.
+///
+/// The runs cover every key once, in order.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct AssignmentTable {
+    /// The highest token that was ever written for the service.
+    pub(crate) highest_token: u64,
+    pub(crate) lives: Vec<ServerLife>,
+    pub(crate) runs: Vec<AssignedRun>,
+}
+
+impl AssignmentTable {
+    /// A first table: `stripes` runs a server, dealt in turn.
+    ///
+    /// Keys that are asked for often lie side by side. Dealt in turn, the
+    /// neighbours of a busy key fall to other servers from the start.
+    /// Nothing if there is no server.
+    #[must_use]
+    pub fn striped(lives: &[ServerLife], stripes: u32) -> Option<Self> {
+        let servers = u32::try_from(lives.len()).ok()?;
+        let runs = servers.checked_mul(stripes).filter(|runs| *runs > 0)?;
+        let total = u32::from(u16::MAX) + 1;
+        let bound = |run: u32| {
+            u64::from(run) * u64::from(total) / u64::from(runs)
+        };
+        let runs = (0..runs).filter_map(|run| {
+            let first = u16::try_from(bound(run)).ok()?;
+            let last = u16::try_from(bound(run + 1).checked_sub(1)?).ok()?;
+            Some(AssignedRun {
+                range: SliceRange { first: first.into(), last: last.into() },
+                life: LifeKey(u16::try_from(run % servers).ok()?),
+                token: 1,
+                phase: RunPhase::Granted,
+                handover: None,
+            })
+        });
+        let runs = runs.collect();
+        Some(Self { highest_token: 1, lives: lives.to_vec(), runs })
+    }
+
+    /// Reads a table.
+    ///
+    /// # Errors
+    ///
+    /// [`TableError`] for bytes that are no table, or one whose runs do not
+    /// cover every key once.
+    pub fn decode(bytes: &[u8]) -> Result<Self, TableError> {
+        let [ENCODING, rest @ ..] = bytes else { return Err(TableError) };
+        let table: Self =
+            postcard::from_bytes(rest).map_err(|_cause| TableError)?;
+        if table.is_whole() { Ok(table) } else { Err(TableError) }
+    }
+
+    /// The table as bytes.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        // Texts, numbers and lists always serialize.
+        let body = postcard::to_allocvec(self).unwrap_or_default();
+        let mut bytes = vec![ENCODING];
+        bytes.extend_from_slice(&body);
+        bytes
+    }
+
+    /// The run in which a key lies.
+    #[must_use]
+    pub fn find(&self, slice: SliceIndex) -> &AssignedRun {
+        let next = self.runs.partition_point(|run| run.range.first <= slice);
+        &self.runs[next.saturating_sub(1)]
+    }
+
+    /// Every run, in the order of its keys.
+    #[must_use]
+    pub fn runs(&self) -> &[AssignedRun] {
+        &self.runs
+    }
+
+    /// Every server that holds a run, with its place.
+    pub fn lives(&self) -> impl Iterator<Item = (LifeKey, &ServerLife)> {
+        let keys = 0..=u16::MAX;
+        keys.map(LifeKey).zip(&self.lives)
+    }
+
+    /// The server at a place.
+    #[must_use]
+    pub fn life(&self, key: LifeKey) -> &ServerLife {
+        &self.lives[usize::from(key.0)]
+    }
+
+    /// The highest token that was ever written for the service.
+    #[must_use]
+    pub const fn highest_token(&self) -> u64 {
+        self.highest_token
+    }
+
+    /// Whether the runs cover every key once and name known servers.
+    fn is_whole(&self) -> bool {
+        let mut next = 0_u32;
+        let ordered = self.runs.iter().all(|run| {
+            let here = u32::from(run.range.first.get()) == next
+                && run.range.first <= run.range.last
+                && usize::from(run.life.0) < self.lives.len()
+                && run.token <= self.highest_token;
+            next = u32::from(run.range.last.get()) + 1;
+            here
+        });
+        ordered && next == u32::from(u16::MAX) + 1
+    }
+}
--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -17,6 +17,11 @@
 - [`ServerLoad`]: what a server's slots were used for.
 - [`is_reader_lost`]: how long a stalled reader may hold a slot.
 - [`span_to_send`]: a deadline that crosses to another process.
+- [`choose_server`]: which server of a service that any may serve.
+- [`WaitLine`]: who is next when a slot becomes free.
+- [`SendWindow`]: how many sends beyond the first a VM may make.
+- [`WeightedTurns`]: the parts of a divided route.
+- [`spread_moves`]: which runs of keys move between servers, and when.
 - [`baseline`]: two simple ways, kept to be measured against.
 */
 
@@ -28,9 +33,14 @@
 mod link;
 mod load;
 mod placement;
+mod pool;
 mod queue;
 mod reader;
 mod retry;
+mod spread;
+mod turns;
+mod wait_line;
+mod window;
 
 pub use crate::{
     attempt::{
@@ -48,6 +58,7 @@
         PlacementSettings, PlannedMove, assign_orphans, greedy_moves,
         hash_placement, waiting_requests,
     },
+    pool::{PoolCandidate, PoolChoice, ServerWay, choose_server},
     queue::{
         CancelOutcome, CompletionOutcome, OfferOutcome, QueueEvent,
         QueueRefusal, QueueSettings, QueuedRequest, RequestKey, ServerQueue,
@@ -57,4 +68,11 @@
         AttemptStart, FailedAttempt, REDIRECT_LIMIT, RefusalProof, RefusedBy,
         RetryDecision, RetryPolicy,
     },
+    spread::{
+        GRANULE_SLICES, PlaceLoad, PlacedRun, RangeLoad, RangeMove,
+        SpreadSettings, lightest_place, spread_moves,
+    },
+    turns::WeightedTurns,
+    wait_line::{LinePlace, WaitLine},
+    window::{SendWindow, WindowSettings},
 };
--- /dev/null
+++ b/goldcrestramp-decisions/src/window.rs
@@ -0,0 +1,108 @@
+//! How many sends beyond the first of each request a VM may make.
+//!
+//! The load: many servers fail or shed at once, and every VM sends again.
+//! The operators bound what all VMs together may send beyond the first of
+//! each request in any window. VMs can't ask one another when they are cut
+//! off, so each keeps to its own part: the ratio of what it was asked
+//! itself, and an equal part of the constant.
+
+use std::collections::VecDeque;
+
+use goldcrestramp_types::{LocalTime, TimeSpan};
+
+/// The window is counted in this many steps; one more is kept, so that a
+/// window that begins within a step is never underestimated.
+const STEPS: u64 = 10;
+
+/// The part of what is allowed that is used: requests are counted by the
+/// operators when callers send them, here when they are read.
+const USED_PERCENT: u64 = 70;
+
+/// What the operators allow.
+#[derive(Clone, Copy, Debug)]
+pub struct WindowSettings {
+    /// The length of the window.
+    pub span: TimeSpan,
+    /// Sends beyond the first for each thousand requests.
+    pub per_mille: u64,
+    /// Sends beyond those, for all VMs together.
+    pub extra: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct WindowStep {
+    number: u64,
+    requests: u64,
+    repeats: u64,
+}
+
+/// The sends of one VM to one service.
+///
+/// # Example
+///
+/// ```
+/// use goldcrestramp_decisions::{SendWindow, WindowSettings};
+/// use goldcrestramp_types::{LocalTime, TimeSpan};
+///
+/// let span = TimeSpan::from_millis(10_000);
+/// let settings = WindowSettings { span, per_mille: 200, extra: 60 };
+/// let mut window = SendWindow::new(settings);
+/// let now = LocalTime::from_micros(0);
+/// let granted = (0..100).filter(|_| window.take(now, 10)).count();
+/// assert_eq!(granted, 4);
+/// ```
+#[derive(Clone, Debug)]
+pub struct SendWindow {
+    settings: WindowSettings,
+    steps: VecDeque<WindowStep>,
+}
+
+impl SendWindow {
+    /// A window in which nothing was sent.
+    #[must_use]
+    pub const fn new(settings: WindowSettings) -> Self {
+        Self { settings, steps: VecDeque::new() }
+    }
+
+    /// Counts a request that came in.
+    pub fn request(&mut self, now: LocalTime) {
+        self.step(now).requests += 1;
+    }
+
+    /// Takes a send beyond the first, if one is left; `vms` share the
+    /// constant.
+    pub fn take(&mut self, now: LocalTime, vms: usize) -> bool {
+        self.step(now);
+        let requests: u64 = self.steps.iter().map(|s| s.requests).sum();
+        let repeats: u64 = self.steps.iter().map(|s| s.repeats).sum();
+        let share = self.settings.extra / (vms.max(1) as u64);
+        let allowed = requests * self.settings.per_mille / 1_000 + share;
+        if (repeats + 1) * 100 > allowed * USED_PERCENT {
+            return false;
+        }
+        self.step(now).repeats += 1;
+        true
+    }
+
+    /// Counts a send beyond the first that could not be avoided.
+    pub fn count(&mut self, now: LocalTime) {
+        self.step(now).repeats += 1;
+    }
+
+    fn step(&mut self, now: LocalTime) -> &mut WindowStep {
+        let length = (self.settings.span.as_micros() / STEPS).max(1);
+        let number = now.as_micros() / length;
+        while self
+            .steps
+            .front()
+            .is_some_and(|step| step.number + STEPS < number)
+        {
+            self.steps.pop_front();
+        }
+        if self.steps.back().is_none_or(|step| step.number != number) {
+            self.steps.push_back(WindowStep { number, ..Default::default() });
+        }
+        let last = self.steps.len() - 1;
+        &mut self.steps[last]
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -0,0 +1,403 @@
+//! The state of the control thread.
+
+use std::sync::{Arc, Weak};
+
+use goldcrestramp_adapter::{
+    KeyCondition, NodeSettings, StoreCall, StoreReply, StoreTransaction,
+    StoreWrite,
+};
+use goldcrestramp_types::{
+    ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
+};
+use tokio::sync::watch;
+use xtra::Address;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    control::{
+        load::{LoadBook, LoadReport},
+        message::{ClaimEnded, FormerStopped},
+        order::OrderPermit,
+        term::PlannerTerm,
+    },
+    http::{CallPool, LinkEnd},
+    mirror::StoreMirror,
+    peers::{PeerCall, PeerClient, PeerReply},
+    records::{OWN_PREFIX, PLANNER_KEY, VmRun, decode},
+    store::{StoreClient, StoreFailure, StorePage},
+    view::{FleetView, ViewBuilder},
+};
+
+/// A planner goes on renewing grants for so long after the last proof that
+/// its lease was alive: an outage of the store of 12 s then leaves no key
+/// without its owner. Renewing what the table grants can harm nobody, as a
+/// later planner takes keys back with a higher token; only for a server
+/// that it can't reach does it wait this out.
+pub(crate) const PROOF_LIFE: TimeSpan = TimeSpan::from_millis(12_000);
+
+/// A VM waits this long for each VM of a better rank before it claims to
+/// plan: the best ranked live one is done by then, and no two write.
+const RANK_PAUSE: TimeSpan = TimeSpan::from_millis(150);
+
+/// Entries that ended while the store was away are back about two seconds
+/// after its return, so their absence says nothing until then.
+pub(crate) const RETURN_GRACE: TimeSpan = TimeSpan::from_millis(2_300);
+
+/// Silence of the store that counts as an outage: longer than a lost
+/// answer and its second try.
+const OUTAGE: TimeSpan = TimeSpan::from_millis(600);
+
+/// How often a VM reports what it was asked.
+const REPORT_PAUSE: TimeSpan = TimeSpan::from_millis(400);
+
+/// The control state of one VM.
+#[derive(Debug)]
+pub struct ControlActor {
+    pub(crate) settings: Arc<NodeSettings>,
+    pub(crate) me: VmRun,
+    pub(crate) store: Arc<StoreClient>,
+    pub(crate) orders: Arc<CallPool>,
+    pub(crate) peers: PeerClient,
+    pub(crate) address: Address<Self>,
+    pub(crate) mirror: StoreMirror,
+    builder: ViewBuilder,
+    pub(crate) view: Arc<FleetView>,
+    views: watch::Sender<Arc<FleetView>>,
+    loads: LoadBook,
+    report_at: LocalTime,
+    /// When the store last answered; the start of the clock: never.
+    store_seen: LocalTime,
+    /// Whether a call to the store failed since it last answered.
+    pub(crate) silent: bool,
+    /// When the store came back after an outage.
+    pub(crate) store_back: LocalTime,
+    pub(crate) lease: Option<u64>,
+    /// When the last call was sent that proved the lease alive.
+    pub(crate) proof: LocalTime,
+    /// The planner before this VM, as it was last known.
+    former: Option<VmRun>,
+    vacant_since: Option<LocalTime>,
+    claiming: bool,
+    pub(crate) term: Option<PlannerTerm>,
+    /// Permits of ended terms, held by the orders under way.
+    ending: Vec<Weak<OrderPermit>>,
+    pub(crate) stopping: bool,
+}
+
+impl ControlActor {
+    pub(crate) fn new(
+        settings: Arc<NodeSettings>,
+        me: VmRun,
+        store: Arc<StoreClient>,
+        loads: LoadBook,
+        views: watch::Sender<Arc<FleetView>>,
+        address: Address<Self>,
+    ) -> Self {
+        /// A server's answer to an order is a few bytes.
+        const ORDER_ANSWER_MOST: usize = 64 * 1024;
+        let orders = CallPool::open(LinkEnd::Reset, ORDER_ANSWER_MOST);
+        Self {
+            settings,
+            me,
+            store,
+            orders: Arc::new(orders),
+            peers: PeerClient::open(),
+            address,
+            mirror: StoreMirror::default(),
+            builder: ViewBuilder::default(),
+            view: Arc::default(),
+            views,
+            loads,
+            report_at: LocalTime::default(),
+            store_seen: LocalTime::default(),
+            silent: false,
+            store_back: LocalTime::default(),
+            lease: None,
+            proof: LocalTime::default(),
+            former: None,
+            vacant_since: None,
+            claiming: false,
+            term: None,
+            ending: Vec::new(),
+            stopping: false,
+        }
+    }
+
+    /// Notes that the store has answered.
+    pub(crate) fn store_answered(&mut self, now: LocalTime) {
+        let away = now.since(self.store_seen);
+        let watched = self.store_seen > LocalTime::default();
+        // A watch without changes is silent for up to its own wait.
+        if watched && self.silent && away > OUTAGE {
+            log::info!(
+                "[store] The store answers again after {} ms.",
+                away.as_millis()
+            );
+            self.store_back = now;
+        }
+        self.store_seen = now;
+        self.silent = false;
+    }
+
+    /// Takes what the mirror now holds, and tells the traffic thread.
+    pub(crate) fn refresh(&mut self, now: LocalTime) {
+        let view = Arc::new(self.builder.build(now, &self.mirror));
+        self.view = Arc::clone(&view);
+        self.views.send_replace(view);
+        self.check_term();
+    }
+
+    /// The record of the planning VM, with its revision.
+    fn planner(&self) -> Option<(VmRun, u64)> {
+        let item = self.mirror.get(PLANNER_KEY)?;
+        Some((decode(&item.value)?, item.revision))
+    }
+
+    /// Ends the term when another VM's record stands.
+    fn check_term(&mut self) {
+        let Some((planner, revision)) = self.planner() else { return };
+        if planner == self.me {
+            return;
+        }
+        if self.former.as_ref() != Some(&planner) {
+            log::info!("[control] VM {} plans now.", planner.vm);
+        }
+        if self.term.as_ref().is_some_and(|term| term.revision < revision) {
+            log::warn!("[control] This VM plans no more.");
+            self.end_term();
+        }
+        self.former = Some(planner);
+    }
+
+    /// Claims to plan, if no other VM does.
+    pub(crate) fn claim_if_vacant(&mut self, now: LocalTime) {
+        let idle = self.term.is_none() && !self.claiming && !self.stopping;
+        let Some(lease) = self.lease.filter(|_| idle) else { return };
+        let known = self.planner();
+        // The record of an earlier run of this process outlives it until
+        // its lease ends; that run is surely over.
+        let own = known.as_ref().is_some_and(|(planner, _)| {
+            planner.vm == self.me.vm && planner.start != self.me.start
+        });
+        if self.mirror.revision() == 0 || (known.is_some() && !own) {
+            self.vacant_since = None;
+            return;
+        }
+        let since = *self.vacant_since.get_or_insert(now);
+        let rank = u64::try_from(self.rank()).unwrap_or(u64::MAX);
+        let pause = RANK_PAUSE.percent(rank.saturating_mul(100));
+        if !own && now.since(since) < pause {
+            return;
+        }
+        self.claiming = true;
+        let revision = known.map_or(0, |(_, revision)| revision);
+        tokio::spawn(claim(
+            Arc::clone(&self.store),
+            self.me.clone(),
+            revision,
+            lease,
+            self.address.clone(),
+        ));
+    }
+
+    /// The live VMs that are to claim before this one.
+    ///
+    /// The order differs with each revision of the planner's record, so
+    /// that a VM that can't reach the store is not always the first.
+    fn rank(&self) -> usize {
+        let weight = |vm: &VmRun| xxh3_64(vm.vm.as_bytes());
+        let own = weight(&self.me);
+        self.view.vms.iter().filter(|vm| weight(vm) > own).count()
+    }
+
+    /// Takes the end of a claim.
+    pub(crate) fn claim_ended(&mut self, now: LocalTime, ended: ClaimEnded) {
+        self.claiming = false;
+        self.vacant_since = None;
+        let Some(revision) = ended.won else { return };
+        if self.stopping || self.planner().is_some_and(|(_, known)| known > revision) {
+            return;
+        }
+        self.proof = self.proof.max(ended.sent_at);
+        for item in ended.tables.items {
+            self.mirror.write(item);
+        }
+        let former = self.former.take();
+        let other = former.filter(|vm| vm.vm != self.me.vm);
+        log::info!(
+            "[control] This VM plans from revision {revision} on; before it \
+             planned {}.",
+            other.as_ref().map_or("none", |vm| &vm.vm)
+        );
+        let sent_until = match &other {
+            Some(_) => now + PROOF_LIFE,
+            None => now,
+        };
+        self.term = Some(PlannerTerm::open(revision, sent_until));
+        if let Some(former) = other {
+            tokio::spawn(stop_former(
+                self.peers.clone(),
+                former,
+                self.address.clone(),
+            ));
+        }
+        self.refresh(now);
+    }
+
+    /// Ends the term; orders under way are the last.
+    pub(crate) fn end_term(&mut self) {
+        if let Some(term) = self.term.take() {
+            self.ending.push(Arc::downgrade(&term.permit));
+        }
+    }
+
+    /// Whether an order of an ended term may still be under way.
+    pub(crate) fn has_orders_ending(&mut self) -> bool {
+        self.ending.retain(|permit| permit.strong_count() > 0);
+        !self.ending.is_empty()
+    }
+
+    /// Whether grants may still be renewed.
+    pub(crate) fn has_proof(&self, now: LocalTime) -> bool {
+        now.since(self.proof) < PROOF_LIFE
+    }
+
+    /// Tells the planning VM what was asked for.
+    pub(crate) fn report_load(&mut self, now: LocalTime) {
+        if now.since(self.report_at) < REPORT_PAUSE {
+            return;
+        }
+        self.report_at = now;
+        let report = self.loads.take();
+        if report.is_empty() {
+            return;
+        }
+        if self.term.is_some() {
+            self.take_load(now, &report);
+            return;
+        }
+        let Some((planner, _)) = self.planner() else { return };
+        let peers = self.peers.clone();
+        tokio::spawn(async move {
+            // A lost report is made good by the next.
+            let _lost =
+                peers.call(planner.address, &PeerCall::Load(report)).await;
+        });
+    }
+
+    /// Takes what a VM was asked for, while this one plans.
+    pub(crate) fn take_load(&mut self, now: LocalTime, report: &LoadReport) {
+        if let Some(term) = &mut self.term {
+            term.take_load(now, report);
+        }
+    }
+
+    /// Asks another VM for the store's contents.
+    pub(crate) fn ask_peer(&self) {
+        let others: Vec<&VmRun> = self
+            .view
+            .vms
+            .iter()
+            .filter(|vm| vm.vm != self.me.vm)
+            .collect();
+        if others.is_empty() {
+            return;
+        }
+        let chosen = rand::random_range(0..others.len());
+        let address = others[chosen].address;
+        let call = PeerCall::Sync { revision: self.mirror.revision() };
+        let (peers, control) = (self.peers.clone(), self.address.clone());
+        tokio::spawn(async move {
+            if let Some(PeerReply::Mirror(Some(mirror))) =
+                peers.call(address, &call).await
+            {
+                // The actor is gone only when the process ends.
+                let _gone = control.send(AdoptMirror(mirror)).await;
+            }
+        });
+    }
+
+    /// Tells all VMs of a table that was just committed.
+    pub(crate) fn push_table(
+        &self,
+        key: &Arc<str>,
+        value: &[u8],
+        revision: u64,
+    ) {
+        for vm in self.view.vms.iter().filter(|vm| vm.vm != self.me.vm) {
+            let call = PeerCall::Table {
+                key: Arc::clone(key),
+                value: value.to_vec(),
+                revision,
+            };
+            let (peers, address) = (self.peers.clone(), vm.address);
+            tokio::spawn(async move {
+                // The store's own watch tells it too, only later.
+                let _lost = peers.call(address, &call).await;
+            });
+        }
+    }
+}
+
+/// Another VM's copy of the store.
+#[derive(Debug)]
+pub(crate) struct AdoptMirror(pub(crate) StoreMirror);
+
+/// Writes the planner's record, then reads what it has to take up.
+async fn claim(
+    store: Arc<StoreClient>,
+    me: VmRun,
+    revision: u64,
+    lease: u64,
+    control: Address<ControlActor>,
+) {
+    let sent_at = MonotonicClock.now();
+    let key: Arc<str> = PLANNER_KEY.into();
+    let transaction = StoreTransaction {
+        conditions: vec![KeyCondition { key: Arc::clone(&key), revision }],
+        writes: vec![StoreWrite { key, value: me.encode().into(), lease }],
+    };
+    let reply = store.call(&StoreCall::Commit(transaction)).await;
+    let read = match reply {
+        Ok(StoreReply::Committed(_)) | Err(StoreFailure::Unknown) => {
+            store.read_all(OWN_PREFIX).await.ok()
+        }
+        _ => None,
+    };
+    let tables =
+        read.unwrap_or(StorePage { items: Vec::new(), revision: 0 });
+    // The record itself says who won, also when the answer was lost.
+    let record = tables.items.iter().find(|item| *item.key == *PLANNER_KEY);
+    let won = record
+        .filter(|item| decode::<VmRun>(&item.value).as_ref() == Some(&me))
+        .map(|item| item.revision);
+    // The actor is gone only when the process ends.
+    let _gone = control.send(ClaimEnded { won, tables, sent_at }).await;
+}
+
+/// Asks the former planner to stop, until it has or can't be asked.
+async fn stop_former(
+    peers: PeerClient,
+    former: VmRun,
+    control: Address<ControlActor>,
+) {
+    /// By then what it may have sent has ended by itself.
+    const TRIES: u32 = 20;
+    /// A stopped planner waits for orders under way, some 700 ms.
+    const PAUSE: std::time::Duration = std::time::Duration::from_millis(300);
+    let call = PeerCall::StandDown { start: former.start };
+    for _ in 0..TRIES {
+        let reply = peers.call(former.address, &call).await;
+        if matches!(reply, Some(PeerReply::StoodDown)) {
+            let at = MonotonicClock.now();
+            // The actor is gone only when the process ends.
+            let _gone = control.send(FormerStopped { at }).await;
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    log::info!("[control] VM {}, which planned, is silent.", former.vm);
+}
+
+/// A map from a service's name.
+pub(crate) type ByService<Value> = FastMap<Arc<str>, Value>;
--- /dev/null
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -0,0 +1,206 @@
+//! What the control actor does with what it is told.
+
+use goldcrestramp_adapter::{StoreCall, StoreItem};
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
+use xtra::{Actor, Context, Handler};
+
+use crate::{
+    control::{
+        ControlActor,
+        actor::AdoptMirror,
+        message::{
+            ClaimEnded, CommitEnded, ControlTick, FormerStopped, LeaseProof,
+            OrderEnded, ReadBack, StopControl, StoreChanges, StoreReading,
+            StoreSilent,
+        },
+    },
+    peers::{PeerCall, PeerReply},
+};
+
+fn now() -> LocalTime {
+    MonotonicClock.now()
+}
+
+impl Actor for ControlActor {
+    type Stop = ();
+
+    async fn stopped(self) {}
+}
+
+impl Handler<StoreChanges> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, changes: StoreChanges, _: &mut Context<Self>) {
+        let now = now();
+        self.store_answered(now);
+        let quiet = changes.events.is_empty();
+        self.mirror.apply(changes.events, changes.revision);
+        if !quiet {
+            self.refresh(now);
+            self.work(now);
+        }
+    }
+}
+
+impl Handler<StoreReading> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, reading: StoreReading, _: &mut Context<Self>) {
+        let now = now();
+        self.store_answered(now);
+        let StoreReading(page) = reading;
+        if self.mirror.replace(page.items, page.revision) {
+            self.refresh(now);
+            self.work(now);
+        }
+    }
+}
+
+impl Handler<StoreSilent> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: StoreSilent, _: &mut Context<Self>) {
+        if !self.silent {
+            log::info!("[store] The store gives no answer.");
+        }
+        self.silent = true;
+        self.ask_peer();
+    }
+}
+
+impl Handler<AdoptMirror> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: AdoptMirror, _: &mut Context<Self>) {
+        let now = now();
+        if self.mirror.adopt(message.0) {
+            self.refresh(now);
+            self.work(now);
+        }
+    }
+}
+
+impl Handler<LeaseProof> for ControlActor {
+    type Return = bool;
+
+    async fn handle(
+        &mut self,
+        proof: LeaseProof,
+        _: &mut Context<Self>,
+    ) -> bool {
+        if self.stopping {
+            return false;
+        }
+        self.lease = proof.lease;
+        if proof.lease.is_some() {
+            self.proof = self.proof.max(proof.sent_at);
+        }
+        true
+    }
+}
+
+impl Handler<ControlTick> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: ControlTick, _: &mut Context<Self>) {
+        let now = now();
+        self.claim_if_vacant(now);
+        self.report_load(now);
+        self.work(now);
+    }
+}
+
+impl Handler<ClaimEnded> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, ended: ClaimEnded, _: &mut Context<Self>) {
+        let now = now();
+        self.claim_ended(now, ended);
+        self.work(now);
+    }
+}
+
+impl Handler<FormerStopped> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, stopped: FormerStopped, _: &mut Context<Self>) {
+        if let Some(term) = &mut self.term {
+            term.inherit(stopped.at);
+        }
+    }
+}
+
+impl Handler<CommitEnded> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, ended: CommitEnded, _: &mut Context<Self>) {
+        let now = now();
+        self.commit_ended(now, ended);
+        self.work(now);
+    }
+}
+
+impl Handler<ReadBack> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, back: ReadBack, _: &mut Context<Self>) {
+        let now = now();
+        self.read_back(now, back);
+        self.work(now);
+    }
+}
+
+impl Handler<OrderEnded> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, ended: OrderEnded, _: &mut Context<Self>) {
+        let now = now();
+        let release = self.order_ended(now, &ended);
+        if release {
+            self.work(now);
+        }
+    }
+}
+
+impl Handler<StopControl> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: StopControl, _: &mut Context<Self>) {
+        self.stopping = true;
+        self.end_term();
+        let Some(lease) = self.lease.take() else { return };
+        if let Err(failure) = self.store.call(&StoreCall::EndLease(lease)).await
+        {
+            log::info!("[store] The lease ends by itself: {failure}.");
+        }
+    }
+}
+
+impl Handler<PeerCall> for ControlActor {
+    type Return = PeerReply;
+
+    async fn handle(
+        &mut self,
+        call: PeerCall,
+        _: &mut Context<Self>,
+    ) -> PeerReply {
+        let now = now();
+        match call {
+            PeerCall::Sync { revision } => {
+                let newer = self.mirror.revision() > revision;
+                PeerReply::Mirror(newer.then(|| self.mirror.clone()))
+            }
+            PeerCall::Table { key, value, revision } => {
+                let value = value.into();
+                self.mirror.write(StoreItem { key, value, revision });
+                self.refresh(now);
+                PeerReply::Taken
+            }
+            PeerCall::Load(report) => {
+                self.take_load(now, &report);
+                PeerReply::Taken
+            }
+            PeerCall::StandDown { start } => self.stand_down(start),
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/control/load.rs
@@ -0,0 +1,67 @@
+//! What was asked for, told to the planning VM.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use goldcrestramp_decisions::RangeLoad;
+use goldcrestramp_types::{FastMap, SliceIndex, TimeSpan};
+use serde::{Deserialize, Serialize};
+
+/// The answers of one server.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct AnswerSum {
+    /// How many came.
+    pub answers: u32,
+    /// The time that they took, in milliseconds.
+    pub millis: u32,
+}
+
+/// What one divided service was asked since the last report.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    /// Requests by granule of keys.
+    pub granules: FastMap<u16, u32>,
+    /// Answers by server id.
+    pub servers: FastMap<Arc<str>, AnswerSum>,
+}
+
+/// What one VM was asked since its last report, by service.
+pub type LoadReport = FastMap<Arc<str>, ServiceLoad>;
+
+/// Counts on the traffic thread, read on the control thread.
+#[derive(Clone, Debug, Default)]
+pub struct LoadBook(Arc<Mutex<LoadReport>>);
+
+impl LoadBook {
+    /// Counts a request for a key.
+    pub fn asked(&self, service: &Arc<str>, slice: SliceIndex) {
+        let mut report = self.lock();
+        let load = report.entry(Arc::clone(service)).or_default();
+        *load.granules.entry(RangeLoad::granule(slice)).or_default() += 1;
+    }
+
+    /// Counts an answer of a server.
+    pub fn answered(
+        &self,
+        service: &Arc<str>,
+        server: &Arc<str>,
+        span: TimeSpan,
+    ) {
+        let mut report = self.lock();
+        let load = report.entry(Arc::clone(service)).or_default();
+        let sum = load.servers.entry(Arc::clone(server)).or_default();
+        sum.answers += 1;
+        let millis = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        sum.millis = sum.millis.saturating_add(millis);
+    }
+
+    /// Takes what was counted.
+    #[must_use]
+    pub fn take(&self) -> LoadReport {
+        std::mem::take(&mut *self.lock())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LoadReport> {
+        // Counts are valid whatever happened to their holder.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -0,0 +1,83 @@
+//! What the control actor is told.
+
+use std::sync::Arc;
+
+use goldcrestramp_adapter::StoreEvent;
+use goldcrestramp_assignment::{
+    AssignmentTable, OrderOutcome, ServerOrder,
+};
+use goldcrestramp_types::LocalTime;
+
+use crate::store::{StoreFailure, StorePage};
+
+/// Changes that a watch told.
+#[derive(Debug)]
+pub(crate) struct StoreChanges {
+    pub(crate) events: Vec<StoreEvent>,
+    pub(crate) revision: u64,
+}
+
+/// A reading of the whole store.
+#[derive(Debug)]
+pub(crate) struct StoreReading(pub(crate) StorePage);
+
+/// The store gave no answer to this VM.
+#[derive(Debug)]
+pub(crate) struct StoreSilent;
+
+/// The lease was alive when the store took a call that was sent then; no
+/// lease: it has ended. The reply tells whether to keep one.
+#[derive(Debug)]
+pub(crate) struct LeaseProof {
+    pub(crate) lease: Option<u64>,
+    pub(crate) sent_at: LocalTime,
+}
+
+/// Time has passed.
+#[derive(Debug)]
+pub(crate) struct ControlTick;
+
+/// The claim to be the planning VM has ended so.
+#[derive(Debug)]
+pub(crate) struct ClaimEnded {
+    /// The revision of this VM's record, if it plans now.
+    pub(crate) won: Option<u64>,
+    /// The tables as they were read after the claim.
+    pub(crate) tables: StorePage,
+    /// When the claim was sent.
+    pub(crate) sent_at: LocalTime,
+}
+
+/// A table's commit has ended so.
+#[derive(Debug)]
+pub(crate) struct CommitEnded {
+    pub(crate) service: Arc<str>,
+    pub(crate) table: AssignmentTable,
+    pub(crate) committed: Result<Option<u64>, StoreFailure>,
+}
+
+/// What lies in the store after a commit of unknown effect.
+#[derive(Debug)]
+pub(crate) struct ReadBack {
+    pub(crate) service: Arc<str>,
+    pub(crate) page: StorePage,
+}
+
+/// An order to a server has ended so.
+#[derive(Debug)]
+pub(crate) struct OrderEnded {
+    pub(crate) service: Arc<str>,
+    pub(crate) order: ServerOrder,
+    pub(crate) outcome: OrderOutcome,
+}
+
+/// The former planner plans no more.
+#[derive(Debug)]
+pub(crate) struct FormerStopped {
+    /// When that became known.
+    pub(crate) at: LocalTime,
+}
+
+/// The process is to stop: nothing new is planned, and the lease ends.
+#[derive(Debug)]
+pub(crate) struct StopControl;
--- /dev/null
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -0,0 +1,90 @@
+//! The control thread: what is known, who owns what, and orders.
+//!
+//! One actor holds the state; tasks beside it make the calls and tell it
+//! how they ended, so no decision waits for a socket.
+
+mod actor;
+mod follow;
+mod handlers;
+mod lease;
+mod load;
+mod message;
+mod order;
+mod service;
+mod term;
+
+use std::{sync::Arc, time::Duration};
+
+use goldcrestramp_adapter::NodeSettings;
+use tokio::{net::TcpListener, time::MissedTickBehavior};
+use xtra::{Address, Mailbox};
+
+pub use crate::control::{
+    actor::ControlActor,
+    load::{AnswerSum, LoadBook, LoadReport, ServiceLoad},
+};
+use crate::{
+    control::{
+        follow::follow_store, lease::keep_lease, message::ControlTick,
+        message::StopControl,
+    },
+    peers::serve_peers,
+    records::VmRun,
+    store::StoreClient,
+    view::FleetView,
+};
+
+/// How often due orders, claims and reports are looked for. Holds are
+/// renewed after more than a second, so a tenth of that is precise enough.
+const TICK: Duration = Duration::from_millis(100);
+
+/// The running control part of a VM.
+#[derive(Clone, Debug)]
+pub struct ControlHandle(Address<ControlActor>);
+
+impl ControlHandle {
+    /// Gives up planning and ends the lease, so that another VM takes over
+    /// at once.
+    pub async fn stop(&self) {
+        // The actor is gone only when the process ends.
+        let _gone = self.0.send(StopControl).await;
+    }
+}
+
+/// Starts the control part on the current runtime.
+pub fn spawn_control(
+    settings: Arc<NodeSettings>,
+    me: VmRun,
+    peers: TcpListener,
+    loads: LoadBook,
+    views: tokio::sync::watch::Sender<Arc<FleetView>>,
+) -> ControlHandle {
+    let store = Arc::new(StoreClient::open(settings.store_address));
+    let (address, mailbox) = Mailbox::unbounded();
+    let actor = ControlActor::new(
+        Arc::clone(&settings),
+        me.clone(),
+        Arc::clone(&store),
+        loads,
+        views,
+        address.clone(),
+    );
+    tokio::spawn(xtra::run(mailbox, actor));
+    tokio::spawn(follow_store(Arc::clone(&store), address.clone()));
+    let least = settings.lease_least;
+    tokio::spawn(keep_lease(store, me, least, address.clone()));
+    tokio::spawn(serve_peers(peers, address.clone()));
+    tokio::spawn(tick(address.clone()));
+    ControlHandle(address)
+}
+
+async fn tick(control: Address<ControlActor>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if control.send(ControlTick).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/control/order.rs
@@ -0,0 +1,159 @@
+//! Sends orders to backend servers.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use goldcrestramp_adapter::{GrantOrder, ReleaseOrder, headers};
+use goldcrestramp_assignment::{OrderKind, OrderOutcome, ServerOrder};
+use goldcrestramp_types::FastMap;
+use http::{
+    HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE,
+};
+use xtra::Address;
+
+use crate::{
+    control::{ControlActor, message::OrderEnded},
+    http::{CallFailure, CallPool, CallRequest},
+};
+
+/// A grant is answered at once; one without an answer is sent again.
+const GRANT_LIMIT: Duration = Duration::from_millis(700);
+
+/// A release is answered when the work on its keys has ended, which takes
+/// as long as the longest request.
+const RELEASE_LIMIT: Duration = Duration::from_millis(3_000);
+
+/// Whether orders of a term may be sent; held by those under way.
+///
+/// The failure: a planner that was replaced sends what it still has in
+/// hand, and its successor, which waits for the last grant, counts from
+/// too early. Looked at before each order, it stops all of them.
+#[derive(Debug, Default)]
+pub(crate) struct OrderPermit {
+    ended: AtomicBool,
+}
+
+impl OrderPermit {
+    pub(crate) fn end(&self) {
+        self.ended.store(true, Ordering::Release);
+    }
+
+    fn is_valid(&self) -> bool {
+        !self.ended.load(Ordering::Acquire)
+    }
+}
+
+/// Sends the orders of one service; each end is told to the actor.
+#[derive(Clone)]
+pub(crate) struct OrderSender {
+    pub(crate) pool: Arc<CallPool>,
+    pub(crate) control: Address<ControlActor>,
+    pub(crate) service: Arc<str>,
+    pub(crate) permit: Arc<OrderPermit>,
+}
+
+impl OrderSender {
+    /// Sends orders.
+    ///
+    /// The grants of one server go one after the other on one connection;
+    /// the first that fails ends the round, as the others would fail too.
+    pub(crate) fn send(&self, orders: Vec<ServerOrder>) {
+        let mut rounds: FastMap<Arc<str>, Vec<ServerOrder>> =
+            FastMap::default();
+        let mut alone = Vec::new();
+        for order in orders {
+            match order.kind {
+                OrderKind::Grant { .. } => {
+                    let id = Arc::clone(&order.life.id);
+                    rounds.entry(id).or_default().push(order);
+                }
+                OrderKind::Release => alone.push(vec![order]),
+            }
+        }
+        for round in rounds.into_values().chain(alone) {
+            let sender = self.clone();
+            tokio::spawn(async move { sender.send_round(round).await });
+        }
+    }
+
+    async fn send_round(self, round: Vec<ServerOrder>) {
+        let mut failed = false;
+        for order in round {
+            let outcome = if failed || !self.permit.is_valid() {
+                OrderOutcome::NotSent
+            } else {
+                send_order(&self.pool, &order).await
+            };
+            failed |= matches!(
+                outcome,
+                OrderOutcome::NotSent | OrderOutcome::Unknown
+            );
+            let service = Arc::clone(&self.service);
+            let ended = OrderEnded { service, order, outcome };
+            if self.control.send(ended).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn send_order(pool: &CallPool, order: &ServerOrder) -> OrderOutcome {
+    let (first, last) = (order.range.first.get(), order.range.last.get());
+    let token = order.token;
+    let (path, body, limit) = match &order.kind {
+        OrderKind::Grant { hold, handover } => {
+            let (hold, handover) = (*hold, handover.clone());
+            let order = GrantOrder { first, last, token, hold, handover };
+            (GrantOrder::PATH, order.encode(), GRANT_LIMIT)
+        }
+        OrderKind::Release => {
+            let order = ReleaseOrder { first, last, token };
+            (ReleaseOrder::PATH, order.encode(), RELEASE_LIMIT)
+        }
+    };
+    let request = CallRequest {
+        address: order.life.address,
+        method: Method::POST,
+        path: path.into(),
+        headers: order_headers(&order.life.id),
+        body,
+    };
+    match pool.call(request, limit).await {
+        Ok(answer) => outcome(answer.status, &answer.headers),
+        Err(CallFailure::NotSent) => OrderOutcome::NotSent,
+        Err(CallFailure::Unknown) => OrderOutcome::Unknown,
+    }
+}
+
+/// Addresses are used again: an order for a server that has ended must not
+/// be taken by the next one at its address.
+fn order_headers(id: &str) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    let json = HeaderValue::from_static("application/json");
+    map.insert(CONTENT_TYPE, json);
+    if let Ok(id) = HeaderValue::from_str(id) {
+        map.insert(headers::EXPECT_INSTANCE, id);
+    }
+    map
+}
+
+fn outcome(status: StatusCode, map: &HeaderMap) -> OrderOutcome {
+    match status {
+        StatusCode::OK => {
+            let left = map.get(headers::HANDOVER);
+            let left = left.and_then(|text| text.to_str().ok());
+            OrderOutcome::Done { handover: left.map(Arc::from) }
+        }
+        StatusCode::CONFLICT => OrderOutcome::Outdated,
+        StatusCode::MISDIRECTED_REQUEST => OrderOutcome::Ended,
+        status => {
+            log::warn!("[control] An order was answered {status}.");
+            OrderOutcome::Unknown
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -0,0 +1,222 @@
+//! The plan of one divided service.
+
+use std::sync::Arc;
+
+use goldcrestramp_adapter::ServerEntry;
+use goldcrestramp_assignment::{
+    AssignmentTable, HolderFate, MoveWish, PlannerTiming, RunPhase,
+    ServerLife, TablePlanner,
+};
+use goldcrestramp_decisions::{
+    PlaceLoad, PlacedRun, RangeLoad, SpreadSettings, lightest_place,
+    spread_moves,
+};
+use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
+
+use crate::control::{load::ServiceLoad, term::life_of};
+
+/// How long a grant holds. A server that can't be reached and is gone
+/// leaves its keys without an owner for this long; a planner that is lost
+/// is replaced within 3.5 s, and its servers must hold on until then.
+const HOLD: TimeSpan = TimeSpan::from_millis(5_500);
+
+/// How often a grant is renewed: what is left of a hold at any moment is
+/// then 4 s or more.
+const RENEW_AFTER: TimeSpan = TimeSpan::from_millis(1_500);
+
+/// How soon an order without an answer is sent again.
+const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(250);
+
+/// How often moves are weighed: a report of every VM comes in between.
+const WEIGH_PAUSE: TimeSpan = TimeSpan::from_millis(500);
+
+/// A run that moved stays for so long, or noise would send it to and fro.
+const REST: TimeSpan = TimeSpan::from_millis(2_500);
+
+/// The usual time of an answer moves by this part of the difference with
+/// each report.
+const ANSWER_GAIN: f32 = 0.3;
+
+/// What stands in until a server's answers are known.
+const ANSWER_FIRST: f32 = 0.1;
+
+/// A server that has just started takes about twice the time.
+const COLD_FACTOR: f32 = 2.0;
+
+/// The figures that decide when keys move: callers wait noticeably from
+/// two thirds of a server's slots on, and each run costs one renewal.
+const SPREAD: SpreadSettings =
+    SpreadSettings { band: 0.12, busy_from: 0.45, moves: 12, runs_most: 600 };
+
+/// The plan of one service while this VM plans.
+#[derive(Debug)]
+pub(crate) struct ServicePlan {
+    pub(crate) planner: TablePlanner,
+    /// The committed table's revision: a condition of the next commit.
+    pub(crate) revision: u64,
+    /// Whether a commit is on its way.
+    pub(crate) committing: bool,
+    load: RangeLoad,
+    answers: FastMap<Arc<str>, f32>,
+    weigh_at: LocalTime,
+    resting: Vec<(SliceRange, LocalTime)>,
+}
+
+impl ServicePlan {
+    pub(crate) fn open(
+        now: LocalTime,
+        table: AssignmentTable,
+        revision: u64,
+        sent_until: LocalTime,
+    ) -> Self {
+        let timing = PlannerTiming {
+            hold: HOLD,
+            renew_after: RENEW_AFTER,
+            retry_after: RETRY_AFTER,
+        };
+        Self {
+            planner: TablePlanner::open(timing, table, sent_until),
+            revision,
+            committing: false,
+            load: RangeLoad::open(now),
+            answers: FastMap::default(),
+            weigh_at: now + WEIGH_PAUSE,
+            resting: Vec::new(),
+        }
+    }
+
+    /// Takes what a VM was asked for.
+    pub(crate) fn take_load(&mut self, _now: LocalTime, load: &ServiceLoad) {
+        for (granule, requests) in &load.granules {
+            self.load.count(*granule, *requests);
+        }
+        for (server, sum) in &load.servers {
+            #[expect(clippy::cast_precision_loss, reason = "small counts")]
+            let mean =
+                sum.millis as f32 / 1_000.0 / sum.answers.max(1) as f32;
+            let known =
+                self.answers.entry(Arc::clone(server)).or_insert(mean);
+            *known += ANSWER_GAIN * (mean - *known);
+        }
+    }
+
+    /// Takes a table that was committed.
+    pub(crate) fn committed(
+        &mut self,
+        now: LocalTime,
+        table: AssignmentTable,
+        revision: u64,
+    ) {
+        self.committing = false;
+        if revision < self.revision {
+            return;
+        }
+        for run in table.runs() {
+            if run.phase == RunPhase::Releasing {
+                self.resting.push((run.range, now + REST));
+            }
+        }
+        self.revision = revision;
+        self.planner.committed(table);
+    }
+
+    /// The next table, if something is to change.
+    pub(crate) fn plan(
+        &mut self,
+        now: LocalTime,
+        fate: impl Fn(&ServerLife) -> HolderFate,
+        ready: &[Arc<ServerEntry>],
+    ) -> Option<AssignmentTable> {
+        if self.committing {
+            return None;
+        }
+        self.resting.retain(|(_range, until)| *until > now);
+        let board = PlaceBoard::new(self, ready);
+        let weigh = now >= self.weigh_at;
+        let wishes = if weigh {
+            self.weigh_at = now + WEIGH_PAUSE;
+            self.load.settle(now);
+            self.wishes(&board)
+        } else {
+            Vec::new()
+        };
+        let mut given = Vec::new();
+        let load = &self.load;
+        let place = |range| {
+            let (runs, places) = (&board.runs, &board.places);
+            let place = lightest_place(runs, places, load, &mut given, range)?;
+            Some(board.lives[place].clone())
+        };
+        self.planner.plan(now, fate, &wishes, place)
+    }
+
+    fn wishes(&self, board: &PlaceBoard) -> Vec<MoveWish> {
+        let moves =
+            spread_moves(&board.runs, &board.places, &self.load, &SPREAD);
+        let wish = |chosen: &goldcrestramp_decisions::RangeMove| MoveWish {
+            range: chosen.range,
+            target: board.lives[chosen.target].clone(),
+        };
+        moves.iter().map(wish).collect()
+    }
+
+    /// The usual time of an answer of a server, in seconds.
+    fn answer_s(&self, entry: &ServerEntry) -> f32 {
+        let usual = self.usual_answer_s();
+        let known = self.answers.get(&entry.id).copied();
+        let cold = entry.cold_left > TimeSpan::ZERO;
+        known.unwrap_or(if cold { usual * COLD_FACTOR } else { usual })
+    }
+
+    /// The usual time of an answer of any server.
+    fn usual_answer_s(&self) -> f32 {
+        let mut known: Vec<f32> = self.answers.values().copied().collect();
+        known.sort_by(f32::total_cmp);
+        known.get(known.len() / 2).copied().unwrap_or(ANSWER_FIRST)
+    }
+}
+
+/// The servers and runs of a service as the spreading sees them.
+struct PlaceBoard {
+    lives: Vec<ServerLife>,
+    places: Vec<PlaceLoad>,
+    runs: Vec<PlacedRun>,
+}
+
+impl PlaceBoard {
+    fn new(plan: &ServicePlan, ready: &[Arc<ServerEntry>]) -> Self {
+        let mut lives: Vec<ServerLife> =
+            ready.iter().map(|entry| life_of(entry)).collect();
+        let mut places: Vec<PlaceLoad> = ready
+            .iter()
+            .map(|entry| PlaceLoad {
+                slots: entry.slots,
+                answer_s: plan.answer_s(entry),
+                open: true,
+            })
+            .collect();
+        let table = plan.planner.table();
+        // Holders that are no longer ready stand behind, closed.
+        let mut positions = FastMap::default();
+        for (key, life) in table.lives() {
+            let known = lives.iter().position(|other| other == life);
+            positions.insert(key, known.unwrap_or(lives.len()));
+            if known.is_none() {
+                lives.push(life.clone());
+                let answer_s = plan.usual_answer_s();
+                places.push(PlaceLoad { slots: 1, answer_s, open: false });
+            }
+        }
+        let runs = table.runs().iter().map(|run| PlacedRun {
+            range: run.range,
+            place: positions[&run.life],
+            movable: run.phase == RunPhase::Granted
+                && places[positions[&run.life]].open
+                && !plan.resting.iter().any(|(range, _until)| {
+                    range.covers(run.range) || run.range.covers(*range)
+                }),
+        });
+        let runs = runs.collect();
+        Self { lives, places, runs }
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -0,0 +1,340 @@
+//! This VM's work while it is the one that plans.
+
+use std::sync::Arc;
+
+use goldcrestramp_adapter::{
+    KeyCondition, ServerEntry, ServerPhase, StoreCall, StoreReply,
+    StoreTransaction, StoreWrite,
+};
+use goldcrestramp_assignment::{AssignmentTable, HolderFate, ServerLife};
+use goldcrestramp_types::{LocalTime, TimeSpan};
+use xtra::Address;
+
+use crate::{
+    control::{
+        ControlActor, LoadReport,
+        actor::{ByService, RETURN_GRACE},
+        message::{CommitEnded, OrderEnded, ReadBack},
+        order::{OrderPermit, OrderSender},
+        service::ServicePlan,
+    },
+    peers::PeerReply,
+    records::{PLANNER_KEY, TABLE_PREFIX, table_key},
+    store::StoreClient,
+    view::FleetView,
+};
+
+/// A first table is dealt out when no server has joined for so long: the
+/// servers of a fleet start within a second of each other.
+const SETTLE: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// Runs a server in a first table.
+const FIRST_STRIPES: u32 = 8;
+
+/// The term of the planning VM.
+#[derive(Debug)]
+pub(crate) struct PlannerTerm {
+    /// The revision of the planner's record: a condition of every commit.
+    pub(crate) revision: u64,
+    /// When a former planner may have sent its last grant.
+    sent_until: LocalTime,
+    services: ByService<ServicePlan>,
+    /// Services without a table: their servers, and since when.
+    unsettled: ByService<(usize, LocalTime)>,
+    /// Services whose first table is on its way.
+    creating: ByService<()>,
+    /// Lets orders of this term be sent until it ends.
+    pub(crate) permit: Arc<OrderPermit>,
+}
+
+impl Drop for PlannerTerm {
+    fn drop(&mut self) {
+        self.permit.end();
+    }
+}
+
+impl PlannerTerm {
+    pub(crate) fn open(revision: u64, sent_until: LocalTime) -> Self {
+        Self {
+            revision,
+            sent_until,
+            services: ByService::default(),
+            unsettled: ByService::default(),
+            creating: ByService::default(),
+            permit: Arc::default(),
+        }
+    }
+
+    /// Takes the knowledge that the former planner has stopped.
+    pub(crate) fn inherit(&mut self, stopped_at: LocalTime) {
+        self.sent_until = self.sent_until.min(stopped_at);
+        for service in self.services.values_mut() {
+            service.planner.inherit(stopped_at);
+        }
+    }
+
+    /// Takes what a VM was asked for.
+    pub(crate) fn take_load(&mut self, now: LocalTime, report: &LoadReport) {
+        for (name, load) in report {
+            if let Some(service) = self.services.get_mut(name) {
+                service.take_load(now, load);
+            }
+        }
+    }
+}
+
+/// What is known of the holder of keys.
+fn fate_of(
+    view: &FleetView,
+    returning: bool,
+    life: &ServerLife,
+) -> HolderFate {
+    match view.servers.get(&life.id) {
+        Some(entry) if entry.started_ms != life.started_ms => {
+            HolderFate::Ended
+        }
+        Some(entry) if entry.phase == ServerPhase::Draining => {
+            HolderFate::Leaving
+        }
+        Some(_) => HolderFate::Serving,
+        // An address is given away only after its server has ended.
+        None if view.servers.values().any(|e| e.address == life.address) => {
+            HolderFate::Ended
+        }
+        None if returning => HolderFate::Serving,
+        None => HolderFate::Missing,
+    }
+}
+
+/// The life of a server that has an entry.
+pub(crate) fn life_of(entry: &ServerEntry) -> ServerLife {
+    ServerLife {
+        id: Arc::clone(&entry.id),
+        started_ms: entry.started_ms,
+        address: entry.address,
+    }
+}
+
+impl ControlActor {
+    /// Plans and orders what is due.
+    pub(crate) fn work(&mut self, now: LocalTime) {
+        if !self.has_proof(now) {
+            return;
+        }
+        let view = Arc::clone(&self.view);
+        let Some(routes) = &view.routes else { return };
+        let away = self.silent || now.since(self.store_back) < RETURN_GRACE;
+        let Some(term) = &mut self.term else { return };
+        let mut commits = Vec::new();
+        for name in routes.divided() {
+            let key = table_key(name);
+            if !term.services.contains_key(name) {
+                let Some(item) = self.mirror.get(&key) else {
+                    commits.extend(first_table(term, now, name, &view));
+                    continue;
+                };
+                let Ok(table) = AssignmentTable::decode(&item.value) else {
+                    log::error!("[control] The table of {name} is unreadable.");
+                    continue;
+                };
+                let plan = ServicePlan::open(
+                    now,
+                    table,
+                    item.revision,
+                    term.sent_until,
+                );
+                term.services.insert(Arc::clone(name), plan);
+            }
+            let Some(service) = term.services.get_mut(name) else { continue };
+            let fate = |life: &ServerLife| fate_of(&view, away, life);
+            let ready = view.ready.get(name).map_or(&[][..], Vec::as_slice);
+            if let Some(next) = service.plan(now, fate, ready) {
+                service.committing = true;
+                commits.push((Arc::clone(name), service.revision, next));
+            }
+            let orders = service.planner.orders(now);
+            let sender = OrderSender {
+                pool: Arc::clone(&self.orders),
+                control: self.address.clone(),
+                service: Arc::clone(name),
+                permit: Arc::clone(&term.permit),
+            };
+            sender.send(orders);
+        }
+        for (service, revision, table) in commits {
+            self.commit(service, revision, table);
+        }
+    }
+
+    /// Commits a table, if this VM still plans and the table is as known.
+    fn commit(
+        &self,
+        service: Arc<str>,
+        revision: u64,
+        table: AssignmentTable,
+    ) {
+        let Some(term) = &self.term else { return };
+        let key = table_key(&service);
+        let condition = |key: Arc<str>, revision| KeyCondition { key, revision };
+        let transaction = StoreTransaction {
+            conditions: vec![
+                condition(PLANNER_KEY.into(), term.revision),
+                condition(Arc::clone(&key), revision),
+            ],
+            writes: vec![StoreWrite {
+                key,
+                value: table.encode().into(),
+                lease: 0,
+            }],
+        };
+        let (store, control) = (Arc::clone(&self.store), self.address.clone());
+        tokio::spawn(async move {
+            let reply = store.call(&StoreCall::Commit(transaction)).await;
+            let committed = reply.map(|reply| match reply {
+                StoreReply::Committed(revision) => Some(revision),
+                _ => None,
+            });
+            let ended = CommitEnded { service, table, committed };
+            // The actor is gone only when the process ends.
+            let _gone = control.send(ended).await;
+        });
+    }
+
+    /// Takes the end of a commit.
+    pub(crate) fn commit_ended(&mut self, now: LocalTime, ended: CommitEnded) {
+        let CommitEnded { service, table, committed } = ended;
+        match committed {
+            Ok(Some(revision)) => {
+                self.take_table(now, &service, table, revision);
+            }
+            // Not done, or not known to be done: the store itself tells.
+            Ok(None) | Err(_) => {
+                log::info!("[control] A commit for {service} is read back.");
+                tokio::spawn(read_back(
+                    Arc::clone(&self.store),
+                    service,
+                    self.address.clone(),
+                ));
+            }
+        }
+    }
+
+    /// Takes what lies in the store after a commit of unknown effect.
+    pub(crate) fn read_back(&mut self, now: LocalTime, back: ReadBack) {
+        let key = table_key(&back.service);
+        let found = back.page.items.into_iter().find(|item| item.key == key);
+        let Some(item) = found else {
+            if let Some(term) = &mut self.term {
+                term.creating.remove(&back.service);
+            }
+            return;
+        };
+        let Ok(table) = AssignmentTable::decode(&item.value) else {
+            log::error!("[control] The table {key} is unreadable.");
+            return;
+        };
+        self.take_table(now, &back.service, table, item.revision);
+    }
+
+    /// Takes a table that lies in the store.
+    fn take_table(
+        &mut self,
+        now: LocalTime,
+        service: &Arc<str>,
+        table: AssignmentTable,
+        revision: u64,
+    ) {
+        let key = table_key(service);
+        let value = table.encode();
+        let item = goldcrestramp_adapter::StoreItem {
+            key: Arc::clone(&key),
+            value: value.clone().into(),
+            revision,
+        };
+        self.mirror.write(item);
+        self.push_table(&key, &value, revision);
+        if let Some(term) = &mut self.term {
+            term.creating.remove(service);
+            if let Some(plan) = term.services.get_mut(service) {
+                plan.committed(now, table, revision);
+            }
+        }
+        self.refresh(now);
+    }
+
+    /// Takes the end of an order; whether more can be done at once.
+    pub(crate) fn order_ended(
+        &mut self,
+        now: LocalTime,
+        ended: &OrderEnded,
+    ) -> bool {
+        let Some(term) = &mut self.term else { return false };
+        let Some(plan) = term.services.get_mut(&ended.service) else {
+            return false;
+        };
+        plan.planner.order_ended(now, &ended.order, &ended.outcome);
+        ended.order.kind == goldcrestramp_assignment::OrderKind::Release
+    }
+
+    /// Ends the term of the run that is meant, if it is this one.
+    pub(crate) fn stand_down(&mut self, start: u64) -> PeerReply {
+        // Another run answers: the one that is meant is over.
+        if start != self.me.start {
+            return PeerReply::StoodDown;
+        }
+        if self.term.is_some() {
+            log::warn!("[control] Another VM plans; this one stops.");
+            self.end_term();
+        }
+        // Orders under way end within a second; the caller asks again.
+        if self.has_orders_ending() {
+            return PeerReply::Busy;
+        }
+        PeerReply::StoodDown
+    }
+}
+
+/// The first table of a service whose servers have settled.
+fn first_table(
+    term: &mut PlannerTerm,
+    now: LocalTime,
+    name: &Arc<str>,
+    view: &FleetView,
+) -> Option<(Arc<str>, u64, AssignmentTable)> {
+    let ready = view.ready.get(name)?;
+    let settled = term
+        .unsettled
+        .entry(Arc::clone(name))
+        .or_insert((ready.len(), now));
+    if settled.0 != ready.len() {
+        *settled = (ready.len(), now);
+    }
+    if now.since(settled.1) < SETTLE || term.creating.contains_key(name) {
+        return None;
+    }
+    let mut lives: Vec<ServerLife> =
+        ready.iter().map(|entry| life_of(entry)).collect();
+    lives.sort_by(|a, b| a.id.cmp(&b.id));
+    let table = AssignmentTable::striped(&lives, FIRST_STRIPES)?;
+    log::info!("[control] {name} gets its first table.");
+    term.creating.insert(Arc::clone(name), ());
+    Some((Arc::clone(name), 0, table))
+}
+
+/// Reads the tables until the store answers.
+async fn read_back(
+    store: Arc<StoreClient>,
+    service: Arc<str>,
+    control: Address<ControlActor>,
+) {
+    /// The pause after a failure.
+    const PAUSE: std::time::Duration = std::time::Duration::from_millis(300);
+    while control.is_connected() {
+        if let Ok(page) = store.read_all(TABLE_PREFIX).await {
+            // The actor is gone only when the process ends.
+            let _gone = control.send(ReadBack { service, page }).await;
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/http.rs
@@ -0,0 +1,239 @@
+//! Connections as a client: to the store, backend servers and other VMs.
+
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use goldcrestramp_types::FastMap;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header::HOST};
+use http_body_util::{BodyExt, Either, Full, Limited};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{net::TcpSocket, time::timeout};
+
+/// The body of a request that is sent on.
+pub type SendBody = Either<Full<Bytes>, Incoming>;
+
+/// The sender of one connection.
+pub type LinkSender = SendRequest<SendBody>;
+
+/// The first packet of a connection may wait for its second try, which the
+/// kernel makes after a second; a new connection elsewhere is sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Bytes without an acknowledgement for so long end a connection. A peer
+/// behind a partition never answers; without this a request to it would
+/// hang until its deadline.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Probes of a connection that is silent: it can go silent for good while
+/// new ones work, and nothing else shows it to one that only listens.
+const KEEPALIVE_IDLE: Duration = Duration::from_millis(1_000);
+const KEEPALIVE_TRIES: u32 = 2;
+
+/// What happens to bytes on the way when a connection is given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkEnd {
+    /// They may still arrive.
+    Close,
+    /// They are discarded: a late order must not come after newer ones.
+    Reset,
+}
+
+/// Why a call brought no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallFailure {
+    /// No byte of it was sent.
+    NotSent,
+    /// It may have been carried out, or may be later.
+    Unknown,
+}
+
+/// An answer that was read whole.
+#[derive(Clone, Debug)]
+pub struct CallAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Opens a connection.
+///
+/// # Errors
+///
+/// The error of the socket when it can't be made in time.
+pub async fn dial(
+    address: SocketAddr,
+    end: LinkEnd,
+) -> std::io::Result<LinkSender> {
+    let socket = TcpSocket::new_v4()?;
+    let options = SockRef::from(&socket);
+    options.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_IDLE)
+        .with_retries(KEEPALIVE_TRIES);
+    options.set_tcp_keepalive(&keepalive)?;
+    if end == LinkEnd::Reset {
+        options.set_linger(Some(Duration::ZERO))?;
+    }
+    let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let (sender, connection) = http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(std::io::Error::other)?;
+    tokio::spawn(async move {
+        // Its error reaches whoever waits for an answer on it.
+        if let Err(error) = connection.await {
+            log::debug!("[link] A connection to {address} ended: {error}.");
+        }
+    });
+    Ok(sender)
+}
+
+/// A call to one of the system's own interfaces or a server's.
+#[derive(Clone, Debug)]
+pub struct CallRequest {
+    /// Where it goes.
+    pub address: SocketAddr,
+    /// The method.
+    pub method: Method,
+    /// The path with its query.
+    pub path: String,
+    /// Headers besides the host and the length.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// Kept connections by address.
+type IdleLinks = FastMap<SocketAddr, Vec<LinkSender>>;
+
+/// Calls over kept connections, one call at a time on each.
+#[derive(Debug)]
+pub struct CallPool {
+    end: LinkEnd,
+    answer_bytes_most: usize,
+    idle: Mutex<IdleLinks>,
+}
+
+/// Connections kept to one address; more are only open in a rush.
+const IDLE_MOST: usize = 2;
+
+impl CallPool {
+    /// Opens a pool with no connection.
+    #[must_use]
+    pub fn open(end: LinkEnd, answer_bytes_most: usize) -> Self {
+        Self { end, answer_bytes_most, idle: Mutex::default() }
+    }
+
+    /// Makes a call; it is given up after `limit`.
+    ///
+    /// # Errors
+    ///
+    /// A [`CallFailure`] when no whole answer came.
+    pub async fn call(
+        &self,
+        request: CallRequest,
+        limit: Duration,
+    ) -> Result<CallAnswer, CallFailure> {
+        let address = request.address;
+        let sender = match self.take_idle(address).await {
+            Some(sender) => sender,
+            None => dial(address, self.end)
+                .await
+                .map_err(|_error| CallFailure::NotSent)?,
+        };
+        let exchange = exchange(sender, request, self.answer_bytes_most);
+        let exchanged = timeout(limit, exchange).await;
+        let (sender, answer) =
+            exchanged.map_err(|_elapsed| CallFailure::Unknown)??;
+        self.keep(address, sender);
+        Ok(answer)
+    }
+
+    /// Leaves out the connections to addresses that are no longer used.
+    pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
+        self.idle().retain(|address, _senders| keep(*address));
+    }
+
+    async fn take_idle(&self, address: SocketAddr) -> Option<LinkSender> {
+        loop {
+            let sender = self.pop_idle(address)?;
+            if let Some(sender) = usable(sender).await {
+                return Some(sender);
+            }
+        }
+    }
+
+    fn pop_idle(&self, address: SocketAddr) -> Option<LinkSender> {
+        self.idle().get_mut(&address)?.pop()
+    }
+
+    fn keep(&self, address: SocketAddr, sender: LinkSender) {
+        let mut idle = self.idle();
+        let kept = idle.entry(address).or_default();
+        if kept.len() < IDLE_MOST && !sender.is_closed() {
+            kept.push(sender);
+        }
+    }
+
+    fn idle(&self) -> MutexGuard<'_, IdleLinks> {
+        // A list of connections is valid whatever happened to its holder.
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The sender, if its connection still takes a request.
+pub async fn usable(mut sender: LinkSender) -> Option<LinkSender> {
+    if sender.is_closed() {
+        return None;
+    }
+    sender.ready().await.ok().map(|()| sender)
+}
+
+async fn exchange(
+    mut sender: LinkSender,
+    request: CallRequest,
+    answer_bytes_most: usize,
+) -> Result<(LinkSender, CallAnswer), CallFailure> {
+    let sent = sender.try_send_request(http_request(request)).await;
+    let response = sent.map_err(|mut error| match error.take_message() {
+        Some(_unsent) => CallFailure::NotSent,
+        None => CallFailure::Unknown,
+    })?;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, answer_bytes_most)
+        .collect()
+        .await
+        .map_err(|_error| CallFailure::Unknown)?
+        .to_bytes();
+    let answer =
+        CallAnswer { status: parts.status, headers: parts.headers, body };
+    Ok((sender, answer))
+}
+
+fn http_request(request: CallRequest) -> Request<SendBody> {
+    let body = Either::Left(Full::new(request.body));
+    let mut sent = Request::new(body);
+    *sent.method_mut() = request.method;
+    // Paths are made by this program from escaped texts and numbers.
+    *sent.uri_mut() = request.path.parse().unwrap_or_default();
+    *sent.headers_mut() = request.headers;
+    let host = request.address.to_string();
+    if let Ok(host) = HeaderValue::from_str(&host) {
+        sent.headers_mut().insert(HOST, host);
+    }
+    sent
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/mirror.rs
@@ -0,0 +1,119 @@
+//! What lies in the store, as far as this VM knows.
+
+use std::{collections::BTreeMap, ops::Bound, sync::Arc};
+
+use bytes::Bytes;
+use goldcrestramp_adapter::{StoreEvent, StoreItem};
+use serde::{Deserialize, Serialize};
+
+/// A value with the revision of its last change.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct MirrorValue {
+    /// The value's bytes.
+    pub value: Vec<u8>,
+    /// The store's revision at the change.
+    pub revision: u64,
+}
+
+/// A copy of the store that never goes back.
+///
+/// Changes come from a watch, from whole readings, from the answers to own
+/// writes and from other VMs, in any order and more than once. An item's
+/// revision decides what is newer.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct StoreMirror {
+    items: BTreeMap<Arc<str>, MirrorValue>,
+    /// The revision up to which all changes are known.
+    revision: u64,
+}
+
+impl StoreMirror {
+    /// The revision up to which all changes are known; 0: nothing is.
+    #[must_use]
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The value of a key.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&MirrorValue> {
+        self.items.get(key)
+    }
+
+    /// The items whose keys begin with `prefix`, in order.
+    pub fn range<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> impl Iterator<Item = (&'a Arc<str>, &'a MirrorValue)> {
+        self.items
+            .range::<str, _>((Bound::Included(prefix), Bound::Unbounded))
+            .take_while(move |(key, _)| key.starts_with(prefix))
+    }
+
+    /// Takes changes that are complete up to `revision`.
+    pub fn apply(&mut self, events: Vec<StoreEvent>, revision: u64) {
+        for event in events {
+            match event {
+                StoreEvent::Written(item) => self.write(item),
+                StoreEvent::Removed { key, revision } => {
+                    self.remove(&key, revision);
+                }
+            }
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    /// Takes one item that was written; changes before it may be missing.
+    pub fn write(&mut self, item: StoreItem) {
+        let known = self.items.get(&item.key);
+        if known.is_some_and(|known| known.revision >= item.revision) {
+            return;
+        }
+        let value = MirrorValue {
+            value: Vec::from(Bytes::clone(&item.value)),
+            revision: item.revision,
+        };
+        self.items.insert(item.key, value);
+    }
+
+    fn remove(&mut self, key: &str, revision: u64) {
+        let known = self.items.get(key);
+        if known.is_some_and(|known| known.revision < revision) {
+            self.items.remove(key);
+        }
+    }
+
+    /// Takes a reading of the whole store that began at `revision`; an
+    /// older one than what is known is left aside.
+    pub fn replace(&mut self, items: Vec<StoreItem>, revision: u64) -> bool {
+        if revision < self.revision {
+            return false;
+        }
+        // Own writes may be newer than the reading's begin.
+        let newer = |value: &MirrorValue| value.revision > revision;
+        self.items.retain(|_key, value| newer(value));
+        for item in items {
+            self.write(item);
+        }
+        self.revision = revision;
+        true
+    }
+
+    /// Takes another VM's copy, if it is newer.
+    pub fn adopt(&mut self, other: Self) -> bool {
+        if other.revision <= self.revision {
+            return false;
+        }
+        let since = other.revision;
+        let own = std::mem::replace(self, other);
+        for (key, value) in own.items {
+            if value.revision > since {
+                let known = self.items.get(&key).map(|v| v.revision);
+                if known.is_none_or(|known| known < value.revision) {
+                    self.items.insert(key, value);
+                }
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -0,0 +1,52 @@
+//! Calls to other VMs.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use http::{HeaderMap, Method};
+
+use crate::{
+    http::{CallPool, CallRequest, LinkEnd},
+    peers::{
+        PEER_PATH,
+        message::{PeerCall, PeerReply},
+    },
+};
+
+/// Between regions a call takes 24 ms; a VM that takes longer is full.
+const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// A copy of the store is some hundred kilobytes at most.
+const ANSWER_BYTES_MOST: usize = 16 * 1024 * 1024;
+
+/// A client of the other VMs; cheap to clone.
+#[derive(Clone, Debug)]
+pub struct PeerClient {
+    pool: Arc<CallPool>,
+}
+
+impl PeerClient {
+    /// Opens a client; nothing is sent yet.
+    #[must_use]
+    pub fn open() -> Self {
+        let pool = CallPool::open(LinkEnd::Close, ANSWER_BYTES_MOST);
+        Self { pool: Arc::new(pool) }
+    }
+
+    /// Makes a call; nothing if no answer came.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        call: &PeerCall,
+    ) -> Option<PeerReply> {
+        let body = postcard::to_allocvec(call).ok()?;
+        let request = CallRequest {
+            address,
+            method: Method::POST,
+            path: PEER_PATH.into(),
+            headers: HeaderMap::new(),
+            body: body.into(),
+        };
+        let answer = self.pool.call(request, CALL_LIMIT).await.ok()?;
+        postcard::from_bytes(&answer.body).ok()
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/peers/server.rs
@@ -0,0 +1,80 @@
+//! Takes calls of other VMs.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use xtra::Address;
+
+use crate::{
+    control::ControlActor,
+    peers::{PEER_PATH, PeerCall, PeerReply},
+};
+
+/// A call is a load report or a table, some ten kilobytes.
+const CALL_BYTES_MOST: usize = 4 * 1024 * 1024;
+
+/// Takes calls until the listener fails or the task is dropped.
+pub async fn serve_peers(
+    listener: TcpListener,
+    control: Address<ControlActor>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _address)) => stream,
+            Err(error) => {
+                log::warn!("[peers] No connection was taken: {error}.");
+                tokio::time::sleep(std::time::Duration::from_millis(100))
+                    .await;
+                continue;
+            }
+        };
+        let control = control.clone();
+        let service = service_fn(move |request| {
+            let control = control.clone();
+            async move { Ok::<_, Infallible>(answer(request, &control).await) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("[peers] A connection ended: {error}.");
+            }
+        });
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    control: &Address<ControlActor>,
+) -> Response<Full<Bytes>> {
+    if request.uri().path() != PEER_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let Some(call) = read_call(request).await else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    let reply = control.send(call).await;
+    let reply: Option<PeerReply> = reply.ok();
+    let body = reply.and_then(|reply| postcard::to_allocvec(&reply).ok());
+    match body {
+        Some(body) => Response::new(Full::new(body.into())),
+        None => status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+async fn read_call(request: Request<Incoming>) -> Option<PeerCall> {
+    let body = Limited::new(request.into_body(), CALL_BYTES_MOST);
+    let bytes = body.collect().await.ok()?.to_bytes();
+    postcard::from_bytes(&bytes).ok()
+}
+
+fn status(code: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = code;
+    response
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -0,0 +1,282 @@
+//! One send of a request to one server.
+
+use std::{rc::Rc, time::Duration};
+
+use goldcrestramp_adapter::headers as names;
+use goldcrestramp_decisions::{ServerSign, ServerWay};
+use goldcrestramp_types::{
+    ClockSource, LocalTime, MonotonicClock, TimeSpan,
+};
+use http::{
+    HeaderMap, HeaderValue, Request, Response, StatusCode,
+    header::CONTENT_ENCODING, response::Parts,
+};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use crate::{
+    http::LinkSender,
+    traffic::{
+        answer::{
+            AnswerBody, ReadAnswer, read_answer, streamed_answer,
+            whole_answer,
+        },
+        headers::text,
+        request::RoutedRequest,
+        server::ServerSlot,
+        state::TrafficState,
+    },
+};
+
+/// An answer that is ready is waited for this long past the deadline: the
+/// server ends by the deadline it was given, and its answer is on the way.
+const LATE_ANSWER: TimeSpan = TimeSpan::from_millis(120);
+
+/// The rest of an answer that has begun by then is waited for so long.
+const LATE_REST: TimeSpan = TimeSpan::from_millis(200);
+
+/// What came of a send.
+#[derive(Debug)]
+pub(crate) enum AttemptEnd {
+    /// The server's answer, for the caller.
+    Answered(Response<AnswerBody>),
+    /// The server's answer is a failure of its own; it ran.
+    Failed(Response<AnswerBody>),
+    /// The server states that it did not run the request.
+    NotRun,
+    /// The server does not hold the key, or another one answered.
+    Misdirected,
+    /// No byte was sent.
+    NotSent,
+    /// It may have run: the connection broke, or what came was no answer
+    /// to this request.
+    Broken,
+    /// No answer came in the time that it was given.
+    Silent,
+}
+
+/// How long a send may take, and where it goes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptPlan {
+    pub(crate) way: ServerWay,
+    /// How long the begin of an answer is waited for.
+    pub(crate) patience: TimeSpan,
+}
+
+/// Sends a request; dropped, it ends the server's work by closing the
+/// connection.
+pub(crate) async fn send(
+    state: &Rc<TrafficState>,
+    request: &mut RoutedRequest,
+    slot: ServerSlot,
+    plan: AttemptPlan,
+) -> AttemptEnd {
+    let left = request.left(MonotonicClock.now());
+    let link = match timeout(left.to_std(), slot.server.link()).await {
+        Ok(Ok(link)) => link,
+        Ok(Err(_)) | Err(_) => {
+            slot.end(MonotonicClock.now(), ServerSign::Unreachable);
+            return AttemptEnd::NotSent;
+        }
+    };
+    let now = MonotonicClock.now();
+    let Some(outgoing) = outgoing(request, &slot, plan.way, now) else {
+        slot.end(now, ServerSign::Cancelled);
+        return AttemptEnd::NotSent;
+    };
+    exchange(state, request, slot, link, outgoing, plan).await
+}
+
+async fn exchange(
+    state: &Rc<TrafficState>,
+    request: &RoutedRequest,
+    slot: ServerSlot,
+    mut link: LinkSender,
+    outgoing: Request<crate::http::SendBody>,
+    plan: AttemptPlan,
+) -> AttemptEnd {
+    let sent = link.try_send_request(outgoing);
+    let response = timeout(plan.patience.to_std(), sent).await;
+    let now = MonotonicClock.now();
+    let response = match response {
+        Err(_elapsed) => {
+            slot.end(now, ServerSign::Broken);
+            return AttemptEnd::Silent;
+        }
+        Ok(Err(mut error)) => {
+            // A kept connection that the server had closed says nothing of
+            // the server.
+            if error.take_message().is_some() {
+                slot.end(now, ServerSign::Cancelled);
+                return AttemptEnd::NotSent;
+            }
+            slot.end(now, ServerSign::Broken);
+            return AttemptEnd::Broken;
+        }
+        Ok(Ok(response)) => response,
+    };
+    slot.replied(now);
+    let (parts, body) = response.into_parts();
+    match judge(request, &parts) {
+        AnswerKind::Foreign => {
+            slot.end(now, ServerSign::Broken);
+            AttemptEnd::Broken
+        }
+        AnswerKind::NotRun(misdirected) => {
+            slot.end(now, ServerSign::Refused);
+            finish_unread(&slot, link, parts, body).await;
+            if misdirected {
+                AttemptEnd::Misdirected
+            } else {
+                AttemptEnd::NotRun
+            }
+        }
+        AnswerKind::Own => {
+            deliver(state, request, slot, link, parts, body).await
+        }
+    }
+}
+
+/// What a server's answer is.
+enum AnswerKind {
+    /// It belongs to this request.
+    Own,
+    /// The server states that it did not run it; true: as it is not the
+    /// one that may.
+    NotRun(bool),
+    /// It belongs to another request, or is not the server's own.
+    Foreign,
+}
+
+/// Judges an answer by its head.
+///
+/// A second answer to an earlier request may come where this one's is
+/// expected. Its id is another; taken for this request's, one caller would
+/// get what belongs to another.
+fn judge(request: &RoutedRequest, parts: &Parts) -> AnswerKind {
+    let headers = &parts.headers;
+    let asked = request.attempt_id();
+    let echoed = text(headers, names::ATTEMPT_ID);
+    if echoed.is_some_and(|echoed| echoed != asked) {
+        return AnswerKind::Foreign;
+    }
+    let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if misdirected || headers.contains_key(names::NOT_EXECUTED) {
+        return AnswerKind::NotRun(misdirected);
+    }
+    let stamped = headers.contains_key(names::RESPONSE_STAMP);
+    let encoded = headers.contains_key(CONTENT_ENCODING);
+    let success = parts.status.is_success();
+    if success && (echoed.is_none() || !stamped || encoded) {
+        return AnswerKind::Foreign;
+    }
+    AnswerKind::Own
+}
+
+/// Reads what is left of a refusal, so that its connection can be kept.
+async fn finish_unread(
+    slot: &ServerSlot,
+    link: LinkSender,
+    parts: Parts,
+    body: Incoming,
+) {
+    /// A refusal is a few bytes that come with its head.
+    const REST: Duration = Duration::from_millis(20);
+    let read = timeout(REST, read_answer(body)).await;
+    if matches!(read, Ok(Ok(ReadAnswer::Whole(_)))) {
+        slot.server.keep(link, keep_alive(&parts.headers));
+    }
+}
+
+/// Reads the answer and makes it the caller's.
+async fn deliver(
+    state: &Rc<TrafficState>,
+    request: &RoutedRequest,
+    slot: ServerSlot,
+    link: LinkSender,
+    parts: Parts,
+    body: Incoming,
+) -> AttemptEnd {
+    let late = request.left(MonotonicClock.now()).plus(LATE_REST);
+    let read = timeout(late.to_std(), read_answer(body)).await;
+    let now = MonotonicClock.now();
+    let Parts { status, headers, .. } = parts;
+    let failed = status.is_server_error();
+    match read {
+        Err(_) | Ok(Err(_)) => {
+            slot.end(now, ServerSign::Broken);
+            AttemptEnd::Broken
+        }
+        Ok(Ok(ReadAnswer::Whole(body))) => {
+            let span = slot.answered(now);
+            slot.server.keep(link, keep_alive(&headers));
+            if request.slice.is_some() {
+                let id = &slot.server.id;
+                state.loads.answered(&request.service, id, span);
+            }
+            state.note_bytes(request, body.len() as u64);
+            let answer = whole_answer(status, headers, body);
+            if failed {
+                AttemptEnd::Failed(answer)
+            } else {
+                AttemptEnd::Answered(answer)
+            }
+        }
+        Ok(Ok(ReadAnswer::Begun(begun, rest))) => {
+            slot.answered(now);
+            let answer =
+                streamed_answer(status, headers, begun, rest, slot, link);
+            AttemptEnd::Answered(answer)
+        }
+    }
+}
+
+/// How long the server says that it keeps the connection.
+fn keep_alive(headers: &HeaderMap) -> Option<TimeSpan> {
+    let said = text(headers, "keep-alive")?;
+    let seconds = said.split(',').find_map(|part| {
+        let (name, value) = part.trim().split_once('=')?;
+        name.trim().eq_ignore_ascii_case("timeout").then_some(value)
+    })?;
+    let seconds: u64 = seconds.trim().parse().ok()?;
+    Some(TimeSpan::from_millis(seconds.saturating_mul(1_000)))
+}
+
+/// The request as the server gets it; nothing if it can't be sent.
+fn outgoing(
+    request: &mut RoutedRequest,
+    slot: &ServerSlot,
+    way: ServerWay,
+    now: LocalTime,
+) -> Option<Request<crate::http::SendBody>> {
+    let left = request.left(now).minus(transit(way)).as_millis();
+    let body = (left > 0).then(|| request.body.for_send())??;
+    let mut sent = Request::new(body);
+    *sent.method_mut() = request.method.clone();
+    *sent.uri_mut() = request.uri.clone();
+    let headers = sent.headers_mut();
+    headers.clone_from(&request.headers);
+    headers.insert(names::DEADLINE_MS, HeaderValue::from(left));
+    let id = HeaderValue::from_str(&slot.server.id).ok()?;
+    headers.insert(names::EXPECT_INSTANCE, id);
+    Some(sent)
+}
+
+/// The time on the way to a server and back, which is taken off the
+/// deadline that the server is given.
+const fn transit(way: ServerWay) -> TimeSpan {
+    match way {
+        ServerWay::Domain => TimeSpan::from_millis(1),
+        ServerWay::Region => TimeSpan::from_millis(3),
+        ServerWay::Far => TimeSpan::from_millis(26),
+    }
+}
+
+/// How long the begin of an answer is waited for when nobody else can
+/// answer.
+pub(crate) fn full_patience(
+    request: &RoutedRequest,
+    now: LocalTime,
+) -> TimeSpan {
+    request.left(now).plus(LATE_ANSWER)
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -0,0 +1,225 @@
+//! Where a request goes now.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use goldcrestramp_adapter::{RouteEffect, ServerEntry};
+use goldcrestramp_assignment::{RunPhase, ServerLife};
+use goldcrestramp_decisions::{
+    PoolCandidate, PoolChoice, ServerWay, choose_server,
+};
+use goldcrestramp_types::{LocalTime, SliceIndex, TimeSpan};
+
+use crate::{
+    traffic::{
+        reason::EndReason,
+        request::RoutedRequest,
+        server::{RequestLine, ServerState},
+        state::TrafficState,
+    },
+    view::FleetView,
+};
+
+/// A server that leaves gets no new request after this; its keys are
+/// elsewhere by then, unless nobody can plan at the moment.
+const LEAVING_SERVED: TimeSpan = TimeSpan::from_millis(1_300);
+
+/// A new owner gets its first request this long after its table came: its
+/// grant is on the way from the planning VM, at most as far as another
+/// region. Sooner, it would turn the request away.
+const GRANT_WAY: TimeSpan = TimeSpan::from_millis(30);
+
+/// Keys whose owner is being changed are usually served again within this;
+/// if not, their owner can't be reached, and it takes seconds.
+const MOVE_TIME: TimeSpan = TimeSpan::from_millis(900);
+
+/// Where a request goes.
+#[derive(Debug)]
+pub(crate) enum Destination {
+    /// To this server.
+    Server {
+        server: Rc<ServerState>,
+        way: ServerWay,
+        /// Whether another server could answer too.
+        replaceable: bool,
+    },
+    /// It waits in a line for a free slot.
+    Wait {
+        line: LineKind,
+        /// Requests that the servers can run at once for this VM.
+        slots: usize,
+        /// The usual time of an answer.
+        latency: TimeSpan,
+    },
+    /// It waits for this long at the most, until the key has an owner.
+    Hold(TimeSpan),
+    /// It can't be served now.
+    Refused(EndReason),
+}
+
+/// The line in which a request waits.
+#[derive(Debug)]
+pub(crate) enum LineKind {
+    /// For any server of the service.
+    Service(Rc<RefCell<RequestLine>>),
+    /// For one server.
+    Server(Rc<ServerState>),
+}
+
+impl LineKind {
+    /// Works on the line.
+    pub(crate) fn with<Out>(
+        &self,
+        work: impl FnOnce(&mut RequestLine) -> Out,
+    ) -> Out {
+        match self {
+            Self::Service(line) => work(&mut line.borrow_mut()),
+            Self::Server(server) => work(&mut server.line.borrow_mut()),
+        }
+    }
+}
+
+/// Chooses the destination of a request; `tried` are the servers that were
+/// sent it before.
+pub(crate) fn choose(
+    state: &TrafficState,
+    view: &FleetView,
+    request: &RoutedRequest,
+    now: LocalTime,
+    tried: &[Arc<str>],
+) -> Destination {
+    match request.slice {
+        Some(slice) => choose_owner(state, view, request, now, slice),
+        None => choose_pooled(state, view, request, now, tried),
+    }
+}
+
+/// The owner of the key, if it has one.
+fn choose_owner(
+    state: &TrafficState,
+    view: &FleetView,
+    request: &RoutedRequest,
+    now: LocalTime,
+    slice: SliceIndex,
+) -> Destination {
+    let service = &request.service;
+    let Some(table) = view.tables.get(service) else {
+        return Destination::Refused(EndReason::NoOwner);
+    };
+    let run = table.find(slice);
+    let life = table.life(run.life);
+    let since = state.token_since(service, run.token).unwrap_or(now);
+    let known = now.since(since);
+    if run.phase == RunPhase::Releasing {
+        return dark(known);
+    }
+    if known < GRANT_WAY {
+        return Destination::Hold(GRANT_WAY.minus(known));
+    }
+    if let Some(leaving) = view.leaving.get(&life.id) {
+        let left = now.since(*leaving);
+        if left >= LEAVING_SERVED {
+            return dark(left.minus(LEAVING_SERVED));
+        }
+    }
+    let entry = view.servers.get(&life.id);
+    let slots = entry.map_or(1, |entry| entry.slots as usize);
+    let way = entry.map_or(ServerWay::Far, |entry| state.way_to(entry));
+    let server = state.server(now, life, slots, view.vms.len());
+    let limit = server.limit(now);
+    if server.in_flight() < limit {
+        return Destination::Server { server, way, replaceable: false };
+    }
+    let latency = server.latency();
+    let line = LineKind::Server(server);
+    Destination::Wait { line, slots: limit.max(1), latency }
+}
+
+/// What to do with a request whose key has had no owner for `known`.
+fn dark(known: TimeSpan) -> Destination {
+    if known < MOVE_TIME {
+        return Destination::Hold(MOVE_TIME.minus(known));
+    }
+    Destination::Refused(EndReason::NoOwner)
+}
+
+/// The best of the servers of a service.
+fn choose_pooled(
+    state: &TrafficState,
+    view: &FleetView,
+    request: &RoutedRequest,
+    now: LocalTime,
+    tried: &[Arc<str>],
+) -> Destination {
+    let ready = view.ready.get(&request.service);
+    let Some(ready) = ready.filter(|ready| !ready.is_empty()) else {
+        return Destination::Refused(EndReason::NoServer);
+    };
+    let service = state.service(&request.service);
+    let download = request.route.effect == RouteEffect::Download;
+    let bytes = service.bytes[usize::from(download)].get();
+    let seen = ready.iter().map(|entry| see(state, view, now, entry));
+    let seen: Vec<SeenServer> = seen.collect();
+    let fresh = |server: &SeenServer| !tried.contains(&server.server.id);
+    let any_fresh = seen.iter().any(fresh);
+    let usable: Vec<&SeenServer> = seen
+        .iter()
+        .filter(|server| fresh(server) || !any_fresh)
+        .collect();
+    let candidates: Vec<PoolCandidate> =
+        usable.iter().map(|server| server.candidate).collect();
+    match choose_server(&candidates, request.left(now), bytes) {
+        PoolChoice::Send(position) => {
+            let chosen = usable[position];
+            Destination::Server {
+                server: Rc::clone(&chosen.server),
+                way: chosen.candidate.way,
+                replaceable: usable.len() > 1,
+            }
+        }
+        PoolChoice::Full => {
+            let slots = candidates.iter().map(|c| c.limit).sum::<usize>();
+            let latency = mean_latency(&candidates);
+            let line = LineKind::Service(Rc::clone(&service.line));
+            Destination::Wait { line, slots: slots.max(1), latency }
+        }
+        PoolChoice::TooLate => Destination::Refused(EndReason::TooLate),
+    }
+}
+
+/// A server with what the choice needs of it.
+struct SeenServer {
+    server: Rc<ServerState>,
+    candidate: PoolCandidate,
+}
+
+fn see(
+    state: &TrafficState,
+    view: &FleetView,
+    now: LocalTime,
+    entry: &ServerEntry,
+) -> SeenServer {
+    let life = ServerLife {
+        id: Arc::clone(&entry.id),
+        started_ms: entry.started_ms,
+        address: entry.address,
+    };
+    let way = state.way_to(entry);
+    let sharers = match way {
+        ServerWay::Domain => view.vms_in(&entry.domain),
+        ServerWay::Region | ServerWay::Far => view.vms.len(),
+    };
+    let slots = entry.slots as usize;
+    let server = state.server(now, &life, slots, sharers);
+    let candidate = PoolCandidate {
+        way,
+        limit: server.limit(now),
+        in_flight: server.in_flight(),
+        latency: server.latency(),
+    };
+    SeenServer { server, candidate }
+}
+
+fn mean_latency(candidates: &[PoolCandidate]) -> TimeSpan {
+    let sum: u64 = candidates.iter().map(|c| c.latency.as_micros()).sum();
+    TimeSpan::from_micros(sum / candidates.len().max(1) as u64)
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -0,0 +1,119 @@
+//! Takes callers' connections.
+
+use std::{convert::Infallible, rc::Rc, time::Duration};
+
+use http::{
+    HeaderValue, Request,
+    header::{CONNECTION, HeaderMap},
+};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    pin,
+    sync::watch,
+    task::spawn_local,
+};
+
+use crate::{
+    run::StopPhase,
+    traffic::{
+        ConnectionCount, ConnectionGuard, serve::serve, state::TrafficState,
+    },
+};
+
+/// Callers use a connection again that was idle for up to four fifths of
+/// the operators' limit, and that limit may rise while it is open.
+const IDLE_FACTOR: u32 = 2;
+
+/// What stands in while no configuration is known.
+const IDLE_UNKNOWN: Duration = Duration::from_secs(30);
+
+/// The smallest buffer for the head of a request that the library takes.
+const HEAD_BYTES_LEAST: usize = 8 * 1024;
+
+/// Takes connections until the process closes.
+pub(crate) async fn serve_listener(
+    state: Rc<TrafficState>,
+    listener: TcpListener,
+    mut phase: watch::Receiver<StopPhase>,
+    connections: Rc<ConnectionCount>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closing(&mut phase) => return,
+        };
+        match accepted {
+            Ok((stream, _address)) => {
+                let guard = connections.enter();
+                let (state, phase) = (Rc::clone(&state), phase.clone());
+                spawn_local(serve_stream(state, stream, phase, guard));
+            }
+            Err(error) => {
+                log::warn!("[gateway] No connection was taken: {error}.");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// Waits until the process closes.
+async fn closing(phase: &mut watch::Receiver<StopPhase>) {
+    let closed = phase.wait_for(|phase| *phase == StopPhase::Closing).await;
+    if closed.is_err() {
+        // The process ends without a stop: there is nothing to wait for.
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn serve_stream(
+    state: Rc<TrafficState>,
+    stream: TcpStream,
+    mut phase: watch::Receiver<StopPhase>,
+    _guard: ConnectionGuard,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("[gateway] A connection was gone at once: {error}.");
+        return;
+    }
+    let view = state.view();
+    let limits = view.routes.as_ref().map(|book| book.limits);
+    let idle = limits.map_or(IDLE_UNKNOWN, |limits| {
+        limits.idle_time.to_std() * IDLE_FACTOR
+    });
+    let head = limits.map_or(HEAD_BYTES_LEAST, |limits| limits.head_bytes);
+    let leaving = phase.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (state, leaving) = (Rc::clone(&state), leaving.clone());
+        async move {
+            let mut response = serve(&state, request).await;
+            if *leaving.borrow() != StopPhase::Serving {
+                ask_to_leave(response.headers_mut());
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(head.max(HEAD_BYTES_LEAST) + HEAD_BYTES_LEAST)
+        .serve_connection(TokioIo::new(stream), service);
+    pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing(&mut phase) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("[gateway] A connection ended: {error}.");
+    }
+}
+
+/// Has a caller open its next connection, which the balancer sends to
+/// another VM.
+fn ask_to_leave(headers: &mut HeaderMap) {
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -0,0 +1,363 @@
+//! The way of one request through this VM.
+
+use std::{rc::Rc, sync::Arc};
+
+use goldcrestramp_adapter::RouteEffect;
+use goldcrestramp_decisions::{LinePlace, ServerWay};
+use goldcrestramp_types::{
+    ClockSource, LocalTime, MonotonicClock, TimeSpan,
+};
+use http::{Request, Response};
+use hyper::body::Incoming;
+use tokio::{sync::oneshot, time::timeout};
+
+use crate::traffic::{
+    answer::{AnswerBody, own_answer},
+    attempt::{AttemptEnd, AttemptPlan, full_patience, send},
+    choose::{Destination, LineKind, choose},
+    reason::EndReason,
+    request::{
+        RequestBody, RoutedRequest, deadline_of, find_route,
+        forwarded_headers, read_body, slice_of,
+    },
+    server::ServerState,
+    state::{TrafficState, least},
+};
+
+/// A wait is looked at again after so long: a server that was held back
+/// takes requests again without an event.
+const LOOK_AGAIN: TimeSpan = TimeSpan::from_millis(100);
+
+/// The wait before an owner that turned a request away is asked again; it
+/// doubles, as a server that sheds needs time to work off what it has.
+const OWNER_PAUSE: TimeSpan = TimeSpan::from_millis(40);
+
+/// Sends that no server has run or will run, for one request: more means
+/// that something is wrong for longer than its caller waits.
+const SENDS_MOST: u32 = 6;
+
+/// An answer to a request that may repeat is waited for this many usual
+/// times before another server is asked: a longer wait is rarely met by a
+/// server that works, and a silent one never answers.
+const PATIENCE_FACTOR: u64 = 350;
+
+/// The least of that wait: a pause of a busy server is shorter.
+const PATIENCE_LEAST: TimeSpan = TimeSpan::from_millis(250);
+
+/// When a caller is told to return if nothing better is known.
+const RETURN_USUAL: TimeSpan = TimeSpan::from_millis(250);
+
+/// Longer than this no caller waits before it returns.
+const RETURN_MOST: TimeSpan = TimeSpan::from_millis(2_000);
+
+/// How far a request has come.
+#[derive(Debug, Default)]
+struct RequestProgress {
+    /// The servers that it has reached.
+    tried: Vec<Arc<str>>,
+    sends: u32,
+    /// Whether one of them may have run it.
+    may_have_run: bool,
+    /// A failure that a server answered; given if nothing better comes.
+    failure: Option<Response<AnswerBody>>,
+}
+
+/// Why a request ends with an answer of this VM's own.
+struct RequestEnd {
+    reason: EndReason,
+    /// When the caller should return.
+    retry_after: TimeSpan,
+}
+
+impl From<EndReason> for RequestEnd {
+    fn from(reason: EndReason) -> Self {
+        Self { reason, retry_after: RETURN_USUAL }
+    }
+}
+
+/// Serves a request.
+pub(crate) async fn serve(
+    state: &Rc<TrafficState>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let mut request = match read(state, request).await {
+        Ok(request) => request,
+        Err(reason) => {
+            log::debug!("[gateway] A request ends: {}.", reason.code());
+            return own_answer(reason, false, RETURN_USUAL);
+        }
+    };
+    let mut progress = RequestProgress::default();
+    let end = match answer(state, &mut request, &mut progress).await {
+        Ok(answer) => return answer,
+        Err(end) => end,
+    };
+    if let Some(failure) = progress.failure.take() {
+        return failure;
+    }
+    log_end(&request, &progress, &end);
+    let retry_after = end.retry_after.min(RETURN_MOST);
+    own_answer(end.reason, progress.may_have_run, retry_after)
+}
+
+fn log_end(
+    request: &RoutedRequest,
+    progress: &RequestProgress,
+    end: &RequestEnd,
+) {
+    let held = MonotonicClock.now().since(request.arrived);
+    log::info!(
+        "[gateway] Request {} of {} ends: {}, {} sends, may have run: {}, \
+         held {} ms, key {:?}.",
+        request.attempt_id(),
+        request.service,
+        end.reason.code(),
+        progress.sends,
+        progress.may_have_run,
+        held.as_millis(),
+        request.slice.map(goldcrestramp_types::SliceIndex::get)
+    );
+}
+
+/// Reads a request and finds its route.
+async fn read(
+    state: &Rc<TrafficState>,
+    request: Request<Incoming>,
+) -> Result<RoutedRequest, EndReason> {
+    let arrived = MonotonicClock.now();
+    let view = state.view();
+    let book = view.routes.as_ref().ok_or(EndReason::NoConfiguration)?;
+    let route = find_route(book, &request)?;
+    let weights: Vec<u32> =
+        route.targets.iter().map(|target| target.weight).collect();
+    let target = state.next_target(&route.name, &weights);
+    let target = target.ok_or(EndReason::NoServer)?;
+    let service = Arc::clone(&route.targets[target].service);
+    let slice = if book.is_divided(&service) {
+        Some(slice_of(request.headers())?)
+    } else {
+        None
+    };
+    let deadline = deadline_of(arrived, request.headers(), &route);
+    let bytes_most = book.limits.body_bytes;
+    let (parts, body) = request.into_parts();
+    let left = deadline.since(arrived).to_std();
+    let body = timeout(left, read_body(body, bytes_most)).await;
+    let body = body.map_err(|_elapsed| EndReason::BodyBroken)??;
+    state.service(&service).window.borrow_mut().request(arrived);
+    if let Some(slice) = slice {
+        state.loads.asked(&service, slice);
+    }
+    let place =
+        LinePlace { priority: route.priority, turn: state.next_turn() };
+    Ok(RoutedRequest {
+        place,
+        route,
+        service,
+        slice,
+        method: parts.method,
+        uri: parts.uri,
+        headers: forwarded_headers(parts.headers),
+        body,
+        arrived,
+        deadline,
+    })
+}
+
+/// Tries until there is an answer, or none can come.
+async fn answer(
+    state: &Rc<TrafficState>,
+    request: &mut RoutedRequest,
+    progress: &mut RequestProgress,
+) -> Result<Response<AnswerBody>, RequestEnd> {
+    loop {
+        let now = MonotonicClock.now();
+        if request.left(now) == TimeSpan::ZERO {
+            let reason = if progress.may_have_run {
+                EndReason::Timeout
+            } else {
+                EndReason::TooLate
+            };
+            return Err(reason.into());
+        }
+        let view = state.view();
+        match choose(state, &view, request, now, &progress.tried) {
+            Destination::Server { server, way, replaceable } => {
+                let end = try_server(
+                    state, request, progress, &server, way, replaceable,
+                )
+                .await?;
+                if let Some(answer) = end {
+                    return Ok(answer);
+                }
+            }
+            Destination::Wait { line, slots, latency } => {
+                wait_in_line(request, &line, slots, latency).await?;
+            }
+            Destination::Hold(span) => {
+                hold(state, request, span).await?;
+            }
+            Destination::Refused(reason) => return Err(reason.into()),
+        }
+    }
+}
+
+/// Sends to a server; nothing if the request is to be tried again.
+async fn try_server(
+    state: &Rc<TrafficState>,
+    request: &mut RoutedRequest,
+    progress: &mut RequestProgress,
+    server: &Rc<ServerState>,
+    way: ServerWay,
+    replaceable: bool,
+) -> Result<Option<Response<AnswerBody>>, RequestEnd> {
+    let now = MonotonicClock.now();
+    let known = progress.tried.contains(&server.id);
+    let most = request.route.attempts_most as usize;
+    if !known && progress.tried.len() >= most {
+        return Err(EndReason::AttemptsUsed.into());
+    }
+    if progress.sends >= SENDS_MOST {
+        return Err(EndReason::AttemptsUsed.into());
+    }
+    if !progress.tried.is_empty() && !take_repeat(state, request, now) {
+        return Err(EndReason::RetryBudget.into());
+    }
+    let service = state.service(&request.service);
+    let line = request.slice.is_none().then(|| Rc::clone(&service.line));
+    let slot = server.enter(now, request.class(), line);
+    let full = full_patience(request, now);
+    let impatient = request.may_repeat()
+        && replaceable
+        && progress.tried.len() + 1 < most;
+    let patience = if impatient {
+        let usual = server.latency().percent(PATIENCE_FACTOR);
+        least(usual.max(PATIENCE_LEAST), full)
+    } else {
+        full
+    };
+    progress.sends += 1;
+    let plan = AttemptPlan { way, patience };
+    let end = send(state, request, slot, plan).await;
+    if !matches!(end, AttemptEnd::NotSent) && !known {
+        progress.tried.push(Arc::clone(&server.id));
+    }
+    after_send(request, progress, end).await
+}
+
+/// What follows a send.
+async fn after_send(
+    request: &RoutedRequest,
+    progress: &mut RequestProgress,
+    end: AttemptEnd,
+) -> Result<Option<Response<AnswerBody>>, RequestEnd> {
+    match end {
+        AttemptEnd::Answered(answer) => Ok(Some(answer)),
+        AttemptEnd::Failed(answer) => {
+            // The owner of a key would fail again; another server may not.
+            let again = request.may_repeat() && request.slice.is_none();
+            if !again || progress.failure.is_some() {
+                return Ok(Some(answer));
+            }
+            progress.may_have_run = true;
+            progress.failure = Some(answer);
+            Ok(None)
+        }
+        AttemptEnd::NotSent => {
+            pause(request, progress).await;
+            Ok(None)
+        }
+        AttemptEnd::NotRun | AttemptEnd::Misdirected => {
+            if request.slice.is_some() {
+                pause(request, progress).await;
+            }
+            Ok(None)
+        }
+        AttemptEnd::Broken | AttemptEnd::Silent => {
+            progress.may_have_run = true;
+            let silent = matches!(end, AttemptEnd::Silent);
+            let reason = if silent {
+                EndReason::Timeout
+            } else {
+                EndReason::Broken
+            };
+            let passing = matches!(request.body, RequestBody::Passing(None));
+            if !request.may_repeat() || passing {
+                return Err(reason.into());
+            }
+            Ok(None)
+        }
+    }
+}
+
+/// Waits a little before the same server is asked again.
+async fn pause(request: &RoutedRequest, progress: &RequestProgress) {
+    let doubled = OWNER_PAUSE.percent(100 << progress.sends.min(4));
+    let half = doubled.percent(50).to_std();
+    let span = half + half.mul_f64(rand::random_range(0.0..1.0));
+    let left = request.left(MonotonicClock.now()).to_std();
+    tokio::time::sleep(span.min(left)).await;
+}
+
+/// Takes a send beyond the first from the budget.
+fn take_repeat(
+    state: &TrafficState,
+    request: &RoutedRequest,
+    now: LocalTime,
+) -> bool {
+    let vms = state.view().vms.len();
+    let service = state.service(&request.service);
+    let granted = service.window.borrow_mut().take(now, vms);
+    granted
+}
+
+/// Waits for a free slot, unless it would come too late.
+async fn wait_in_line(
+    request: &RoutedRequest,
+    line: &LineKind,
+    slots: usize,
+    latency: TimeSpan,
+) -> Result<(), RequestEnd> {
+    let now = MonotonicClock.now();
+    let place = request.place;
+    let ahead = line.with(|line| line.ahead_of(place)) as u64;
+    let expected = latency.percent(100 * (ahead + 1) / slots as u64);
+    if expected.plus(latency) > request.left(now) {
+        let retry_after = expected.percent(rand::random_range(80..160));
+        return Err(RequestEnd { reason: EndReason::Full, retry_after });
+    }
+    let (waker, woken) = oneshot::channel();
+    line.with(|line| line.join(place, waker));
+    let left = least(request.left(now).minus(latency), LOOK_AGAIN);
+    // Woken or not, the state is looked at again.
+    let _woken = timeout(left.to_std(), woken).await;
+    line.with(|line| line.leave(place));
+    Ok(())
+}
+
+/// Waits until the key's owner may have changed.
+async fn hold(
+    state: &TrafficState,
+    request: &RoutedRequest,
+    span: TimeSpan,
+) -> Result<(), RequestEnd> {
+    let left = request.left(MonotonicClock.now());
+    let service = state.service(&request.service);
+    let (waker, woken) = oneshot::channel();
+    let place = request.place;
+    service.line.borrow_mut().join(place, waker);
+    // Woken or not, the state is looked at again.
+    let _woken = timeout(least(span, left).to_std(), woken).await;
+    service.line.borrow_mut().leave(place);
+    Ok(())
+}
+
+impl TrafficState {
+    /// Learns the usual size of a route's answers.
+    pub(crate) fn note_bytes(&self, request: &RoutedRequest, bytes: u64) {
+        let download = request.route.effect == RouteEffect::Download;
+        let service = self.service(&request.service);
+        let usual = &service.bytes[usize::from(download)];
+        usual.set(usual.get() - usual.get() / 8 + bytes / 8);
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -0,0 +1,203 @@
+//! What the traffic thread knows of one run of a backend server.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use goldcrestramp_decisions::{
+    LimitVerdict, ServerLimit, ServerSign, WaitLine,
+};
+use goldcrestramp_types::{
+    ClockSource, LocalTime, MonotonicClock, RequestClass, TimeSpan,
+};
+use tokio::sync::oneshot;
+
+use crate::http::{LinkEnd, LinkSender, dial, usable};
+
+/// Wakes a request that waits.
+pub(crate) type RequestLine = WaitLine<oneshot::Sender<()>>;
+
+/// The usual time of an answer moves by this part of the difference: some
+/// six answers, so that a server that turns slow is seen within a second.
+const LATENCY_GAIN: u64 = 6;
+
+/// What stands in until a server has answered.
+const LATENCY_FIRST: TimeSpan = TimeSpan::from_millis(100);
+
+/// A kept connection of which the server does not say how long it keeps
+/// it: shorter than what servers usually do.
+const IDLE_USUAL: TimeSpan = TimeSpan::from_millis(4_000);
+
+/// A kept connection is given up this long before the server closes it. A
+/// request that crosses the close is lost, and an order is not sent again.
+const IDLE_MARGIN: TimeSpan = TimeSpan::from_millis(1_500);
+
+/// A connection that is kept.
+#[derive(Debug)]
+struct IdleLink {
+    sender: LinkSender,
+    until: LocalTime,
+}
+
+/// One run of a backend server.
+#[derive(Debug)]
+pub(crate) struct ServerState {
+    pub(crate) id: Arc<str>,
+    pub(crate) address: SocketAddr,
+    limit: RefCell<ServerLimit>,
+    in_flight: Cell<usize>,
+    latency: Cell<TimeSpan>,
+    idle: RefCell<Vec<IdleLink>>,
+    /// Requests that wait for this server alone.
+    pub(crate) line: RefCell<RequestLine>,
+    /// What this VM may have under way there at the most.
+    pub(crate) share: Cell<usize>,
+}
+
+impl ServerState {
+    pub(crate) fn open(
+        now: LocalTime,
+        id: Arc<str>,
+        address: SocketAddr,
+        share: usize,
+    ) -> Self {
+        Self {
+            id,
+            address,
+            limit: RefCell::new(ServerLimit::open(now, share)),
+            in_flight: Cell::new(0),
+            latency: Cell::new(LATENCY_FIRST),
+            idle: RefCell::default(),
+            line: RefCell::default(),
+            share: Cell::new(share),
+        }
+    }
+
+    /// What may be under way now; 0: nothing is to be sent.
+    pub(crate) fn limit(&self, now: LocalTime) -> usize {
+        let mut limit = self.limit.borrow_mut();
+        limit.tick(now, rand::random());
+        match limit.verdict(now) {
+            LimitVerdict::Open(most) => most.min(self.share.get()),
+            LimitVerdict::Held(_until) => 0,
+        }
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.get()
+    }
+
+    /// The usual time of an answer.
+    pub(crate) fn latency(&self) -> TimeSpan {
+        self.latency.get()
+    }
+
+    /// Takes a place at the server until the slot is dropped.
+    pub(crate) fn enter(
+        self: &Rc<Self>,
+        now: LocalTime,
+        class: RequestClass,
+        line: Option<Rc<RefCell<RequestLine>>>,
+    ) -> ServerSlot {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.limit.borrow_mut().started(now, class);
+        ServerSlot {
+            server: Rc::clone(self),
+            since: now,
+            class,
+            line,
+            replied: Cell::new(false),
+            ended: Cell::new(false),
+        }
+    }
+
+    /// A connection to the server, kept or new.
+    pub(crate) async fn link(&self) -> io::Result<LinkSender> {
+        while let Some(sender) = self.pop_idle() {
+            if let Some(sender) = usable(sender).await {
+                return Ok(sender);
+            }
+        }
+        dial(self.address, LinkEnd::Close).await
+    }
+
+    /// Keeps a connection whose answer was read whole.
+    pub(crate) fn keep(&self, sender: LinkSender, said: Option<TimeSpan>) {
+        let span = said.map_or(IDLE_USUAL, |said| said.minus(IDLE_MARGIN));
+        if span == TimeSpan::ZERO || sender.is_closed() {
+            return;
+        }
+        let until = MonotonicClock.now() + span;
+        self.idle.borrow_mut().push(IdleLink { sender, until });
+    }
+
+    /// The connection that was used last: the others fall idle and end.
+    fn pop_idle(&self) -> Option<LinkSender> {
+        let now = MonotonicClock.now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|link| link.until > now && !link.sender.is_closed());
+        idle.pop().map(|link| link.sender)
+    }
+}
+
+/// A place that a request holds at a server.
+///
+/// Dropped without an end, the request was withdrawn: its caller has left.
+#[derive(Debug)]
+pub(crate) struct ServerSlot {
+    pub(crate) server: Rc<ServerState>,
+    pub(crate) since: LocalTime,
+    class: RequestClass,
+    /// The line of the service, where any server may serve.
+    line: Option<Rc<RefCell<RequestLine>>>,
+    replied: Cell<bool>,
+    ended: Cell<bool>,
+}
+
+impl ServerSlot {
+    /// Notes that the answer has begun, or is no longer waited for.
+    pub(crate) fn replied(&self, now: LocalTime) {
+        if !self.replied.replace(true) {
+            self.server.limit.borrow_mut().replied(now);
+        }
+    }
+
+    /// Notes how the request ended.
+    pub(crate) fn end(&self, now: LocalTime, sign: ServerSign) {
+        self.replied(now);
+        if self.ended.replace(true) {
+            return;
+        }
+        let server = &self.server;
+        server.limit.borrow_mut().finished(now, sign, rand::random());
+    }
+
+    /// Notes an answer of the server.
+    pub(crate) fn answered(&self, now: LocalTime) -> TimeSpan {
+        let span = now.since(self.since);
+        let known = self.server.latency.get();
+        let kept = known.as_micros() - known.as_micros() / LATENCY_GAIN;
+        let fresh = span.as_micros() / LATENCY_GAIN;
+        self.server.latency.set(TimeSpan::from_micros(kept + fresh));
+        self.end(now, ServerSign::Answered(self.class, span));
+        span
+    }
+}
+
+impl Drop for ServerSlot {
+    fn drop(&mut self) {
+        self.end(MonotonicClock.now(), ServerSign::Cancelled);
+        let server = &self.server;
+        server.in_flight.set(server.in_flight.get().saturating_sub(1));
+        let own = server.line.borrow_mut().wake();
+        let next = own.or_else(|| self.line.as_ref()?.borrow_mut().wake());
+        if let Some(next) = next {
+            // One that has left the line has gone with its caller.
+            let _left = next.send(());
+        }
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -0,0 +1,216 @@
+//! What the traffic thread keeps between requests.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use goldcrestramp_adapter::{NodeSettings, ServerEntry};
+use goldcrestramp_assignment::ServerLife;
+use goldcrestramp_decisions::{
+    SendWindow, ServerWay, WeightedTurns, WindowSettings,
+};
+use goldcrestramp_types::{
+    ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
+};
+use tokio::sync::watch;
+
+use crate::{
+    control::LoadBook,
+    traffic::server::{RequestLine, ServerState},
+    view::FleetView,
+};
+
+/// What all VMs together may have under way at a server, for each of its
+/// slots: as much again as it can run waits there, so that no slot is idle
+/// for the time of a round trip. Servers queue four times as much.
+const SHARED_DEPTH: usize = 2;
+
+/// A VM may have this much under way at a server whatever its share.
+const SHARE_LEAST: usize = 2;
+
+/// What is kept of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) line: Rc<RefCell<RequestLine>>,
+    pub(crate) window: RefCell<SendWindow>,
+    /// The usual bytes of an answer, of downloads and of others.
+    pub(crate) bytes: [Cell<u64>; 2],
+}
+
+/// The state of the traffic thread.
+#[derive(Debug)]
+pub(crate) struct TrafficState {
+    pub(crate) settings: Arc<NodeSettings>,
+    pub(crate) loads: LoadBook,
+    views: watch::Receiver<Arc<FleetView>>,
+    servers: RefCell<FastMap<ServerLife, Rc<ServerState>>>,
+    services: RefCell<FastMap<Arc<str>, Rc<ServiceState>>>,
+    turns: RefCell<FastMap<Arc<str>, WeightedTurns>>,
+    arrivals: Cell<u64>,
+    /// Since when each token of a table has been known, by service.
+    tokens: RefCell<FastMap<Arc<str>, FastMap<u64, LocalTime>>>,
+}
+
+impl TrafficState {
+    pub(crate) fn open(
+        settings: Arc<NodeSettings>,
+        views: watch::Receiver<Arc<FleetView>>,
+        loads: LoadBook,
+    ) -> Self {
+        Self {
+            settings,
+            loads,
+            views,
+            servers: RefCell::default(),
+            services: RefCell::default(),
+            turns: RefCell::default(),
+            arrivals: Cell::new(0),
+            tokens: RefCell::default(),
+        }
+    }
+
+    /// The fleet as it is known now.
+    pub(crate) fn view(&self) -> Arc<FleetView> {
+        Arc::clone(&self.views.borrow())
+    }
+
+    /// Takes a new view, and wakes whoever waits.
+    pub(crate) fn take_view(&self, view: Arc<FleetView>) {
+        let now = MonotonicClock.now();
+        self.note_tokens(now, &view);
+        self.forget_servers(&view);
+        for service in self.services.borrow().values() {
+            wake_all(&service.line);
+        }
+        for server in self.servers.borrow().values() {
+            wake_all(&server.line);
+        }
+    }
+
+    /// Since when the run with this token has been known.
+    pub(crate) fn token_since(
+        &self,
+        service: &str,
+        token: u64,
+    ) -> Option<LocalTime> {
+        self.tokens.borrow().get(service)?.get(&token).copied()
+    }
+
+    fn note_tokens(&self, now: LocalTime, view: &FleetView) {
+        let mut all = self.tokens.borrow_mut();
+        for (service, table) in &view.tables {
+            let known = all.entry(Arc::clone(service)).or_default();
+            let mut kept = FastMap::default();
+            for run in table.runs() {
+                let since = known.get(&run.token).copied();
+                kept.insert(run.token, since.unwrap_or(now));
+            }
+            *known = kept;
+        }
+    }
+
+    /// Leaves out servers that are gone and have nothing under way.
+    fn forget_servers(&self, view: &FleetView) {
+        let held = |life: &ServerLife| {
+            let mut tables = view.tables.values();
+            tables.any(|table| {
+                let mut lives = table.lives();
+                lives.any(|(_key, holder)| holder == life)
+            })
+        };
+        self.servers.borrow_mut().retain(|life, server| {
+            server.in_flight() > 0
+                || view.servers.contains_key(&life.id)
+                || held(life)
+        });
+    }
+
+    /// The state of a server's run.
+    pub(crate) fn server(
+        &self,
+        now: LocalTime,
+        life: &ServerLife,
+        slots: usize,
+        sharers: usize,
+    ) -> Rc<ServerState> {
+        let share = (SHARED_DEPTH * slots).div_ceil(sharers.max(1));
+        let share = share.clamp(SHARE_LEAST, slots.max(SHARE_LEAST));
+        let mut servers = self.servers.borrow_mut();
+        let server = servers.entry(life.clone()).or_insert_with(|| {
+            let most = slots.max(SHARE_LEAST);
+            let id = Arc::clone(&life.id);
+            Rc::new(ServerState::open(now, id, life.address, most))
+        });
+        server.share.set(share);
+        Rc::clone(server)
+    }
+
+    /// The state of a service.
+    pub(crate) fn service(&self, name: &Arc<str>) -> Rc<ServiceState> {
+        let mut services = self.services.borrow_mut();
+        let service = services.entry(Arc::clone(name)).or_insert_with(|| {
+            let settings = &self.settings;
+            #[expect(
+                clippy::cast_possible_truncation,
+                clippy::cast_sign_loss,
+                reason = "a ratio of a few tenths"
+            )]
+            let per_mille = (settings.retry_ratio * 1_000.0) as u64;
+            let window = SendWindow::new(WindowSettings {
+                span: settings.retry_window,
+                per_mille,
+                extra: u64::from(settings.retry_extra),
+            });
+            Rc::new(ServiceState {
+                line: Rc::default(),
+                window: RefCell::new(window),
+                bytes: Default::default(),
+            })
+        });
+        Rc::clone(service)
+    }
+
+    /// The position of the target of a route's next request.
+    pub(crate) fn next_target(
+        &self,
+        route: &Arc<str>,
+        weights: &[u32],
+    ) -> Option<usize> {
+        let mut turns = self.turns.borrow_mut();
+        turns.entry(Arc::clone(route)).or_default().next(weights)
+    }
+
+    /// The number of a request in the order of arrival.
+    pub(crate) fn next_turn(&self) -> u64 {
+        self.arrivals.set(self.arrivals.get() + 1);
+        self.arrivals.get()
+    }
+
+    /// How far a server is.
+    pub(crate) fn way_to(&self, entry: &ServerEntry) -> ServerWay {
+        let settings = &self.settings;
+        if entry.domain == settings.domain {
+            return ServerWay::Domain;
+        }
+        let own = settings.region_of(&settings.domain);
+        if own.is_some() && settings.region_of(&entry.domain) == own {
+            return ServerWay::Region;
+        }
+        ServerWay::Far
+    }
+}
+
+fn wake_all(line: &RefCell<RequestLine>) {
+    let woken: Vec<_> = line.borrow_mut().wake_all().collect();
+    for waker in woken {
+        // One that has left the line has gone with its caller.
+        let _left = waker.send(());
+    }
+}
+
+/// The least of two spans.
+pub(crate) const fn least(a: TimeSpan, b: TimeSpan) -> TimeSpan {
+    if a.as_micros() < b.as_micros() { a } else { b }
+}
--- a/goldcrestramp-types/src/slice.rs
+++ b/goldcrestramp-types/src/slice.rs
@@ -71,6 +71,12 @@
 pub struct SliceIndex(u16);
 
 impl SliceIndex {
+    /// The lowest slice there can be.
+    pub const FIRST: Self = Self(0);
+
+    /// The highest slice there can be.
+    pub const LAST: Self = Self(u16::MAX);
+
     /// Makes an index when `number` is below 65,536.
     #[must_use]
     pub fn new(number: u32) -> Option<Self> {
@@ -90,6 +96,12 @@
     }
 }
 
+impl From<u16> for SliceIndex {
+    fn from(number: u16) -> Self {
+        Self(number)
+    }
+}
+
 /// The slice of `key` in a service of `count` slices.
 ///
 /// The low bits of xxh3-64 decide, so the result is the same on every
--- a/goldcrestramp-types/src/slice_set.rs
+++ b/goldcrestramp-types/src/slice_set.rs
@@ -8,7 +8,9 @@
 const WORD_BITS: usize = 64;
 
 /// A run of slices, both ends included, as it travels in messages.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize,
+)]
 pub struct SliceRange {
     /// The first slice of the run.
     pub first: SliceIndex,
@@ -16,6 +18,33 @@
     pub last: SliceIndex,
 }
 
+impl SliceRange {
+    /// Every slice there can be.
+    pub const ALL: Self = Self {
+        first: SliceIndex::FIRST,
+        last: SliceIndex::LAST,
+    };
+
+    /// Whether the slice lies in the run.
+    #[must_use]
+    pub fn contains(self, index: SliceIndex) -> bool {
+        self.first <= index && index <= self.last
+    }
+
+    /// Whether all of `other` lies in the run.
+    #[must_use]
+    pub fn covers(self, other: Self) -> bool {
+        self.first <= other.first && other.last <= self.last
+    }
+
+    /// The number of slices in the run.
+    #[must_use]
+    pub fn slices(self) -> u32 {
+        let first = u32::from(self.first.get());
+        (u32::from(self.last.get()) + 1).saturating_sub(first)
+    }
+}
+
 /// A set of slices: one bit each, 8 KiB at 65,536 slices.
 ///
 /// It travels as its runs, which are few where slices were placed in
