Wait for a near server before asking a far one, and keep tables small

Cause: a download was sent next door as soon as the near servers had one request each, and volume between failure domains is paid for; a table carried every handover for good.

--- a/goldcrestramp-assignment/src/memo.rs
+++ b/goldcrestramp-assignment/src/memo.rs
@@ -13,6 +13,8 @@
     pub(crate) due: LocalTime,
     /// Whether one is on its way.
     pub(crate) in_flight: bool,
+    /// Whether the server has taken the grant.
+    pub(crate) granted: bool,
     /// Whether the server has said that it has seen a higher token.
     pub(crate) outdated: bool,
     /// What the holder left, once it has released the run.
--- a/goldcrestramp-assignment/src/planner.rs
+++ b/goldcrestramp-assignment/src/planner.rs
@@ -1,8 +1,6 @@
 //! The next table, and the orders that make servers follow this one.
 
-use goldcrestramp_types::{
-    FastMap, FastSet, LocalTime, SliceRange, TimeSpan,
-};
+use goldcrestramp_types::{FastMap, FastSet, LocalTime, SliceRange, TimeSpan};
 
 use crate::{
     holds::HoldBounds,
@@ -126,7 +124,11 @@
         mut place: impl FnMut(SliceRange) -> Option<ServerLife>,
     ) -> Option<AssignmentTable> {
         let fate = |life: &ServerLife| {
-            if self.ended.contains(life) { HolderFate::Ended } else { fate(life) }
+            if self.ended.contains(life) {
+                HolderFate::Ended
+            } else {
+                fate(life)
+            }
         };
         let mut next = self.table.clone();
         let mut changed = false;
@@ -146,19 +148,20 @@
         for position in freed {
             let range = next.runs[position].range;
             let wished = self.wishes.get(&range).cloned();
-            let usable = |life: &ServerLife| {
-                fate(life) == HolderFate::Serving
-            };
-            let Some(target) =
-                wished.filter(usable).or_else(|| place(range))
+            let usable = |life: &ServerLife| fate(life) == HolderFate::Serving;
+            let Some(target) = wished.filter(usable).or_else(|| place(range))
             else {
                 continue;
             };
             changed |= self.give(&mut next, position, &target);
         }
         self.wishes.extend(targets);
+        if !changed {
+            return None;
+        }
+        self.drop_used_handovers(&mut next);
         next.forget_unused();
-        changed.then_some(next)
+        Some(next)
     }
 
     /// The orders that are due; each is to be answered by
@@ -233,6 +236,7 @@
             memo.due = now + timing.retry_after;
             match outcome {
                 OrderOutcome::Done { .. } if grant => {
+                    memo.granted = true;
                     memo.due = now + timing.renew_after;
                 }
                 OrderOutcome::Done { handover } => {
@@ -303,6 +307,16 @@
         true
     }
 
+    /// Leaves out what holders have been given: it is of use once, and
+    /// makes up two thirds of a table's bytes.
+    fn drop_used_handovers(&self, next: &mut AssignmentTable) {
+        for run in &mut next.runs {
+            if self.memos.get(run).is_some_and(|memo| memo.granted) {
+                run.handover = None;
+            }
+        }
+    }
+
     /// Grants anew, with a higher token, what a server calls outdated.
     fn regrant_outdated(&self, next: &mut AssignmentTable) -> bool {
         let outdated: Vec<usize> = next
@@ -375,9 +389,10 @@
         .collect();
     let mut changed = false;
     for key in lives {
-        let held = next.runs.iter().any(|run| {
-            run.life == key && run.phase == RunPhase::Granted
-        });
+        let held = next
+            .runs
+            .iter()
+            .any(|run| run.life == key && run.phase == RunPhase::Granted);
         if !held {
             continue;
         }
--- a/goldcrestramp-assignment/src/table.rs
+++ b/goldcrestramp-assignment/src/table.rs
@@ -98,9 +98,8 @@
         let servers = u32::try_from(lives.len()).ok()?;
         let runs = servers.checked_mul(stripes).filter(|runs| *runs > 0)?;
         let total = u32::from(u16::MAX) + 1;
-        let bound = |run: u32| {
-            u64::from(run) * u64::from(total) / u64::from(runs)
-        };
+        let bound =
+            |run: u32| u64::from(run) * u64::from(total) / u64::from(runs);
         let runs = (0..runs).filter_map(|run| {
             let first = u16::try_from(bound(run)).ok()?;
             let last = u16::try_from(bound(run + 1).checked_sub(1)?).ok()?;
--- a/goldcrestramp-decisions/src/pool.rs
+++ b/goldcrestramp-decisions/src/pool.rs
@@ -34,13 +34,15 @@
         }
     }
 
-    /// What an answer of so many bytes costs, as time: a far answer of
-    /// 90 kB fills a link of 30 Mbit/s for 24 ms and is paid for at some
-    /// eight times the volume of a near one.
+    /// What an answer of so many bytes costs, as time. Volume between
+    /// failure domains is paid for, and a far answer of 90 kB fills a link
+    /// of 30 Mbit/s for 24 ms: it waits near for twice the usual time of a
+    /// download before it goes next door, and goes far when nothing else
+    /// can answer.
     const fn volume(self, bytes: u64) -> TimeSpan {
         let micros_per_kilobyte = match self {
             Self::Domain => 0,
-            Self::Region => 1_000,
+            Self::Region => 2_500,
             Self::Far => 8_000,
         };
         TimeSpan::from_micros(bytes * micros_per_kilobyte / 1_000)
@@ -60,7 +62,8 @@
     pub way: ServerWay,
     /// What may be under way there at once, by this VM.
     pub limit: usize,
-    /// What is under way there, by this VM.
+    /// What is under way there, by this VM; more than the limit if
+    /// requests wait for it.
     pub in_flight: usize,
     /// The usual time of an answer.
     pub latency: TimeSpan,
@@ -71,7 +74,7 @@
 pub enum PoolChoice {
     /// Send it to the candidate at this position.
     Send(usize),
-    /// Wait: every server that could answer in time is full.
+    /// Wait: the server that would answer first is full.
     Full,
     /// No server could answer in the time that is left.
     TooLate,
@@ -105,15 +108,11 @@
     left: TimeSpan,
     bytes: u64,
 ) -> PoolChoice {
-    let mut best = None;
-    let mut in_time = false;
+    let mut best: Option<(TimeSpan, usize)> = None;
     for (position, candidate) in candidates.iter().enumerate() {
         let expected = candidate.latency.plus(candidate.way.base());
-        if expected > left {
-            continue;
-        }
-        in_time = true;
-        if candidate.in_flight >= candidate.limit {
+        // Nothing is sent to one that is held back, nor waited for.
+        if expected > left || candidate.limit == 0 {
             continue;
         }
         let cost = cost_of(candidate, bytes);
@@ -121,10 +120,15 @@
             best = Some((cost, position));
         }
     }
-    match best {
-        Some((_cost, position)) => PoolChoice::Send(position),
-        None if in_time => PoolChoice::Full,
-        None => PoolChoice::TooLate,
+    let Some((_cost, position)) = best else {
+        let held = candidates.iter().any(|c| c.latency <= left);
+        return if held { PoolChoice::Full } else { PoolChoice::TooLate };
+    };
+    let chosen = &candidates[position];
+    if chosen.in_flight < chosen.limit {
+        PoolChoice::Send(position)
+    } else {
+        PoolChoice::Full
     }
 }
 
@@ -133,7 +137,11 @@
     let busy = candidate.in_flight as u64;
     let limit = candidate.limit.max(1) as u64;
     // Half of the way to the limit is free slots; beyond it requests begin
-    // to wait for one another.
-    let percent = 100 + 100 * busy / limit;
+    // to wait for one another, and beyond the limit for a turn each.
+    let percent = if busy < limit {
+        100 + 100 * busy / limit
+    } else {
+        200 + 100 * (busy - limit + 1) / limit
+    };
     candidate.latency.percent(percent).plus(candidate.way.cost(bytes))
 }
--- a/goldcrestramp-decisions/src/spread.rs
+++ b/goldcrestramp-decisions/src/spread.rs
@@ -340,9 +340,8 @@
             .enumerate()
             .filter(|(_, run)| own(run))
             .map(|(position, run)| (position, self.load.of(run.range)));
-        let (busiest, most) = rated
-            .clone()
-            .max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let (busiest, most) =
+            rated.clone().max_by(|a, b| a.1.total_cmp(&b.1))?;
         let room = self.runs.len() + 2 <= self.settings.runs_most;
         // A dense part first: as much load moves with fewer keys.
         if room
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -254,7 +254,9 @@
         self.claiming = false;
         self.vacant_since = None;
         let Some(revision) = ended.won else { return };
-        if self.stopping || self.planner().is_some_and(|(_, known)| known > revision) {
+        if self.stopping
+            || self.planner().is_some_and(|(_, known)| known > revision)
+        {
             return;
         }
         self.proof = self.proof.max(ended.sent_at);
@@ -398,12 +400,8 @@
 
     /// Asks another VM for the store's contents.
     pub(crate) fn ask_peer(&self) {
-        let others: Vec<&VmRun> = self
-            .view
-            .vms
-            .iter()
-            .filter(|vm| vm.vm != self.me.vm)
-            .collect();
+        let others: Vec<&VmRun> =
+            self.view.vms.iter().filter(|vm| vm.vm != self.me.vm).collect();
         if others.is_empty() {
             return;
         }
@@ -467,8 +465,7 @@
         }
         _ => None,
     };
-    let tables =
-        read.unwrap_or(StorePage { items: Vec::new(), revision: 0 });
+    let tables = read.unwrap_or(StorePage { items: Vec::new(), revision: 0 });
     // The record itself says who won, also when the answer was lost.
     let record = tables.items.iter().find(|item| *item.key == *PLANNER_KEY);
     let won = record
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -211,7 +211,8 @@
         self.stopping = true;
         self.end_term();
         let Some(lease) = self.lease.take() else { return };
-        if let Err(failure) = self.store.call(&StoreCall::EndLease(lease)).await
+        if let Err(failure) =
+            self.store.call(&StoreCall::EndLease(lease)).await
         {
             log::info!("[store] The lease ends by itself: {failure}.");
         }
--- a/goldcrestramp-entry/src/control/lease.rs
+++ b/goldcrestramp-entry/src/control/lease.rs
@@ -74,11 +74,8 @@
     let StoreReply::Leased { lease, .. } = reply else {
         return Err(StoreFailure::Unknown);
     };
-    let write = StoreWrite {
-        key: vm_key(&me.vm),
-        value: me.encode().into(),
-        lease,
-    };
+    let write =
+        StoreWrite { key: vm_key(&me.vm), value: me.encode().into(), lease };
     let transaction =
         StoreTransaction { conditions: Vec::new(), writes: vec![write] };
     match store.call(&StoreCall::Commit(transaction)).await? {
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -3,9 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use goldcrestramp_adapter::StoreEvent;
-use goldcrestramp_assignment::{
-    AssignmentTable, OrderOutcome, ServerOrder,
-};
+use goldcrestramp_assignment::{AssignmentTable, OrderOutcome, ServerOrder};
 use goldcrestramp_types::LocalTime;
 
 use crate::{
--- a/goldcrestramp-entry/src/control/order.rs
+++ b/goldcrestramp-entry/src/control/order.rs
@@ -11,9 +11,7 @@
 use goldcrestramp_adapter::{GrantOrder, ReleaseOrder, headers};
 use goldcrestramp_assignment::{OrderKind, OrderOutcome, ServerOrder};
 use goldcrestramp_types::FastMap;
-use http::{
-    HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE,
-};
+use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
 use xtra::Address;
 
 use crate::{
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -104,10 +104,8 @@
         }
         for (server, sum) in &load.servers {
             #[expect(clippy::cast_precision_loss, reason = "small counts")]
-            let mean =
-                sum.millis as f32 / 1_000.0 / sum.answers.max(1) as f32;
-            let known =
-                self.answers.entry(Arc::clone(server)).or_insert(mean);
+            let mean = sum.millis as f32 / 1_000.0 / sum.answers.max(1) as f32;
+            let known = self.answers.entry(Arc::clone(server)).or_insert(mean);
             *known += ANSWER_GAIN * (mean - *known);
         }
     }
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -134,7 +134,9 @@
                     continue;
                 };
                 let Ok(table) = AssignmentTable::decode(&item.value) else {
-                    log::error!("[control] The table of {name} is unreadable.");
+                    log::error!(
+                        "[control] The table of {name} is unreadable."
+                    );
                     continue;
                 };
                 let plan = ServicePlan::open(
@@ -175,7 +177,8 @@
     ) {
         let Some(term) = &self.term else { return };
         let key = table_key(&service);
-        let condition = |key: Arc<str>, revision| KeyCondition { key, revision };
+        let condition =
+            |key: Arc<str>, revision| KeyCondition { key, revision };
         let transaction = StoreTransaction {
             conditions: vec![
                 condition(PLANNER_KEY.into(), term.revision),
@@ -302,10 +305,8 @@
     view: &FleetView,
 ) -> Option<(Arc<str>, u64, AssignmentTable)> {
     let ready = view.ready.get(name)?;
-    let settled = term
-        .unsettled
-        .entry(Arc::clone(name))
-        .or_insert((ready.len(), now));
+    let settled =
+        term.unsettled.entry(Arc::clone(name)).or_insert((ready.len(), now));
     if settled.0 != ready.len() {
         *settled = (ready.len(), now);
     }
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use goldcrestramp_types::FastMap;
-use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header::HOST};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, StatusCode, header::HOST,
+};
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::{
     body::Incoming,
--- a/goldcrestramp-entry/src/main.rs
+++ b/goldcrestramp-entry/src/main.rs
@@ -43,9 +43,7 @@
                 .arg(level),
         )
         .subcommand(
-            Command::new("check")
-                .about("Check a settings file")
-                .arg(settings),
+            Command::new("check").about("Check a settings file").arg(settings),
         )
 }
 
--- a/goldcrestramp-entry/src/mirror.rs
+++ b/goldcrestramp-entry/src/mirror.rs
@@ -138,9 +138,10 @@
                 revision: value.revision,
             })
         });
-        let removed = delta.removed.into_iter().map(|(key, revision)| {
-            StoreEvent::Removed { key, revision }
-        });
+        let removed = delta
+            .removed
+            .into_iter()
+            .map(|(key, revision)| StoreEvent::Removed { key, revision });
         let events = removed.chain(items).collect();
         self.apply(events, delta.revision);
     }
--- a/goldcrestramp-entry/src/ready.rs
+++ b/goldcrestramp-entry/src/ready.rs
@@ -36,9 +36,7 @@
             let known = views.borrow().routes.is_some();
             let serving = *phase.borrow() == StopPhase::Serving;
             let ready = known && serving;
-            async move {
-                Ok::<_, Infallible>(answer(request.uri().path(), ready))
-            }
+            async move { Ok::<_, Infallible>(answer(request.uri().path(), ready)) }
         });
         tokio::spawn(async move {
             let connection = http1::Builder::new()
--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -102,13 +102,8 @@
     local.block_on(&runtime, async {
         let listener =
             bind(settings.traffic_address).map_err(RunError::Start)?;
-        let gate = spawn_traffic(
-            Arc::clone(&settings),
-            listener,
-            seen,
-            phase,
-            loads,
-        );
+        let gate =
+            spawn_traffic(Arc::clone(&settings), listener, seen, phase, loads);
         wait_for_stop(path).await.map_err(RunError::Start)?;
         leave(&settings, &control, &phases, &gate).await;
         Ok(())
@@ -122,8 +117,8 @@
     phases: &watch::Sender<StopPhase>,
     gate: &TrafficGate,
 ) {
-    let end = Instant::now()
-        + settings.grace.to_std().saturating_sub(GRACE_MARGIN);
+    let end =
+        Instant::now() + settings.grace.to_std().saturating_sub(GRACE_MARGIN);
     log::info!("[stop] SIGTERM: this VM leaves.");
     phases.send_replace(StopPhase::Leaving);
     control.stop().await;
--- a/goldcrestramp-entry/src/traffic/answer.rs
+++ b/goldcrestramp-entry/src/traffic/answer.rs
@@ -15,7 +15,9 @@
 
 use crate::{
     http::LinkSender,
-    traffic::{headers::strip_connection, reason::EndReason, server::ServerSlot},
+    traffic::{
+        headers::strip_connection, reason::EndReason, server::ServerSlot,
+    },
 };
 
 /// Answers up to this size are read whole before the caller gets a byte,
@@ -132,8 +134,7 @@
     let left = rest.size_hint().exact();
     let size = left.map(|left| left + begun.len() as u64);
     let begun = Some(begun);
-    let body =
-        StreamedAnswer { begun, rest, size, _slot: slot, _link: link };
+    let body = StreamedAnswer { begun, rest, size, _slot: slot, _link: link };
     forwarded(status, headers, AnswerBody::Streamed(Box::new(body)))
 }
 
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -4,9 +4,7 @@
 
 use goldcrestramp_adapter::headers as names;
 use goldcrestramp_decisions::{ServerSign, ServerWay};
-use goldcrestramp_types::{
-    ClockSource, LocalTime, MonotonicClock, TimeSpan,
-};
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::CONTENT_ENCODING, response::Parts,
@@ -18,8 +16,7 @@
     http::LinkSender,
     traffic::{
         answer::{
-            AnswerBody, ReadAnswer, read_answer, streamed_answer,
-            whole_answer,
+            AnswerBody, ReadAnswer, read_answer, streamed_answer, whole_answer,
         },
         headers::text,
         request::RoutedRequest,
@@ -214,7 +211,8 @@
                 let id = &slot.server.id;
                 state.loads.answered(&request.service, id, span);
             }
-            state.note_bytes(request, body.len() as u64);
+            let sent = request.body.held_bytes();
+            state.note_bytes(request, sent + body.len() as u64);
             let answer = whole_answer(status, headers, body);
             if failed {
                 AttemptEnd::Failed(answer)
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -157,16 +157,16 @@
     let service = state.service(&request.service);
     let download = request.route.effect == RouteEffect::Download;
     let bytes = service.bytes[usize::from(download)].get();
+    let waiting = service.line.borrow().len();
     let seen = ready.iter().map(|entry| see(state, view, now, entry));
     let seen: Vec<SeenServer> = seen.collect();
     let fresh = |server: &SeenServer| !tried.contains(&server.server.id);
     let any_fresh = seen.iter().any(fresh);
-    let usable: Vec<&SeenServer> = seen
-        .iter()
-        .filter(|server| fresh(server) || !any_fresh)
-        .collect();
+    let usable: Vec<&SeenServer> =
+        seen.iter().filter(|server| fresh(server) || !any_fresh).collect();
+    let candidates = usable.iter().map(|server| server.candidate);
     let candidates: Vec<PoolCandidate> =
-        usable.iter().map(|server| server.candidate).collect();
+        candidates.map(|candidate| queued(candidate, waiting)).collect();
     match choose_server(&candidates, request.left(now), bytes) {
         PoolChoice::Send(position) => {
             let chosen = usable[position];
@@ -219,6 +219,16 @@
     SeenServer { server, candidate }
 }
 
+/// The candidate with those in flight that wait for one like it: all that
+/// wait, as they wait for the nearest first.
+fn queued(candidate: PoolCandidate, waiting: usize) -> PoolCandidate {
+    if candidate.in_flight < candidate.limit {
+        return candidate;
+    }
+    let in_flight = candidate.in_flight + waiting;
+    PoolCandidate { in_flight, ..candidate }
+}
+
 fn mean_latency(candidates: &[PoolCandidate]) -> TimeSpan {
     let sum: u64 = candidates.iter().map(|c| c.latency.as_micros()).sum();
     TimeSpan::from_micros(sum / candidates.len().max(1) as u64)
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use goldcrestramp_adapter::{
-    RequestRoute, RouteEffect, headers as names,
-};
+use goldcrestramp_adapter::{RequestRoute, RouteEffect, headers as names};
 use goldcrestramp_decisions::LinePlace;
 use goldcrestramp_types::{LocalTime, RequestClass, SliceIndex, TimeSpan};
 use http::{
@@ -39,6 +37,14 @@
 }
 
 impl RequestBody {
+    /// The bytes of a body that was read whole.
+    pub(crate) fn held_bytes(&self) -> u64 {
+        match self {
+            Self::Held(bytes) => bytes.len() as u64,
+            Self::Passing(_) => 0,
+        }
+    }
+
     /// The body for a send; nothing if an earlier one has taken it.
     pub(crate) fn for_send(&mut self) -> Option<SendBody> {
         match self {
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -4,9 +4,7 @@
 
 use goldcrestramp_adapter::RouteEffect;
 use goldcrestramp_decisions::{LinePlace, ServerWay};
-use goldcrestramp_types::{
-    ClockSource, LocalTime, MonotonicClock, TimeSpan,
-};
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{Request, Response};
 use hyper::body::Incoming;
 use tokio::{sync::oneshot, time::timeout};
@@ -184,7 +182,12 @@
         match choose(state, &view, request, now, &progress.tried) {
             Destination::Server { server, way, replaceable } => {
                 let end = try_server(
-                    state, request, progress, &server, way, replaceable,
+                    state,
+                    request,
+                    progress,
+                    &server,
+                    way,
+                    replaceable,
                 )
                 .await?;
                 if let Some(answer) = end {
@@ -227,9 +230,8 @@
     let line = request.slice.is_none().then(|| Rc::clone(&service.line));
     let slot = server.enter(now, request.class(), line);
     let full = full_patience(request, now);
-    let impatient = request.may_repeat()
-        && replaceable
-        && progress.tried.len() + 1 < most;
+    let impatient =
+        request.may_repeat() && replaceable && progress.tried.len() + 1 < most;
     let patience = if impatient {
         let usual = server.latency().percent(PATIENCE_FACTOR);
         least(usual.max(PATIENCE_LEAST), full)
@@ -276,11 +278,8 @@
         AttemptEnd::Broken | AttemptEnd::Silent => {
             progress.may_have_run = true;
             let silent = matches!(end, AttemptEnd::Silent);
-            let reason = if silent {
-                EndReason::Timeout
-            } else {
-                EndReason::Broken
-            };
+            let reason =
+                if silent { EndReason::Timeout } else { EndReason::Broken };
             let passing = matches!(request.body, RequestBody::Passing(None));
             if !request.may_repeat() || passing {
                 return Err(reason.into());
--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -168,14 +168,14 @@
         mirror: &StoreMirror,
     ) -> Option<FleetView> {
         let routes = self.read_configuration(mirror);
-        let servers = self.servers.read(
-            mirror.range(SERVER_PREFIX),
-            |key, value| ServerEntry::parse(key, value).map(Arc::new),
-        );
-        let tables = self.tables.read(
-            mirror.range(TABLE_PREFIX),
-            |_key, value| AssignmentTable::decode(value).ok().map(Arc::new),
-        );
+        let servers =
+            self.servers.read(mirror.range(SERVER_PREFIX), |key, value| {
+                ServerEntry::parse(key, value).map(Arc::new)
+            });
+        let tables =
+            self.tables.read(mirror.range(TABLE_PREFIX), |_key, value| {
+                AssignmentTable::decode(value).ok().map(Arc::new)
+            });
         let vms = self
             .vms
             .read(mirror.range(VM_PREFIX), |_key, value| decode(value));
--- a/goldcrestramp-types/src/slice_set.rs
+++ b/goldcrestramp-types/src/slice_set.rs
@@ -8,9 +8,7 @@
 const WORD_BITS: usize = 64;
 
 /// A run of slices, both ends included, as it travels in messages.
-#[derive(
-    Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct SliceRange {
     /// The first slice of the run.
     pub first: SliceIndex,
@@ -20,10 +18,8 @@
 
 impl SliceRange {
     /// Every slice there can be.
-    pub const ALL: Self = Self {
-        first: SliceIndex::FIRST,
-        last: SliceIndex::LAST,
-    };
+    pub const ALL: Self =
+        Self { first: SliceIndex::FIRST, last: SliceIndex::LAST };
 
     /// Whether the slice lies in the run.
     #[must_use]
