--- a/goldcrestramp-assignment/src/memo.rs
+++ b/goldcrestramp-assignment/src/memo.rs
@@ -6,6 +6,20 @@
 
 use crate::table::AssignedRun;
 
+/// What the server has said to the order of a run.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) enum RunAnswer {
+    /// Nothing yet.
+    #[default]
+    None,
+    /// It holds the keys.
+    Granted,
+    /// It has seen a higher token on one of them.
+    Outdated,
+    /// It has stopped, and left this for the next holder.
+    Released(Option<Arc<str>>),
+}
+
 /// An order of one run, as far as it is known.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RunMemo {
@@ -13,12 +27,19 @@
     pub(crate) due: LocalTime,
     /// Whether one is on its way.
     pub(crate) in_flight: bool,
-    /// Whether the server has taken the grant.
-    pub(crate) granted: bool,
-    /// Whether the server has said that it has seen a higher token.
-    pub(crate) outdated: bool,
-    /// What the holder left, once it has released the run.
-    pub(crate) released: Option<Option<Arc<str>>>,
+    /// What was said to the last one that was answered.
+    pub(crate) answer: RunAnswer,
+}
+
+impl RunMemo {
+    /// Whether an order is wanted, now or later.
+    pub(crate) const fn waits(&self) -> bool {
+        let done = matches!(
+            self.answer,
+            RunAnswer::Outdated | RunAnswer::Released(_)
+        );
+        !self.in_flight && !done
+    }
 }
 
 /// Memos by the first key and the token of a run: a change of either is a
--- a/goldcrestramp-assignment/src/planner.rs
+++ b/goldcrestramp-assignment/src/planner.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     holds::HoldBounds,
-    memo::MemoBook,
+    memo::{MemoBook, RunAnswer},
     order::{OrderKind, OrderOutcome, ServerOrder},
     table::{AssignedRun, AssignmentTable, LifeKey, RunPhase, ServerLife},
 };
@@ -134,22 +134,22 @@
         let mut changed = false;
         let mut targets = FastMap::default();
         for wish in wishes {
-            changed |= begin_move(&mut next, wish, &fate, &mut targets);
+            changed |= begin_move(&mut next, wish, fate, &mut targets);
         }
-        changed |= begin_releases(&mut next, &fate);
+        changed |= begin_releases(&mut next, fate);
         changed |= self.regrant_outdated(&mut next);
         let freed: Vec<usize> = next
             .runs
             .iter()
             .enumerate()
-            .filter(|(_, run)| self.is_free(now, run, &fate))
+            .filter(|(_, run)| self.is_free(now, run, fate))
             .map(|(position, _)| position)
             .collect();
         for position in freed {
             let range = next.runs[position].range;
-            let wished = self.wishes.get(&range).cloned();
+            let chosen = self.wishes.get(&range).cloned();
             let usable = |life: &ServerLife| fate(life) == HolderFate::Serving;
-            let Some(target) = wished.filter(usable).or_else(|| place(range))
+            let Some(target) = chosen.filter(usable).or_else(|| place(range))
             else {
                 continue;
             };
@@ -176,8 +176,7 @@
             let whole = run.phase == RunPhase::Releasing
                 && emptied.get(&run.life) == Some(&run.token);
             let memo = self.memos.entry(run);
-            let quiet = memo.in_flight || memo.outdated;
-            if quiet || memo.released.is_some() || now < memo.due {
+            if !memo.waits() || now < memo.due {
                 continue;
             }
             if self.ended.contains(life) {
@@ -236,14 +235,17 @@
             memo.due = now + timing.retry_after;
             match outcome {
                 OrderOutcome::Done { .. } if grant => {
-                    memo.granted = true;
+                    memo.answer = RunAnswer::Granted;
                     memo.due = now + timing.renew_after;
                 }
                 OrderOutcome::Done { handover } => {
-                    memo.released = Some(handover.clone());
+                    memo.answer = RunAnswer::Released(handover.clone());
                 }
-                OrderOutcome::Outdated => memo.outdated = grant,
-                OrderOutcome::Ended
+                OrderOutcome::Outdated if grant => {
+                    memo.answer = RunAnswer::Outdated;
+                }
+                OrderOutcome::Outdated
+                | OrderOutcome::Ended
                 | OrderOutcome::NotSent
                 | OrderOutcome::Unknown => {}
             }
@@ -255,8 +257,7 @@
     pub fn wake_at(&self) -> Option<LocalTime> {
         let due = |run: &AssignedRun| {
             let memo = self.memos.get(run)?;
-            let rests = memo.in_flight || memo.released.is_some();
-            (!rests).then_some(memo.due)
+            memo.waits().then_some(memo.due)
         };
         self.table.runs.iter().filter_map(due).min()
     }
@@ -284,7 +285,8 @@
             return true;
         }
         let memo = self.memos.get(run);
-        let released = memo.is_some_and(|memo| memo.released.is_some());
+        let released = memo
+            .is_some_and(|memo| matches!(memo.answer, RunAnswer::Released(_)));
         committed && (released || self.holds.are_over(now, life))
     }
 
@@ -298,7 +300,10 @@
         let Some(place) = next.place_of(target) else { return false };
         let token = next.next_token();
         let memo = self.memos.get(&next.runs[position]);
-        let handover = memo.and_then(|memo| memo.released.clone()).flatten();
+        let handover = memo.and_then(|memo| match &memo.answer {
+            RunAnswer::Released(left) => left.clone(),
+            _ => None,
+        });
         let run = &mut next.runs[position];
         run.life = place;
         run.token = token;
@@ -311,7 +316,11 @@
     /// makes up two thirds of a table's bytes.
     fn drop_used_handovers(&self, next: &mut AssignmentTable) {
         for run in &mut next.runs {
-            if self.memos.get(run).is_some_and(|memo| memo.granted) {
+            if self
+                .memos
+                .get(run)
+                .is_some_and(|memo| memo.answer == RunAnswer::Granted)
+            {
                 run.handover = None;
             }
         }
@@ -326,7 +335,8 @@
             .filter(|(_, run)| {
                 let memo = self.memos.get(run);
                 run.phase == RunPhase::Granted
-                    && memo.is_some_and(|memo| memo.outdated)
+                    && memo
+                        .is_some_and(|memo| memo.answer == RunAnswer::Outdated)
             })
             .map(|(position, _)| position)
             .collect();
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -6,8 +6,7 @@
 };
 
 use goldcrestramp_adapter::{
-    KeyCondition, NodeSettings, StoreCall, StoreReply, StoreTransaction,
-    StoreWrite,
+    KeyCondition, StoreCall, StoreReply, StoreTransaction, StoreWrite,
 };
 use goldcrestramp_types::{
     ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
@@ -19,7 +18,8 @@
 use crate::{
     control::{
         load::{LoadBook, LoadReport},
-        message::{ClaimEnded, FormerStopped, NewsSource, PeerNews},
+        message::{ClaimEnded, FormerStopped, PeerNews},
+        news::{NewsSource, NewsState},
         order::OrderPermit,
         term::PlannerTerm,
     },
@@ -42,36 +42,12 @@
 /// plan: the best ranked live one is done by then, and no two write.
 const RANK_PAUSE: TimeSpan = TimeSpan::from_millis(150);
 
-/// Entries that ended while the store was away are back about two seconds
-/// after its return, so their absence says nothing until then.
-pub(crate) const RETURN_GRACE: TimeSpan = TimeSpan::from_millis(2_300);
-
-/// Silence of the store that counts as an outage: longer than a lost
-/// answer and its second try.
-const OUTAGE: TimeSpan = TimeSpan::from_millis(600);
-
-/// A VM whose source failed follows the store itself for so long.
-const PEER_PAUSE: TimeSpan = TimeSpan::from_millis(5_000);
-
-/// The store is taken for silent when the last call that it answered was
-/// sent so long ago: two renewals of the lease.
-///
-/// The failure: the store answers nothing to one VM and serves the others.
-/// That VM's watch waits on, and a change of the configuration is not in
-/// force on it, nor on the VMs that follow it. With the wait of a peer's
-/// call this leaves half of the time in which it has to be.
-const SILENCE: TimeSpan = TimeSpan::from_millis(1_050);
-
-/// How often a VM that the store is silent to asks another one.
-const ASK_PAUSE: TimeSpan = TimeSpan::from_millis(400);
-
 /// How often a VM reports what it was asked.
 const REPORT_PAUSE: TimeSpan = TimeSpan::from_millis(400);
 
 /// The control state of one VM.
 #[derive(Debug)]
 pub struct ControlActor {
-    pub(crate) settings: Arc<NodeSettings>,
     pub(crate) me: VmRun,
     pub(crate) store: Arc<StoreClient>,
     pub(crate) orders: Arc<CallPool>,
@@ -82,21 +58,9 @@
     pub(crate) view: Arc<FleetView>,
     views: watch::Sender<Arc<FleetView>>,
     revision_out: watch::Sender<u64>,
-    /// When the VM that was followed failed.
-    peer_left: LocalTime,
-    ask_at: LocalTime,
-    /// Whether this VM follows the store itself.
-    pub(crate) source_is_store: bool,
-    /// Whether the store has to be read whole.
-    pub(crate) read_whole: bool,
+    pub(crate) news: NewsState,
     loads: LoadBook,
     report_at: LocalTime,
-    /// When the store last answered; the start of the clock: never.
-    store_seen: LocalTime,
-    /// Whether a call to the store failed since it last answered.
-    pub(crate) silent: bool,
-    /// When the store came back after an outage.
-    pub(crate) store_back: LocalTime,
     pub(crate) lease: Option<u64>,
     /// When the last call was sent that proved the lease alive.
     pub(crate) proof: LocalTime,
@@ -112,7 +76,6 @@
 
 impl ControlActor {
     pub(crate) fn new(
-        settings: Arc<NodeSettings>,
         me: VmRun,
         store: Arc<StoreClient>,
         loads: LoadBook,
@@ -123,7 +86,6 @@
         const ORDER_ANSWER_MOST: usize = 64 * 1024;
         let orders = CallPool::open(LinkEnd::Reset, ORDER_ANSWER_MOST);
         Self {
-            settings,
             me,
             store,
             orders: Arc::new(orders),
@@ -134,15 +96,9 @@
             view: Arc::default(),
             views,
             revision_out: watch::channel(0).0,
-            peer_left: LocalTime::default(),
-            ask_at: LocalTime::default(),
-            source_is_store: true,
-            read_whole: false,
+            news: NewsState::default(),
             loads,
             report_at: LocalTime::default(),
-            store_seen: LocalTime::default(),
-            silent: false,
-            store_back: LocalTime::default(),
             lease: None,
             proof: LocalTime::default(),
             former: None,
@@ -154,22 +110,6 @@
         }
     }
 
-    /// Notes that the store has answered.
-    pub(crate) fn store_answered(&mut self, now: LocalTime) {
-        let away = now.since(self.store_seen);
-        let watched = self.store_seen > LocalTime::default();
-        // A watch without changes is silent for up to its own wait.
-        if watched && self.silent && away > OUTAGE {
-            log::info!(
-                "[store] The store answers again after {} ms.",
-                away.as_millis()
-            );
-            self.store_back = now;
-        }
-        self.store_seen = now;
-        self.silent = false;
-    }
-
     /// Takes what the mirror now holds, and tells the traffic thread.
     pub(crate) fn refresh(&mut self, now: LocalTime) {
         if let Some(view) = self.builder.build(now, &self.mirror) {
@@ -338,37 +278,19 @@
         self.revision_out.subscribe()
     }
 
-    /// Whether the store answers this VM, as far as it can know.
-    pub(crate) fn is_fresh(&self, now: LocalTime) -> bool {
-        !self.silent && now.since(self.proof) < SILENCE
-    }
-
     /// Asks another VM while the store is silent to this one.
     pub(crate) fn ask_if_silent(&mut self, now: LocalTime) {
-        if self.is_fresh(now) || now < self.ask_at {
-            return;
+        if self.news.ask_due(now, self.proof) {
+            self.ask_peer();
         }
-        self.ask_at = now + ASK_PAUSE;
-        self.ask_peer();
     }
 
     /// From where changes are followed next: from the store by one VM of
     /// each failure domain and by the planning one, else from that VM.
     pub(crate) fn next_source(&mut self, now: LocalTime) -> NewsSource {
         let revision = self.mirror.revision();
-        let peer = self.source_vm().filter(|_| {
-            revision > 0
-                && !self.silent
-                && !self.read_whole
-                && self.term.is_none()
-                && now.since(self.peer_left) >= PEER_PAUSE
-        });
-        self.source_is_store = peer.is_none();
-        match peer {
-            Some(address) => NewsSource::Peer(address, revision),
-            None if revision == 0 || self.read_whole => NewsSource::StoreWhole,
-            None => NewsSource::StoreChanges(revision),
-        }
+        let peer = self.source_vm().filter(|_| self.term.is_none());
+        self.news.next(now, revision, peer)
     }
 
     /// The VM that follows the store for this failure domain, if it is not
@@ -382,11 +304,6 @@
         other.then_some(first.address)
     }
 
-    /// Follows the store itself for a while.
-    pub(crate) fn leave_peer(&mut self, now: LocalTime) {
-        self.peer_left = now;
-    }
-
     /// What has changed in the store since a revision.
     pub(crate) fn news_since(&self, revision: u64) -> StoreNews {
         if self.mirror.revision() <= revision {
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -14,10 +14,10 @@
 
 use crate::{
     control::{
-        ControlActor,
+        ControlActor, NewsSource,
         message::{
-            HistoryGone, NewsSource, NextSource, PeerNews, PeerSilent,
-            StoreChanges, StoreReading, StoreSilent,
+            HistoryGone, NextSource, PeerNews, PeerSilent, StoreChanges,
+            StoreReading, StoreSilent,
         },
     },
     peers::{PeerCall, PeerClient, PeerReply},
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -6,12 +6,11 @@
 
 use crate::{
     control::{
-        ControlActor,
+        ControlActor, NewsSource,
         message::{
             ClaimEnded, CommitEnded, ControlTick, FormerStopped, HistoryGone,
-            LeaseProof, NewsSource, NextSource, OrderEnded, PeerNews,
-            PeerSilent, ReadBack, StopControl, StoreChanges, StoreReading,
-            StoreSilent,
+            LeaseProof, NextSource, OrderEnded, PeerNews, PeerSilent,
+            ReadBack, StopControl, StoreChanges, StoreReading, StoreSilent,
         },
     },
     peers::{PeerCall, PeerReply, StoreNews},
@@ -30,11 +29,11 @@
 impl Handler<StoreChanges> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, changes: StoreChanges, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: StoreChanges, _: &mut Context<Self>) {
         let now = now();
-        self.store_answered(now);
-        let quiet = changes.events.is_empty();
-        self.mirror.apply(changes.events, changes.revision);
+        self.news.answered(now);
+        let quiet = message.events.is_empty();
+        self.mirror.apply(message.events, message.revision);
         if !quiet {
             self.refresh(now);
             self.work(now);
@@ -45,11 +44,11 @@
 impl Handler<StoreReading> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, reading: StoreReading, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: StoreReading, _: &mut Context<Self>) {
         let now = now();
-        self.store_answered(now);
-        let StoreReading(page) = reading;
-        self.read_whole = false;
+        self.news.answered(now);
+        let StoreReading(page) = message;
+        self.news.was_read();
         if self.mirror.replace(page.items, page.revision) {
             self.refresh(now);
             self.work(now);
@@ -73,10 +72,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: StoreSilent, _: &mut Context<Self>) {
-        if !self.silent {
-            log::info!("[store] The store gives no answer.");
-        }
-        self.silent = true;
+        self.news.failed();
     }
 }
 
@@ -84,7 +80,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: HistoryGone, _: &mut Context<Self>) {
-        self.read_whole = true;
+        self.news.history_lost();
     }
 }
 
@@ -92,7 +88,7 @@
     type Return = ();
 
     async fn handle(&mut self, _: PeerSilent, _: &mut Context<Self>) {
-        self.leave_peer(now());
+        self.news.peer_failed(now());
     }
 }
 
@@ -102,9 +98,9 @@
     async fn handle(&mut self, message: PeerNews, _: &mut Context<Self>) {
         let now = now();
         if message.fresh {
-            self.store_answered(now);
+            self.news.answered(now);
         } else {
-            self.leave_peer(now);
+            self.news.peer_failed(now);
         }
         let changed = match message.news {
             StoreNews::None => false,
@@ -126,15 +122,15 @@
 
     async fn handle(
         &mut self,
-        proof: LeaseProof,
+        message: LeaseProof,
         _: &mut Context<Self>,
     ) -> bool {
         if self.stopping {
             return false;
         }
-        self.lease = proof.lease;
-        if proof.lease.is_some() {
-            self.proof = self.proof.max(proof.sent_at);
+        self.lease = message.lease;
+        if message.lease.is_some() {
+            self.proof = self.proof.max(message.sent_at);
         }
         true
     }
@@ -155,9 +151,9 @@
 impl Handler<ClaimEnded> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, ended: ClaimEnded, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: ClaimEnded, _: &mut Context<Self>) {
         let now = now();
-        self.claim_ended(now, ended);
+        self.claim_ended(now, message);
         self.work(now);
     }
 }
@@ -165,9 +161,9 @@
 impl Handler<FormerStopped> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, stopped: FormerStopped, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: FormerStopped, _: &mut Context<Self>) {
         if let Some(term) = &mut self.term {
-            term.inherit(stopped.at);
+            term.inherit(message.at);
         }
     }
 }
@@ -175,9 +171,9 @@
 impl Handler<CommitEnded> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, ended: CommitEnded, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: CommitEnded, _: &mut Context<Self>) {
         let now = now();
-        self.commit_ended(now, ended);
+        self.commit_ended(now, message);
         self.work(now);
     }
 }
@@ -185,9 +181,9 @@
 impl Handler<ReadBack> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, back: ReadBack, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: ReadBack, _: &mut Context<Self>) {
         let now = now();
-        self.read_back(now, back);
+        self.read_back(now, message);
         self.work(now);
     }
 }
@@ -195,9 +191,9 @@
 impl Handler<OrderEnded> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, ended: OrderEnded, _: &mut Context<Self>) {
+    async fn handle(&mut self, message: OrderEnded, _: &mut Context<Self>) {
         let now = now();
-        let release = self.order_ended(now, &ended);
+        let release = self.order_ended(now, &message);
         if release {
             self.work(now);
         }
@@ -224,13 +220,13 @@
 
     async fn handle(
         &mut self,
-        call: PeerCall,
+        message: PeerCall,
         _: &mut Context<Self>,
     ) -> PeerReply {
         let now = now();
-        match call {
+        match message {
             PeerCall::Sync { revision, .. } => {
-                let fresh = self.source_is_store && self.is_fresh(now);
+                let fresh = self.news.may_be_followed(now, self.proof);
                 PeerReply::News { news: self.news_since(revision), fresh }
             }
             PeerCall::Table { key, value, revision } => {
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -1,6 +1,6 @@
 //! What the control actor is told.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::sync::Arc;
 
 use goldcrestramp_adapter::StoreEvent;
 use goldcrestramp_assignment::{AssignmentTable, OrderOutcome, ServerOrder};
@@ -26,17 +26,6 @@
 #[derive(Debug)]
 pub(crate) struct NextSource;
 
-/// From where changes are followed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum NewsSource {
-    /// Everything is read from the store.
-    StoreWhole,
-    /// The store's changes after a revision.
-    StoreChanges(u64),
-    /// Another VM's, after a revision.
-    Peer(SocketAddr, u64),
-}
-
 /// Another VM's news of the store.
 #[derive(Debug)]
 pub(crate) struct PeerNews {
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod lease;
 mod load;
 mod message;
+mod news;
 mod order;
 mod service;
 mod term;
@@ -22,6 +23,7 @@
 pub use crate::control::{
     actor::ControlActor,
     load::{AnswerSum, LoadBook, LoadReport, ServiceLoad},
+    news::{NewsSource, NewsState},
 };
 use crate::{
     control::{
@@ -53,7 +55,7 @@
 
 /// Starts the control part on the current runtime.
 pub fn spawn_control(
-    settings: Arc<NodeSettings>,
+    settings: &NodeSettings,
     me: VmRun,
     peers: TcpListener,
     loads: LoadBook,
@@ -62,7 +64,6 @@
     let store = Arc::new(StoreClient::open(settings.store_address));
     let (address, mailbox) = Mailbox::unbounded();
     let actor = ControlActor::new(
-        Arc::clone(&settings),
         me.clone(),
         Arc::clone(&store),
         loads,
--- a/goldcrestramp-entry/src/control/order.rs
+++ b/goldcrestramp-entry/src/control/order.rs
@@ -24,7 +24,7 @@
 
 /// A release is answered when the work on its keys has ended, which takes
 /// as long as the longest request.
-const RELEASE_LIMIT: Duration = Duration::from_millis(3_000);
+const RELEASE_LIMIT: Duration = Duration::from_secs(3);
 
 /// Whether orders of a term may be sent; held by those under way.
 ///
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -7,13 +7,13 @@
     StoreTransaction, StoreWrite,
 };
 use goldcrestramp_assignment::{AssignmentTable, HolderFate, ServerLife};
-use goldcrestramp_types::{LocalTime, TimeSpan};
+use goldcrestramp_types::{FastSet, LocalTime, TimeSpan};
 use xtra::Address;
 
 use crate::{
     control::{
         ControlActor, LoadReport,
-        actor::{ByService, RETURN_GRACE},
+        actor::ByService,
         message::{CommitEnded, OrderEnded, ReadBack},
         order::{OrderPermit, OrderSender},
         service::ServicePlan,
@@ -42,7 +42,7 @@
     /// Services without a table: their servers, and since when.
     unsettled: ByService<(usize, LocalTime)>,
     /// Services whose first table is on its way.
-    creating: ByService<()>,
+    creating: FastSet<Arc<str>>,
     /// Lets orders of this term be sent until it ends.
     pub(crate) permit: Arc<OrderPermit>,
 }
@@ -60,7 +60,7 @@
             sent_until,
             services: ByService::default(),
             unsettled: ByService::default(),
-            creating: ByService::default(),
+            creating: FastSet::default(),
             permit: Arc::default(),
         }
     }
@@ -123,7 +123,7 @@
         }
         let view = Arc::clone(&self.view);
         let Some(routes) = &view.routes else { return };
-        let away = self.silent || now.since(self.store_back) < RETURN_GRACE;
+        let away = self.news.is_unsure(now);
         let Some(term) = &mut self.term else { return };
         let mut commits = Vec::new();
         for name in routes.divided() {
@@ -206,20 +206,14 @@
     /// Takes the end of a commit.
     pub(crate) fn commit_ended(&mut self, now: LocalTime, ended: CommitEnded) {
         let CommitEnded { service, table, committed } = ended;
-        match committed {
-            Ok(Some(revision)) => {
-                self.take_table(now, &service, table, revision);
-            }
-            // Not done, or not known to be done: the store itself tells.
-            Ok(None) | Err(_) => {
-                log::info!("[control] A commit for {service} is read back.");
-                tokio::spawn(read_back(
-                    Arc::clone(&self.store),
-                    service,
-                    self.address.clone(),
-                ));
-            }
+        if let Ok(Some(revision)) = committed {
+            self.take_table(now, &service, table, revision);
+            return;
         }
+        // Not done, or not known to be done: the store itself tells.
+        log::info!("[control] A commit for {service} is read back.");
+        let (store, control) = (Arc::clone(&self.store), self.address.clone());
+        tokio::spawn(read_back(store, service, control));
     }
 
     /// Takes what lies in the store after a commit of unknown effect.
@@ -310,7 +304,7 @@
     if settled.0 != ready.len() {
         *settled = (ready.len(), now);
     }
-    if now.since(settled.1) < SETTLE || term.creating.contains_key(name) {
+    if now.since(settled.1) < SETTLE || term.creating.contains(name) {
         return None;
     }
     let mut lives: Vec<ServerLife> =
@@ -318,7 +312,7 @@
     lives.sort_by(|a, b| a.id.cmp(&b.id));
     let table = AssignmentTable::striped(&lives, FIRST_STRIPES)?;
     log::info!("[control] {name} gets its first table.");
-    term.creating.insert(Arc::clone(name), ());
+    term.creating.insert(Arc::clone(name));
     Some((Arc::clone(name), 0, table))
 }
 
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -33,11 +33,11 @@
 /// Bytes without an acknowledgement for so long end a connection. A peer
 /// behind a partition never answers; without this a request to it would
 /// hang until its deadline.
-const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
+const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Probes of a connection that is silent: it can go silent for good while
 /// new ones work, and nothing else shows it to one that only listens.
-const KEEPALIVE_IDLE: Duration = Duration::from_millis(1_000);
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_TRIES: u32 = 2;
 
 /// What happens to bytes on the way when a connection is given up.
--- a/goldcrestramp-entry/src/lib.rs
+++ b/goldcrestramp-entry/src/lib.rs
@@ -10,7 +10,7 @@
 - [`traffic`]: takes, queues, sends and answers requests.
 - [`peers`]: what VMs tell one another.
 - [`mirror`], [`view`]: what is known of the store, and of the fleet.
-- [`run`]: starts all of it, and ends it without cutting a request.
+- [`run()`]: starts all of it, and ends it without cutting a request.
 */
 
 pub mod control;
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -13,7 +13,7 @@
 };
 
 /// Between regions a call takes 24 ms; a VM that takes longer is full.
-const CALL_LIMIT: Duration = Duration::from_millis(1_000);
+const CALL_LIMIT: Duration = Duration::from_secs(1);
 
 /// A call that waits for news is answered at once or within 0.4 s.
 const NEWS_LIMIT: Duration = Duration::from_millis(800);
--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -181,7 +181,7 @@
             }
         };
         runtime.block_on(async move {
-            let handle = open_control(settings, loads, views, seen, phase);
+            let handle = open_control(&settings, loads, views, seen, phase);
             // The receiver waits below until this was sent.
             let _gone = started.send(handle);
             std::future::pending::<()>().await;
@@ -199,7 +199,7 @@
 }
 
 fn open_control(
-    settings: Arc<NodeSettings>,
+    settings: &NodeSettings,
     loads: LoadBook,
     views: watch::Sender<Arc<FleetView>>,
     seen: watch::Receiver<Arc<FleetView>>,
--- a/goldcrestramp-entry/src/store.rs
+++ b/goldcrestramp-entry/src/store.rs
@@ -1,6 +1,6 @@
 //! The client of the platform's metadata store.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use goldcrestramp_adapter::{StoreCall, StoreItem, StoreReply};
 use http::{
@@ -126,7 +126,7 @@
             if page.revision == 0 {
                 page.revision = revision;
             }
-            let last = items.last().map(|item| item.key.clone());
+            let last = items.last().map(|item| Arc::clone(&item.key));
             page.items.extend(items);
             match last {
                 Some(last) if truncated => after = last,
--- a/goldcrestramp-entry/src/traffic/answer.rs
+++ b/goldcrestramp-entry/src/traffic/answer.rs
@@ -50,17 +50,17 @@
 
     fn poll_frame(
         self: Pin<&mut Self>,
-        context: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
         match self.get_mut() {
-            Self::Whole(body) => Pin::new(body)
-                .poll_frame(context)
-                .map_err(|never| match never {}),
+            Self::Whole(body) => {
+                Pin::new(body).poll_frame(cx).map_err(|never| match never {})
+            }
             Self::Streamed(body) => match body.begun.take() {
                 Some(begun) => Poll::Ready(Some(Ok(Frame::data(begun)))),
                 // An error ends the caller's connection before the answer
                 // looks complete.
-                None => Pin::new(&mut body.rest).poll_frame(context),
+                None => Pin::new(&mut body.rest).poll_frame(cx),
             },
         }
     }
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -69,12 +69,10 @@
     plan: AttemptPlan,
 ) -> AttemptEnd {
     let left = request.left(MonotonicClock.now());
-    let link = match timeout(left.to_std(), slot.server.link()).await {
-        Ok(Ok(link)) => link,
-        Ok(Err(_)) | Err(_) => {
-            slot.end(MonotonicClock.now(), ServerSign::Unreachable);
-            return AttemptEnd::NotSent;
-        }
+    let linked = timeout(left.to_std(), slot.server.link()).await;
+    let Ok(Ok(link)) = linked else {
+        slot.end(MonotonicClock.now(), ServerSign::Unreachable);
+        return AttemptEnd::NotSent;
     };
     let now = MonotonicClock.now();
     let Some(outgoing) = outgoing(request, &slot, plan.way, now) else {
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -130,8 +130,11 @@
         return Destination::Server { server, way, replaceable: false };
     }
     let latency = server.latency();
-    let line = LineKind::Server(server);
-    Destination::Wait { line, slots: limit.max(1), latency }
+    Destination::Wait {
+        line: LineKind::Server(server),
+        slots: limit.max(1),
+        latency,
+    }
 }
 
 /// What to do with a request whose key has had no owner for `known`.
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -99,7 +99,7 @@
 ) {
     loop {
         let view = Arc::clone(&views.borrow_and_update());
-        state.take_view(view);
+        state.take_view(&view);
         if views.changed().await.is_err() {
             return;
         }
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -306,8 +306,7 @@
 ) -> bool {
     let vms = state.view().vms.len();
     let service = state.service(&request.service);
-    let granted = service.window.borrow_mut().take(now, vms);
-    granted
+    service.window.borrow_mut().take(now, vms)
 }
 
 /// Waits for a free slot, unless it would come too late.
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -77,10 +77,10 @@
     }
 
     /// Takes a new view, and wakes whoever waits.
-    pub(crate) fn take_view(&self, view: Arc<FleetView>) {
+    pub(crate) fn take_view(&self, view: &FleetView) {
         let now = MonotonicClock.now();
-        self.note_tokens(now, &view);
-        self.forget_servers(&view);
+        self.note_tokens(now, view);
+        self.forget_servers(view);
         for service in self.services.borrow().values() {
             wake_all(&service.line);
         }
