Keep a former planner and a restarted server from making two owners

Found by the fuzzer of the assignments, each with a test that failed first: - A server restarts under its id before the planner knows: a renewal meant for its former run reaches the new one, which knows no token. Its keys were taken for free at once; now they are released there first. - A planner that was replaced renews what its table grants; its successor moved a run away from a server that then restarted and forgot the token.

--- a/goldcrestramp-assignment/src/planner.rs
+++ b/goldcrestramp-assignment/src/planner.rs
@@ -25,7 +25,9 @@
 pub enum HolderFate {
     /// It serves.
     Serving,
-    /// It is there, and its keys are to go elsewhere.
+    /// It is there, and its keys are to go elsewhere: it drains, or it has
+    /// restarted under its id. A renewal meant for its former run may have
+    /// reached the new one, so the keys are not free yet.
     Leaving,
     /// It does not say that it is there; it may serve all the same.
     Missing,
@@ -348,9 +350,18 @@
     }
 
     /// The servers of which every run is being released with one token.
+    ///
+    /// Orders go by the id, so a server that restarted under it counts as
+    /// the same: emptied, it would lose what it has been given since.
     fn emptied_lives(&self) -> FastMap<LifeKey, u64> {
         let mut tokens = FastMap::default();
         let mut mixed = FastSet::default();
+        let mut ids = FastMap::default();
+        for (key, life) in self.table.lives() {
+            if let Some(other) = ids.insert(&life.id, key) {
+                mixed.extend([key, other]);
+            }
+        }
         for run in &self.table.runs {
             let first = *tokens.entry(run.life).or_insert(run.token);
             if run.phase == RunPhase::Granted || first != run.token {
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -180,9 +180,6 @@
     }
 
     /// The live VMs that are to claim before this one.
-    ///
-    /// The order differs with each revision of the planner's record, so
-    /// that a VM that can't reach the store is not always the first.
     fn rank(&self) -> usize {
         let weight = |vm: &VmRun| xxh3_64(vm.vm.as_bytes());
         let own = weight(&self.me);
@@ -199,23 +196,33 @@
         {
             return;
         }
-        self.proof = self.proof.max(ended.sent_at);
+        // The lease has changed since: the record ends, or has ended.
+        if self.lease != Some(ended.lease) {
+            return;
+        }
         for item in ended.tables.items {
             self.mirror.write(item);
         }
         let former = self.former.take();
-        let other = former.filter(|vm| vm.vm != self.me.vm);
         log::info!(
             "[control] This VM plans from revision {revision} on; before it \
              planned {}.",
-            other.as_ref().map_or("none", |vm| &vm.vm)
+            former.as_ref().map_or("an unknown VM", |vm| &vm.vm)
         );
-        let sent_until = match &other {
-            Some(_) => now + PROOF_LIFE,
-            None => now,
-        };
-        self.term = Some(PlannerTerm::open(revision, sent_until));
-        if let Some(former) = other {
+        // An earlier run of this process is over. This run itself may have
+        // had a successor since it lost its lease, and one that is unknown
+        // may be cut off and renew grants.
+        let is_over = former.as_ref().is_some_and(|vm| {
+            vm.vm == self.me.vm && vm.start != self.me.start
+        });
+        let sent_until = if is_over { now } else { now + PROOF_LIFE };
+        self.term = Some(PlannerTerm::open(
+            revision,
+            ended.lease,
+            ended.sent_at,
+            sent_until,
+        ));
+        if let Some(former) = former.filter(|vm| vm.vm != self.me.vm) {
             tokio::spawn(stop_former(
                 self.peers.clone(),
                 former,
@@ -238,9 +245,24 @@
         !self.ending.is_empty()
     }
 
-    /// Whether grants may still be renewed.
-    pub(crate) fn has_proof(&self, now: LocalTime) -> bool {
-        now.since(self.proof) < PROOF_LIFE
+    /// Takes what became of the lease.
+    pub(crate) fn take_lease(
+        &mut self,
+        lease: Option<u64>,
+        sent_at: LocalTime,
+    ) {
+        self.lease = lease;
+        if lease.is_some() {
+            self.proof = self.proof.max(sent_at);
+        }
+        let Some(term) = &mut self.term else { return };
+        if lease == Some(term.lease) {
+            term.proof = term.proof.max(sent_at);
+        } else {
+            log::warn!("[control] The planner's lease has ended.");
+            self.end_term();
+            self.former = Some(self.me.clone());
+        }
     }
 
     /// Tells the planning VM what was asked for.
@@ -389,7 +411,7 @@
         .filter(|item| decode::<VmRun>(&item.value).as_ref() == Some(&me))
         .map(|item| item.revision);
     // The actor is gone only when the process ends.
-    let _gone = control.send(ClaimEnded { won, tables, sent_at }).await;
+    let _gone = control.send(ClaimEnded { won, tables, lease, sent_at }).await;
 }
 
 /// Asks the former planner to stop, until it has or can't be asked.
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -128,10 +128,7 @@
         if self.stopping {
             return false;
         }
-        self.lease = message.lease;
-        if message.lease.is_some() {
-            self.proof = self.proof.max(message.sent_at);
-        }
+        self.take_lease(message.lease, message.sent_at);
         true
     }
 }
--- a/goldcrestramp-entry/src/control/lease.rs
+++ b/goldcrestramp-entry/src/control/lease.rs
@@ -18,7 +18,7 @@
 /// How long entries outlive their VM. A planner's loss stops renewals for
 /// this long, so it is well below a grant's hold; three renewals may be
 /// lost before it ends.
-const LEASE_SPAN: TimeSpan = TimeSpan::from_millis(2_500);
+pub(crate) const LEASE_SPAN: TimeSpan = TimeSpan::from_millis(2_500);
 
 /// How often the lease is renewed. Its answers are also how a VM knows
 /// that the store has not fallen silent, which a watch that waits can't
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -64,6 +64,8 @@
     pub(crate) won: Option<u64>,
     /// The tables as they were read after the claim.
     pub(crate) tables: StorePage,
+    /// The lease with which the record ends.
+    pub(crate) lease: u64,
     /// When the claim was sent.
     pub(crate) sent_at: LocalTime,
 }
--- a/goldcrestramp-entry/src/control/order.rs
+++ b/goldcrestramp-entry/src/control/order.rs
@@ -10,13 +10,13 @@
 
 use goldcrestramp_adapter::{GrantOrder, ReleaseOrder, headers};
 use goldcrestramp_assignment::{OrderKind, OrderOutcome, ServerOrder};
-use goldcrestramp_types::FastMap;
+use goldcrestramp_types::{ClockSource, FastMap, LocalTime, MonotonicClock};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
 use xtra::Address;
 
 use crate::{
     control::{ControlActor, message::OrderEnded},
-    http::{CallFailure, CallPool, CallRequest},
+    http::{CallFailure, CallPool, CallReach, CallRequest},
 };
 
 /// A grant is answered at once; one without an answer is sent again.
@@ -53,6 +53,8 @@
     pub(crate) control: Address<ControlActor>,
     pub(crate) service: Arc<str>,
     pub(crate) permit: Arc<OrderPermit>,
+    /// Until when no other VM can be planning.
+    pub(crate) sure_until: LocalTime,
 }
 
 impl OrderSender {
@@ -79,13 +81,28 @@
         }
     }
 
+    /// Over which connections an order may go now.
+    ///
+    /// The failure: this VM is cut from the store and has a successor,
+    /// which moved keys away from a server; that server restarts under its
+    /// id and has forgotten the higher token, so a renewal from here makes
+    /// it an owner again. A connection ends with the run of the server that
+    /// took it, so renewals over kept ones can't reach a later run.
+    fn reach(&self) -> CallReach {
+        if MonotonicClock.now() < self.sure_until {
+            CallReach::Any
+        } else {
+            CallReach::Kept
+        }
+    }
+
     async fn send_round(self, round: Vec<ServerOrder>) {
         let mut failed = false;
         for order in round {
             let outcome = if failed || !self.permit.is_valid() {
                 OrderOutcome::NotSent
             } else {
-                send_order(&self.pool, &order).await
+                send_order(&self.pool, self.reach(), &order).await
             };
             failed |= matches!(
                 outcome,
@@ -100,7 +117,11 @@
     }
 }
 
-async fn send_order(pool: &CallPool, order: &ServerOrder) -> OrderOutcome {
+async fn send_order(
+    pool: &CallPool,
+    reach: CallReach,
+    order: &ServerOrder,
+) -> OrderOutcome {
     let (first, last) = (order.range.first.get(), order.range.last.get());
     let token = order.token;
     let (path, body, limit) = match &order.kind {
@@ -121,7 +142,7 @@
         headers: order_headers(&order.life.id),
         body,
     };
-    match pool.call(request, limit).await {
+    match pool.call(request, reach, limit).await {
         Ok(answer) => outcome(answer.status, &answer.headers),
         Err(CallFailure::NotSent) => OrderOutcome::NotSent,
         Err(CallFailure::Unknown) => OrderOutcome::Unknown,
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -13,7 +13,8 @@
 use crate::{
     control::{
         ControlActor, LoadReport,
-        actor::ByService,
+        actor::{ByService, PROOF_LIFE},
+        lease::LEASE_SPAN,
         message::{CommitEnded, OrderEnded, ReadBack},
         order::{OrderPermit, OrderSender},
         service::ServicePlan,
@@ -36,6 +37,10 @@
 pub(crate) struct PlannerTerm {
     /// The revision of the planner's record: a condition of every commit.
     pub(crate) revision: u64,
+    /// The lease with which the record ends.
+    pub(crate) lease: u64,
+    /// When the last call was sent that proved the lease alive.
+    pub(crate) proof: LocalTime,
     /// When a former planner may have sent its last grant.
     sent_until: LocalTime,
     services: ByService<ServicePlan>,
@@ -54,9 +59,16 @@
 }
 
 impl PlannerTerm {
-    pub(crate) fn open(revision: u64, sent_until: LocalTime) -> Self {
+    pub(crate) fn open(
+        revision: u64,
+        lease: u64,
+        proof: LocalTime,
+        sent_until: LocalTime,
+    ) -> Self {
         Self {
             revision,
+            lease,
+            proof,
             sent_until,
             services: ByService::default(),
             unsettled: ByService::default(),
@@ -65,6 +77,11 @@
         }
     }
 
+    /// Whether grants may still be renewed.
+    fn may_renew(&self, now: LocalTime) -> bool {
+        now.since(self.proof) < PROOF_LIFE
+    }
+
     /// Takes the knowledge that the former planner has stopped.
     pub(crate) fn inherit(&mut self, stopped_at: LocalTime) {
         self.sent_until = self.sent_until.min(stopped_at);
@@ -90,14 +107,16 @@
     life: &ServerLife,
 ) -> HolderFate {
     match view.servers.get(&life.id) {
+        Some(entry) if entry.address != life.address => HolderFate::Ended,
         Some(entry) if entry.started_ms != life.started_ms => {
-            HolderFate::Ended
+            HolderFate::Leaving
         }
         Some(entry) if entry.phase == ServerPhase::Draining => {
             HolderFate::Leaving
         }
         Some(_) => HolderFate::Serving,
-        // An address is given away only after its server has ended.
+        // An address is given away only after its server has ended, and
+        // orders name the server that they are for.
         None if view.servers.values().any(|e| e.address == life.address) => {
             HolderFate::Ended
         }
@@ -118,13 +137,11 @@
 impl ControlActor {
     /// Plans and orders what is due.
     pub(crate) fn work(&mut self, now: LocalTime) {
-        if !self.has_proof(now) {
-            return;
-        }
         let view = Arc::clone(&self.view);
         let Some(routes) = &view.routes else { return };
         let away = self.news.is_unsure(now);
-        let Some(term) = &mut self.term else { return };
+        let term = self.term.as_mut().filter(|term| term.may_renew(now));
+        let Some(term) = term else { return };
         let mut commits = Vec::new();
         for name in routes.divided() {
             let key = table_key(name);
@@ -160,6 +177,7 @@
                 control: self.address.clone(),
                 service: Arc::clone(name),
                 permit: Arc::clone(&term.permit),
+                sure_until: term.proof + LEASE_SPAN,
             };
             sender.send(orders);
         }
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -122,6 +122,15 @@
 /// Kept connections by address.
 type IdleLinks = FastMap<SocketAddr, Vec<LinkSender>>;
 
+/// Over which connections a call may go.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallReach {
+    /// A kept one, or a new one.
+    Any,
+    /// A kept one only.
+    Kept,
+}
+
 /// Calls over kept connections, one call at a time on each.
 #[derive(Debug)]
 pub struct CallPool {
@@ -148,11 +157,15 @@
     pub async fn call(
         &self,
         request: CallRequest,
+        reach: CallReach,
         limit: Duration,
     ) -> Result<CallAnswer, CallFailure> {
         let address = request.address;
         let sender = match self.take_idle(address).await {
             Some(sender) => sender,
+            None if reach == CallReach::Kept => {
+                return Err(CallFailure::NotSent);
+            }
             None => dial(address, self.end)
                 .await
                 .map_err(|_error| CallFailure::NotSent)?,
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, Method};
 
 use crate::{
-    http::{CallPool, CallRequest, LinkEnd},
+    http::{CallPool, CallReach, CallRequest, LinkEnd},
     peers::{
         PEER_PATH,
         message::{PeerCall, PeerReply},
@@ -51,7 +51,8 @@
         };
         let waits = matches!(call, PeerCall::Sync { wait: true, .. });
         let limit = if waits { NEWS_LIMIT } else { CALL_LIMIT };
-        let answer = self.pool.call(request, limit).await.ok()?;
+        let answer =
+            self.pool.call(request, CallReach::Any, limit).await.ok()?;
         postcard::from_bytes(&answer.body).ok()
     }
 }
--- a/goldcrestramp-entry/src/store.rs
+++ b/goldcrestramp-entry/src/store.rs
@@ -8,7 +8,7 @@
     header::{ACCEPT, CONTENT_TYPE},
 };
 
-use crate::http::{CallFailure, CallPool, CallRequest, LinkEnd};
+use crate::http::{CallFailure, CallPool, CallReach, CallRequest, LinkEnd};
 
 /// A call without an answer is given up after so long: the store answers
 /// in milliseconds, and in a quarter of a second when it is slow.
@@ -84,7 +84,8 @@
             StoreCall::Watch { wait, .. } => wait.to_std(),
             _ => Duration::ZERO,
         };
-        let answer = self.pool.call(request, CALL_LIMIT + wait).await;
+        let answer =
+            self.pool.call(request, CallReach::Any, CALL_LIMIT + wait).await;
         let answer = answer.map_err(|failure| match failure {
             CallFailure::NotSent => StoreFailure::NotDone,
             CallFailure::Unknown => StoreFailure::Unknown,
