--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -24,10 +24,14 @@
     store::{StoreClient, StoreFailure},
 };
 
-/// A watch waits so long for changes. Each one is a call that is paid for;
-/// one that went silent without a break is found by its connection's
-/// probes before this.
-const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(10_000);
+/// A watch waits so long for changes.
+///
+/// The failure: a watch that begins while the store forgets its history is
+/// told nothing at all until its wait ends, and a configuration is not in
+/// force for as long. With the pause below, a second leaves a quarter of
+/// the time in which it has to be. Heartbeats end most watches sooner, so
+/// the short wait hardly makes more calls.
+const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
 
 /// Changes that follow each other sooner are told together. It takes a
 /// quarter of the time in which a change has to be in force everywhere;
--- /dev/null
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -0,0 +1,87 @@
+//! Each key has one owner, through losses and moves.
+
+use rustix::process::Signal;
+
+use crate::world::{DIVIDED, World, entry, eventually};
+
+/// Keys all over the space, far fewer than would make a test slow.
+fn some_keys() -> impl Iterator<Item = u64> {
+    (0..65_536).step_by(4_099)
+}
+
+#[tokio::test]
+async fn every_key_is_served_by_its_only_owner() {
+    let world = World::open(DIVIDED, 3, 2).await;
+    world.wait_served(0, 0).await;
+    for key in some_keys() {
+        world.wait_served(0, key).await;
+        world.wait_served(1, key).await;
+
+        assert_eq!(world.holders(key), 1);
+    }
+}
+
+/// A server says that it drains. Its keys go to the other one; at no time
+/// do both hold one of them.
+#[tokio::test]
+async fn the_keys_of_a_draining_server_move_to_another() {
+    let world = World::open(DIVIDED, 2, 1).await;
+    world.wait_served(0, 0).await;
+    let draining = entry(&world.servers[0], DIVIDED, "draining");
+
+    world.store.put("servers/server-0", &draining);
+
+    for key in some_keys() {
+        eventually(async || {
+            assert!(world.holders(key) <= 1);
+            world.servers[1].holds(key)
+        })
+        .await;
+        world.wait_served(0, key).await;
+    }
+}
+
+/// A server is gone without a word: nobody answers at its address, and its
+/// entry ends. Its keys have no owner until its hold is over; then they
+/// are served by the other one.
+#[tokio::test]
+async fn the_keys_of_a_lost_server_are_served_again() {
+    let world = World::open(DIVIDED, 2, 1).await;
+    world.wait_served(0, 0).await;
+
+    world.servers[0].stop();
+    world.store.remove("servers/server-0");
+
+    for key in some_keys() {
+        eventually(async || {
+            assert!(world.holders(key) <= 1);
+            world.servers[1].holds(key)
+        })
+        .await;
+    }
+}
+
+/// The VM that plans is killed. The other one renews what is assigned, so
+/// every key is served, and plans for a server that leaves then.
+#[tokio::test]
+async fn a_killed_planner_is_replaced() {
+    let world = World::open(DIVIDED, 2, 2).await;
+    world.wait_served(0, 0).await;
+    world.wait_served(1, 0).await;
+    let planner = world.store.get("router/planner").expect("a planner");
+    let first = String::from_utf8_lossy(&planner).contains("vm-0");
+    let (killed, other) = if first { (0, 1) } else { (1, 0) };
+
+    world.nodes[killed].signal(Signal::KILL);
+    let draining = entry(&world.servers[0], DIVIDED, "draining");
+    world.store.put("servers/server-0", &draining);
+
+    for key in some_keys() {
+        eventually(async || {
+            assert!(world.holders(key) <= 1);
+            world.servers[1].holds(key)
+        })
+        .await;
+        world.wait_served(other, key).await;
+    }
+}
--- /dev/null
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -0,0 +1,266 @@
+//! A stand-in of a backend server that misbehaves on demand.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use serde_json::Value;
+use tokio::{
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+/// What a server does with requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServerManner {
+    /// It runs and answers them, after this time.
+    Works(Duration),
+    /// It runs them and closes the connection in place of an answer.
+    LosesAnswers,
+    /// It runs them and breaks off in the middle of each answer.
+    BreaksOff,
+    /// It states that it did not run them.
+    Sheds,
+    /// It answers with the id of another request.
+    MixesUp,
+}
+
+#[derive(Debug)]
+struct ServerState {
+    manner: ServerManner,
+    /// How often each attempt was run.
+    runs: HashMap<String, u32>,
+    /// Runs of keys with the end of their hold.
+    holds: Vec<(u64, u64, Instant)>,
+    /// Runs of keys with the tokens seen on them.
+    seen: Vec<(u64, u64, u64)>,
+    divided: bool,
+}
+
+/// A backend server; it ends with the test, or when it is stopped.
+#[derive(Debug)]
+pub struct ServerStandin {
+    pub address: SocketAddr,
+    state: Arc<Mutex<ServerState>>,
+    task: JoinHandle<()>,
+}
+
+impl ServerStandin {
+    pub async fn spawn(id: &str, divided: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(Mutex::new(ServerState {
+            manner: ServerManner::Works(Duration::ZERO),
+            runs: HashMap::new(),
+            holds: Vec::new(),
+            seen: Vec::new(),
+            divided,
+        }));
+        let (known, name) = (Arc::clone(&state), id.to_owned());
+        let task = tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.expect("a caller");
+                let (state, id) = (Arc::clone(&known), name.clone());
+                tokio::spawn(async move {
+                    // Callers may leave at any time.
+                    let _left = serve(stream, &state, &id).await;
+                });
+            }
+        });
+        Self { address, state, task }
+    }
+
+    pub fn set_manner(&self, manner: ServerManner) {
+        self.lock().manner = manner;
+    }
+
+    /// How often an attempt was run.
+    pub fn runs_of(&self, attempt: &str) -> u32 {
+        self.lock().runs.get(attempt).copied().unwrap_or(0)
+    }
+
+    pub fn runs(&self) -> u32 {
+        self.lock().runs.values().sum()
+    }
+
+    /// Takes no more connections.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+
+    /// Whether it holds a key now.
+    pub fn holds(&self, key: u64) -> bool {
+        self.lock().holds(key)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ServerState> {
+        self.state.lock().expect("no handler panics")
+    }
+}
+
+impl ServerState {
+    fn holds(&self, key: u64) -> bool {
+        let now = Instant::now();
+        let mut holds = self.holds.iter();
+        holds.any(|(first, last, until)| {
+            (*first..=*last).contains(&key) && *until > now
+        })
+    }
+
+    /// Whether a higher token was seen on one of the keys.
+    fn is_outdated(&self, order: &Value) -> bool {
+        let (first, last) = bounds(order);
+        let token = order["fence"].as_u64().expect("a token");
+        let mut seen = self.seen.iter();
+        seen.any(|(from, to, known)| {
+            *from <= last && first <= *to && *known > token
+        })
+    }
+
+    fn grant(&mut self, order: &Value) {
+        let (first, last) = bounds(order);
+        let span = order["hold_time"].as_str().expect("a span");
+        let span = span.trim_end_matches("ms").parse().expect("a number");
+        let until = Instant::now() + Duration::from_millis(span);
+        self.release(order);
+        self.holds.push((first, last, until));
+    }
+
+    fn release(&mut self, order: &Value) {
+        let (first, last) = bounds(order);
+        let held = std::mem::take(&mut self.holds);
+        for (from, to, until) in held {
+            if from < first {
+                self.holds.push((from, to.min(first - 1), until));
+            }
+            if to > last {
+                self.holds.push((from.max(last + 1), to, until));
+            }
+        }
+    }
+}
+
+fn bounds(order: &Value) -> (u64, u64) {
+    let first = order["from"].as_u64().expect("a key");
+    (first, order["target"].as_u64().expect("a key"))
+}
+
+/// One request as it was read.
+struct ReadRequest {
+    path: String,
+    headers: HashMap<String, String>,
+    body: Vec<u8>,
+}
+
+async fn read(
+    stream: &mut BufReader<TcpStream>,
+) -> std::io::Result<Option<ReadRequest>> {
+    let mut line = String::new();
+    if stream.read_line(&mut line).await? == 0 {
+        return Ok(None);
+    }
+    let path = line.split(' ').nth(1).unwrap_or("").to_owned();
+    let mut headers = HashMap::new();
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).await?;
+        let Some((name, value)) = line.trim_end().split_once(':') else {
+            break;
+        };
+        headers.insert(name.to_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length");
+    let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await?;
+    Ok(Some(ReadRequest { path, headers, body }))
+}
+
+async fn serve(
+    stream: TcpStream,
+    state: &Mutex<ServerState>,
+    id: &str,
+) -> std::io::Result<()> {
+    let mut stream = BufReader::new(stream);
+    while let Some(request) = read(&mut stream).await? {
+        let (head, wait, close) = answer(state, id, &request);
+        tokio::time::sleep(wait).await;
+        stream.get_mut().write_all(head.as_bytes()).await?;
+        if close {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+/// The bytes of the answer, the time until it, and whether the connection
+/// ends.
+fn answer(
+    state: &Mutex<ServerState>,
+    id: &str,
+    request: &ReadRequest,
+) -> (String, Duration, bool) {
+    let mut state = state.lock().expect("no handler panics");
+    let header = |name: &str| request.headers.get(name).cloned();
+    let attempt = header("x-attempt-id").unwrap_or_default();
+    let echo = format!("X-Attempt-Id: {attempt}\r\n");
+    let refusal = "X-Not-Executed: 1\r\n";
+    if header("x-expect-instance").is_some_and(|named| named != id) {
+        let head = response("421 Misdirected Request", refusal, "");
+        return (head, Duration::ZERO, false);
+    }
+    if request.path.starts_with("/v1/") {
+        let order = serde_json::from_slice(&request.body).expect("an order");
+        let grant = request.path == "/v1/grant";
+        if grant && state.is_outdated(&order) {
+            let head = response("409 Conflict", "", "");
+            return (head, Duration::ZERO, false);
+        }
+        let (first, last) = bounds(&order);
+        let token = order["fence"].as_u64().expect("a token");
+        state.seen.push((first, last, token));
+        if grant {
+            state.grant(&order);
+        } else {
+            state.release(&order);
+        }
+        return (response("200 OK", "", ""), Duration::ZERO, false);
+    }
+    let key = header("x-shard-key").and_then(|text| text.parse().ok());
+    if state.divided && !key.is_some_and(|key| state.holds(key)) {
+        let head = response("421 Misdirected Request", refusal, "");
+        return (head, Duration::ZERO, false);
+    }
+    if state.manner == ServerManner::Sheds {
+        let headers = format!("{echo}{refusal}");
+        let head = response("503 Service Unavailable", &headers, "");
+        return (head, Duration::ZERO, false);
+    }
+    *state.runs.entry(attempt).or_default() += 1;
+    let stamp = format!("X-Response-Stamp: by-{id}\r\n");
+    let whole = response("200 OK", &format!("{echo}{stamp}"), id);
+    match state.manner {
+        ServerManner::LosesAnswers => (String::new(), Duration::ZERO, true),
+        ServerManner::BreaksOff => {
+            let half = whole[..whole.len() - 1].to_owned();
+            (half, Duration::ZERO, true)
+        }
+        ServerManner::MixesUp => {
+            let headers = format!("X-Attempt-Id: another\r\n{stamp}");
+            (response("200 OK", &headers, id), Duration::ZERO, false)
+        }
+        ServerManner::Works(wait) => (whole, wait, false),
+        ServerManner::Sheds => unreachable!("answered above"),
+    }
+}
+
+fn response(status: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
