--- a/goldcrestramp-decisions/src/spread.rs
+++ b/goldcrestramp-decisions/src/spread.rs
@@ -27,6 +27,19 @@
 /// of which nothing is known yet are dealt out evenly.
 const RATE_FLOOR: f32 = 0.000_1;
 
+/// A granule moves along with a busy neighbour if it has at least this
+/// part of what is to move, or half of its run's average. Cold ones would
+/// move for nothing: a third of all keys moved for 60 busy ones before.
+const DENSE_PART: f32 = 0.02;
+
+/// Where the dense part has less than this part of what is to move, the
+/// load lies all over the run, and a piece of the run is cut off instead.
+const SPARSE_PART: f32 = 0.3;
+
+/// A move has to carry this part of what should move, or callers of these
+/// keys wait for nothing.
+const WORTH_PART: f32 = 0.1;
+
 /// The figures that decide when keys move.
 #[derive(Clone, Copy, Debug)]
 pub struct SpreadSettings {
@@ -97,35 +110,69 @@
         self.rates[first..=last].iter().map(|rate| rate + RATE_FLOOR).sum()
     }
 
-    /// The part of a run with about `wanted` requests a second around its
-    /// busiest granule; nothing if that granule alone has far more.
+    /// The part of a run with about `wanted` requests a second; nothing if
+    /// its busiest granule alone has far more.
     fn part(&self, range: SliceRange, wanted: f32) -> Option<SliceRange> {
         let begin = usize::from(Self::granule(range.first));
         let end = usize::from(Self::granule(range.last));
-        let busiest = (begin..=end)
-            .max_by(|a, b| self.rates[*a].total_cmp(&self.rates[*b]))?;
-        let (mut first, mut last) = (busiest, busiest);
-        let mut sum = self.rates[busiest];
-        if sum > wanted * 1.5 {
+        let rates = &self.rates;
+        let busiest =
+            (begin..=end).max_by(|a, b| rates[*a].total_cmp(&rates[*b]))?;
+        if rates[busiest] > wanted * 1.5 {
             return None;
         }
+        let average = self.of(range) / count(end - begin + 1);
+        let cold = (wanted * DENSE_PART).min(average / 2.0);
+        let (mut first, mut last) =
+            self.dense_part((begin, end), busiest, cold, wanted);
+        let dense: f32 = rates[first..=last].iter().sum();
+        if dense < wanted * SPARSE_PART && self.of(range) > wanted {
+            (first, last) = self.first_part((begin, end), wanted);
+        }
+        let low = edge(first, 0).max(range.first);
+        let high = edge(last, GRANULE_SLICES - 1).min(range.last);
+        Some(SliceRange { first: low, last: high })
+    }
+
+    /// The granules around the busiest one that are not cold.
+    fn dense_part(
+        &self,
+        (begin, end): (usize, usize),
+        busiest: usize,
+        cold: f32,
+        wanted: f32,
+    ) -> (usize, usize) {
+        let (mut first, mut last) = (busiest, busiest);
+        let mut sum = self.rates[busiest];
         loop {
             let left = (first > begin).then(|| self.rates[first - 1]);
             let right = (last < end).then(|| self.rates[last + 1]);
-            let next = left.unwrap_or(-1.0).max(right.unwrap_or(-1.0));
-            if next < 0.0 || sum + next > wanted {
-                break;
+            let (left, right) = (left.unwrap_or(-1.0), right.unwrap_or(-1.0));
+            let next = left.max(right);
+            if next < cold || sum + next > wanted {
+                return (first, last);
             }
             sum += next;
-            if left.unwrap_or(-1.0) >= right.unwrap_or(-1.0) {
+            if left >= right {
                 first -= 1;
             } else {
                 last += 1;
             }
         }
-        let low = edge(first, 0).max(range.first);
-        let high = edge(last, GRANULE_SLICES - 1).min(range.last);
-        Some(SliceRange { first: low, last: high })
+    }
+
+    /// The first granules that have as much as is wanted.
+    fn first_part(
+        &self,
+        (begin, end): (usize, usize),
+        wanted: f32,
+    ) -> (usize, usize) {
+        let mut sum = 0.0;
+        let last = (begin..=end).find(|granule| {
+            sum += self.rates[*granule];
+            sum >= wanted
+        });
+        (begin, last.unwrap_or(end))
     }
 }
 
@@ -135,6 +182,12 @@
     granule.saturating_mul(GRANULE_SLICES).saturating_add(offset).into()
 }
 
+fn count(number: usize) -> f32 {
+    #[expect(clippy::cast_precision_loss, reason = "a few thousand")]
+    let number = number as f32;
+    number
+}
+
 fn seconds(span: TimeSpan) -> f32 {
     span.to_std().as_secs_f32()
 }
@@ -342,17 +395,18 @@
             .map(|(position, run)| (position, self.load.of(run.range)));
         let (busiest, most) =
             rated.clone().max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let least = wanted * WORTH_PART;
         let room = self.runs.len() + 2 <= self.settings.runs_most;
         // A dense part first: as much load moves with fewer keys.
         if room
             && let Some(part) =
                 self.load.part(self.runs[busiest].range, wanted)
-            && self.load.of(part) > most.min(wanted) / 2.0
+            && self.load.of(part) > least
         {
             return Some((busiest, part));
         }
         let whole = rated
-            .filter(|(_, rate)| *rate <= wanted)
+            .filter(|(_, rate)| *rate <= wanted && *rate > least)
             .max_by(|a, b| a.1.total_cmp(&b.1));
         whole.map(|(position, _)| (position, self.runs[position].range))
     }
--- /dev/null
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -0,0 +1,236 @@
+//! Decisions of a VM that sends directly to servers.
+
+use goldcrestramp_decisions::{
+    LinePlace, PlaceLoad, PlacedRun, PoolCandidate, PoolChoice, RangeLoad,
+    SendWindow, ServerWay, SpreadSettings, WaitLine, WeightedTurns,
+    WindowSettings, choose_server, place_uses, spread_moves,
+};
+use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
+
+const SECOND: TimeSpan = TimeSpan::from_millis(1_000);
+
+fn at(millis: u64) -> LocalTime {
+    LocalTime::from_micros(0) + TimeSpan::from_millis(millis)
+}
+
+fn candidate(way: ServerWay, in_flight: usize, millis: u64) -> PoolCandidate {
+    let latency = TimeSpan::from_millis(millis);
+    PoolCandidate { way, limit: 4, in_flight, latency }
+}
+
+#[test]
+fn a_faster_server_is_preferred_until_it_is_busier() {
+    let slow = candidate(ServerWay::Domain, 0, 160);
+    let fast = |in_flight| candidate(ServerWay::Domain, in_flight, 80);
+    let choose = |a, b| choose_server(&[a, b], SECOND, 1_000);
+
+    assert_eq!(choose(slow, fast(0)), PoolChoice::Send(1));
+    assert_eq!(choose(slow, fast(3)), PoolChoice::Send(1));
+    let full = PoolCandidate { in_flight: 7, ..fast(0) };
+    assert_eq!(choose(slow, full), PoolChoice::Send(0));
+}
+
+/// A download of 90 kB and a near server with a request under way: next
+/// door it would be answered a little sooner, and its volume is paid for
+/// by the kilobyte. An order of 3 kB goes next door.
+#[test]
+fn large_answers_stay_near_and_small_ones_go_next_door() {
+    let near = candidate(ServerWay::Domain, 3, 100);
+    let next = candidate(ServerWay::Region, 0, 100);
+    let choose = |bytes| choose_server(&[near, next], SECOND, bytes);
+
+    assert_eq!(choose(90_000), PoolChoice::Send(0));
+    assert_eq!(choose(3_000), PoolChoice::Send(1));
+}
+
+/// Nobody near takes requests at all: the far server is better than none.
+#[test]
+fn a_far_server_serves_when_no_other_can() {
+    let held =
+        PoolCandidate { limit: 0, ..candidate(ServerWay::Domain, 0, 100) };
+    let far = candidate(ServerWay::Far, 0, 100);
+
+    let choice = choose_server(&[held, far], SECOND, 90_000);
+
+    assert_eq!(choice, PoolChoice::Send(1));
+}
+
+#[test]
+fn what_no_server_can_answer_in_time_is_known_at_once() {
+    let slow = candidate(ServerWay::Domain, 0, 400);
+    let left = TimeSpan::from_millis(300);
+
+    assert_eq!(choose_server(&[slow], left, 1), PoolChoice::TooLate);
+}
+
+/// Every server fails for a minute and each request would be sent again by
+/// each of 10 VMs. All of them together stay within what the operators
+/// allow, without asking one another.
+#[test]
+fn vms_together_stay_within_the_budget_of_repeats() {
+    const VMS: usize = 10;
+    let span = TimeSpan::from_millis(10_000);
+    let settings = WindowSettings { span, per_mille: 200, extra: 60 };
+    let mut windows = vec![SendWindow::new(settings); VMS];
+    let mut sent = Vec::new();
+    let mut asked = Vec::new();
+    for millis in (0..60_000).step_by(10) {
+        let vm = usize::try_from(millis / 10).expect("small") % VMS;
+        windows[vm].request(at(millis));
+        asked.push(millis);
+        if windows[vm].take(at(millis), VMS) {
+            sent.push(millis);
+        }
+    }
+
+    for begin in (0..50_000).step_by(500) {
+        let inside = |list: &[u64]| {
+            list.iter()
+                .filter(|t| (begin..begin + 10_000).contains(*t))
+                .count()
+        };
+        assert!(inside(&sent) <= inside(&asked) / 5 + 60, "from {begin} ms");
+    }
+    assert!(sent.len() > 600, "some repeats are made: {}", sent.len());
+}
+
+#[test]
+fn turns_keep_to_weights_after_any_number_of_requests() {
+    let mut turns = WeightedTurns::default();
+    let weights = [70, 25, 5, 0];
+    let mut counts = [0_u32; 4];
+    for request in 1..=500_u32 {
+        counts[turns.next(&weights).expect("a target")] += 1;
+        for (count, weight) in counts.iter().zip(weights) {
+            let due = request * weight;
+            assert!((count * 100).abs_diff(due) <= 200);
+        }
+    }
+    assert_eq!(turns.next(&[0, 0]), None);
+}
+
+/// A request of low rank waits first; one of high rank comes later and is
+/// served before it. One that was woken in vain keeps its place.
+#[test]
+fn rank_goes_before_arrival_and_a_place_is_kept() {
+    let mut line = WaitLine::default();
+    let low = LinePlace { priority: 2, turn: 1 };
+    let high = LinePlace { priority: 1, turn: 2 };
+    line.join(low, "low");
+    line.join(high, "high");
+
+    assert_eq!(line.wake(), Some("high"));
+    line.join(high, "high again");
+
+    assert_eq!(line.ahead_of(low), 1);
+    assert_eq!(line.wake(), Some("high again"));
+    assert_eq!(line.wake(), Some("low"));
+    assert!(line.is_empty());
+}
+
+const SPREAD: SpreadSettings =
+    SpreadSettings { band: 0.12, busy_from: 0.45, moves: 12, runs_most: 600 };
+
+fn places(servers: usize) -> Vec<PlaceLoad> {
+    vec![PlaceLoad { slots: 2, answer_s: 0.1, open: true }; servers]
+}
+
+/// One run a server, in order.
+fn even_runs(servers: u16) -> Vec<PlacedRun> {
+    let size = u16::MAX / servers;
+    (0..servers)
+        .map(|place| {
+            let first = place * size;
+            let last =
+                if place + 1 == servers { u16::MAX } else { first + size - 1 };
+            let range = SliceRange { first: first.into(), last: last.into() };
+            PlacedRun { range, place: usize::from(place), movable: true }
+        })
+        .collect()
+}
+
+/// Applies moves as the servers would follow them.
+fn follow(runs: &mut Vec<PlacedRun>, moves: &[(SliceRange, usize)]) {
+    for (range, target) in moves {
+        let whole = runs.iter().position(|run| run.range.covers(*range));
+        let whole = runs.swap_remove(whole.expect("one run"));
+        let (first, last) = (range.first.get(), range.last.get());
+        if whole.range.first.get() < first {
+            let last = SliceIndex::from(first - 1);
+            let range = SliceRange { first: whole.range.first, last };
+            runs.push(PlacedRun { range, ..whole });
+        }
+        if last < whole.range.last.get() {
+            let first = SliceIndex::from(last + 1);
+            let range = SliceRange { first, last: whole.range.last };
+            runs.push(PlacedRun { range, ..whole });
+        }
+        runs.push(PlacedRun { range: *range, place: *target, movable: true });
+    }
+}
+
+/// Sixty keys side by side get sixty requests a second, six times what
+/// their one server can do. Within three rounds of half a second no server
+/// is asked for more than its slots, and few keys have moved. Even runs
+/// that never move leave that server three times over its slots for good.
+#[test]
+fn a_hot_run_is_spread_within_three_rounds() {
+    let places = places(20);
+    let mut runs = even_runs(20);
+    let mut load = RangeLoad::open(at(0));
+    let hot = 10_000_u16..10_060;
+    let mut moved = 0;
+    let mut now = 0;
+    for _round in 0..8 {
+        now += 500;
+        for key in hot.clone().chain((0..u16::MAX).step_by(1_000)) {
+            let requests = u32::from(hot.contains(&key)) * 100 / 200;
+            load.count(RangeLoad::granule(key.into()), requests);
+        }
+        for key in hot.clone().step_by(2) {
+            load.count(RangeLoad::granule(key.into()), 1);
+        }
+        load.settle(at(now));
+        let moves = spread_moves(&runs, &places, &load, &SPREAD);
+        let chosen: Vec<_> =
+            moves.iter().map(|m| (m.range, m.target)).collect();
+        moved += chosen.iter().map(|(range, _)| range.slices()).sum::<u32>();
+        follow(&mut runs, &chosen);
+    }
+
+    let uses = place_uses(&runs, &places, &load);
+    let most = uses.iter().copied().fold(0.0, f32::max);
+    let still = place_uses(&even_runs(20), &places, &load);
+    let unmoved = still.iter().copied().fold(0.0, f32::max);
+    assert!(most < 1.0, "busiest {most}");
+    assert!(unmoved > 2.0, "without moves {unmoved}");
+    assert!(moved < 2_000, "{moved} keys moved");
+}
+
+#[test]
+fn a_server_that_joins_gets_its_part() {
+    let places = places(5);
+    let runs = even_runs(4);
+    let mut load = RangeLoad::open(at(0));
+    for key in (0..u16::MAX).step_by(64) {
+        load.count(RangeLoad::granule(key.into()), 1);
+    }
+    load.settle(at(60_000));
+
+    let moves = spread_moves(&runs, &places, &load, &SPREAD);
+
+    assert!(moves.iter().any(|chosen| chosen.target == 4));
+}
+
+#[test]
+fn an_even_load_moves_nothing() {
+    let places = places(4);
+    let runs = even_runs(4);
+    let mut load = RangeLoad::open(at(0));
+    for key in (0..u16::MAX).step_by(8) {
+        load.count(RangeLoad::granule(key.into()), 1);
+    }
+    load.settle(at(2_000));
+
+    assert_eq!(spread_moves(&runs, &places, &load, &SPREAD), []);
+}
--- /dev/null
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -0,0 +1,190 @@
+//! What a VM knows of the store never goes back, and it knows when to
+//! doubt it.
+
+use std::net::SocketAddr;
+
+use goldcrestramp_adapter::{StoreEvent, StoreItem};
+use goldcrestramp_entry::{
+    control::{NewsSource, NewsState},
+    mirror::StoreMirror,
+    view::ViewBuilder,
+};
+use goldcrestramp_types::{LocalTime, TimeSpan};
+use serde_json::json;
+
+fn at(millis: u64) -> LocalTime {
+    LocalTime::from_micros(1_000_000_000) + TimeSpan::from_millis(millis)
+}
+
+fn item(key: &str, value: &str, revision: u64) -> StoreItem {
+    let value = value.to_owned().into();
+    StoreItem { key: key.into(), value, revision }
+}
+
+fn written(key: &str, value: &str, revision: u64) -> StoreEvent {
+    StoreEvent::Written(item(key, value, revision))
+}
+
+fn removed(key: &str, revision: u64) -> StoreEvent {
+    StoreEvent::Removed { key: key.into(), revision }
+}
+
+fn value<'a>(mirror: &'a StoreMirror, key: &str) -> Option<&'a [u8]> {
+    mirror.get(key).map(|item| item.value.as_slice())
+}
+
+#[test]
+fn a_mirror_takes_changes_in_any_order_and_more_than_once() {
+    let mut mirror = StoreMirror::default();
+
+    mirror.apply(vec![written("k", "new", 5)], 5);
+    mirror.apply(vec![written("k", "old", 3), removed("k", 4)], 5);
+
+    assert_eq!(value(&mirror, "k"), Some(&b"new"[..]));
+    mirror.apply(vec![removed("k", 6)], 6);
+    assert_eq!(value(&mirror, "k"), None);
+}
+
+/// A VM is behind when it asks a peer; what it is told brings it to the
+/// peer's state, removals included.
+#[test]
+fn a_delta_brings_a_mirror_to_another_s_state() {
+    let mut ahead = StoreMirror::default();
+    ahead.apply(vec![written("a", "1", 1), written("b", "1", 2)], 2);
+    let mut behind = ahead.clone();
+
+    ahead.apply(vec![written("b", "2", 3), removed("a", 4)], 4);
+    behind.apply_delta(ahead.delta_since(2).expect("remembered"));
+
+    assert_eq!(value(&behind, "a"), None);
+    assert_eq!(value(&behind, "b"), Some(&b"2"[..]));
+    assert_eq!(behind.revision(), 4);
+}
+
+/// Removals before a whole reading are not remembered: a VM that is behind
+/// it has to be told everything, or it would keep what is gone.
+#[test]
+fn a_delta_from_before_a_whole_reading_can_t_be_had() {
+    let mut mirror = StoreMirror::default();
+    mirror.apply(vec![written("a", "1", 1)], 1);
+
+    assert!(mirror.replace(vec![item("b", "1", 7)], 9));
+
+    assert!(mirror.delta_since(1).is_none());
+    assert!(mirror.delta_since(9).is_some());
+    assert_eq!(value(&mirror, "a"), None);
+}
+
+#[test]
+fn an_older_reading_or_copy_changes_nothing() {
+    let mut mirror = StoreMirror::default();
+    mirror.apply(vec![written("a", "2", 8)], 8);
+    let old = StoreMirror::default();
+
+    assert!(!mirror.replace(vec![item("a", "1", 3)], 5));
+    assert!(!mirror.adopt(old));
+
+    assert_eq!(value(&mirror, "a"), Some(&b"2"[..]));
+}
+
+/// This VM's own commit is newer than a reading that began before it. The
+/// reading must not take the commit back.
+#[test]
+fn a_reading_keeps_what_was_written_after_its_begin() {
+    let mut mirror = StoreMirror::default();
+    mirror.write(item("table", "new", 12));
+
+    assert!(mirror.replace(vec![item("table", "old", 4)], 10));
+
+    assert_eq!(value(&mirror, "table"), Some(&b"new"[..]));
+}
+
+/// The store comes back with an older configuration, or a lower version
+/// is written later: the one in force stays.
+#[test]
+fn a_configuration_never_reverts() {
+    let configuration =
+        |version: u64| json!({"version": version, "routes": {}}).to_string();
+    let mut builder = ViewBuilder::default();
+    let mut mirror = StoreMirror::default();
+    mirror.write(item("op/config", &configuration(7), 20));
+    let first = builder.build(at(0), &mirror).expect("a change");
+
+    mirror.write(item("op/config", &configuration(5), 30));
+    let second = builder.build(at(1), &mirror);
+
+    assert_eq!(first.routes.expect("in force").version, 7);
+    assert!(second.is_none());
+}
+
+#[test]
+fn heartbeats_make_no_new_view() {
+    let entry = |beat: u64| {
+        json!({
+            "address": "10.0.0.9:80", "born": 1,
+            "info": {"service": "s", "zone": "a", "slots": 2},
+            "status": {"state": "ready", "seq": beat}
+        })
+    };
+    let mut builder = ViewBuilder::default();
+    let mut mirror = StoreMirror::default();
+    mirror.write(item("servers/i", &entry(1).to_string(), 2));
+    assert!(builder.build(at(0), &mirror).is_some());
+
+    mirror.write(item("servers/i", &entry(2).to_string(), 3));
+
+    assert!(builder.build(at(870), &mirror).is_none());
+    mirror.apply(vec![removed("servers/i", 4)], 4);
+    let view = builder.build(at(900), &mirror).expect("it is gone");
+    assert_eq!(view.leaving.get("i"), Some(&at(900)));
+}
+
+fn peer() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 2], 7_540))
+}
+
+#[test]
+fn a_vm_follows_its_peer_and_reads_all_first() {
+    let mut news = NewsState::default();
+
+    assert_eq!(news.next(at(0), 0, Some(peer())), NewsSource::StoreWhole);
+    let followed = news.next(at(0), 5, Some(peer()));
+    assert_eq!(followed, NewsSource::Peer(peer(), 5));
+    assert_eq!(news.next(at(0), 5, None), NewsSource::StoreChanges(5));
+}
+
+/// The store answers nothing to the VM that others follow, and serves the
+/// others: a new configuration would not be in force on any of them. Two
+/// renewals without an answer tell, and they follow the store themselves.
+#[test]
+fn a_vm_that_the_store_is_silent_to_may_not_be_followed() {
+    let mut source = NewsState::default();
+    source.next(at(0), 5, None);
+    source.answered(at(0));
+
+    assert!(source.may_be_followed(at(900), at(0)));
+    assert!(!source.may_be_followed(at(1_100), at(0)));
+
+    let mut follower = NewsState::default();
+    follower.peer_failed(at(1_100));
+    let next = follower.next(at(1_100), 5, Some(peer()));
+    assert_eq!(next, NewsSource::StoreChanges(5));
+    let later = follower.next(at(6_200), 5, Some(peer()));
+    assert_eq!(later, NewsSource::Peer(peer(), 5));
+}
+
+/// Entries end while the store is away, and are back two seconds after its
+/// return. Until then a missing entry says nothing.
+#[test]
+fn a_missing_entry_says_nothing_while_the_store_returns() {
+    let mut news = NewsState::default();
+    news.answered(at(0));
+    assert!(!news.is_unsure(at(10)));
+
+    news.failed();
+    assert!(news.is_unsure(at(4_000)));
+    news.answered(at(4_500));
+
+    assert!(news.is_unsure(at(6_500)));
+    assert!(!news.is_unsure(at(7_000)));
+}
