--- a/goldcrestramp-decisions/src/spread.rs
+++ b/goldcrestramp-decisions/src/spread.rs
@@ -21,7 +21,7 @@
 
 /// Half of what is known is replaced in this time: a run that became busy
 /// shows within a second, the noise of ten requests does not.
-const HALF_LIFE: TimeSpan = TimeSpan::from_millis(1_000);
+const HALF_LIFE: TimeSpan = TimeSpan::from_millis(700);
 
 /// What an unasked granule counts for, in requests a second, so that keys
 /// of which nothing is known yet are dealt out evenly.
@@ -32,9 +32,13 @@
 /// move for nothing: a third of all keys moved for 60 busy ones before.
 const DENSE_PART: f32 = 0.02;
 
-/// Where the dense part has less than this part of what is to move, the
-/// load lies all over the run, and a piece of the run is cut off instead.
-const SPARSE_PART: f32 = 0.3;
+/// A dense part is moved if it has this part of what is to move; a run
+/// that has more is moved whole before.
+const DENSE_LEAST: f32 = 0.5;
+
+/// Of a whole run the dense part alone is moved if it has this part of the
+/// run's load: the cold rest stays.
+const TRIMMED_LEAST: f32 = 0.8;
 
 /// A move has to carry this part of what should move, or callers of these
 /// keys wait for nothing.
@@ -123,15 +127,22 @@
         }
         let average = self.of(range) / count(end - begin + 1);
         let cold = (wanted * DENSE_PART).min(average / 2.0);
-        let (mut first, mut last) =
+        let (first, last) =
             self.dense_part((begin, end), busiest, cold, wanted);
-        let dense: f32 = rates[first..=last].iter().sum();
-        if dense < wanted * SPARSE_PART && self.of(range) > wanted {
-            (first, last) = self.first_part((begin, end), wanted);
-        }
-        let low = edge(first, 0).max(range.first);
-        let high = edge(last, GRANULE_SLICES - 1).min(range.last);
-        Some(SliceRange { first: low, last: high })
+        Some(within(range, first, last))
+    }
+
+    /// The begin of a run with about `wanted` requests a second; nothing
+    /// if the run has less.
+    fn piece(&self, range: SliceRange, wanted: f32) -> Option<SliceRange> {
+        let begin = usize::from(Self::granule(range.first));
+        let end = usize::from(Self::granule(range.last));
+        let mut sum = 0.0;
+        let last = (begin..=end).find(|granule| {
+            sum += self.rates[*granule];
+            sum >= wanted
+        });
+        last.map(|last| within(range, begin, last))
     }
 
     /// The granules around the busiest one that are not cold.
@@ -160,20 +171,13 @@
             }
         }
     }
+}
 
-    /// The first granules that have as much as is wanted.
-    fn first_part(
-        &self,
-        (begin, end): (usize, usize),
-        wanted: f32,
-    ) -> (usize, usize) {
-        let mut sum = 0.0;
-        let last = (begin..=end).find(|granule| {
-            sum += self.rates[*granule];
-            sum >= wanted
-        });
-        (begin, last.unwrap_or(end))
-    }
+/// The keys of some granules that lie in a run.
+fn within(range: SliceRange, first: usize, last: usize) -> SliceRange {
+    let first = edge(first, 0).max(range.first);
+    let last = edge(last, GRANULE_SLICES - 1).min(range.last);
+    SliceRange { first, last }
 }
 
 /// A key of a granule.
@@ -379,36 +383,42 @@
         Some(RangeMove { range, target })
     }
 
-    /// The largest part that is no more than what is wanted: a whole run
-    /// if one fits, else a part of the busiest.
+    /// The part to move: a dense one of the busiest run, as it moves much
+    /// load with few keys; else a whole run that fits; else a piece of the
+    /// busiest run, whose load lies all over it.
     fn best_part(
         &self,
         source: usize,
         wanted: f32,
     ) -> Option<(usize, SliceRange)> {
-        let own = |run: &&PlacedRun| run.place == source && run.movable;
-        let rated = self
-            .runs
-            .iter()
-            .enumerate()
-            .filter(|(_, run)| own(run))
-            .map(|(position, run)| (position, self.load.of(run.range)));
-        let (busiest, most) =
-            rated.clone().max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let rated = || {
+            let runs = self.runs.iter().enumerate();
+            runs.filter(|(_, run)| run.place == source && run.movable)
+                .map(|(position, run)| (position, self.load.of(run.range)))
+        };
+        let busiest = rated().max_by(|a, b| a.1.total_cmp(&b.1))?.0;
+        let range = self.runs[busiest].range;
         let least = wanted * WORTH_PART;
         let room = self.runs.len() + 2 <= self.settings.runs_most;
-        // A dense part first: as much load moves with fewer keys.
-        if room
-            && let Some(part) =
-                self.load.part(self.runs[busiest].range, wanted)
-            && self.load.of(part) > least
-        {
+        let dense = self
+            .load
+            .part(range, wanted)
+            .filter(|part| room && self.load.of(*part) > wanted * DENSE_LEAST);
+        if let Some(part) = dense {
             return Some((busiest, part));
         }
-        let whole = rated
+        let whole = rated()
             .filter(|(_, rate)| *rate <= wanted && *rate > least)
             .max_by(|a, b| a.1.total_cmp(&b.1));
-        whole.map(|(position, _)| (position, self.runs[position].range))
+        if let Some((position, rate)) = whole {
+            let range = self.runs[position].range;
+            let trimmed = self.load.part(range, wanted).filter(|part| {
+                room && self.load.of(*part) > rate * TRIMMED_LEAST
+            });
+            return Some((position, trimmed.unwrap_or(range)));
+        }
+        let piece = self.load.piece(range, wanted).filter(|_| room)?;
+        Some((busiest, piece))
     }
 
     /// Notes a move among the runs.
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -28,7 +28,7 @@
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(250);
 
 /// How often moves are weighed: a report of every VM comes in between.
-const WEIGH_PAUSE: TimeSpan = TimeSpan::from_millis(500);
+const WEIGH_PAUSE: TimeSpan = TimeSpan::from_millis(350);
 
 /// A run that moved stays for so long, or noise would send it to and fro.
 const REST: TimeSpan = TimeSpan::from_millis(2_500);
