Move busy keys one by one, and tell at once what could only be late

Cause: one key got a third of a service's requests, more than any server can do. It and its neighbours were moved as a run, from server to server, and every request for it waited until all were late. Loads are now kept key by key; a part moves only if its new server is then clearly less used; a full owner's other runs are moved away; its queue is shared out so that answers stay in time, and the rest is told at once.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -69,8 +69,8 @@
         RetryDecision, RetryPolicy,
     },
     spread::{
-        GRANULE_SLICES, PlaceLoad, PlacedRun, RangeLoad, RangeMove,
-        SpreadSettings, lightest_place, place_uses, spread_moves,
+        PlaceLoad, PlacedRun, RangeLoad, RangeMove, SpreadSettings,
+        lightest_place, place_uses, spread_moves,
     },
     turns::WeightedTurns,
     wait_line::{LinePlace, WaitLine},
--- a/goldcrestramp-decisions/src/spread.rs
+++ b/goldcrestramp-decisions/src/spread.rs
@@ -7,28 +7,29 @@
 //! nothing to the others, so few busy keys are moved and many cold ones
 //! are left where they are.
 //!
-//! Loads are kept by granule of [`GRANULE_SLICES`] keys, which bounds the
-//! memory at 32 KiB a service whatever callers ask for; within a granule
-//! the error is its whole load.
+//! Loads are kept key by key: of 60 busy neighbours the busiest eight have
+//! half of the requests, more than one server can do. That takes 512 KiB a
+//! service on the planning VM, whatever callers ask for.
 
 use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
 
-/// Keys of one granule. A run of 60 busy keys is eight granules: enough to
-/// spread it over eight servers.
-pub const GRANULE_SLICES: u16 = 8;
+/// Every key there can be.
+const KEYS: usize = 65_536;
 
-const GRANULES: usize = 65_536 / GRANULE_SLICES as usize;
+/// A dense part grows by so many keys at a time: between busy keys lie some
+/// that nobody has asked for within the last second.
+const GROWTH: usize = 4;
 
 /// Half of what is known is replaced in this time: a run that became busy
 /// shows within a second, the noise of ten requests does not.
-const HALF_LIFE: TimeSpan = TimeSpan::from_millis(700);
+const HALF_LIFE: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// What an unasked granule counts for, in requests a second, so that keys
-/// of which nothing is known yet are dealt out evenly.
-const RATE_FLOOR: f32 = 0.000_1;
+/// What an unasked key counts for, in requests a second, so that keys of
+/// which nothing is known yet are dealt out evenly.
+const RATE_FLOOR: f32 = 0.000_01;
 
-/// A granule moves along with a busy neighbour if it has at least this
-/// part of what is to move, or half of its run's average. Cold ones would
+/// Keys move along with a busy neighbour if they have at least this part
+/// of what is to move, or half of their run's average. Cold ones would
 /// move for nothing: a third of all keys moved for 60 busy ones before.
 const DENSE_PART: f32 = 0.02;
 
@@ -42,7 +43,12 @@
 
 /// A move has to carry this part of what should move, or callers of these
 /// keys wait for nothing.
-const WORTH_PART: f32 = 0.1;
+const WORTH_PART: f32 = 0.03;
+
+/// A part moves if its new server is then used by no more than this part
+/// of what the present one is now. Without it the busiest key of all went
+/// round the servers, a second each, and its callers waited for each move.
+const BETTER_PART: f32 = 0.85;
 
 /// The figures that decide when keys move.
 #[derive(Clone, Copy, Debug)]
@@ -58,7 +64,7 @@
     pub runs_most: usize,
 }
 
-/// The requests a second of each granule.
+/// The requests a second of each key.
 #[derive(Clone, Debug)]
 pub struct RangeLoad {
     rates: Vec<f32>,
@@ -70,24 +76,12 @@
     /// Opens with no load known.
     #[must_use]
     pub fn open(now: LocalTime) -> Self {
-        Self {
-            rates: vec![0.0; GRANULES],
-            counted: vec![0; GRANULES],
-            since: now,
-        }
-    }
-
-    /// The granule of a key.
-    #[must_use]
-    pub const fn granule(slice: SliceIndex) -> u16 {
-        slice.get() / GRANULE_SLICES
+        Self { rates: vec![0.0; KEYS], counted: vec![0; KEYS], since: now }
     }
 
-    /// Counts requests of a granule.
-    pub fn count(&mut self, granule: u16, requests: u32) {
-        if let Some(counted) = self.counted.get_mut(usize::from(granule)) {
-            *counted += requests;
-        }
+    /// Counts requests for a key.
+    pub fn count(&mut self, slice: SliceIndex, requests: u32) {
+        self.counted[slice.position()] += requests;
     }
 
     /// Takes what was counted into the rates.
@@ -109,16 +103,15 @@
     /// The requests a second of a run.
     #[must_use]
     pub fn of(&self, range: SliceRange) -> f32 {
-        let first = usize::from(Self::granule(range.first));
-        let last = usize::from(Self::granule(range.last));
-        self.rates[first..=last].iter().map(|rate| rate + RATE_FLOOR).sum()
+        let (first, last) = (range.first.position(), range.last.position());
+        let rates = &self.rates[first..=last];
+        rates.iter().sum::<f32>() + RATE_FLOOR * count(rates.len())
     }
 
     /// The part of a run with about `wanted` requests a second; nothing if
-    /// its busiest granule alone has far more.
+    /// its busiest key alone has far more.
     fn part(&self, range: SliceRange, wanted: f32) -> Option<SliceRange> {
-        let begin = usize::from(Self::granule(range.first));
-        let end = usize::from(Self::granule(range.last));
+        let (begin, end) = (range.first.position(), range.last.position());
         let rates = &self.rates;
         let busiest =
             (begin..=end).max_by(|a, b| rates[*a].total_cmp(&rates[*b]))?;
@@ -126,26 +119,34 @@
             return None;
         }
         let average = self.of(range) / count(end - begin + 1);
-        let cold = (wanted * DENSE_PART).min(average / 2.0);
+        let cold = (wanted * DENSE_PART).min(average * count(GROWTH) / 2.0);
         let (first, last) =
             self.dense_part((begin, end), busiest, cold, wanted);
-        Some(within(range, first, last))
+        Some(keys(first, last))
     }
 
     /// The begin of a run with about `wanted` requests a second; nothing
     /// if the run has less.
     fn piece(&self, range: SliceRange, wanted: f32) -> Option<SliceRange> {
-        let begin = usize::from(Self::granule(range.first));
-        let end = usize::from(Self::granule(range.last));
+        let (begin, end) = (range.first.position(), range.last.position());
         let mut sum = 0.0;
-        let last = (begin..=end).find(|granule| {
-            sum += self.rates[*granule];
+        let last = (begin..=end).find(|key| {
+            sum += self.rates[*key];
             sum >= wanted
         });
-        last.map(|last| within(range, begin, last))
+        last.map(|last| keys(begin, last))
     }
 
-    /// The granules around the busiest one that are not cold.
+    /// The busiest key of a run, if it alone has more than is wanted.
+    fn hot_key(&self, range: SliceRange, wanted: f32) -> Option<SliceRange> {
+        let (begin, end) = (range.first.position(), range.last.position());
+        let rates = &self.rates;
+        let busiest =
+            (begin..=end).max_by(|a, b| rates[*a].total_cmp(&rates[*b]))?;
+        (rates[busiest] > wanted).then(|| keys(busiest, busiest))
+    }
+
+    /// The keys around the busiest one that are not cold.
     fn dense_part(
         &self,
         (begin, end): (usize, usize),
@@ -156,34 +157,30 @@
         let (mut first, mut last) = (busiest, busiest);
         let mut sum = self.rates[busiest];
         loop {
-            let left = (first > begin).then(|| self.rates[first - 1]);
-            let right = (last < end).then(|| self.rates[last + 1]);
-            let (left, right) = (left.unwrap_or(-1.0), right.unwrap_or(-1.0));
+            let lower = first.saturating_sub(GROWTH).max(begin);
+            let upper = (last + GROWTH).min(end);
+            let left: f32 = self.rates[lower..first].iter().sum();
+            let right: f32 = self.rates[last + 1..=upper].iter().sum();
             let next = left.max(right);
-            if next < cold || sum + next > wanted {
+            if next <= cold || sum + next > wanted {
                 return (first, last);
             }
             sum += next;
             if left >= right {
-                first -= 1;
+                first = lower;
             } else {
-                last += 1;
+                last = upper;
             }
         }
     }
 }
 
-/// The keys of some granules that lie in a run.
-fn within(range: SliceRange, first: usize, last: usize) -> SliceRange {
-    let first = edge(first, 0).max(range.first);
-    let last = edge(last, GRANULE_SLICES - 1).min(range.last);
-    SliceRange { first, last }
-}
-
-/// A key of a granule.
-fn edge(granule: usize, offset: u16) -> SliceIndex {
-    let granule = u16::try_from(granule).unwrap_or(u16::MAX);
-    granule.saturating_mul(GRANULE_SLICES).saturating_add(offset).into()
+/// A run of keys by their positions.
+fn keys(first: usize, last: usize) -> SliceRange {
+    let slice = |position: usize| {
+        SliceIndex::from(u16::try_from(position).unwrap_or(u16::MAX))
+    };
+    SliceRange { first: slice(first), last: slice(last) }
 }
 
 fn count(number: usize) -> f32 {
@@ -367,6 +364,7 @@
         joined || busy
     }
 
+    /// The first part of the source that is better off elsewhere.
     fn move_between(
         &mut self,
         source: usize,
@@ -375,7 +373,12 @@
         let gap = (self.uses[source] - self.uses[target]) / 2.0;
         let surplus = (self.uses[source] - self.mean).max(gap / 2.0);
         let wanted = self.places[source].rate_by(gap.min(surplus));
-        let (position, range) = self.best_part(source, wanted)?;
+        let parts = self.parts(source, wanted);
+        let (position, range, target) =
+            parts.into_iter().find_map(|(position, range)| {
+                let target = self.best_target(source, range)?;
+                Some((position, range, target))
+            })?;
         let rate = self.load.of(range);
         self.uses[source] -= self.places[source].use_by(rate);
         self.uses[target] += self.places[target].use_by(rate);
@@ -383,42 +386,66 @@
         Some(RangeMove { range, target })
     }
 
-    /// The part to move: a dense one of the busiest run, as it moves much
-    /// load with few keys; else a whole run that fits; else a piece of the
-    /// busiest run, whose load lies all over it.
-    fn best_part(
-        &self,
-        source: usize,
-        wanted: f32,
-    ) -> Option<(usize, SliceRange)> {
-        let rated = || {
-            let runs = self.runs.iter().enumerate();
-            runs.filter(|(_, run)| run.place == source && run.movable)
-                .map(|(position, run)| (position, self.load.of(run.range)))
+    /// The place that is used least once it has a part; nothing if the
+    /// part would only make it as full as the source is now. A key that
+    /// alone is asked for more than any server can do stays where it is.
+    fn best_target(&self, source: usize, range: SliceRange) -> Option<usize> {
+        let rate = self.load.of(range);
+        let after =
+            |place: usize| self.uses[place] + self.places[place].use_by(rate);
+        let target = (0..self.places.len())
+            .filter(|place| self.places[*place].open && *place != source)
+            .min_by(|a, b| after(*a).total_cmp(&after(*b)))?;
+        let better = after(target) < self.uses[source] * BETTER_PART;
+        better.then_some(target)
+    }
+
+    /// The parts that may move, best first: a dense one of the busiest
+    /// run, as it moves much load with few keys; its busiest key alone;
+    /// whole runs that fit; a piece of the busiest run, whose load then
+    /// lies all over it.
+    fn parts(&self, source: usize, wanted: f32) -> Vec<(usize, SliceRange)> {
+        let own = self.runs.iter().enumerate();
+        let mut rated: Vec<(usize, f32)> = own
+            .filter(|(_, run)| run.place == source && run.movable)
+            .map(|(position, run)| (position, self.load.of(run.range)))
+            .collect();
+        rated.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let Some((busiest, _most)) = rated.first().copied() else {
+            return Vec::new();
         };
-        let busiest = rated().max_by(|a, b| a.1.total_cmp(&b.1))?.0;
         let range = self.runs[busiest].range;
-        let least = wanted * WORTH_PART;
         let room = self.runs.len() + 2 <= self.settings.runs_most;
-        let dense = self
-            .load
-            .part(range, wanted)
-            .filter(|part| room && self.load.of(*part) > wanted * DENSE_LEAST);
-        if let Some(part) = dense {
-            return Some((busiest, part));
+        let mut parts = Vec::new();
+        if room {
+            let dense = self.load.part(range, wanted);
+            let enough =
+                |part: &SliceRange| self.load.of(*part) > wanted * DENSE_LEAST;
+            parts.extend(dense.filter(enough).map(|part| (busiest, part)));
+            parts.extend(
+                self.load.hot_key(range, wanted).map(|part| (busiest, part)),
+            );
         }
-        let whole = rated()
-            .filter(|(_, rate)| *rate <= wanted && *rate > least)
-            .max_by(|a, b| a.1.total_cmp(&b.1));
-        if let Some((position, rate)) = whole {
-            let range = self.runs[position].range;
-            let trimmed = self.load.part(range, wanted).filter(|part| {
-                room && self.load.of(*part) > rate * TRIMMED_LEAST
-            });
-            return Some((position, trimmed.unwrap_or(range)));
+        let least = wanted * WORTH_PART;
+        for (position, rate) in &rated {
+            if *rate <= wanted && *rate > least {
+                parts.push((*position, self.trimmed(*position, *rate, room)));
+            }
         }
-        let piece = self.load.piece(range, wanted).filter(|_| room)?;
-        Some((busiest, piece))
+        let piece = self.load.piece(range, wanted).filter(|_| room);
+        parts.extend(piece.map(|piece| (busiest, piece)));
+        parts
+    }
+
+    /// A run without its cold ends, if what is left has nearly all of its
+    /// load.
+    fn trimmed(&self, position: usize, rate: f32, room: bool) -> SliceRange {
+        let range = self.runs[position].range;
+        let dense = self
+            .load
+            .part(range, rate * 2.0)
+            .filter(|part| room && self.load.of(*part) > rate * TRIMMED_LEAST);
+        dense.unwrap_or(range)
     }
 
     /// Notes a move among the runs.
--- a/goldcrestramp-decisions/src/wait_line.rs
+++ b/goldcrestramp-decisions/src/wait_line.rs
@@ -8,6 +8,12 @@
 
 use std::collections::BTreeMap;
 
+use goldcrestramp_types::{LocalTime, TimeSpan};
+
+/// A line in which somebody has waited for so long stands: more comes than
+/// can be served, and it is no burst that passes.
+const STANDING: TimeSpan = TimeSpan::from_millis(300);
+
 /// The place of a request in any line it comes to wait in.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct LinePlace {
@@ -32,11 +38,13 @@
 #[derive(Debug)]
 pub struct WaitLine<Waker> {
     waiting: BTreeMap<LinePlace, Waker>,
+    /// Since when somebody has had to wait.
+    since: Option<LocalTime>,
 }
 
 impl<Waker> Default for WaitLine<Waker> {
     fn default() -> Self {
-        Self { waiting: BTreeMap::new() }
+        Self { waiting: BTreeMap::new(), since: None }
     }
 }
 
@@ -46,6 +54,20 @@
         self.waiting.insert(place, waker);
     }
 
+    /// Notes that somebody has to wait; whether the line stands.
+    ///
+    /// While it does, one that could only be answered late is better told
+    /// so at once: let in, every request is late, as each waits for those
+    /// before it until the last moment of its deadline.
+    pub fn stands(&mut self, now: LocalTime) -> bool {
+        now.since(*self.since.get_or_insert(now)) >= STANDING
+    }
+
+    /// Notes that a request did not have to wait.
+    pub const fn moves(&mut self) {
+        self.since = None;
+    }
+
     /// Leaves the line.
     pub fn leave(&mut self, place: LinePlace) {
         self.waiting.remove(&place);
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -43,7 +43,7 @@
 const RANK_PAUSE: TimeSpan = TimeSpan::from_millis(150);
 
 /// How often a VM reports what it was asked.
-const REPORT_PAUSE: TimeSpan = TimeSpan::from_millis(300);
+const REPORT_PAUSE: TimeSpan = TimeSpan::from_millis(400);
 
 /// The control state of one VM.
 #[derive(Debug)]
--- a/goldcrestramp-entry/src/control/load.rs
+++ b/goldcrestramp-entry/src/control/load.rs
@@ -2,7 +2,6 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use goldcrestramp_decisions::RangeLoad;
 use goldcrestramp_types::{FastMap, SliceIndex, TimeSpan};
 use serde::{Deserialize, Serialize};
 
@@ -13,13 +12,15 @@
     pub answers: u32,
     /// The time that they took, in milliseconds.
     pub millis: u32,
+    /// The least time that one took, in milliseconds.
+    pub least: u32,
 }
 
 /// What one divided service was asked since the last report.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ServiceLoad {
-    /// Requests by granule of keys.
-    pub granules: FastMap<u16, u32>,
+    /// Requests by key.
+    pub keys: FastMap<u16, u32>,
     /// Answers by server id.
     pub servers: FastMap<Arc<str>, AnswerSum>,
 }
@@ -36,7 +37,7 @@
     pub fn asked(&self, service: &Arc<str>, slice: SliceIndex) {
         let mut report = self.lock();
         let load = report.entry(Arc::clone(service)).or_default();
-        *load.granules.entry(RangeLoad::granule(slice)).or_default() += 1;
+        *load.keys.entry(slice.get()).or_default() += 1;
     }
 
     /// Counts an answer of a server.
@@ -49,8 +50,10 @@
         let mut report = self.lock();
         let load = report.entry(Arc::clone(service)).or_default();
         let sum = load.servers.entry(Arc::clone(server)).or_default();
-        sum.answers += 1;
         let millis = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
+        let first = sum.answers == 0;
+        sum.least = if first { millis } else { sum.least.min(millis) };
+        sum.answers += 1;
         sum.millis = sum.millis.saturating_add(millis);
     }
 
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -28,18 +28,24 @@
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(250);
 
 /// How often moves are weighed: a report of every VM comes in between.
-const WEIGH_PAUSE: TimeSpan = TimeSpan::from_millis(350);
+const WEIGH_PAUSE: TimeSpan = TimeSpan::from_millis(500);
 
 /// A run that moved stays for so long, or noise would send it to and fro.
-const REST: TimeSpan = TimeSpan::from_millis(2_500);
+const REST: TimeSpan = TimeSpan::from_millis(800);
 
 /// The usual time of an answer moves by this part of the difference with
 /// each report.
 const ANSWER_GAIN: f32 = 0.3;
 
-/// A server's pace is learnt while its use is below this: beyond, its
-/// answers hold waits, and a server that is only full would look slow. All
-/// its keys would then go to another one, which would look slow next.
+/// A server's pace rises by the first part of the difference with each
+/// round and falls by the second. Answers of a full server hold waits, and
+/// one that has just been given busy keys would look slow: its keys would
+/// go to another one, which would look slow next. A server that is slow for
+/// seconds still shows within two.
+const PACE_RISE: f32 = 0.1;
+const PACE_FALL: f32 = 0.4;
+
+/// Above this use a server's pace does not rise: its answers hold waits.
 const PACE_USE_MOST: f32 = 0.5;
 
 /// The bounds of a server's pace against the usual one.
@@ -55,7 +61,7 @@
 /// The figures that decide when keys move: callers wait noticeably from
 /// two thirds of a server's slots on, and each run costs one renewal.
 const SPREAD: SpreadSettings =
-    SpreadSettings { band: 0.12, busy_from: 0.45, moves: 12, runs_most: 600 };
+    SpreadSettings { band: 0.25, busy_from: 0.5, moves: 12, runs_most: 600 };
 
 /// The plan of one service while this VM plans.
 #[derive(Debug)]
@@ -67,6 +73,8 @@
     pub(crate) committing: bool,
     load: RangeLoad,
     answers: FastMap<Arc<str>, f32>,
+    /// The least time of an answer of each server, in seconds.
+    leasts: FastMap<Arc<str>, f32>,
     /// Each server's time of an answer against the usual one.
     paces: FastMap<Arc<str>, f32>,
     weigh_at: LocalTime,
@@ -91,6 +99,7 @@
             committing: false,
             load: RangeLoad::open(now),
             answers: FastMap::default(),
+            leasts: FastMap::default(),
             paces: FastMap::default(),
             weigh_at: now + WEIGH_PAUSE,
             resting: Vec::new(),
@@ -99,14 +108,18 @@
 
     /// Takes what a VM was asked for.
     pub(crate) fn take_load(&mut self, _now: LocalTime, load: &ServiceLoad) {
-        for (granule, requests) in &load.granules {
-            self.load.count(*granule, *requests);
+        for (key, requests) in &load.keys {
+            self.load.count((*key).into(), *requests);
         }
         for (server, sum) in &load.servers {
             #[expect(clippy::cast_precision_loss, reason = "small counts")]
             let mean = sum.millis as f32 / 1_000.0 / sum.answers.max(1) as f32;
             let known = self.answers.entry(Arc::clone(server)).or_insert(mean);
             *known += ANSWER_GAIN * (mean - *known);
+            #[expect(clippy::cast_precision_loss, reason = "small counts")]
+            let least = sum.least as f32 / 1_000.0;
+            let known = self.leasts.entry(Arc::clone(server)).or_insert(least);
+            *known += ANSWER_GAIN * (least - *known);
         }
     }
 
@@ -192,29 +205,40 @@
 
     /// Learns the servers' paces.
     fn learn_paces(&mut self, board: &PlaceBoard) {
-        let usual = self.usual_answer_s();
+        let usual = median(&self.leasts).max(f32::MIN_POSITIVE);
         let uses = place_uses(&board.runs, &board.places, &self.load);
         for (life, used) in board.lives.iter().zip(uses) {
-            let Some(answer) = self.answers.get(&life.id) else { continue };
+            let Some(answer) = self.leasts.get(&life.id) else { continue };
             let pace = self.paces.entry(Arc::clone(&life.id)).or_insert(1.0);
             let seen = (answer / usual).clamp(PACE_LEAST, PACE_MOST);
-            if used < PACE_USE_MOST || seen < *pace {
-                *pace += ANSWER_GAIN * (seen - *pace);
+            if seen < *pace {
+                *pace += PACE_FALL * (seen - *pace);
+            } else if used < PACE_USE_MOST {
+                *pace += PACE_RISE * (seen - *pace);
             }
         }
         let lives = &board.lives;
         self.paces.retain(|id, _| lives.iter().any(|life| life.id == *id));
         self.answers.retain(|id, _| lives.iter().any(|life| life.id == *id));
+        self.leasts.retain(|id, _| lives.iter().any(|life| life.id == *id));
     }
 
     /// The usual time of an answer of any server.
     fn usual_answer_s(&self) -> f32 {
-        let mut known: Vec<f32> = self.answers.values().copied().collect();
-        known.sort_by(f32::total_cmp);
-        known.get(known.len() / 2).copied().unwrap_or(ANSWER_FIRST)
+        if self.answers.is_empty() {
+            return ANSWER_FIRST;
+        }
+        median(&self.answers)
     }
 }
 
+/// The middle one of the values; 0 if there is none.
+fn median(values: &FastMap<Arc<str>, f32>) -> f32 {
+    let mut sorted: Vec<f32> = values.values().copied().collect();
+    sorted.sort_by(f32::total_cmp);
+    sorted.get(sorted.len() / 2).copied().unwrap_or(0.0)
+}
+
 /// The servers and runs of a service as the spreading sees them.
 struct PlaceBoard {
     lives: Vec<ServerLife>,
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -125,8 +125,11 @@
     let slots = entry.map_or(1, |entry| entry.slots as usize);
     let way = entry.map_or(ServerWay::Far, |entry| state.way_to(entry));
     let server = state.server(now, life, slots, view.vms.len());
-    let limit = server.limit(now);
+    let limit = owner_limit(server.limit(now), &server, request);
     if server.in_flight() < limit {
+        if server.line.borrow().is_empty() {
+            server.line.borrow_mut().moves();
+        }
         return Destination::Server { server, way, replaceable: false };
     }
     let latency = server.latency();
@@ -137,6 +140,24 @@
     }
 }
 
+/// What may be under way at an owner. Nobody else can serve its keys, so
+/// when its answers are nearly late, the VMs' shares of its queue shrink to
+/// one each: what waits there is answered in time, and the rest is told at
+/// once.
+fn owner_limit(
+    limit: usize,
+    server: &ServerState,
+    request: &RoutedRequest,
+) -> usize {
+    /// The part of the target at which answers are nearly late.
+    const NEARLY_LATE_PERCENT: u64 = 70;
+    let target = request.route.target_latency;
+    if server.latency() > target.percent(NEARLY_LATE_PERCENT) {
+        return limit.min(1);
+    }
+    limit
+}
+
 /// What to do with a request whose key has had no owner for `known`.
 fn dark(known: TimeSpan) -> Destination {
     if known < MOVE_TIME {
@@ -172,6 +193,9 @@
         candidates.map(|candidate| queued(candidate, waiting)).collect();
     match choose_server(&candidates, request.left(now), bytes) {
         PoolChoice::Send(position) => {
+            if waiting == 0 {
+                service.line.borrow_mut().moves();
+            }
             let chosen = usable[position];
             Destination::Server {
                 server: Rc::clone(&chosen.server),
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -93,6 +93,11 @@
         self.route.effect.may_repeat()
     }
 
+    /// The time in which an answer is worth most to its caller.
+    pub(crate) fn target_left(&self, now: LocalTime) -> TimeSpan {
+        (self.arrived + self.route.target_latency).since(now)
+    }
+
     /// The time that is left.
     pub(crate) const fn left(&self, now: LocalTime) -> TimeSpan {
         self.deadline.since(now)
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -320,7 +320,13 @@
     let place = request.place;
     let ahead = line.with(|line| line.ahead_of(place)) as u64;
     let expected = latency.percent(100 * (ahead + 1) / slots as u64);
-    if expected.plus(latency) > request.left(now) {
+    let standing = line.with(|line| line.stands(now));
+    let left = if standing {
+        least(request.left(now), request.target_left(now))
+    } else {
+        request.left(now)
+    };
+    if expected.plus(latency) > left {
         let retry_after = expected.percent(rand::random_range(80..160));
         return Err(RequestEnd { reason: EndReason::Full, retry_after });
     }
