--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -179,7 +179,7 @@
     let mut runs = even_runs(20);
     let mut load = RangeLoad::open(at(0));
     let hot = 10_000_u16..10_060;
-    let mut moved = 0;
+    let mut keys_moved = 0;
     let mut now = 0;
     for _round in 0..8 {
         now += 500;
@@ -191,7 +191,8 @@
         let moves = spread_moves(&runs, &places, &load, &SPREAD);
         let chosen: Vec<_> =
             moves.iter().map(|m| (m.range, m.target)).collect();
-        moved += chosen.iter().map(|(range, _)| range.slices()).sum::<u32>();
+        keys_moved +=
+            chosen.iter().map(|(range, _)| range.slices()).sum::<u32>();
         follow(&mut runs, &chosen);
     }
 
@@ -201,7 +202,7 @@
     let unmoved = still.iter().copied().fold(0.0, f32::max);
     assert!(most < 1.0, "busiest {most}");
     assert!(unmoved > 2.0, "without moves {unmoved}");
-    assert!(moved < 65_536 / 10, "{moved} keys moved");
+    assert!(keys_moved < 65_536 / 10, "{keys_moved} keys moved");
 }
 
 /// Of sixty busy neighbours eight have half of the requests, more than one
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -24,6 +24,7 @@
         term::PlannerTerm,
     },
     http::{CallPool, LinkEnd},
+    metrics::EntryMetrics,
     mirror::StoreMirror,
     peers::{PeerCall, PeerClient, PeerReply, StoreNews},
     records::{OWN_PREFIX, PLANNER_KEY, VmRun, decode},
@@ -60,6 +61,7 @@
     revision_out: watch::Sender<u64>,
     pub(crate) news: NewsState,
     loads: LoadBook,
+    pub(crate) metrics: Arc<EntryMetrics>,
     report_at: LocalTime,
     pub(crate) lease: Option<u64>,
     /// When the last call was sent that proved the lease alive.
@@ -79,6 +81,7 @@
         me: VmRun,
         store: Arc<StoreClient>,
         loads: LoadBook,
+        metrics: Arc<EntryMetrics>,
         views: watch::Sender<Arc<FleetView>>,
         address: Address<Self>,
     ) -> Self {
@@ -98,6 +101,7 @@
             revision_out: watch::channel(0).0,
             news: NewsState::default(),
             loads,
+            metrics,
             report_at: LocalTime::default(),
             lease: None,
             proof: LocalTime::default(),
@@ -118,6 +122,7 @@
             self.views.send_replace(view);
         }
         let revision = self.mirror.revision();
+        self.note_gauges(revision);
         self.revision_out.send_if_modified(|known| {
             let newer = revision > *known;
             *known = revision.max(*known);
@@ -126,6 +131,17 @@
         self.check_term();
     }
 
+    fn note_gauges(&self, revision: u64) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let (metrics, view) = (&self.metrics, &self.view);
+        let version = view.routes.as_ref().map_or(0, |book| book.version);
+        metrics.configuration.set(version.cast_signed());
+        metrics.revision.set(revision.cast_signed());
+        metrics.vms.set(gauge(view.vms.len()));
+        metrics.servers.set(gauge(view.servers.len()));
+        metrics.planning.set(i64::from(self.term.is_some()));
+    }
+
     /// The record of the planning VM, with its revision.
     fn planner(&self) -> Option<(VmRun, u64)> {
         let item = self.mirror.get(PLANNER_KEY)?;
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -30,6 +30,7 @@
         follow::StoreFollower, lease::keep_lease, message::ControlTick,
         message::StopControl,
     },
+    metrics::EntryMetrics,
     peers::{PeerClient, PeerSource, serve_peers},
     records::VmRun,
     store::StoreClient,
@@ -59,6 +60,7 @@
     me: VmRun,
     peers: TcpListener,
     loads: LoadBook,
+    metrics: Arc<EntryMetrics>,
     views: tokio::sync::watch::Sender<Arc<FleetView>>,
 ) -> ControlHandle {
     let store = Arc::new(StoreClient::open(settings.store_address));
@@ -67,6 +69,7 @@
         me.clone(),
         Arc::clone(&store),
         loads,
+        metrics,
         views,
         address.clone(),
     );
--- a/goldcrestramp-entry/src/lib.rs
+++ b/goldcrestramp-entry/src/lib.rs
@@ -9,12 +9,15 @@
 - [`control`]: follows the store, plans assignments, gives orders.
 - [`traffic`]: takes, queues, sends and answers requests.
 - [`peers`]: what VMs tell one another.
+- [`logs`], [`metrics`]: what operators see.
 - [`mirror`], [`view`]: what is known of the store, and of the fleet.
 - [`run()`]: starts all of it, and ends it without cutting a request.
 */
 
 pub mod control;
 pub mod http;
+pub mod logs;
+pub mod metrics;
 pub mod mirror;
 pub mod peers;
 mod ready;
--- a/goldcrestramp-entry/src/main.rs
+++ b/goldcrestramp-entry/src/main.rs
@@ -4,8 +4,8 @@
 
 use clap::{Arg, Command, value_parser};
 use eyre::WrapErr;
-use flexi_logger::{Logger, LoggerHandle};
 use goldcrestramp_adapter::SETTINGS_VARIABLE;
+use goldcrestramp_entry::logs::start_logs;
 
 #[global_allocator]
 static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
@@ -57,7 +57,8 @@
         }
         Some(("serve", matches)) => {
             let level = matches.get_one::<String>("log");
-            let _logs = start_logs(level.map_or("info", String::as_str))?;
+            let level = level.map_or("info", String::as_str);
+            let _logs = start_logs(level).wrap_err("the logs")?;
             goldcrestramp_entry::run(&path(matches)?)?;
             Ok(())
         }
@@ -72,14 +73,3 @@
     let path = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
     path.ok_or_else(|| eyre::eyre!("no settings file is named"))
 }
-
-/// Structured lines to standard output, written by a thread of their own.
-fn start_logs(level: &str) -> eyre::Result<LoggerHandle> {
-    let specification = format!("warn,goldcrestramp_entry={level}");
-    Logger::try_with_str(specification)
-        .wrap_err("the log level")?
-        .log_to_stdout()
-        .format(flexi_logger::json_format)
-        .start()
-        .wrap_err("the logs")
-}
--- /dev/null
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -0,0 +1,215 @@
+//! Counters and histograms, served as text.
+
+use std::{convert::Infallible, fmt, sync::Arc};
+
+use bytes::Bytes;
+use goldcrestramp_types::TimeSpan;
+use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::{Family, MetricConstructor},
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+use tokio::net::TcpListener;
+
+/// Where the metrics are served on each VM.
+pub const METRICS_PORT: u16 = 9_464;
+
+/// The path at which they are served.
+pub const METRICS_PATH: &str = "/metrics";
+
+/// The label of a counter that is kept by reason or outcome.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct ReasonLabel {
+    /// The stable code.
+    pub reason: &'static str,
+}
+
+/// The labels of a time: the service, and the part of the way.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct StageLabel {
+    /// The service.
+    pub service: String,
+    /// `waiting` before the first send, `server` until the answer, or
+    /// `whole`.
+    pub stage: &'static str,
+}
+
+/// Makes histograms from 1 ms to 8 s.
+#[derive(Clone, Copy, Debug)]
+struct SpanBuckets;
+
+impl MetricConstructor<Histogram> for SpanBuckets {
+    fn new_metric(&self) -> Histogram {
+        Histogram::new(exponential_buckets(0.001, 2.0, 14))
+    }
+}
+
+/// What one VM counts.
+pub struct EntryMetrics {
+    registry: Registry,
+    ends: Family<ReasonLabel, Counter>,
+    attempts: Family<ReasonLabel, Counter>,
+    times: Family<StageLabel, Histogram, SpanBuckets>,
+    /// The version of the configuration in force.
+    pub configuration: Gauge,
+    /// The revision up to which the store is known.
+    pub revision: Gauge,
+    /// The VMs that are known.
+    pub vms: Gauge,
+    /// The backend servers that are known.
+    pub servers: Gauge,
+    /// 1 while this VM plans assignments.
+    pub planning: Gauge,
+    /// Moves of keys that were begun.
+    pub moves: Counter,
+}
+
+impl fmt::Debug for EntryMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EntryMetrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("goldcrestramp"),
+            ends: Family::default(),
+            attempts: Family::default(),
+            times: Family::new_with_constructor(SpanBuckets),
+            configuration: Gauge::default(),
+            revision: Gauge::default(),
+            vms: Gauge::default(),
+            servers: Gauge::default(),
+            planning: Gauge::default(),
+            moves: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl EntryMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "request_ends",
+            "Requests by how they ended",
+            self.ends.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Sends to servers by what came of them",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Times of requests by service and part of the way",
+            self.times.clone(),
+        );
+        registry.register(
+            "configuration_version",
+            "The version in force",
+            self.configuration.clone(),
+        );
+        registry.register(
+            "store_revision",
+            "The revision up to which the store is known",
+            self.revision.clone(),
+        );
+        registry.register("vms", "VMs that are known", self.vms.clone());
+        registry.register(
+            "servers",
+            "Backend servers that are known",
+            self.servers.clone(),
+        );
+        registry.register(
+            "planning",
+            "1 while this VM plans assignments",
+            self.planning.clone(),
+        );
+        registry.register(
+            "moves",
+            "Moves of keys that were begun",
+            self.moves.clone(),
+        );
+    }
+
+    /// Counts the end of a request.
+    pub fn ended(&self, reason: &'static str) {
+        self.ends.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Counts what came of a send.
+    pub fn sent(&self, reason: &'static str) {
+        self.attempts.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
+    /// Notes the time of a part of a request's way.
+    pub fn took(&self, service: &str, stage: &'static str, span: TimeSpan) {
+        let label = StageLabel { service: service.to_owned(), stage };
+        let seconds = span.to_std().as_secs_f64();
+        self.times.get_or_create(&label).observe(seconds);
+    }
+
+    /// All of it as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a text never fails.
+        let _written = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// Serves the metrics until the task is dropped.
+pub async fn serve_metrics(listener: TcpListener, metrics: Arc<EntryMetrics>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _address)) => stream,
+            Err(error) => {
+                log::warn!("[metrics] No connection was taken: {error}.");
+                tokio::time::sleep(std::time::Duration::from_millis(100))
+                    .await;
+                continue;
+            }
+        };
+        let metrics = Arc::clone(&metrics);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let known = request.uri().path() == METRICS_PATH;
+            let text = known.then(|| metrics.text());
+            async move { Ok::<_, Infallible>(answer(text)) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("[metrics] A connection ended: {error}.");
+            }
+        });
+    }
+}
+
+fn answer(text: Option<String>) -> Response<Full<Bytes>> {
+    /// The media type of the text format.
+    const FORMAT: &str =
+        "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    let Some(text) = text else {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    };
+    let mut response = Response::new(Full::new(text.into()));
+    let format = http::HeaderValue::from_static(FORMAT);
+    response.headers_mut().insert(CONTENT_TYPE, format);
+    response
+}
--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     control::{ControlHandle, LoadBook, spawn_control},
+    metrics::{EntryMetrics, METRICS_PORT, serve_metrics},
     ready::serve_ready,
     records::VmRun,
     traffic::{TrafficGate, spawn_traffic},
@@ -90,9 +91,11 @@
     let (views, seen) = watch::channel(Arc::<FleetView>::default());
     let (phases, phase) = watch::channel(StopPhase::Serving);
     let loads = LoadBook::default();
+    let metrics = Arc::<EntryMetrics>::default();
     let control = start_control(
         &settings,
         loads.clone(),
+        Arc::clone(&metrics),
         views,
         seen.clone(),
         phase.clone(),
@@ -102,8 +105,14 @@
     local.block_on(&runtime, async {
         let listener =
             bind(settings.traffic_address).map_err(RunError::Start)?;
-        let gate =
-            spawn_traffic(Arc::clone(&settings), listener, seen, phase, loads);
+        let gate = spawn_traffic(
+            Arc::clone(&settings),
+            listener,
+            seen,
+            phase,
+            loads,
+            metrics,
+        );
         wait_for_stop(path).await.map_err(RunError::Start)?;
         leave(&settings, &control, &phases, &gate).await;
         Ok(())
@@ -165,6 +174,7 @@
 fn start_control(
     settings: &Arc<NodeSettings>,
     loads: LoadBook,
+    metrics: Arc<EntryMetrics>,
     views: watch::Sender<Arc<FleetView>>,
     seen: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
@@ -181,7 +191,8 @@
             }
         };
         runtime.block_on(async move {
-            let handle = open_control(&settings, loads, views, seen, phase);
+            let handle =
+                open_control(&settings, loads, metrics, views, seen, phase);
             // The receiver waits below until this was sent.
             let _gone = started.send(handle);
             std::future::pending::<()>().await;
@@ -201,6 +212,7 @@
 fn open_control(
     settings: &NodeSettings,
     loads: LoadBook,
+    metrics: Arc<EntryMetrics>,
     views: watch::Sender<Arc<FleetView>>,
     seen: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
@@ -210,13 +222,24 @@
     let peer_address = peer_address.parse().map_err(io::Error::other)?;
     let peers = bind(peer_address)?;
     tokio::spawn(serve_ready(ready, seen, phase));
+    // Several VMs may run on one machine: the first one is scraped there.
+    let metrics_address = format!("{}:{METRICS_PORT}", settings.ip);
+    let metrics_address = metrics_address.parse().map_err(io::Error::other)?;
+    match bind(metrics_address) {
+        Ok(listener) => {
+            tokio::spawn(serve_metrics(listener, Arc::clone(&metrics)));
+        }
+        Err(error) => {
+            log::warn!("[metrics] No metrics are served: {error}.");
+        }
+    }
     let me = VmRun {
         vm: Arc::clone(&settings.vm),
         start: rand::random(),
         domain: Arc::clone(&settings.domain),
         address: peer_address,
     };
-    Ok(spawn_control(settings, me, peers, loads, views))
+    Ok(spawn_control(settings, me, peers, loads, metrics, views))
 }
 
 /// A runtime of one thread: a VM has a part of one core.
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -52,6 +52,21 @@
     Silent,
 }
 
+impl AttemptEnd {
+    /// The stable code in logs and counters.
+    pub(crate) const fn code(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Failed(_) => "failed",
+            Self::NotRun => "not-run",
+            Self::Misdirected => "misdirected",
+            Self::NotSent => "not-sent",
+            Self::Broken => "broken",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// How long a send may take, and where it goes.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AttemptPlan {
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     control::LoadBook,
+    metrics::EntryMetrics,
     run::StopPhase,
     traffic::{listener::serve_listener, state::TrafficState},
     view::FleetView,
@@ -83,8 +84,10 @@
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
     loads: LoadBook,
+    metrics: Arc<EntryMetrics>,
 ) -> TrafficGate {
-    let state = Rc::new(TrafficState::open(settings, views.clone(), loads));
+    let state =
+        Rc::new(TrafficState::open(settings, views.clone(), loads, metrics));
     let connections = Rc::<ConnectionCount>::default();
     let gate = TrafficGate { connections: Rc::clone(&connections) };
     spawn_local(follow_views(Rc::clone(&state), views));
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -82,14 +82,21 @@
         Ok(request) => request,
         Err(reason) => {
             log::debug!("[gateway] A request ends: {}.", reason.code());
+            state.metrics.ended(reason.code());
             return own_answer(reason, false, RETURN_USUAL);
         }
     };
     let mut progress = RequestProgress::default();
     let end = match answer(state, &mut request, &mut progress).await {
-        Ok(answer) => return answer,
+        Ok(answer) => {
+            state.metrics.ended("answered");
+            let whole = MonotonicClock.now().since(request.arrived);
+            state.metrics.took(&request.service, "whole", whole);
+            return answer;
+        }
         Err(end) => end,
     };
+    state.metrics.ended(end.reason.code());
     if let Some(failure) = progress.failure.take() {
         return failure;
     }
@@ -103,17 +110,20 @@
     progress: &RequestProgress,
     end: &RequestEnd,
 ) {
-    let held = MonotonicClock.now().since(request.arrived);
+    let now = MonotonicClock.now();
+    let key = request.slice.map_or(-1, |slice| i64::from(slice.get()));
     log::info!(
-        "[gateway] Request {} of {} ends: {}, {} sends, may have run: {}, \
-         held {} ms, key {:?}.",
-        request.attempt_id(),
-        request.service,
-        end.reason.code(),
-        progress.sends,
-        progress.may_have_run,
-        held.as_millis(),
-        request.slice.map(goldcrestramp_types::SliceIndex::get)
+        request = request.attempt_id(),
+        route = &*request.route.name,
+        service = &*request.service,
+        key = key,
+        reason = end.reason.code(),
+        sends = progress.sends,
+        may_have_run = progress.may_have_run,
+        held_ms = now.since(request.arrived).as_millis(),
+        left_ms = request.left(now).as_millis(),
+        retry_after_ms = end.retry_after.as_millis();
+        "[gateway] A request ends without a server's success."
     );
 }
 
@@ -238,15 +248,46 @@
     } else {
         full
     };
+    if progress.sends == 0 {
+        let waited = now.since(request.arrived);
+        state.metrics.took(&request.service, "waiting", waited);
+    }
     progress.sends += 1;
     let plan = AttemptPlan { way, patience };
     let end = send(state, request, slot, plan).await;
+    note_send(state, request, server, now, &end);
     if !matches!(end, AttemptEnd::NotSent) && !known {
         progress.tried.push(Arc::clone(&server.id));
     }
     after_send(request, progress, end).await
 }
 
+/// Counts a send; one line for each that did not simply succeed.
+fn note_send(
+    state: &TrafficState,
+    request: &RoutedRequest,
+    server: &ServerState,
+    sent: LocalTime,
+    end: &AttemptEnd,
+) {
+    let metrics = &state.metrics;
+    metrics.sent(end.code());
+    let span = MonotonicClock.now().since(sent);
+    metrics.took(&request.service, "server", span);
+    if matches!(end, AttemptEnd::Answered(_)) {
+        return;
+    }
+    log::info!(
+        request = request.attempt_id(),
+        service = &*request.service,
+        server = &*server.id,
+        outcome = end.code(),
+        took_ms = span.as_millis(),
+        in_flight = server.in_flight();
+        "[send] A send brought no success."
+    );
+}
+
 /// What follows a send.
 async fn after_send(
     request: &RoutedRequest,
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     control::LoadBook,
+    metrics::EntryMetrics,
     traffic::server::{RequestLine, ServerState},
     view::FleetView,
 };
@@ -44,6 +45,7 @@
 pub(crate) struct TrafficState {
     pub(crate) settings: Arc<NodeSettings>,
     pub(crate) loads: LoadBook,
+    pub(crate) metrics: Arc<EntryMetrics>,
     views: watch::Receiver<Arc<FleetView>>,
     servers: RefCell<FastMap<ServerLife, Rc<ServerState>>>,
     services: RefCell<FastMap<Arc<str>, Rc<ServiceState>>>,
@@ -58,10 +60,12 @@
         settings: Arc<NodeSettings>,
         views: watch::Receiver<Arc<FleetView>>,
         loads: LoadBook,
+        metrics: Arc<EntryMetrics>,
     ) -> Self {
         Self {
             settings,
             loads,
+            metrics,
             views,
             servers: RefCell::default(),
             services: RefCell::default(),
