--- a/goldcrestramp-entry/tests/logs.rs
+++ b/goldcrestramp-entry/tests/logs.rs
@@ -18,11 +18,11 @@
 }
 
 impl Write for StuckReader {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         // Once the sender is gone the reader reads on.
-        let _gone = self.go.recv_timeout(Duration::from_secs(60));
-        self.read.lock().expect("no panic").extend_from_slice(bytes);
-        Ok(bytes.len())
+        let _gone = self.go.recv_timeout(Duration::from_mins(1));
+        self.read.lock().expect("no panic").extend_from_slice(buf);
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
