--- a/goldcrestramp-assignment/src/lib.rs
+++ b/goldcrestramp-assignment/src/lib.rs
@@ -33,6 +33,7 @@
 mod edit;
 mod holds;
 mod memo;
+mod moves;
 mod order;
 mod planner;
 mod table;
--- /dev/null
+++ b/goldcrestramp-assignment/src/moves.rs
@@ -0,0 +1,63 @@
+//! Runs that are to change their holder.
+
+use goldcrestramp_types::{FastMap, SliceRange};
+
+use crate::{
+    planner::{HolderFate, MoveWish},
+    table::{AssignmentTable, LifeKey, RunPhase, ServerLife},
+};
+
+/// Begins a wished move, if its keys still have one serving holder.
+pub(crate) fn begin_move(
+    next: &mut AssignmentTable,
+    wish: &MoveWish,
+    fate: impl Fn(&ServerLife) -> HolderFate,
+    targets: &mut FastMap<SliceRange, ServerLife>,
+) -> bool {
+    let run = next.find(wish.range.first);
+    let holder = next.life(run.life);
+    let movable = run.phase == RunPhase::Granted
+        && run.range.covers(wish.range)
+        && *holder != wish.target
+        && fate(holder) == HolderFate::Serving;
+    if !movable {
+        return false;
+    }
+    let Some(position) = next.carve(wish.range) else { return false };
+    let token = next.next_token();
+    let run = &mut next.runs[position];
+    run.phase = RunPhase::Releasing;
+    run.token = token;
+    targets.insert(wish.range, wish.target.clone());
+    true
+}
+
+/// Begins to take back what is held by servers that leave or are gone.
+pub(crate) fn begin_releases(
+    next: &mut AssignmentTable,
+    fate: impl Fn(&ServerLife) -> HolderFate,
+) -> bool {
+    let lives: Vec<LifeKey> = next
+        .lives()
+        .filter(|(_, life)| fate(life) != HolderFate::Serving)
+        .map(|(key, _)| key)
+        .collect();
+    let mut changed = false;
+    for key in lives {
+        let held = next
+            .runs
+            .iter()
+            .any(|run| run.life == key && run.phase == RunPhase::Granted);
+        if !held {
+            continue;
+        }
+        let token = next.next_token();
+        let runs = next.runs.iter_mut().filter(|run| run.life == key);
+        for run in runs.filter(|run| run.phase == RunPhase::Granted) {
+            run.phase = RunPhase::Releasing;
+            run.token = token;
+        }
+        changed = true;
+    }
+    changed
+}
--- /dev/null
+++ b/goldcrestramp-entry/src/control/claim.rs
@@ -0,0 +1,74 @@
+//! Becoming the VM that plans.
+
+use std::sync::Arc;
+
+use goldcrestramp_adapter::{
+    KeyCondition, StoreCall, StoreReply, StoreTransaction, StoreWrite,
+};
+use goldcrestramp_types::{ClockSource, MonotonicClock};
+use xtra::Address;
+
+use crate::{
+    control::{
+        ControlActor,
+        message::{ClaimEnded, FormerStopped},
+    },
+    peers::{PeerCall, PeerClient, PeerReply},
+    records::{OWN_PREFIX, PLANNER_KEY, VmRun, decode},
+    store::{StoreClient, StoreFailure, StorePage},
+};
+
+/// Writes the planner's record, then reads what it has to take up.
+pub(crate) async fn claim(
+    store: Arc<StoreClient>,
+    me: VmRun,
+    revision: u64,
+    lease: u64,
+    control: Address<ControlActor>,
+) {
+    let sent_at = MonotonicClock.now();
+    let key: Arc<str> = PLANNER_KEY.into();
+    let transaction = StoreTransaction {
+        conditions: vec![KeyCondition { key: Arc::clone(&key), revision }],
+        writes: vec![StoreWrite { key, value: me.encode().into(), lease }],
+    };
+    let reply = store.call(&StoreCall::Commit(transaction)).await;
+    let read = match reply {
+        Ok(StoreReply::Committed(_)) | Err(StoreFailure::Unknown) => {
+            store.read_all(OWN_PREFIX).await.ok()
+        }
+        _ => None,
+    };
+    let tables = read.unwrap_or(StorePage { items: Vec::new(), revision: 0 });
+    // The record itself says who won, also when the answer was lost.
+    let record = tables.items.iter().find(|item| *item.key == *PLANNER_KEY);
+    let won = record
+        .filter(|item| decode::<VmRun>(&item.value).as_ref() == Some(&me))
+        .map(|item| item.revision);
+    // The actor is gone only when the process ends.
+    let _gone = control.send(ClaimEnded { won, tables, lease, sent_at }).await;
+}
+
+/// Asks the former planner to stop, until it has or can't be asked.
+pub(crate) async fn stop_former(
+    peers: PeerClient,
+    former: VmRun,
+    control: Address<ControlActor>,
+) {
+    /// By then what it may have sent has ended by itself.
+    const TRIES: u32 = 20;
+    /// A stopped planner waits for orders under way, some 700 ms.
+    const PAUSE: std::time::Duration = std::time::Duration::from_millis(300);
+    let call = PeerCall::StandDown { start: former.start };
+    for _ in 0..TRIES {
+        let reply = peers.call(former.address, &call).await;
+        if matches!(reply, Some(PeerReply::StoodDown)) {
+            let at = MonotonicClock.now();
+            // The actor is gone only when the process ends.
+            let _gone = control.send(FormerStopped { at }).await;
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    log::info!("[control] VM {}, which planned, is silent.", former.vm);
+}
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! how they ended, so no decision waits for a socket.
 
 mod actor;
+mod claim;
 mod follow;
 mod handlers;
 mod lease;
--- a/goldcrestramp-entry/src/logs/writer.rs
+++ b/goldcrestramp-entry/src/logs/writer.rs
@@ -159,7 +159,7 @@
         key: Key<'kvs>,
         value: Value<'kvs>,
     ) -> Result<(), Error> {
-        let value = match (value.to_u64(), value.to_bool()) {
+        let value = match (value.to_i64(), value.to_bool()) {
             (Some(number), _) => json!(number),
             (None, Some(truth)) => json!(truth),
             (None, None) => json!(value.to_string()),
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod serve;
 mod server;
 mod state;
+mod wait;
 
 use std::{rc::Rc, sync::Arc};
 
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -7,12 +7,12 @@
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{Request, Response};
 use hyper::body::Incoming;
-use tokio::{sync::oneshot, time::timeout};
+use tokio::time::timeout;
 
 use crate::traffic::{
     answer::{AnswerBody, own_answer},
     attempt::{AttemptEnd, AttemptPlan, full_patience, send},
-    choose::{Destination, LineKind, choose},
+    choose::{Destination, choose},
     reason::EndReason,
     request::{
         RequestBody, RoutedRequest, deadline_of, find_route,
@@ -20,16 +20,9 @@
     },
     server::ServerState,
     state::{TrafficState, least},
+    wait::{RETURN_USUAL, RequestEnd, hold, pause, wait_in_line},
 };
 
-/// A wait is looked at again after so long: a server that was held back
-/// takes requests again without an event.
-const LOOK_AGAIN: TimeSpan = TimeSpan::from_millis(100);
-
-/// The wait before an owner that turned a request away is asked again; it
-/// doubles, as a server that sheds needs time to work off what it has.
-const OWNER_PAUSE: TimeSpan = TimeSpan::from_millis(40);
-
 /// Sends that no server has run or will run, for one request: more means
 /// that something is wrong for longer than its caller waits.
 const SENDS_MOST: u32 = 6;
@@ -42,9 +35,6 @@
 /// The least of that wait: a pause of a busy server is shorter.
 const PATIENCE_LEAST: TimeSpan = TimeSpan::from_millis(250);
 
-/// When a caller is told to return if nothing better is known.
-const RETURN_USUAL: TimeSpan = TimeSpan::from_millis(250);
-
 /// Longer than this no caller waits before it returns.
 const RETURN_MOST: TimeSpan = TimeSpan::from_millis(2_000);
 
@@ -60,19 +50,6 @@
     failure: Option<Response<AnswerBody>>,
 }
 
-/// Why a request ends with an answer of this VM's own.
-struct RequestEnd {
-    reason: EndReason,
-    /// When the caller should return.
-    retry_after: TimeSpan,
-}
-
-impl From<EndReason> for RequestEnd {
-    fn from(reason: EndReason) -> Self {
-        Self { reason, retry_after: RETURN_USUAL }
-    }
-}
-
 /// Serves a request.
 pub(crate) async fn serve(
     state: &Rc<TrafficState>,
@@ -307,12 +284,12 @@
             Ok(None)
         }
         AttemptEnd::NotSent => {
-            pause(request, progress).await;
+            pause(request, progress.sends).await;
             Ok(None)
         }
         AttemptEnd::NotRun | AttemptEnd::Misdirected => {
             if request.slice.is_some() {
-                pause(request, progress).await;
+                pause(request, progress.sends).await;
             }
             Ok(None)
         }
@@ -330,15 +307,6 @@
     }
 }
 
-/// Waits a little before the same server is asked again.
-async fn pause(request: &RoutedRequest, progress: &RequestProgress) {
-    let doubled = OWNER_PAUSE.percent(100 << progress.sends.min(4));
-    let half = doubled.percent(50).to_std();
-    let span = half + half.mul_f64(rand::random_range(0.0..1.0));
-    let left = request.left(MonotonicClock.now()).to_std();
-    tokio::time::sleep(span.min(left)).await;
-}
-
 /// Takes a send beyond the first from the budget.
 fn take_repeat(
     state: &TrafficState,
@@ -350,53 +318,6 @@
     service.window.borrow_mut().take(now, vms)
 }
 
-/// Waits for a free slot, unless it would come too late.
-async fn wait_in_line(
-    request: &RoutedRequest,
-    line: &LineKind,
-    slots: usize,
-    latency: TimeSpan,
-) -> Result<(), RequestEnd> {
-    let now = MonotonicClock.now();
-    let place = request.place;
-    let ahead = line.with(|line| line.ahead_of(place)) as u64;
-    let expected = latency.percent(100 * (ahead + 1) / slots as u64);
-    let standing = line.with(|line| line.stands(now));
-    let left = if standing {
-        least(request.left(now), request.target_left(now))
-    } else {
-        request.left(now)
-    };
-    if expected.plus(latency) > left {
-        let retry_after = expected.percent(rand::random_range(80..160));
-        return Err(RequestEnd { reason: EndReason::Full, retry_after });
-    }
-    let (waker, woken) = oneshot::channel();
-    line.with(|line| line.join(place, waker));
-    let left = least(request.left(now).minus(latency), LOOK_AGAIN);
-    // Woken or not, the state is looked at again.
-    let _woken = timeout(left.to_std(), woken).await;
-    line.with(|line| line.leave(place));
-    Ok(())
-}
-
-/// Waits until the key's owner may have changed.
-async fn hold(
-    state: &TrafficState,
-    request: &RoutedRequest,
-    span: TimeSpan,
-) -> Result<(), RequestEnd> {
-    let left = request.left(MonotonicClock.now());
-    let service = state.service(&request.service);
-    let (waker, woken) = oneshot::channel();
-    let place = request.place;
-    service.line.borrow_mut().join(place, waker);
-    // Woken or not, the state is looked at again.
-    let _woken = timeout(least(span, left).to_std(), woken).await;
-    service.line.borrow_mut().leave(place);
-    Ok(())
-}
-
 impl TrafficState {
     /// Learns the usual size of a route's answers.
     pub(crate) fn note_bytes(&self, request: &RoutedRequest, bytes: u64) {
