Keep holds, drains and stops within the bounds of the settings

A deployment may bound holds below 5.5 s, drains below 2 s or the grace below 5.4 s; the constants would have broken its rules.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 pub struct ControlActor {
     pub(crate) me: VmRun,
+    /// How long a grant holds.
+    pub(crate) hold: TimeSpan,
     pub(crate) store: Arc<StoreClient>,
     pub(crate) orders: Arc<CallPool>,
     pub(crate) peers: PeerClient,
@@ -75,6 +77,7 @@
 impl ControlActor {
     pub(crate) fn new(
         me: VmRun,
+        hold: TimeSpan,
         store: Arc<StoreClient>,
         loads: LoadBook,
         metrics: Arc<EntryMetrics>,
@@ -86,6 +89,7 @@
         let orders = CallPool::open(LinkEnd::Reset, ORDER_ANSWER_MOST);
         Self {
             me,
+            hold,
             store,
             orders: Arc::new(orders),
             peers: PeerClient::open(),
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -29,7 +29,7 @@
 use crate::{
     control::{
         follow::StoreFollower, lease::keep_lease, message::ControlTick,
-        message::StopControl,
+        message::StopControl, service::HOLD,
     },
     metrics::EntryMetrics,
     peers::{PeerClient, PeerSource, serve_peers},
@@ -68,6 +68,7 @@
     let (address, mailbox) = Mailbox::unbounded();
     let actor = ControlActor::new(
         me.clone(),
+        HOLD.min(settings.hold_most),
         Arc::clone(&store),
         loads,
         metrics,
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -18,11 +18,11 @@
 /// How long a grant holds. A server that can't be reached and is gone
 /// leaves its keys without an owner for this long; a planner that is lost
 /// is replaced within 3.5 s, and its servers must hold on until then.
-const HOLD: TimeSpan = TimeSpan::from_millis(5_500);
+pub(crate) const HOLD: TimeSpan = TimeSpan::from_millis(5_500);
 
-/// How often a grant is renewed: what is left of a hold at any moment is
-/// then 4 s or more.
-const RENEW_AFTER: TimeSpan = TimeSpan::from_millis(1_500);
+/// After which part of its hold a grant is renewed: 1.5 s, so that 4 s of a
+/// hold are left at any moment.
+const RENEW_PERCENT: u64 = 27;
 
 /// How soon an order without an answer is sent again.
 const RETRY_AFTER: TimeSpan = TimeSpan::from_millis(250);
@@ -86,11 +86,12 @@
         now: LocalTime,
         table: AssignmentTable,
         revision: u64,
+        hold: TimeSpan,
         sent_until: LocalTime,
     ) -> Self {
         let timing = PlannerTiming {
-            hold: HOLD,
-            renew_after: RENEW_AFTER,
+            hold,
+            renew_after: hold.percent(RENEW_PERCENT),
             retry_after: RETRY_AFTER,
         };
         Self {
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -162,6 +162,7 @@
                     now,
                     table,
                     item.revision,
+                    self.hold,
                     term.sent_until,
                 );
                 term.services.insert(Arc::clone(name), plan);
--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -131,7 +131,7 @@
     log::info!("[stop] SIGTERM: this VM leaves.");
     phases.send_replace(StopPhase::Leaving);
     control.stop().await;
-    sleep(LEAVE_TIME).await;
+    sleep(LEAVE_TIME.min(settings.grace.to_std() / 2)).await;
     phases.send_replace(StopPhase::Closing);
     tokio::select! {
         () = gate.wait_empty() => {}
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -19,9 +19,10 @@
     view::FleetView,
 };
 
-/// A server that leaves gets no new request after this; its keys are
-/// elsewhere by then, unless nobody can plan at the moment.
-const LEAVING_SERVED: TimeSpan = TimeSpan::from_millis(1_300);
+/// A server that leaves gets no new request after this part of the time
+/// that operators allow; its keys are elsewhere by then, unless nobody can
+/// plan at the moment. The rest is for news of it and for the way.
+const LEAVING_PERCENT: u64 = 65;
 
 /// A new owner gets its first request this long after its table came: its
 /// grant is on the way from the planning VM, at most as far as another
@@ -117,8 +118,9 @@
     }
     if let Some(leaving) = view.leaving.get(&life.id) {
         let left = now.since(*leaving);
-        if left >= LEAVING_SERVED {
-            return dark(left.minus(LEAVING_SERVED));
+        let served = state.settings.drain_limit.percent(LEAVING_PERCENT);
+        if left >= served {
+            return dark(left.minus(served));
         }
     }
     let entry = view.servers.get(&life.id);
