--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -5,17 +5,38 @@
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-/// Four ports that are free now.
+/// The first of the ports that are tried, and how many there are. They lie
+/// below those that the kernel gives out by itself: a port from there, once
+/// found free and let go, was taken by another test's connection before
+/// the daemon could bind it, and the daemon did not start.
+const FIRST_PORT: u16 = 12_000;
+const PORTS: u32 = 18_000;
+
+/// Three ports that are free now, and that no other test of this process
+/// is given.
 fn free_ports() -> [u16; 3] {
-    let listeners = [0; 3]
-        .map(|port| TcpListener::bind(("127.0.0.1", port)).expect("a port"));
-    listeners.map(|l| l.local_addr().expect("an address").port())
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    // Two runs at once begin far from each other.
+    let begin = std::process::id().wrapping_mul(389);
+    let mut ports = std::iter::from_fn(|| {
+        let turn = NEXT.fetch_add(1, Ordering::Relaxed);
+        let offset = begin.wrapping_add(turn) % PORTS;
+        let offset = u16::try_from(offset).expect("below 18,000");
+        Some(FIRST_PORT + offset)
+    });
+    let mut free = || {
+        let is_free =
+            |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
+        ports.find(is_free).expect("some port is free")
+    };
+    [free(), free(), free()]
 }
 
 /// A running daemon; it is killed with the test.
