Deal out fewer first runs to many servers, and move more a round

Cause: eight runs for each of 194 servers are more than the 600 up to which runs are cut, so nothing was ever cut on the grown deployments, and each is renewed every 1.5 s.

--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -60,8 +60,14 @@
 
 /// The figures that decide when keys move: callers wait noticeably from
 /// two thirds of a server's slots on, and each run costs one renewal.
-const SPREAD: SpreadSettings =
-    SpreadSettings { band: 0.25, busy_from: 0.5, moves: 12, runs_most: 600 };
+///
+/// A run that gets a third of all requests is more than a third of the
+/// servers can do, so as many have to be given a part of it, within two
+/// seconds: a quarter of the servers in each round.
+fn spread_settings(servers: usize) -> SpreadSettings {
+    let moves = (servers / 4).max(12);
+    SpreadSettings { band: 0.25, busy_from: 0.5, moves, runs_most: 600 }
+}
 
 /// The plan of one service while this VM plans.
 #[derive(Debug)]
@@ -177,8 +183,9 @@
     }
 
     fn wishes(&self, board: &PlaceBoard) -> Vec<MoveWish> {
+        let settings = spread_settings(board.places.len());
         let moves =
-            spread_moves(&board.runs, &board.places, &self.load, &SPREAD);
+            spread_moves(&board.runs, &board.places, &self.load, &settings);
         if !moves.is_empty() {
             let uses = place_uses(&board.runs, &board.places, &self.load);
             let most = uses.iter().copied().fold(0.0, f32::max);
@@ -261,9 +268,11 @@
             .collect();
         let table = plan.planner.table();
         // Holders that are no longer ready stand behind, closed.
+        let ready = lives.iter().cloned().zip(0..);
+        let ready: FastMap<ServerLife, usize> = ready.collect();
         let mut positions = FastMap::default();
         for (key, life) in table.lives() {
-            let known = lives.iter().position(|other| other == life);
+            let known = ready.get(life).copied();
             positions.insert(key, known.unwrap_or(lives.len()));
             if known.is_none() {
                 lives.push(life.clone());
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -31,8 +31,12 @@
 /// servers of a fleet start within a second of each other.
 const SETTLE: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// Runs a server in a first table.
-const FIRST_STRIPES: u32 = 8;
+/// Runs of a first table, as far as each server has one to eight: each is
+/// renewed on its own, every 1.5 s. With eight for each of 194 servers the
+/// planning VM sent a thousand renewals a second, and as there are never
+/// more than 600 runs after a cut, no busy run was cut.
+const FIRST_RUNS: u32 = 256;
+const FIRST_STRIPES_MOST: u32 = 8;
 
 /// The term of the planning VM.
 #[derive(Debug)]
@@ -346,7 +350,9 @@
     let mut lives: Vec<ServerLife> =
         ready.iter().map(|entry| life_of(entry)).collect();
     lives.sort_by(|a, b| a.id.cmp(&b.id));
-    let table = AssignmentTable::striped(&lives, FIRST_STRIPES)?;
+    let servers = u32::try_from(lives.len()).unwrap_or(u32::MAX);
+    let stripes = (FIRST_RUNS / servers.max(1)).clamp(1, FIRST_STRIPES_MOST);
+    let table = AssignmentTable::striped(&lives, stripes)?;
     log::info!("[control] {name} gets its first table.");
     term.creating.insert(Arc::clone(name));
     Some((Arc::clone(name), 0, table))
