Replace a source that fails by the next VM of its failure domain

Cause: when the VM that a failure domain's others follow was restarted, all of them followed the store for five seconds, each with every server's heartbeats: the link between the regions was full, connections to servers timed out, and more VMs lost their source. Ruled out: processor time (0.014 cores a VM).

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -22,7 +22,7 @@
     metrics::EntryMetrics,
     mirror::StoreMirror,
     peers::{PeerCall, PeerClient, PeerReply, StoreNews},
-    records::{PLANNER_KEY, VmRun, decode},
+    records::{DutyRank, PLANNER_KEY, VmRun, decode},
     store::StoreClient,
     view::{FleetView, ViewBuilder},
 };
@@ -326,18 +326,23 @@
     /// each failure domain and by the planning one, else from that VM.
     pub(crate) fn next_source(&mut self, now: LocalTime) -> NewsSource {
         let revision = self.mirror.revision();
-        let peer = self.source_vm().filter(|_| self.term.is_none());
-        self.news.next(now, revision, peer)
+        let peers =
+            if self.term.is_none() { self.source_vms() } else { Vec::new() };
+        self.news.next(now, revision, peers.into_iter())
     }
 
-    /// The VM that follows the store for this failure domain, if it is not
-    /// this one.
-    fn source_vm(&self) -> Option<SocketAddr> {
+    /// The VMs of this failure domain that go before this one in following
+    /// the store, best first.
+    fn source_vms(&self) -> Vec<SocketAddr> {
+        let own = self.me.duty_rank();
         let vms = self.view.vms.iter();
-        let inside = vms.filter(|vm| vm.domain == self.me.domain);
-        let first = inside.max_by_key(|vm| vm.duty_rank())?;
-        let other = first.duty_rank() > self.me.duty_rank();
-        other.then_some(first.address)
+        let mut ranked: Vec<(DutyRank, SocketAddr)> = vms
+            .filter(|vm| vm.domain == self.me.domain)
+            .map(|vm| (vm.duty_rank(), vm.address))
+            .filter(|(rank, _address)| *rank > own)
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
+        ranked.into_iter().map(|(_rank, address)| address).collect()
     }
 
     /// What has changed in the store since a revision.
@@ -373,7 +378,7 @@
                 peers.call(address, &call).await
             {
                 // It says nothing of this VM's own way to the store.
-                let news = PeerNews { news, fresh: false };
+                let news = PeerNews { news, fresh: false, source: None };
                 // The actor is gone only when the process ends.
                 let _gone = control.send(news).await;
             }
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -99,9 +99,10 @@
     ) -> Result<bool, ActorGone> {
         match self.peers.call(address, &call).await {
             Some(PeerReply::News { news, fresh }) => {
-                self.tell(PeerNews { news, fresh }).await?;
+                let source = Some(address);
+                self.tell(PeerNews { news, fresh, source }).await?;
             }
-            _ => self.tell(PeerSilent).await?,
+            _ => self.tell(PeerSilent(address)).await?,
         }
         Ok(true)
     }
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -87,8 +87,12 @@
 impl Handler<PeerSilent> for ControlActor {
     type Return = ();
 
-    async fn handle(&mut self, _: PeerSilent, _: &mut Context<Self>) {
-        self.news.peer_failed(now());
+    async fn handle(
+        &mut self,
+        PeerSilent(peer): PeerSilent,
+        _: &mut Context<Self>,
+    ) {
+        self.news.peer_failed(now(), peer);
     }
 }
 
@@ -99,8 +103,9 @@
         let now = now();
         if message.fresh {
             self.news.answered(now);
-        } else {
-            self.news.peer_failed(now);
+        }
+        if let Some(source) = message.source {
+            self.news.peer_answered(now, source, message.fresh);
         }
         let changed = match message.news {
             StoreNews::None => false,
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -1,6 +1,6 @@
 //! What the control actor is told.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use goldcrestramp_adapter::StoreEvent;
 use goldcrestramp_assignment::{AssignmentTable, OrderOutcome, ServerOrder};
@@ -41,11 +41,13 @@
 pub(crate) struct PeerNews {
     pub(crate) news: StoreNews,
     pub(crate) fresh: bool,
+    /// The VM that is followed, if the news come from it.
+    pub(crate) source: Option<SocketAddr>,
 }
 
 /// The VM that was followed gave no answer.
 #[derive(Debug)]
-pub(crate) struct PeerSilent;
+pub(crate) struct PeerSilent(pub(crate) SocketAddr);
 
 /// The history after the known revision is no longer there.
 #[derive(Debug)]
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use goldcrestramp_types::{LocalTime, TimeSpan};
+use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 
 /// Silence of the store that counts as an outage: longer than a lost
 /// answer and its second try.
@@ -12,9 +12,23 @@
 /// after its return, so their absence says nothing until then.
 const RETURN_GRACE: TimeSpan = TimeSpan::from_millis(2_300);
 
-/// A VM whose source failed follows the store itself for so long.
+/// A VM that could not be followed is not asked again for so long.
 const PEER_PAUSE: TimeSpan = TimeSpan::from_millis(5_000);
 
+/// A VM that could not be followed is replaced by the next of its failure
+/// domain, this many times.
+///
+/// The failure: the VM that 17 others follow is restarted on a plan. All of
+/// them followed the store themselves for five seconds, each with all
+/// servers' heartbeats, and filled the link between the regions: servers
+/// could not be reached, and more VMs lost the one that they followed.
+const PEERS_MOST: usize = 2;
+
+/// A VM whose news are not fresh is followed for so long all the same: it
+/// may have lost its own source a moment ago and be about to replace it.
+/// Two of its answers come in this time.
+const STALE_MOST: TimeSpan = TimeSpan::from_millis(700);
+
 /// The store is taken for silent when the last call that it answered was
 /// sent so long ago: two renewals of the lease.
 ///
@@ -51,8 +65,10 @@
     direct: bool,
     /// Whether the store has to be read whole.
     whole: bool,
-    /// When the VM that was followed failed.
-    peer_left: LocalTime,
+    /// VMs that could not be followed, with when that was.
+    failed_peers: FastMap<SocketAddr, LocalTime>,
+    /// The VM that is followed, with since when its news are not fresh.
+    stale_peer: Option<(SocketAddr, LocalTime)>,
     asked: LocalTime,
 }
 
@@ -92,23 +108,47 @@
         self.whole = false;
     }
 
-    /// Notes that the VM that was followed failed.
-    pub const fn peer_failed(&mut self, now: LocalTime) {
-        self.peer_left = now;
+    /// Notes that a VM gave no answer.
+    pub fn peer_failed(&mut self, now: LocalTime, peer: SocketAddr) {
+        self.failed_peers.insert(peer, now);
+        self.stale_peer = None;
+    }
+
+    /// Notes that a VM's news are fresh, or that it does not know.
+    pub fn peer_answered(
+        &mut self,
+        now: LocalTime,
+        peer: SocketAddr,
+        fresh: bool,
+    ) {
+        if fresh {
+            self.stale_peer = None;
+            return;
+        }
+        let known = self.stale_peer.filter(|(stale, _since)| *stale == peer);
+        let (_peer, since) =
+            *self.stale_peer.insert(known.unwrap_or((peer, now)));
+        if now.since(since) >= STALE_MOST {
+            self.peer_failed(now, peer);
+        }
     }
 
-    /// From where changes after `revision` are followed next: `peer` is
-    /// the VM that follows the store for this one, if there is one.
+    /// From where changes after `revision` are followed next: `peers` are
+    /// the VMs that may follow the store for this one, best first.
     pub fn next(
         &mut self,
         now: LocalTime,
         revision: u64,
-        peer: Option<SocketAddr>,
+        mut peers: impl Iterator<Item = SocketAddr>,
     ) -> NewsSource {
-        let rested = self.peer_left == LocalTime::default()
-            || now.since(self.peer_left) >= PEER_PAUSE;
-        let usable = revision > 0 && !self.silent && !self.whole && rested;
-        let peer = peer.filter(|_| usable);
+        self.failed_peers.retain(|_peer, at| now.since(*at) < PEER_PAUSE);
+        let usable = revision > 0
+            && !self.silent
+            && !self.whole
+            && self.failed_peers.len() < PEERS_MOST;
+        let failed = &self.failed_peers;
+        let peer = peers.find(|peer| !failed.contains_key(peer));
+        let peer = peer.filter(|_peer| usable);
         self.direct = peer.is_none();
         match peer {
             Some(address) => NewsSource::Peer(address, revision),
