Tell tables by what has changed since the version that a VM has

Cause: a rolling restart of all VMs filled the links with tables: two commits within the time of the way overtook each other, so most VMs asked for the whole table, and those that follow got it once more from their source: 1.9 MB/s together. Ruled out: readings of the store (three in eight seconds), processor time.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -16,8 +16,10 @@
         message::{ClaimEnded, PeerNews},
         news::{NewsSource, NewsState},
         order::OrderPermit,
+        tables::TellBook,
         term::PlannerTerm,
     },
+    history::{TableHistory, TableMark},
     http::{CallPool, LinkEnd},
     metrics::EntryMetrics,
     mirror::StoreMirror,
@@ -52,6 +54,8 @@
     pub(crate) peers: PeerClient,
     pub(crate) address: Address<Self>,
     pub(crate) mirror: StoreMirror,
+    pub(crate) history: TableHistory,
+    pub(crate) told: TellBook,
     builder: ViewBuilder,
     pub(crate) view: Arc<FleetView>,
     views: watch::Sender<Arc<FleetView>>,
@@ -94,6 +98,8 @@
             peers: PeerClient::open(),
             address,
             mirror: StoreMirror::default(),
+            history: TableHistory::default(),
+            told: TellBook::default(),
             builder: ViewBuilder::default(),
             view: Arc::default(),
             views,
@@ -115,6 +121,7 @@
 
     /// Takes what the mirror now holds, and tells the traffic thread.
     pub(crate) fn refresh(&mut self, now: LocalTime) {
+        self.history.note(&self.mirror);
         if let Some(view) = self.builder.build(now, &self.mirror) {
             let view = Arc::new(view);
             self.view = Arc::clone(&view);
@@ -345,17 +352,19 @@
         ranked.into_iter().map(|(_rank, address)| address).collect()
     }
 
-    /// What has changed in the store since a revision.
+    /// What has changed in the store since a revision, for a VM that has
+    /// these versions of the tables.
     pub(crate) fn news_since(
         &self,
         revision: u64,
-        ahead: &[(Arc<str>, u64)],
+        tables: &[TableMark],
     ) -> StoreNews {
-        if self.mirror.revision() <= revision {
+        let tables = self.history.news_for(tables);
+        if self.mirror.revision() <= revision && tables.is_empty() {
             return StoreNews::None;
         }
-        match self.mirror.delta_since(revision, ahead) {
-            Some(delta) => StoreNews::Changes(delta),
+        match self.mirror.delta_since(revision) {
+            Some(delta) => StoreNews::Changes(delta, tables),
             None => StoreNews::Whole(self.mirror.clone()),
         }
     }
@@ -370,8 +379,8 @@
         let chosen = rand::random_range(0..others.len());
         let address = others[chosen].address;
         let revision = self.mirror.revision();
-        let ahead = self.mirror.ahead();
-        let call = PeerCall::Sync { revision, ahead, wait: false };
+        let tables = self.history.marks();
+        let call = PeerCall::Sync { revision, tables, wait: false };
         let (peers, control) = (self.peers.clone(), self.address.clone());
         tokio::spawn(async move {
             if let Some(PeerReply::News { news, .. }) =
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -76,8 +76,8 @@
         let next = Instant::now() + WATCH_PAUSE;
         let followed = match step.source {
             NewsSource::Peer(address, revision) => {
-                let ahead = step.ahead;
-                let call = PeerCall::Sync { revision, ahead, wait: true };
+                let tables = step.tables;
+                let call = PeerCall::Sync { revision, tables, wait: true };
                 return self.ask_peer(address, call).await;
             }
             NewsSource::StoreWhole => self.read_all().await?,
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -1,6 +1,6 @@
 //! What the control actor does with what it is told.
 
-use goldcrestramp_adapter::{StoreCall, StoreItem};
+use goldcrestramp_adapter::StoreCall;
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
 use xtra::{Actor, Context, Handler};
 
@@ -11,7 +11,7 @@
             ClaimEnded, CommitEnded, ControlTick, FormerStopped, HistoryGone,
             LeaseProof, NextSource, NextStep, OrderEnded, PeerNews,
             PeerSilent, ReadBack, StopControl, StoreChanges, StoreReading,
-            StoreSilent,
+            StoreSilent, TablesTold,
         },
     },
     peers::{PeerCall, PeerReply, StoreNews},
@@ -64,7 +64,7 @@
         _: &mut Context<Self>,
     ) -> NextStep {
         let source = self.next_source(now());
-        NextStep { source, ahead: self.mirror.ahead() }
+        NextStep { source, tables: self.history.marks() }
     }
 }
 
@@ -109,7 +109,10 @@
         }
         let changed = match message.news {
             StoreNews::None => false,
-            StoreNews::Changes(delta) => self.mirror.apply_delta(delta),
+            StoreNews::Changes(delta, tables) => {
+                let whole = self.take_tables(now, tables);
+                self.mirror.apply_delta(delta, whole)
+            }
             StoreNews::Whole(mirror) => self.mirror.adopt(mirror),
         };
         if changed {
@@ -177,6 +180,14 @@
     }
 }
 
+impl Handler<TablesTold> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, message: TablesTold, _: &mut Context<Self>) {
+        self.tables_told(message);
+    }
+}
+
 impl Handler<ReadBack> for ControlActor {
     type Return = ();
 
@@ -224,20 +235,14 @@
     ) -> PeerReply {
         let now = now();
         match message {
-            PeerCall::Sync { revision, ahead, .. } => {
+            PeerCall::Sync { revision, tables, .. } => {
                 let fresh = self.news.may_be_followed(now, self.proof);
-                let news = self.news_since(revision, &ahead);
+                let news = self.news_since(revision, &tables);
                 PeerReply::News { news, fresh }
             }
-            PeerCall::TableChange { key, base, revision, patch } => {
-                let place = (key, base, revision);
-                self.take_table_change(now, place, &patch)
-            }
-            PeerCall::Table { key, value, revision } => {
-                let value = value.into();
-                self.mirror.write(StoreItem { key, value, revision });
-                self.refresh(now);
-                PeerReply::Taken
+            PeerCall::Tables(news) => {
+                self.take_tables(now, news);
+                PeerReply::Tables(self.history.marks())
             }
             PeerCall::Load(report) => {
                 self.take_load(now, &report);
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -8,7 +8,9 @@
 
 use crate::{
     control::NewsSource,
+    history::TableMark,
     peers::StoreNews,
+    records::VmRun,
     store::{StoreFailure, StorePage},
 };
 
@@ -31,9 +33,16 @@
 #[derive(Debug)]
 pub(crate) struct NextStep {
     pub(crate) source: NewsSource,
-    /// Items of which more is known than of the store as a whole, with
-    /// their revisions.
-    pub(crate) ahead: Vec<(Arc<str>, u64)>,
+    /// The versions of the tables that are known.
+    pub(crate) tables: Vec<TableMark>,
+}
+
+/// A VM was told of tables.
+#[derive(Debug)]
+pub(crate) struct TablesTold {
+    pub(crate) vm: VmRun,
+    /// The versions that it has now; nothing if it gave no answer.
+    pub(crate) known: Option<Vec<TableMark>>,
 }
 
 /// Another VM's news of the store.
--- a/goldcrestramp-entry/src/control/tables.rs
+++ b/goldcrestramp-entry/src/control/tables.rs
@@ -6,109 +6,140 @@
 use std::sync::Arc;
 
 use goldcrestramp_adapter::StoreItem;
-use goldcrestramp_assignment::{AssignmentTable, TablePatch};
-use goldcrestramp_types::LocalTime;
+use goldcrestramp_types::{FastMap, LocalTime};
 
 use crate::{
-    control::ControlActor,
-    mirror::MirrorValue,
-    peers::{PeerCall, PeerClient, PeerReply},
+    control::{ControlActor, message::TablesTold},
+    history::{TableMark, TableNews},
+    peers::{PeerCall, PeerReply},
     records::VmRun,
 };
 
-/// A table that was committed, and what it was before.
-struct CommittedTable {
-    key: Arc<str>,
-    value: Vec<u8>,
-    revision: u64,
-    /// The former table's revision, with what has changed since.
-    change: Option<(u64, TablePatch)>,
+/// What the planning VM has told the others.
+#[derive(Debug, Default)]
+pub(crate) struct TellBook(FastMap<Arc<str>, ToldVm>);
+
+/// What one run of a VM was told.
+#[derive(Debug)]
+struct ToldVm {
+    start: u64,
+    /// The versions that it said it has.
+    known: Vec<TableMark>,
+    /// Whether a call is on its way. Two at once could overtake each other,
+    /// and the later change would be one of a version that is not there.
+    busy: bool,
+}
+
+impl TellBook {
+    /// What a VM is known to have, if it may be told now.
+    fn begin(
+        &mut self,
+        vm: &VmRun,
+        usual: &[TableMark],
+    ) -> Option<Vec<TableMark>> {
+        let fresh =
+            || ToldVm { start: vm.start, known: usual.to_vec(), busy: false };
+        let told = self.0.entry(Arc::clone(&vm.vm)).or_insert_with(fresh);
+        if told.start != vm.start {
+            *told = fresh();
+        }
+        (!told.busy).then(|| {
+            told.busy = true;
+            told.known.clone()
+        })
+    }
+
+    fn ended(&mut self, vm: &VmRun, known: Option<Vec<TableMark>>) {
+        let told = self.0.get_mut(&vm.vm);
+        if let Some(told) = told.filter(|told| told.start == vm.start) {
+            told.busy = false;
+            if let Some(known) = known {
+                told.known = known;
+            }
+        }
+    }
+
+    fn retain(&mut self, vms: &[VmRun]) {
+        self.0.retain(|name, _| vms.iter().any(|vm| vm.vm == *name));
+    }
 }
 
 impl ControlActor {
     /// Takes a table that this VM has committed, and tells all others.
-    pub(crate) fn tell_table(
-        &mut self,
-        key: &Arc<str>,
-        table: &AssignmentTable,
-        revision: u64,
-    ) {
-        let former = self.mirror.get(key);
-        if former.is_some_and(|former| former.revision >= revision) {
+    pub(crate) fn tell_table(&mut self, now: LocalTime, item: StoreItem) {
+        let before = self.history.marks();
+        self.mirror.write(item);
+        self.refresh(now);
+        let view = Arc::clone(&self.view);
+        self.told.retain(&view.vms);
+        for vm in &view.vms {
+            if vm.vm != self.me.vm {
+                self.tell_vm(vm, &before);
+            }
+        }
+    }
+
+    /// Tells a VM what it does not have; of one that was never told, the
+    /// `usual` versions are assumed.
+    fn tell_vm(&mut self, vm: &VmRun, usual: &[TableMark]) {
+        let Some(known) = self.told.begin(vm, usual) else { return };
+        let news = self.history.news_for(&known);
+        if news.is_empty() {
+            self.told.ended(vm, None);
             return;
         }
-        let change = former.and_then(|former| patch_of(former, table));
-        let value = table.encode();
-        self.mirror.write(StoreItem {
-            key: Arc::clone(key),
-            value: value.clone().into(),
-            revision,
+        let (peers, control) = (self.peers.clone(), self.address.clone());
+        let vm = vm.clone();
+        tokio::spawn(async move {
+            let call = PeerCall::Tables(news);
+            let known = match peers.call(vm.address, &call).await {
+                Some(PeerReply::Tables(known)) => Some(known),
+                // Its own watch tells it too, only later.
+                _ => None,
+            };
+            // The actor is gone only when the process ends.
+            let _gone = control.send(TablesTold { vm, known }).await;
         });
-        let key = Arc::clone(key);
-        let told = CommittedTable { key, value, revision, change };
-        let told = Arc::new(told);
-        for vm in self.view.vms.iter().filter(|vm| vm.vm != self.me.vm) {
-            let told = Arc::clone(&told);
-            tokio::spawn(tell(self.peers.clone(), vm.clone(), told));
+    }
+
+    /// Takes what a VM has after it was told of tables.
+    pub(crate) fn tables_told(&mut self, ended: TablesTold) {
+        let TablesTold { vm, known } = ended;
+        let answered = known.is_some();
+        self.told.ended(&vm, known);
+        if answered && self.term.is_some() {
+            self.tell_vm(&vm, &[]);
         }
     }
 
-    /// Takes what a commit of the planning VM has changed in a table.
-    pub(crate) fn take_table_change(
+    /// Takes newer versions of tables; whether all of them are known now.
+    pub(crate) fn take_tables(
         &mut self,
         now: LocalTime,
-        (key, base, revision): (Arc<str>, u64, u64),
-        patch: &TablePatch,
-    ) -> PeerReply {
-        let Some(known) = self.mirror.get(&key) else {
-            return PeerReply::OtherBase;
-        };
-        if known.revision >= revision {
-            return PeerReply::Taken;
-        }
-        if known.revision != base {
-            return PeerReply::OtherBase;
+        news: Vec<TableNews>,
+    ) -> bool {
+        let mut all = true;
+        let mut any = false;
+        for table_news in news {
+            let TableMark { key, revision } = table_news.mark.clone();
+            match self.history.resolve(table_news) {
+                Ok(Some(table)) => {
+                    let value = table.encode().into();
+                    self.mirror.write(StoreItem { key, value, revision });
+                    any = true;
+                }
+                Ok(None) => {}
+                Err(error) => {
+                    log::debug!(
+                        "[control] Another version of {key}: {error}."
+                    );
+                    all = false;
+                }
+            }
         }
-        let table = AssignmentTable::decode(&known.value);
-        let Ok(table) = table.and_then(|table| table.patched(patch)) else {
-            log::warn!("[control] A change of {key} can't be taken.");
-            return PeerReply::OtherBase;
-        };
-        let value = table.encode().into();
-        self.mirror.write(StoreItem { key, value, revision });
-        self.refresh(now);
-        PeerReply::Taken
-    }
-}
-
-fn patch_of(
-    former: &MirrorValue,
-    table: &AssignmentTable,
-) -> Option<(u64, TablePatch)> {
-    let known = AssignmentTable::decode(&former.value).ok()?;
-    Some((former.revision, table.patch_from(&known)))
-}
-
-/// Tells one VM of a table: what has changed, or all of it if that VM has
-/// missed an earlier change.
-async fn tell(peers: PeerClient, vm: VmRun, told: Arc<CommittedTable>) {
-    let CommittedTable { key, value, revision, change } = &*told;
-    let (key, revision) = (Arc::clone(key), *revision);
-    if let Some((base, patch)) = change {
-        let call = PeerCall::TableChange {
-            key: Arc::clone(&key),
-            base: *base,
-            revision,
-            patch: patch.clone(),
-        };
-        // Without an answer the VM learns of it by its own watch.
-        let reply = peers.call(vm.address, &call).await;
-        if !matches!(reply, Some(PeerReply::OtherBase)) {
-            return;
+        if any {
+            self.refresh(now);
         }
+        all
     }
-    let value = value.clone();
-    let call = PeerCall::Table { key, value, revision };
-    // The store's own watch tells it too, only later.
-    let _lost = peers.call(vm.address, &call).await;
 }
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use goldcrestramp_adapter::{
-    KeyCondition, ServerEntry, ServerPhase, StoreCall, StoreReply,
+    KeyCondition, ServerEntry, ServerPhase, StoreCall, StoreItem, StoreReply,
     StoreTransaction, StoreWrite,
 };
 use goldcrestramp_assignment::{
@@ -267,14 +267,14 @@
         revision: u64,
     ) {
         let key = table_key(service);
-        self.tell_table(&key, &table, revision);
+        let value = table.encode().into();
+        self.tell_table(now, StoreItem { key, value, revision });
         if let Some(term) = &mut self.term {
             term.creating.remove(service);
             if let Some(plan) = term.services.get_mut(service) {
                 plan.committed(now, table, revision);
             }
         }
-        self.refresh(now);
     }
 
     /// Takes the end of an order; whether more can be done at once.
--- /dev/null
+++ b/goldcrestramp-entry/src/history.rs
@@ -0,0 +1,147 @@
+//! The last versions of the tables of assignments.
+//!
+//! A commit changes a few of some hundred runs. Whoever tells another VM of
+//! it sends what has changed since the version that this VM has, so recent
+//! versions are kept.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use goldcrestramp_assignment::{AssignmentTable, TableError, TablePatch};
+use goldcrestramp_types::FastMap;
+use serde::{Deserialize, Serialize};
+
+use crate::{mirror::StoreMirror, records::TABLE_PREFIX};
+
+/// Versions kept of each table: four commits a second are many, and a VM
+/// that is four seconds behind is told everything.
+const VERSIONS_MOST: usize = 16;
+
+/// A version of a table.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct TableMark {
+    /// The table's key in the store.
+    pub key: Arc<str>,
+    /// The store's revision of its commit.
+    pub revision: u64,
+}
+
+/// A newer version of a table.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TableNews {
+    /// Which version.
+    pub mark: TableMark,
+    /// What it is.
+    pub body: TableBody,
+}
+
+/// What a newer version is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum TableBody {
+    /// What has changed since the version of revision `base`.
+    Changed {
+        /// The revision of the version that was patched.
+        base: u64,
+        /// What has changed.
+        patch: TablePatch,
+    },
+    /// All of it.
+    Whole(AssignmentTable),
+}
+
+#[derive(Debug)]
+struct TableVersion {
+    revision: u64,
+    table: Arc<AssignmentTable>,
+}
+
+/// The last versions of every table that a VM has seen.
+#[derive(Debug, Default)]
+pub struct TableHistory {
+    versions: FastMap<Arc<str>, VecDeque<TableVersion>>,
+}
+
+impl TableHistory {
+    /// Notes the tables that are known now; whether any is new.
+    pub fn note(&mut self, mirror: &StoreMirror) -> bool {
+        let mut any = false;
+        for (key, item) in mirror.range(TABLE_PREFIX) {
+            let versions = self.versions.entry(Arc::clone(key)).or_default();
+            let known = versions.back().map_or(0, |last| last.revision);
+            if item.revision <= known {
+                continue;
+            }
+            let Ok(table) = AssignmentTable::decode(&item.value) else {
+                continue;
+            };
+            if versions.len() >= VERSIONS_MOST {
+                versions.pop_front();
+            }
+            let table = Arc::new(table);
+            versions
+                .push_back(TableVersion { revision: item.revision, table });
+            any = true;
+        }
+        any
+    }
+
+    /// The newest version of each table.
+    #[must_use]
+    pub fn marks(&self) -> Vec<TableMark> {
+        let newest = |(key, versions): (&Arc<str>, &VecDeque<_>)| {
+            let last: &TableVersion = versions.back()?;
+            let key = Arc::clone(key);
+            Some(TableMark { key, revision: last.revision })
+        };
+        self.versions.iter().filter_map(newest).collect()
+    }
+
+    /// The newest versions, for a VM that has `known` ones.
+    #[must_use]
+    pub fn news_for(&self, known: &[TableMark]) -> Vec<TableNews> {
+        let mut news = Vec::new();
+        for (key, versions) in &self.versions {
+            let Some(last) = versions.back() else { continue };
+            let base = known.iter().find(|mark| mark.key == *key);
+            let base = base.map_or(0, |mark| mark.revision);
+            if base >= last.revision {
+                continue;
+            }
+            let former = versions.iter().find(|v| v.revision == base);
+            let body = match former {
+                Some(former) => TableBody::Changed {
+                    base,
+                    patch: last.table.patch_from(&former.table),
+                },
+                None => TableBody::Whole((*last.table).clone()),
+            };
+            let key = Arc::clone(key);
+            let mark = TableMark { key, revision: last.revision };
+            news.push(TableNews { mark, body });
+        }
+        news
+    }
+
+    /// The table that news make of the known version; nothing if that one
+    /// is as new.
+    ///
+    /// # Errors
+    ///
+    /// [`TableError`] if they were made for another version.
+    pub fn resolve(
+        &self,
+        news: TableNews,
+    ) -> Result<Option<AssignmentTable>, TableError> {
+        let versions = self.versions.get(&news.mark.key);
+        let last = versions.and_then(VecDeque::back);
+        if last.is_some_and(|last| last.revision >= news.mark.revision) {
+            return Ok(None);
+        }
+        match news.body {
+            TableBody::Whole(table) => Ok(Some(table)),
+            TableBody::Changed { base, patch } => last
+                .filter(|last| last.revision == base)
+                .ok_or(TableError)
+                .and_then(|last| last.table.patched(&patch).map(Some)),
+        }
+    }
+}
--- a/goldcrestramp-entry/src/lib.rs
+++ b/goldcrestramp-entry/src/lib.rs
@@ -10,11 +10,13 @@
 - [`traffic`]: takes, queues, sends and answers requests.
 - [`peers`]: what VMs tell one another.
 - [`logs`], [`metrics`]: what operators see.
-- [`mirror`], [`view`]: what is known of the store, and of the fleet.
+- [`mirror`], [`history`], [`view`]: what is known of the store, and of the
+  fleet.
 - [`run()`]: starts all of it, and ends it without cutting a request.
 */
 
 pub mod control;
+pub mod history;
 pub mod http;
 pub mod logs;
 pub mod metrics;
--- a/goldcrestramp-entry/src/mirror.rs
+++ b/goldcrestramp-entry/src/mirror.rs
@@ -12,6 +12,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::records::TABLE_PREFIX;
+
 /// A value with the revision of its last change.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct MirrorValue {
@@ -68,16 +70,6 @@
         self.news_at
     }
 
-    /// The items of which more is known than of the store as a whole.
-    #[must_use]
-    pub fn ahead(&self) -> Vec<(Arc<str>, u64)> {
-        let items = self.items.iter();
-        items
-            .filter(|(_key, value)| value.revision > self.revision)
-            .map(|(key, value)| (Arc::clone(key), value.revision))
-            .collect()
-    }
-
     /// The value of a key.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&MirrorValue> {
@@ -164,25 +156,17 @@
         self.removed.push_back((key.into(), revision));
     }
 
-    /// What has changed since a revision, but for the items that are known
-    /// `ahead` of it; nothing if removals since then have been forgotten.
+    /// What has changed since a revision, but for tables; nothing if
+    /// removals since then have been forgotten.
     #[must_use]
-    pub fn delta_since(
-        &self,
-        revision: u64,
-        ahead: &[(Arc<str>, u64)],
-    ) -> Option<MirrorDelta> {
+    pub fn delta_since(&self, revision: u64) -> Option<MirrorDelta> {
         (revision >= self.removed_since).then_some(())?;
-        let known = |key: &Arc<str>, value: &MirrorValue| {
-            let mut ahead = ahead.iter();
-            ahead.any(|(k, at)| k == key && *at >= value.revision)
-        };
         let items = self.items.iter();
         let removed = self.removed.iter();
         Some(MirrorDelta {
             items: items
                 .filter(|(_key, value)| value.changed > revision)
-                .filter(|(key, value)| !known(key, value))
+                .filter(|(key, _value)| !key.starts_with(TABLE_PREFIX))
                 .map(|(key, value)| (Arc::clone(key), value.clone()))
                 .collect(),
             removed: removed
@@ -193,8 +177,9 @@
         })
     }
 
-    /// Takes what another VM says has changed; whether anything has.
-    pub fn apply_delta(&mut self, delta: MirrorDelta) -> bool {
+    /// Takes what another VM says has changed; whether anything has. It is
+    /// `whole` if the tables of that time are known as well.
+    pub fn apply_delta(&mut self, delta: MirrorDelta, whole: bool) -> bool {
         let any = !delta.items.is_empty() || !delta.removed.is_empty();
         for (key, revision) in delta.removed {
             self.remove(&key, revision);
@@ -202,7 +187,8 @@
         for (key, MirrorValue { value, revision, .. }) in delta.items {
             self.write(StoreItem { key, value: value.into(), revision });
         }
-        self.advance(delta.revision, any);
+        let revision = if whole { delta.revision } else { self.revision };
+        self.advance(revision, any);
         any
     }
 
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -1,12 +1,10 @@
 //! What VMs tell one another.
 
-use std::sync::Arc;
-
-use goldcrestramp_assignment::TablePatch;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     control::LoadReport,
+    history::{TableMark, TableNews},
     mirror::{MirrorDelta, StoreMirror},
 };
 
@@ -17,31 +15,13 @@
     Sync {
         /// The revision up to which the asking VM knows all changes.
         revision: u64,
-        /// Items that it knows newer, with their revisions.
-        ahead: Vec<(Arc<str>, u64)>,
+        /// The versions of the tables that it has.
+        tables: Vec<TableMark>,
         /// Whether to wait for a change, if there is none yet.
         wait: bool,
     },
-    /// Tells what a commit has changed in a table.
-    TableChange {
-        /// The table's key in the store.
-        key: Arc<str>,
-        /// The revision of the table from which the patch was made.
-        base: u64,
-        /// The store's revision of the commit.
-        revision: u64,
-        /// What has changed.
-        patch: TablePatch,
-    },
-    /// Tells of a table that was just committed.
-    Table {
-        /// The table's key in the store.
-        key: Arc<str>,
-        /// The table's bytes.
-        value: Vec<u8>,
-        /// The store's revision of the commit.
-        revision: u64,
-    },
+    /// Tells of tables that were committed.
+    Tables(Vec<TableNews>),
     /// Tells the planning VM what was asked for.
     Load(LoadReport),
     /// Tells a former planner that another has taken its place.
@@ -56,8 +36,8 @@
 pub enum StoreNews {
     /// Nothing.
     None,
-    /// This.
-    Changes(MirrorDelta),
+    /// This; tables apart, as they are told by what has changed in them.
+    Changes(MirrorDelta, Vec<TableNews>),
     /// More than is remembered: all of it.
     Whole(StoreMirror),
 }
@@ -67,8 +47,8 @@
 pub enum PeerReply {
     /// It was taken.
     Taken,
-    /// The patch is for a table that this VM does not have.
-    OtherBase,
+    /// The versions of the tables that the VM has now.
+    Tables(Vec<TableMark>),
     /// What has changed in the store.
     News {
         /// The changes.
