Wait for an answer where nobody else can be asked

Cause: a VM that has just started took each server for one that answers in 100 ms and gave exports up after 350 ms, in the middle of their work; the budget for another try was then used up, and a leaving VM answered 502 for work that was under way. Ruled out: silent servers (250 ms of work is usual there).

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -19,6 +19,7 @@
 - [`span_to_send`]: a deadline that crosses to another process.
 - [`choose_server`]: which server of a service that any may serve.
 - [`WaitLine`]: who is next when a slot becomes free.
+- [`patience`]: how long an answer is waited for.
 - [`SendWindow`]: how many sends beyond the first a VM may make.
 - [`WeightedTurns`]: the parts of a divided route.
 - [`spread_moves`]: which runs of keys move between servers, and when.
@@ -32,6 +33,7 @@
 mod limit;
 mod link;
 mod load;
+mod patience;
 mod placement;
 mod pool;
 mod queue;
@@ -53,6 +55,7 @@
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSign},
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReading, REPORTED_SLICES, ServerLoad},
+    patience::{WaitSight, patience},
     placement::{
         LoadEstimate, PlaceReport, PlaceView, PlacementPlanner,
         PlacementSettings, PlannedMove, assign_orphans, greedy_moves,
--- /dev/null
+++ b/goldcrestramp-decisions/src/patience.rs
@@ -0,0 +1,62 @@
+//! How long an answer is waited for before another server is asked.
+//!
+//! The load: servers that fall silent among servers that are merely slow.
+//! Waited for until the deadline, one silent server costs each request that
+//! it gets; given up early, work that is nearly done is thrown away and
+//! done once more, by servers that are slow because they are full.
+
+use goldcrestramp_types::TimeSpan;
+
+/// An answer is waited for this many usual times, in percent, before
+/// another server is asked: a longer wait is rarely met by a server that
+/// works, and a silent one never answers.
+const USUAL_PERCENT: u64 = 350;
+
+/// The least of that wait: a pause of a busy server is shorter.
+const LEAST: TimeSpan = TimeSpan::from_millis(250);
+
+/// What the wait for an answer depends on.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitSight {
+    /// The usual time of this server's answers, once it has given some.
+    pub usual: Option<TimeSpan>,
+    /// The time within which the route's answers are worth most.
+    pub target: TimeSpan,
+    /// The time until nobody waits for an answer any more.
+    pub left: TimeSpan,
+    /// Whether the request could go to another server: it may repeat, there
+    /// is one that was not tried, the budget allows it, and this VM stays.
+    pub replaceable: bool,
+}
+
+/// How long the begin of an answer is waited for.
+///
+/// Of a server that has not answered yet nothing is known: it is waited for
+/// as long as answers on its route may take. Taken for one that answers in
+/// 100 ms, it was given up in the middle of its work by every VM that had
+/// just started, and the budget for another try was soon used up.
+///
+/// # Example
+///
+/// ```
+/// use goldcrestramp_decisions::{WaitSight, patience};
+/// use goldcrestramp_types::TimeSpan;
+///
+/// let sight = WaitSight {
+///     usual: Some(TimeSpan::from_millis(100)),
+///     target: TimeSpan::from_millis(400),
+///     left: TimeSpan::from_millis(900),
+///     replaceable: true,
+/// };
+/// assert_eq!(patience(sight), TimeSpan::from_millis(350));
+/// let alone = WaitSight { replaceable: false, ..sight };
+/// assert_eq!(patience(alone), TimeSpan::from_millis(900));
+/// ```
+#[must_use]
+pub fn patience(sight: WaitSight) -> TimeSpan {
+    if !sight.replaceable {
+        return sight.left;
+    }
+    let usual = sight.usual.map(|usual| usual.percent(USUAL_PERCENT));
+    usual.unwrap_or(sight.target).max(LEAST).min(sight.left)
+}
--- a/goldcrestramp-decisions/src/window.rs
+++ b/goldcrestramp-decisions/src/window.rs
@@ -72,16 +72,19 @@
     /// Takes a send beyond the first, if one is left; `vms` share the
     /// constant.
     pub fn take(&mut self, now: LocalTime, vms: usize) -> bool {
+        let left = self.has_room(now, vms);
+        self.step(now).repeats += u64::from(left);
+        left
+    }
+
+    /// Whether a send beyond the first is left.
+    pub fn has_room(&mut self, now: LocalTime, vms: usize) -> bool {
         self.step(now);
         let requests: u64 = self.steps.iter().map(|s| s.requests).sum();
         let repeats: u64 = self.steps.iter().map(|s| s.repeats).sum();
         let share = self.settings.extra / (vms.max(1) as u64);
         let allowed = requests * self.settings.per_mille / 1_000 + share;
-        if (repeats + 1) * 100 > allowed * USED_PERCENT {
-            return false;
-        }
-        self.step(now).repeats += 1;
-        true
+        (repeats + 1) * 100 <= allowed * USED_PERCENT
     }
 
     /// Counts a send beyond the first that could not be avoided.
--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -2,8 +2,8 @@
 
 use goldcrestramp_decisions::{
     LinePlace, PlaceLoad, PlacedRun, PoolCandidate, PoolChoice, RangeLoad,
-    SendWindow, ServerWay, SpreadSettings, WaitLine, WeightedTurns,
-    WindowSettings, choose_server, place_uses, spread_moves,
+    SendWindow, ServerWay, SpreadSettings, WaitLine, WaitSight, WeightedTurns,
+    WindowSettings, choose_server, patience, place_uses, spread_moves,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
 
@@ -94,6 +94,57 @@
     assert!(sent.len() > 600, "some repeats are made: {}", sent.len());
 }
 
+fn wait_sight() -> WaitSight {
+    WaitSight {
+        usual: Some(TimeSpan::from_millis(250)),
+        target: TimeSpan::from_millis(1_200),
+        left: TimeSpan::from_millis(3_000),
+        replaceable: true,
+    }
+}
+
+/// A VM has just started and knows none of its servers. An export takes
+/// 400 ms of work; given up after 350, it is done twice or, without a
+/// budget, answered as a failure while its server is at work.
+#[test]
+fn a_server_that_has_not_answered_yet_gets_the_time_of_its_route() {
+    let sight = WaitSight { usual: None, ..wait_sight() };
+
+    assert_eq!(patience(sight), TimeSpan::from_millis(1_200));
+}
+
+/// Nobody else may be asked: the budget is used up, or this VM leaves. The
+/// answer that the server works on is the only one that can come.
+#[test]
+fn work_that_can_t_be_replaced_is_waited_for_to_the_end() {
+    let sight = WaitSight { replaceable: false, ..wait_sight() };
+
+    assert_eq!(patience(sight), TimeSpan::from_millis(3_000));
+}
+
+/// A silent server costs a lookup a few usual times and not its deadline,
+/// and never more than what is left.
+#[test]
+fn a_silent_server_is_left_after_a_few_usual_times() {
+    let late = WaitSight { left: TimeSpan::from_millis(300), ..wait_sight() };
+
+    assert_eq!(patience(wait_sight()), TimeSpan::from_millis(875));
+    assert_eq!(patience(late), TimeSpan::from_millis(300));
+}
+
+/// Asking whether a repeat is left takes none.
+#[test]
+fn looking_at_the_budget_uses_nothing_of_it() {
+    let span = TimeSpan::from_millis(10_000);
+    let settings = WindowSettings { span, per_mille: 200, extra: 10 };
+    let mut window = SendWindow::new(settings);
+    let looks = (0..50).filter(|_| window.has_room(at(0), 1)).count();
+    let taken = (0..50).filter(|_| window.take(at(0), 1)).count();
+
+    assert_eq!((looks, taken), (50, 7));
+    assert!(!window.has_room(at(0), 1));
+}
+
 #[test]
 fn turns_keep_to_weights_after_any_number_of_requests() {
     let mut turns = WeightedTurns::default();
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -87,8 +87,14 @@
     loads: LoadBook,
     metrics: Arc<EntryMetrics>,
 ) -> TrafficGate {
-    let state =
-        Rc::new(TrafficState::open(settings, views.clone(), loads, metrics));
+    let state = TrafficState::open(
+        settings,
+        views.clone(),
+        phase.clone(),
+        loads,
+        metrics,
+    );
+    let state = Rc::new(state);
     let connections = Rc::<ConnectionCount>::default();
     let gate = TrafficGate { connections: Rc::clone(&connections) };
     spawn_local(follow_views(Rc::clone(&state), views));
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use goldcrestramp_adapter::RouteEffect;
-use goldcrestramp_decisions::{LinePlace, ServerWay};
+use goldcrestramp_decisions::{LinePlace, ServerWay, WaitSight, patience};
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -19,7 +19,7 @@
         forwarded_headers, read_body, slice_of,
     },
     server::ServerState,
-    state::{TrafficState, least},
+    state::TrafficState,
     wait::{RETURN_USUAL, RequestEnd, hold, pause, wait_in_line},
 };
 
@@ -27,14 +27,6 @@
 /// that something is wrong for longer than its caller waits.
 const SENDS_MOST: u32 = 6;
 
-/// An answer to a request that may repeat is waited for this many usual
-/// times before another server is asked: a longer wait is rarely met by a
-/// server that works, and a silent one never answers.
-const PATIENCE_FACTOR: u64 = 350;
-
-/// The least of that wait: a pause of a busy server is shorter.
-const PATIENCE_LEAST: TimeSpan = TimeSpan::from_millis(250);
-
 /// Longer than this no caller waits before it returns.
 const RETURN_MOST: TimeSpan = TimeSpan::from_millis(2_000);
 
@@ -216,15 +208,17 @@
     let service = state.service(&request.service);
     let line = request.slice.is_none().then(|| Rc::clone(&service.line));
     let slot = server.enter(now, request.class(), line);
-    let full = full_patience(request, now);
-    let impatient =
-        request.may_repeat() && replaceable && progress.tried.len() + 1 < most;
-    let patience = if impatient {
-        let usual = server.latency().percent(PATIENCE_FACTOR);
-        least(usual.max(PATIENCE_LEAST), full)
-    } else {
-        full
-    };
+    let vms = state.view().vms.len();
+    let patience = patience(WaitSight {
+        usual: server.usual_answer(),
+        target: request.route.target_latency,
+        left: full_patience(request, now),
+        replaceable: request.may_repeat()
+            && replaceable
+            && progress.tried.len() + 1 < most
+            && state.stays()
+            && service.window.borrow_mut().has_room(now, vms),
+    });
     if progress.sends == 0 {
         let waited = now.since(request.arrived);
         state.metrics.took(&request.service, "waiting", waited);
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -50,7 +50,7 @@
     pub(crate) address: SocketAddr,
     limit: RefCell<ServerLimit>,
     in_flight: Cell<usize>,
-    latency: Cell<TimeSpan>,
+    latency: Cell<Option<TimeSpan>>,
     idle: RefCell<Vec<IdleLink>>,
     /// Requests that wait for this server alone.
     pub(crate) line: RefCell<RequestLine>,
@@ -70,7 +70,7 @@
             address,
             limit: RefCell::new(ServerLimit::open(now, share)),
             in_flight: Cell::new(0),
-            latency: Cell::new(LATENCY_FIRST),
+            latency: Cell::default(),
             idle: RefCell::default(),
             line: RefCell::default(),
             share: Cell::new(share),
@@ -91,8 +91,13 @@
         self.in_flight.get()
     }
 
-    /// The usual time of an answer.
+    /// The usual time of an answer; a usual figure until one has come.
     pub(crate) fn latency(&self) -> TimeSpan {
+        self.usual_answer().unwrap_or(LATENCY_FIRST)
+    }
+
+    /// The usual time of an answer, once one has come.
+    pub(crate) fn usual_answer(&self) -> Option<TimeSpan> {
         self.latency.get()
     }
 
@@ -179,10 +184,11 @@
     /// Notes an answer of the server.
     pub(crate) fn answered(&self, now: LocalTime) -> TimeSpan {
         let span = now.since(self.since);
-        let known = self.server.latency.get();
+        let known = self.server.latency();
         let kept = known.as_micros() - known.as_micros() / LATENCY_GAIN;
         let fresh = span.as_micros() / LATENCY_GAIN;
-        self.server.latency.set(TimeSpan::from_micros(kept + fresh));
+        let usual = TimeSpan::from_micros(kept + fresh);
+        self.server.latency.set(Some(usual));
         self.end(now, ServerSign::Answered(self.class, span));
         span
     }
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -19,6 +19,7 @@
 use crate::{
     control::LoadBook,
     metrics::EntryMetrics,
+    run::StopPhase,
     traffic::server::{RequestLine, ServerState},
     view::FleetView,
 };
@@ -47,6 +48,7 @@
     pub(crate) loads: LoadBook,
     pub(crate) metrics: Arc<EntryMetrics>,
     views: watch::Receiver<Arc<FleetView>>,
+    phase: watch::Receiver<StopPhase>,
     servers: RefCell<FastMap<ServerLife, Rc<ServerState>>>,
     services: RefCell<FastMap<Arc<str>, Rc<ServiceState>>>,
     turns: RefCell<FastMap<Arc<str>, WeightedTurns>>,
@@ -59,6 +61,7 @@
     pub(crate) fn open(
         settings: Arc<NodeSettings>,
         views: watch::Receiver<Arc<FleetView>>,
+        phase: watch::Receiver<StopPhase>,
         loads: LoadBook,
         metrics: Arc<EntryMetrics>,
     ) -> Self {
@@ -67,6 +70,7 @@
             loads,
             metrics,
             views,
+            phase,
             servers: RefCell::default(),
             services: RefCell::default(),
             turns: RefCell::default(),
@@ -80,6 +84,11 @@
         Arc::clone(&self.views.borrow())
     }
 
+    /// Whether this VM goes on; one that leaves cuts no work short.
+    pub(crate) fn stays(&self) -> bool {
+        *self.phase.borrow() == StopPhase::Serving
+    }
+
     /// Takes a new view, and wakes whoever waits.
     pub(crate) fn take_view(&self, view: &FleetView) {
         let now = MonotonicClock.now();
