Have the store's contents from a neighbour at a start

Cause: after all VMs lost power each read the whole store; 27 MB over the link between the regions, so readings ran into their limit of 1.5 s and began again, and for ten seconds connections to servers timed out. Ruled out: the planner (in office 2.5 s after the start).

--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -17,10 +17,11 @@
         ControlActor, NewsSource,
         message::{
             HistoryGone, NextSource, NextStep, PeerNews, PeerSilent,
-            StoreChanges, StoreReading, StoreSilent,
+            StoreChanges, StoreReading, StoreSilent, VmReading,
         },
     },
     peers::{PeerCall, PeerClient, PeerReply},
+    records::VM_PREFIX,
     store::{StoreClient, StoreFailure},
 };
 
@@ -80,6 +81,7 @@
                 let call = PeerCall::Sync { revision, tables, wait: true };
                 return self.ask_peer(address, call).await;
             }
+            NewsSource::StoreVms => self.read_vms().await?,
             NewsSource::StoreWhole => self.read_all().await?,
             NewsSource::StoreChanges(after) => self.watch(after).await?,
         };
@@ -88,7 +90,9 @@
             self.tell(StoreSilent).await?;
             return Ok(false);
         }
-        sleep_until(next).await;
+        if step.source != NewsSource::StoreVms {
+            sleep_until(next).await;
+        }
         Ok(true)
     }
 
@@ -107,6 +111,13 @@
         Ok(true)
     }
 
+    async fn read_vms(&self) -> Result<Result<(), StoreFailure>, ActorGone> {
+        match self.store.read_all(VM_PREFIX).await {
+            Ok(page) => self.tell(VmReading(page)).await.map(Ok),
+            Err(failure) => Ok(Err(failure)),
+        }
+    }
+
     async fn read_all(&self) -> Result<Result<(), StoreFailure>, ActorGone> {
         match self.store.read_all("").await {
             Ok(page) => self.tell(StoreReading(page)).await.map(Ok),
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -11,7 +11,7 @@
             ClaimEnded, CommitEnded, ControlTick, FormerStopped, HistoryGone,
             LeaseProof, NextSource, NextStep, OrderEnded, PeerNews,
             PeerSilent, ReadBack, StopControl, StoreChanges, StoreReading,
-            StoreSilent, TablesTold,
+            StoreSilent, TablesTold, VmReading,
         },
     },
     peers::{PeerCall, PeerReply, StoreNews},
@@ -55,6 +55,24 @@
     }
 }
 
+impl Handler<VmReading> for ControlActor {
+    type Return = ();
+
+    async fn handle(
+        &mut self,
+        VmReading(page): VmReading,
+        _: &mut Context<Self>,
+    ) {
+        let now = now();
+        self.news.answered(now);
+        self.news.vms_read();
+        for item in page.items {
+            self.mirror.write(item);
+        }
+        self.refresh(now);
+    }
+}
+
 impl Handler<NextSource> for ControlActor {
     type Return = NextStep;
 
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -25,6 +25,10 @@
 #[derive(Debug)]
 pub(crate) struct StoreReading(pub(crate) StorePage);
 
+/// A reading of the VMs' entries alone.
+#[derive(Debug)]
+pub(crate) struct VmReading(pub(crate) StorePage);
+
 /// Asks from where changes are to be followed next.
 #[derive(Debug)]
 pub(crate) struct NextSource;
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -44,6 +44,8 @@
 /// From where changes are followed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum NewsSource {
+    /// The VMs alone are read from the store.
+    StoreVms,
     /// Everything is read from the store.
     StoreWhole,
     /// The store's changes after a revision.
@@ -65,6 +67,8 @@
     direct: bool,
     /// Whether the store has to be read whole.
     whole: bool,
+    /// Whether the other VMs are known.
+    vms_known: bool,
     /// VMs that could not be followed, with when that was.
     failed_peers: FastMap<SocketAddr, LocalTime>,
     /// The VM that is followed, with since when its news are not fresh.
@@ -108,6 +112,11 @@
         self.whole = false;
     }
 
+    /// Notes that the other VMs are known.
+    pub const fn vms_read(&mut self) {
+        self.vms_known = true;
+    }
+
     /// Notes that a VM gave no answer.
     pub fn peer_failed(&mut self, now: LocalTime, peer: SocketAddr) {
         self.failed_peers.insert(peer, now);
@@ -135,15 +144,24 @@
 
     /// From where changes after `revision` are followed next: `peers` are
     /// the VMs that may follow the store for this one, best first.
+    ///
+    /// A VM that starts reads who the others are, and has the rest from
+    /// one of them. When 91 VMs start at once and each reads the store
+    /// whole, 27 MB go over the link between the regions: no reading ended
+    /// in its time, all began again, and no server was reached for ten
+    /// seconds.
     pub fn next(
         &mut self,
         now: LocalTime,
         revision: u64,
         mut peers: impl Iterator<Item = SocketAddr>,
     ) -> NewsSource {
+        if revision == 0 && !self.vms_known {
+            self.direct = true;
+            return NewsSource::StoreVms;
+        }
         self.failed_peers.retain(|_peer, at| now.since(*at) < PEER_PAUSE);
-        let usable = revision > 0
-            && !self.silent
+        let usable = !self.silent
             && !self.whole
             && self.failed_peers.len() < PEERS_MOST;
         let failed = &self.failed_peers;
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -18,6 +18,9 @@
 /// A call that waits for news is answered at once or within 0.4 s.
 const NEWS_LIMIT: Duration = Duration::from_millis(800);
 
+/// A copy of the whole store takes half a second over a link of 10 Mbit/s.
+const COPY_LIMIT: Duration = Duration::from_secs(2);
+
 /// A copy of the store is some hundred kilobytes at most.
 const ANSWER_BYTES_MOST: usize = 16 * 1024 * 1024;
 
@@ -49,8 +52,11 @@
             headers: HeaderMap::new(),
             body: body.into(),
         };
-        let waits = matches!(call, PeerCall::Sync { wait: true, .. });
-        let limit = if waits { NEWS_LIMIT } else { CALL_LIMIT };
+        let limit = match call {
+            PeerCall::Sync { revision: 0, .. } => COPY_LIMIT,
+            PeerCall::Sync { wait: true, .. } => NEWS_LIMIT,
+            _ => CALL_LIMIT,
+        };
         let answer =
             self.pool.call(request, CallReach::Any, limit).await.ok()?;
         postcard::from_bytes(&answer.body).ok()
--- a/goldcrestramp-entry/src/store.rs
+++ b/goldcrestramp-entry/src/store.rs
@@ -14,6 +14,10 @@
 /// in milliseconds, and in a quarter of a second when it is slow.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// A page of items is waited for longer: a megabyte takes two seconds on a
+/// link that is half full, and one that is given up is asked for again.
+const PAGE_LIMIT: Duration = Duration::from_millis(4_000);
+
 /// An answer is at most a page of items: 1 MB, a third more as text.
 const ANSWER_BYTES_MOST: usize = 4 * 1024 * 1024;
 
@@ -80,12 +84,12 @@
         }
         let address = self.address;
         let request = CallRequest { address, method, path, headers, body };
-        let wait = match call {
-            StoreCall::Watch { wait, .. } => wait.to_std(),
-            _ => Duration::ZERO,
+        let limit = match call {
+            StoreCall::Watch { wait, .. } => CALL_LIMIT + wait.to_std(),
+            StoreCall::Range { .. } => PAGE_LIMIT,
+            _ => CALL_LIMIT,
         };
-        let answer =
-            self.pool.call(request, CallReach::Any, CALL_LIMIT + wait).await;
+        let answer = self.pool.call(request, CallReach::Any, limit).await;
         let answer = answer.map_err(|failure| match failure {
             CallFailure::NotSent => StoreFailure::NotDone,
             CallFailure::Unknown | CallFailure::Silent => {
