--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -6,7 +6,7 @@
 use tokio::{
     net::{TcpListener, TcpSocket},
     runtime::{Builder, Runtime},
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::{oneshot, watch},
     task::LocalSet,
     time::{Instant, sleep, sleep_until},
@@ -81,6 +81,9 @@
 ///
 /// A [`RunError`] when it can't be started.
 pub fn run(path: &Path) -> Result<(), RunError> {
+    let runtime = runtime().map_err(RunError::Start)?;
+    let signals = runtime.block_on(async { ProcessSignals::open() });
+    let signals = signals.map_err(RunError::Start)?;
     let settings = Arc::new(read_settings(path)?);
     log::info!(
         "[start] VM {} in failure domain {} starts, version {}.",
@@ -100,7 +103,6 @@
         seen.clone(),
         phase.clone(),
     )?;
-    let runtime = runtime().map_err(RunError::Start)?;
     let local = LocalSet::new();
     local.block_on(&runtime, async {
         let listener =
@@ -113,7 +115,7 @@
             loads,
             metrics,
         );
-        wait_for_stop(path).await.map_err(RunError::Start)?;
+        signals.wait_for_stop(path).await;
         leave(&settings, &control, &phases, &gate).await;
         Ok(())
     })
@@ -143,16 +145,34 @@
     log::logger().flush();
 }
 
-/// Waits for SIGTERM; SIGHUP has the settings read again.
-async fn wait_for_stop(path: &Path) -> io::Result<()> {
-    let mut stop = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut reload = signal(SignalKind::hangup())?;
-    loop {
-        tokio::select! {
-            _ = stop.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = reload.recv() => reload_settings(path),
+/// The signals that a process goes by.
+///
+/// Without a handler SIGHUP ends a process. One that came while the process
+/// started did so, and callers found nobody until it was started again; so
+/// handlers are there before anything else.
+struct ProcessSignals {
+    stop: Signal,
+    interrupt: Signal,
+    reload: Signal,
+}
+
+impl ProcessSignals {
+    fn open() -> io::Result<Self> {
+        Ok(Self {
+            stop: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            reload: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for SIGTERM; SIGHUP has the settings read again.
+    async fn wait_for_stop(mut self, path: &Path) {
+        loop {
+            tokio::select! {
+                _ = self.stop.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.reload.recv() => reload_settings(path),
+            }
         }
     }
 }
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     net::{SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
@@ -71,13 +71,7 @@
         });
         let path = folder.join("settings.json");
         fs::write(&path, settings.to_string()).expect("a file");
-        let child = Command::new(env!("CARGO_BIN_EXE_goldcrestramp-entry"))
-            .arg("serve")
-            .arg("--settings")
-            .arg(&path)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the daemon starts");
+        let child = start(&path);
         let (traffic, ready) = (local(traffic), local(ready));
         Self { child, folder, traffic, ready }
     }
@@ -88,6 +82,21 @@
         kill_process(pid, signal).expect("it runs");
     }
 
+    /// Starts the program again, as on the same VM.
+    #[allow(dead_code, reason = "not every test binary restarts one")]
+    pub fn restart(&mut self) {
+        // It may have ended already.
+        let _ended = self.child.kill();
+        let _reaped = self.child.wait();
+        self.child = start(&self.folder.join("settings.json"));
+    }
+
+    /// Whether the process runs.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits until the process has ended.
     pub async fn ended(&mut self) -> ExitStatus {
         loop {
@@ -99,6 +108,29 @@
     }
 }
 
+/// Names a folder in which what the daemons write is kept.
+const LOG_FOLDER: &str = "GOLDCRESTRAMP_TEST_LOGS";
+
+fn start(settings: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_goldcrestramp-entry"))
+        .arg("serve")
+        .arg("--settings")
+        .arg(settings)
+        .stdout(output(settings))
+        .spawn()
+        .expect("the daemon starts")
+}
+
+/// Where a daemon writes: a file for all runs with these settings.
+fn output(settings: &Path) -> Stdio {
+    let Ok(folder) = std::env::var(LOG_FOLDER) else { return Stdio::null() };
+    let name = settings.parent().and_then(Path::file_name);
+    let name = name.expect("a folder").to_string_lossy();
+    let path = Path::new(&folder).join(format!("{name}.log"));
+    let file = fs::OpenOptions::new().append(true).create(true).open(path);
+    file.expect("a log file").into()
+}
+
 impl Drop for NodeProcess {
     fn drop(&mut self) {
         // It may have ended already.
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -92,6 +92,13 @@
         self.task.abort();
     }
 
+    /// Ends: nothing is taken any more, and nothing is held.
+    #[allow(dead_code, reason = "not every test binary ends one")]
+    pub fn end(&self) {
+        self.stop();
+        self.lock().holds.clear();
+    }
+
     /// Whether it holds a key now.
     pub fn holds(&self, key: u64) -> bool {
         self.lock().holds(key)
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -41,3 +41,23 @@
         assert_eq!(world.get(0, "/list/all").await.status(), 200);
     }
 }
+
+/// A process starts, and its settings change at once. A signal that comes
+/// before the process handles it ends the process, and callers find nobody
+/// until it is started again.
+#[tokio::test]
+async fn a_reload_during_the_start_ends_nothing() {
+    let mut world = World::open(POOLED, 1, 1).await;
+    for _turn in 0..30 {
+        world.nodes[0].restart();
+        let ready = world.nodes[0].ready;
+        // At the first moment at which the process shows: it has not
+        // bound all of its addresses by then.
+        while std::net::TcpStream::connect(ready).is_err() {}
+
+        world.nodes[0].signal(Signal::HUP);
+        tokio::time::sleep(Duration::from_millis(30)).await;
+
+        assert!(world.nodes[0].runs());
+    }
+}
--- a/goldcrestramp-entry/tests/daemon/world.rs
+++ b/goldcrestramp-entry/tests/daemon/world.rs
@@ -59,8 +59,13 @@
 
 /// The entry of a server.
 pub fn entry(server: &ServerStandin, service: &str, state: &str) -> Value {
+    entry_at(server.address, service, state)
+}
+
+/// The entry of a server that is reached at an address.
+pub fn entry_at(address: SocketAddr, service: &str, state: &str) -> Value {
     json!({
-        "address": server.address.to_string(), "born": 1_700_000_000_000_u64,
+        "address": address.to_string(), "born": 1_700_000_000_000_u64,
         "info": {
             "service": service, "version": "v1", "zone": "north-a",
             "slots": 4
