Give up no work that is under way while a VM leaves

Ruled out: a silent server (it ran). It is looked at again when the wait is over, the budget for repeats too.

--- a/goldcrestramp-decisions/src/patience.rs
+++ b/goldcrestramp-decisions/src/patience.rs
@@ -24,8 +24,10 @@
     pub target: TimeSpan,
     /// The time until nobody waits for an answer any more.
     pub left: TimeSpan,
-    /// Whether the request could go to another server: it may repeat, there
-    /// is one that was not tried, the budget allows it, and this VM stays.
+    /// Whether the request could go to another server: it may repeat, and
+    /// there is one that was not tried. Whether it goes there then is
+    /// looked at again when the wait is over: the budget for repeats may be
+    /// used up, or this VM may be about to stop.
     pub replaceable: bool,
 }
 
--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -113,8 +113,8 @@
     assert_eq!(patience(sight), TimeSpan::from_millis(1_200));
 }
 
-/// Nobody else may be asked: the budget is used up, or this VM leaves. The
-/// answer that the server works on is the only one that can come.
+/// Nobody else may be asked. The answer that the server works on is the
+/// only one that can come.
 #[test]
 fn work_that_can_t_be_replaced_is_waited_for_to_the_end() {
     let sight = WaitSight { replaceable: false, ..wait_sight() };
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -1,6 +1,6 @@
 //! One send of a request to one server.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use goldcrestramp_adapter::headers as names;
 use goldcrestramp_decisions::{ServerSign, ServerWay};
@@ -105,8 +105,14 @@
     outgoing: Request<crate::http::SendBody>,
     plan: AttemptPlan,
 ) -> AttemptEnd {
-    let sent = link.try_send_request(outgoing);
-    let response = timeout(plan.patience.to_std(), sent).await;
+    let mut sent = pin!(link.try_send_request(outgoing));
+    let mut response = timeout(plan.patience.to_std(), &mut sent).await;
+    // The server may be at work. Given up now, with nobody else to ask, its
+    // caller would get a failure where the answer was on the way.
+    if response.is_err() && !state.may_replace(request) {
+        let rest = full_patience(request, MonotonicClock.now());
+        response = timeout(rest.to_std(), &mut sent).await;
+    }
     let now = MonotonicClock.now();
     let response = match response {
         Err(_elapsed) => {
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -208,16 +208,13 @@
     let service = state.service(&request.service);
     let line = request.slice.is_none().then(|| Rc::clone(&service.line));
     let slot = server.enter(now, request.class(), line);
-    let vms = state.view().vms.len();
     let patience = patience(WaitSight {
         usual: server.usual_answer(),
         target: request.route.target_latency,
         left: full_patience(request, now),
         replaceable: request.may_repeat()
             && replaceable
-            && progress.tried.len() + 1 < most
-            && state.stays()
-            && service.window.borrow_mut().has_room(now, vms),
+            && progress.tried.len() + 1 < most,
     });
     if progress.sends == 0 {
         let waited = now.since(request.arrived);
@@ -313,6 +310,15 @@
 }
 
 impl TrafficState {
+    /// Whether work that is under way may be given up for another server:
+    /// this VM stays, and the budget has a send left.
+    pub(crate) fn may_replace(&self, request: &RoutedRequest) -> bool {
+        let now = MonotonicClock.now();
+        let vms = self.view().vms.len();
+        let service = self.service(&request.service);
+        self.stays() && service.window.borrow_mut().has_room(now, vms)
+    }
+
     /// Learns the usual size of a route's answers.
     pub(crate) fn note_bytes(&self, request: &RoutedRequest, bytes: u64) {
         let download = request.route.effect == RouteEffect::Download;
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -61,3 +61,26 @@
         assert!(world.nodes[0].runs());
     }
 }
+
+/// A lookup is at a server when SIGTERM comes, and takes longer than
+/// answers on its route usually do. Given up for another server, the work
+/// is done twice, and ends as a failure when the other one has no time
+/// left; the VM that leaves waits for the answer that is on the way.
+#[tokio::test]
+async fn a_leaving_daemon_gives_up_no_work_that_is_under_way() {
+    let world = World::open(POOLED, 2, 1).await;
+    let work = Duration::from_millis(1_500);
+    for server in &world.servers {
+        server.set_manner(ServerManner::Works(work));
+    }
+    let attempt = world.attempt();
+    let request = world.request(0, Method::GET, "/list/all", &attempt);
+    let sent = tokio::spawn(request.send());
+    eventually(async || world.runs_of(&attempt) == 1).await;
+
+    world.nodes[0].signal(Signal::TERM);
+
+    let answer = sent.await.expect("no panic").expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(world.runs_of(&attempt), 1);
+}
