Take up a claim to plan whose answer was lost

Cause: soak seed 37, a key not served within 30 s: the store took a VM's claim, and neither its answer nor the reading after it came back. The record then named a run that did not know of it and kept its lease alive, so nobody planned. Ruled out: faults that never end (all had ended). A run that finds itself named and does not plan claims its own record anew. The daemon's test of it failed before.

--- a/goldcrestramp-assignment/tests/patch.rs
+++ b/goldcrestramp-assignment/tests/patch.rs
@@ -50,10 +50,11 @@
     planner.plan(now, fate, wishes, |_range| Some(life(0)))
 }
 
-/// Owner, token and phase of every run, whatever the numbering of lives.
-fn owners(
-    table: &AssignmentTable,
-) -> Vec<(SliceRange, Arc<str>, u64, RunPhase, Option<Arc<str>>)> {
+/// A run with its owner, token, phase and handover.
+type OwnedRun = (SliceRange, Arc<str>, u64, RunPhase, Option<Arc<str>>);
+
+/// The owner of every run, whatever the numbering of lives.
+fn owners(table: &AssignmentTable) -> Vec<OwnedRun> {
     let runs = table.runs().iter();
     runs.map(|run| {
         let id = Arc::clone(&table.life(run.life).id);
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -178,10 +178,12 @@
         let Some(lease) = self.lease.filter(|_| idle) else { return };
         let known = self.planner();
         // The record of an earlier run of this process outlives it until
-        // its lease ends; that run is surely over.
-        let own = known.as_ref().is_some_and(|(planner, _)| {
-            planner.vm == self.me.vm && planner.start != self.me.start
-        });
+        // its lease ends; that run is surely over. One of this run, which
+        // does not plan, is of a claim whose answer was lost: its lease is
+        // kept alive, so left alone it would keep everybody from planning.
+        let own = known
+            .as_ref()
+            .is_some_and(|(planner, _)| planner.vm == self.me.vm);
         if self.mirror.revision() == 0 || (known.is_some() && !own) {
             self.vacant_since = None;
             return;
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -70,7 +70,7 @@
     ) {
         let now = now();
         self.news.answered(now);
-        self.news.vms_read();
+        self.news.was_read();
         for item in page.items {
             self.mirror.write(item);
         }
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -61,6 +61,18 @@
     Peer(SocketAddr, u64),
 }
 
+/// What has been read of the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum ReadingState {
+    /// Nothing.
+    #[default]
+    Unread,
+    /// Who the other VMs are, or everything.
+    VmsKnown,
+    /// Changes since are no longer to be had.
+    HistoryLost,
+}
+
 /// What a VM knows of its way to the store.
 #[derive(Clone, Debug, Default)]
 pub struct NewsState {
@@ -74,10 +86,8 @@
     silent: bool,
     /// Whether this VM follows the store itself.
     direct: bool,
-    /// Whether the store has to be read whole.
-    whole: bool,
-    /// Whether the other VMs are known.
-    vms_known: bool,
+    /// What has been read of the store.
+    reading: ReadingState,
     /// VMs that could not be followed, with when that was.
     failed_peers: FastMap<SocketAddr, LocalTime>,
     /// The VM that is followed, with since when its news are not fresh.
@@ -146,17 +156,12 @@
 
     /// Notes that changes after the known revision can't be had any more.
     pub const fn history_lost(&mut self) {
-        self.whole = true;
+        self.reading = ReadingState::HistoryLost;
     }
 
-    /// Notes that everything was read.
+    /// Notes that the other VMs, or everything, was read.
     pub const fn was_read(&mut self) {
-        self.whole = false;
-    }
-
-    /// Notes that the other VMs are known.
-    pub const fn vms_read(&mut self) {
-        self.vms_known = true;
+        self.reading = ReadingState::VmsKnown;
     }
 
     /// Notes that a VM gave no answer.
@@ -198,21 +203,21 @@
         revision: u64,
         mut peers: impl Iterator<Item = SocketAddr>,
     ) -> NewsSource {
-        if revision == 0 && !self.vms_known {
+        if revision == 0 && self.reading == ReadingState::Unread {
             self.direct = true;
             return NewsSource::StoreVms;
         }
         self.failed_peers.retain(|_peer, at| now.since(*at) < PEER_PAUSE);
-        let usable = !self.silent
-            && !self.whole
-            && self.failed_peers.len() < PEERS_MOST;
+        let lost = self.reading == ReadingState::HistoryLost;
+        let usable =
+            !self.silent && !lost && self.failed_peers.len() < PEERS_MOST;
         let failed = &self.failed_peers;
         let peer = peers.find(|peer| !failed.contains_key(peer));
         let peer = peer.filter(|_peer| usable);
         self.direct = peer.is_none();
         match peer {
             Some(address) => NewsSource::Peer(address, revision),
-            None if revision == 0 || self.whole => NewsSource::StoreWhole,
+            None if revision == 0 || lost => NewsSource::StoreWhole,
             None => NewsSource::StoreChanges(revision),
         }
     }
--- a/goldcrestramp-entry/src/store.rs
+++ b/goldcrestramp-entry/src/store.rs
@@ -16,7 +16,7 @@
 
 /// A page of items is waited for longer: a megabyte takes two seconds on a
 /// link that is half full, and one that is given up is asked for again.
-const PAGE_LIMIT: Duration = Duration::from_millis(4_000);
+const PAGE_LIMIT: Duration = Duration::from_secs(4);
 
 /// An answer is at most a page of items: 1 MB, a third more as text.
 const ANSWER_BYTES_MOST: usize = 4 * 1024 * 1024;
--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -2,7 +2,10 @@
 
 use rustix::process::Signal;
 
-use crate::world::{DIVIDED, World, entry, eventually};
+use crate::{
+    store::StoreStandin,
+    world::{DIVIDED, World, entry, eventually},
+};
 
 /// Keys all over the space, far fewer than would make a test slow.
 fn some_keys() -> impl Iterator<Item = u64> {
@@ -85,3 +88,19 @@
         world.wait_served(other, key).await;
     }
 }
+
+/// A VM claims to plan, the store takes the claim and the answer is lost,
+/// and so is the reading that would tell. The record names a VM that does
+/// not know of it and keeps its lease alive: nobody plans, and no key of a
+/// lost server is ever served again. The VM claims its own record anew.
+#[tokio::test]
+async fn a_claim_whose_answer_was_lost_is_taken_up() {
+    let store = StoreStandin::spawn().await;
+    store.lose_claim();
+
+    let world = World::open_on(store, DIVIDED, 2, 1).await;
+
+    for key in some_keys() {
+        world.wait_served(0, key).await;
+    }
+}
--- a/goldcrestramp-entry/tests/daemon/store.rs
+++ b/goldcrestramp-entry/tests/daemon/store.rs
@@ -37,6 +37,10 @@
     deaf_watches: u32,
     /// The longest wait that a watch asked for, in milliseconds.
     longest_wait: u64,
+    /// Claims to plan whose answers get lost, and readings after them that
+    /// are turned away.
+    claims_lost: u32,
+    readings_refused: u32,
 }
 
 /// The store; it ends with the test.
@@ -92,6 +96,13 @@
         self.lock().longest_wait
     }
 
+    /// The answer to the next claim to plan is lost, and the reading that
+    /// would tell of it is turned away.
+    #[allow(dead_code, reason = "not every test binary loses one")]
+    pub fn lose_claim(&self) {
+        self.lock().claims_lost = 1;
+    }
+
     fn lock(&self) -> MutexGuard<'_, StoreState> {
         self.state.lock().expect("no handler panics")
     }
@@ -130,7 +141,14 @@
         match path.as_str() {
             "/v1/kv-range" => self.lock().range(&query),
             "/v1/kv-watch" => self.watch(&query).await,
-            "/v1/kv-txn" => self.lock().transact(&body),
+            "/v1/kv-txn" => {
+                let answer = self.lock().transact(&body);
+                let is_claim = body["writes"][0]["key"] == "router/planner";
+                if is_claim && self.lock().loses_claim() {
+                    std::future::pending::<()>().await;
+                }
+                answer
+            }
             "/v1/kv-lease" => self.lock().lease(&body),
             path => self.lock().lease_call(path),
         }
@@ -171,6 +189,13 @@
 }
 
 impl StoreState {
+    fn loses_claim(&mut self) -> bool {
+        let lost = self.claims_lost > 0;
+        self.claims_lost = 0;
+        self.readings_refused += u32::from(lost);
+        lost
+    }
+
     fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
         self.revision += 1;
         let revision = self.revision;
@@ -234,6 +259,10 @@
     ) -> Response<Full<Bytes>> {
         self.lapse();
         let prefix = query.get("path_prefix").map_or("", String::as_str);
+        if prefix == "router/" && self.readings_refused > 0 {
+            self.readings_refused -= 1;
+            return status(StatusCode::SERVICE_UNAVAILABLE);
+        }
         let items = self.items.iter().filter(|(k, _)| k.starts_with(prefix));
         let items: Vec<Value> = items
             .map(|(key, item)| {
--- a/goldcrestramp-entry/tests/daemon/world.rs
+++ b/goldcrestramp-entry/tests/daemon/world.rs
@@ -77,7 +77,17 @@
 impl World {
     /// Opens a world with servers of one service and so many daemons.
     pub async fn open(service: &str, servers: usize, nodes: usize) -> Self {
-        let store = StoreStandin::spawn().await;
+        Self::open_on(StoreStandin::spawn().await, service, servers, nodes)
+            .await
+    }
+
+    /// Opens a world on a store.
+    pub async fn open_on(
+        store: StoreStandin,
+        service: &str,
+        servers: usize,
+        nodes: usize,
+    ) -> Self {
         store.put("op/config", &configuration(1, None));
         let mut started = Vec::new();
         for number in 0..servers {
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -235,7 +235,7 @@
 fn a_vm_that_starts_has_the_store_s_contents_from_its_peer() {
     let mut news = NewsState::default();
     let first = news.next(at(0), 0, std::iter::empty());
-    news.vms_read();
+    news.was_read();
     let second = news.next(at(0), 0, [peer()].into_iter());
     news.peer_failed(at(10), peer());
     let alone = news.next(at(10), 0, [peer()].into_iter());
--- a/goldcrestramp-entry/tests/soak/main.rs
+++ b/goldcrestramp-entry/tests/soak/main.rs
@@ -6,8 +6,10 @@
 //! servers lose, break off, mix up and refuse; configurations change. What
 //! callers and servers see is held against the promises.
 //!
+//! Seeds that once broke a promise are played again with each run by hand.
+//!
 //! `GOLDCRESTRAMP_SOAK_SEEDS=50 GOLDCRESTRAMP_SOAK_FIRST=1000` plays fifty
-//! seeds from 1,000 on, four at a time; without them one seed is played.
+//! seeds from 1,000 on, six at a time; without them one seed is played.
 
 #[path = "../daemon/node.rs"]
 #[allow(dead_code, reason = "shared with the tests of single faults")]
@@ -31,8 +33,13 @@
 use crate::stage::play;
 
 /// Runs at a time: each is three processes and some hundred connections.
-const AT_ONCE: u64 = 6;
-const AT_ONCE_STEP: usize = 6;
+const AT_ONCE: usize = 6;
+
+/// Seeds that once broke a promise, each with what it showed.
+const KEPT_SEEDS: [(u64, &str); 2] = [
+    (7, "SIGHUP while a process started ended it"),
+    (37, "a claim to plan whose answer was lost kept all from planning"),
+];
 
 /// How long faults come, for a run in CI and for one by hand.
 const SHORT: Duration = Duration::from_secs(6);
@@ -50,10 +57,12 @@
     };
     let first = number("GOLDCRESTRAMP_SOAK_FIRST").unwrap_or(1);
     let mut broken = Vec::new();
-    for begin in (first..first + seeds).step_by(AT_ONCE_STEP) {
-        let end = (begin + AT_ONCE).min(first + seeds);
-        let runs: Vec<_> = (begin..end)
-            .map(|seed| (seed, tokio::spawn(play(seed, LONG))))
+    let kept = KEPT_SEEDS.iter().map(|(seed, _what)| *seed);
+    let all: Vec<u64> = kept.chain(first..first + seeds).collect();
+    for chunk in all.chunks(AT_ONCE) {
+        let runs: Vec<_> = chunk
+            .iter()
+            .map(|seed| (*seed, tokio::spawn(play(*seed, LONG))))
             .collect();
         for (seed, run) in runs {
             let result = run.await.expect("no run panics");
--- a/goldcrestramp-entry/tests/soak/relay.rs
+++ b/goldcrestramp-entry/tests/soak/relay.rs
@@ -69,13 +69,13 @@
     if now(&manner) == RelayManner::Resets {
         return;
     }
-    let Ok(callee) = TcpStream::connect(target).await else { return };
+    let Ok(answering) = TcpStream::connect(target).await else { return };
     let (from_caller, to_caller) = caller.into_split();
-    let (from_callee, to_callee) = callee.into_split();
+    let (answers, to_answering) = answering.into_split();
     // The end of one direction ends both, as the end of a process does.
     tokio::select! {
-        () = copy(from_caller, to_callee, &manner, true) => {}
-        () = copy(from_callee, to_caller, &manner, false) => {}
+        () = copy(from_caller, to_answering, &manner, true) => {}
+        () = copy(answers, to_caller, &manner, false) => {}
         () = until_reset(&manner) => {}
     }
 }
--- a/goldcrestramp-entry/tests/tables.rs
+++ b/goldcrestramp-entry/tests/tables.rs
@@ -2,7 +2,7 @@
 //! versions they have and in whatever order they hear of it.
 
 use goldcrestramp_adapter::StoreItem;
-use goldcrestramp_assignment::{AssignmentTable, ServerLife};
+use goldcrestramp_assignment::{AssignmentTable, ServerLife, TableError};
 use goldcrestramp_entry::{
     history::{TableBody, TableHistory, TableMark, TableNews},
     mirror::StoreMirror,
@@ -85,7 +85,8 @@
     let behind = history(2);
     let later = only(planner.news_for(&[mark(30)]));
 
-    assert!(behind.resolve(later).is_err());
+    let refused = behind.resolve(later);
+    assert_eq!(refused.err(), Some(TableError));
 
     let again = only(planner.news_for(&behind.marks()));
     assert!(behind.resolve(again).expect("its version").is_some());
