--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -289,7 +289,11 @@
         };
         plan.planner.order_ended(now, &ended.order, &ended.outcome);
         note_order(ended);
-        ended.order.kind == OrderKind::Release
+        let release = ended.order.kind == OrderKind::Release;
+        if release && matches!(ended.outcome, OrderOutcome::Done { .. }) {
+            self.metrics.moves.inc();
+        }
+        release
     }
 
     /// Ends the term of the run that is meant, if it is this one.
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -69,7 +69,7 @@
     pub servers: Gauge,
     /// 1 while this VM plans assignments.
     pub planning: Gauge,
-    /// Moves of keys that were begun.
+    /// Runs of keys that servers gave back.
     pub moves: Counter,
 }
 
@@ -139,7 +139,7 @@
         );
         registry.register(
             "moves",
-            "Moves of keys that were begun",
+            "Runs of keys that servers gave back",
             self.moves.clone(),
         );
     }
