--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -39,12 +39,6 @@
 /// tables reach all VMs without it.
 const WATCH_PAUSE: Duration = Duration::from_millis(450);
 
-/// A watch that tells so many changes may not have told all of them: the
-/// next one follows at once. With the pause, 3,000 servers write more in
-/// between than one answer holds; a VM then falls behind for ever, and a
-/// new configuration, which lies behind their heartbeats, never comes.
-const FULL_BATCH: usize = 256;
-
 /// Pauses after a failure: the first is short, as one lost answer is no
 /// outage; all VMs come back together, so they spread over half of it.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
@@ -61,18 +55,6 @@
 /// The control actor is gone: the process ends.
 struct ActorGone;
 
-/// When the next changes are asked for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum FollowPace {
-    /// With the pause in which changes gather.
-    Paused,
-    /// Now, as more is known to be there or wanted.
-    AtOnce,
-}
-
-/// What came of asking the store.
-type Followed = Result<Result<FollowPace, StoreFailure>, ActorGone>;
-
 impl StoreFollower {
     /// Follows the store until the actor is gone.
     pub(crate) async fn run(self) {
@@ -103,14 +85,13 @@
             NewsSource::StoreWhole => self.read_all().await?,
             NewsSource::StoreChanges(after) => self.watch(after).await?,
         };
-        match followed {
-            Ok(FollowPace::Paused) => sleep_until(next).await,
-            Ok(FollowPace::AtOnce) => {}
-            Err(failure) => {
-                log::debug!("[store] Following failed: {failure}.");
-                self.tell(StoreSilent).await?;
-                return Ok(false);
-            }
+        if let Err(failure) = followed {
+            log::debug!("[store] Following failed: {failure}.");
+            self.tell(StoreSilent).await?;
+            return Ok(false);
+        }
+        if step.source != NewsSource::StoreVms {
+            sleep_until(next).await;
         }
         Ok(true)
     }
@@ -130,44 +111,38 @@
         Ok(true)
     }
 
-    async fn read_vms(&self) -> Followed {
+    async fn read_vms(&self) -> Result<Result<(), StoreFailure>, ActorGone> {
         match self.store.read_all(VM_PREFIX).await {
-            Ok(page) => {
-                self.tell(VmReading(page)).await?;
-                Ok(Ok(FollowPace::AtOnce))
-            }
+            Ok(page) => self.tell(VmReading(page)).await.map(Ok),
             Err(failure) => Ok(Err(failure)),
         }
     }
 
-    async fn read_all(&self) -> Followed {
+    async fn read_all(&self) -> Result<Result<(), StoreFailure>, ActorGone> {
         let sent_at = MonotonicClock.now();
         match self.store.read_all("").await {
             Ok(page) => {
-                self.tell(StoreReading { sent_at, page }).await?;
-                Ok(Ok(FollowPace::Paused))
+                self.tell(StoreReading { sent_at, page }).await.map(Ok)
             }
             Err(failure) => Ok(Err(failure)),
         }
     }
 
-    async fn watch(&self, after: u64) -> Followed {
+    async fn watch(
+        &self,
+        after: u64,
+    ) -> Result<Result<(), StoreFailure>, ActorGone> {
         let prefix = "".into();
         let call = StoreCall::Watch { prefix, after, wait: WATCH_WAIT };
         let sent_at = MonotonicClock.now();
         match self.store.call(&call).await {
             Ok(StoreReply::Changes { events, revision }) => {
-                let full = events.len() >= FULL_BATCH;
                 let changes = StoreChanges { sent_at, events, revision };
-                self.tell(changes).await?;
-                let pace =
-                    if full { FollowPace::AtOnce } else { FollowPace::Paused };
-                Ok(Ok(pace))
+                self.tell(changes).await.map(Ok)
             }
             Ok(StoreReply::HistoryLost) => {
                 log::info!("[store] History after {after} is lost.");
-                self.tell(HistoryGone).await?;
-                Ok(Ok(FollowPace::Paused))
+                self.tell(HistoryGone).await.map(Ok)
             }
             Ok(_) => Ok(Err(StoreFailure::Unknown)),
             Err(failure) => Ok(Err(failure)),
