--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -19,7 +19,7 @@
 - [`span_to_send`]: a deadline that crosses to another process.
 - [`choose_server`]: which server of a service that any may serve.
 - [`WaitLine`]: who is next when a slot becomes free.
-- [`patience`]: how long an answer is waited for.
+- [`patience()`]: how long an answer is waited for.
 - [`SendWindow`]: how many sends beyond the first a VM may make.
 - [`WeightedTurns`]: the parts of a divided route.
 - [`spread_moves`]: which runs of keys move between servers, and when.
