Renew on while the store is away, though this VM leaves

Ruled out: slow servers (20 failures), a lost server (no entry gone). A planner that leaves and hears nothing of the store renews until its process ends.

--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -4,6 +4,9 @@
 mod node;
 mod orders;
 mod ownership;
+#[path = "../soak/relay.rs"]
+#[allow(dead_code, reason = "shared with the soak")]
+mod relay;
 mod server;
 mod stop;
 mod store;
--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -1,8 +1,11 @@
 //! Each key has one owner, through losses and moves.
 
+use std::time::Duration;
+
 use rustix::process::Signal;
 
 use crate::{
+    relay::{Relay, RelayManner},
     store::StoreStandin,
     world::{DIVIDED, World, entry, eventually},
 };
@@ -104,3 +107,27 @@
         world.wait_served(0, key).await;
     }
 }
+
+/// The store is away when the planning VM is stopped on a plan. Nobody can
+/// take its place, so if it stopped renewing holds at once, every key would
+/// lose its owner a hold later, in the middle of a rolling restart.
+#[tokio::test]
+async fn a_planner_that_leaves_renews_while_the_store_is_away() {
+    /// After this a VM knows that the store is silent.
+    const SILENCE: Duration = Duration::from_millis(1_600);
+    /// Orders that were under way at the stop have ended by then.
+    const UNDER_WAY: Duration = Duration::from_millis(800);
+    let mut store = StoreStandin::spawn().await;
+    let relay = Relay::spawn(store.address).await;
+    store.address = relay.address;
+    let world = World::open_on(store, DIVIDED, 1, 1).await;
+    world.wait_served(0, 0).await;
+    relay.set(RelayManner::Silent);
+    tokio::time::sleep(SILENCE).await;
+
+    world.nodes[0].signal(Signal::TERM);
+
+    tokio::time::sleep(UNDER_WAY).await;
+    let before = world.servers[0].orders();
+    eventually(async || world.servers[0].orders() > before).await;
+}
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -87,6 +87,11 @@
         self.lock().runs.values().sum()
     }
 
+    /// Grants and releases that it has taken.
+    pub fn orders(&self) -> usize {
+        self.lock().seen.len()
+    }
+
     /// Takes no more connections.
     pub fn stop(&self) {
         self.task.abort();
