Serve pipelined lookups at once, and answer them in their order

Cause: a connection's next request was read by the HTTP library only when the one before it was answered.

Ruled out: servers at fault for all of it (the VM's own times show half as many late lookups as the callers see); a server part of our own in place of the library's (the library goes on reading and writing; only bytes that have one plain reading are looked at ahead of it).

Change: the bytes of a connection are taken as they come. A bodiless request of an idempotent route is served at once beside those ahead of it, eight at the most; orders and what is behind them wait for their turn, since an answer that closes the connection has its caller send them again.

The daemon's tests of it fail when the gate lets nothing ahead.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -20,6 +20,7 @@
 - [`choose_server`]: which server of a service that any may serve.
 - [`WaitLine`]: who is next when a slot becomes free.
 - [`patience()`]: how long an answer is waited for.
+- [`PipelineGate`]: which pipelined requests are served at once.
 - [`SendWindow`]: how many sends beyond the first a VM may make.
 - [`WeightedTurns`]: the parts of a divided route.
 - [`spread_moves`]: which runs of keys move between servers, and when.
@@ -34,6 +35,7 @@
 mod link;
 mod load;
 mod patience;
+mod pipeline;
 mod placement;
 mod pool;
 mod queue;
@@ -56,6 +58,7 @@
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReading, REPORTED_SLICES, ServerLoad},
     patience::{WaitSight, patience},
+    pipeline::{PipelineEffect, PipelineGate, PipelineStart},
     placement::{
         LoadEstimate, PlaceReport, PlaceView, PlacementPlanner,
         PlacementSettings, PlannedMove, assign_orphans, greedy_moves,
--- a/goldcrestramp-entry/src/lib.rs
+++ b/goldcrestramp-entry/src/lib.rs
@@ -9,6 +9,7 @@
 - [`control`]: follows the store, plans assignments, gives orders.
 - [`traffic`]: takes, queues, sends and answers requests.
 - [`peers`]: what VMs tell one another.
+- [`framing`]: where the requests on a caller's connection end.
 - [`logs`], [`metrics`]: what operators see.
 - [`mirror`], [`history`], [`view`]: what is known of the store, and of the
   fleet.
@@ -16,6 +17,7 @@
 */
 
 pub mod control;
+pub mod framing;
 pub mod history;
 pub mod http;
 pub mod logs;
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -71,6 +71,8 @@
     pub planning: Gauge,
     /// Runs of keys that servers gave back.
     pub moves: Counter,
+    /// Pipelined requests that were served ahead of their turn.
+    pub pipelined: Counter,
 }
 
 impl fmt::Debug for EntryMetrics {
@@ -92,6 +94,7 @@
             servers: Gauge::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
+            pipelined: Counter::default(),
         };
         metrics.register();
         metrics
@@ -142,6 +145,11 @@
             "Runs of keys that servers gave back",
             self.moves.clone(),
         );
+        registry.register(
+            "pipelined",
+            "Pipelined requests served before the ones ahead were answered",
+            self.pipelined.clone(),
+        );
     }
 
     /// Counts the end of a request.
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -18,7 +18,9 @@
 use crate::{
     run::StopPhase,
     traffic::{
-        ConnectionCount, ConnectionGuard, serve::serve, state::TrafficState,
+        ConnectionCount, ConnectionGuard,
+        lane::{CallerLane, LaneStream},
+        state::TrafficState,
     },
 };
 
@@ -83,28 +85,38 @@
         limits.idle_time.to_std() * IDLE_FACTOR
     });
     let head = limits.map_or(HEAD_BYTES_LEAST, |limits| limits.head_bytes);
+    let (reader, writer) = stream.into_split();
+    let lane = CallerLane::open(state);
+    let answering = Rc::clone(&lane);
     let leaving = phase.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let (state, leaving) = (Rc::clone(&state), leaving.clone());
+        let (lane, leaving) = (Rc::clone(&answering), leaving.clone());
         async move {
-            let mut response = serve(&state, request).await;
-            if *leaving.borrow() != StopPhase::Serving {
+            let mut response = lane.answer(request).await;
+            let leaves = *leaving.borrow() != StopPhase::Serving;
+            if leaves && !lane.is_ahead() {
                 ask_to_leave(response.headers_mut());
             }
             Ok::<_, Infallible>(response)
         }
     });
+    let stream = LaneStream::new(Rc::clone(&lane), writer);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(head.max(HEAD_BYTES_LEAST) + HEAD_BYTES_LEAST)
         .serve_connection(TokioIo::new(stream), service);
-    pin!(connection);
+    let received = lane.receive(reader);
+    pin!(connection, received);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = closing(&mut phase) => {
+        () = received.as_mut() => return,
+        () = close(&mut phase, &lane) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            tokio::select! {
+                ended = connection => ended,
+                () = received => return,
+            }
         }
     };
     if let Err(error) = ended {
@@ -112,6 +124,12 @@
     }
 }
 
+/// Waits until a connection may be closed after its next answer.
+async fn close(phase: &mut watch::Receiver<StopPhase>, lane: &CallerLane) {
+    closing(phase).await;
+    lane.wait_caught_up().await;
+}
+
 /// Has a caller open its next connection, which the balancer sends to
 /// another VM.
 fn ask_to_leave(headers: &mut HeaderMap) {
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod choose;
 mod headers;
+mod lane;
 mod listener;
 mod reason;
 mod request;
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -7,7 +7,7 @@
 use goldcrestramp_decisions::LinePlace;
 use goldcrestramp_types::{LocalTime, RequestClass, SliceIndex, TimeSpan};
 use http::{
-    HeaderMap, Method, Request, Uri,
+    HeaderMap, Method, Uri,
     header::{CONTENT_LENGTH, HOST},
 };
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
@@ -107,12 +107,12 @@
 /// The route of a request.
 pub(crate) fn find_route(
     book: &RouteBook,
-    request: &Request<Incoming>,
+    headers: &HeaderMap,
+    uri: &Uri,
 ) -> Result<Arc<RequestRoute>, EndReason> {
-    let named = request.headers().get(HOST).and_then(|h| h.to_str().ok());
-    let host = named.or_else(|| request.uri().host()).unwrap_or("");
-    let path = request.uri().path();
-    book.find(host, path).map(Arc::clone).ok_or(EndReason::NoRoute)
+    let named = headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = named.or_else(|| uri.host()).unwrap_or("");
+    book.find(host, uri.path()).map(Arc::clone).ok_or(EndReason::NoRoute)
 }
 
 /// The moment at which an answer is of no more use.
@@ -145,12 +145,12 @@
 
 /// Reads the body, or lets a large one pass through.
 pub(crate) async fn read_body(
-    body: Incoming,
+    body: Option<Incoming>,
     bytes_most: u64,
 ) -> Result<RequestBody, EndReason> {
-    if body.is_end_stream() {
+    let Some(body) = body.filter(|body| !body.is_end_stream()) else {
         return Ok(RequestBody::Held(Bytes::new()));
-    }
+    };
     let said = body.size_hint().exact();
     if said.is_some_and(|bytes| bytes > bytes_most) {
         return Err(EndReason::BodyTooLarge);
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -42,12 +42,13 @@
     failure: Option<Response<AnswerBody>>,
 }
 
-/// Serves a request.
+/// Serves a request; without a body if it has none.
 pub(crate) async fn serve(
     state: &Rc<TrafficState>,
-    request: Request<Incoming>,
+    head: Request<()>,
+    body: Option<Incoming>,
 ) -> Response<AnswerBody> {
-    let mut request = match read(state, request).await {
+    let mut request = match read(state, head, body).await {
         Ok(request) => request,
         Err(reason) => {
             log::debug!("[gateway] A request ends: {}.", reason.code());
@@ -99,25 +100,26 @@
 /// Reads a request and finds its route.
 async fn read(
     state: &Rc<TrafficState>,
-    request: Request<Incoming>,
+    head: Request<()>,
+    body: Option<Incoming>,
 ) -> Result<RoutedRequest, EndReason> {
     let arrived = MonotonicClock.now();
     let view = state.view();
     let book = view.routes.as_ref().ok_or(EndReason::NoConfiguration)?;
-    let route = find_route(book, &request)?;
+    let (parts, ()) = head.into_parts();
+    let route = find_route(book, &parts.headers, &parts.uri)?;
     let weights: Vec<u32> =
         route.targets.iter().map(|target| target.weight).collect();
     let target = state.next_target(&route.name, &weights);
     let target = target.ok_or(EndReason::NoServer)?;
     let service = Arc::clone(&route.targets[target].service);
     let slice = if book.is_divided(&service) {
-        Some(slice_of(request.headers())?)
+        Some(slice_of(&parts.headers)?)
     } else {
         None
     };
-    let deadline = deadline_of(arrived, request.headers(), &route);
+    let deadline = deadline_of(arrived, &parts.headers, &route);
     let bytes_most = book.limits.body_bytes;
-    let (parts, body) = request.into_parts();
     let left = deadline.since(arrived).to_std();
     let body = timeout(left, read_body(body, bytes_most)).await;
     let body = body.map_err(|_elapsed| EndReason::BodyBroken)??;
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod node;
 mod orders;
 mod ownership;
+mod pipeline;
 #[path = "../soak/relay.rs"]
 #[allow(dead_code, reason = "shared with the soak")]
 mod relay;
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -12,6 +12,7 @@
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
     task::JoinHandle,
+    time::timeout,
 };
 
 /// What a server does with requests.
@@ -19,6 +20,8 @@
 pub enum ServerManner {
     /// It runs and answers them, after this time.
     Works(Duration),
+    /// It runs them, and answers once it works again.
+    Holds,
     /// It runs them and closes the connection in place of an answer.
     LosesAnswers,
     /// It runs them and breaks off in the middle of each answer.
@@ -39,6 +42,8 @@
     /// Runs of keys with the tokens seen on them.
     seen: Vec<(u64, u64, u64)>,
     divided: bool,
+    /// Requests whose caller left while their answer was held back.
+    abandoned: u32,
 }
 
 /// A backend server; it ends with the test, or when it is stopped.
@@ -59,6 +64,7 @@
             holds: Vec::new(),
             seen: Vec::new(),
             divided,
+            abandoned: 0,
         }));
         let (known, name) = (Arc::clone(&state), id.to_owned());
         let task = tokio::spawn(async move {
@@ -87,6 +93,12 @@
         self.lock().runs.values().sum()
     }
 
+    /// Requests whose caller left while their answer was held back.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub fn abandoned(&self) -> u32 {
+        self.lock().abandoned
+    }
+
     /// Grants and releases that it has taken.
     pub fn orders(&self) -> usize {
         self.lock().seen.len()
@@ -201,6 +213,7 @@
     while let Some(request) = read(&mut stream).await? {
         let (head, wait, close) = answer(state, id, &request);
         tokio::time::sleep(wait).await;
+        wait_released(&mut stream, state).await?;
         stream.get_mut().write_all(head.as_bytes()).await?;
         if close {
             return Ok(());
@@ -209,6 +222,27 @@
     Ok(())
 }
 
+/// Waits while answers are held back; an error if the caller leaves.
+async fn wait_released(
+    stream: &mut BufReader<TcpStream>,
+    state: &Mutex<ServerState>,
+) -> std::io::Result<()> {
+    let holds = || {
+        let state = state.lock().expect("no handler panics");
+        state.manner == ServerManner::Holds
+    };
+    while holds() {
+        let pause = Duration::from_millis(10);
+        if let Ok(read) = timeout(pause, stream.fill_buf()).await
+            && read?.is_empty()
+        {
+            state.lock().expect("no handler panics").abandoned += 1;
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+    }
+    Ok(())
+}
+
 /// The bytes of the answer, the time until it, and whether the connection
 /// ends.
 fn answer(
@@ -266,6 +300,7 @@
             (response("200 OK", &headers, id), Duration::ZERO, false)
         }
         ServerManner::Works(wait) => (whole, wait, false),
+        ServerManner::Holds => (whole, Duration::ZERO, false),
         ServerManner::Sheds => unreachable!("answered above"),
     }
 }
--- a/goldcrestramp-entry/tests/daemon/world.rs
+++ b/goldcrestramp-entry/tests/daemon/world.rs
@@ -116,12 +116,25 @@
     }
 
     async fn wait_ready(&self, ready: SocketAddr) {
+        eventually(async || self.says_ready(ready).await).await;
+    }
+
+    async fn says_ready(&self, ready: SocketAddr) -> bool {
         let url = format!("http://{ready}/v1/ready");
-        eventually(async || {
-            let answer = self.http.get(&url).send().await;
-            answer.is_ok_and(|answer| answer.status() == 200)
-        })
-        .await;
+        let answer = self.http.get(&url).send().await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Whether a daemon says that it is ready.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub async fn is_ready(&self, node: usize) -> bool {
+        self.says_ready(self.nodes[node].ready).await
+    }
+
+    /// Requests that daemons gave up while servers held their answers back.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub fn abandoned(&self) -> u32 {
+        self.servers.iter().map(ServerStandin::abandoned).sum()
     }
 
     /// A fresh id of an attempt.
