Place keys by what their callers wait, and learn servers' speed apart from queues

Cause: a server's share of its slots in use was what keys were placed by, with its speed taken from the least time of an answer in a report. The mean that a full server was compared with held what nobody can serve: one key asked for five times what a server can do kept servers at 1.2 of their slots from being relieved while others stood at 0.3. A planner's rates began at zero and closed in by a second.

Change: (1) rates are corrected for their age; (2) the work of a request is worked out by Little's law from a server's answers and their times; (3) keys move to where one more request costs all callers least (Sakasegawa's queue of several slots), as far as the level that all could share, if the move saves enough.

Ruled out: placing by callers' region (both ask for the same keys alike). The test of few moved keys now has the least gain that runs in the product, in place of the band that is gone; its bounds are unchanged.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -22,6 +22,7 @@
 - [`patience()`]: how long an answer is waited for.
 - [`PipelineGate`]: which pipelined requests are served at once.
 - [`SendWindow`]: how many sends beyond the first a VM may make.
+- [`WorkEstimate`]: how long a server works on a request.
 - [`WeightedTurns`]: the parts of a divided route.
 - [`spread_moves`]: which runs of keys move between servers, and when.
 - [`baseline`]: two simple ways, kept to be measured against.
@@ -39,12 +40,14 @@
 mod placement;
 mod pool;
 mod queue;
+mod queueing;
 mod reader;
 mod retry;
 mod spread;
 mod turns;
 mod wait_line;
 mod window;
+mod work;
 
 pub use crate::{
     attempt::{
@@ -81,4 +84,5 @@
     turns::WeightedTurns,
     wait_line::{LinePlace, WaitLine},
     window::{SendWindow, WindowSettings},
+    work::WorkEstimate,
 };
--- a/goldcrestramp-decisions/src/spread.rs
+++ b/goldcrestramp-decisions/src/spread.rs
@@ -13,6 +13,8 @@
 
 use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
 
+use crate::queueing::{DelayCurve, bisect, slot_count};
+
 /// Every key there can be.
 const KEYS: usize = 65_536;
 
@@ -45,19 +47,26 @@
 /// keys wait for nothing.
 const WORTH_PART: f32 = 0.03;
 
-/// A part moves if its new server is then used by no more than this part
-/// of what the present one is now. Without it the busiest key of all went
-/// round the servers, a second each, and its callers waited for each move.
-const BETTER_PART: f32 = 0.85;
+/// A move has to save this part of what the moved keys have at a server:
+/// their callers wait for about a tenth of a second while it lasts, and the
+/// load of single keys is not known better.
+const GAIN_PART: f32 = 0.1;
+
+/// What a moved key costs, in the unit of what a move saves: of two parts
+/// that save nearly as much the one with fewer keys moves.
+const KEY_COST: f32 = 0.001;
+
+/// A server that has joined is given keys while it has less than this part
+/// of the mean use, by servers that have more than the second part.
+const JOINED_PART: f32 = 0.25;
+const GIVING_PART: f32 = 0.5;
 
 /// The figures that decide when keys move.
 #[derive(Clone, Copy, Debug)]
 pub struct SpreadSettings {
-    /// A server is relieved when its use is this far above the mean.
-    pub band: f32,
-    /// Below this use of its slots a server is never relieved: its
-    /// requests hardly wait.
-    pub busy_from: f32,
+    /// A move has to save the callers so much: requests that are at the
+    /// servers at any moment.
+    pub gain_least: f32,
     /// The most moves of one round.
     pub moves: usize,
     /// The most runs of a service: each is renewed on its own.
@@ -70,13 +79,17 @@
     rates: Vec<f32>,
     counted: Vec<u32>,
     since: LocalTime,
+    /// The part of the rates that rests on what was counted; the rest is
+    /// the zero that they began with.
+    known: f32,
 }
 
 impl RangeLoad {
     /// Opens with no load known.
     #[must_use]
     pub fn open(now: LocalTime) -> Self {
-        Self { rates: vec![0.0; KEYS], counted: vec![0; KEYS], since: now }
+        let (rates, counted) = (vec![0.0; KEYS], vec![0; KEYS]);
+        Self { rates, counted, since: now, known: 0.0 }
     }
 
     /// Counts requests for a key.
@@ -85,16 +98,22 @@
     }
 
     /// Takes what was counted into the rates.
+    ///
+    /// A planner that has just begun knows nothing. Blended with the zero
+    /// that it began with, the first counts made a full server look idle
+    /// for two seconds, and its keys stayed with it.
     pub fn settle(&mut self, now: LocalTime) {
         let passed = seconds(now.since(self.since));
         if passed <= 0.0 {
             return;
         }
         let kept = 0.5_f32.powf(passed / seconds(HALF_LIFE));
+        self.known = 1.0 - (1.0 - self.known) * kept;
+        let gain = (1.0 - kept) / self.known;
         for (rate, counted) in self.rates.iter_mut().zip(&mut self.counted) {
             #[expect(clippy::cast_precision_loss, reason = "small counts")]
             let fresh = *counted as f32 / passed;
-            *rate = *rate * kept + fresh * (1.0 - kept);
+            *rate += gain * (fresh - *rate);
             *counted = 0;
         }
         self.since = now;
@@ -198,8 +217,8 @@
 pub struct PlaceLoad {
     /// The requests that it runs at once.
     pub slots: u32,
-    /// The usual time of an answer, in seconds.
-    pub answer_s: f32,
+    /// Its work on a request, in seconds.
+    pub work_s: f32,
     /// Whether it may be given keys.
     pub open: bool,
 }
@@ -241,15 +260,17 @@
 impl PlaceLoad {
     /// The use that so many requests a second make.
     fn use_by(&self, rate: f32) -> f32 {
-        #[expect(clippy::cast_precision_loss, reason = "a few slots")]
-        let slots = self.slots.max(1) as f32;
-        rate * self.answer_s / slots
+        rate * self.work_s / slot_count(self.slots)
     }
 
     /// The requests a second that make such a use.
     fn rate_by(&self, used: f32) -> f32 {
         used / self.use_by(1.0).max(f32::MIN_POSITIVE)
     }
+
+    const fn delay(&self) -> DelayCurve {
+        DelayCurve { slots: self.slots, work_s: self.work_s }
+    }
 }
 
 /// The open place that is used least, for keys that have no holder.
@@ -268,10 +289,13 @@
         uses[*place] += places[*place].use_by(*rate);
     }
     let rate = load.of(range);
-    let after = |place: usize| uses[place] + places[place].use_by(rate);
+    let cost = |place: usize| {
+        let to = &places[place];
+        to.delay().marginal(uses[place] + to.use_by(rate))
+    };
     let chosen = (0..places.len())
         .filter(|place| places[*place].open)
-        .min_by(|a, b| after(*a).total_cmp(&after(*b)))?;
+        .min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
     given.push((chosen, rate));
     Some(chosen)
 }
@@ -293,6 +317,22 @@
     moves
 }
 
+/// What one more request costs at each place if all of them are used so
+/// that it costs the same everywhere, in seconds.
+fn common_level(places: &[PlaceLoad], uses: &[f32]) -> f32 {
+    /// More than a request costs at a server that is asked for thrice what
+    /// it can do.
+    const LEVEL_MOST: f32 = 32.0;
+    let rates = places.iter().zip(uses);
+    let asked: f32 = rates.map(|(place, used)| place.rate_by(*used)).sum();
+    let open = || places.iter().filter(|place| place.open);
+    bisect(LEVEL_MOST, |level| {
+        let served =
+            open().map(|place| place.rate_by(place.delay().use_at(level)));
+        served.sum::<f32>() < asked
+    })
+}
+
 /// The loads while moves are chosen.
 struct SpreadRound<'a> {
     runs: Vec<PlacedRun>,
@@ -301,6 +341,9 @@
     settings: &'a SpreadSettings,
     uses: Vec<f32>,
     mean: f32,
+    /// What one more request would cost anywhere if loads could be dealt
+    /// out as finely as one likes, in seconds.
+    level: f32,
     /// Places that have nothing to give in this round.
     spent: Vec<bool>,
 }
@@ -316,6 +359,7 @@
         let open = places.iter().filter(|place| place.open).count();
         #[expect(clippy::cast_precision_loss, reason = "a few servers")]
         let mean = uses.iter().sum::<f32>() / open.max(1) as f32;
+        let level = common_level(places, &uses);
         Self {
             runs: runs.to_vec(),
             places,
@@ -323,6 +367,7 @@
             settings,
             uses,
             mean,
+            level,
             spent: vec![false; places.len()],
         }
     }
@@ -330,55 +375,42 @@
     fn next_move(&mut self) -> Option<RangeMove> {
         loop {
             let source = self.fullest()?;
-            let target = self.lightest()?;
-            if source == target || !self.is_worth_it(source, target) {
-                return None;
-            }
-            if let Some(chosen) = self.move_between(source, target) {
+            if let Some(chosen) = self.move_from(source) {
                 return Some(chosen);
             }
             self.spent[source] = true;
         }
     }
 
+    fn marginal(&self, place: usize) -> f32 {
+        self.places[place].delay().marginal(self.uses[place])
+    }
+
+    /// The place whose callers wait most for one another.
     fn fullest(&self) -> Option<usize> {
         (0..self.places.len())
             .filter(|place| !self.spent[*place])
-            .max_by(|a, b| self.uses[*a].total_cmp(&self.uses[*b]))
+            .max_by(|a, b| self.marginal(*a).total_cmp(&self.marginal(*b)))
     }
 
     fn lightest(&self) -> Option<usize> {
         (0..self.places.len())
             .filter(|place| self.places[*place].open)
-            .min_by(|a, b| self.uses[*a].total_cmp(&self.uses[*b]))
+            .min_by(|a, b| self.marginal(*a).total_cmp(&self.marginal(*b)))
     }
 
-    /// A server that has joined gets its part also when nobody is busy; a
-    /// busy one is relieved when others are clearly less so.
-    fn is_worth_it(&self, source: usize, target: usize) -> bool {
-        let joined = self.uses[target] < self.mean / 4.0
-            && self.uses[source] > self.mean / 2.0;
-        let busy = self.uses[source] > self.settings.busy_from
-            && self.uses[source] > self.mean + self.settings.band
-            && self.uses[target] < self.mean;
-        joined || busy
-    }
-
-    /// The first part of the source that is better off elsewhere.
-    fn move_between(
-        &mut self,
-        source: usize,
-        target: usize,
-    ) -> Option<RangeMove> {
-        let gap = (self.uses[source] - self.uses[target]) / 2.0;
-        let surplus = (self.uses[source] - self.mean).max(gap / 2.0);
-        let wanted = self.places[source].rate_by(gap.min(surplus));
+    /// Moves the part of the source that saves callers most.
+    fn move_from(&mut self, source: usize) -> Option<RangeMove> {
+        let target = self.lightest().filter(|target| *target != source)?;
+        let wanted = self.wanted(source, target);
         let parts = self.parts(source, wanted);
-        let (position, range, target) =
-            parts.into_iter().find_map(|(position, range)| {
-                let target = self.best_target(source, range)?;
-                Some((position, range, target))
-            })?;
+        let (_gain, position, range, target) = parts
+            .into_iter()
+            .filter_map(|(position, range)| {
+                let (gain, target) = self.best_target(source, range)?;
+                Some((gain, position, range, target))
+            })
+            .max_by(|a, b| a.0.total_cmp(&b.0))?;
         let rate = self.load.of(range);
         self.uses[source] -= self.places[source].use_by(rate);
         self.uses[target] += self.places[target].use_by(rate);
@@ -386,18 +418,54 @@
         Some(RangeMove { range, target })
     }
 
-    /// The place that is used least once it has a part; nothing if the
-    /// part would only make it as full as the source is now. A key that
-    /// alone is asked for more than any server can do stays where it is.
-    fn best_target(&self, source: usize, range: SliceRange) -> Option<usize> {
+    /// The requests a second after whose move one more costs as much at
+    /// either place; no more than the target would have if all were dealt
+    /// out evenly, or it would have to give others away at once.
+    fn wanted(&self, source: usize, target: usize) -> f32 {
+        let (from, to) = (&self.places[source], &self.places[target]);
+        let room = to.delay().use_at(self.level) - self.uses[target];
+        let most = from.rate_by(self.uses[source]);
+        bisect(most.min(to.rate_by(room)), |rate| {
+            let left = self.uses[source] - from.use_by(rate);
+            let grown = self.uses[target] + to.use_by(rate);
+            from.delay().marginal(left) > to.delay().marginal(grown)
+        })
+    }
+
+    /// The place where a part costs least, with what its move saves;
+    /// nothing if that is not worth it. A key that alone is asked for more
+    /// than any server can do stays where it is, as it is no better off
+    /// elsewhere.
+    fn best_target(
+        &self,
+        source: usize,
+        range: SliceRange,
+    ) -> Option<(f32, usize)> {
         let rate = self.load.of(range);
-        let after =
-            |place: usize| self.uses[place] + self.places[place].use_by(rate);
-        let target = (0..self.places.len())
-            .filter(|place| self.places[*place].open && *place != source)
-            .min_by(|a, b| after(*a).total_cmp(&after(*b)))?;
-        let better = after(target) < self.uses[source] * BETTER_PART;
-        better.then_some(target)
+        let open = |place: &usize| self.places[*place].open;
+        let others = (0..self.places.len()).filter(|place| *place != source);
+        let costs = others.filter(open).map(|place| {
+            let (to, used) = (&self.places[place], self.uses[place]);
+            let grown = used + to.use_by(rate);
+            (to.delay().cost(grown) - to.delay().cost(used), place)
+        });
+        let (cost, target) = costs.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let from = &self.places[source];
+        let used = self.uses[source];
+        let left = (used - from.use_by(rate)).max(0.0);
+        let saved = from.delay().cost(used) - from.delay().cost(left) - cost;
+        let gain = saved - KEY_COST * count(range.slices() as usize);
+        let least = GAIN_PART * rate * from.work_s;
+        let worth_it = gain > least.max(self.settings.gain_least);
+        let joined = saved > 0.0 && self.has_joined(source, target);
+        (worth_it || joined).then_some((gain, target))
+    }
+
+    /// Whether the target has joined and the source has keys to spare: it
+    /// gets its part also when nobody is busy.
+    fn has_joined(&self, source: usize, target: usize) -> bool {
+        self.uses[target] < self.mean * JOINED_PART
+            && self.uses[source] > self.mean * GIVING_PART
     }
 
     /// The parts that may move, best first: a dense one of the busiest
--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -180,10 +180,10 @@
 }
 
 const SPREAD: SpreadSettings =
-    SpreadSettings { band: 0.12, busy_from: 0.45, moves: 12, runs_most: 600 };
+    SpreadSettings { gain_least: 0.7, moves: 12, runs_most: 600 };
 
 fn places(servers: usize) -> Vec<PlaceLoad> {
-    vec![PlaceLoad { slots: 2, answer_s: 0.1, open: true }; servers]
+    vec![PlaceLoad { slots: 2, work_s: 0.1, open: true }; servers]
 }
 
 /// One run a server, in order.
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -8,8 +8,8 @@
     ServerLife, TablePlanner,
 };
 use goldcrestramp_decisions::{
-    PlaceLoad, PlacedRun, RangeLoad, SpreadSettings, lightest_place,
-    place_uses, spread_moves,
+    PlaceLoad, PlacedRun, RangeLoad, SpreadSettings, WorkEstimate,
+    lightest_place, place_uses, spread_moves,
 };
 use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
 
@@ -33,27 +33,8 @@
 /// A run that moved stays for so long, or noise would send it to and fro.
 const REST: TimeSpan = TimeSpan::from_millis(800);
 
-/// The usual time of an answer moves by this part of the difference with
-/// each report.
-const ANSWER_GAIN: f32 = 0.3;
-
-/// A server's pace rises by the first part of the difference with each
-/// round and falls by the second. Answers of a full server hold waits, and
-/// one that has just been given busy keys would look slow: its keys would
-/// go to another one, which would look slow next. A server that is slow for
-/// seconds still shows within two.
-const PACE_RISE: f32 = 0.1;
-const PACE_FALL: f32 = 0.4;
-
-/// Above this use a server's pace does not rise: its answers hold waits.
-const PACE_USE_MOST: f32 = 0.5;
-
-/// The bounds of a server's pace against the usual one.
-const PACE_LEAST: f32 = 0.3;
-const PACE_MOST: f32 = 12.0;
-
-/// What stands in until a server's answers are known.
-const ANSWER_FIRST: f32 = 0.1;
+/// What stands in until servers have answered.
+const WORK_FIRST: f32 = 0.1;
 
 /// A server that has just started takes about twice the time.
 const COLD_FACTOR: f32 = 2.0;
@@ -66,7 +47,7 @@
 /// seconds: a quarter of the servers in each round.
 fn spread_settings(servers: usize) -> SpreadSettings {
     let moves = (servers / 4).max(12);
-    SpreadSettings { band: 0.25, busy_from: 0.5, moves, runs_most: 600 }
+    SpreadSettings { gain_least: 0.7, moves, runs_most: 600 }
 }
 
 /// The plan of one service while this VM plans.
@@ -78,11 +59,8 @@
     /// Whether a commit is on its way.
     pub(crate) committing: bool,
     load: RangeLoad,
-    answers: FastMap<Arc<str>, f32>,
-    /// The least time of an answer of each server, in seconds.
-    leasts: FastMap<Arc<str>, f32>,
-    /// Each server's time of an answer against the usual one.
-    paces: FastMap<Arc<str>, f32>,
+    /// What is known of each server's speed.
+    works: FastMap<Arc<str>, WorkEstimate>,
     weigh_at: LocalTime,
     resting: Vec<(SliceRange, LocalTime)>,
 }
@@ -105,28 +83,22 @@
             revision,
             committing: false,
             load: RangeLoad::open(now),
-            answers: FastMap::default(),
-            leasts: FastMap::default(),
-            paces: FastMap::default(),
+            works: FastMap::default(),
             weigh_at: now + WEIGH_PAUSE,
             resting: Vec::new(),
         }
     }
 
     /// Takes what a VM was asked for.
-    pub(crate) fn take_load(&mut self, _now: LocalTime, load: &ServiceLoad) {
+    pub(crate) fn take_load(&mut self, now: LocalTime, load: &ServiceLoad) {
         for (key, requests) in &load.keys {
             self.load.count((*key).into(), *requests);
         }
         for (server, sum) in &load.servers {
-            #[expect(clippy::cast_precision_loss, reason = "small counts")]
-            let mean = sum.millis as f32 / 1_000.0 / sum.answers.max(1) as f32;
-            let known = self.answers.entry(Arc::clone(server)).or_insert(mean);
-            *known += ANSWER_GAIN * (mean - *known);
-            #[expect(clippy::cast_precision_loss, reason = "small counts")]
-            let least = sum.least as f32 / 1_000.0;
-            let known = self.leasts.entry(Arc::clone(server)).or_insert(least);
-            *known += ANSWER_GAIN * (least - *known);
+            let known = self.works.entry(Arc::clone(server));
+            let work = known.or_insert_with(|| WorkEstimate::open(now));
+            let span = TimeSpan::from_millis(u64::from(sum.millis));
+            work.answered(sum.answers, span.to_std().as_secs_f32());
         }
     }
 
@@ -162,16 +134,12 @@
         }
         self.resting.retain(|(_range, until)| *until > now);
         let weigh = now >= self.weigh_at;
-        let mut board = PlaceBoard::new(self, ready);
-        let wishes = if weigh {
+        if weigh {
             self.weigh_at = now + WEIGH_PAUSE;
-            self.load.settle(now);
-            self.learn_paces(&board);
-            board = PlaceBoard::new(self, ready);
-            self.wishes(&board)
-        } else {
-            Vec::new()
-        };
+            self.settle(now, ready);
+        }
+        let board = PlaceBoard::new(self, ready);
+        let wishes = if weigh { self.wishes(&board) } else { Vec::new() };
         let mut given = Vec::new();
         let load = &self.load;
         let place = |range| {
@@ -203,48 +171,34 @@
         moves.iter().map(wish).collect()
     }
 
-    /// The time of an answer of a server that is not full, in seconds.
-    fn answer_s(&self, entry: &ServerEntry) -> f32 {
-        let known = self.paces.get(&entry.id).copied().unwrap_or(1.0);
-        let cold = entry.cold_left > TimeSpan::ZERO;
-        let pace = if cold { known.max(COLD_FACTOR) } else { known };
-        self.usual_answer_s() * pace
-    }
-
-    /// Learns the servers' paces.
-    fn learn_paces(&mut self, board: &PlaceBoard) {
-        let usual = median(&self.leasts).max(f32::MIN_POSITIVE);
-        let uses = place_uses(&board.runs, &board.places, &self.load);
-        for (life, used) in board.lives.iter().zip(uses) {
-            let Some(answer) = self.leasts.get(&life.id) else { continue };
-            let pace = self.paces.entry(Arc::clone(&life.id)).or_insert(1.0);
-            let seen = (answer / usual).clamp(PACE_LEAST, PACE_MOST);
-            if seen < *pace {
-                *pace += PACE_FALL * (seen - *pace);
-            } else if used < PACE_USE_MOST {
-                *pace += PACE_RISE * (seen - *pace);
-            }
+    /// Takes what was reported since the last round into what is known.
+    fn settle(&mut self, now: LocalTime, ready: &[Arc<ServerEntry>]) {
+        self.load.settle(now);
+        self.works.retain(|id, _| ready.iter().any(|e| e.id == *id));
+        for work in self.works.values_mut() {
+            work.settle(now);
         }
-        let lives = &board.lives;
-        self.paces.retain(|id, _| lives.iter().any(|life| life.id == *id));
-        self.answers.retain(|id, _| lives.iter().any(|life| life.id == *id));
-        self.leasts.retain(|id, _| lives.iter().any(|life| life.id == *id));
     }
 
-    /// The usual time of an answer of any server.
-    fn usual_answer_s(&self) -> f32 {
-        if self.answers.is_empty() {
-            return ANSWER_FIRST;
+    /// The work of a server on a request, in seconds.
+    fn work_s(&self, entry: &ServerEntry, usual: f32) -> f32 {
+        let work = self.works.get(&entry.id);
+        let work = work.and_then(|work| work.seconds(entry.slots));
+        if entry.cold_left > TimeSpan::ZERO {
+            return work.unwrap_or(0.0).max(usual * COLD_FACTOR);
         }
-        median(&self.answers)
+        work.unwrap_or(usual)
     }
-}
 
-/// The middle one of the values; 0 if there is none.
-fn median(values: &FastMap<Arc<str>, f32>) -> f32 {
-    let mut sorted: Vec<f32> = values.values().copied().collect();
-    sorted.sort_by(f32::total_cmp);
-    sorted.get(sorted.len() / 2).copied().unwrap_or(0.0)
+    /// The usual work of the servers on a request, in seconds.
+    fn usual_work_s(&self, ready: &[Arc<ServerEntry>]) -> f32 {
+        let known = ready.iter().filter_map(|entry| {
+            self.works.get(&entry.id)?.seconds(entry.slots)
+        });
+        let mut sorted: Vec<f32> = known.collect();
+        sorted.sort_by(f32::total_cmp);
+        sorted.get(sorted.len() / 2).copied().unwrap_or(WORK_FIRST)
+    }
 }
 
 /// The servers and runs of a service as the spreading sees them.
@@ -256,13 +210,14 @@
 
 impl PlaceBoard {
     fn new(plan: &ServicePlan, ready: &[Arc<ServerEntry>]) -> Self {
+        let usual = plan.usual_work_s(ready);
         let mut lives: Vec<ServerLife> =
             ready.iter().map(|entry| life_of(entry)).collect();
         let mut places: Vec<PlaceLoad> = ready
             .iter()
             .map(|entry| PlaceLoad {
                 slots: entry.slots,
-                answer_s: plan.answer_s(entry),
+                work_s: plan.work_s(entry, usual),
                 open: true,
             })
             .collect();
@@ -276,8 +231,8 @@
             positions.insert(key, known.unwrap_or(lives.len()));
             if known.is_none() {
                 lives.push(life.clone());
-                let answer_s = plan.usual_answer_s();
-                places.push(PlaceLoad { slots: 1, answer_s, open: false });
+                let gone = PlaceLoad { slots: 1, work_s: usual, open: false };
+                places.push(gone);
             }
         }
         let runs = table.runs().iter().map(|run| PlacedRun {
