Hold no server back for shedding at random, and tell an empty budget at once

Cause: three refusals in a row at one request at a time held a server for 100 ms and then twice as long with each refused probe. Where the budget for another send was used up, callers were told after the pause before it.

Change: a server is held after 16 refusals in a row with no answer between; 8 held it by chance every three seconds. The budget is looked at before the pause.

--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -36,6 +36,11 @@
 /// a server of two slots one cut connection already breaks both.
 const FAILURE_LIMIT: u32 = 3;
 
+/// Refusals in a row, at one request at a time, after which a server is
+/// held: one that sheds half of its requests whatever its load refuses a few
+/// in a row by chance, and asking it less would have it serve less.
+const REFUSAL_LIMIT: u32 = 16;
+
 /// The first hold, and the longest: a restart takes seconds, and a key is
 /// to be served again within 2 s of a loss.
 const HOLD_FIRST: TimeSpan = TimeSpan::from_millis(100);
@@ -119,6 +124,7 @@
     stage: LimitStage,
     pace: ServerPace,
     failures: u32,
+    refusals: u32,
     halved_at: LocalTime,
     held_since: Option<LocalTime>,
 }
@@ -132,6 +138,7 @@
             stage: LimitStage::Open { limit: 1, answers: 0 },
             pace: ServerPace::new(now),
             failures: 0,
+            refusals: 0,
             halved_at: now,
             held_since: None,
         }
@@ -236,6 +243,7 @@
     /// An answer ends any doubt, and lets the limit grow by degrees.
     fn answered(&mut self) {
         self.failures = 0;
+        self.refusals = 0;
         self.held_since = None;
         let LimitStage::Open { limit, answers } = self.stage else {
             self.stage = LimitStage::Open { limit: 1, answers: 1 };
@@ -263,7 +271,11 @@
             self.stage = LimitStage::Open { limit, answers: 0 };
             return;
         }
-        self.failed(now, random);
+        self.refusals += 1;
+        let probing = matches!(self.stage, LimitStage::Probing { .. });
+        if probing || self.refusals >= REFUSAL_LIMIT {
+            self.hold(now, random);
+        }
     }
 
     /// A failure at the end of a row, or of a probe, holds the server.
--- a/goldcrestramp-decisions/tests/limit.rs
+++ b/goldcrestramp-decisions/tests/limit.rs
@@ -65,6 +65,47 @@
     assert_eq!(limit.verdict(at(2_051)), LimitVerdict::Open(1));
 }
 
+/// A server turns a part of its requests away whatever its load; each key
+/// has this server alone. Held back after a few refusals in a row, it is
+/// idle while its callers are refused here: of a hundred requests a second
+/// nearly all are to reach it.
+#[test]
+fn a_server_that_sheds_at_random_is_not_held_back() {
+    let mut limit = warm();
+    let mut random = 12_345_u32;
+    let mut sent = 0;
+    for turn in 0..1_000 {
+        let now = 2_000 + turn * 10;
+        limit.tick(at(now), 0);
+        if matches!(limit.verdict(at(now)), LimitVerdict::Held(_)) {
+            continue;
+        }
+        sent += 1;
+        random = random.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        let sheds = random >> 16 < 0x8CCC;
+        let sign = if sheds { ServerSign::Refused } else { answered(5) };
+        run(&mut limit, now, 5, sign);
+    }
+
+    assert!(sent > 950, "{sent} of 1000 were sent");
+}
+
+/// A server that refuses everything is asked now and then only.
+#[test]
+fn a_server_that_refuses_everything_is_held() {
+    let mut limit = warm();
+    let mut sent = 0;
+    for turn in 0..1_000 {
+        let now = 2_000 + turn * 10;
+        if matches!(limit.verdict(at(now)), LimitVerdict::Open(_)) {
+            sent += 1;
+            run(&mut limit, now, 5, ServerSign::Refused);
+        }
+    }
+
+    assert!(sent < 50, "{sent} of 1000 were sent");
+}
+
 /// Every request sent to a frozen server is held until it wakes. The keeper
 /// sends none until a probe is due; each failed probe doubles the time.
 #[test]
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -229,6 +229,11 @@
     if !matches!(end, AttemptEnd::NotSent) && !known {
         progress.tried.push(Arc::clone(&server.id));
     }
+    let again = matches!(end, AttemptEnd::NotRun | AttemptEnd::Misdirected);
+    // Known now: told after the pause, its caller returns later for nothing.
+    if again && !state.has_repeat(request) {
+        return Err(EndReason::RetryBudget.into());
+    }
     after_send(request, progress, end).await
 }
 
@@ -315,10 +320,15 @@
     /// Whether work that is under way may be given up for another server:
     /// this VM stays, and the budget has a send left.
     pub(crate) fn may_replace(&self, request: &RoutedRequest) -> bool {
+        self.stays() && self.has_repeat(request)
+    }
+
+    /// Whether the budget has a send beyond the first left.
+    fn has_repeat(&self, request: &RoutedRequest) -> bool {
         let now = MonotonicClock.now();
         let vms = self.view().vms.len();
         let service = self.service(&request.service);
-        self.stays() && service.window.borrow_mut().has_room(now, vms)
+        service.window.borrow_mut().has_room(now, vms)
     }
 
     /// Learns the usual size of a route's answers.
