Learn the times of answers by route

Change: usual times by server and route; for a server that is not known on the route, those of its service. What waits for an owner goes on being reckoned with all of its answers, since all wait in one queue.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -18,6 +18,7 @@
 - [`is_reader_lost`]: how long a stalled reader may hold a slot.
 - [`span_to_send`]: a deadline that crosses to another process.
 - [`choose_server`]: which server of a service that any may serve.
+- [`AnswerTimes`]: how long a server's answers usually take.
 - [`WaitLine`]: who is next when a slot becomes free.
 - [`patience()`]: how long an answer is waited for.
 - [`PipelineGate`]: which pipelined requests are served at once.
@@ -44,6 +45,7 @@
 mod reader;
 mod retry;
 mod spread;
+mod times;
 mod turns;
 mod wait_line;
 mod window;
@@ -81,6 +83,7 @@
         PlaceLoad, PlacedRun, RangeLoad, RangeMove, SpreadSettings,
         lightest_place, place_uses, spread_moves,
     },
+    times::AnswerTimes,
     turns::WeightedTurns,
     wait_line::{LinePlace, WaitLine},
     window::{SendWindow, WindowSettings},
--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -1,9 +1,12 @@
 //! Decisions of a VM that sends directly to servers.
 
+use std::sync::Arc;
+
 use goldcrestramp_decisions::{
-    LinePlace, PlaceLoad, PlacedRun, PoolCandidate, PoolChoice, RangeLoad,
-    SendWindow, ServerWay, SpreadSettings, WaitLine, WaitSight, WeightedTurns,
-    WindowSettings, choose_server, patience, place_uses, spread_moves,
+    AnswerTimes, LinePlace, PlaceLoad, PlacedRun, PoolCandidate, PoolChoice,
+    RangeLoad, SendWindow, ServerWay, SpreadSettings, WaitLine, WaitSight,
+    WeightedTurns, WindowSettings, choose_server, patience, place_uses,
+    spread_moves,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
 
@@ -132,6 +135,29 @@
     assert_eq!(patience(late), TimeSpan::from_millis(300));
 }
 
+/// A server answers lookups in 50 ms and checks in 300 ms, and nine of ten
+/// requests are lookups. A check is at work for 400 ms: given up by the
+/// time of all answers it would run twice. A lookup that a silent server
+/// has is asked for elsewhere long before that.
+#[test]
+fn long_work_among_short_is_waited_for_by_its_own_time() {
+    let (lookup, check) = (Arc::from("lookup"), Arc::from("check"));
+    let mut times = AnswerTimes::default();
+    for turn in 0..200 {
+        let long = turn % 10 == 0;
+        let (route, millis) = if long { (&check, 300) } else { (&lookup, 50) };
+        times.note(route, TimeSpan::from_millis(millis));
+    }
+    let wait = |route: &str| {
+        patience(WaitSight { usual: times.of(route), ..wait_sight() })
+    };
+
+    assert!(wait("check") > TimeSpan::from_millis(900));
+    assert!(wait("lookup") <= TimeSpan::from_millis(250));
+    let together = WaitSight { usual: Some(times.mean()), ..wait_sight() };
+    assert!(patience(together) < TimeSpan::from_millis(400));
+}
+
 /// Asking whether a repeat is left takes none.
 #[test]
 fn looking_at_the_budget_uses_nothing_of_it() {
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -225,6 +225,7 @@
         }
         Ok(Ok(ReadAnswer::Whole(body))) => {
             let span = slot.answered(now);
+            state.note_answer(request, span);
             slot.server.keep(link, keep_alive(&headers));
             if request.slice.is_some() {
                 let id = &slot.server.id;
@@ -240,7 +241,8 @@
             }
         }
         Ok(Ok(ReadAnswer::Begun(begun, rest))) => {
-            slot.answered(now);
+            let span = slot.answered(now);
+            state.note_answer(request, span);
             let answer =
                 streamed_answer(status, headers, begun, rest, slot, link);
             AttemptEnd::Answered(answer)
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -134,7 +134,7 @@
         }
         return Destination::Server { server, way, replaceable: false };
     }
-    let latency = server.latency();
+    let latency = server.times.borrow().mean();
     Destination::Wait {
         line: LineKind::Server(server),
         slots: limit.max(1),
@@ -154,7 +154,7 @@
     /// The part of the target at which answers are nearly late.
     const NEARLY_LATE_PERCENT: u64 = 70;
     let target = request.route.target_latency;
-    if server.latency() > target.percent(NEARLY_LATE_PERCENT) {
+    if server.times.borrow().mean() > target.percent(NEARLY_LATE_PERCENT) {
         return limit.min(1);
     }
     limit
@@ -184,7 +184,7 @@
     let download = request.route.effect == RouteEffect::Download;
     let bytes = service.bytes[usize::from(download)].get();
     let waiting = service.line.borrow().len();
-    let seen = ready.iter().map(|entry| see(state, view, now, entry));
+    let seen = ready.iter().map(|entry| see(state, view, request, now, entry));
     let seen: Vec<SeenServer> = seen.collect();
     let fresh = |server: &SeenServer| !tried.contains(&server.server.id);
     let any_fresh = seen.iter().any(fresh);
@@ -224,6 +224,7 @@
 fn see(
     state: &TrafficState,
     view: &FleetView,
+    request: &RoutedRequest,
     now: LocalTime,
     entry: &ServerEntry,
 ) -> SeenServer {
@@ -239,11 +240,15 @@
     };
     let slots = entry.slots as usize;
     let server = state.server(now, &life, slots, sharers);
+    let service = state.service(&request.service);
+    let times = service.times.borrow();
+    let route = &request.route.name;
+    let latency = server.times.borrow().expected(route, &times);
     let candidate = PoolCandidate {
         way,
         limit: server.limit(now),
         in_flight: server.in_flight(),
-        latency: server.latency(),
+        latency,
     };
     SeenServer { server, candidate }
 }
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -209,9 +209,9 @@
     }
     let service = state.service(&request.service);
     let line = request.slice.is_none().then(|| Rc::clone(&service.line));
-    let slot = server.enter(now, request.class(), line);
+    let slot = server.enter(now, request, line);
     let patience = patience(WaitSight {
-        usual: server.usual_answer(),
+        usual: server.times.borrow().of(&request.route.name),
         target: request.route.target_latency,
         left: full_patience(request, now),
         replaceable: request.may_repeat()
@@ -331,6 +331,12 @@
         service.window.borrow_mut().has_room(now, vms)
     }
 
+    /// Learns the usual time of a service's answers.
+    pub(crate) fn note_answer(&self, request: &RoutedRequest, span: TimeSpan) {
+        let service = self.service(&request.service);
+        service.times.borrow_mut().note(&request.route.name, span);
+    }
+
     /// Learns the usual size of a route's answers.
     pub(crate) fn note_bytes(&self, request: &RoutedRequest, bytes: u64) {
         let download = request.route.effect == RouteEffect::Download;
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -9,25 +9,21 @@
 };
 
 use goldcrestramp_decisions::{
-    LimitVerdict, ServerLimit, ServerSign, WaitLine,
+    AnswerTimes, LimitVerdict, ServerLimit, ServerSign, WaitLine,
 };
 use goldcrestramp_types::{
     ClockSource, LocalTime, MonotonicClock, RequestClass, TimeSpan,
 };
 use tokio::sync::oneshot;
 
-use crate::http::{LinkEnd, LinkSender, dial, usable};
+use crate::{
+    http::{LinkEnd, LinkSender, dial, usable},
+    traffic::request::RoutedRequest,
+};
 
 /// Wakes a request that waits.
 pub(crate) type RequestLine = WaitLine<oneshot::Sender<()>>;
 
-/// The usual time of an answer moves by this part of the difference: some
-/// six answers, so that a server that turns slow is seen within a second.
-const LATENCY_GAIN: u64 = 6;
-
-/// What stands in until a server has answered.
-const LATENCY_FIRST: TimeSpan = TimeSpan::from_millis(100);
-
 /// A kept connection of which the server does not say how long it keeps
 /// it: shorter than what servers usually do.
 const IDLE_USUAL: TimeSpan = TimeSpan::from_millis(4_000);
@@ -50,7 +46,7 @@
     pub(crate) address: SocketAddr,
     limit: RefCell<ServerLimit>,
     in_flight: Cell<usize>,
-    latency: Cell<Option<TimeSpan>>,
+    pub(crate) times: RefCell<AnswerTimes>,
     idle: RefCell<Vec<IdleLink>>,
     /// Requests that wait for this server alone.
     pub(crate) line: RefCell<RequestLine>,
@@ -70,7 +66,7 @@
             address,
             limit: RefCell::new(ServerLimit::open(now, share)),
             in_flight: Cell::new(0),
-            latency: Cell::default(),
+            times: RefCell::default(),
             idle: RefCell::default(),
             line: RefCell::default(),
             share: Cell::new(share),
@@ -91,29 +87,21 @@
         self.in_flight.get()
     }
 
-    /// The usual time of an answer; a usual figure until one has come.
-    pub(crate) fn latency(&self) -> TimeSpan {
-        self.usual_answer().unwrap_or(LATENCY_FIRST)
-    }
-
-    /// The usual time of an answer, once one has come.
-    pub(crate) fn usual_answer(&self) -> Option<TimeSpan> {
-        self.latency.get()
-    }
-
     /// Takes a place at the server until the slot is dropped.
     pub(crate) fn enter(
         self: &Rc<Self>,
         now: LocalTime,
-        class: RequestClass,
+        request: &RoutedRequest,
         line: Option<Rc<RefCell<RequestLine>>>,
     ) -> ServerSlot {
+        let class = request.class();
         self.in_flight.set(self.in_flight.get() + 1);
         self.limit.borrow_mut().started(now, class);
         ServerSlot {
             server: Rc::clone(self),
             since: now,
             class,
+            route: Arc::clone(&request.route.name),
             line,
             replied: Cell::new(false),
             ended: Cell::new(false),
@@ -157,6 +145,7 @@
     pub(crate) server: Rc<ServerState>,
     pub(crate) since: LocalTime,
     class: RequestClass,
+    route: Arc<str>,
     /// The line of the service, where any server may serve.
     line: Option<Rc<RefCell<RequestLine>>>,
     replied: Cell<bool>,
@@ -184,11 +173,7 @@
     /// Notes an answer of the server.
     pub(crate) fn answered(&self, now: LocalTime) -> TimeSpan {
         let span = now.since(self.since);
-        let known = self.server.latency();
-        let kept = known.as_micros() - known.as_micros() / LATENCY_GAIN;
-        let fresh = span.as_micros() / LATENCY_GAIN;
-        let usual = TimeSpan::from_micros(kept + fresh);
-        self.server.latency.set(Some(usual));
+        self.server.times.borrow_mut().note(&self.route, span);
         self.end(now, ServerSign::Answered(self.class, span));
         span
     }
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -9,7 +9,7 @@
 use goldcrestramp_adapter::{NodeSettings, ServerEntry};
 use goldcrestramp_assignment::ServerLife;
 use goldcrestramp_decisions::{
-    SendWindow, ServerWay, WeightedTurns, WindowSettings,
+    AnswerTimes, SendWindow, ServerWay, WeightedTurns, WindowSettings,
 };
 use goldcrestramp_types::{
     ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
@@ -37,6 +37,8 @@
 pub(crate) struct ServiceState {
     pub(crate) line: Rc<RefCell<RequestLine>>,
     pub(crate) window: RefCell<SendWindow>,
+    /// The usual times of all servers' answers.
+    pub(crate) times: RefCell<AnswerTimes>,
     /// The usual bytes of an answer, of downloads and of others.
     pub(crate) bytes: [Cell<u64>; 2],
 }
@@ -179,6 +181,7 @@
             Rc::new(ServiceState {
                 line: Rc::default(),
                 window: RefCell::new(window),
+                times: RefCell::default(),
                 bytes: Default::default(),
             })
         });
