--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -17,7 +17,6 @@
 - [`ServerLoad`]: what a server's slots were used for.
 - [`is_reader_lost`]: how long a stalled reader may hold a slot.
 - [`span_to_send`]: a deadline that crosses to another process.
-- [`OwnerShare`]: what a VM may have under way at a key's only server.
 - [`choose_server`]: which server of a service that any may serve.
 - [`AnswerTimes`]: how long a server's answers usually take.
 - [`WaitLine`]: who is next when a slot becomes free.
@@ -37,7 +36,6 @@
 mod limit;
 mod link;
 mod load;
-mod owner;
 mod patience;
 mod pipeline;
 mod placement;
@@ -64,7 +62,6 @@
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSign},
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReading, REPORTED_SLICES, ServerLoad},
-    owner::OwnerShare,
     patience::{WaitSight, patience},
     pipeline::{PipelineEffect, PipelineGate, PipelineStart},
     placement::{
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -46,12 +46,10 @@
     /// It waits in a line for a free slot.
     Wait {
         line: LineKind,
-        /// The time between two requests of the line.
-        turn: TimeSpan,
+        /// Requests that the servers can run at once for this VM.
+        slots: usize,
         /// The usual time of an answer.
         latency: TimeSpan,
-        /// Nothing is sent before, even if a slot is free.
-        free_at: LocalTime,
     },
     /// It waits for this long at the most, until the key has an owner.
     Hold(TimeSpan),
@@ -129,8 +127,7 @@
     let slots = entry.map_or(1, |entry| entry.slots as usize);
     let way = entry.map_or(ServerWay::Far, |entry| state.way_to(entry));
     let server = state.server(now, life, slots, view.vms.len());
-    let owned = server.owned.get();
-    let limit = server.limit(now).min(owned.limit(now));
+    let limit = owner_limit(server.limit(now), &server, request);
     if server.in_flight() < limit {
         if server.line.borrow().is_empty() {
             server.line.borrow_mut().moves();
@@ -140,12 +137,29 @@
     let latency = server.times.borrow().mean();
     Destination::Wait {
         line: LineKind::Server(server),
-        turn: owned.interval(latency),
+        slots: limit.max(1),
         latency,
-        free_at: owned.free_at(),
     }
 }
 
+/// What may be under way at an owner. Nobody else can serve its keys, so
+/// when its answers are nearly late, the VMs' shares of its queue shrink to
+/// one each: what waits there is answered in time, and the rest is told at
+/// once.
+fn owner_limit(
+    limit: usize,
+    server: &ServerState,
+    request: &RoutedRequest,
+) -> usize {
+    /// The part of the target at which answers are nearly late.
+    const NEARLY_LATE_PERCENT: u64 = 70;
+    let target = request.route.target_latency;
+    if server.times.borrow().mean() > target.percent(NEARLY_LATE_PERCENT) {
+        return limit.min(1);
+    }
+    limit
+}
+
 /// What to do with a request whose key has had no owner for `known`.
 fn dark(known: TimeSpan) -> Destination {
     if known < MOVE_TIME {
@@ -194,9 +208,8 @@
         PoolChoice::Full => {
             let slots = candidates.iter().map(|c| c.limit).sum::<usize>();
             let latency = mean_latency(&candidates);
-            let turn = latency.percent(100 / slots.max(1) as u64);
             let line = LineKind::Service(Rc::clone(&service.line));
-            Destination::Wait { line, turn, latency, free_at: now }
+            Destination::Wait { line, slots: slots.max(1), latency }
         }
         PoolChoice::TooLate => Destination::Refused(EndReason::TooLate),
     }
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -20,7 +20,7 @@
     },
     server::ServerState,
     state::TrafficState,
-    wait::{LineSight, RETURN_USUAL, RequestEnd, hold, pause, wait_in_line},
+    wait::{RETURN_USUAL, RequestEnd, hold, pause, wait_in_line},
 };
 
 /// Sends that no server has run or will run, for one request: more means
@@ -175,9 +175,8 @@
                     return Ok(answer);
                 }
             }
-            Destination::Wait { line, turn, latency, free_at } => {
-                let sight = LineSight { turn, latency, free_at };
-                wait_in_line(request, &line, sight).await?;
+            Destination::Wait { line, slots, latency } => {
+                wait_in_line(request, &line, slots, latency).await?;
             }
             Destination::Hold(span) => {
                 hold(state, request, span).await?;
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -9,7 +9,7 @@
 };
 
 use goldcrestramp_decisions::{
-    AnswerTimes, LimitVerdict, OwnerShare, ServerLimit, ServerSign, WaitLine,
+    AnswerTimes, LimitVerdict, ServerLimit, ServerSign, WaitLine,
 };
 use goldcrestramp_types::{
     ClockSource, LocalTime, MonotonicClock, RequestClass, TimeSpan,
@@ -47,8 +47,6 @@
     limit: RefCell<ServerLimit>,
     in_flight: Cell<usize>,
     pub(crate) times: RefCell<AnswerTimes>,
-    /// What of its share this VM uses while keys have this server alone.
-    pub(crate) owned: Cell<OwnerShare>,
     idle: RefCell<Vec<IdleLink>>,
     /// Requests that wait for this server alone.
     pub(crate) line: RefCell<RequestLine>,
@@ -69,7 +67,6 @@
             limit: RefCell::new(ServerLimit::open(now, share)),
             in_flight: Cell::new(0),
             times: RefCell::default(),
-            owned: Cell::new(OwnerShare::open(share)),
             idle: RefCell::default(),
             line: RefCell::default(),
             share: Cell::new(share),
@@ -105,7 +102,6 @@
             since: now,
             class,
             route: Arc::clone(&request.route.name),
-            target: request.route.target_latency,
             line,
             replied: Cell::new(false),
             ended: Cell::new(false),
@@ -150,7 +146,6 @@
     pub(crate) since: LocalTime,
     class: RequestClass,
     route: Arc<str>,
-    target: TimeSpan,
     /// The line of the service, where any server may serve.
     line: Option<Rc<RefCell<RequestLine>>>,
     replied: Cell<bool>,
@@ -179,9 +174,6 @@
     pub(crate) fn answered(&self, now: LocalTime) -> TimeSpan {
         let span = now.since(self.since);
         self.server.times.borrow_mut().note(&self.route, span);
-        let mut owned = self.server.owned.get();
-        owned.answered(now, span, self.target, self.server.share.get());
-        self.server.owned.set(owned);
         self.end(now, ServerSign::Answered(self.class, span));
         span
     }
--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -1,6 +1,6 @@
 //! How a request waits, and when it does not.
 
-use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
+use goldcrestramp_types::{ClockSource, MonotonicClock, TimeSpan};
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::traffic::{
@@ -43,28 +43,17 @@
     tokio::time::sleep(span.min(left)).await;
 }
 
-/// What a request in a line has to expect.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct LineSight {
-    /// The time between two requests of the line.
-    pub(crate) turn: TimeSpan,
-    /// The usual time of an answer.
-    pub(crate) latency: TimeSpan,
-    /// Nothing is sent before.
-    pub(crate) free_at: LocalTime,
-}
-
 /// Waits for a free slot, unless it would come too late.
 pub(crate) async fn wait_in_line(
     request: &RoutedRequest,
     line: &LineKind,
-    sight: LineSight,
+    slots: usize,
+    latency: TimeSpan,
 ) -> Result<(), RequestEnd> {
-    let LineSight { turn, latency, free_at } = sight;
     let now = MonotonicClock.now();
     let place = request.place;
     let ahead = line.with(|line| line.ahead_of(place)) as u64;
-    let expected = turn.percent(100 * (ahead + 1));
+    let expected = latency.percent(100 * (ahead + 1) / slots as u64);
     let standing = line.with(|line| line.stands(now));
     let left = if standing {
         least(request.left(now), request.target_left(now))
@@ -77,9 +66,7 @@
     }
     let (waker, woken) = oneshot::channel();
     line.with(|line| line.join(place, waker));
-    let pause = free_at.since(now);
-    let look = if pause > TimeSpan::ZERO { pause } else { LOOK_AGAIN };
-    let left = least(request.left(now).minus(latency), look);
+    let left = least(request.left(now).minus(latency), LOOK_AGAIN);
     // Woken or not, the state is looked at again.
     let _woken = timeout(left.to_std(), woken).await;
     line.with(|line| line.leave(place));
