Give warm servers their slots at once

Cause: a VM that has just started gave each server one request at a time until it had answered a few.

Ruled out: a late start (a VM is ready within a second of its process), missing owners (no refusal for it in these seconds).

Change: a server whose entry says that it is not cold starts with its share.

--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -144,6 +144,19 @@
         }
     }
 
+    /// The limit of a server that has been at work for a while, as seen by
+    /// a VM that has not: all of its slots from the begin.
+    ///
+    /// VMs that start together, after a loss of all of them, gave each
+    /// server one request at a time until it had answered a few, and
+    /// refused what half of its slots could have run.
+    #[must_use]
+    pub fn warm(now: LocalTime, slots: usize) -> Self {
+        let limit = slots.max(1);
+        let stage = LimitStage::Open { limit, answers: 0 };
+        Self { stage, ..Self::open(now, slots) }
+    }
+
     /// What may be sent now.
     #[must_use]
     pub fn verdict(&self, now: LocalTime) -> LimitVerdict {
--- a/goldcrestramp-decisions/tests/limit.rs
+++ b/goldcrestramp-decisions/tests/limit.rs
@@ -41,6 +41,16 @@
     assert_eq!(seen, slots.map(LimitVerdict::Open));
 }
 
+/// All VMs have lost power and start again among servers that have been at
+/// work all the while. Given one request at a time, such a server would be
+/// idle but for one slot while callers are refused.
+#[test]
+fn a_server_that_is_warm_is_given_its_slots_at_once() {
+    let limit = ServerLimit::warm(at(0), 4);
+
+    assert_eq!(limit.verdict(at(0)), LimitVerdict::Open(4));
+}
+
 #[test]
 fn a_download_at_a_cold_server_does_not_keep_it_cold() {
     let mut limit = ServerLimit::open(at(0), 2);
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -124,9 +124,9 @@
         }
     }
     let entry = view.servers.get(&life.id);
-    let slots = entry.map_or(1, |entry| entry.slots as usize);
+    let entry = entry.map(|entry| &**entry);
     let way = entry.map_or(ServerWay::Far, |entry| state.way_to(entry));
-    let server = state.server(now, life, slots, view.vms.len());
+    let server = state.server(now, life, entry, view.vms.len());
     let limit = owner_limit(server.limit(now), &server, request);
     if server.in_flight() < limit {
         if server.line.borrow().is_empty() {
@@ -238,8 +238,7 @@
         ServerWay::Domain => view.vms_in(&entry.domain),
         ServerWay::Region | ServerWay::Far => view.vms.len(),
     };
-    let slots = entry.slots as usize;
-    let server = state.server(now, &life, slots, sharers);
+    let server = state.server(now, &life, Some(entry), sharers);
     let service = state.service(&request.service);
     let times = service.times.borrow();
     let route = &request.route.name;
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -56,15 +56,15 @@
 
 impl ServerState {
     pub(crate) fn open(
-        now: LocalTime,
         id: Arc<str>,
         address: SocketAddr,
+        limit: ServerLimit,
         share: usize,
     ) -> Self {
         Self {
             id,
             address,
-            limit: RefCell::new(ServerLimit::open(now, share)),
+            limit: RefCell::new(limit),
             in_flight: Cell::new(0),
             times: RefCell::default(),
             idle: RefCell::default(),
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -9,7 +9,8 @@
 use goldcrestramp_adapter::{NodeSettings, ServerEntry};
 use goldcrestramp_assignment::ServerLife;
 use goldcrestramp_decisions::{
-    AnswerTimes, SendWindow, ServerWay, WeightedTurns, WindowSettings,
+    AnswerTimes, SendWindow, ServerLimit, ServerWay, WeightedTurns,
+    WindowSettings,
 };
 use goldcrestramp_types::{
     ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
@@ -147,16 +148,23 @@
         &self,
         now: LocalTime,
         life: &ServerLife,
-        slots: usize,
+        entry: Option<&ServerEntry>,
         sharers: usize,
     ) -> Rc<ServerState> {
+        let slots = entry.map_or(1, |entry| entry.slots as usize);
         let share = (SHARED_DEPTH * slots).div_ceil(sharers.max(1));
         let share = share.clamp(SHARE_LEAST, slots.max(SHARE_LEAST));
         let mut servers = self.servers.borrow_mut();
         let server = servers.entry(life.clone()).or_insert_with(|| {
             let most = slots.max(SHARE_LEAST);
             let id = Arc::clone(&life.id);
-            Rc::new(ServerState::open(now, id, life.address, most))
+            let warm = entry.is_some_and(|e| e.cold_left == TimeSpan::ZERO);
+            let limit = if warm {
+                ServerLimit::warm(now, most)
+            } else {
+                ServerLimit::open(now, most)
+            };
+            Rc::new(ServerState::open(id, life.address, limit, most))
         });
         server.share.set(share);
         Rc::clone(server)
