--- a/goldcrestramp-assignment/src/planner.rs
+++ b/goldcrestramp-assignment/src/planner.rs
@@ -255,16 +255,6 @@
         }
     }
 
-    /// When the next order is due, for one that waits.
-    #[must_use]
-    pub fn wake_at(&self) -> Option<LocalTime> {
-        let due = |run: &AssignedRun| {
-            let memo = self.memos.get(run)?;
-            memo.waits().then_some(memo.due)
-        };
-        self.table.runs.iter().filter_map(due).min()
-    }
-
     /// Whether nobody can hold the keys of a run any more.
     fn is_free(
         &self,
--- a/goldcrestramp-decisions/src/wait_line.rs
+++ b/goldcrestramp-decisions/src/admission.rs
@@ -10,13 +10,13 @@
 
 use goldcrestramp_types::{LocalTime, TimeSpan};
 
-/// A line in which somebody has waited for so long stands: more comes than
+/// A queue in which somebody has waited for so long stands: more comes than
 /// can be served, and it is no burst that passes.
 const STANDING: TimeSpan = TimeSpan::from_millis(300);
 
-/// The place of a request in any line it comes to wait in.
+/// The place of a request in any queue it comes to wait in.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct LinePlace {
+pub struct QueuePlace {
     /// The rank, 0 first.
     pub priority: u8,
     /// The order of arrival; no two requests have the same.
@@ -28,33 +28,33 @@
 /// # Example
 ///
 /// ```
-/// use goldcrestramp_decisions::{LinePlace, WaitLine};
+/// use goldcrestramp_decisions::{QueuePlace, AdmissionQueue};
 ///
-/// let mut line = WaitLine::default();
-/// line.join(LinePlace { priority: 2, turn: 1 }, "lookup");
-/// line.join(LinePlace { priority: 1, turn: 2 }, "order");
-/// assert_eq!(line.wake(), Some("order"));
+/// let mut queue = AdmissionQueue::default();
+/// queue.join(QueuePlace { priority: 2, turn: 1 }, "lookup");
+/// queue.join(QueuePlace { priority: 1, turn: 2 }, "order");
+/// assert_eq!(queue.wake(), Some("order"));
 /// ```
 #[derive(Debug)]
-pub struct WaitLine<Waker> {
-    waiting: BTreeMap<LinePlace, Waker>,
+pub struct AdmissionQueue<Waker> {
+    waiting: BTreeMap<QueuePlace, Waker>,
     /// Since when somebody has had to wait.
     since: Option<LocalTime>,
 }
 
-impl<Waker> Default for WaitLine<Waker> {
+impl<Waker> Default for AdmissionQueue<Waker> {
     fn default() -> Self {
         Self { waiting: BTreeMap::new(), since: None }
     }
 }
 
-impl<Waker> WaitLine<Waker> {
+impl<Waker> AdmissionQueue<Waker> {
     /// Waits at a place.
-    pub fn join(&mut self, place: LinePlace, waker: Waker) {
+    pub fn join(&mut self, place: QueuePlace, waker: Waker) {
         self.waiting.insert(place, waker);
     }
 
-    /// Notes that somebody has to wait; whether the line stands.
+    /// Notes that somebody has to wait; whether the queue stands.
     ///
     /// While it does, one that could only be answered late is better told
     /// so at once: let in, every request is late, as each waits for those
@@ -68,12 +68,12 @@
         self.since = None;
     }
 
-    /// Leaves the line.
-    pub fn leave(&mut self, place: LinePlace) {
+    /// Leaves the queue.
+    pub fn leave(&mut self, place: QueuePlace) {
         self.waiting.remove(&place);
     }
 
-    /// Takes the first of the line.
+    /// Takes the first of the queue.
     pub fn wake(&mut self) -> Option<Waker> {
         self.waiting.pop_first().map(|(_place, waker)| waker)
     }
@@ -85,7 +85,7 @@
 
     /// How many wait before this place.
     #[must_use]
-    pub fn ahead_of(&self, place: LinePlace) -> usize {
+    pub fn ahead_of(&self, place: QueuePlace) -> usize {
         self.waiting.range(..place).count()
     }
 
--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -19,50 +19,51 @@
 - [`span_to_send`]: a deadline that crosses to another process.
 - [`choose_server`]: which server of a service that any may serve.
 - [`AnswerTimes`]: how long a server's answers usually take.
-- [`WaitLine`]: who is next when a slot becomes free.
-- [`patience()`]: how long an answer is waited for.
+- [`AdmissionQueue`]: who is next when a slot becomes free.
+- [`attempt_timeout()`]: how long an answer is waited for.
 - [`PipelineGate`]: which pipelined requests are served at once.
-- [`SendWindow`]: how many sends beyond the first a VM may make.
+- [`SendBudget`]: how many sends beyond the first a VM may make.
 - [`WorkEstimate`]: how long a server works on a request.
-- [`WeightedTurns`]: the parts of a divided route.
-- [`spread_moves`]: which runs of keys move between servers, and when.
+- [`WeightedRobin`]: the parts of a divided route.
+- [`rebalancing_moves`]: which runs of keys move between servers, and when.
 - [`baseline`]: two simple ways, kept to be measured against.
 */
 
+mod admission;
 mod attempt;
+mod attempt_timeout;
 pub mod baseline;
 mod deadline;
 mod gateway;
 mod limit;
 mod link;
 mod load;
-mod patience;
 mod pipeline;
 mod placement;
 mod pool;
 mod queue;
 mod queueing;
 mod reader;
+mod rebalancing;
 mod retry;
-mod spread;
+mod round_robin;
+mod send_budget;
 mod times;
-mod turns;
-mod wait_line;
-mod window;
 mod work;
 
 pub use crate::{
+    admission::{AdmissionQueue, QueuePlace},
     attempt::{
         ANSWER_LIMIT, AttemptArrival, AttemptId, AttemptMemory,
         AttemptOutcome, AttemptRecord, AttemptSent, AttemptVerdict,
         MemorySettings, StoredAnswer,
     },
+    attempt_timeout::{TimeoutSight, attempt_timeout},
     deadline::{TransitEstimate, span_to_send},
     gateway::GatewayLimit,
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSign},
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReading, REPORTED_SLICES, ServerLoad},
-    patience::{WaitSight, patience},
     pipeline::{PipelineEffect, PipelineGate, PipelineStart},
     placement::{
         LoadEstimate, PlaceReport, PlaceView, PlacementPlanner,
@@ -75,17 +76,16 @@
         QueueRefusal, QueueSettings, QueuedRequest, RequestKey, ServerQueue,
     },
     reader::is_reader_lost,
+    rebalancing::{
+        PlaceLoad, PlacedRun, RangeLoad, RangeMove, RebalanceSettings,
+        lightest_place, place_uses, rebalancing_moves,
+    },
     retry::{
         AttemptStart, FailedAttempt, REDIRECT_LIMIT, RefusalProof, RefusedBy,
         RetryDecision, RetryPolicy,
     },
-    spread::{
-        PlaceLoad, PlacedRun, RangeLoad, RangeMove, SpreadSettings,
-        lightest_place, place_uses, spread_moves,
-    },
+    round_robin::WeightedRobin,
+    send_budget::{BudgetSettings, SendBudget},
     times::AnswerTimes,
-    turns::WeightedTurns,
-    wait_line::{LinePlace, WaitLine},
-    window::{SendWindow, WindowSettings},
     work::WorkEstimate,
 };
--- a/goldcrestramp-decisions/src/spread.rs
+++ b/goldcrestramp-decisions/src/rebalancing/mod.rs
@@ -6,34 +6,21 @@
 //! idle. Moving keys costs the callers of these keys a short wait and
 //! nothing to the others, so few busy keys are moved and many cold ones
 //! are left where they are.
-//!
-//! Loads are kept key by key: of 60 busy neighbours the busiest eight have
-//! half of the requests, more than one server can do. That takes 512 KiB a
-//! service on the planning VM, whatever callers ask for.
-
-use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
-
-use crate::queueing::{DelayCurve, bisect, slot_count};
 
-/// Every key there can be.
-const KEYS: usize = 65_536;
+mod load;
+mod place;
 
-/// A dense part grows by so many keys at a time: between busy keys lie some
-/// that nobody has asked for within the last second.
-const GROWTH: usize = 4;
+use goldcrestramp_types::{SliceIndex, SliceRange};
 
-/// Half of what is known is replaced in this time: a run that became busy
-/// shows within a second, the noise of ten requests does not.
-const HALF_LIFE: TimeSpan = TimeSpan::from_millis(1_000);
+use crate::{
+    queueing::bisect,
+    rebalancing::{load::count, place::common_level},
+};
 
-/// What an unasked key counts for, in requests a second, so that keys of
-/// which nothing is known yet are dealt out evenly.
-const RATE_FLOOR: f32 = 0.000_01;
-
-/// Keys move along with a busy neighbour if they have at least this part
-/// of what is to move, or half of their run's average. Cold ones would
-/// move for nothing: a third of all keys moved for 60 busy ones before.
-const DENSE_PART: f32 = 0.02;
+pub use self::{
+    load::RangeLoad,
+    place::{PlaceLoad, PlacedRun, lightest_place, place_uses},
+};
 
 /// A dense part is moved if it has this part of what is to move; a run
 /// that has more is moved whole before.
@@ -63,7 +50,7 @@
 
 /// The figures that decide when keys move.
 #[derive(Clone, Copy, Debug)]
-pub struct SpreadSettings {
+pub struct RebalanceSettings {
     /// A move has to save the callers so much: requests that are at the
     /// servers at any moment.
     pub gain_least: f32,
@@ -73,167 +60,6 @@
     pub runs_most: usize,
 }
 
-/// The requests a second of each key.
-#[derive(Clone, Debug)]
-pub struct RangeLoad {
-    rates: Vec<f32>,
-    counted: Vec<u32>,
-    since: LocalTime,
-    /// The part of the rates that rests on what was counted; the rest is
-    /// the zero that they began with.
-    known: f32,
-}
-
-impl RangeLoad {
-    /// Opens with no load known.
-    #[must_use]
-    pub fn open(now: LocalTime) -> Self {
-        let (rates, counted) = (vec![0.0; KEYS], vec![0; KEYS]);
-        Self { rates, counted, since: now, known: 0.0 }
-    }
-
-    /// Counts requests for a key.
-    pub fn count(&mut self, slice: SliceIndex, requests: u32) {
-        self.counted[slice.position()] += requests;
-    }
-
-    /// Takes what was counted into the rates.
-    ///
-    /// A planner that has just begun knows nothing. Blended with the zero
-    /// that it began with, the first counts made a full server look idle
-    /// for two seconds, and its keys stayed with it.
-    pub fn settle(&mut self, now: LocalTime) {
-        let passed = seconds(now.since(self.since));
-        if passed <= 0.0 {
-            return;
-        }
-        let kept = 0.5_f32.powf(passed / seconds(HALF_LIFE));
-        self.known = 1.0 - (1.0 - self.known) * kept;
-        let gain = (1.0 - kept) / self.known;
-        for (rate, counted) in self.rates.iter_mut().zip(&mut self.counted) {
-            #[expect(clippy::cast_precision_loss, reason = "small counts")]
-            let fresh = *counted as f32 / passed;
-            *rate += gain * (fresh - *rate);
-            *counted = 0;
-        }
-        self.since = now;
-    }
-
-    /// The requests a second of a run.
-    #[must_use]
-    pub fn of(&self, range: SliceRange) -> f32 {
-        let (first, last) = (range.first.position(), range.last.position());
-        let rates = &self.rates[first..=last];
-        rates.iter().sum::<f32>() + RATE_FLOOR * count(rates.len())
-    }
-
-    /// The part of a run with about `wanted` requests a second; nothing if
-    /// its busiest key alone has far more.
-    fn part(&self, range: SliceRange, wanted: f32) -> Option<SliceRange> {
-        let (begin, end) = (range.first.position(), range.last.position());
-        let rates = &self.rates;
-        let busiest =
-            (begin..=end).max_by(|a, b| rates[*a].total_cmp(&rates[*b]))?;
-        if rates[busiest] > wanted * 1.5 {
-            return None;
-        }
-        let average = self.of(range) / count(end - begin + 1);
-        let cold = (wanted * DENSE_PART).min(average * count(GROWTH) / 2.0);
-        let (first, last) =
-            self.dense_part((begin, end), busiest, cold, wanted);
-        Some(keys(first, last))
-    }
-
-    /// The begin of a run with about `wanted` requests a second; nothing
-    /// if the run has less.
-    fn piece(&self, range: SliceRange, wanted: f32) -> Option<SliceRange> {
-        let (begin, end) = (range.first.position(), range.last.position());
-        let mut sum = 0.0;
-        let last = (begin..=end).find(|key| {
-            sum += self.rates[*key];
-            sum >= wanted
-        });
-        last.map(|last| keys(begin, last))
-    }
-
-    /// The busiest key of a run, if it alone has more than is wanted.
-    fn hot_key(&self, range: SliceRange, wanted: f32) -> Option<SliceRange> {
-        let (begin, end) = (range.first.position(), range.last.position());
-        let rates = &self.rates;
-        let busiest =
-            (begin..=end).max_by(|a, b| rates[*a].total_cmp(&rates[*b]))?;
-        (rates[busiest] > wanted).then(|| keys(busiest, busiest))
-    }
-
-    /// The keys around the busiest one that are not cold.
-    fn dense_part(
-        &self,
-        (begin, end): (usize, usize),
-        busiest: usize,
-        cold: f32,
-        wanted: f32,
-    ) -> (usize, usize) {
-        let (mut first, mut last) = (busiest, busiest);
-        let mut sum = self.rates[busiest];
-        loop {
-            let lower = first.saturating_sub(GROWTH).max(begin);
-            let upper = (last + GROWTH).min(end);
-            let left: f32 = self.rates[lower..first].iter().sum();
-            let right: f32 = self.rates[last + 1..=upper].iter().sum();
-            let next = left.max(right);
-            if next <= cold || sum + next > wanted {
-                return (first, last);
-            }
-            sum += next;
-            if left >= right {
-                first = lower;
-            } else {
-                last = upper;
-            }
-        }
-    }
-}
-
-/// A run of keys by their positions.
-fn keys(first: usize, last: usize) -> SliceRange {
-    let slice = |position: usize| {
-        SliceIndex::from(u16::try_from(position).unwrap_or(u16::MAX))
-    };
-    SliceRange { first: slice(first), last: slice(last) }
-}
-
-fn count(number: usize) -> f32 {
-    #[expect(clippy::cast_precision_loss, reason = "a few thousand")]
-    let number = number as f32;
-    number
-}
-
-fn seconds(span: TimeSpan) -> f32 {
-    span.to_std().as_secs_f32()
-}
-
-/// A server that may hold keys.
-#[derive(Clone, Copy, Debug)]
-pub struct PlaceLoad {
-    /// The requests that it runs at once.
-    pub slots: u32,
-    /// Its work on a request, in seconds.
-    pub work_s: f32,
-    /// Whether it may be given keys.
-    pub open: bool,
-}
-
-/// A run of keys with the position of its holder.
-#[derive(Clone, Copy, Debug)]
-pub struct PlacedRun {
-    /// The keys.
-    pub range: SliceRange,
-    /// The holder's position among the places.
-    pub place: usize,
-    /// Whether it may move now.
-    pub movable: bool,
-}
-
 /// A move from one place to another.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RangeMove {
@@ -243,72 +69,15 @@
     pub target: usize,
 }
 
-/// The use of each place: slots busy for each slot it has.
-#[must_use]
-pub fn place_uses(
-    runs: &[PlacedRun],
-    places: &[PlaceLoad],
-    load: &RangeLoad,
-) -> Vec<f32> {
-    let mut uses = vec![0.0; places.len()];
-    for run in runs {
-        uses[run.place] += places[run.place].use_by(load.of(run.range));
-    }
-    uses
-}
-
-impl PlaceLoad {
-    /// The use that so many requests a second make.
-    fn use_by(&self, rate: f32) -> f32 {
-        rate * self.work_s / slot_count(self.slots)
-    }
-
-    /// The requests a second that make such a use.
-    fn rate_by(&self, used: f32) -> f32 {
-        used / self.use_by(1.0).max(f32::MIN_POSITIVE)
-    }
-
-    const fn delay(&self) -> DelayCurve {
-        DelayCurve { slots: self.slots, work_s: self.work_s }
-    }
-}
-
-/// The open place that is used least, for keys that have no holder.
-///
-/// `given` counts what was placed in this round already.
-#[must_use]
-pub fn lightest_place(
-    runs: &[PlacedRun],
-    places: &[PlaceLoad],
-    load: &RangeLoad,
-    given: &mut Vec<(usize, f32)>,
-    range: SliceRange,
-) -> Option<usize> {
-    let mut uses = place_uses(runs, places, load);
-    for (place, rate) in given.iter() {
-        uses[*place] += places[*place].use_by(*rate);
-    }
-    let rate = load.of(range);
-    let cost = |place: usize| {
-        let to = &places[place];
-        to.delay().marginal(uses[place] + to.use_by(rate))
-    };
-    let chosen = (0..places.len())
-        .filter(|place| places[*place].open)
-        .min_by(|a, b| cost(*a).total_cmp(&cost(*b)))?;
-    given.push((chosen, rate));
-    Some(chosen)
-}
-
 /// The moves to begin now, most useful first.
 #[must_use]
-pub fn spread_moves(
+pub fn rebalancing_moves(
     runs: &[PlacedRun],
     places: &[PlaceLoad],
     load: &RangeLoad,
-    settings: &SpreadSettings,
+    settings: &RebalanceSettings,
 ) -> Vec<RangeMove> {
-    let mut round = SpreadRound::new(runs, places, load, settings);
+    let mut round = RebalanceRound::new(runs, places, load, settings);
     let mut moves = Vec::new();
     while moves.len() < settings.moves {
         let Some(chosen) = round.next_move() else { break };
@@ -317,28 +86,12 @@
     moves
 }
 
-/// What one more request costs at each place if all of them are used so
-/// that it costs the same everywhere, in seconds.
-fn common_level(places: &[PlaceLoad], uses: &[f32]) -> f32 {
-    /// More than a request costs at a server that is asked for thrice what
-    /// it can do.
-    const LEVEL_MOST: f32 = 32.0;
-    let rates = places.iter().zip(uses);
-    let asked: f32 = rates.map(|(place, used)| place.rate_by(*used)).sum();
-    let open = || places.iter().filter(|place| place.open);
-    bisect(LEVEL_MOST, |level| {
-        let served =
-            open().map(|place| place.rate_by(place.delay().use_at(level)));
-        served.sum::<f32>() < asked
-    })
-}
-
 /// The loads while moves are chosen.
-struct SpreadRound<'a> {
+struct RebalanceRound<'a> {
     runs: Vec<PlacedRun>,
     places: &'a [PlaceLoad],
     load: &'a RangeLoad,
-    settings: &'a SpreadSettings,
+    settings: &'a RebalanceSettings,
     uses: Vec<f32>,
     mean: f32,
     /// What one more request would cost anywhere if loads could be dealt
@@ -348,12 +101,12 @@
     spent: Vec<bool>,
 }
 
-impl<'a> SpreadRound<'a> {
+impl<'a> RebalanceRound<'a> {
     fn new(
         runs: &[PlacedRun],
         places: &'a [PlaceLoad],
         load: &'a RangeLoad,
-        settings: &'a SpreadSettings,
+        settings: &'a RebalanceSettings,
     ) -> Self {
         let uses = place_uses(runs, places, load);
         let open = places.iter().filter(|place| place.open).count();
--- a/goldcrestramp-decisions/src/turns.rs
+++ b/goldcrestramp-decisions/src/round_robin.rs
@@ -10,21 +10,21 @@
 /// # Example
 ///
 /// ```
-/// use goldcrestramp_decisions::WeightedTurns;
+/// use goldcrestramp_decisions::WeightedRobin;
 ///
-/// let mut turns = WeightedTurns::default();
+/// let mut robin = WeightedRobin::default();
 /// let mut first = 0;
 /// for _ in 0..100 {
-///     first += u32::from(turns.next(&[90, 10]) == Some(0));
+///     first += u32::from(robin.next(&[90, 10]) == Some(0));
 /// }
 /// assert_eq!(first, 90);
 /// ```
 #[derive(Clone, Debug, Default)]
-pub struct WeightedTurns {
+pub struct WeightedRobin {
     credits: Vec<i64>,
 }
 
-impl WeightedTurns {
+impl WeightedRobin {
     /// The target of the next request; nothing if no weight is above 0.
     pub fn next(&mut self, weights: &[u32]) -> Option<usize> {
         let total: i64 = weights.iter().copied().map(i64::from).sum();
--- a/goldcrestramp-decisions/src/window.rs
+++ b/goldcrestramp-decisions/src/send_budget.rs
@@ -20,7 +20,7 @@
 
 /// What the operators allow.
 #[derive(Clone, Copy, Debug)]
-pub struct WindowSettings {
+pub struct BudgetSettings {
     /// The length of the window.
     pub span: TimeSpan,
     /// Sends beyond the first for each thousand requests.
@@ -41,26 +41,26 @@
 /// # Example
 ///
 /// ```
-/// use goldcrestramp_decisions::{SendWindow, WindowSettings};
+/// use goldcrestramp_decisions::{SendBudget, BudgetSettings};
 /// use goldcrestramp_types::{LocalTime, TimeSpan};
 ///
 /// let span = TimeSpan::from_millis(10_000);
-/// let settings = WindowSettings { span, per_mille: 200, extra: 60 };
-/// let mut window = SendWindow::new(settings);
+/// let settings = BudgetSettings { span, per_mille: 200, extra: 60 };
+/// let mut budget = SendBudget::new(settings);
 /// let now = LocalTime::from_micros(0);
-/// let granted = (0..100).filter(|_| window.take(now, 10)).count();
+/// let granted = (0..100).filter(|_| budget.take(now, 10)).count();
 /// assert_eq!(granted, 4);
 /// ```
 #[derive(Clone, Debug)]
-pub struct SendWindow {
-    settings: WindowSettings,
+pub struct SendBudget {
+    settings: BudgetSettings,
     steps: VecDeque<WindowStep>,
 }
 
-impl SendWindow {
-    /// A window in which nothing was sent.
+impl SendBudget {
+    /// A budget of which nothing was used.
     #[must_use]
-    pub const fn new(settings: WindowSettings) -> Self {
+    pub const fn new(settings: BudgetSettings) -> Self {
         Self { settings, steps: VecDeque::new() }
     }
 
@@ -87,11 +87,6 @@
         (repeats + 1) * 100 <= allowed * USED_PERCENT
     }
 
-    /// Counts a send beyond the first that could not be avoided.
-    pub fn count(&mut self, now: LocalTime) {
-        self.step(now).repeats += 1;
-    }
-
     fn step(&mut self, now: LocalTime) -> &mut WindowStep {
         let length = (self.settings.span.as_micros() / STEPS).max(1);
         let number = now.as_micros() / length;
--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use goldcrestramp_decisions::{
-    AnswerTimes, LinePlace, PlaceLoad, PlacedRun, PoolCandidate, PoolChoice,
-    RangeLoad, SendWindow, ServerWay, SpreadSettings, WaitLine, WaitSight,
-    WeightedTurns, WindowSettings, choose_server, patience, place_uses,
-    spread_moves,
+    AdmissionQueue, AnswerTimes, BudgetSettings, PlaceLoad, PlacedRun,
+    PoolCandidate, PoolChoice, QueuePlace, RangeLoad, RebalanceSettings,
+    SendBudget, ServerWay, TimeoutSight, WeightedRobin, attempt_timeout,
+    choose_server, place_uses, rebalancing_moves,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
 
@@ -73,8 +73,8 @@
 fn vms_together_stay_within_the_budget_of_repeats() {
     const VMS: usize = 10;
     let span = TimeSpan::from_millis(10_000);
-    let settings = WindowSettings { span, per_mille: 200, extra: 60 };
-    let mut windows = vec![SendWindow::new(settings); VMS];
+    let settings = BudgetSettings { span, per_mille: 200, extra: 60 };
+    let mut windows = vec![SendBudget::new(settings); VMS];
     let mut sent = Vec::new();
     let mut asked = Vec::new();
     for millis in (0..60_000).step_by(10) {
@@ -97,8 +97,8 @@
     assert!(sent.len() > 600, "some repeats are made: {}", sent.len());
 }
 
-fn wait_sight() -> WaitSight {
-    WaitSight {
+fn timeout_sight() -> TimeoutSight {
+    TimeoutSight {
         usual: Some(TimeSpan::from_millis(250)),
         target: TimeSpan::from_millis(1_200),
         left: TimeSpan::from_millis(3_000),
@@ -111,28 +111,29 @@
 /// budget, answered as a failure while its server is at work.
 #[test]
 fn a_server_that_has_not_answered_yet_gets_the_time_of_its_route() {
-    let sight = WaitSight { usual: None, ..wait_sight() };
+    let sight = TimeoutSight { usual: None, ..timeout_sight() };
 
-    assert_eq!(patience(sight), TimeSpan::from_millis(1_200));
+    assert_eq!(attempt_timeout(sight), TimeSpan::from_millis(1_200));
 }
 
 /// Nobody else may be asked. The answer that the server works on is the
 /// only one that can come.
 #[test]
 fn work_that_can_t_be_replaced_is_waited_for_to_the_end() {
-    let sight = WaitSight { replaceable: false, ..wait_sight() };
+    let sight = TimeoutSight { replaceable: false, ..timeout_sight() };
 
-    assert_eq!(patience(sight), TimeSpan::from_millis(3_000));
+    assert_eq!(attempt_timeout(sight), TimeSpan::from_millis(3_000));
 }
 
 /// A silent server costs a lookup a few usual times and not its deadline,
 /// and never more than what is left.
 #[test]
 fn a_silent_server_is_left_after_a_few_usual_times() {
-    let late = WaitSight { left: TimeSpan::from_millis(300), ..wait_sight() };
+    let late =
+        TimeoutSight { left: TimeSpan::from_millis(300), ..timeout_sight() };
 
-    assert_eq!(patience(wait_sight()), TimeSpan::from_millis(875));
-    assert_eq!(patience(late), TimeSpan::from_millis(300));
+    assert_eq!(attempt_timeout(timeout_sight()), TimeSpan::from_millis(875));
+    assert_eq!(attempt_timeout(late), TimeSpan::from_millis(300));
 }
 
 /// A server answers lookups in 50 ms and checks in 300 ms, and nine of ten
@@ -149,21 +150,25 @@
         times.note(route, TimeSpan::from_millis(millis));
     }
     let wait = |route: &str| {
-        patience(WaitSight { usual: times.of(route), ..wait_sight() })
+        attempt_timeout(TimeoutSight {
+            usual: times.of(route),
+            ..timeout_sight()
+        })
     };
 
     assert!(wait("check") > TimeSpan::from_millis(900));
     assert!(wait("lookup") <= TimeSpan::from_millis(250));
-    let together = WaitSight { usual: Some(times.mean()), ..wait_sight() };
-    assert!(patience(together) < TimeSpan::from_millis(400));
+    let together =
+        TimeoutSight { usual: Some(times.mean()), ..timeout_sight() };
+    assert!(attempt_timeout(together) < TimeSpan::from_millis(400));
 }
 
 /// Asking whether a repeat is left takes none.
 #[test]
 fn looking_at_the_budget_uses_nothing_of_it() {
     let span = TimeSpan::from_millis(10_000);
-    let settings = WindowSettings { span, per_mille: 200, extra: 10 };
-    let mut window = SendWindow::new(settings);
+    let settings = BudgetSettings { span, per_mille: 200, extra: 10 };
+    let mut window = SendBudget::new(settings);
     let looks = (0..50).filter(|_| window.has_room(at(0), 1)).count();
     let taken = (0..50).filter(|_| window.take(at(0), 1)).count();
 
@@ -173,7 +178,7 @@
 
 #[test]
 fn turns_keep_to_weights_after_any_number_of_requests() {
-    let mut turns = WeightedTurns::default();
+    let mut turns = WeightedRobin::default();
     let weights = [70, 25, 5, 0];
     let mut counts = [0_u32; 4];
     for request in 1..=500_u32 {
@@ -190,9 +195,9 @@
 /// served before it. One that was woken in vain keeps its place.
 #[test]
 fn rank_goes_before_arrival_and_a_place_is_kept() {
-    let mut line = WaitLine::default();
-    let low = LinePlace { priority: 2, turn: 1 };
-    let high = LinePlace { priority: 1, turn: 2 };
+    let mut line = AdmissionQueue::default();
+    let low = QueuePlace { priority: 2, turn: 1 };
+    let high = QueuePlace { priority: 1, turn: 2 };
     line.join(low, "low");
     line.join(high, "high");
 
@@ -205,8 +210,8 @@
     assert!(line.is_empty());
 }
 
-const SPREAD: SpreadSettings =
-    SpreadSettings { gain_least: 0.7, moves: 12, runs_most: 600 };
+const SETTINGS: RebalanceSettings =
+    RebalanceSettings { gain_least: 0.7, moves: 12, runs_most: 600 };
 
 fn places(servers: usize) -> Vec<PlaceLoad> {
     vec![PlaceLoad { slots: 2, work_s: 0.1, open: true }; servers]
@@ -265,7 +270,7 @@
             load.count(key.into(), 1);
         }
         load.settle(at(now));
-        let moves = spread_moves(&runs, &places, &load, &SPREAD);
+        let moves = rebalancing_moves(&runs, &places, &load, &SETTINGS);
         let chosen: Vec<_> =
             moves.iter().map(|m| (m.range, m.target)).collect();
         keys_moved +=
@@ -296,7 +301,7 @@
             load.count((10_000 + rank).into(), requests.max(1));
         }
         load.settle(at(round * 1_000));
-        let moves = spread_moves(&runs, &places, &load, &SPREAD);
+        let moves = rebalancing_moves(&runs, &places, &load, &SETTINGS);
         let chosen: Vec<_> =
             moves.iter().map(|m| (m.range, m.target)).collect();
         follow(&mut runs, &chosen);
@@ -317,7 +322,7 @@
     }
     load.settle(at(60_000));
 
-    let moves = spread_moves(&runs, &places, &load, &SPREAD);
+    let moves = rebalancing_moves(&runs, &places, &load, &SETTINGS);
 
     assert!(moves.iter().any(|chosen| chosen.target == 4));
 }
@@ -332,5 +337,5 @@
     }
     load.settle(at(2_000));
 
-    assert_eq!(spread_moves(&runs, &places, &load, &SPREAD), []);
+    assert_eq!(rebalancing_moves(&runs, &places, &load, &SETTINGS), []);
 }
--- a/goldcrestramp-decisions/tests/rebalancing/world.rs
+++ b/goldcrestramp-decisions/tests/rebalancing/world.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use goldcrestramp_decisions::{
-    PlaceLoad, PlacedRun, RangeLoad, RangeMove, SpreadSettings, WorkEstimate,
-    spread_moves,
+    PlaceLoad, PlacedRun, RangeLoad, RangeMove, RebalanceSettings,
+    WorkEstimate, rebalancing_moves,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
 
@@ -56,7 +56,7 @@
     random: u64,
     now: u64,
     target_ms: u64,
-    settings: SpreadSettings,
+    settings: RebalanceSettings,
     pub sum: CallerSum,
 }
 
@@ -92,7 +92,7 @@
             random: 0x9E37_79B9_7F4A_7C15,
             now: 0,
             target_ms,
-            settings: SpreadSettings {
+            settings: RebalanceSettings {
                 gain_least: 0.7,
                 moves: 12,
                 runs_most: 600,
@@ -188,7 +188,7 @@
             })
             .collect();
         let moves =
-            spread_moves(&self.runs, &places, &self.load, &self.settings);
+            rebalancing_moves(&self.runs, &places, &self.load, &self.settings);
         for chosen in moves {
             self.follow(chosen);
         }
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod news;
 mod order;
 mod service;
+mod source;
 mod tables;
 mod term;
 
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -8,8 +8,8 @@
     ServerLife, TablePlanner,
 };
 use goldcrestramp_decisions::{
-    PlaceLoad, PlacedRun, RangeLoad, SpreadSettings, WorkEstimate,
-    lightest_place, place_uses, spread_moves,
+    PlaceLoad, PlacedRun, RangeLoad, RebalanceSettings, WorkEstimate,
+    lightest_place, place_uses, rebalancing_moves,
 };
 use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
 
@@ -45,9 +45,9 @@
 /// A run that gets a third of all requests is more than a third of the
 /// servers can do, so as many have to be given a part of it, within two
 /// seconds: a quarter of the servers in each round.
-fn spread_settings(servers: usize) -> SpreadSettings {
+fn rebalance_settings(servers: usize) -> RebalanceSettings {
     let moves = (servers / 4).max(12);
-    SpreadSettings { gain_least: 0.7, moves, runs_most: 600 }
+    RebalanceSettings { gain_least: 0.7, moves, runs_most: 600 }
 }
 
 /// The plan of one service while this VM plans.
@@ -151,9 +151,13 @@
     }
 
     fn wishes(&self, board: &PlaceBoard) -> Vec<MoveWish> {
-        let settings = spread_settings(board.places.len());
-        let moves =
-            spread_moves(&board.runs, &board.places, &self.load, &settings);
+        let settings = rebalance_settings(board.places.len());
+        let moves = rebalancing_moves(
+            &board.runs,
+            &board.places,
+            &self.load,
+            &settings,
+        );
         if !moves.is_empty() {
             let uses = place_uses(&board.runs, &board.places, &self.load);
             let most = uses.iter().copied().fold(0.0, f32::max);
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -180,11 +180,6 @@
         Ok(answer)
     }
 
-    /// Leaves out the connections to addresses that are no longer used.
-    pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
-        self.idle().retain(|address, _senders| keep(*address));
-    }
-
     async fn take_idle(&self, address: SocketAddr) -> Option<LinkSender> {
         loop {
             let sender = self.pop_idle(address)?;
--- a/goldcrestramp-entry/src/lib.rs
+++ b/goldcrestramp-entry/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod framing;
 pub mod history;
 pub mod http;
+mod listen;
 pub mod logs;
 pub mod metrics;
 pub mod mirror;
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -1,13 +1,11 @@
 //! Counters and histograms, served as text.
 
-use std::{convert::Infallible, fmt, sync::Arc};
+use std::{fmt, sync::Arc};
 
 use bytes::Bytes;
 use goldcrestramp_types::TimeSpan;
-use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
+use http::{Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -20,6 +18,8 @@
 };
 use tokio::net::TcpListener;
 
+use crate::listen::serve_http;
+
 /// Where the metrics are served on each VM.
 pub const METRICS_PORT: u16 = 9_464;
 
@@ -181,30 +181,12 @@
 
 /// Serves the metrics until the task is dropped.
 pub async fn serve_metrics(listener: TcpListener, metrics: Arc<EntryMetrics>) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _address)) => stream,
-            Err(error) => {
-                log::warn!("[metrics] No connection was taken: {error}.");
-                tokio::time::sleep(std::time::Duration::from_millis(100))
-                    .await;
-                continue;
-            }
-        };
-        let metrics = Arc::clone(&metrics);
-        let service = service_fn(move |request: Request<Incoming>| {
-            let known = request.uri().path() == METRICS_PATH;
-            let text = known.then(|| metrics.text());
-            async move { Ok::<_, Infallible>(answer(text)) }
-        });
-        tokio::spawn(async move {
-            let connection = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("[metrics] A connection ended: {error}.");
-            }
-        });
-    }
+    serve_http(listener, "metrics", move |request| {
+        let known = request.uri().path() == METRICS_PATH;
+        let answer = answer(known.then(|| metrics.text()));
+        async move { answer }
+    })
+    .await;
 }
 
 fn answer(text: Option<String>) -> Response<Full<Bytes>> {
--- a/goldcrestramp-entry/src/peers/server.rs
+++ b/goldcrestramp-entry/src/peers/server.rs
@@ -1,17 +1,17 @@
 //! Takes calls of other VMs.
 
-use std::{convert::Infallible, time::Duration};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioIo;
+use hyper::body::Incoming;
 use tokio::{net::TcpListener, sync::watch, time::timeout};
 use xtra::Address;
 
 use crate::{
     control::ControlActor,
+    listen::serve_http,
     peers::{PEER_PATH, PeerCall, PeerReply},
 };
 
@@ -34,28 +34,10 @@
 
 /// Takes calls until the listener fails or the task is dropped.
 pub async fn serve_peers(listener: TcpListener, source: PeerSource) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _address)) => stream,
-            Err(error) => {
-                log::warn!("[peers] No connection was taken: {error}.");
-                tokio::time::sleep(Duration::from_millis(100)).await;
-                continue;
-            }
-        };
-        let source = source.clone();
-        let service = service_fn(move |request| {
-            let source = source.clone();
-            async move { Ok::<_, Infallible>(answer(request, source).await) }
-        });
-        tokio::spawn(async move {
-            let connection = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::debug!("[peers] A connection ended: {error}.");
-            }
-        });
-    }
+    serve_http(listener, "peers", move |request| {
+        answer(request, source.clone())
+    })
+    .await;
 }
 
 async fn answer(
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -72,7 +72,7 @@
 pub(crate) struct AttemptPlan {
     pub(crate) way: ServerWay,
     /// How long the begin of an answer is waited for.
-    pub(crate) patience: TimeSpan,
+    pub(crate) answer_timeout: TimeSpan,
 }
 
 /// Sends a request; dropped, it ends the server's work by closing the
@@ -106,11 +106,11 @@
     plan: AttemptPlan,
 ) -> AttemptEnd {
     let mut sent = pin!(link.try_send_request(outgoing));
-    let mut response = timeout(plan.patience.to_std(), &mut sent).await;
+    let mut response = timeout(plan.answer_timeout.to_std(), &mut sent).await;
     // The server may be at work. Given up now, with nobody else to ask, its
     // caller would get a failure where the answer was on the way.
     if response.is_err() && !state.may_replace(request) {
-        let rest = full_patience(request, MonotonicClock.now());
+        let rest = full_timeout(request, MonotonicClock.now());
         response = timeout(rest.to_std(), &mut sent).await;
     }
     let now = MonotonicClock.now();
@@ -293,7 +293,7 @@
 
 /// How long the begin of an answer is waited for when nobody else can
 /// answer.
-pub(crate) fn full_patience(
+pub(crate) fn full_timeout(
     request: &RoutedRequest,
     now: LocalTime,
 ) -> TimeSpan {
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -13,7 +13,7 @@
     traffic::{
         reason::EndReason,
         request::RoutedRequest,
-        server::{RequestLine, ServerState},
+        server::{RequestQueue, ServerState},
         state::TrafficState,
     },
     view::FleetView,
@@ -43,9 +43,9 @@
         /// Whether another server could answer too.
         replaceable: bool,
     },
-    /// It waits in a line for a free slot.
+    /// It waits in a queue for a free slot.
     Wait {
-        line: LineKind,
+        queue: QueueKind,
         /// Requests that the servers can run at once for this VM.
         slots: usize,
         /// The usual time of an answer.
@@ -57,24 +57,24 @@
     Refused(EndReason),
 }
 
-/// The line in which a request waits.
+/// The queue in which a request waits.
 #[derive(Debug)]
-pub(crate) enum LineKind {
+pub(crate) enum QueueKind {
     /// For any server of the service.
-    Service(Rc<RefCell<RequestLine>>),
+    Service(Rc<RefCell<RequestQueue>>),
     /// For one server.
     Server(Rc<ServerState>),
 }
 
-impl LineKind {
-    /// Works on the line.
+impl QueueKind {
+    /// Works on the queue.
     pub(crate) fn with<Out>(
         &self,
-        work: impl FnOnce(&mut RequestLine) -> Out,
+        work: impl FnOnce(&mut RequestQueue) -> Out,
     ) -> Out {
         match self {
-            Self::Service(line) => work(&mut line.borrow_mut()),
-            Self::Server(server) => work(&mut server.line.borrow_mut()),
+            Self::Service(queue) => work(&mut queue.borrow_mut()),
+            Self::Server(server) => work(&mut server.queue.borrow_mut()),
         }
     }
 }
@@ -111,7 +111,7 @@
     let since = state.token_since(service, run.token).unwrap_or(now);
     let known = now.since(since);
     if run.phase == RunPhase::Releasing {
-        return dark(known);
+        return unavailable(known);
     }
     if known < GRANT_WAY {
         return Destination::Hold(GRANT_WAY.minus(known));
@@ -120,7 +120,7 @@
         let left = now.since(*leaving);
         let served = state.settings.drain_limit.percent(LEAVING_PERCENT);
         if left >= served {
-            return dark(left.minus(served));
+            return unavailable(left.minus(served));
         }
     }
     let entry = view.servers.get(&life.id);
@@ -129,14 +129,14 @@
     let server = state.server(now, life, entry, view.vms.len());
     let limit = owner_limit(server.limit(now), &server, request);
     if server.in_flight() < limit {
-        if server.line.borrow().is_empty() {
-            server.line.borrow_mut().moves();
+        if server.queue.borrow().is_empty() {
+            server.queue.borrow_mut().moves();
         }
         return Destination::Server { server, way, replaceable: false };
     }
     let latency = server.times.borrow().mean();
     Destination::Wait {
-        line: LineKind::Server(server),
+        queue: QueueKind::Server(server),
         slots: limit.max(1),
         latency,
     }
@@ -161,7 +161,7 @@
 }
 
 /// What to do with a request whose key has had no owner for `known`.
-fn dark(known: TimeSpan) -> Destination {
+fn unavailable(known: TimeSpan) -> Destination {
     if known < MOVE_TIME {
         return Destination::Hold(MOVE_TIME.minus(known));
     }
@@ -183,7 +183,7 @@
     let service = state.service(&request.service);
     let download = request.route.effect == RouteEffect::Download;
     let bytes = service.bytes[usize::from(download)].get();
-    let waiting = service.line.borrow().len();
+    let waiting = service.queue.borrow().len();
     let seen = ready.iter().map(|entry| see(state, view, request, now, entry));
     let seen: Vec<SeenServer> = seen.collect();
     let fresh = |server: &SeenServer| !tried.contains(&server.server.id);
@@ -196,7 +196,7 @@
     match choose_server(&candidates, request.left(now), bytes) {
         PoolChoice::Send(position) => {
             if waiting == 0 {
-                service.line.borrow_mut().moves();
+                service.queue.borrow_mut().moves();
             }
             let chosen = usable[position];
             Destination::Server {
@@ -208,8 +208,8 @@
         PoolChoice::Full => {
             let slots = candidates.iter().map(|c| c.limit).sum::<usize>();
             let latency = mean_latency(&candidates);
-            let line = LineKind::Service(Rc::clone(&service.line));
-            Destination::Wait { line, slots: slots.max(1), latency }
+            let queue = QueueKind::Service(Rc::clone(&service.queue));
+            Destination::Wait { queue, slots: slots.max(1), latency }
         }
         PoolChoice::TooLate => Destination::Refused(EndReason::TooLate),
     }
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use goldcrestramp_adapter::{RequestRoute, RouteEffect, headers as names};
-use goldcrestramp_decisions::LinePlace;
+use goldcrestramp_decisions::QueuePlace;
 use goldcrestramp_types::{LocalTime, RequestClass, SliceIndex, TimeSpan};
 use http::{
     HeaderMap, Method, Uri,
@@ -58,7 +58,7 @@
 #[derive(Debug)]
 pub(crate) struct RoutedRequest {
     /// Its place among those that wait.
-    pub(crate) place: LinePlace,
+    pub(crate) place: QueuePlace,
     pub(crate) route: Arc<RequestRoute>,
     pub(crate) service: Arc<str>,
     /// The key, if the service is divided.
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -3,7 +3,9 @@
 use std::{rc::Rc, sync::Arc};
 
 use goldcrestramp_adapter::RouteEffect;
-use goldcrestramp_decisions::{LinePlace, ServerWay, WaitSight, patience};
+use goldcrestramp_decisions::{
+    QueuePlace, ServerWay, TimeoutSight, attempt_timeout,
+};
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -11,7 +13,7 @@
 
 use crate::traffic::{
     answer::{AnswerBody, own_answer},
-    attempt::{AttemptEnd, AttemptPlan, full_patience, send},
+    attempt::{AttemptEnd, AttemptPlan, full_timeout, send},
     choose::{Destination, choose},
     reason::EndReason,
     request::{
@@ -20,7 +22,7 @@
     },
     server::ServerState,
     state::TrafficState,
-    wait::{RETURN_USUAL, RequestEnd, hold, pause, wait_in_line},
+    wait::{RETURN_USUAL, RequestEnd, hold, pause, wait_in_queue},
 };
 
 /// Sends that no server has run or will run, for one request: more means
@@ -123,12 +125,12 @@
     let left = deadline.since(arrived).to_std();
     let body = timeout(left, read_body(body, bytes_most)).await;
     let body = body.map_err(|_elapsed| EndReason::BodyBroken)??;
-    state.service(&service).window.borrow_mut().request(arrived);
+    state.service(&service).budget.borrow_mut().request(arrived);
     if let Some(slice) = slice {
         state.loads.asked(&service, slice);
     }
     let place =
-        LinePlace { priority: route.priority, turn: state.next_turn() };
+        QueuePlace { priority: route.priority, turn: state.next_turn() };
     Ok(RoutedRequest {
         place,
         route,
@@ -175,8 +177,8 @@
                     return Ok(answer);
                 }
             }
-            Destination::Wait { line, slots, latency } => {
-                wait_in_line(request, &line, slots, latency).await?;
+            Destination::Wait { queue, slots, latency } => {
+                wait_in_queue(request, &queue, slots, latency).await?;
             }
             Destination::Hold(span) => {
                 hold(state, request, span).await?;
@@ -208,12 +210,12 @@
         return Err(EndReason::RetryBudget.into());
     }
     let service = state.service(&request.service);
-    let line = request.slice.is_none().then(|| Rc::clone(&service.line));
-    let slot = server.enter(now, request, line);
-    let patience = patience(WaitSight {
+    let queue = request.slice.is_none().then(|| Rc::clone(&service.queue));
+    let slot = server.enter(now, request, queue);
+    let answer_timeout = attempt_timeout(TimeoutSight {
         usual: server.times.borrow().of(&request.route.name),
         target: request.route.target_latency,
-        left: full_patience(request, now),
+        left: full_timeout(request, now),
         replaceable: request.may_repeat()
             && replaceable
             && progress.tried.len() + 1 < most,
@@ -223,7 +225,7 @@
         state.metrics.took(&request.service, "waiting", waited);
     }
     progress.sends += 1;
-    let plan = AttemptPlan { way, patience };
+    let plan = AttemptPlan { way, answer_timeout };
     let end = send(state, request, slot, plan).await;
     note_send(state, request, server, now, &end);
     if !matches!(end, AttemptEnd::NotSent) && !known {
@@ -313,7 +315,7 @@
 ) -> bool {
     let vms = state.view().vms.len();
     let service = state.service(&request.service);
-    service.window.borrow_mut().take(now, vms)
+    service.budget.borrow_mut().take(now, vms)
 }
 
 impl TrafficState {
@@ -328,7 +330,7 @@
         let now = MonotonicClock.now();
         let vms = self.view().vms.len();
         let service = self.service(&request.service);
-        service.window.borrow_mut().has_room(now, vms)
+        service.budget.borrow_mut().has_room(now, vms)
     }
 
     /// Learns the usual time of a service's answers.
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -9,7 +9,7 @@
 };
 
 use goldcrestramp_decisions::{
-    AnswerTimes, LimitVerdict, ServerLimit, ServerSign, WaitLine,
+    AdmissionQueue, AnswerTimes, LimitVerdict, ServerLimit, ServerSign,
 };
 use goldcrestramp_types::{
     ClockSource, LocalTime, MonotonicClock, RequestClass, TimeSpan,
@@ -22,7 +22,7 @@
 };
 
 /// Wakes a request that waits.
-pub(crate) type RequestLine = WaitLine<oneshot::Sender<()>>;
+pub(crate) type RequestQueue = AdmissionQueue<oneshot::Sender<()>>;
 
 /// A kept connection of which the server does not say how long it keeps
 /// it: shorter than what servers usually do.
@@ -49,7 +49,7 @@
     pub(crate) times: RefCell<AnswerTimes>,
     idle: RefCell<Vec<IdleLink>>,
     /// Requests that wait for this server alone.
-    pub(crate) line: RefCell<RequestLine>,
+    pub(crate) queue: RefCell<RequestQueue>,
     /// What this VM may have under way there at the most.
     pub(crate) share: Cell<usize>,
 }
@@ -68,7 +68,7 @@
             in_flight: Cell::new(0),
             times: RefCell::default(),
             idle: RefCell::default(),
-            line: RefCell::default(),
+            queue: RefCell::default(),
             share: Cell::new(share),
         }
     }
@@ -92,7 +92,7 @@
         self: &Rc<Self>,
         now: LocalTime,
         request: &RoutedRequest,
-        line: Option<Rc<RefCell<RequestLine>>>,
+        queue: Option<Rc<RefCell<RequestQueue>>>,
     ) -> ServerSlot {
         let class = request.class();
         self.in_flight.set(self.in_flight.get() + 1);
@@ -102,7 +102,7 @@
             since: now,
             class,
             route: Arc::clone(&request.route.name),
-            line,
+            queue,
             replied: Cell::new(false),
             ended: Cell::new(false),
         }
@@ -146,8 +146,8 @@
     pub(crate) since: LocalTime,
     class: RequestClass,
     route: Arc<str>,
-    /// The line of the service, where any server may serve.
-    line: Option<Rc<RefCell<RequestLine>>>,
+    /// The queue of the service, where any server may serve.
+    queue: Option<Rc<RefCell<RequestQueue>>>,
     replied: Cell<bool>,
     ended: Cell<bool>,
 }
@@ -184,10 +184,10 @@
         self.end(MonotonicClock.now(), ServerSign::Cancelled);
         let server = &self.server;
         server.in_flight.set(server.in_flight.get().saturating_sub(1));
-        let own = server.line.borrow_mut().wake();
-        let next = own.or_else(|| self.line.as_ref()?.borrow_mut().wake());
+        let own = server.queue.borrow_mut().wake();
+        let next = own.or_else(|| self.queue.as_ref()?.borrow_mut().wake());
         if let Some(next) = next {
-            // One that has left the line has gone with its caller.
+            // One that has left the queue has gone with its caller.
             let _left = next.send(());
         }
     }
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -9,8 +9,8 @@
 use goldcrestramp_adapter::{NodeSettings, ServerEntry};
 use goldcrestramp_assignment::ServerLife;
 use goldcrestramp_decisions::{
-    AnswerTimes, SendWindow, ServerLimit, ServerWay, WeightedTurns,
-    WindowSettings,
+    AnswerTimes, BudgetSettings, SendBudget, ServerLimit, ServerWay,
+    WeightedRobin,
 };
 use goldcrestramp_types::{
     ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
@@ -21,7 +21,7 @@
     control::LoadBook,
     metrics::EntryMetrics,
     run::StopPhase,
-    traffic::server::{RequestLine, ServerState},
+    traffic::server::{RequestQueue, ServerState},
     view::FleetView,
 };
 
@@ -36,8 +36,8 @@
 /// What is kept of one service.
 #[derive(Debug)]
 pub(crate) struct ServiceState {
-    pub(crate) line: Rc<RefCell<RequestLine>>,
-    pub(crate) window: RefCell<SendWindow>,
+    pub(crate) queue: Rc<RefCell<RequestQueue>>,
+    pub(crate) budget: RefCell<SendBudget>,
     /// The usual times of all servers' answers.
     pub(crate) times: RefCell<AnswerTimes>,
     /// The usual bytes of an answer, of downloads and of others.
@@ -54,7 +54,7 @@
     phase: watch::Receiver<StopPhase>,
     servers: RefCell<FastMap<ServerLife, Rc<ServerState>>>,
     services: RefCell<FastMap<Arc<str>, Rc<ServiceState>>>,
-    turns: RefCell<FastMap<Arc<str>, WeightedTurns>>,
+    robins: RefCell<FastMap<Arc<str>, WeightedRobin>>,
     arrivals: Cell<u64>,
     /// Since when each token of a table has been known, by service.
     tokens: RefCell<FastMap<Arc<str>, FastMap<u64, LocalTime>>>,
@@ -76,7 +76,7 @@
             phase,
             servers: RefCell::default(),
             services: RefCell::default(),
-            turns: RefCell::default(),
+            robins: RefCell::default(),
             arrivals: Cell::new(0),
             tokens: RefCell::default(),
         }
@@ -98,10 +98,10 @@
         self.note_tokens(now, view);
         self.forget_servers(view);
         for service in self.services.borrow().values() {
-            wake_all(&service.line);
+            wake_all(&service.queue);
         }
         for server in self.servers.borrow().values() {
-            wake_all(&server.line);
+            wake_all(&server.queue);
         }
     }
 
@@ -181,14 +181,14 @@
                 reason = "a ratio of a few tenths"
             )]
             let per_mille = (settings.retry_ratio * 1_000.0) as u64;
-            let window = SendWindow::new(WindowSettings {
+            let budget = SendBudget::new(BudgetSettings {
                 span: settings.retry_window,
                 per_mille,
                 extra: u64::from(settings.retry_extra),
             });
             Rc::new(ServiceState {
-                line: Rc::default(),
-                window: RefCell::new(window),
+                queue: Rc::default(),
+                budget: RefCell::new(budget),
                 times: RefCell::default(),
                 bytes: Default::default(),
             })
@@ -202,8 +202,8 @@
         route: &Arc<str>,
         weights: &[u32],
     ) -> Option<usize> {
-        let mut turns = self.turns.borrow_mut();
-        turns.entry(Arc::clone(route)).or_default().next(weights)
+        let mut robins = self.robins.borrow_mut();
+        robins.entry(Arc::clone(route)).or_default().next(weights)
     }
 
     /// The number of a request in the order of arrival.
@@ -226,10 +226,10 @@
     }
 }
 
-fn wake_all(line: &RefCell<RequestLine>) {
-    let woken: Vec<_> = line.borrow_mut().wake_all().collect();
+fn wake_all(queue: &RefCell<RequestQueue>) {
+    let woken: Vec<_> = queue.borrow_mut().wake_all().collect();
     for waker in woken {
-        // One that has left the line has gone with its caller.
+        // One that has left the queue has gone with its caller.
         let _left = waker.send(());
     }
 }
--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -4,7 +4,7 @@
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::traffic::{
-    choose::LineKind,
+    choose::QueueKind,
     reason::EndReason,
     request::RoutedRequest,
     state::{TrafficState, least},
@@ -44,17 +44,17 @@
 }
 
 /// Waits for a free slot, unless it would come too late.
-pub(crate) async fn wait_in_line(
+pub(crate) async fn wait_in_queue(
     request: &RoutedRequest,
-    line: &LineKind,
+    queue: &QueueKind,
     slots: usize,
     latency: TimeSpan,
 ) -> Result<(), RequestEnd> {
     let now = MonotonicClock.now();
     let place = request.place;
-    let ahead = line.with(|line| line.ahead_of(place)) as u64;
+    let ahead = queue.with(|queue| queue.ahead_of(place)) as u64;
     let expected = latency.percent(100 * (ahead + 1) / slots as u64);
-    let standing = line.with(|line| line.stands(now));
+    let standing = queue.with(|queue| queue.stands(now));
     let left = if standing {
         least(request.left(now), request.target_left(now))
     } else {
@@ -65,11 +65,11 @@
         return Err(RequestEnd { reason: EndReason::Full, retry_after });
     }
     let (waker, woken) = oneshot::channel();
-    line.with(|line| line.join(place, waker));
+    queue.with(|queue| queue.join(place, waker));
     let left = least(request.left(now).minus(latency), LOOK_AGAIN);
     // Woken or not, the state is looked at again.
     let _woken = timeout(left.to_std(), woken).await;
-    line.with(|line| line.leave(place));
+    queue.with(|queue| queue.leave(place));
     Ok(())
 }
 
@@ -83,9 +83,9 @@
     let service = state.service(&request.service);
     let (waker, woken) = oneshot::channel();
     let place = request.place;
-    service.line.borrow_mut().join(place, waker);
+    service.queue.borrow_mut().join(place, waker);
     // Woken or not, the state is looked at again.
     let _woken = timeout(least(span, left).to_std(), woken).await;
-    service.line.borrow_mut().leave(place);
+    service.queue.borrow_mut().leave(place);
     Ok(())
 }
