Show that servers which reset when full cost no order twice

A lookup whose connection a full server resets is served by another; an order is sent to nobody else, and its caller is not told that it did not run. Both hold on the code as it was.

--- a/goldcrestramp-entry/tests/daemon/callers.rs
+++ b/goldcrestramp-entry/tests/daemon/callers.rs
@@ -21,6 +21,41 @@
     }
 }
 
+/// A server is full and resets connections. Whether it ran what was sent is
+/// not known: the lookup is asked for again at another server, and its
+/// caller sees one whole answer.
+#[tokio::test]
+async fn a_lookup_that_a_full_server_resets_is_served_by_another() {
+    let world = World::open(POOLED, 2, 1).await;
+    world.servers[0].set_manner(ServerManner::Resets);
+    for _ in 0..6 {
+        let answer = world.get(0, "/list/all").await;
+
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.text().await.expect("a body"), "server-1");
+    }
+    assert!(world.servers[0].resets() > 0);
+}
+
+/// A server resets the connection on which it was sent an order. It may
+/// have run: the order goes to nobody else, and its caller is not told that
+/// it did not run.
+#[tokio::test]
+async fn an_order_whose_connection_is_reset_is_sent_to_nobody_else() {
+    let world = World::open(POOLED, 2, 1).await;
+    for server in &world.servers {
+        server.set_manner(ServerManner::Resets);
+    }
+    let attempt = world.attempt();
+
+    let request = world.request(0, Method::POST, "/order/1", &attempt);
+    let answer = request.send().await.expect("an answer");
+
+    assert_eq!(answer.status(), 502);
+    let resets = world.servers.iter().map(|server| server.resets());
+    assert_eq!(resets.sum::<u32>(), 1);
+}
+
 /// A server sends the answer to another request. Nobody gets it: the only
 /// server is not asked twice for the same, and the caller sees a failure.
 #[tokio::test]
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -8,6 +8,7 @@
 };
 
 use serde_json::Value;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
@@ -26,6 +27,8 @@
     LosesAnswers,
     /// It runs them and breaks off in the middle of each answer.
     BreaksOff,
+    /// It is full, and resets the connection in place of an answer.
+    Resets,
     /// It states that it did not run them.
     Sheds,
     /// It answers with the id of another request.
@@ -44,6 +47,8 @@
     divided: bool,
     /// Requests whose caller left while their answer was held back.
     abandoned: u32,
+    /// Requests that it did not run as it was full.
+    resets: u32,
 }
 
 /// A backend server; it ends with the test, or when it is stopped.
@@ -65,6 +70,7 @@
             seen: Vec::new(),
             divided,
             abandoned: 0,
+            resets: 0,
         }));
         let (known, name) = (Arc::clone(&state), id.to_owned());
         let task = tokio::spawn(async move {
@@ -99,6 +105,12 @@
         self.lock().abandoned
     }
 
+    /// Requests that it did not run as it was full.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub fn resets(&self) -> u32 {
+        self.lock().resets
+    }
+
     /// Grants and releases that it has taken.
     pub fn orders(&self) -> usize {
         self.lock().seen.len()
@@ -211,6 +223,10 @@
 ) -> std::io::Result<()> {
     let mut stream = BufReader::new(stream);
     while let Some(request) = read(&mut stream).await? {
+        if is_reset(state, &request) {
+            let socket = SockRef::from(stream.get_ref());
+            return socket.set_linger(Some(Duration::ZERO));
+        }
         let (head, wait, close) = answer(state, id, &request);
         tokio::time::sleep(wait).await;
         wait_released(&mut stream, state).await?;
@@ -222,6 +238,17 @@
     Ok(())
 }
 
+/// Whether a request of a caller ends with a reset of its connection.
+fn is_reset(state: &Mutex<ServerState>, request: &ReadRequest) -> bool {
+    let mut state = state.lock().expect("no handler panics");
+    let resets = state.manner == ServerManner::Resets
+        && !request.path.starts_with("/v1/");
+    if resets {
+        state.resets += 1;
+    }
+    resets
+}
+
 /// Waits while answers are held back; an error if the caller leaves.
 async fn wait_released(
     stream: &mut BufReader<TcpStream>,
@@ -301,7 +328,9 @@
         }
         ServerManner::Works(wait) => (whole, wait, false),
         ServerManner::Holds => (whole, Duration::ZERO, false),
-        ServerManner::Sheds => unreachable!("answered above"),
+        ServerManner::Sheds | ServerManner::Resets => {
+            unreachable!("answered above")
+        }
     }
 }
 
