--- a/goldcrestramp-entry/src/traffic/lane.rs
+++ b/goldcrestramp-entry/src/traffic/lane.rs
@@ -12,10 +12,12 @@
     io,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     task::{Context, Poll, Waker},
 };
 
 use bytes::{Buf, BytesMut};
+use goldcrestramp_adapter::{RequestRoute, RouteEffect};
 use goldcrestramp_decisions::{PipelineEffect, PipelineGate, PipelineStart};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -38,8 +40,10 @@
     },
 };
 
-/// Bytes of a connection that are taken before the library reads them.
-const RECEIVED_MOST: usize = 64 * 1024;
+/// Bytes of a connection that are taken before the library reads them. With
+/// as many connections as a VM has descriptors for, they leave it half of
+/// its memory.
+const RECEIVED_MOST: usize = 24 * 1024;
 
 /// A head that is longer is left to the library's own limits.
 const HEAD_MOST: usize = 16 * 1024;
@@ -212,7 +216,11 @@
         let route = request.head.as_ref().and_then(|head| {
             find_route(view.routes.as_ref()?, head.headers(), head.uri()).ok()
         });
-        if route.is_some_and(|route| route.effect.may_repeat()) {
+        // The answers of downloads would fill the memory while those ahead
+        // of them are read.
+        let lookup =
+            |route: Arc<RequestRoute>| route.effect == RouteEffect::Idempotent;
+        if route.is_some_and(lookup) {
             PipelineEffect::Independent
         } else {
             PipelineEffect::Ordered
--- a/goldcrestramp-entry/tests/daemon/callers.rs
+++ b/goldcrestramp-entry/tests/daemon/callers.rs
@@ -3,7 +3,7 @@
 use reqwest::Method;
 
 use crate::{
-    server::ServerManner,
+    server::{ServerManner, ServerStandin},
     world::{POOLED, World, configuration, entry, eventually},
 };
 
@@ -52,7 +52,7 @@
     let answer = request.send().await.expect("an answer");
 
     assert_eq!(answer.status(), 502);
-    let resets = world.servers.iter().map(|server| server.resets());
+    let resets = world.servers.iter().map(ServerStandin::resets);
     assert_eq!(resets.sum::<u32>(), 1);
 }
 
