--- a/goldcrestramp-decisions/src/rebalancing/mod.rs
+++ b/goldcrestramp-decisions/src/rebalancing/mod.rs
@@ -48,6 +48,18 @@
 const JOINED_PART: f32 = 0.25;
 const GIVING_PART: f32 = 0.5;
 
+/// What a move has to save at the least, in requests that wait at any
+/// moment: less is within the noise of what a second counts.
+const GAIN_LEAST: f32 = 0.7;
+
+/// One move a round for so many servers, but no fewer than the second
+/// figure.
+const SERVERS_A_MOVE: usize = 16;
+const MOVES_LEAST: usize = 12;
+
+/// Runs of a service: each is a grant that is renewed every 1.5 s.
+const RUNS_MOST: usize = 600;
+
 /// The figures that decide when keys move.
 #[derive(Clone, Copy, Debug)]
 pub struct RebalanceSettings {
@@ -69,10 +81,9 @@
     /// filled the narrow links, and configurations came into force late.
     #[must_use]
     pub const fn for_servers(servers: usize) -> Self {
-        const MOVES_LEAST: usize = 12;
-        let part = servers / 16;
+        let part = servers / SERVERS_A_MOVE;
         let moves = if part > MOVES_LEAST { part } else { MOVES_LEAST };
-        Self { gain_least: 0.7, moves, runs_most: 600 }
+        Self { gain_least: GAIN_LEAST, moves, runs_most: RUNS_MOST }
     }
 }
 
@@ -193,8 +204,9 @@
     fn wanted(&self, source: usize, target: usize) -> f32 {
         let (from, to) = (&self.places[source], &self.places[target]);
         let room = to.delay().use_at(self.level) - self.uses[target];
+        let room = to.rate_by(room.max(0.0));
         let most = from.rate_by(self.uses[source]);
-        bisect(most.min(to.rate_by(room)), |rate| {
+        bisect(most.min(room), |rate| {
             let left = self.uses[source] - from.use_by(rate);
             let grown = self.uses[target] + to.use_by(rate);
             from.delay().marginal(left) > to.delay().marginal(grown)
--- a/goldcrestramp-decisions/src/rebalancing/place.rs
+++ b/goldcrestramp-decisions/src/rebalancing/place.rs
@@ -54,12 +54,14 @@
         used / self.use_by(1.0).max(f32::MIN_POSITIVE)
     }
 
+    /// How long its callers wait, by its use.
     pub(super) const fn delay(&self) -> DelayCurve {
         DelayCurve { slots: self.slots, work_s: self.work_s }
     }
 }
 
-/// The open place that is used least, for keys that have no holder.
+/// The open place where one more request costs callers least, for keys that
+/// have no holder.
 ///
 /// `given` counts what was placed in this round already.
 #[must_use]
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -8,8 +8,8 @@
     ServerLife, TablePlanner,
 };
 use goldcrestramp_decisions::{
-    PlaceLoad, PlacedRun, RangeLoad, RebalanceSettings, WorkEstimate,
-    lightest_place, place_uses, rebalancing_moves,
+    PlaceLoad, PlacedRun, RangeLoad, RangeMove, RebalanceSettings,
+    WorkEstimate, lightest_place, place_uses, rebalancing_moves,
 };
 use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
 
@@ -157,7 +157,7 @@
                 moves.len()
             );
         }
-        let wish = |chosen: &goldcrestramp_decisions::RangeMove| MoveWish {
+        let wish = |chosen: &RangeMove| MoveWish {
             range: chosen.range,
             target: board.lives[chosen.target].clone(),
         };
@@ -194,7 +194,7 @@
     }
 }
 
-/// The servers and runs of a service as the spreading sees them.
+/// The servers and runs of a service as the rebalancing sees them.
 struct PlaceBoard {
     lives: Vec<ServerLife>,
     places: Vec<PlaceLoad>,
--- a/goldcrestramp-entry/tests/daemon/pipeline.rs
+++ b/goldcrestramp-entry/tests/daemon/pipeline.rs
@@ -1,5 +1,7 @@
 //! Callers that send further requests before the first is answered.
 
+use std::time::Duration;
+
 use rustix::process::Signal;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -80,9 +82,7 @@
 async fn pipelined_lookups_are_served_at_once_and_answered_in_order() {
     // A server of which nothing is known gets one request at a time.
     let world = World::open(POOLED, 3, 1).await;
-    for server in &world.servers {
-        server.set_manner(ServerManner::Holds);
-    }
+    world.set_manner(ServerManner::Holds);
     let mut caller = RawCaller::connect(&world).await;
     let sent = ["first", "second", "third"];
 
@@ -90,9 +90,7 @@
 
     eventually(async || sent.iter().all(|id| world.runs_of(id) > 0)).await;
     assert!(caller.is_unanswered());
-    for server in &world.servers {
-        server.set_manner(ServerManner::Works(std::time::Duration::ZERO));
-    }
+    world.set_manner(ServerManner::Works(Duration::ZERO));
     let answers = caller.answers(3).await;
     assert_eq!(answers.len(), 3);
     for (answer, id) in answers.iter().zip(sent) {
@@ -107,9 +105,7 @@
 #[tokio::test]
 async fn a_pipelined_order_waits_for_its_turn() {
     let world = World::open(POOLED, 2, 1).await;
-    for server in &world.servers {
-        server.set_manner(ServerManner::Holds);
-    }
+    world.set_manner(ServerManner::Holds);
     let mut caller = RawCaller::connect(&world).await;
     let sent = [lookup("first"), order("order"), lookup("last")].concat();
 
@@ -117,9 +113,7 @@
 
     eventually(async || world.runs_of("first") > 0).await;
     assert_eq!(world.runs_of("order") + world.runs_of("last"), 0);
-    for server in &world.servers {
-        server.set_manner(ServerManner::Works(std::time::Duration::ZERO));
-    }
+    world.set_manner(ServerManner::Works(Duration::ZERO));
     assert_eq!(caller.answers(3).await.len(), 3);
     assert_eq!(world.runs_of("order"), 1);
 }
@@ -130,18 +124,14 @@
 #[tokio::test]
 async fn a_leaving_daemon_answers_all_that_was_pipelined() {
     let world = World::open(POOLED, 2, 1).await;
-    for server in &world.servers {
-        server.set_manner(ServerManner::Holds);
-    }
+    world.set_manner(ServerManner::Holds);
     let mut caller = RawCaller::connect(&world).await;
     caller.send(&["first", "second"].map(lookup).concat()).await;
     eventually(async || world.runs_of("second") > 0).await;
 
     world.nodes[0].signal(Signal::TERM);
     eventually(async || !world.is_ready(0).await).await;
-    for server in &world.servers {
-        server.set_manner(ServerManner::Works(std::time::Duration::ZERO));
-    }
+    world.set_manner(ServerManner::Works(Duration::ZERO));
 
     let answers = caller.answers(2).await;
     assert_eq!(answers.len(), 2);
@@ -179,9 +169,7 @@
 #[tokio::test]
 async fn a_caller_that_leaves_ends_all_that_it_pipelined() {
     let world = World::open(POOLED, 2, 1).await;
-    for server in &world.servers {
-        server.set_manner(ServerManner::Holds);
-    }
+    world.set_manner(ServerManner::Holds);
     let mut caller = RawCaller::connect(&world).await;
     caller.send(&["first", "second"].map(lookup).concat()).await;
     eventually(async || world.runs_of("second") > 0).await;
--- a/goldcrestramp-entry/tests/daemon/world.rs
+++ b/goldcrestramp-entry/tests/daemon/world.rs
@@ -9,7 +9,11 @@
 use reqwest::{Client, Method, RequestBuilder, Response};
 use serde_json::{Value, json};
 
-use crate::{node::NodeProcess, server::ServerStandin, store::StoreStandin};
+use crate::{
+    node::NodeProcess,
+    server::{ServerManner, ServerStandin},
+    store::StoreStandin,
+};
 
 /// The longest that a test waits for something that has to come.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -179,6 +183,14 @@
             .await;
     }
 
+    /// Has all servers behave in one manner.
+    #[allow(dead_code, reason = "not every test binary does")]
+    pub fn set_manner(&self, manner: ServerManner) {
+        for server in &self.servers {
+            server.set_manner(manner);
+        }
+    }
+
     /// How many servers hold a key.
     pub fn holders(&self, key: u64) -> usize {
         self.servers.iter().filter(|server| server.holds(key)).count()
