Simplify the reading ahead of a connection, and ask the budget in one place

What a connection has pending is one queue, an entry a request; the numbers that were compared to find a request served ahead of its turn are gone. The library's own join of a reader and a writer takes the place of a hand-written one. Taking a repeat and looking whether there is one share their way to the budget; an answer's time is noted by one call for the server and its service; the service's times are looked up once a choice in place of once a server.

Behaviour is meant to stay.

--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -224,8 +224,7 @@
             AttemptEnd::Broken
         }
         Ok(Ok(ReadAnswer::Whole(body))) => {
-            let span = slot.answered(now);
-            state.note_answer(request, span);
+            let span = state.note_answer(request, &slot, now);
             slot.server.keep(link, keep_alive(&headers));
             if request.slice.is_some() {
                 let id = &slot.server.id;
@@ -241,8 +240,7 @@
             }
         }
         Ok(Ok(ReadAnswer::Begun(begun, rest))) => {
-            let span = slot.answered(now);
-            state.note_answer(request, span);
+            state.note_answer(request, &slot, now);
             let answer =
                 streamed_answer(status, headers, begun, rest, slot, link);
             AttemptEnd::Answered(answer)
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -5,7 +5,7 @@
 use goldcrestramp_adapter::{RouteEffect, ServerEntry};
 use goldcrestramp_assignment::{RunPhase, ServerLife};
 use goldcrestramp_decisions::{
-    PoolCandidate, PoolChoice, ServerWay, choose_server,
+    AnswerTimes, PoolCandidate, PoolChoice, ServerWay, choose_server,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, TimeSpan};
 
@@ -184,7 +184,10 @@
     let download = request.route.effect == RouteEffect::Download;
     let bytes = service.bytes[usize::from(download)].get();
     let waiting = service.queue.borrow().len();
-    let seen = ready.iter().map(|entry| see(state, view, request, now, entry));
+    let times = service.times.borrow();
+    let route = &request.route.name;
+    let seen =
+        ready.iter().map(|entry| see(state, view, now, entry, route, &times));
     let seen: Vec<SeenServer> = seen.collect();
     let fresh = |server: &SeenServer| !tried.contains(&server.server.id);
     let any_fresh = seen.iter().any(fresh);
@@ -224,9 +227,10 @@
 fn see(
     state: &TrafficState,
     view: &FleetView,
-    request: &RoutedRequest,
     now: LocalTime,
     entry: &ServerEntry,
+    route: &str,
+    service_times: &AnswerTimes,
 ) -> SeenServer {
     let life = ServerLife {
         id: Arc::clone(&entry.id),
@@ -239,10 +243,7 @@
         ServerWay::Region | ServerWay::Far => view.vms.len(),
     };
     let server = state.server(now, &life, Some(entry), sharers);
-    let service = state.service(&request.service);
-    let times = service.times.borrow();
-    let route = &request.route.name;
-    let latency = server.times.borrow().expected(route, &times);
+    let latency = server.times.borrow().expected(route, service_times);
     let candidate = PoolCandidate {
         way,
         limit: server.limit(now),
--- a/goldcrestramp-entry/src/traffic/lane.rs
+++ b/goldcrestramp-entry/src/traffic/lane.rs
@@ -22,8 +22,8 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+    io::{AsyncRead, ReadBuf},
+    net::tcp::OwnedReadHalf,
     sync::Notify,
     task::{JoinHandle, spawn_local},
 };
@@ -73,20 +73,13 @@
     opaque: bool,
     reader: Option<Waker>,
     gate: PipelineGate,
-    /// Requests found, and those that the library has got to.
-    found: u64,
-    handled: u64,
-    early: VecDeque<EarlyRequest>,
+    /// The requests that were found and that the library has not got to,
+    /// with the work on those that are served ahead of their turn.
+    pending: VecDeque<Option<EarlyTask>>,
 }
 
-/// A request that is served ahead of its turn.
-#[derive(Debug)]
-struct EarlyRequest {
-    number: u64,
-    task: EarlyTask,
-}
-
-/// The work on such a request; it ends with its caller's connection.
+/// The work on a request that is served ahead of its turn; it ends with its
+/// caller's connection.
 #[derive(Debug)]
 struct EarlyTask(JoinHandle<Response<AnswerBody>>);
 
@@ -152,8 +145,8 @@
         &self,
         request: Request<Incoming>,
     ) -> Response<AnswerBody> {
-        let early = self.state.borrow_mut().next_early();
-        let answer = if let Some(task) = early {
+        let next = self.state.borrow_mut().pending.pop_front();
+        let answer = if let Some(task) = next.flatten() {
             task.finish().await
         } else {
             let (head, body) = request.into_parts();
@@ -169,7 +162,7 @@
     ///
     /// An answer that closes the connection before it would lose its own.
     pub(crate) fn is_ahead(&self) -> bool {
-        !self.state.borrow().early.is_empty()
+        self.state.borrow().pending.iter().any(Option::is_some)
     }
 
     /// Waits until no request is served ahead of its turn.
@@ -194,21 +187,20 @@
 
     fn found(&self, request: Box<FramedRequest>) {
         let effect = self.effect_of(&request);
-        let mut state = self.state.borrow_mut();
-        let number = state.found;
-        state.found += 1;
-        let start = state.gate.arrived(effect);
+        let start = self.state.borrow_mut().gate.arrived(effect);
         // A VM that leaves asks callers to connect elsewhere with its next
         // answer, which must not have others behind it.
-        if start == PipelineStart::InTurn || !self.traffic.stays() {
-            return;
-        }
-        let Some(head) = request.head else { return };
+        let now = start == PipelineStart::Now && self.traffic.stays();
+        let head = request.head.filter(|_head| now);
+        let task = head.map(|head| self.serve_ahead(head));
+        self.state.borrow_mut().pending.push_back(task);
+    }
+
+    fn serve_ahead(&self, head: Request<()>) -> EarlyTask {
         self.traffic.metrics.pipelined.inc();
         let traffic = Rc::clone(&self.traffic);
-        let task =
-            spawn_local(async move { serve(&traffic, head, None).await });
-        state.early.push_back(EarlyRequest { number, task: EarlyTask(task) });
+        let work = async move { serve(&traffic, head, None).await };
+        EarlyTask(spawn_local(work))
     }
 
     fn effect_of(&self, request: &FramedRequest) -> PipelineEffect {
@@ -263,16 +255,6 @@
         self.body_left -= taken as u64;
     }
 
-    /// The work on the request that the library has got to, if it was
-    /// begun ahead of its turn.
-    fn next_early(&mut self) -> Option<EarlyTask> {
-        let number = self.handled;
-        self.handled += 1;
-        let early = &mut self.early;
-        let next = early.pop_front_if(|early| early.number == number)?;
-        Some(next.task)
-    }
-
     fn take(&mut self, into: &mut ReadBuf<'_>) {
         let taken = self.released.min(into.remaining());
         into.put_slice(&self.received[..taken]);
@@ -281,72 +263,30 @@
     }
 }
 
-/// The connection as the HTTP library sees it.
+/// What the HTTP library reads of a connection.
 #[derive(Debug)]
-pub(crate) struct LaneStream {
-    lane: Rc<CallerLane>,
-    writer: OwnedWriteHalf,
-}
+pub(crate) struct LaneReader(Rc<CallerLane>);
 
-impl LaneStream {
-    pub(crate) const fn new(
-        lane: Rc<CallerLane>,
-        writer: OwnedWriteHalf,
-    ) -> Self {
-        Self { lane, writer }
+impl LaneReader {
+    pub(crate) const fn new(lane: Rc<CallerLane>) -> Self {
+        Self(lane)
     }
 }
 
-impl AsyncRead for LaneStream {
+impl AsyncRead for LaneReader {
     fn poll_read(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let mut state = self.lane.state.borrow_mut();
+        let mut state = self.0.state.borrow_mut();
         // The end of the connection is no read: whoever receives sees it.
         if state.released == 0 {
             state.reader = Some(cx.waker().clone());
             return Poll::Pending;
         }
         state.take(buf);
-        self.lane.room.notify_one();
+        self.0.room.notify_one();
         Poll::Ready(Ok(()))
     }
 }
-
-impl AsyncWrite for LaneStream {
-    fn poll_write(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().writer).poll_write(cx, buf)
-    }
-
-    fn poll_flush(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().writer).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().writer).poll_shutdown(cx)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().writer).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.writer.is_write_vectored()
-    }
-}
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -9,6 +9,7 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
+    io::join,
     net::{TcpListener, TcpStream},
     pin,
     sync::watch,
@@ -19,7 +20,7 @@
     run::StopPhase,
     traffic::{
         ConnectionCount, ConnectionGuard,
-        lane::{CallerLane, LaneStream},
+        lane::{CallerLane, LaneReader},
         state::TrafficState,
     },
 };
@@ -100,7 +101,7 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let stream = LaneStream::new(Rc::clone(&lane), writer);
+    let stream = join(LaneReader::new(Rc::clone(&lane)), writer);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
@@ -111,7 +112,7 @@
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
         () = received.as_mut() => return,
-        () = close(&mut phase, &lane) => {
+        () = may_close(&mut phase, &lane) => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 ended = connection => ended,
@@ -125,7 +126,7 @@
 }
 
 /// Waits until a connection may be closed after its next answer.
-async fn close(phase: &mut watch::Receiver<StopPhase>, lane: &CallerLane) {
+async fn may_close(phase: &mut watch::Receiver<StopPhase>, lane: &CallerLane) {
     closing(phase).await;
     lane.wait_caught_up().await;
 }
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -4,7 +4,7 @@
 
 use goldcrestramp_adapter::RouteEffect;
 use goldcrestramp_decisions::{
-    QueuePlace, ServerWay, TimeoutSight, attempt_timeout,
+    QueuePlace, SendBudget, ServerWay, TimeoutSight, attempt_timeout,
 };
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{Request, Response};
@@ -20,7 +20,7 @@
         RequestBody, RoutedRequest, deadline_of, find_route,
         forwarded_headers, read_body, slice_of,
     },
-    server::ServerState,
+    server::{ServerSlot, ServerState},
     state::TrafficState,
     wait::{RETURN_USUAL, RequestEnd, hold, pause, wait_in_queue},
 };
@@ -206,7 +206,7 @@
     if progress.sends >= SENDS_MOST {
         return Err(EndReason::AttemptsUsed.into());
     }
-    if !progress.tried.is_empty() && !take_repeat(state, request, now) {
+    if !progress.tried.is_empty() && !state.take_repeat(request) {
         return Err(EndReason::RetryBudget.into());
     }
     let service = state.service(&request.service);
@@ -307,17 +307,6 @@
     }
 }
 
-/// Takes a send beyond the first from the budget.
-fn take_repeat(
-    state: &TrafficState,
-    request: &RoutedRequest,
-    now: LocalTime,
-) -> bool {
-    let vms = state.view().vms.len();
-    let service = state.service(&request.service);
-    service.budget.borrow_mut().take(now, vms)
-}
-
 impl TrafficState {
     /// Whether work that is under way may be given up for another server:
     /// this VM stays, and the budget has a send left.
@@ -327,16 +316,35 @@
 
     /// Whether the budget has a send beyond the first left.
     fn has_repeat(&self, request: &RoutedRequest) -> bool {
-        let now = MonotonicClock.now();
+        self.ask_budget(request, SendBudget::has_room)
+    }
+
+    /// Takes a send beyond the first from the budget, if one is left.
+    fn take_repeat(&self, request: &RoutedRequest) -> bool {
+        self.ask_budget(request, SendBudget::take)
+    }
+
+    fn ask_budget(
+        &self,
+        request: &RoutedRequest,
+        ask: impl FnOnce(&mut SendBudget, LocalTime, usize) -> bool,
+    ) -> bool {
         let vms = self.view().vms.len();
         let service = self.service(&request.service);
-        service.budget.borrow_mut().has_room(now, vms)
+        ask(&mut service.budget.borrow_mut(), MonotonicClock.now(), vms)
     }
 
-    /// Learns the usual time of a service's answers.
-    pub(crate) fn note_answer(&self, request: &RoutedRequest, span: TimeSpan) {
+    /// Learns the usual time of a server's and its service's answers.
+    pub(crate) fn note_answer(
+        &self,
+        request: &RoutedRequest,
+        slot: &ServerSlot,
+        now: LocalTime,
+    ) -> TimeSpan {
+        let span = slot.answered(now);
         let service = self.service(&request.service);
         service.times.borrow_mut().note(&request.route.name, span);
+        span
     }
 
     /// Learns the usual size of a route's answers.
