Work out servers' speeds once a round, and report no least times

The planning VM worked out each server's speed twice, by bisection, whenever it looked at a plan, which is at each news and each end of an order; what it is worked out from changes twice a second. The speeds are a module of their own now and are kept from round to round. The least time of an answer, which nothing reads any more, is neither counted nor sent.

Behaviour is meant to stay.

--- a/goldcrestramp-entry/src/control/load.rs
+++ b/goldcrestramp-entry/src/control/load.rs
@@ -12,8 +12,6 @@
     pub answers: u32,
     /// The time that they took, in milliseconds.
     pub millis: u32,
-    /// The least time that one took, in milliseconds.
-    pub least: u32,
 }
 
 /// What one divided service was asked since the last report.
@@ -51,8 +49,6 @@
         let load = report.entry(Arc::clone(service)).or_default();
         let sum = load.servers.entry(Arc::clone(server)).or_default();
         let millis = u32::try_from(span.as_millis()).unwrap_or(u32::MAX);
-        let first = sum.answers == 0;
-        sum.least = if first { millis } else { sum.least.min(millis) };
         sum.answers += 1;
         sum.millis = sum.millis.saturating_add(millis);
     }
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod order;
 mod service;
 mod source;
+mod speed;
 mod tables;
 mod term;
 
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -9,11 +9,11 @@
 };
 use goldcrestramp_decisions::{
     PlaceLoad, PlacedRun, RangeLoad, RangeMove, RebalanceSettings,
-    WorkEstimate, lightest_place, place_uses, rebalancing_moves,
+    lightest_place, place_uses, rebalancing_moves,
 };
 use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
 
-use crate::control::{load::ServiceLoad, term::life_of};
+use crate::control::{load::ServiceLoad, speed::SpeedBook, term::life_of};
 
 /// How long a grant holds. A server that can't be reached and is gone
 /// leaves its keys without an owner for this long; a planner that is lost
@@ -33,12 +33,6 @@
 /// A run that moved stays for so long, or noise would send it to and fro.
 const REST: TimeSpan = TimeSpan::from_millis(800);
 
-/// What stands in until servers have answered.
-const WORK_FIRST: f32 = 0.1;
-
-/// A server that has just started takes about twice the time.
-const COLD_FACTOR: f32 = 2.0;
-
 /// The plan of one service while this VM plans.
 #[derive(Debug)]
 pub(crate) struct ServicePlan {
@@ -48,8 +42,7 @@
     /// Whether a commit is on its way.
     pub(crate) committing: bool,
     load: RangeLoad,
-    /// What is known of each server's speed.
-    works: FastMap<Arc<str>, WorkEstimate>,
+    speeds: SpeedBook,
     weigh_at: LocalTime,
     resting: Vec<(SliceRange, LocalTime)>,
 }
@@ -72,7 +65,7 @@
             revision,
             committing: false,
             load: RangeLoad::open(now),
-            works: FastMap::default(),
+            speeds: SpeedBook::default(),
             weigh_at: now + WEIGH_PAUSE,
             resting: Vec::new(),
         }
@@ -84,10 +77,7 @@
             self.load.count((*key).into(), *requests);
         }
         for (server, sum) in &load.servers {
-            let known = self.works.entry(Arc::clone(server));
-            let work = known.or_insert_with(|| WorkEstimate::open(now));
-            let span = TimeSpan::from_millis(u64::from(sum.millis));
-            work.answered(sum.answers, span.to_std().as_secs_f32());
+            self.speeds.answered(now, server, *sum);
         }
     }
 
@@ -125,7 +115,8 @@
         let weigh = now >= self.weigh_at;
         if weigh {
             self.weigh_at = now + WEIGH_PAUSE;
-            self.settle(now, ready);
+            self.load.settle(now);
+            self.speeds.settle(now, ready);
         }
         let board = PlaceBoard::new(self, ready);
         let wishes = if weigh { self.wishes(&board) } else { Vec::new() };
@@ -163,35 +154,6 @@
         };
         moves.iter().map(wish).collect()
     }
-
-    /// Takes what was reported since the last round into what is known.
-    fn settle(&mut self, now: LocalTime, ready: &[Arc<ServerEntry>]) {
-        self.load.settle(now);
-        self.works.retain(|id, _| ready.iter().any(|e| e.id == *id));
-        for work in self.works.values_mut() {
-            work.settle(now);
-        }
-    }
-
-    /// The work of a server on a request, in seconds.
-    fn work_s(&self, entry: &ServerEntry, usual: f32) -> f32 {
-        let work = self.works.get(&entry.id);
-        let work = work.and_then(|work| work.seconds(entry.slots));
-        if entry.cold_left > TimeSpan::ZERO {
-            return work.unwrap_or(0.0).max(usual * COLD_FACTOR);
-        }
-        work.unwrap_or(usual)
-    }
-
-    /// The usual work of the servers on a request, in seconds.
-    fn usual_work_s(&self, ready: &[Arc<ServerEntry>]) -> f32 {
-        let known = ready.iter().filter_map(|entry| {
-            self.works.get(&entry.id)?.seconds(entry.slots)
-        });
-        let mut sorted: Vec<f32> = known.collect();
-        sorted.sort_by(f32::total_cmp);
-        sorted.get(sorted.len() / 2).copied().unwrap_or(WORK_FIRST)
-    }
 }
 
 /// The servers and runs of a service as the rebalancing sees them.
@@ -203,14 +165,15 @@
 
 impl PlaceBoard {
     fn new(plan: &ServicePlan, ready: &[Arc<ServerEntry>]) -> Self {
-        let usual = plan.usual_work_s(ready);
+        let speeds = &plan.speeds;
+        let usual = speeds.usual_work_s(ready);
         let mut lives: Vec<ServerLife> =
             ready.iter().map(|entry| life_of(entry)).collect();
         let mut places: Vec<PlaceLoad> = ready
             .iter()
             .map(|entry| PlaceLoad {
                 slots: entry.slots,
-                work_s: plan.work_s(entry, usual),
+                work_s: speeds.work_s(entry, usual),
                 open: true,
             })
             .collect();
--- /dev/null
+++ b/goldcrestramp-entry/src/control/speed.rs
@@ -0,0 +1,82 @@
+//! How fast the servers of a service are.
+
+use std::sync::Arc;
+
+use goldcrestramp_adapter::ServerEntry;
+use goldcrestramp_decisions::WorkEstimate;
+use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
+
+use crate::control::load::AnswerSum;
+
+/// What stands in until servers have answered, in seconds.
+const WORK_FIRST: f32 = 0.1;
+
+/// A server that has just started takes about twice the time.
+const COLD_FACTOR: f32 = 2.0;
+
+/// What is known of one server.
+#[derive(Debug)]
+struct ServerSpeed {
+    estimate: WorkEstimate,
+    /// What the estimate said when it was last settled, in seconds: it is
+    /// worked out with each round, and asked for with each plan.
+    work_s: Option<f32>,
+}
+
+/// The speeds of the servers of a service, by their ids.
+#[derive(Debug, Default)]
+pub(crate) struct SpeedBook(FastMap<Arc<str>, ServerSpeed>);
+
+impl SpeedBook {
+    /// Counts answers of a server.
+    pub(crate) fn answered(
+        &mut self,
+        now: LocalTime,
+        server: &Arc<str>,
+        sum: AnswerSum,
+    ) {
+        let unknown =
+            || ServerSpeed { estimate: WorkEstimate::open(now), work_s: None };
+        let speed = self.0.entry(Arc::clone(server)).or_insert_with(unknown);
+        let span = TimeSpan::from_millis(u64::from(sum.millis));
+        speed.estimate.answered(sum.answers, span.to_std().as_secs_f32());
+    }
+
+    /// Takes what was counted into what is known; servers that are no
+    /// longer ready are forgotten.
+    pub(crate) fn settle(
+        &mut self,
+        now: LocalTime,
+        ready: &[Arc<ServerEntry>],
+    ) {
+        let mut known = std::mem::take(&mut self.0);
+        for entry in ready {
+            let Some(mut speed) = known.remove(&entry.id) else { continue };
+            speed.estimate.settle(now);
+            speed.work_s = speed.estimate.seconds(entry.slots);
+            self.0.insert(Arc::clone(&entry.id), speed);
+        }
+    }
+
+    /// The usual work of the servers on a request, in seconds.
+    pub(crate) fn usual_work_s(&self, ready: &[Arc<ServerEntry>]) -> f32 {
+        let known = ready.iter().filter_map(|entry| self.known_work_s(entry));
+        let mut sorted: Vec<f32> = known.collect();
+        sorted.sort_by(f32::total_cmp);
+        sorted.get(sorted.len() / 2).copied().unwrap_or(WORK_FIRST)
+    }
+
+    /// The work of a server on a request, in seconds; `usual` stands in for
+    /// what is not known.
+    pub(crate) fn work_s(&self, entry: &ServerEntry, usual: f32) -> f32 {
+        let work = self.known_work_s(entry);
+        if entry.cold_left > TimeSpan::ZERO {
+            return work.unwrap_or(0.0).max(usual * COLD_FACTOR);
+        }
+        work.unwrap_or(usual)
+    }
+
+    fn known_work_s(&self, entry: &ServerEntry) -> Option<f32> {
+        self.0.get(&entry.id)?.work_s
+    }
+}
