Weigh moves with less work, and let twins share one piece

The search for a run's busiest key and the hold at the end of a row of failures or refusals each stood twice.

--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -285,17 +285,18 @@
             return;
         }
         self.refusals += 1;
-        let probing = matches!(self.stage, LimitStage::Probing { .. });
-        if probing || self.refusals >= REFUSAL_LIMIT {
-            self.hold(now, random);
-        }
+        self.hold_if(self.refusals >= REFUSAL_LIMIT, now, random);
     }
 
-    /// A failure at the end of a row, or of a probe, holds the server.
     fn failed(&mut self, now: LocalTime, random: u64) {
         self.failures += 1;
+        self.hold_if(self.failures >= FAILURE_LIMIT, now, random);
+    }
+
+    /// Holds the server at the end of a row, or of a probe.
+    fn hold_if(&mut self, row_ends: bool, now: LocalTime, random: u64) {
         let probing = matches!(self.stage, LimitStage::Probing { .. });
-        if probing || self.failures >= FAILURE_LIMIT {
+        if probing || row_ends {
             self.hold(now, random);
         }
     }
--- a/goldcrestramp-decisions/src/queueing.rs
+++ b/goldcrestramp-decisions/src/queueing.rs
@@ -28,8 +28,7 @@
 /// The slope of [`waiting_at`].
 fn waiting_slope(used: f32, slots: f32) -> f32 {
     let (power, free) = (power(slots), 1.0 - used);
-    let grown = power * used.powf(power - 1.0) * free + used.powf(power);
-    grown / (free * free)
+    used.powf(power - 1.0) * (power * free + used) / (free * free)
 }
 
 fn power(slots: f32) -> f32 {
--- a/goldcrestramp-decisions/src/rebalancing/load.rs
+++ b/goldcrestramp-decisions/src/rebalancing/load.rs
@@ -88,10 +88,8 @@
         wanted: f32,
     ) -> Option<SliceRange> {
         let (begin, end) = (range.first.position(), range.last.position());
-        let rates = &self.rates;
-        let busiest =
-            (begin..=end).max_by(|a, b| rates[*a].total_cmp(&rates[*b]))?;
-        if rates[busiest] > wanted * 1.5 {
+        let busiest = self.busiest(range);
+        if self.rates[busiest] > wanted * 1.5 {
             return None;
         }
         let average = self.of(range) / count(end - begin + 1);
@@ -123,11 +121,17 @@
         range: SliceRange,
         wanted: f32,
     ) -> Option<SliceRange> {
+        let busiest = self.busiest(range);
+        (self.rates[busiest] > wanted).then(|| keys(busiest, busiest))
+    }
+
+    /// The position of the busiest key of a run.
+    fn busiest(&self, range: SliceRange) -> usize {
         let (begin, end) = (range.first.position(), range.last.position());
         let rates = &self.rates;
         let busiest =
-            (begin..=end).max_by(|a, b| rates[*a].total_cmp(&rates[*b]))?;
-        (rates[busiest] > wanted).then(|| keys(busiest, busiest))
+            (begin..=end).max_by(|a, b| rates[*a].total_cmp(&rates[*b]));
+        busiest.unwrap_or(begin)
     }
 
     /// The keys around the busiest one that are not cold.
--- a/goldcrestramp-decisions/src/rebalancing/mod.rs
+++ b/goldcrestramp-decisions/src/rebalancing/mod.rs
@@ -10,6 +10,8 @@
 mod load;
 mod place;
 
+use std::cell::OnceCell;
+
 use goldcrestramp_types::{SliceIndex, SliceRange};
 
 use crate::{
@@ -120,10 +122,12 @@
     load: &'a RangeLoad,
     settings: &'a RebalanceSettings,
     uses: Vec<f32>,
+    /// What one more request costs at each place, in seconds.
+    marginals: Vec<f32>,
     mean: f32,
     /// What one more request would cost anywhere if loads could be dealt
     /// out as finely as one likes, in seconds.
-    level: f32,
+    level: OnceCell<f32>,
     /// Places that have nothing to give in this round.
     spent: Vec<bool>,
 }
@@ -139,15 +143,17 @@
         let open = places.iter().filter(|place| place.open).count();
         #[expect(clippy::cast_precision_loss, reason = "a few servers")]
         let mean = uses.iter().sum::<f32>() / open.max(1) as f32;
-        let level = common_level(places, &uses);
+        let pairs = places.iter().zip(&uses);
+        let marginals = pairs.map(|(p, used)| p.delay().marginal(*used));
         Self {
+            marginals: marginals.collect(),
             runs: runs.to_vec(),
             places,
             load,
             settings,
             uses,
             mean,
-            level,
+            level: OnceCell::new(),
             spent: vec![false; places.len()],
         }
     }
@@ -162,26 +168,32 @@
         }
     }
 
-    fn marginal(&self, place: usize) -> f32 {
-        self.places[place].delay().marginal(self.uses[place])
+    /// Notes that a place gets so many more requests a second.
+    fn add_rate(&mut self, place: usize, rate: f32) {
+        let load = &self.places[place];
+        self.uses[place] += load.use_by(rate);
+        self.marginals[place] = load.delay().marginal(self.uses[place]);
     }
 
     /// The place whose callers wait most for one another.
     fn fullest(&self) -> Option<usize> {
         (0..self.places.len())
             .filter(|place| !self.spent[*place])
-            .max_by(|a, b| self.marginal(*a).total_cmp(&self.marginal(*b)))
+            .max_by(|a, b| self.marginals[*a].total_cmp(&self.marginals[*b]))
     }
 
     fn lightest(&self) -> Option<usize> {
         (0..self.places.len())
             .filter(|place| self.places[*place].open)
-            .min_by(|a, b| self.marginal(*a).total_cmp(&self.marginal(*b)))
+            .min_by(|a, b| self.marginals[*a].total_cmp(&self.marginals[*b]))
     }
 
     /// Moves the part of the source that saves callers most.
     fn move_from(&mut self, source: usize) -> Option<RangeMove> {
         let target = self.lightest().filter(|target| *target != source)?;
+        if !self.may_gain(source, target) {
+            return None;
+        }
         let wanted = self.wanted(source, target);
         let parts = self.parts(source, wanted);
         let (_gain, position, range, target) = parts
@@ -192,18 +204,32 @@
             })
             .max_by(|a, b| a.0.total_cmp(&b.0))?;
         let rate = self.load.of(range);
-        self.uses[source] -= self.places[source].use_by(rate);
-        self.uses[target] += self.places[target].use_by(rate);
+        self.add_rate(source, -rate);
+        self.add_rate(target, rate);
         self.cut(position, range, target);
         Some(RangeMove { range, target })
     }
 
+    /// Whether any move from the source could be worth it, if the target is
+    /// the lightest place: what a request costs rises with use, so none
+    /// saves more than the difference now. Most servers of a fleet that is
+    /// balanced are done with here, and their parts are not weighed.
+    fn may_gain(&self, source: usize, target: usize) -> bool {
+        let rate = self.places[source].rate_by(self.uses[source]);
+        let most = rate * (self.marginals[source] - self.marginals[target]);
+        let mut places = 0..self.places.len();
+        most > self.settings.gain_least
+            || places.any(|place| self.has_joined(source, place))
+    }
+
     /// The requests a second after whose move one more costs as much at
     /// either place; no more than the target would have if all were dealt
     /// out evenly, or it would have to give others away at once.
     fn wanted(&self, source: usize, target: usize) -> f32 {
         let (from, to) = (&self.places[source], &self.places[target]);
-        let room = to.delay().use_at(self.level) - self.uses[target];
+        let level = || common_level(self.places, &self.uses);
+        let level = *self.level.get_or_init(level);
+        let room = to.delay().use_at(level) - self.uses[target];
         let room = to.rate_by(room.max(0.0));
         let most = from.rate_by(self.uses[source]);
         bisect(most.min(room), |rate| {
@@ -245,7 +271,8 @@
     /// Whether the target has joined and the source has keys to spare: it
     /// gets its part also when nobody is busy.
     fn has_joined(&self, source: usize, target: usize) -> bool {
-        self.uses[target] < self.mean * JOINED_PART
+        self.places[target].open
+            && self.uses[target] < self.mean * JOINED_PART
             && self.uses[source] > self.mean * GIVING_PART
     }
 
