--- a/goldcrestramp-assignment/src/patch.rs
+++ b/goldcrestramp-assignment/src/patch.rs
@@ -1,8 +1,8 @@
 //! What has changed between two tables.
 //!
-//! A move changes one run of some hundreds. Told whole to every VM, a table
-//! of 30 kB fills the links of a fleet several times a second; what has
-//! changed is some hundred bytes.
+//! A move changes one run of some hundreds. Told whole to every VM several
+//! times a second, tables fill the links of a fleet; what has changed is a
+//! small part of them.
 
 use serde::{Deserialize, Serialize};
 
--- a/goldcrestramp-assignment/tests/patch.rs
+++ b/goldcrestramp-assignment/tests/patch.rs
@@ -118,7 +118,8 @@
     }
 }
 
-/// 194 servers, 388 runs: before, every commit took 15 kB to each VM.
+/// One of 388 runs moves between 194 servers. Every VM is told of each such
+/// commit; told the whole table, their links fill.
 #[test]
 fn a_move_in_a_large_table_is_told_in_few_bytes() {
     let mut planner = planner(table(194));
--- a/goldcrestramp-decisions/src/attempt_timeout.rs
+++ b/goldcrestramp-decisions/src/attempt_timeout.rs
@@ -34,9 +34,9 @@
 /// How long the begin of an answer is waited for.
 ///
 /// Of a server that has not answered yet nothing is known: it is waited for
-/// as long as answers on its route may take. Taken for one that answers in
-/// 100 ms, it was given up in the middle of its work by every VM that had
-/// just started, and the budget for another try was soon used up.
+/// as long as answers on its route may take. Taken for a fast one, it would
+/// be given up in the middle of its work by every VM that has just started,
+/// and the budget for another try would soon be used up.
 ///
 /// # Example
 ///
--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -147,9 +147,9 @@
     /// The limit of a server that has been at work for a while, as seen by
     /// a VM that has not: all of its slots from the begin.
     ///
-    /// VMs that start together, after a loss of all of them, gave each
-    /// server one request at a time until it had answered a few, and
-    /// refused what half of its slots could have run.
+    /// VMs that start together, after a loss of all of them, would else give
+    /// each server one request at a time until it has answered a few, and
+    /// refuse what its other slots could run.
     #[must_use]
     pub fn warm(now: LocalTime, slots: usize) -> Self {
         let limit = slots.max(1);
--- a/goldcrestramp-decisions/src/rebalancing/load.rs
+++ b/goldcrestramp-decisions/src/rebalancing/load.rs
@@ -23,9 +23,12 @@
 
 /// Keys move along with a busy neighbour if they have at least this part
 /// of what is to move, or half of their run's average. Cold ones would
-/// move for nothing: a third of all keys moved for 60 busy ones before.
+/// move for nothing.
 const DENSE_PART: f32 = 0.02;
 
+/// A key that has more than so many times what is to move is left out.
+const HOT_FACTOR: f32 = 1.5;
+
 /// The requests a second of each key.
 #[derive(Clone, Debug)]
 pub struct RangeLoad {
@@ -53,8 +56,8 @@
     /// Takes what was counted into the rates.
     ///
     /// A planner that has just begun knows nothing. Blended with the zero
-    /// that it began with, the first counts made a full server look idle
-    /// for two seconds, and its keys stayed with it.
+    /// that it began with, the first counts would make a full server look
+    /// idle, and its keys would stay with it.
     pub fn settle(&mut self, now: LocalTime) {
         let passed = seconds(now.since(self.since));
         if passed <= 0.0 {
@@ -89,7 +92,7 @@
     ) -> Option<SliceRange> {
         let (begin, end) = (range.first.position(), range.last.position());
         let busiest = self.busiest(range);
-        if self.rates[busiest] > wanted * 1.5 {
+        if self.rates[busiest] > wanted * HOT_FACTOR {
             return None;
         }
         let average = self.of(range) / count(end - begin + 1);
--- a/goldcrestramp-decisions/src/rebalancing/mod.rs
+++ b/goldcrestramp-decisions/src/rebalancing/mod.rs
@@ -59,7 +59,7 @@
 const SERVERS_A_MOVE: usize = 16;
 const MOVES_LEAST: usize = 12;
 
-/// Runs of a service: each is a grant that is renewed every 1.5 s.
+/// Runs of a service: each is a grant that is renewed on its own.
 const RUNS_MOST: usize = 600;
 
 /// The figures that decide when keys move.
@@ -79,8 +79,8 @@
     ///
     /// A run that gets a third of all requests has to be given to several
     /// servers within two seconds. But all VMs are told of each move, twice:
-    /// with a quarter of a large service's servers in each round, tables
-    /// filled the narrow links, and configurations came into force late.
+    /// with many moves a round, tables fill the narrow links of a fleet, and
+    /// configurations come into force late.
     #[must_use]
     pub const fn for_servers(servers: usize) -> Self {
         let part = servers / SERVERS_A_MOVE;
--- a/goldcrestramp-decisions/src/times.rs
+++ b/goldcrestramp-decisions/src/times.rs
@@ -1,10 +1,9 @@
 //! How long a server's answers usually take, by route.
 //!
 //! The load: short and long work at the same servers. Taken together, the
-//! usual time lies between: checks of 300 ms beside lookups of 50 ms were
-//! given up half done and run once more, a tenth of them, and a server that
-//! was silent to a lookup was waited for three times as long as its answer
-//! takes.
+//! usual time lies between: long work is given up half done and run once
+//! more, and a server that is silent to short work is waited for long after
+//! its answer should have come.
 
 use std::sync::Arc;
 
--- a/goldcrestramp-decisions/src/work.rs
+++ b/goldcrestramp-decisions/src/work.rs
@@ -15,9 +15,9 @@
 
 use crate::queueing::busy_slots;
 
-/// Half of what is known is replaced in this time: with twenty answers a
-/// second the speed is known to a tenth, and a server that turns slow shows
-/// within three seconds.
+/// Half of what is known is replaced in this time: single answers differ
+/// too much to go by fewer of them, and a server that turns slow is to show
+/// within seconds.
 const HALF_LIFE: TimeSpan = TimeSpan::from_millis(2_500);
 
 /// Answers before the work is told: the time of single requests differs by
--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -329,8 +329,8 @@
 /// A service of two hundred servers is rebalanced twice a second while its
 /// servers are replaced. Every VM is told of each move twice, in about a
 /// hundred bytes; a VM may get 16 KB a second for all of its control, and
-/// half of that is left to the rest. With a quarter of the servers a round
-/// it got 20 KB, and a configuration 3.7 s late.
+/// half of that is left to the rest. With more, tables fill its link, and
+/// configurations come late.
 #[test]
 fn a_large_fleet_is_told_of_few_moves_a_second() {
     const BYTES_A_CHANGE: usize = 100;
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -241,10 +241,10 @@
 
     async fn handle(&mut self, _: StopControl, _: &mut Context<Self>) {
         self.stopping = true;
-        // Nobody can take over while the store is away. A planner that then
-        // stopped renewing at once left every key without an owner 5.5 s
-        // after SIGTERM; it renews until the process ends, like one whose
-        // lease can't be kept, and a successor asks it to stop.
+        // Nobody can take over while the store is away. If the planner then
+        // stops renewing at once, every key is without an owner when its
+        // hold ends; it renews until the process ends, like one whose lease
+        // can't be kept, and a successor asks it to stop.
         if self.term.is_some() && !self.news.is_fresh(now(), self.proof) {
             log::warn!("[control] The store is silent: holds are renewed on.");
             return;
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -25,10 +25,10 @@
 /// A VM that could not be followed is replaced by the next of its failure
 /// domain, this many times.
 ///
-/// The failure: the VM that 17 others follow is restarted on a plan. All of
-/// them followed the store themselves for five seconds, each with all
-/// servers' heartbeats, and filled the link between the regions: servers
-/// could not be reached, and more VMs lost the one that they followed.
+/// The failure: a VM that many others follow is restarted on a plan. If all
+/// of them then follow the store themselves, each with all servers'
+/// heartbeats, they fill the link between the regions: servers can't be
+/// reached, and more VMs lose the one that they follow.
 const PEERS_MOST: usize = 2;
 
 /// A VM whose news are not fresh is followed for so long all the same: it
@@ -134,10 +134,9 @@
     /// is learnt now.
     ///
     /// A leaving server gets no new request some time after the store has
-    /// taken its word. Counted from when a VM learns of it, requests still
-    /// reached a server 2.1 s after its word, where 2.0 s are allowed: the
-    /// VM that was followed had fallen silent. After an outage entries are
-    /// missing that nobody took back, so they count from now.
+    /// taken its word. Counted from when a VM learns of it, that is too late
+    /// if the VM that it follows has fallen silent meanwhile. After an outage
+    /// entries are missing that nobody took back, so they count from now.
     #[must_use]
     pub fn changed_since(&self, now: LocalTime) -> LocalTime {
         if self.is_unsure(now) {
@@ -193,10 +192,9 @@
     /// the VMs that may follow the store for this one, best first.
     ///
     /// A VM that starts reads who the others are, and has the rest from
-    /// one of them. When 91 VMs start at once and each reads the store
-    /// whole, 27 MB go over the link between the regions: no reading ended
-    /// in its time, all began again, and no server was reached for ten
-    /// seconds.
+    /// one of them. If a whole fleet starts at once and each VM reads the
+    /// store whole, they fill the link between the regions: no reading ends
+    /// in its time, all begin again, and no server is reached.
     pub fn next(
         &mut self,
         now: LocalTime,
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -31,10 +31,9 @@
 /// servers of a fleet start within a second of each other.
 const SETTLE: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// Runs of a first table, as far as each server has one to eight: each is
-/// renewed on its own, every 1.5 s. With eight for each of 194 servers the
-/// planning VM sent a thousand renewals a second, and as there are never
-/// more than 600 runs after a cut, no busy run was cut.
+/// Runs of a first table, as far as each server has one and no more than
+/// the second figure: each is renewed on its own, and there have to be far
+/// fewer than the most that a service may have, or no busy run is cut.
 const FIRST_RUNS: u32 = 256;
 const FIRST_STRIPES_MOST: u32 = 8;
 
--- a/goldcrestramp-entry/src/mirror.rs
+++ b/goldcrestramp-entry/src/mirror.rs
@@ -90,8 +90,8 @@
     /// they say something new.
     ///
     /// Servers write a heartbeat each second, which changes nothing that a
-    /// VM goes by. Told on, those of 331 servers fill a link of 10 Mbit/s
-    /// as soon as ten VMs follow this one: they are taken, and are no news.
+    /// VM goes by. Told on, those of hundreds of servers fill a narrow link
+    /// as soon as some VMs follow this one: they are taken, and are no news.
     pub fn apply(&mut self, events: Vec<StoreEvent>, revision: u64) -> bool {
         let mut any = false;
         for event in events {
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -18,7 +18,7 @@
 /// A call that waits for news is answered at once or within 0.4 s.
 const NEWS_LIMIT: Duration = Duration::from_millis(800);
 
-/// A copy of the whole store takes half a second over a link of 10 Mbit/s.
+/// A copy of the whole store takes longer over a narrow link.
 const COPY_LIMIT: Duration = Duration::from_secs(2);
 
 /// A copy of the store is some hundred kilobytes at most.
--- a/goldcrestramp-entry/src/records.rs
+++ b/goldcrestramp-entry/src/records.rs
@@ -55,9 +55,10 @@
 impl VmRun {
     /// Its rank for planning and for following the store.
     ///
-    /// Where VMs differ, the large ones come first. Planning for 194 servers
-    /// and passing changes on to 18 VMs fill a link of 10 Mbit/s: requests
-    /// then wait behind tables, and a configuration is in force too late.
+    /// Where VMs differ, the large ones come first. Planning for hundreds of
+    /// servers and passing changes on to many VMs fill a narrow link:
+    /// requests then wait behind tables, and a configuration is in force too
+    /// late.
     /// VMs alike are ranked by their names, which all of them agree on.
     #[must_use]
     pub fn duty_rank(&self) -> DutyRank {
--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -135,7 +135,7 @@
     log::info!("[stop] SIGTERM: this VM leaves.");
     phases.send_replace(StopPhase::Leaving);
     // A store that is silent keeps this from ending. Waited for first, it
-    // put off the close, and requests were taken that had no time left.
+    // puts off the close, and requests are taken that have no time left.
     if timeout_at(close_at, control.stop()).await.is_err() {
         log::warn!("[stop] The lease was not ended in time.");
     }
@@ -153,9 +153,9 @@
 
 /// The signals that a process goes by.
 ///
-/// Without a handler SIGHUP ends a process. One that came while the process
-/// started did so, and callers found nobody until it was started again; so
-/// handlers are there before anything else.
+/// Without a handler SIGHUP ends a process. If one comes while the process
+/// starts, callers find nobody until it is started again; so handlers are
+/// there before anything else.
 struct ProcessSignals {
     stop: Signal,
     interrupt: Signal,
--- a/goldcrestramp-entry/tests/daemon/pipeline.rs
+++ b/goldcrestramp-entry/tests/daemon/pipeline.rs
@@ -52,6 +52,22 @@
     }
 }
 
+/// A daemon, servers that hold their answers back, and a caller.
+async fn held_world(servers: usize) -> (World, RawCaller) {
+    let world = World::open(POOLED, servers, 1).await;
+    world.set_manner(ServerManner::Holds);
+    let caller = RawCaller::connect(&world).await;
+    (world, caller)
+}
+
+/// The same with two pipelined lookups that servers are at work on.
+async fn two_at_work() -> (World, RawCaller) {
+    let (world, mut caller) = held_world(2).await;
+    caller.send(&["first", "second"].map(lookup).concat()).await;
+    eventually(async || world.runs_of("second") > 0).await;
+    (world, caller)
+}
+
 /// The answers in a text, each from its status line on.
 fn heads(text: &str) -> Vec<String> {
     let parts = text.split("HTTP/1.1 ").skip(1);
@@ -81,9 +97,7 @@
 #[tokio::test]
 async fn pipelined_lookups_are_served_at_once_and_answered_in_order() {
     // A server of which nothing is known gets one request at a time.
-    let world = World::open(POOLED, 3, 1).await;
-    world.set_manner(ServerManner::Holds);
-    let mut caller = RawCaller::connect(&world).await;
+    let (world, mut caller) = held_world(3).await;
     let sent = ["first", "second", "third"];
 
     caller.send(&sent.map(lookup).concat()).await;
@@ -104,9 +118,7 @@
 /// begun by then. A lookup behind the order is to see what it did.
 #[tokio::test]
 async fn a_pipelined_order_waits_for_its_turn() {
-    let world = World::open(POOLED, 2, 1).await;
-    world.set_manner(ServerManner::Holds);
-    let mut caller = RawCaller::connect(&world).await;
+    let (world, mut caller) = held_world(2).await;
     let sent = [lookup("first"), order("order"), lookup("last")].concat();
 
     caller.send(&sent).await;
@@ -123,11 +135,7 @@
 /// which a server is at work on.
 #[tokio::test]
 async fn a_leaving_daemon_answers_all_that_was_pipelined() {
-    let world = World::open(POOLED, 2, 1).await;
-    world.set_manner(ServerManner::Holds);
-    let mut caller = RawCaller::connect(&world).await;
-    caller.send(&["first", "second"].map(lookup).concat()).await;
-    eventually(async || world.runs_of("second") > 0).await;
+    let (world, mut caller) = two_at_work().await;
 
     world.nodes[0].signal(Signal::TERM);
     eventually(async || !world.is_ready(0).await).await;
@@ -168,11 +176,7 @@
 /// connections to the servers end, so that they can stop the work.
 #[tokio::test]
 async fn a_caller_that_leaves_ends_all_that_it_pipelined() {
-    let world = World::open(POOLED, 2, 1).await;
-    world.set_manner(ServerManner::Holds);
-    let mut caller = RawCaller::connect(&world).await;
-    caller.send(&["first", "second"].map(lookup).concat()).await;
-    eventually(async || world.runs_of("second") > 0).await;
+    let (world, caller) = two_at_work().await;
 
     drop(caller);
 
