Tell which configuration decided, how old news are and how calls end

The record of the incident could not tell its hypotheses apart: gauges came behind the histograms in the scraped text, which is cut; a request without a route was logged at debug level and without the version that decided it; and nothing said how long news were on the way, how many bytes of them came or why a call was given up.

Now the gauges come first, with the age of what is known of the store and counts of calls for news by source; a call that is given up and an answer of 64 KiB or more have a line with the time until the head, the whole time and the bytes; and a configuration in force tells its size and how long it took to read. No decision has changed.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -147,6 +147,12 @@
         metrics.planning.set(i64::from(self.term.is_some()));
     }
 
+    /// Notes how old this VM's knowledge of the store is.
+    pub(crate) fn note_news_age(&self, now: LocalTime) {
+        let age = self.news.age(now).as_millis();
+        self.metrics.news_age.set(age.cast_signed());
+    }
+
     /// The record of the planning VM, with its revision.
     fn planner(&self) -> Option<(VmRun, u64)> {
         let item = self.mirror.get(PLANNER_KEY)?;
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -20,6 +20,7 @@
             StoreChanges, StoreReading, StoreSilent, VmReading,
         },
     },
+    metrics::EntryMetrics,
     peers::{PeerCall, PeerClient, PeerReply},
     records::VM_PREFIX,
     store::{StoreClient, StoreFailure},
@@ -50,6 +51,7 @@
     pub(crate) store: Arc<StoreClient>,
     pub(crate) peers: PeerClient,
     pub(crate) control: Address<ControlActor>,
+    pub(crate) metrics: Arc<EntryMetrics>,
 }
 
 /// The control actor is gone: the process ends.
@@ -86,10 +88,12 @@
             NewsSource::StoreChanges(after) => self.watch(after).await?,
         };
         if let Err(failure) = followed {
+            self.metrics.news("store-failed");
             log::debug!("[store] Following failed: {failure}.");
             self.tell(StoreSilent).await?;
             return Ok(false);
         }
+        self.metrics.news("store");
         if step.source != NewsSource::StoreVms {
             sleep_until(next).await;
         }
@@ -101,12 +105,14 @@
         address: std::net::SocketAddr,
         call: PeerCall,
     ) -> Result<bool, ActorGone> {
-        match self.peers.call(address, &call).await {
-            Some(PeerReply::News { news, age, fresh }) => {
-                let source = Some(address);
-                self.tell(PeerNews { news, age, fresh, source }).await?;
-            }
-            _ => self.tell(PeerSilent(address)).await?,
+        let reply = self.peers.call(address, &call).await;
+        if let Some(PeerReply::News { news, age, fresh }) = reply {
+            self.metrics.news("peer");
+            let source = Some(address);
+            self.tell(PeerNews { news, age, fresh, source }).await?;
+        } else {
+            self.metrics.news("peer-failed");
+            self.tell(PeerSilent(address)).await?;
         }
         Ok(true)
     }
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -170,6 +170,7 @@
     async fn handle(&mut self, _: ControlTick, _: &mut Context<Self>) {
         let now = now();
         self.claim_if_vacant(now);
+        self.note_news_age(now);
         self.ask_if_silent(now);
         self.report_load(now);
         self.work(now);
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -74,7 +74,7 @@
         HOLD.min(settings.hold_most),
         Arc::clone(&store),
         loads,
-        metrics,
+        Arc::clone(&metrics),
         views,
         address.clone(),
     );
@@ -84,6 +84,7 @@
         store: Arc::clone(&store),
         peers: PeerClient::open(),
         control: address.clone(),
+        metrics,
     };
     tokio::spawn(follower.run());
     let least = settings.lease_least;
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -2,12 +2,15 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
-use bytes::Bytes;
-use goldcrestramp_types::FastMap;
+use bytes::{Bytes, BytesMut};
+use goldcrestramp_types::{ClockSource, FastMap, LocalTime, MonotonicClock};
 use http::{
     HeaderMap, HeaderValue, Method, Request, StatusCode, header::HOST,
 };
@@ -172,10 +175,16 @@
                 .await
                 .map_err(|_error| CallFailure::NotSent)?,
         };
-        let exchange = exchange(sender, request, self.answer_bytes_most);
+        let progress = CallProgress::begin();
+        let exchange =
+            exchange(sender, request, self.answer_bytes_most, &progress);
         let exchanged = timeout(limit, exchange).await;
-        let (sender, answer) =
-            exchanged.map_err(|_elapsed| CallFailure::Silent)??;
+        let Ok(exchanged) = exchanged else {
+            progress.log_given_up(address);
+            return Err(CallFailure::Silent);
+        };
+        let (sender, answer) = exchanged?;
+        progress.log_if_large(address);
         self.keep(address, sender);
         Ok(answer)
     }
@@ -215,22 +224,82 @@
     sender.ready().await.ok().map(|()| sender)
 }
 
+/// Answers at least this long are logged: they hold up others on a link.
+const LARGE_ANSWER_BYTES: usize = 64 * 1024;
+
+/// How far an answer has come.
+#[derive(Debug)]
+struct CallProgress {
+    sent_at: LocalTime,
+    /// Milliseconds until the answer's head came; 0 until then.
+    head_ms: AtomicU64,
+    /// Bytes of the answer's body.
+    bytes: AtomicUsize,
+}
+
+impl CallProgress {
+    fn begin() -> Self {
+        Self {
+            sent_at: MonotonicClock.now(),
+            head_ms: AtomicU64::default(),
+            bytes: AtomicUsize::default(),
+        }
+    }
+
+    fn took_ms(&self) -> u64 {
+        MonotonicClock.now().since(self.sent_at).as_millis()
+    }
+
+    fn head_came(&self) {
+        self.head_ms.store(self.took_ms(), Ordering::Relaxed);
+    }
+
+    fn log_given_up(&self, address: SocketAddr) {
+        log::info!(
+            head_ms = self.head_ms.load(Ordering::Relaxed),
+            took_ms = self.took_ms(),
+            bytes = self.bytes.load(Ordering::Relaxed);
+            "[link] A call to {address} was given up."
+        );
+    }
+
+    fn log_if_large(&self, address: SocketAddr) {
+        let bytes = self.bytes.load(Ordering::Relaxed);
+        if bytes >= LARGE_ANSWER_BYTES {
+            log::info!(
+                head_ms = self.head_ms.load(Ordering::Relaxed),
+                took_ms = self.took_ms(),
+                bytes = bytes;
+                "[link] A large answer came from {address}."
+            );
+        }
+    }
+}
+
 async fn exchange(
     mut sender: LinkSender,
     request: CallRequest,
     answer_bytes_most: usize,
+    progress: &CallProgress,
 ) -> Result<(LinkSender, CallAnswer), CallFailure> {
     let sent = sender.try_send_request(http_request(request)).await;
     let response = sent.map_err(|mut error| match error.take_message() {
         Some(_unsent) => CallFailure::NotSent,
         None => CallFailure::Unknown,
     })?;
+    progress.head_came();
     let (parts, body) = response.into_parts();
-    let body = Limited::new(body, answer_bytes_most)
-        .collect()
-        .await
-        .map_err(|_error| CallFailure::Unknown)?
-        .to_bytes();
+    let mut body = Limited::new(body, answer_bytes_most);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_error| CallFailure::Unknown)?;
+        // Trailers are of no use here.
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+            progress.bytes.store(bytes.len(), Ordering::Relaxed);
+        }
+    }
+    let body = bytes.freeze();
     let answer =
         CallAnswer { status: parts.status, headers: parts.headers, body };
     Ok((sender, answer))
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -59,6 +59,9 @@
     ends: Family<ReasonLabel, Counter>,
     attempts: Family<ReasonLabel, Counter>,
     times: Family<StageLabel, Histogram, SpanBuckets>,
+    news: Family<ReasonLabel, Counter>,
+    /// How long ago the store was as this VM knows it, in milliseconds.
+    pub news_age: Gauge,
     /// The version of the configuration in force.
     pub configuration: Gauge,
     /// The revision up to which the store is known.
@@ -88,6 +91,8 @@
             ends: Family::default(),
             attempts: Family::default(),
             times: Family::new_with_constructor(SpanBuckets),
+            news: Family::default(),
+            news_age: Gauge::default(),
             configuration: Gauge::default(),
             revision: Gauge::default(),
             vms: Gauge::default(),
@@ -105,24 +110,19 @@
     fn register(&mut self) {
         let registry = &mut self.registry;
         registry.register(
-            "request_ends",
-            "Requests by how they ended",
-            self.ends.clone(),
-        );
-        registry.register(
-            "attempts",
-            "Sends to servers by what came of them",
-            self.attempts.clone(),
+            "configuration_version",
+            "The version in force",
+            self.configuration.clone(),
         );
         registry.register(
-            "request_seconds",
-            "Times of requests by service and part of the way",
-            self.times.clone(),
+            "news_age_milliseconds",
+            "How long ago the store was as this VM knows it",
+            self.news_age.clone(),
         );
         registry.register(
-            "configuration_version",
-            "The version in force",
-            self.configuration.clone(),
+            "news",
+            "Calls for news by source and by what came of them",
+            self.news.clone(),
         );
         registry.register(
             "store_revision",
@@ -150,6 +150,21 @@
             "Pipelined requests served before the ones ahead were answered",
             self.pipelined.clone(),
         );
+        registry.register(
+            "request_ends",
+            "Requests by how they ended",
+            self.ends.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Sends to servers by what came of them",
+            self.attempts.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Times of requests by service and part of the way",
+            self.times.clone(),
+        );
     }
 
     /// Counts the end of a request.
@@ -162,6 +177,11 @@
         self.attempts.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a call for news.
+    pub fn news(&self, reason: &'static str) {
+        self.news.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Notes the time of a part of a request's way.
     pub fn took(&self, service: &str, stage: &'static str, span: TimeSpan) {
         let label = StageLabel { service: service.to_owned(), stage };
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -2,12 +2,12 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use goldcrestramp_adapter::RouteEffect;
+use goldcrestramp_adapter::{RouteEffect, headers as names};
 use goldcrestramp_decisions::{
     QueuePlace, SendBudget, ServerWay, TimeoutSight, attempt_timeout,
 };
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -50,10 +50,11 @@
     head: Request<()>,
     body: Option<Incoming>,
 ) -> Response<AnswerBody> {
+    let attempt = head.headers().get(names::ATTEMPT_ID).cloned();
     let mut request = match read(state, head, body).await {
         Ok(request) => request,
         Err(reason) => {
-            log::debug!("[gateway] A request ends: {}.", reason.code());
+            log_unread(state, attempt.as_ref(), reason);
             state.metrics.ended(reason.code());
             return own_answer(reason, false, RETURN_USUAL);
         }
@@ -77,6 +78,24 @@
     own_answer(end.reason, progress.may_have_run, retry_after)
 }
 
+/// One line for a request that ends before it has a route, with the
+/// configuration that decided it.
+fn log_unread(
+    state: &TrafficState,
+    attempt: Option<&HeaderValue>,
+    reason: EndReason,
+) {
+    let attempt = attempt.and_then(|id| id.to_str().ok());
+    let view = state.view();
+    let version = view.routes.as_ref().map_or(0, |book| book.version);
+    log::info!(
+        request = attempt.unwrap_or(""),
+        reason = reason.code(),
+        configuration = version;
+        "[gateway] A request ends before it has a route."
+    );
+}
+
 fn log_end(
     request: &RoutedRequest,
     progress: &RequestProgress,
--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -7,7 +7,9 @@
     ServerEntry, ServerPhase, TrafficLimits,
 };
 use goldcrestramp_assignment::AssignmentTable;
-use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
+use goldcrestramp_types::{
+    ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
+};
 
 use crate::{
     mirror::{MirrorValue, StoreMirror},
@@ -217,6 +219,7 @@
         if item.revision <= known.max(self.refused) {
             return false;
         }
+        let begin = MonotonicClock.now();
         match FleetConfiguration::parse(&item.value) {
             Ok(configuration) => {
                 let version = configuration.version;
@@ -226,12 +229,14 @@
                     self.refused = item.revision;
                     return false;
                 }
+                let book = Arc::new(RouteBook::new(configuration));
                 log::info!(
+                    bytes = item.value.len(),
+                    read_ms = MonotonicClock.now().since(begin).as_millis();
                     "[control] Configuration {version} is in force; it was \
                      written at revision {}.",
                     item.revision
                 );
-                let book = Arc::new(RouteBook::new(configuration));
                 self.routes = Some((item.revision, book));
                 true
             }
--- a/goldcrestramp-entry/tests/metrics.rs
+++ b/goldcrestramp-entry/tests/metrics.rs
@@ -31,6 +31,7 @@
     let metrics = EntryMetrics::default();
     metrics.ended("answered");
     metrics.sent("answered");
+    metrics.news("peer");
     metrics.took("stock", "whole", TimeSpan::from_millis(5));
     let text = metrics.text();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
