--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -1,6 +1,7 @@
 //! The daemon as a process, against small stand-ins of the platform.
 
 mod callers;
+mod configuration;
 mod node;
 mod orders;
 mod ownership;
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -10,7 +10,7 @@
 };
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// The first of the ports that are tried, and how many there are. They lie
 /// below those that the kernel gives out by itself: a port from there, once
@@ -46,10 +46,17 @@
     folder: PathBuf,
     pub traffic: SocketAddr,
     pub ready: SocketAddr,
+    /// Where it takes calls of other daemons.
+    pub peers: SocketAddr,
 }
 
 impl NodeProcess {
     pub fn spawn(vm: &str, store: SocketAddr) -> Self {
+        Self::spawn_sized(vm, store, &json!({}))
+    }
+
+    /// Starts a daemon on a VM that has so much of a core and of a link.
+    pub fn spawn_sized(vm: &str, store: SocketAddr, limits: &Value) -> Self {
         let [traffic, ready, inner] = free_ports();
         let name = format!("goldcrestramp-{}-{traffic}", std::process::id());
         let folder = std::env::temp_dir().join(name);
@@ -63,6 +70,7 @@
                 "ready": local(ready).to_string()
             },
             "inner_ports": [inner, inner],
+            "limits": limits,
             "beat_interval": "870ms",
             "bounds": ["grace=6s", "drain=2000ms"],
             "platform_settings": {
@@ -73,7 +81,7 @@
         fs::write(&path, settings.to_string()).expect("a file");
         let child = start(&path);
         let (traffic, ready) = (local(traffic), local(ready));
-        Self { child, folder, traffic, ready }
+        Self { child, folder, traffic, ready, peers: local(inner) }
     }
 
     pub fn signal(&self, signal: Signal) {
--- a/goldcrestramp-entry/tests/daemon/store.rs
+++ b/goldcrestramp-entry/tests/daemon/store.rs
@@ -41,6 +41,8 @@
     /// are turned away.
     claims_lost: u32,
     readings_refused: u32,
+    /// Where a VM is said to be reached, in place of its own address.
+    detours: HashMap<String, SocketAddr>,
 }
 
 /// The store; it ends with the test.
@@ -103,6 +105,18 @@
         self.lock().claims_lost = 1;
     }
 
+    /// From now on the entry of a VM names this address.
+    #[allow(dead_code, reason = "not every test binary has a detour")]
+    pub fn detour(&self, vm: &str, address: SocketAddr) {
+        let key = format!("router/vm/{vm}");
+        let mut state = self.lock();
+        state.detours.insert(key.clone(), address);
+        let known = state.items.get(&key).cloned();
+        if let Some(item) = known {
+            state.write(&key, item.value, item.lease);
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, StoreState> {
         self.state.lock().expect("no handler panics")
     }
@@ -196,7 +210,13 @@
         lost
     }
 
-    fn write(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+    fn write(&mut self, key: &str, mut value: Vec<u8>, lease: u64) {
+        if let Some(address) = self.detours.get(key) {
+            let mut entry: Value =
+                serde_json::from_slice(&value).expect("an entry");
+            entry["address"] = json!(address);
+            value = entry.to_string().into_bytes();
+        }
         self.revision += 1;
         let revision = self.revision;
         let item = StoredItem { value: value.clone(), revision, lease };
--- a/goldcrestramp-entry/tests/daemon/world.rs
+++ b/goldcrestramp-entry/tests/daemon/world.rs
@@ -61,6 +61,20 @@
     })
 }
 
+/// The configuration with so many routes more: `/route-0/`, `/route-1/`.
+#[allow(dead_code, reason = "not every test binary has large ones")]
+pub fn large_configuration(version: u64, more: usize) -> Value {
+    let mut large = configuration(version, Some("/more/"));
+    let routes = large["routes"].as_object_mut().expect("routes");
+    let route = routes["more"].clone();
+    for number in 0..more {
+        let mut route = route.clone();
+        route["path_prefix"] = json!(format!("/route-{number}/"));
+        routes.insert(format!("route-{number}"), route);
+    }
+    large
+}
+
 /// The entry of a server.
 pub fn entry(server: &ServerStandin, service: &str, state: &str) -> Value {
     entry_at(server.address, service, state)
@@ -119,6 +133,13 @@
         world
     }
 
+    /// Adds a daemon and waits until it is ready.
+    #[allow(dead_code, reason = "not every test binary adds one")]
+    pub async fn add_node(&mut self, node: NodeProcess) {
+        self.wait_ready(node.ready).await;
+        self.nodes.push(node);
+    }
+
     async fn wait_ready(&self, ready: SocketAddr) {
         eventually(async || self.says_ready(ready).await).await;
     }
--- a/goldcrestramp-entry/tests/soak/relay.rs
+++ b/goldcrestramp-entry/tests/soak/relay.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -26,32 +29,54 @@
     Silent,
     /// It passes calls on, and none of the answers.
     LosesAnswers,
+    /// It passes so many bytes a second on, on each connection.
+    #[allow(dead_code, reason = "one more kind would change kept seeds")]
+    Narrow(u32),
 }
 
 /// A relay to one address; it ends with the test.
 #[derive(Debug)]
 pub struct Relay {
     pub address: SocketAddr,
-    manner: Arc<Mutex<RelayManner>>,
+    state: Arc<RelayState>,
     task: JoinHandle<()>,
 }
 
+#[derive(Debug, Default)]
+struct RelayState {
+    manner: Mutex<RelayManner>,
+    /// Bytes of answers that were passed on.
+    answered: AtomicUsize,
+}
+
+impl RelayState {
+    fn manner(&self) -> RelayManner {
+        *self.manner.lock().expect("no holder panics")
+    }
+}
+
 impl Relay {
     pub async fn spawn(target: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let manner = Arc::<Mutex<RelayManner>>::default();
-        let known = Arc::clone(&manner);
+        let state = Arc::<RelayState>::default();
+        let known = Arc::clone(&state);
         let task = tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 tokio::spawn(pass(caller, target, Arc::clone(&known)));
             }
         });
-        Self { address, manner, task }
+        Self { address, state, task }
     }
 
     pub fn set(&self, manner: RelayManner) {
-        *self.manner.lock().expect("no holder panics") = manner;
+        *self.state.manner.lock().expect("no holder panics") = manner;
+    }
+
+    /// Bytes of answers that were passed on so far.
+    #[allow(dead_code, reason = "not every test binary counts them")]
+    pub fn answered(&self) -> usize {
+        self.state.answered.load(Ordering::Relaxed)
     }
 }
 
@@ -61,12 +86,8 @@
     }
 }
 
-async fn pass(
-    caller: TcpStream,
-    target: SocketAddr,
-    manner: Arc<Mutex<RelayManner>>,
-) {
-    if now(&manner) == RelayManner::Resets {
+async fn pass(caller: TcpStream, target: SocketAddr, state: Arc<RelayState>) {
+    if state.manner() == RelayManner::Resets {
         return;
     }
     let Ok(answering) = TcpStream::connect(target).await else { return };
@@ -74,18 +95,14 @@
     let (answers, to_answering) = answering.into_split();
     // The end of one direction ends both, as the end of a process does.
     tokio::select! {
-        () = copy(from_caller, to_answering, &manner, true) => {}
-        () = copy(answers, to_caller, &manner, false) => {}
-        () = until_reset(&manner) => {}
+        () = copy(from_caller, to_answering, &state, true) => {}
+        () = copy(answers, to_caller, &state, false) => {}
+        () = until_reset(&state) => {}
     }
 }
 
-fn now(manner: &Mutex<RelayManner>) -> RelayManner {
-    *manner.lock().expect("no holder panics")
-}
-
-async fn until_reset(manner: &Mutex<RelayManner>) {
-    while now(manner) != RelayManner::Resets {
+async fn until_reset(state: &RelayState) {
+    while state.manner() != RelayManner::Resets {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
@@ -93,21 +110,32 @@
 async fn copy(
     mut from: tcp::OwnedReadHalf,
     mut to: tcp::OwnedWriteHalf,
-    manner: &Mutex<RelayManner>,
+    state: &RelayState,
     is_call: bool,
 ) {
     let mut bytes = vec![0; 16 * 1024];
     // A connection that has lost bytes says nothing more.
     let mut deaf = false;
     while let Ok(count @ 1..) = from.read(&mut bytes).await {
-        match now(manner) {
+        match state.manner() {
             RelayManner::Delays(span) => tokio::time::sleep(span).await,
+            RelayManner::Narrow(bytes_per_s) => {
+                let bytes = u32::try_from(count).expect("below 16 KiB");
+                let span = Duration::from_secs(1) * bytes / bytes_per_s;
+                tokio::time::sleep(span).await;
+            }
             RelayManner::Silent => deaf = true,
             RelayManner::LosesAnswers if !is_call => deaf = true,
             _ => {}
         }
-        if !deaf && to.write_all(&bytes[..count]).await.is_err() {
+        if deaf {
+            continue;
+        }
+        if to.write_all(&bytes[..count]).await.is_err() {
             return;
         }
+        if !is_call {
+            state.answered.fetch_add(count, Ordering::Relaxed);
+        }
     }
 }
