Pass configurations on as what has changed in them

Cause: a change of the configuration went from VM to VM as the whole value, 0.7 MB of JSON, to some 19 VMs of a failure domain from one of them, and on links of 10 Mbit/s that also carry callers' bodies. Calls for it were given up after 0.8 s with most of the bytes received, and begun again at the next VM and then at the store, until the link between the regions carried nothing else and the far region's leases ran out.

Ruled out: that reading takes too long. 4,200 routes were read in 0.13 to 0.20 s on a tenth of a core, which is a part of the delay and not of the collapse; it is spent on VMs that follow the store alone now.

Change: the last 16 versions are kept decoded, with routes shared between them. A VM names the version that it has and is told which routes were written and removed since, or the decoded whole, which takes a third of the JSON's bytes. A change that was made for another version is left aside and asked for again.

--- /dev/null
+++ b/goldcrestramp-entry/src/configuration.rs
@@ -0,0 +1,239 @@
+//! The last versions of the operators' configuration.
+//!
+//! A change names a few of some thousand routes. Whoever tells another VM of
+//! it sends what has changed since the version that this VM has, so recent
+//! versions are kept; routes that are alike are shared between them.
+
+use std::{collections::VecDeque, fmt, sync::Arc};
+
+use goldcrestramp_adapter::{
+    FleetConfiguration, RequestRoute, ServiceShape, TrafficLimits,
+};
+use goldcrestramp_types::{ClockSource, FastMap, MonotonicClock};
+use serde::{Deserialize, Serialize};
+
+use crate::mirror::MirrorValue;
+
+/// Versions kept. A VM that is further behind is told everything.
+const VERSIONS_MOST: usize = 16;
+
+/// A version of the configuration.
+#[derive(Clone, Debug)]
+pub struct ConfigurationVersion {
+    /// The store's revision of its write.
+    pub revision: u64,
+    /// What it says.
+    pub configuration: Arc<FleetConfiguration>,
+}
+
+/// A newer version, for a VM that has another one or none.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ConfigurationNews {
+    /// The store's revision of its write.
+    revision: u64,
+    body: ConfigurationBody,
+}
+
+/// What a newer version is.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum ConfigurationBody {
+    /// What has changed since the version of revision `base`.
+    Changed { base: u64, patch: Box<ConfigurationPatch> },
+    /// All of it.
+    Whole(Arc<FleetConfiguration>),
+}
+
+/// What makes one version of another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ConfigurationPatch {
+    version: u64,
+    limits: TrafficLimits,
+    /// All services, if any has changed.
+    services: Option<FastMap<Arc<str>, ServiceShape>>,
+    removed: Vec<Arc<str>>,
+    written: Vec<Arc<RequestRoute>>,
+}
+
+impl ConfigurationPatch {
+    fn between(
+        former: &FleetConfiguration,
+        newer: &FleetConfiguration,
+    ) -> Self {
+        let is_gone = |name: &&Arc<str>| !newer.routes.contains_key(*name);
+        let is_new = |route: &&Arc<RequestRoute>| {
+            let known = former.routes.get(&route.name);
+            !known.is_some_and(|known| is_same(known, route))
+        };
+        let services = (former.services != newer.services)
+            .then(|| newer.services.clone());
+        Self {
+            version: newer.version,
+            limits: newer.limits,
+            services,
+            removed: former.routes.keys().filter(is_gone).cloned().collect(),
+            written: newer.routes.values().filter(is_new).cloned().collect(),
+        }
+    }
+
+    fn apply(self, former: &FleetConfiguration) -> FleetConfiguration {
+        let mut routes = former.routes.clone();
+        for name in &self.removed {
+            routes.remove(name);
+        }
+        for route in self.written {
+            routes.insert(Arc::clone(&route.name), route);
+        }
+        FleetConfiguration {
+            version: self.version,
+            routes,
+            services: self.services.unwrap_or_else(|| former.services.clone()),
+            limits: self.limits,
+        }
+    }
+}
+
+fn is_same(one: &Arc<RequestRoute>, other: &Arc<RequestRoute>) -> bool {
+    Arc::ptr_eq(one, other) || one == other
+}
+
+/// News that were made for another version than the known one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BaseMismatch;
+
+impl fmt::Display for BaseMismatch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "a change of another version of the configuration")
+    }
+}
+
+impl std::error::Error for BaseMismatch {}
+
+/// The last versions that a VM has seen, oldest first. Versions only rise.
+#[derive(Debug, Default)]
+pub struct ConfigurationHistory {
+    versions: VecDeque<ConfigurationVersion>,
+    /// The revision of the last value that could not be used.
+    refused: u64,
+}
+
+impl ConfigurationHistory {
+    /// The newest version, once one is known.
+    #[must_use]
+    pub fn newest(&self) -> Option<&ConfigurationVersion> {
+        self.versions.back()
+    }
+
+    /// The revision of the newest version; 0 if none is known.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
+        self.newest().map_or(0, |newest| newest.revision)
+    }
+
+    /// Takes the value that lies in the store; whether it is a newer
+    /// version.
+    pub fn take_value(&mut self, item: &MirrorValue) -> bool {
+        if item.revision <= self.revision().max(self.refused) {
+            return false;
+        }
+        let begin = MonotonicClock.now();
+        let configuration = match FleetConfiguration::parse(&item.value) {
+            Ok(configuration) => configuration,
+            Err(error) => {
+                log::warn!("[control] {error}; the former stays in force.");
+                self.refused = item.revision;
+                return false;
+            }
+        };
+        log::info!(
+            bytes = item.value.len(),
+            routes = configuration.routes.len(),
+            read_ms = MonotonicClock.now().since(begin).as_millis();
+            "[control] Configuration {} was read from the store.",
+            configuration.version
+        );
+        self.push(item.revision, configuration)
+    }
+
+    /// The newest version, for a VM that has the one of revision `known`;
+    /// nothing if that one is as new.
+    #[must_use]
+    pub fn news_for(&self, known: u64) -> Option<ConfigurationNews> {
+        let newest = self.newest().filter(|v| v.revision > known)?;
+        let former = self.versions.iter().find(|v| v.revision == known);
+        let body = match former {
+            Some(former) => ConfigurationBody::Changed {
+                base: known,
+                patch: Box::new(ConfigurationPatch::between(
+                    &former.configuration,
+                    &newest.configuration,
+                )),
+            },
+            None => {
+                ConfigurationBody::Whole(Arc::clone(&newest.configuration))
+            }
+        };
+        Some(ConfigurationNews { revision: newest.revision, body })
+    }
+
+    /// Takes another VM's news; whether they are a newer version.
+    ///
+    /// # Errors
+    ///
+    /// [`BaseMismatch`] if they were made for another version.
+    pub fn take_news(
+        &mut self,
+        news: ConfigurationNews,
+    ) -> Result<bool, BaseMismatch> {
+        if news.revision <= self.revision() {
+            return Ok(false);
+        }
+        let configuration = match news.body {
+            ConfigurationBody::Whole(whole) => Arc::unwrap_or_clone(whole),
+            ConfigurationBody::Changed { base, patch } => {
+                let former = self.newest().filter(|v| v.revision == base);
+                let former = former.ok_or(BaseMismatch)?;
+                log::info!(
+                    written = patch.written.len(),
+                    removed = patch.removed.len();
+                    "[control] A change to configuration {} was taken.",
+                    patch.version
+                );
+                patch.apply(&former.configuration)
+            }
+        };
+        Ok(self.push(news.revision, configuration))
+    }
+
+    /// Adds a version; one that is not above the newest is refused, as what
+    /// was once in force never returns.
+    fn push(
+        &mut self,
+        revision: u64,
+        mut configuration: FleetConfiguration,
+    ) -> bool {
+        if let Some(newest) = self.versions.back() {
+            if configuration.version <= newest.configuration.version {
+                self.refused = self.refused.max(revision);
+                return false;
+            }
+            share_routes(&newest.configuration, &mut configuration);
+        }
+        if self.versions.len() >= VERSIONS_MOST {
+            self.versions.pop_front();
+        }
+        let configuration = Arc::new(configuration);
+        self.versions
+            .push_back(ConfigurationVersion { revision, configuration });
+        true
+    }
+}
+
+/// Has a newer version use the former one's routes where they are alike.
+fn share_routes(former: &FleetConfiguration, newer: &mut FleetConfiguration) {
+    for (name, route) in &mut newer.routes {
+        match former.routes.get(name) {
+            Some(known) if known == route => *route = Arc::clone(known),
+            _ => {}
+        }
+    }
+}
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -2,11 +2,13 @@
 
 use std::sync::{Arc, Weak};
 
+use goldcrestramp_adapter::CONFIGURATION_KEY;
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 use tokio::sync::watch;
 use xtra::Address;
 
 use crate::{
+    configuration::ConfigurationHistory,
     control::{
         claim::{claim, stop_former},
         load::{LoadBook, LoadReport},
@@ -52,6 +54,7 @@
     pub(crate) address: Address<Self>,
     pub(crate) mirror: StoreMirror,
     pub(crate) history: TableHistory,
+    pub(crate) configurations: ConfigurationHistory,
     pub(crate) told: TellBook,
     builder: ViewBuilder,
     pub(crate) view: Arc<FleetView>,
@@ -96,6 +99,7 @@
             address,
             mirror: StoreMirror::default(),
             history: TableHistory::default(),
+            configurations: ConfigurationHistory::default(),
             told: TellBook::default(),
             builder: ViewBuilder::default(),
             view: Arc::default(),
@@ -119,8 +123,13 @@
     /// Takes what the mirror now holds, and tells the traffic thread.
     pub(crate) fn refresh(&mut self, now: LocalTime) {
         self.history.note(&self.mirror);
+        if let Some(item) = self.mirror.extract(CONFIGURATION_KEY) {
+            self.configurations.take_value(&item);
+        }
         let since = self.news.changed_since(now);
-        if let Some(view) = self.builder.build(now, since, &self.mirror) {
+        let newest = self.configurations.newest();
+        let view = self.builder.build(now, since, &self.mirror, newest);
+        if let Some(view) = view {
             let view = Arc::new(view);
             self.view = Arc::clone(&view);
             self.views.send_replace(view);
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -78,9 +78,8 @@
     async fn follow(&self, step: NextStep) -> Result<bool, ActorGone> {
         let next = Instant::now() + WATCH_PAUSE;
         let followed = match step.source {
-            NewsSource::Peer(address, revision) => {
-                let tables = step.tables;
-                let call = PeerCall::Sync { revision, tables, wait: true };
+            NewsSource::Peer(address, _revision) => {
+                let call = PeerCall::Sync { known: step.known, wait: true };
                 return self.ask_peer(address, call).await;
             }
             NewsSource::StoreVms => self.read_vms().await?,
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -14,7 +14,7 @@
             StoreSilent, TablesTold, VmReading,
         },
     },
-    peers::{PeerCall, PeerReply, StoreNews},
+    peers::{PeerCall, PeerReply},
 };
 
 fn now() -> LocalTime {
@@ -87,7 +87,7 @@
         _: &mut Context<Self>,
     ) -> NextStep {
         let source = self.next_source(now());
-        NextStep { source, tables: self.history.marks() }
+        NextStep { source, known: self.marks() }
     }
 }
 
@@ -130,19 +130,14 @@
         if let Some(source) = message.source {
             self.news.peer_answered(now, source, message.fresh);
         }
-        let changed = match message.news {
-            StoreNews::None => false,
-            StoreNews::Changes(delta, tables) => {
-                let whole = self.take_tables(now, tables);
-                self.mirror.apply_delta(delta, whole)
-            }
-            StoreNews::Whole(mirror) => self.mirror.adopt(mirror),
-        };
-        if changed {
+        let taken = self.take_news(now, message.news);
+        if taken.changed {
             self.refresh(now);
         }
-        self.news.was_told(now, message.age);
-        if changed {
+        if taken.whole {
+            self.news.was_told(now, message.age);
+        }
+        if taken.changed {
             self.work(now);
         }
     }
@@ -270,9 +265,9 @@
     ) -> PeerReply {
         let now = now();
         match message {
-            PeerCall::Sync { revision, tables, .. } => {
+            PeerCall::Sync { known, .. } => {
                 let fresh = self.news.may_be_followed(now, self.proof);
-                let news = self.news_since(revision, &tables);
+                let news = self.news_since(&known);
                 let age = self.news.age(now);
                 PeerReply::News { news, age, fresh }
             }
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -9,7 +9,7 @@
 use crate::{
     control::NewsSource,
     history::TableMark,
-    peers::StoreNews,
+    peers::{NewsMarks, StoreNews},
     records::VmRun,
     store::{StoreFailure, StorePage},
 };
@@ -43,8 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct NextStep {
     pub(crate) source: NewsSource,
-    /// The versions of the tables that are known.
-    pub(crate) tables: Vec<TableMark>,
+    /// What is known.
+    pub(crate) known: NewsMarks,
 }
 
 /// A VM was told of tables.
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -5,12 +5,21 @@
 use goldcrestramp_types::LocalTime;
 
 use crate::{
+    configuration::ConfigurationNews,
     control::{ControlActor, message::PeerNews, news::NewsSource},
-    history::TableMark,
-    peers::{PeerCall, PeerReply, StoreNews},
+    peers::{NewsMarks, PeerCall, PeerReply, StoreNews},
     records::{DutyRank, VmRun},
 };
 
+/// What came of another VM's news.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TakenNews {
+    /// Whether anything has changed.
+    pub(crate) changed: bool,
+    /// Whether everything was taken.
+    pub(crate) whole: bool,
+}
+
 impl ControlActor {
     /// Asks another VM while the store is silent to this one.
     pub(crate) fn ask_if_silent(&mut self, now: LocalTime) {
@@ -42,20 +51,73 @@
         ranked.into_iter().map(|(_rank, address)| address).collect()
     }
 
-    /// What has changed in the store since a revision, for a VM that has
-    /// these versions of the tables.
-    pub(crate) fn news_since(
-        &self,
-        revision: u64,
-        tables: &[TableMark],
-    ) -> StoreNews {
-        let tables = self.history.news_for(tables);
-        if self.mirror.revision() <= revision && tables.is_empty() {
+    /// What this VM knows of the store.
+    pub(crate) fn marks(&self) -> NewsMarks {
+        NewsMarks {
+            revision: self.mirror.revision(),
+            tables: self.history.marks(),
+            configuration: self.configurations.revision(),
+        }
+    }
+
+    /// What has changed in the store, for a VM that knows so much of it.
+    pub(crate) fn news_since(&self, known: &NewsMarks) -> StoreNews {
+        let tables = self.history.news_for(&known.tables);
+        let configuration = self.configurations.news_for(known.configuration);
+        let is_known = self.mirror.revision() <= known.revision;
+        if is_known && tables.is_empty() && configuration.is_none() {
             return StoreNews::None;
         }
-        match self.mirror.delta_since(revision) {
-            Some(delta) => StoreNews::Changes(delta, tables),
-            None => StoreNews::Whole(self.mirror.clone()),
+        match self.mirror.delta_since(known.revision) {
+            Some(items) => StoreNews::Changes { items, tables, configuration },
+            None => {
+                StoreNews::Whole { items: self.mirror.clone(), configuration }
+            }
+        }
+    }
+
+    /// Takes what another VM says has changed.
+    ///
+    /// Changes of a table or of the configuration that were made for another
+    /// version are left aside. The revision then stays, so that what is
+    /// missing is asked for again.
+    pub(crate) fn take_news(
+        &mut self,
+        now: LocalTime,
+        news: StoreNews,
+    ) -> TakenNews {
+        match news {
+            StoreNews::None => TakenNews { changed: false, whole: true },
+            StoreNews::Changes { items, tables, configuration } => {
+                let tables = self.take_tables(now, tables);
+                let taken = self.take_configuration(configuration);
+                let whole = tables && taken.whole;
+                let changed = self.mirror.apply_delta(items, whole);
+                TakenNews { changed: changed || taken.changed, whole }
+            }
+            StoreNews::Whole { items, configuration } => {
+                let taken = self.take_configuration(configuration);
+                // Adopted without it, the change would not be asked for.
+                let changed = taken.whole && self.mirror.adopt(items);
+                let changed = changed || taken.changed;
+                TakenNews { changed, whole: taken.whole }
+            }
+        }
+    }
+
+    fn take_configuration(
+        &mut self,
+        news: Option<ConfigurationNews>,
+    ) -> TakenNews {
+        let Some(news) = news else {
+            return TakenNews { changed: false, whole: true };
+        };
+        match self.configurations.take_news(news) {
+            Ok(changed) => TakenNews { changed, whole: true },
+            Err(error) => {
+                log::debug!("[control] News were left aside: {error}.");
+                TakenNews { changed: false, whole: false }
+            }
         }
     }
 
@@ -68,9 +130,7 @@
         }
         let chosen = rand::random_range(0..others.len());
         let address = others[chosen].address;
-        let revision = self.mirror.revision();
-        let tables = self.history.marks();
-        let call = PeerCall::Sync { revision, tables, wait: false };
+        let call = PeerCall::Sync { known: self.marks(), wait: false };
         let (peers, control) = (self.peers.clone(), self.address.clone());
         tokio::spawn(async move {
             if let Some(PeerReply::News { news, age, .. }) =
--- a/goldcrestramp-entry/src/lib.rs
+++ b/goldcrestramp-entry/src/lib.rs
@@ -11,11 +11,12 @@
 - [`peers`]: what VMs tell one another.
 - [`framing`]: where the requests on a caller's connection end.
 - [`logs`], [`metrics`]: what operators see.
-- [`mirror`], [`history`], [`view`]: what is known of the store, and of the
-  fleet.
+- [`mirror`], [`history`], [`configuration`], [`view`]: what is known of the
+  store, and of the fleet.
 - [`run()`]: starts all of it, and ends it without cutting a request.
 */
 
+pub mod configuration;
 pub mod control;
 pub mod framing;
 pub mod history;
--- a/goldcrestramp-entry/src/mirror.rs
+++ b/goldcrestramp-entry/src/mirror.rs
@@ -76,6 +76,11 @@
         self.items.get(key)
     }
 
+    /// Takes an item out that is kept elsewhere.
+    pub fn extract(&mut self, key: &str) -> Option<MirrorValue> {
+        self.items.remove(key)
+    }
+
     /// The items whose keys begin with `prefix`, in order.
     pub fn range<'a>(
         &'a self,
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -53,7 +53,7 @@
             body: body.into(),
         };
         let limit = match call {
-            PeerCall::Sync { revision: 0, .. } => COPY_LIMIT,
+            PeerCall::Sync { known, .. } if known.revision == 0 => COPY_LIMIT,
             PeerCall::Sync { wait: true, .. } => NEWS_LIMIT,
             _ => CALL_LIMIT,
         };
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    configuration::ConfigurationNews,
     control::LoadReport,
     history::{TableMark, TableNews},
     mirror::{MirrorDelta, StoreMirror},
@@ -12,12 +13,10 @@
 /// A call of one VM to another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerCall {
-    /// Asks for what has changed in the store since a revision.
+    /// Asks for what has changed in the store.
     Sync {
-        /// The revision up to which the asking VM knows all changes.
-        revision: u64,
-        /// The versions of the tables that it has.
-        tables: Vec<TableMark>,
+        /// What the asking VM knows.
+        known: NewsMarks,
         /// Whether to wait for a change, if there is none yet.
         wait: bool,
     },
@@ -32,15 +31,41 @@
     },
 }
 
-/// What has changed in the store since a revision.
+/// How much of the store a VM knows.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NewsMarks {
+    /// The revision up to which it knows all changes.
+    pub revision: u64,
+    /// The versions of the tables that it has.
+    pub tables: Vec<TableMark>,
+    /// The revision of the configuration that it has; 0 if it has none.
+    pub configuration: u64,
+}
+
+/// What has changed in the store.
+///
+/// Tables and the configuration stand apart, as they are told by what has
+/// changed in them.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum StoreNews {
     /// Nothing.
     None,
-    /// This; tables apart, as they are told by what has changed in them.
-    Changes(MirrorDelta, Vec<TableNews>),
+    /// Some of it.
+    Changes {
+        /// Items that have changed.
+        items: MirrorDelta,
+        /// Tables that have changed.
+        tables: Vec<TableNews>,
+        /// The configuration, if it has changed.
+        configuration: Option<ConfigurationNews>,
+    },
     /// More than is remembered: all of it.
-    Whole(StoreMirror),
+    Whole {
+        /// All items, tables included.
+        items: StoreMirror,
+        /// The configuration, if it has changed.
+        configuration: Option<ConfigurationNews>,
+    },
 }
 
 /// The answer to a call.
--- a/goldcrestramp-entry/src/peers/mod.rs
+++ b/goldcrestramp-entry/src/peers/mod.rs
@@ -10,7 +10,7 @@
 
 pub use crate::peers::{
     client::PeerClient,
-    message::{PeerCall, PeerReply, StoreNews},
+    message::{NewsMarks, PeerCall, PeerReply, StoreNews},
     server::{PeerSource, serve_peers},
 };
 
--- a/goldcrestramp-entry/src/peers/server.rs
+++ b/goldcrestramp-entry/src/peers/server.rs
@@ -50,8 +50,8 @@
     let Some(call) = read_call(request).await else {
         return status(StatusCode::BAD_REQUEST);
     };
-    if let PeerCall::Sync { revision, wait: true, .. } = call {
-        let newer = source.revisions.wait_for(|known| *known > revision);
+    if let PeerCall::Sync { known, wait: true } = &call {
+        let newer = source.revisions.wait_for(|at| *at > known.revision);
         // Without news the answer says that this VM is still there.
         let _in_time = timeout(NEWS_WAIT, newer).await;
     }
--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -3,15 +3,14 @@
 use std::sync::Arc;
 
 use goldcrestramp_adapter::{
-    CONFIGURATION_KEY, FleetConfiguration, RequestRoute, SERVER_PREFIX,
-    ServerEntry, ServerPhase, TrafficLimits,
+    FleetConfiguration, RequestRoute, SERVER_PREFIX, ServerEntry, ServerPhase,
+    TrafficLimits,
 };
 use goldcrestramp_assignment::AssignmentTable;
-use goldcrestramp_types::{
-    ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
-};
+use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 
 use crate::{
+    configuration::ConfigurationVersion,
     mirror::{MirrorValue, StoreMirror},
     records::{TABLE_PREFIX, VM_PREFIX, VmRun, decode},
 };
@@ -34,23 +33,25 @@
 }
 
 impl RouteBook {
-    fn new(configuration: FleetConfiguration) -> Self {
+    fn new(configuration: &FleetConfiguration) -> Self {
         let mut hosts: FastMap<Arc<str>, Vec<Arc<RequestRoute>>> =
             FastMap::default();
-        for route in configuration.routes {
-            let host = route.host.to_ascii_lowercase().into();
-            hosts.entry(host).or_default().push(Arc::new(route));
+        for route in configuration.routes.values() {
+            let host = lower_case(&route.host);
+            hosts.entry(host).or_default().push(Arc::clone(route));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| {
                 std::cmp::Reverse(route.path_prefix.len())
             });
         }
-        let services = configuration.services.into_iter();
+        let services = configuration.services.iter();
         Self {
             version: configuration.version,
             limits: configuration.limits,
-            divided: services.map(|(n, s)| (n, s.divided)).collect(),
+            divided: services
+                .map(|(name, shape)| (Arc::clone(name), shape.divided))
+                .collect(),
             hosts,
         }
     }
@@ -80,6 +81,14 @@
     }
 }
 
+/// The host in lower case; shared if it is so already.
+fn lower_case(host: &Arc<str>) -> Arc<str> {
+    if host.bytes().any(|byte| byte.is_ascii_uppercase()) {
+        return host.to_ascii_lowercase().into();
+    }
+    Arc::clone(host)
+}
+
 /// One state of the fleet.
 #[derive(Clone, Debug, Default)]
 pub struct FleetView {
@@ -152,7 +161,6 @@
 #[derive(Debug, Default)]
 pub struct ViewBuilder {
     routes: Option<(u64, Arc<RouteBook>)>,
-    refused: u64,
     servers: ParsedItems<Arc<ServerEntry>>,
     tables: ParsedItems<Arc<AssignmentTable>>,
     vms: ParsedItems<VmRun>,
@@ -161,8 +169,9 @@
 }
 
 impl ViewBuilder {
-    /// The view of the mirror as it is now; nothing if it has not changed.
-    /// What has changed did so after `since`.
+    /// The view of the mirror and of the newest configuration as they are
+    /// now; nothing if it has not changed. What has changed did so after
+    /// `since`.
     ///
     /// Servers' heartbeats change the store all the time and say nothing
     /// new: a view for each would wake every waiting request.
@@ -171,8 +180,10 @@
         now: LocalTime,
         since: LocalTime,
         mirror: &StoreMirror,
+        configuration: Option<&ConfigurationVersion>,
     ) -> Option<FleetView> {
-        let routes = self.read_configuration(mirror);
+        let routes =
+            configuration.is_some_and(|newest| self.put_in_force(newest));
         let servers =
             self.servers.read(mirror.range(SERVER_PREFIX), |key, value| {
                 ServerEntry::parse(key, value).map(Arc::new)
@@ -211,41 +222,21 @@
         }
     }
 
-    /// Takes the configuration, if it is a newer version than the one in
-    /// force: what was once in force never returns.
-    fn read_configuration(&mut self, mirror: &StoreMirror) -> bool {
-        let Some(item) = mirror.get(CONFIGURATION_KEY) else { return false };
+    /// Puts a configuration in force, if it is a newer one.
+    fn put_in_force(&mut self, newest: &ConfigurationVersion) -> bool {
+        let ConfigurationVersion { revision, configuration } = newest;
         let known = self.routes.as_ref().map_or(0, |(known, _)| *known);
-        if item.revision <= known.max(self.refused) {
+        if *revision <= known {
             return false;
         }
-        let begin = MonotonicClock.now();
-        match FleetConfiguration::parse(&item.value) {
-            Ok(configuration) => {
-                let version = configuration.version;
-                let in_force =
-                    self.routes.as_ref().map(|(_, book)| book.version);
-                if in_force.is_some_and(|known| known >= version) {
-                    self.refused = item.revision;
-                    return false;
-                }
-                let book = Arc::new(RouteBook::new(configuration));
-                log::info!(
-                    bytes = item.value.len(),
-                    read_ms = MonotonicClock.now().since(begin).as_millis();
-                    "[control] Configuration {version} is in force; it was \
-                     written at revision {}.",
-                    item.revision
-                );
-                self.routes = Some((item.revision, book));
-                true
-            }
-            Err(error) => {
-                log::warn!("[control] {error}; the former stays in force.");
-                self.refused = item.revision;
-                false
-            }
-        }
+        self.routes =
+            Some((*revision, Arc::new(RouteBook::new(configuration))));
+        log::info!(
+            "[control] Configuration {} is in force; it was written at \
+             revision {revision}.",
+            configuration.version
+        );
+        true
     }
 
     /// Notes since when servers leave or are gone.
--- /dev/null
+++ b/goldcrestramp-entry/tests/configurations.rs
@@ -0,0 +1,125 @@
+//! Versions of the configuration are passed on as what has changed.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use goldcrestramp_adapter::FleetConfiguration;
+use goldcrestramp_entry::{
+    configuration::{BaseMismatch, ConfigurationHistory, ConfigurationNews},
+    mirror::MirrorValue,
+};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+/// The routes of a version: for each a name and the service it leads to.
+type Routes = BTreeMap<u8, u8>;
+
+fn value(version: u64, routes: &Routes) -> MirrorValue {
+    let routes = routes.iter().map(|(name, service)| {
+        let route = json!({
+            "host": format!("host-{name}.example"), "path_prefix": "/",
+            "kind": "safe", "timeout": "1s",
+            "service": format!("service-{service}")
+        });
+        (format!("route-{name}"), route)
+    });
+    let routes: serde_json::Map<String, Value> = routes.collect();
+    let services = json!({"service-0": {"sharded": version.is_multiple_of(2)}});
+    let whole =
+        json!({"version": version, "routes": routes, "services": services});
+    MirrorValue {
+        value: whole.to_string().into_bytes(),
+        revision: version * 10,
+        changed: version * 10,
+    }
+}
+
+fn newest(history: &ConfigurationHistory) -> Arc<FleetConfiguration> {
+    Arc::clone(&history.newest().expect("a version").configuration)
+}
+
+/// News as they come out at the other end of a link.
+fn sent(news: &ConfigurationNews) -> ConfigurationNews {
+    let bytes = postcard::to_allocvec(news).expect("bytes");
+    postcard::from_bytes(&bytes).expect("news")
+}
+
+#[test]
+fn a_change_of_one_route_is_told_in_few_bytes() {
+    let mut routes: Routes = (0..200).map(|name| (name, 0)).collect();
+    let mut source = ConfigurationHistory::default();
+    source.take_value(&value(1, &routes));
+    let whole = source.news_for(0).expect("all of it");
+
+    routes.insert(7, 1);
+    source.take_value(&value(2, &routes));
+    let change = source.news_for(10).expect("a change");
+
+    let bytes = |news| postcard::to_allocvec(news).expect("bytes").len();
+    assert!(bytes(&change) * 20 < bytes(&whole));
+}
+
+#[test]
+fn a_change_of_another_version_is_refused() {
+    let mut source = ConfigurationHistory::default();
+    let mut follower = ConfigurationHistory::default();
+    for version in 1..=2 {
+        source.take_value(&value(version, &Routes::from([(1, 0)])));
+    }
+    let change = source.news_for(10).expect("a change");
+
+    assert_eq!(follower.take_news(change), Err(BaseMismatch));
+    assert!(follower.newest().is_none());
+}
+
+#[test]
+fn a_lower_version_is_not_taken_back() {
+    let mut history = ConfigurationHistory::default();
+    history.take_value(&value(7, &Routes::new()));
+    let mut other = ConfigurationHistory::default();
+    let older = MirrorValue { revision: 90, ..value(5, &Routes::new()) };
+    other.take_value(&older);
+
+    assert!(!history.take_value(&older));
+    let news = other.news_for(0).expect("all of it");
+    assert_eq!(history.take_news(news), Ok(false));
+    assert_eq!(newest(&history).version, 7);
+}
+
+#[test]
+fn a_vm_that_is_far_behind_is_told_everything() {
+    let mut source = ConfigurationHistory::default();
+    let mut follower = ConfigurationHistory::default();
+    follower.take_value(&value(1, &Routes::from([(9, 9)])));
+    for version in 1..60 {
+        source.take_value(&value(version, &Routes::from([(1, 0)])));
+    }
+
+    let news = source.news_for(follower.revision()).expect("news");
+
+    assert_eq!(follower.take_news(news), Ok(true));
+    assert_eq!(newest(&follower), newest(&source));
+}
+
+proptest! {
+    /// Whatever versions a VM has missed, it ends with what its source has.
+    #[test]
+    fn news_bring_a_vm_to_its_source_s_version(
+        versions in prop::collection::vec(
+            (prop::collection::btree_map(0..8_u8, 0..3_u8, 0..8), any::<bool>()),
+            1..40,
+        ),
+    ) {
+        let mut source = ConfigurationHistory::default();
+        let mut follower = ConfigurationHistory::default();
+        for (version, (routes, told)) in (1..).zip(&versions) {
+            source.take_value(&value(version, routes));
+            if !told {
+                continue;
+            }
+            let news = source.news_for(follower.revision()).expect("news");
+            prop_assert_eq!(follower.take_news(sent(&news)), Ok(true));
+            prop_assert_eq!(newest(&follower), newest(&source));
+            prop_assert!(source.news_for(follower.revision()).is_none());
+        }
+    }
+}
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -5,8 +5,9 @@
 
 use goldcrestramp_adapter::{StoreEvent, StoreItem};
 use goldcrestramp_entry::{
+    configuration::ConfigurationHistory,
     control::{NewsSource, NewsState},
-    mirror::StoreMirror,
+    mirror::{MirrorValue, StoreMirror},
     view::ViewBuilder,
 };
 use goldcrestramp_types::{LocalTime, TimeSpan};
@@ -161,13 +162,20 @@
 fn a_configuration_never_reverts() {
     let configuration =
         |version: u64| json!({"version": version, "routes": {}}).to_string();
+    let value = |version: u64, revision: u64| MirrorValue {
+        value: configuration(version).into_bytes(),
+        revision,
+        changed: revision,
+    };
     let mut builder = ViewBuilder::default();
-    let mut mirror = StoreMirror::default();
-    mirror.write(item("op/config", &configuration(7), 20));
-    let first = builder.build(at(0), at(0), &mirror).expect("a change");
+    let mut history = ConfigurationHistory::default();
+    let mirror = StoreMirror::default();
+    history.take_value(&value(7, 20));
+    let first = builder.build(at(0), at(0), &mirror, history.newest());
 
-    mirror.write(item("op/config", &configuration(5), 30));
-    let second = builder.build(at(1), at(1), &mirror);
+    history.take_value(&value(5, 30));
+    let second = builder.build(at(1), at(1), &mirror, history.newest());
+    let first = first.expect("a change");
 
     assert_eq!(first.routes.expect("in force").version, 7);
     assert!(second.is_none());
@@ -185,13 +193,14 @@
     let mut builder = ViewBuilder::default();
     let mut mirror = StoreMirror::default();
     mirror.write(item("servers/i", &entry(1).to_string(), 2));
-    assert!(builder.build(at(0), at(0), &mirror).is_some());
+    assert!(builder.build(at(0), at(0), &mirror, None).is_some());
 
     mirror.write(item("servers/i", &entry(2).to_string(), 3));
 
-    assert!(builder.build(at(870), at(870), &mirror).is_none());
+    assert!(builder.build(at(870), at(870), &mirror, None).is_none());
     mirror.apply(vec![removed("servers/i", 4)], 4);
-    let view = builder.build(at(900), at(700), &mirror).expect("it is gone");
+    let view = builder.build(at(900), at(700), &mirror, None);
+    let view = view.expect("it is gone");
     assert_eq!(view.leaving.get("i"), Some(&at(700)));
 }
 
