Give a call up when its answer stalls, not when it is long

What callers saw: 404 for routes that had been in force elsewhere for seconds. A VM with a narrow link never had a large configuration, nor a copy of the store after its start.

Cause: the time of a call for news, 0.8 s, counted until the last byte of its answer. What takes longer to cross the link than that is given up each time, and the next call begins with the first byte again: more load from those that the link is too narrow for already.

Change: the limit of a call counts until the answer's head; from then on the answer may take any time, as long as its next bytes come within a second. A silent peer is noticed as soon as before.

--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -154,7 +154,8 @@
         Self { end, answer_bytes_most, idle: Mutex::default() }
     }
 
-    /// Makes a call; it is given up after `limit`.
+    /// Makes a call; it is given up if its answer has not begun after
+    /// `limit`, or has stalled since.
     ///
     /// # Errors
     ///
@@ -176,14 +177,13 @@
                 .map_err(|_error| CallFailure::NotSent)?,
         };
         let progress = CallProgress::begin();
-        let exchange =
-            exchange(sender, request, self.answer_bytes_most, &progress);
-        let exchanged = timeout(limit, exchange).await;
-        let Ok(exchanged) = exchanged else {
-            progress.log_given_up(address);
-            return Err(CallFailure::Silent);
-        };
-        let (sender, answer) = exchanged?;
+        let most = self.answer_bytes_most;
+        let exchange = exchange(sender, request, limit, most, &progress);
+        let (sender, answer) = exchange.await.inspect_err(|failure| {
+            if *failure == CallFailure::Silent {
+                progress.log_given_up(address);
+            }
+        })?;
         progress.log_if_large(address);
         self.keep(address, sender);
         Ok(answer)
@@ -224,6 +224,12 @@
     sender.ready().await.ok().map(|()| sender)
 }
 
+/// An answer whose next bytes do not come for so long is given up.
+///
+/// The whole of a large one has no limit: given up half way and asked for
+/// again, it would cross a full link any number of times and never be had.
+const BODY_STALL: Duration = Duration::from_secs(1);
+
 /// Answers at least this long are logged: they hold up others on a link.
 const LARGE_ANSWER_BYTES: usize = 64 * 1024;
 
@@ -279,10 +285,13 @@
 async fn exchange(
     mut sender: LinkSender,
     request: CallRequest,
+    limit: Duration,
     answer_bytes_most: usize,
     progress: &CallProgress,
 ) -> Result<(LinkSender, CallAnswer), CallFailure> {
-    let sent = sender.try_send_request(http_request(request)).await;
+    let silent = |_elapsed| CallFailure::Silent;
+    let sent = sender.try_send_request(http_request(request));
+    let sent = timeout(limit, sent).await.map_err(silent)?;
     let response = sent.map_err(|mut error| match error.take_message() {
         Some(_unsent) => CallFailure::NotSent,
         None => CallFailure::Unknown,
@@ -291,7 +300,9 @@
     let (parts, body) = response.into_parts();
     let mut body = Limited::new(body, answer_bytes_most);
     let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = timeout(BODY_STALL, body.frame()).await;
+        let Some(frame) = frame.map_err(silent)? else { break };
         let frame = frame.map_err(|_error| CallFailure::Unknown)?;
         // Trailers are of no use here.
         if let Ok(data) = frame.into_data() {
