Refuse what has no route while a newer configuration may have one

What callers saw: 404 for a route that had been in force elsewhere for more than three seconds. A caller takes 404 for final and does not come back.

Cause: a VM decided by the configuration it had, however long ago it had last heard of the store; in the incident by one 9 s old.

Change: the moment up to which the store is known is shared with the traffic thread. While it lies further back than the time in which a configuration has to be in force, a request without a route gets 503 and when to come back, and its log line says the age. Requests with a route are served as before: a VM that is cut off serves what it can. What both threads share stands in one type now.

--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -27,16 +27,16 @@
 pub use crate::control::{
     actor::ControlActor,
     load::{AnswerSum, LoadBook, LoadReport, ServiceLoad},
-    news::{NewsSource, NewsState},
+    news::{NewsClock, NewsSource, NewsState},
 };
 use crate::{
     control::{
         follow::StoreFollower, lease::keep_lease, message::ControlTick,
         message::StopControl, service::HOLD,
     },
-    metrics::EntryMetrics,
     peers::{PeerClient, PeerSource, serve_peers},
     records::VmRun,
+    shared::SharedState,
     store::StoreClient,
     view::FleetView,
 };
@@ -63,8 +63,7 @@
     settings: &NodeSettings,
     me: VmRun,
     peers: TcpListener,
-    loads: LoadBook,
-    metrics: Arc<EntryMetrics>,
+    shared: SharedState,
     views: tokio::sync::watch::Sender<Arc<FleetView>>,
 ) -> ControlHandle {
     let store = Arc::new(StoreClient::open(settings.store_address));
@@ -73,8 +72,7 @@
         me.clone(),
         HOLD.min(settings.hold_most),
         Arc::clone(&store),
-        loads,
-        Arc::clone(&metrics),
+        shared.clone(),
         views,
         address.clone(),
     );
@@ -84,7 +82,7 @@
         store: Arc::clone(&store),
         peers: PeerClient::open(),
         control: address.clone(),
-        metrics,
+        metrics: shared.metrics,
     };
     tokio::spawn(follower.run());
     let least = settings.lease_least;
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -1,6 +1,12 @@
 //! From where a VM takes its news of the store, and how far to trust it.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 
@@ -73,15 +79,37 @@
     HistoryLost,
 }
 
-/// What a VM knows of its way to the store.
+/// The moment up to which the store's changes are known; shared with the
+/// traffic thread. It only moves forward.
 #[derive(Clone, Debug, Default)]
+pub struct NewsClock(Arc<AtomicU64>);
+
+impl NewsClock {
+    /// The moment.
+    #[must_use]
+    pub fn current_at(&self) -> LocalTime {
+        LocalTime::from_micros(self.0.load(Ordering::Relaxed))
+    }
+
+    /// How long ago the store was as it is known.
+    #[must_use]
+    pub fn age(&self, now: LocalTime) -> TimeSpan {
+        now.since(self.current_at())
+    }
+
+    fn advance(&self, at: LocalTime) {
+        self.0.fetch_max(at.as_micros(), Ordering::Relaxed);
+    }
+}
+
+/// What a VM knows of its way to the store.
+#[derive(Debug, Default)]
 pub struct NewsState {
     /// When the store last answered; the start of the clock: never.
     seen: LocalTime,
     /// When it came back after an outage.
     back: LocalTime,
-    /// The moment up to which the store's changes are known.
-    current_at: LocalTime,
+    clock: NewsClock,
     /// Whether a call failed since it last answered.
     silent: bool,
     /// Whether this VM follows the store itself.
@@ -96,6 +124,12 @@
 }
 
 impl NewsState {
+    /// The state of a VM that knows nothing; it sets the clock forward.
+    #[must_use]
+    pub fn open(clock: NewsClock) -> Self {
+        Self { clock, ..Self::default() }
+    }
+
     /// Notes that the store has answered, here or at the source.
     pub fn answered(&mut self, now: LocalTime) {
         let away = now.since(self.seen);
@@ -115,7 +149,7 @@
 
     /// Notes that all changes up to a moment are known.
     pub fn was_current(&mut self, at: LocalTime) {
-        self.current_at = self.current_at.max(at);
+        self.clock.advance(at);
     }
 
     /// Notes that another VM, which knew the store as it was `age` ago, has
@@ -126,8 +160,8 @@
 
     /// How long ago the store was as this VM knows it.
     #[must_use]
-    pub const fn age(&self, now: LocalTime) -> TimeSpan {
-        now.since(self.current_at)
+    pub fn age(&self, now: LocalTime) -> TimeSpan {
+        self.clock.age(now)
     }
 
     /// The earliest moment at which the store may have taken a change that
@@ -142,7 +176,7 @@
         if self.is_unsure(now) {
             return now;
         }
-        self.current_at.max(now - LAG_MOST)
+        self.clock.current_at().max(now - LAG_MOST)
     }
 
     /// Notes that a call to the store failed.
--- a/goldcrestramp-entry/src/lib.rs
+++ b/goldcrestramp-entry/src/lib.rs
@@ -29,8 +29,12 @@
 mod ready;
 pub mod records;
 mod run;
+mod shared;
 pub mod store;
 pub mod traffic;
 pub mod view;
 
-pub use crate::run::{RunError, StopPhase, read_settings, run};
+pub use crate::{
+    run::{RunError, StopPhase, read_settings, run},
+    shared::SharedState,
+};
--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -13,10 +13,11 @@
 };
 
 use crate::{
-    control::{ControlHandle, LoadBook, spawn_control},
-    metrics::{EntryMetrics, METRICS_PORT, serve_metrics},
+    control::{ControlHandle, spawn_control},
+    metrics::{METRICS_PORT, serve_metrics},
     ready::serve_ready,
     records::VmRun,
+    shared::SharedState,
     traffic::{TrafficGate, spawn_traffic},
     view::FleetView,
 };
@@ -93,12 +94,10 @@
     );
     let (views, seen) = watch::channel(Arc::<FleetView>::default());
     let (phases, phase) = watch::channel(StopPhase::Serving);
-    let loads = LoadBook::default();
-    let metrics = Arc::<EntryMetrics>::default();
+    let shared = SharedState::default();
     let control = start_control(
         &settings,
-        loads.clone(),
-        Arc::clone(&metrics),
+        shared.clone(),
         views,
         seen.clone(),
         phase.clone(),
@@ -112,8 +111,7 @@
             listener,
             seen,
             phase,
-            loads,
-            metrics,
+            shared,
         );
         signals.wait_for_stop(path).await;
         leave(&settings, &control, &phases, &gate).await;
@@ -199,8 +197,7 @@
 /// Starts the control thread with its listeners.
 fn start_control(
     settings: &Arc<NodeSettings>,
-    loads: LoadBook,
-    metrics: Arc<EntryMetrics>,
+    shared: SharedState,
     views: watch::Sender<Arc<FleetView>>,
     seen: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
@@ -217,8 +214,7 @@
             }
         };
         runtime.block_on(async move {
-            let handle =
-                open_control(&settings, loads, metrics, views, seen, phase);
+            let handle = open_control(&settings, shared, views, seen, phase);
             // The receiver waits below until this was sent.
             let _gone = started.send(handle);
             std::future::pending::<()>().await;
@@ -237,8 +233,7 @@
 
 fn open_control(
     settings: &NodeSettings,
-    loads: LoadBook,
-    metrics: Arc<EntryMetrics>,
+    shared: SharedState,
     views: watch::Sender<Arc<FleetView>>,
     seen: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
@@ -253,7 +248,7 @@
     let metrics_address = metrics_address.parse().map_err(io::Error::other)?;
     match bind(metrics_address) {
         Ok(listener) => {
-            tokio::spawn(serve_metrics(listener, Arc::clone(&metrics)));
+            tokio::spawn(serve_metrics(listener, Arc::clone(&shared.metrics)));
         }
         Err(error) => {
             log::warn!("[metrics] No metrics are served: {error}.");
@@ -266,7 +261,7 @@
         address: peer_address,
         capacity: settings.core_percent.min(settings.link_megabits),
     };
-    Ok(spawn_control(settings, me, peers, loads, metrics, views))
+    Ok(spawn_control(settings, me, peers, shared, views))
 }
 
 /// A runtime of one thread: a VM has a part of one core.
--- /dev/null
+++ b/goldcrestramp-entry/src/shared.rs
@@ -0,0 +1,19 @@
+//! What the control thread and the traffic thread share, besides the view.
+
+use std::sync::Arc;
+
+use crate::{
+    control::{LoadBook, NewsClock},
+    metrics::EntryMetrics,
+};
+
+/// What both threads hold; cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct SharedState {
+    /// What was asked for, told to the planning VM.
+    pub loads: LoadBook,
+    /// What is counted.
+    pub metrics: Arc<EntryMetrics>,
+    /// The moment up to which the store's changes are known.
+    pub clock: NewsClock,
+}
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -27,9 +27,8 @@
 };
 
 use crate::{
-    control::LoadBook,
-    metrics::EntryMetrics,
     run::StopPhase,
+    shared::SharedState,
     traffic::{listener::serve_listener, state::TrafficState},
     view::FleetView,
 };
@@ -85,16 +84,10 @@
     listener: TcpListener,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
-    loads: LoadBook,
-    metrics: Arc<EntryMetrics>,
+    shared: SharedState,
 ) -> TrafficGate {
-    let state = TrafficState::open(
-        settings,
-        views.clone(),
-        phase.clone(),
-        loads,
-        metrics,
-    );
+    let state =
+        TrafficState::open(settings, views.clone(), phase.clone(), shared);
     let state = Rc::new(state);
     let connections = Rc::<ConnectionCount>::default();
     let gate = TrafficGate { connections: Rc::clone(&connections) };
--- a/goldcrestramp-entry/src/traffic/reason.rs
+++ b/goldcrestramp-entry/src/traffic/reason.rs
@@ -7,6 +7,8 @@
     NoConfiguration,
     /// No route leads anywhere for the request.
     NoRoute,
+    /// No route leads anywhere, but a newer configuration may have one.
+    OldConfiguration,
     /// The body is larger than the limits allow.
     BodyTooLarge,
     /// The body did not come whole.
@@ -37,6 +39,7 @@
         match self {
             Self::NoConfiguration => "no-configuration",
             Self::NoRoute => "no-route",
+            Self::OldConfiguration => "old-configuration",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
             Self::BadKey => "bad-key",
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -91,7 +91,8 @@
     log::info!(
         request = attempt.unwrap_or(""),
         reason = reason.code(),
-        configuration = version;
+        configuration = version,
+        news_age_ms = state.clock.age(MonotonicClock.now()).as_millis();
         "[gateway] A request ends before it has a route."
     );
 }
@@ -128,7 +129,8 @@
     let view = state.view();
     let book = view.routes.as_ref().ok_or(EndReason::NoConfiguration)?;
     let (parts, ()) = head.into_parts();
-    let route = find_route(book, &parts.headers, &parts.uri)?;
+    let route = find_route(book, &parts.headers, &parts.uri)
+        .map_err(|reason| state.reason_without_route(arrived, reason))?;
     let weights: Vec<u32> =
         route.targets.iter().map(|target| target.weight).collect();
     let target = state.next_target(&route.name, &weights);
@@ -327,6 +329,25 @@
 }
 
 impl TrafficState {
+    /// Why a request ends that no route was found for.
+    ///
+    /// "No such route" is final to its caller. Where news are older than the
+    /// time in which a configuration has to be in force, a newer one may be
+    /// in force that has the route, so the caller is told to come back.
+    fn reason_without_route(
+        &self,
+        now: LocalTime,
+        reason: EndReason,
+    ) -> EndReason {
+        let limit = self.settings.configuration_limit;
+        match reason {
+            EndReason::NoRoute if self.clock.age(now) >= limit => {
+                EndReason::OldConfiguration
+            }
+            reason => reason,
+        }
+    }
+
     /// Whether work that is under way may be given up for another server:
     /// this VM stays, and the budget has a send left.
     pub(crate) fn may_replace(&self, request: &RoutedRequest) -> bool {
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -18,9 +18,10 @@
 use tokio::sync::watch;
 
 use crate::{
-    control::LoadBook,
+    control::{LoadBook, NewsClock},
     metrics::EntryMetrics,
     run::StopPhase,
+    shared::SharedState,
     traffic::server::{RequestQueue, ServerState},
     view::FleetView,
 };
@@ -50,6 +51,7 @@
     pub(crate) settings: Arc<NodeSettings>,
     pub(crate) loads: LoadBook,
     pub(crate) metrics: Arc<EntryMetrics>,
+    pub(crate) clock: NewsClock,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
     servers: RefCell<FastMap<ServerLife, Rc<ServerState>>>,
@@ -65,13 +67,13 @@
         settings: Arc<NodeSettings>,
         views: watch::Receiver<Arc<FleetView>>,
         phase: watch::Receiver<StopPhase>,
-        loads: LoadBook,
-        metrics: Arc<EntryMetrics>,
+        shared: SharedState,
     ) -> Self {
         Self {
             settings,
-            loads,
-            metrics,
+            loads: shared.loads,
+            metrics: shared.metrics,
+            clock: shared.clock,
             views,
             phase,
             servers: RefCell::default(),
--- a/goldcrestramp-entry/tests/configurations.rs
+++ b/goldcrestramp-entry/tests/configurations.rs
@@ -23,7 +23,8 @@
         (format!("route-{name}"), route)
     });
     let routes: serde_json::Map<String, Value> = routes.collect();
-    let services = json!({"service-0": {"sharded": version.is_multiple_of(2)}});
+    let services =
+        json!({"service-0": {"sharded": version.is_multiple_of(2)}});
     let whole =
         json!({"version": version, "routes": routes, "services": services});
     MirrorValue {
