Have large VMs alone follow the store while there are any

Cause: both large VMs of the failure domain were being restarted. Small ones followed the store in their place: five of them read 68 to 418 KB an answer over links of 10 Mbit/s, heartbeats and the whole configuration. The two orders waited behind 418 KB on the link of a VM that was leaving, and came after it had closed its idle connections.

Ruled out: the order of the close. The VM closed 2.7 s after SIGTERM, as intended; the requests had been sent 0.3 s before and needed 0.2 s more.

Change: who follows whom is decided in a module of its own. Small VMs follow large ones: two of their own failure domain, then those of others, the same region first. A large VM follows those of its own domain alone, so the next one takes a failed one's place as before. A VM that is asked for the first time answers at once, so three silent sources cost no more time than two did.

Test: without_a_large_vm_a_domain_follows_those_of_another; the selection before had small VMs follow the store there. a_peer_that_fails_is_replaced_by _the_next expected the store after two failed peers of three; how many there are is bounded where they are chosen now (a_vm_has_three_sources_at_most), and the test goes on to the third.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -47,6 +47,8 @@
 #[derive(Debug)]
 pub struct ControlActor {
     pub(crate) me: VmRun,
+    /// The region of each failure domain.
+    pub(crate) regions: FastMap<Arc<str>, Arc<str>>,
     /// How long a grant holds.
     pub(crate) hold: TimeSpan,
     pub(crate) store: Arc<StoreClient>,
@@ -81,6 +83,7 @@
 impl ControlActor {
     pub(crate) fn new(
         me: VmRun,
+        regions: FastMap<Arc<str>, Arc<str>>,
         hold: TimeSpan,
         store: Arc<StoreClient>,
         shared: SharedState,
@@ -92,6 +95,7 @@
         let orders = CallPool::open(LinkEnd::Reset, ORDER_ANSWER_MOST);
         Self {
             me,
+            regions,
             hold,
             store,
             orders: Arc::new(orders),
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -5,7 +5,7 @@
 //! others follow that VM: 11 VMs made 45 calls a second before, and about
 //! 10 since. A VM whose source fails follows the store itself.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use goldcrestramp_adapter::{StoreCall, StoreReply};
 use goldcrestramp_types::{ClockSource, MonotonicClock, TimeSpan};
@@ -52,6 +52,8 @@
     pub(crate) peers: PeerClient,
     pub(crate) control: Address<ControlActor>,
     pub(crate) metrics: Arc<EntryMetrics>,
+    /// The VM that answered the last call.
+    pub(crate) followed: Option<SocketAddr>,
 }
 
 /// The control actor is gone: the process ends.
@@ -59,7 +61,7 @@
 
 impl StoreFollower {
     /// Follows the store until the actor is gone.
-    pub(crate) async fn run(self) {
+    pub(crate) async fn run(mut self) {
         let mut pause = RETRY_FIRST;
         while let Ok(step) = self.control.send(NextSource).await {
             match self.follow(step).await {
@@ -75,11 +77,15 @@
     }
 
     /// Takes the next changes; false: the source failed.
-    async fn follow(&self, step: NextStep) -> Result<bool, ActorGone> {
+    async fn follow(&mut self, step: NextStep) -> Result<bool, ActorGone> {
         let next = Instant::now() + WATCH_PAUSE;
         let followed = match step.source {
             NewsSource::Peer(address, _revision) => {
-                let call = PeerCall::Sync { known: step.known, wait: true };
+                // One that is asked for the first time answers at once, so
+                // that three silent ones cost no more time than two.
+                let wait = self.followed == Some(address);
+                let call = PeerCall::Sync { known: step.known, wait };
+                self.followed = None;
                 return self.ask_peer(address, call).await;
             }
             NewsSource::StoreVms => self.read_vms().await?,
@@ -100,12 +106,13 @@
     }
 
     async fn ask_peer(
-        &self,
-        address: std::net::SocketAddr,
+        &mut self,
+        address: SocketAddr,
         call: PeerCall,
     ) -> Result<bool, ActorGone> {
         let reply = self.peers.call(address, &call).await;
         if let Some(PeerReply::News { news, age, fresh }) = reply {
+            self.followed = Some(address);
             self.metrics.news("peer");
             let source = Some(address);
             self.tell(PeerNews { news, age, fresh, source }).await?;
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod message;
 mod news;
 mod order;
+mod ranking;
 mod service;
 mod source;
 mod speed;
@@ -28,6 +29,7 @@
     actor::ControlActor,
     load::{AnswerSum, LoadBook, LoadReport, ServiceLoad},
     news::{NewsClock, NewsSource, NewsState},
+    ranking::source_vms,
 };
 use crate::{
     control::{
@@ -70,6 +72,7 @@
     let (address, mailbox) = Mailbox::unbounded();
     let actor = ControlActor::new(
         me.clone(),
+        settings.regions.clone(),
         HOLD.min(settings.hold_most),
         Arc::clone(&store),
         shared.clone(),
@@ -83,6 +86,7 @@
         peers: PeerClient::open(),
         control: address.clone(),
         metrics: shared.metrics,
+        followed: None,
     };
     tokio::spawn(follower.run());
     let least = settings.lease_least;
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -28,15 +28,6 @@
 /// A VM that could not be followed is not asked again for so long.
 const PEER_PAUSE: TimeSpan = TimeSpan::from_millis(5_000);
 
-/// A VM that could not be followed is replaced by the next of its failure
-/// domain, this many times.
-///
-/// The failure: a VM that many others follow is restarted on a plan. If all
-/// of them then follow the store themselves, each with all servers'
-/// heartbeats, they fill the link between the regions: servers can't be
-/// reached, and more VMs lose the one that they follow.
-const PEERS_MOST: usize = 2;
-
 /// A VM whose news are not fresh is followed for so long all the same: it
 /// may have lost its own source a moment ago and be about to replace it.
 /// Two of its answers come in this time.
@@ -223,7 +214,13 @@
     }
 
     /// From where changes after `revision` are followed next: `peers` are
-    /// the VMs that may follow the store for this one, best first.
+    /// the VMs that may follow the store for this one, best first. One that
+    /// could not be followed is replaced by the next.
+    ///
+    /// The failure: a VM that many others follow is restarted on a plan. If
+    /// all of them then follow the store themselves, each with all servers'
+    /// heartbeats, they fill the link between the regions: servers can't be
+    /// reached, and more VMs lose the one that they follow.
     ///
     /// A VM that starts reads who the others are, and has the rest from
     /// one of them. If a whole fleet starts at once and each VM reads the
@@ -241,8 +238,7 @@
         }
         self.failed_peers.retain(|_peer, at| now.since(*at) < PEER_PAUSE);
         let lost = self.reading == ReadingState::HistoryLost;
-        let usable =
-            !self.silent && !lost && self.failed_peers.len() < PEERS_MOST;
+        let usable = !self.silent && !lost;
         let failed = &self.failed_peers;
         let peer = peers.find(|peer| !failed.contains_key(peer));
         let peer = peer.filter(|_peer| usable);
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -1,14 +1,14 @@
 //! From where a VM learns what changes in the store, and what it tells.
 
-use std::net::SocketAddr;
-
 use goldcrestramp_types::LocalTime;
 
 use crate::{
     configuration::ConfigurationNews,
-    control::{ControlActor, message::PeerNews, news::NewsSource},
+    control::{
+        ControlActor, message::PeerNews, news::NewsSource, ranking::source_vms,
+    },
     peers::{NewsMarks, PeerCall, PeerReply, StoreNews},
-    records::{DutyRank, VmRun},
+    records::VmRun,
 };
 
 /// What came of another VM's news.
@@ -28,27 +28,19 @@
         }
     }
 
-    /// From where changes are followed next: from the store by one VM of
-    /// each failure domain and by the planning one, else from that VM.
+    /// From where changes are followed next: from the store by the planning
+    /// VM and by those that have nobody to follow, else from another VM.
     pub(crate) fn next_source(&mut self, now: LocalTime) -> NewsSource {
         let revision = self.mirror.revision();
-        let peers =
-            if self.term.is_none() { self.source_vms() } else { Vec::new() };
-        self.news.next(now, revision, peers.into_iter())
-    }
-
-    /// The VMs of this failure domain that go before this one in following
-    /// the store, best first.
-    fn source_vms(&self) -> Vec<SocketAddr> {
-        let own = self.me.duty_rank();
-        let vms = self.view.vms.iter();
-        let mut ranked: Vec<(DutyRank, SocketAddr)> = vms
-            .filter(|vm| vm.domain == self.me.domain)
-            .map(|vm| (vm.duty_rank(), vm.address))
-            .filter(|(rank, _address)| *rank > own)
-            .collect();
-        ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-        ranked.into_iter().map(|(_rank, address)| address).collect()
+        let sources = if self.term.is_none() {
+            let region = self.regions.get(&self.me.domain);
+            let is_near = |domain: &str| self.regions.get(domain) == region;
+            source_vms(&self.me, &self.view.vms, is_near)
+        } else {
+            Vec::new()
+        };
+        let peers = sources.into_iter().map(|vm| vm.address);
+        self.news.next(now, revision, peers)
     }
 
     /// What this VM knows of the store.
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -18,6 +18,9 @@
 /// A call that waits for news is answered at once or within 0.4 s.
 const NEWS_LIMIT: Duration = Duration::from_millis(800);
 
+/// A call for news that does not wait.
+const ANSWER_LIMIT: Duration = Duration::from_millis(400);
+
 /// A copy of the whole store takes longer over a narrow link.
 const COPY_LIMIT: Duration = Duration::from_secs(2);
 
@@ -55,6 +58,7 @@
         let limit = match call {
             PeerCall::Sync { known, .. } if known.revision == 0 => COPY_LIMIT,
             PeerCall::Sync { wait: true, .. } => NEWS_LIMIT,
+            PeerCall::Sync { .. } => ANSWER_LIMIT,
             _ => CALL_LIMIT,
         };
         let answer =
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -266,8 +266,8 @@
 
 /// The VM that others follow is restarted on a plan. If each of them then
 /// follows the store, all servers' heartbeats go to each and fill the link
-/// between regions. The next VM of the failure domain takes its place; only
-/// without that one as well do they follow the store.
+/// between regions. The next VM takes its place; only without any of those
+/// that may be followed do they follow the store.
 #[test]
 fn a_peer_that_fails_is_replaced_by_the_next() {
     let second = SocketAddr::from(([10, 0, 0, 3], 7_540));
@@ -279,10 +279,13 @@
     let after_one = news.next(at(0), 5, peers());
     news.peer_failed(at(100), second);
     let after_two = news.next(at(100), 5, peers());
+    news.peer_failed(at(200), third);
+    let after_all = news.next(at(200), 5, peers());
     let later = news.next(at(5_050), 5, peers());
 
     assert_eq!(after_one, NewsSource::Peer(second, 5));
-    assert_eq!(after_two, NewsSource::StoreChanges(5));
+    assert_eq!(after_two, NewsSource::Peer(third, 5));
+    assert_eq!(after_all, NewsSource::StoreChanges(5));
     assert_eq!(later, NewsSource::Peer(peer(), 5));
 }
 
--- /dev/null
+++ b/goldcrestramp-entry/tests/sources.rs
@@ -0,0 +1,117 @@
+//! Which VM follows which.
+
+use goldcrestramp_entry::{control::source_vms, records::VmRun};
+
+const LARGE: u32 = 50;
+const SMALL: u32 = 10;
+
+fn vm(name: &str, domain: &str, capacity: u32) -> VmRun {
+    VmRun {
+        vm: name.into(),
+        start: 1,
+        domain: domain.into(),
+        address: ([10, 0, 0, 1], 7_540).into(),
+        capacity,
+    }
+}
+
+/// Whom a VM may follow; a region is what a domain's name begins with.
+fn sources_of<'a>(me: &VmRun, vms: &'a [VmRun]) -> Vec<&'a VmRun> {
+    let region = &me.domain[..5];
+    source_vms(me, vms, |domain| domain.starts_with(region))
+}
+
+/// Two large VMs and four small ones in each failure domain: two of those in
+/// the north, one in the south.
+fn fleet() -> Vec<VmRun> {
+    let mut vms = Vec::new();
+    for domain in ["north-a", "north-b", "south-a"] {
+        for number in 0..6 {
+            let capacity = if number < 2 { LARGE } else { SMALL };
+            vms.push(vm(&format!("{domain}-{number}"), domain, capacity));
+        }
+    }
+    vms
+}
+
+fn sources<'a>(vms: &'a [VmRun], name: &str) -> Vec<&'a VmRun> {
+    let me = vm(name, &name[..name.len() - 2], SMALL);
+    let known = vms.iter().find(|vm| &*vm.vm == name);
+    sources_of(known.unwrap_or(&me), vms)
+}
+
+#[test]
+fn a_small_vm_follows_the_large_ones_of_its_domain_first() {
+    let vms = fleet();
+
+    let sources = sources(&vms, "north-a-4");
+
+    let domains: Vec<&str> = sources.iter().map(|vm| &*vm.domain).collect();
+    assert_eq!(domains, ["north-a", "north-a", "north-b"]);
+    assert!(sources.iter().all(|vm| vm.capacity == LARGE));
+}
+
+/// Guards against small VMs whose links are filled by what the store tells
+/// while the large ones of their domain are restarted.
+#[test]
+fn without_a_large_vm_a_domain_follows_those_of_another() {
+    let mut vms = fleet();
+    vms.retain(|vm| &*vm.domain != "north-a" || vm.capacity == SMALL);
+
+    for number in 2..6 {
+        let sources = sources(&vms, &format!("north-a-{number}"));
+
+        let domains: Vec<&str> =
+            sources.iter().map(|vm| &*vm.domain).collect();
+        assert_eq!(domains, ["north-b", "south-a"]);
+    }
+}
+
+/// Whoever others follow first follows the store itself: the first source of
+/// a VM has none of its own.
+#[test]
+fn the_first_source_follows_the_store() {
+    for lost in 0..fleet().len() {
+        let mut vms = fleet();
+        vms.remove(lost);
+        for me in &vms {
+            let Some(first) = sources_of(me, &vms).first().copied() else {
+                continue;
+            };
+            assert!(sources_of(first, &vms).is_empty());
+        }
+    }
+}
+
+/// Guards against a large VM that looks elsewhere while others count on it.
+#[test]
+fn the_second_large_vm_takes_the_place_of_the_first() {
+    let vms = fleet();
+    let small = sources(&vms, "north-a-4");
+    let [first, second] = [small[0], small[1]];
+
+    assert_eq!(sources_of(second, &vms), [first]);
+}
+
+#[test]
+fn among_equal_vms_one_of_each_domain_follows_the_store() {
+    let mut vms = fleet();
+    for vm in &mut vms {
+        vm.capacity = LARGE;
+    }
+
+    let followers = vms.iter().filter(|vm| sources_of(vm, &vms).is_empty());
+
+    assert_eq!(followers.count(), 3);
+}
+
+/// Each silent source costs a part of the time in which a change has to be
+/// known.
+#[test]
+fn a_vm_has_three_sources_at_most() {
+    let vms = fleet();
+
+    for me in &vms {
+        assert!(sources_of(me, &vms).len() <= 3);
+    }
+}
