--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -21,7 +21,7 @@
         },
     },
     metrics::EntryMetrics,
-    peers::{PeerCall, PeerClient, PeerReply},
+    peers::{NewsMarks, PeerCall, PeerClient, PeerReply},
     records::VM_PREFIX,
     store::{StoreClient, StoreFailure},
 };
@@ -40,6 +40,10 @@
 /// tables reach all VMs without it.
 const WATCH_PAUSE: Duration = Duration::from_millis(450);
 
+/// A VM that is asked for the first time answers within this or is replaced
+/// by the next.
+const FIRST_LIMIT: Duration = Duration::from_millis(600);
+
 /// Pauses after a failure: the first is short, as one lost answer is no
 /// outage; all VMs come back together, so they spread over half of it.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
@@ -81,12 +85,7 @@
         let next = Instant::now() + WATCH_PAUSE;
         let followed = match step.source {
             NewsSource::Peer(address, _revision) => {
-                // One that is asked for the first time answers at once, so
-                // that three silent ones cost no more time than two.
-                let wait = self.followed == Some(address);
-                let call = PeerCall::Sync { known: step.known, wait };
-                self.followed = None;
-                return self.ask_peer(address, call).await;
+                return self.ask_peer(address, step.known).await;
             }
             NewsSource::StoreVms => self.read_vms().await?,
             NewsSource::StoreWhole => self.read_all().await?,
@@ -108,9 +107,19 @@
     async fn ask_peer(
         &mut self,
         address: SocketAddr,
-        call: PeerCall,
+        known: NewsMarks,
     ) -> Result<bool, ActorGone> {
-        let reply = self.peers.call(address, &call).await;
+        // One that is asked for the first time answers at once, so that
+        // several silent ones cost little time.
+        let wait = self.followed == Some(address);
+        let is_copy = known.revision == 0;
+        let call = PeerCall::Sync { known, wait };
+        self.followed = None;
+        let reply = if wait || is_copy {
+            self.peers.call(address, &call).await
+        } else {
+            self.peers.call_within(address, &call, FIRST_LIMIT).await
+        };
         if let Some(PeerReply::News { news, age, fresh }) = reply {
             self.followed = Some(address);
             self.metrics.news("peer");
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -18,9 +18,6 @@
 /// A call that waits for news is answered at once or within 0.4 s.
 const NEWS_LIMIT: Duration = Duration::from_millis(800);
 
-/// A call for news that does not wait.
-const ANSWER_LIMIT: Duration = Duration::from_millis(400);
-
 /// A copy of the whole store takes longer over a narrow link.
 const COPY_LIMIT: Duration = Duration::from_secs(2);
 
@@ -46,6 +43,21 @@
         &self,
         address: SocketAddr,
         call: &PeerCall,
+    ) -> Option<PeerReply> {
+        let limit = match call {
+            PeerCall::Sync { known, .. } if known.revision == 0 => COPY_LIMIT,
+            PeerCall::Sync { wait: true, .. } => NEWS_LIMIT,
+            _ => CALL_LIMIT,
+        };
+        self.call_within(address, call, limit).await
+    }
+
+    /// Makes a call whose answer has to begin within `limit`.
+    pub async fn call_within(
+        &self,
+        address: SocketAddr,
+        call: &PeerCall,
+        limit: Duration,
     ) -> Option<PeerReply> {
         let body = postcard::to_allocvec(call).ok()?;
         let request = CallRequest {
@@ -55,12 +67,6 @@
             headers: HeaderMap::new(),
             body: body.into(),
         };
-        let limit = match call {
-            PeerCall::Sync { known, .. } if known.revision == 0 => COPY_LIMIT,
-            PeerCall::Sync { wait: true, .. } => NEWS_LIMIT,
-            PeerCall::Sync { .. } => ANSWER_LIMIT,
-            _ => CALL_LIMIT,
-        };
         let answer =
             self.pool.call(request, CallReach::Any, limit).await.ok()?;
         postcard::from_bytes(&answer.body).ok()
