Ask one VM at a time while the store is silent

Cause: a VM that the store is silent to asks another one, drawn at random, every 0.4 s, whether or not the answer before has come. The answers bring the same changes and share the VM's link: the first takes longer, more are asked for, and all but one are for nothing.

Change: the next VM is asked once the call before has ended.

The narrow links of the tests are now shared by all connections, as a VM's link is.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -74,6 +74,8 @@
     former: Option<VmRun>,
     vacant_since: Option<LocalTime>,
     claiming: bool,
+    /// Whether another VM is being asked while the store is silent.
+    pub(crate) asking: bool,
     pub(crate) term: Option<PlannerTerm>,
     /// Permits of ended terms, held by the orders under way.
     ending: Vec<Weak<OrderPermit>>,
@@ -118,6 +120,7 @@
             former: None,
             vacant_since: None,
             claiming: false,
+            asking: false,
             term: None,
             ending: Vec::new(),
             stopping: false,
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -8,10 +8,10 @@
     control::{
         ControlActor,
         message::{
-            ClaimEnded, CommitEnded, ControlTick, FormerStopped, HistoryGone,
-            LeaseProof, NextSource, NextStep, OrderEnded, PeerNews,
-            PeerSilent, ReadBack, StopControl, StoreChanges, StoreReading,
-            StoreSilent, TablesTold, VmReading,
+            AskEnded, ClaimEnded, CommitEnded, ControlTick, FormerStopped,
+            HistoryGone, LeaseProof, NextSource, NextStep, OrderEnded,
+            PeerNews, PeerSilent, ReadBack, StopControl, StoreChanges,
+            StoreReading, StoreSilent, TablesTold, VmReading,
         },
     },
     peers::{PeerCall, PeerReply},
@@ -107,6 +107,14 @@
     }
 }
 
+impl Handler<AskEnded> for ControlActor {
+    type Return = ();
+
+    async fn handle(&mut self, _: AskEnded, _: &mut Context<Self>) {
+        self.asking = false;
+    }
+}
+
 impl Handler<PeerSilent> for ControlActor {
     type Return = ();
 
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -66,6 +66,10 @@
     pub(crate) source: Option<SocketAddr>,
 }
 
+/// The call to another VM, made while the store is silent, has ended.
+#[derive(Debug)]
+pub(crate) struct AskEnded;
+
 /// The VM that was followed gave no answer.
 #[derive(Debug)]
 pub(crate) struct PeerSilent(pub(crate) SocketAddr);
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -5,7 +5,10 @@
 use crate::{
     configuration::ConfigurationNews,
     control::{
-        ControlActor, message::PeerNews, news::NewsSource, ranking::source_vms,
+        ControlActor,
+        message::{AskEnded, PeerNews},
+        news::NewsSource,
+        ranking::source_vms,
     },
     peers::{NewsMarks, PeerCall, PeerReply, StoreNews},
     records::VmRun,
@@ -113,8 +116,14 @@
         }
     }
 
-    /// Asks another VM for the store's contents.
-    pub(crate) fn ask_peer(&self) {
+    /// Asks another VM for the store's contents, one at a time.
+    ///
+    /// Several answers that are on their way at once bring the same, and each
+    /// makes the others take longer on a narrow link.
+    pub(crate) fn ask_peer(&mut self) {
+        if self.asking {
+            return;
+        }
         let others: Vec<&VmRun> =
             self.view.vms.iter().filter(|vm| vm.vm != self.me.vm).collect();
         if others.is_empty() {
@@ -124,6 +133,7 @@
         let address = others[chosen].address;
         let call = PeerCall::Sync { known: self.marks(), wait: false };
         let (peers, control) = (self.peers.clone(), self.address.clone());
+        self.asking = true;
         tokio::spawn(async move {
             if let Some(PeerReply::News { news, age, .. }) =
                 peers.call(address, &call).await
@@ -134,6 +144,8 @@
                 // The actor is gone only when the process ends.
                 let _gone = control.send(news).await;
             }
+            // As above.
+            let _gone = control.send(AskEnded).await;
         });
     }
 }
--- a/goldcrestramp-entry/tests/daemon/configuration.rs
+++ b/goldcrestramp-entry/tests/daemon/configuration.rs
@@ -1,5 +1,7 @@
 //! How changes of the configuration reach the daemons.
 
+use std::time::Duration;
+
 use serde_json::json;
 
 use crate::{
@@ -12,6 +14,9 @@
 /// Bytes a second that a narrow link carries.
 const NARROW: u32 = 100_000;
 
+/// By then a daemon has noticed that the store is silent to it.
+const STORE_SILENCE: Duration = Duration::from_secs(3);
+
 /// A daemon, and a small one that reaches it and the store over links of
 /// its own.
 struct NarrowWorld {
@@ -62,6 +67,23 @@
     narrow.wait_route("/route-2999/").await;
 }
 
+/// Guards against copies of the same change that compete for a narrow link.
+#[tokio::test]
+async fn a_vm_without_the_store_asks_for_a_change_once() {
+    let narrow = NarrowWorld::open().await;
+    narrow.to_store.set(RelayManner::Silent);
+    tokio::time::sleep(STORE_SILENCE).await;
+    narrow.to_peer.set(RelayManner::Narrow(NARROW));
+    let before = narrow.answered();
+
+    let large = large_configuration(2, 3_000);
+    narrow.world.store.put("op/config", &large);
+    narrow.wait_route("/route-2999/").await;
+
+    let cost = narrow.answered() - before;
+    assert!(cost < large.to_string().len(), "{cost} bytes");
+}
+
 /// Guards against sending a whole configuration for a change of one route.
 #[tokio::test]
 async fn a_change_of_one_route_costs_no_copy_of_the_configuration() {
--- a/goldcrestramp-entry/tests/soak/relay.rs
+++ b/goldcrestramp-entry/tests/soak/relay.rs
@@ -15,6 +15,9 @@
     task::JoinHandle,
 };
 
+/// The bytes that a narrow link carries at a time.
+const PACKET_BYTES: usize = 1_400;
+
 /// What a relay does with what passes.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum RelayManner {
@@ -29,7 +32,7 @@
     Silent,
     /// It passes calls on, and none of the answers.
     LosesAnswers,
-    /// It passes so many bytes a second on, on each connection.
+    /// It passes so many bytes of answers a second on, of all connections.
     #[allow(dead_code, reason = "one more kind would change kept seeds")]
     Narrow(u32),
 }
@@ -47,12 +50,27 @@
     manner: Mutex<RelayManner>,
     /// Bytes of answers that were passed on.
     answered: AtomicUsize,
+    /// Held by whoever's bytes are on a narrow link.
+    link: tokio::sync::Mutex<()>,
 }
 
 impl RelayState {
     fn manner(&self) -> RelayManner {
         *self.manner.lock().expect("no holder panics")
     }
+
+    fn count_answered(&self, bytes: usize) {
+        self.answered.fetch_add(bytes, Ordering::Relaxed);
+    }
+
+    /// Waits until a narrow link has carried a packet.
+    async fn carry(&self, bytes: usize, bytes_per_s: u32) {
+        let _link = self.link.lock().await;
+        let count = u32::try_from(bytes).expect("a packet's length");
+        let span = Duration::from_secs(1) * count / bytes_per_s;
+        tokio::time::sleep(span).await;
+        self.count_answered(bytes);
+    }
 }
 
 impl Relay {
@@ -119,10 +137,14 @@
     while let Ok(count @ 1..) = from.read(&mut bytes).await {
         match state.manner() {
             RelayManner::Delays(span) => tokio::time::sleep(span).await,
-            RelayManner::Narrow(bytes_per_s) => {
-                let bytes = u32::try_from(count).expect("below 16 KiB");
-                let span = Duration::from_secs(1) * bytes / bytes_per_s;
-                tokio::time::sleep(span).await;
+            RelayManner::Narrow(bytes_per_s) if !is_call => {
+                for packet in bytes[..count].chunks(PACKET_BYTES) {
+                    state.carry(packet.len(), bytes_per_s).await;
+                    if to.write_all(packet).await.is_err() {
+                        return;
+                    }
+                }
+                continue;
             }
             RelayManner::Silent => deaf = true,
             RelayManner::LosesAnswers if !is_call => deaf = true,
@@ -135,7 +157,7 @@
             return;
         }
         if !is_call {
-            state.answered.fetch_add(count, Ordering::Relaxed);
+            state.count_answered(count);
         }
     }
 }
