Count news from when they were asked for

What callers saw: 404 could come from a VM whose configuration was older than it took it for, and leaving servers could be counted from too late.

Cause: another VM's news counted as 30 ms old plus the age that it told, however long the answer was on the way; on a full link that is seconds, and an answer has no total limit any more. A VM that never knew the store counted from its clock's start.

Change: news count from when the call was sent, plus the time that the other VM says it held it, less the age that it tells. That is never later than what the other VM knew. A VM that knows nothing is older than any bound. Servers' heartbeats end nearly every watch of the deployments sooner.

Tests: the_time_on_the_way_makes_news_no_younger; the bound on watches in a_configuration_comes_into_force_past_a_deaf_watch goes from 1 s to 0.5 s. a_late_change_counts_from_the_news_before_it gives the moment that the former call worked out.

--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -2,8 +2,7 @@
 //!
 //! Each call to the store is paid for, and heartbeats of servers change it
 //! all the time. One VM of each failure domain follows the store and the
-//! others follow that VM: 11 VMs made 45 calls a second before, and about
-//! 10 since. A VM whose source fails follows the store itself.
+//! others follow that VM. One whose sources fail follows the store itself.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -19,6 +18,7 @@
             HistoryGone, NextSource, NextStep, PeerNews, PeerSilent,
             StoreChanges, StoreReading, StoreSilent, VmReading,
         },
+        told_as_of,
     },
     metrics::EntryMetrics,
     peers::{NewsMarks, PeerCall, PeerClient, PeerReply},
@@ -30,10 +30,10 @@
 ///
 /// The failure: a watch that begins while the store forgets its history is
 /// told nothing at all until its wait ends, and a configuration is not in
-/// force for as long. With the pause below, a second leaves a quarter of
-/// the time in which it has to be. Heartbeats end most watches sooner, so
-/// the short wait hardly makes more calls.
-const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(1_000);
+/// force for as long. News count from when a watch was sent, so on a quiet
+/// store a long wait also makes them look old. Heartbeats end most watches
+/// sooner, so the short wait hardly makes more calls.
+const WATCH_WAIT: TimeSpan = TimeSpan::from_millis(500);
 
 /// Changes that follow each other sooner are told together. It takes a
 /// quarter of the time in which a change has to be in force everywhere;
@@ -60,6 +60,35 @@
     pub(crate) followed: Option<SocketAddr>,
 }
 
+/// A call for news to another VM.
+struct PeerQuestion {
+    peers: PeerClient,
+    control: Address<ControlActor>,
+    address: SocketAddr,
+    call: PeerCall,
+    /// Until when the answer begins; nothing: the usual time.
+    limit: Option<Duration>,
+}
+
+impl PeerQuestion {
+    /// Asks, and tells the actor what was answered; whether anything was.
+    async fn ask(self) -> bool {
+        let Self { peers, control, address, call, limit } = self;
+        let sent_at = MonotonicClock.now();
+        let reply = match limit {
+            Some(limit) => peers.call_within(address, &call, limit).await,
+            None => peers.call(address, &call).await,
+        };
+        let Some(PeerReply::News { news, age, held, fresh }) = reply else {
+            return false;
+        };
+        let as_of = told_as_of(sent_at, held, age);
+        let source = Some(address);
+        let news = PeerNews { news, as_of, fresh, source };
+        control.send(news).await.is_ok()
+    }
+}
+
 /// The control actor is gone: the process ends.
 struct ActorGone;
 
@@ -112,19 +141,18 @@
         // One that is asked for the first time answers at once, so that
         // several silent ones cost little time.
         let wait = self.followed == Some(address);
-        let is_copy = known.revision == 0;
-        let call = PeerCall::Sync { known, wait };
-        self.followed = None;
-        let reply = if wait || is_copy {
-            self.peers.call(address, &call).await
-        } else {
-            self.peers.call_within(address, &call, FIRST_LIMIT).await
+        let limit = (!wait && known.revision > 0).then_some(FIRST_LIMIT);
+        let question = PeerQuestion {
+            peers: self.peers.clone(),
+            control: self.control.clone(),
+            address,
+            call: PeerCall::Sync { known, wait },
+            limit,
         };
-        if let Some(PeerReply::News { news, age, fresh }) = reply {
-            self.followed = Some(address);
+        self.followed = None;
+        if question.ask().await {
             self.metrics.news("peer");
-            let source = Some(address);
-            self.tell(PeerNews { news, age, fresh, source }).await?;
+            self.followed = Some(address);
         } else {
             self.metrics.news("peer-failed");
             self.tell(PeerSilent(address)).await?;
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -1,7 +1,7 @@
 //! What the control actor does with what it is told.
 
 use goldcrestramp_adapter::StoreCall;
-use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use xtra::{Actor, Context, Handler};
 
 use crate::{
@@ -143,7 +143,7 @@
             self.refresh(now);
         }
         if taken.whole {
-            self.news.was_told(now, message.age);
+            self.news.was_current(message.as_of);
         }
         if taken.changed {
             self.work(now);
@@ -277,7 +277,7 @@
                 let fresh = self.news.may_be_followed(now, self.proof);
                 let news = self.news_since(&known);
                 let age = self.news.age(now);
-                PeerReply::News { news, age, fresh }
+                PeerReply::News { news, age, held: TimeSpan::ZERO, fresh }
             }
             PeerCall::Tables(news) => {
                 self.take_tables(now, news);
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -4,7 +4,7 @@
 
 use goldcrestramp_adapter::StoreEvent;
 use goldcrestramp_assignment::{AssignmentTable, OrderOutcome, ServerOrder};
-use goldcrestramp_types::{LocalTime, TimeSpan};
+use goldcrestramp_types::LocalTime;
 
 use crate::{
     control::NewsSource,
@@ -59,8 +59,8 @@
 #[derive(Debug)]
 pub(crate) struct PeerNews {
     pub(crate) news: StoreNews,
-    /// How long ago the store was as these tell.
-    pub(crate) age: TimeSpan,
+    /// The moment up to which these tell the store's changes.
+    pub(crate) as_of: LocalTime,
     pub(crate) fresh: bool,
     /// The VM that is followed, if the news come from it.
     pub(crate) source: Option<SocketAddr>,
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -28,7 +28,7 @@
 pub use crate::control::{
     actor::ControlActor,
     load::{AnswerSum, LoadBook, LoadReport, ServiceLoad},
-    news::{NewsClock, NewsSource, NewsState},
+    news::{NewsClock, NewsSource, NewsState, told_as_of},
     ranking::source_vms,
 };
 use crate::{
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -22,9 +22,6 @@
 /// store acknowledged nothing to anybody.
 const LAG_MOST: TimeSpan = TimeSpan::from_millis(1_500);
 
-/// What a VM is told was on the way for up to this long.
-const WAY_MOST: TimeSpan = TimeSpan::from_millis(30);
-
 /// A VM that could not be followed is not asked again for so long.
 const PEER_PAUSE: TimeSpan = TimeSpan::from_millis(5_000);
 
@@ -82,10 +79,15 @@
         LocalTime::from_micros(self.0.load(Ordering::Relaxed))
     }
 
-    /// How long ago the store was as it is known.
+    /// How long ago the store was as it is known; the longest time there is
+    /// if it never was.
     #[must_use]
     pub fn age(&self, now: LocalTime) -> TimeSpan {
-        now.since(self.current_at())
+        let current_at = self.current_at();
+        if current_at == LocalTime::default() {
+            return TimeSpan::from_micros(u64::MAX);
+        }
+        now.since(current_at)
     }
 
     fn advance(&self, at: LocalTime) {
@@ -93,6 +95,20 @@
     }
 }
 
+/// The moment up to which another VM's answer tells the store's changes.
+///
+/// It had held the call for `held` when it knew the store as it was `age`
+/// before. How long the answer was on the way is not known, and on a full
+/// link it is long, so the moment is counted from when the call was sent.
+#[must_use]
+pub fn told_as_of(
+    sent_at: LocalTime,
+    held: TimeSpan,
+    age: TimeSpan,
+) -> LocalTime {
+    sent_at + held - age
+}
+
 /// What a VM knows of its way to the store.
 #[derive(Debug, Default)]
 pub struct NewsState {
@@ -143,12 +159,6 @@
         self.clock.advance(at);
     }
 
-    /// Notes that another VM, which knew the store as it was `age` ago, has
-    /// told all that it knows.
-    pub fn was_told(&mut self, now: LocalTime, age: TimeSpan) {
-        self.was_current(now - age.plus(WAY_MOST));
-    }
-
     /// How long ago the store was as this VM knows it.
     #[must_use]
     pub fn age(&self, now: LocalTime) -> TimeSpan {
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -1,13 +1,13 @@
 //! From where a VM learns what changes in the store, and what it tells.
 
-use goldcrestramp_types::LocalTime;
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
 
 use crate::{
     configuration::ConfigurationNews,
     control::{
         ControlActor,
         message::{AskEnded, PeerNews},
-        news::NewsSource,
+        news::{NewsSource, told_as_of},
         ranking::source_vms,
     },
     peers::{NewsMarks, PeerCall, PeerReply, StoreNews},
@@ -135,12 +135,14 @@
         let (peers, control) = (self.peers.clone(), self.address.clone());
         self.asking = true;
         tokio::spawn(async move {
-            if let Some(PeerReply::News { news, age, .. }) =
+            let sent_at = MonotonicClock.now();
+            if let Some(PeerReply::News { news, age, held, .. }) =
                 peers.call(address, &call).await
             {
+                let as_of = told_as_of(sent_at, held, age);
                 // It says nothing of this VM's own way to the store.
                 let source = None;
-                let news = PeerNews { news, age, fresh: false, source };
+                let news = PeerNews { news, as_of, fresh: false, source };
                 // The actor is gone only when the process ends.
                 let _gone = control.send(news).await;
             }
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -81,6 +81,8 @@
         news: StoreNews,
         /// How long ago the store was as these tell.
         age: TimeSpan,
+        /// For how long the call had waited for news by then.
+        held: TimeSpan,
         /// Whether the answering VM follows the store itself.
         fresh: bool,
     },
--- a/goldcrestramp-entry/src/peers/server.rs
+++ b/goldcrestramp-entry/src/peers/server.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use goldcrestramp_types::{ClockSource, MonotonicClock};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -50,13 +51,17 @@
     let Some(call) = read_call(request).await else {
         return status(StatusCode::BAD_REQUEST);
     };
+    let arrived = MonotonicClock.now();
     if let PeerCall::Sync { known, wait: true } = &call {
         let newer = source.revisions.wait_for(|at| *at > known.revision);
         // Without news the answer says that this VM is still there.
         let _in_time = timeout(NEWS_WAIT, newer).await;
     }
-    let reply = source.control.send(call).await;
-    let reply: Option<PeerReply> = reply.ok();
+    let waited = MonotonicClock.now().since(arrived);
+    let mut reply: Option<PeerReply> = source.control.send(call).await.ok();
+    if let Some(PeerReply::News { held, .. }) = &mut reply {
+        *held = waited;
+    }
     let body = reply.and_then(|reply| postcard::to_allocvec(&reply).ok());
     match body {
         Some(body) => Response::new(Full::new(body.into())),
--- a/goldcrestramp-entry/tests/daemon/callers.rs
+++ b/goldcrestramp-entry/tests/daemon/callers.rs
@@ -113,7 +113,7 @@
 
 /// The store forgets its history while a watch begins: the watch hears
 /// nothing until its wait ends. A new route is to be served within two
-/// seconds all the same, so no watch may wait for longer than one.
+/// seconds all the same, so no watch may wait for longer than half of one.
 #[tokio::test]
 async fn a_configuration_comes_into_force_past_a_deaf_watch() {
     let world = World::open(POOLED, 1, 1).await;
@@ -123,7 +123,7 @@
     world.store.put("op/config", &configuration(2, Some("/new/")));
 
     eventually(async || world.get(0, "/new/list").await.status() == 200).await;
-    assert!(world.store.longest_wait() <= 1_000);
+    assert!(world.store.longest_wait() <= 500);
 }
 
 /// Entries that no server wrote lie beside a server's own. They name no
--- a/goldcrestramp-entry/tests/daemon/configuration.rs
+++ b/goldcrestramp-entry/tests/daemon/configuration.rs
@@ -1,6 +1,6 @@
 //! How changes of the configuration reach the daemons.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use serde_json::json;
 
@@ -17,6 +17,12 @@
 /// By then a daemon has noticed that the store is silent to it.
 const STORE_SILENCE: Duration = Duration::from_secs(3);
 
+/// A daemon that others go before in following the store.
+fn small_node(store: SocketAddr) -> NodeProcess {
+    let limits = json!({"cpu_share": 0.1, "link_mbps": 1.0});
+    NodeProcess::spawn_sized("small", store, &limits)
+}
+
 /// A daemon, and a small one that reaches it and the store over links of
 /// its own.
 struct NarrowWorld {
@@ -31,10 +37,7 @@
         let to_peer = Relay::spawn(world.nodes[0].peers).await;
         world.store.detour("vm-0", to_peer.address);
         let to_store = Relay::spawn(world.store.address).await;
-        let limits = json!({"cpu_share": 0.1, "link_mbps": 1.0});
-        let small =
-            NodeProcess::spawn_sized("small", to_store.address, &limits);
-        world.add_node(small).await;
+        world.add_node(small_node(to_store.address)).await;
         Self { world, to_peer, to_store }
     }
 
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -6,7 +6,7 @@
 use goldcrestramp_adapter::{StoreEvent, StoreItem};
 use goldcrestramp_entry::{
     configuration::ConfigurationHistory,
-    control::{NewsSource, NewsState},
+    control::{NewsSource, NewsState, told_as_of},
     mirror::{MirrorValue, StoreMirror},
     view::ViewBuilder,
 };
@@ -211,7 +211,7 @@
 fn a_late_change_counts_from_the_news_before_it() {
     let mut news = NewsState::default();
     news.answered(at(0));
-    news.was_told(at(530), TimeSpan::from_millis(400));
+    news.was_current(at(100));
 
     assert_eq!(news.changed_since(at(1_000)), at(100));
     assert_eq!(news.age(at(1_000)), TimeSpan::from_millis(900));
@@ -298,6 +298,7 @@
     let mut source = NewsState::default();
     source.next(at(0), 5, std::iter::empty());
     source.answered(at(0));
+    source.was_current(at(900));
 
     assert!(source.may_be_followed(at(900), at(0)));
     assert!(!source.may_be_followed(at(1_100), at(0)));
@@ -314,6 +315,15 @@
     assert_eq!(at_last, NewsSource::StoreChanges(5));
 }
 
+/// Guards against news that count as young after a long time on the way.
+#[test]
+fn the_time_on_the_way_makes_news_no_younger() {
+    let ms = TimeSpan::from_millis;
+
+    assert_eq!(told_as_of(at(1_000), ms(400), ms(50)), at(1_350));
+    assert_eq!(told_as_of(at(1_000), ms(0), ms(700)), at(300));
+}
+
 /// A VM that was not fresh for a moment is followed on: only answers that
 /// are stale without a break count.
 #[test]
