Leave a source whose answers come slowly

Cause: the follower asked nobody else while bytes came; and a source took itself for fresh by its lease's renewals, which use another connection than what the store tells.

Change: an answer that has not come whole after 1.2 s is left to come, with what was received of it, and the next source is asked meanwhile; one such answer at a time. A VM may be followed only while its own news are young, which also rules out one that has just started and knows nothing.

--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -8,7 +8,10 @@
 
 use goldcrestramp_adapter::{StoreCall, StoreReply};
 use goldcrestramp_types::{ClockSource, MonotonicClock, TimeSpan};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::{
+    task::JoinHandle,
+    time::{Instant, sleep, sleep_until, timeout},
+};
 use xtra::Address;
 
 use crate::{
@@ -44,6 +47,13 @@
 /// by the next.
 const FIRST_LIMIT: Duration = Duration::from_millis(600);
 
+/// An answer that has not come whole after this is not waited for.
+///
+/// The failure: the link of the VM that is followed carries a few kilobytes a
+/// second. A change that its answer holds is in force seconds too late,
+/// though other VMs and the store could tell it at once.
+const PATIENCE: Duration = Duration::from_millis(1_200);
+
 /// Pauses after a failure: the first is short, as one lost answer is no
 /// outage; all VMs come back together, so they spread over half of it.
 const RETRY_FIRST: Duration = Duration::from_millis(100);
@@ -58,6 +68,8 @@
     pub(crate) metrics: Arc<EntryMetrics>,
     /// The VM that answered the last call.
     pub(crate) followed: Option<SocketAddr>,
+    /// The call whose answer was not waited for to its end.
+    pub(crate) slow_answer: Option<JoinHandle<bool>>,
 }
 
 /// A call for news to another VM.
@@ -133,6 +145,9 @@
         Ok(true)
     }
 
+    /// Asks another VM. An answer that is long on its way is left to come,
+    /// and the next source is asked meanwhile; one at a time, or what comes
+    /// slowly would be asked for from everybody.
     async fn ask_peer(
         &mut self,
         address: SocketAddr,
@@ -150,7 +165,18 @@
             limit,
         };
         self.followed = None;
-        if question.ask().await {
+        let mut asked = tokio::spawn(question.ask());
+        let answered = match timeout(PATIENCE, &mut asked).await {
+            Ok(answered) => answered,
+            Err(_elapsed) if self.has_slow_answer() => asked.await,
+            Err(_elapsed) => {
+                self.metrics.news("peer-slow");
+                self.slow_answer = Some(asked);
+                self.tell(PeerSilent(address)).await?;
+                return Ok(true);
+            }
+        };
+        if answered.unwrap_or(false) {
             self.metrics.news("peer");
             self.followed = Some(address);
         } else {
@@ -160,6 +186,11 @@
         Ok(true)
     }
 
+    /// Whether an answer that was not waited for is still on its way.
+    fn has_slow_answer(&self) -> bool {
+        self.slow_answer.as_ref().is_some_and(|task| !task.is_finished())
+    }
+
     async fn read_vms(&self) -> Result<Result<(), StoreFailure>, ActorGone> {
         match self.store.read_all(VM_PREFIX).await {
             Ok(page) => self.tell(VmReading(page)).await.map(Ok),
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -87,6 +87,7 @@
         control: address.clone(),
         metrics: shared.metrics,
         followed: None,
+        slow_answer: None,
     };
     tokio::spawn(follower.run());
     let least = settings.lease_least;
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -268,9 +268,13 @@
     }
 
     /// Whether other VMs may rely on this one's news.
+    ///
+    /// The failure: the link of a VM that others follow is so full that what
+    /// the store tells takes seconds. Its lease is renewed in time, so it
+    /// takes itself for fresh, and a change reaches none of them.
     #[must_use]
     pub fn may_be_followed(&self, now: LocalTime, proof: LocalTime) -> bool {
-        self.direct && self.is_fresh(now, proof)
+        self.direct && self.is_fresh(now, proof) && self.age(now) < SILENCE
     }
 
     /// Whether to ask another VM now, as the store is silent to this one.
--- a/goldcrestramp-entry/tests/daemon/configuration.rs
+++ b/goldcrestramp-entry/tests/daemon/configuration.rs
@@ -87,6 +87,36 @@
     assert!(cost < large.to_string().len(), "{cost} bytes");
 }
 
+/// Guards against waiting for a source whose answer takes most of a minute.
+#[tokio::test]
+async fn a_slow_source_does_not_hold_a_change_back() {
+    let narrow = NarrowWorld::open().await;
+    narrow.to_peer.set(RelayManner::Narrow(NARROW / 20));
+
+    let large = large_configuration(2, 3_000);
+    narrow.world.store.put("op/config", &large);
+
+    narrow.wait_route("/route-2999/").await;
+}
+
+/// Guards against following a VM to which the store's changes come slowly.
+#[tokio::test]
+async fn a_source_that_reads_the_store_slowly_is_left() {
+    let mut store = StoreStandin::spawn().await;
+    let address = store.address;
+    let to_store = Relay::spawn(address).await;
+    store.address = to_store.address;
+    let mut world = World::open_on(store, POOLED, 1, 1).await;
+    world.add_node(small_node(address)).await;
+    to_store.set(RelayManner::Narrow(NARROW / 10));
+
+    let large = large_configuration(2, 3_000);
+    world.store.put("op/config", &large);
+
+    let served = async || world.get(1, "/route-2999/").await.status() == 200;
+    eventually(served).await;
+}
+
 /// Guards against sending a whole configuration for a change of one route.
 #[tokio::test]
 async fn a_change_of_one_route_costs_no_copy_of_the_configuration() {
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -315,6 +315,20 @@
     assert_eq!(at_last, NewsSource::StoreChanges(5));
 }
 
+/// Guards against a source that knows nothing yet, or to which the store's
+/// changes come slowly while its lease is renewed.
+#[test]
+fn a_vm_whose_own_news_are_old_is_not_followed() {
+    let mut source = NewsState::default();
+    source.next(at(0), 5, std::iter::empty());
+    source.answered(at(2_000));
+
+    assert!(!source.may_be_followed(at(2_000), at(2_000)), "it knows nothing");
+    source.was_current(at(1_500));
+    assert!(source.may_be_followed(at(2_000), at(2_000)));
+    assert!(!source.may_be_followed(at(2_600), at(2_500)));
+}
+
 /// Guards against news that count as young after a long time on the way.
 #[test]
 fn the_time_on_the_way_makes_news_no_younger() {
