Tell a VM once of a configuration that it does not take

Change: the mark also says up to which revision was read, values that were refused included; changes are still made from the version that is held.

Test: what_was_refused_is_not_told_again failed before.

--- a/goldcrestramp-entry/src/configuration.rs
+++ b/goldcrestramp-entry/src/configuration.rs
@@ -26,6 +26,18 @@
     pub configuration: Arc<FleetConfiguration>,
 }
 
+/// How much of the configuration a VM knows.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize,
+)]
+pub struct ConfigurationMark {
+    /// The revision of the version that it has; 0 if it has none.
+    revision: u64,
+    /// The revision up to which it has read what was written, values that
+    /// it could not use included. Without it these are told again for ever.
+    read_until: u64,
+}
+
 /// A newer version, for a VM that has another one or none.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ConfigurationNews {
@@ -123,16 +135,23 @@
         self.versions.back()
     }
 
-    /// The revision of the newest version; 0 if none is known.
+    /// How much is known.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn mark(&self) -> ConfigurationMark {
+        ConfigurationMark {
+            revision: self.revision(),
+            read_until: self.revision().max(self.refused),
+        }
+    }
+
+    fn revision(&self) -> u64 {
         self.newest().map_or(0, |newest| newest.revision)
     }
 
     /// Takes the value that lies in the store; whether it is a newer
     /// version.
     pub fn take_value(&mut self, item: &MirrorValue) -> bool {
-        if item.revision <= self.revision().max(self.refused) {
+        if item.revision <= self.mark().read_until {
             return false;
         }
         let begin = MonotonicClock.now();
@@ -154,15 +173,20 @@
         self.push(item.revision, configuration)
     }
 
-    /// The newest version, for a VM that has the one of revision `known`;
-    /// nothing if that one is as new.
+    /// The newest version, for a VM that knows so much; nothing if it knows
+    /// that one.
     #[must_use]
-    pub fn news_for(&self, known: u64) -> Option<ConfigurationNews> {
-        let newest = self.newest().filter(|v| v.revision > known)?;
-        let former = self.versions.iter().find(|v| v.revision == known);
+    pub fn news_for(
+        &self,
+        known: ConfigurationMark,
+    ) -> Option<ConfigurationNews> {
+        let newest =
+            self.newest().filter(|v| v.revision > known.read_until)?;
+        let mut versions = self.versions.iter();
+        let former = versions.find(|v| v.revision == known.revision);
         let body = match former {
             Some(former) => ConfigurationBody::Changed {
-                base: known,
+                base: known.revision,
                 patch: Box::new(ConfigurationPatch::between(
                     &former.configuration,
                     &newest.configuration,
@@ -184,7 +208,7 @@
         &mut self,
         news: ConfigurationNews,
     ) -> Result<bool, BaseMismatch> {
-        if news.revision <= self.revision() {
+        if news.revision <= self.mark().read_until {
             return Ok(false);
         }
         let configuration = match news.body {
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -51,7 +51,7 @@
         NewsMarks {
             revision: self.mirror.revision(),
             tables: self.history.marks(),
-            configuration: self.configurations.revision(),
+            configuration: self.configurations.mark(),
         }
     }
 
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    configuration::ConfigurationNews,
+    configuration::{ConfigurationMark, ConfigurationNews},
     control::LoadReport,
     history::{TableMark, TableNews},
     mirror::{MirrorDelta, StoreMirror},
@@ -38,8 +38,8 @@
     pub revision: u64,
     /// The versions of the tables that it has.
     pub tables: Vec<TableMark>,
-    /// The revision of the configuration that it has; 0 if it has none.
-    pub configuration: u64,
+    /// How much of the configuration it knows.
+    pub configuration: ConfigurationMark,
 }
 
 /// What has changed in the store.
--- a/goldcrestramp-entry/tests/configurations.rs
+++ b/goldcrestramp-entry/tests/configurations.rs
@@ -4,7 +4,10 @@
 
 use goldcrestramp_adapter::FleetConfiguration;
 use goldcrestramp_entry::{
-    configuration::{BaseMismatch, ConfigurationHistory, ConfigurationNews},
+    configuration::{
+        BaseMismatch, ConfigurationHistory, ConfigurationMark,
+        ConfigurationNews,
+    },
     mirror::MirrorValue,
 };
 use proptest::prelude::*;
@@ -49,11 +52,13 @@
     let mut routes: Routes = (0..200).map(|name| (name, 0)).collect();
     let mut source = ConfigurationHistory::default();
     source.take_value(&value(1, &routes));
-    let whole = source.news_for(0).expect("all of it");
+    let whole =
+        source.news_for(ConfigurationMark::default()).expect("all of it");
 
+    let mark = source.mark();
     routes.insert(7, 1);
     source.take_value(&value(2, &routes));
-    let change = source.news_for(10).expect("a change");
+    let change = source.news_for(mark).expect("a change");
 
     let bytes = |news| postcard::to_allocvec(news).expect("bytes").len();
     assert!(bytes(&change) * 20 < bytes(&whole));
@@ -63,10 +68,10 @@
 fn a_change_of_another_version_is_refused() {
     let mut source = ConfigurationHistory::default();
     let mut follower = ConfigurationHistory::default();
-    for version in 1..=2 {
-        source.take_value(&value(version, &Routes::from([(1, 0)])));
-    }
-    let change = source.news_for(10).expect("a change");
+    source.take_value(&value(1, &Routes::from([(1, 0)])));
+    let mark = source.mark();
+    source.take_value(&value(2, &Routes::from([(1, 1)])));
+    let change = source.news_for(mark).expect("a change");
 
     assert_eq!(follower.take_news(change), Err(BaseMismatch));
     assert!(follower.newest().is_none());
@@ -81,11 +86,31 @@
     other.take_value(&older);
 
     assert!(!history.take_value(&older));
-    let news = other.news_for(0).expect("all of it");
+    let news =
+        other.news_for(ConfigurationMark::default()).expect("all of it");
     assert_eq!(history.take_news(news), Ok(false));
     assert_eq!(newest(&history).version, 7);
 }
 
+/// Guards against a copy with each call for a version that is not taken.
+#[test]
+fn what_was_refused_is_not_told_again() {
+    let mut source = ConfigurationHistory::default();
+    let mut follower = ConfigurationHistory::default();
+    let routes = Routes::from([(1, 0)]);
+    follower.take_value(&value(7, &routes));
+    source.take_value(&MirrorValue { revision: 90, ..value(7, &routes) });
+
+    let news = source.news_for(follower.mark()).expect("a later revision");
+
+    assert_eq!(follower.take_news(news), Ok(false));
+    assert!(source.news_for(follower.mark()).is_none());
+    let next = MirrorValue { revision: 99, ..value(8, &routes) };
+    source.take_value(&next);
+    let news = source.news_for(follower.mark()).expect("a newer version");
+    assert_eq!(follower.take_news(news), Ok(true));
+}
+
 #[test]
 fn a_vm_that_is_far_behind_is_told_everything() {
     let mut source = ConfigurationHistory::default();
@@ -95,7 +120,7 @@
         source.take_value(&value(version, &Routes::from([(1, 0)])));
     }
 
-    let news = source.news_for(follower.revision()).expect("news");
+    let news = source.news_for(follower.mark()).expect("news");
 
     assert_eq!(follower.take_news(news), Ok(true));
     assert_eq!(newest(&follower), newest(&source));
@@ -117,10 +142,10 @@
             if !told {
                 continue;
             }
-            let news = source.news_for(follower.revision()).expect("news");
+            let news = source.news_for(follower.mark()).expect("news");
             prop_assert_eq!(follower.take_news(sent(&news)), Ok(true));
             prop_assert_eq!(newest(&follower), newest(&source));
-            prop_assert!(source.news_for(follower.revision()).is_none());
+            prop_assert!(source.news_for(follower.mark()).is_none());
         }
     }
 }
