Wake those that follow when the configuration alone has changed

A change that held a configuration and nothing else was no news to VMs that wait for news at the one that had taken it; they had it up to 0.4 s later. Found in review; no figure was measured for it.

--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -88,6 +88,9 @@
                 let taken = self.take_configuration(configuration);
                 let whole = tables && taken.whole;
                 let changed = self.mirror.apply_delta(items, whole);
+                if taken.changed {
+                    self.mirror.note_news();
+                }
                 TakenNews { changed: changed || taken.changed, whole }
             }
             StoreNews::Whole { items, configuration } => {
--- a/goldcrestramp-entry/src/mirror.rs
+++ b/goldcrestramp-entry/src/mirror.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Notes that something has changed that is kept elsewhere.
+    pub fn note_news(&mut self) {
+        self.news_at = self.revision;
+    }
+
     /// Takes one item that was written; changes before it may be missing.
     pub fn write(&mut self, item: StoreItem) {
         // Between the known value and this one may have been another one,
