Limit orders by their whole answer again

Cause (found in review): since calls are given up by what has not begun or has stalled, a server that sends the answer to an order byte by byte kept the order under way without end, and a planner that stands down waits for the orders under way.

Change: who opens a pool of calls says what its limits cover: the whole answer of an order, the head of what the store and other VMs tell.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -19,7 +19,7 @@
         term::PlannerTerm,
     },
     history::TableHistory,
-    http::{CallPool, LinkEnd},
+    http::{CallPool, LimitScope, LinkEnd},
     metrics::EntryMetrics,
     mirror::StoreMirror,
     peers::{PeerCall, PeerClient},
@@ -94,7 +94,11 @@
     ) -> Self {
         /// A server's answer to an order is a few bytes.
         const ORDER_ANSWER_MOST: usize = 64 * 1024;
-        let orders = CallPool::open(LinkEnd::Reset, ORDER_ANSWER_MOST);
+        let orders = CallPool::open(
+            LinkEnd::Reset,
+            LimitScope::WholeAnswer,
+            ORDER_ANSWER_MOST,
+        );
         Self {
             me,
             regions,
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -52,6 +52,17 @@
     Reset,
 }
 
+/// How much of an answer the limit of a call covers.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitScope {
+    /// All of it: short answers, whose callers act on their absence.
+    WholeAnswer,
+    /// Its head. The rest may take any time, as long as it does not stall:
+    /// a large answer that is given up half way and asked for again would
+    /// cross a full link any number of times and never be had.
+    AnswerHead,
+}
+
 /// Why a call brought no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallFailure {
@@ -140,6 +151,7 @@
 #[derive(Debug)]
 pub struct CallPool {
     end: LinkEnd,
+    scope: LimitScope,
     answer_bytes_most: usize,
     idle: Mutex<IdleLinks>,
 }
@@ -150,12 +162,16 @@
 impl CallPool {
     /// Opens a pool with no connection.
     #[must_use]
-    pub fn open(end: LinkEnd, answer_bytes_most: usize) -> Self {
-        Self { end, answer_bytes_most, idle: Mutex::default() }
+    pub fn open(
+        end: LinkEnd,
+        scope: LimitScope,
+        answer_bytes_most: usize,
+    ) -> Self {
+        Self { end, scope, answer_bytes_most, idle: Mutex::default() }
     }
 
-    /// Makes a call; it is given up if its answer has not begun after
-    /// `limit`, or has stalled since.
+    /// Makes a call; it is given up if what the pool's scope covers of its
+    /// answer has not come after `limit`, or if the rest stalls.
     ///
     /// # Errors
     ///
@@ -179,7 +195,13 @@
         let progress = CallProgress::begin();
         let most = self.answer_bytes_most;
         let exchange = exchange(sender, request, limit, most, &progress);
-        let (sender, answer) = exchange.await.inspect_err(|failure| {
+        let exchanged = match self.scope {
+            LimitScope::AnswerHead => exchange.await,
+            LimitScope::WholeAnswer => timeout(limit, exchange)
+                .await
+                .unwrap_or(Err(CallFailure::Silent)),
+        };
+        let (sender, answer) = exchanged.inspect_err(|failure| {
             if *failure == CallFailure::Silent {
                 progress.log_given_up(address);
             }
@@ -225,9 +247,6 @@
 }
 
 /// An answer whose next bytes do not come for so long is given up.
-///
-/// The whole of a large one has no limit: given up half way and asked for
-/// again, it would cross a full link any number of times and never be had.
 const BODY_STALL: Duration = Duration::from_secs(1);
 
 /// Answers at least this long are logged: they hold up others on a link.
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, Method};
 
 use crate::{
-    http::{CallPool, CallReach, CallRequest, LinkEnd},
+    http::{CallPool, CallReach, CallRequest, LimitScope, LinkEnd},
     peers::{
         PEER_PATH,
         message::{PeerCall, PeerReply},
@@ -34,7 +34,11 @@
     /// Opens a client; nothing is sent yet.
     #[must_use]
     pub fn open() -> Self {
-        let pool = CallPool::open(LinkEnd::Close, ANSWER_BYTES_MOST);
+        let pool = CallPool::open(
+            LinkEnd::Close,
+            LimitScope::AnswerHead,
+            ANSWER_BYTES_MOST,
+        );
         Self { pool: Arc::new(pool) }
     }
 
--- a/goldcrestramp-entry/src/store.rs
+++ b/goldcrestramp-entry/src/store.rs
@@ -8,7 +8,9 @@
     header::{ACCEPT, CONTENT_TYPE},
 };
 
-use crate::http::{CallFailure, CallPool, CallReach, CallRequest, LinkEnd};
+use crate::http::{
+    CallFailure, CallPool, CallReach, CallRequest, LimitScope, LinkEnd,
+};
 
 /// A call without an answer is given up after so long: the store answers
 /// in milliseconds, and in a quarter of a second when it is slow.
@@ -61,7 +63,11 @@
     /// Opens a client; nothing is sent yet.
     #[must_use]
     pub fn open(address: SocketAddr) -> Self {
-        let pool = CallPool::open(LinkEnd::Close, ANSWER_BYTES_MOST);
+        let pool = CallPool::open(
+            LinkEnd::Close,
+            LimitScope::AnswerHead,
+            ANSWER_BYTES_MOST,
+        );
         Self { address, pool }
     }
 
