--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -63,12 +63,11 @@
         if is_known && tables.is_empty() && configuration.is_none() {
             return StoreNews::None;
         }
-        match self.mirror.delta_since(known.revision) {
-            Some(items) => StoreNews::Changes { items, tables, configuration },
-            None => {
-                StoreNews::Whole { items: self.mirror.clone(), configuration }
-            }
+        if let Some(items) = self.mirror.delta_since(known.revision) {
+            return StoreNews::Changes { items, tables, configuration };
         }
+        let items = self.mirror.without_tables();
+        StoreNews::Whole { items, tables, configuration }
     }
 
     /// Takes what another VM says has changed.
@@ -93,12 +92,14 @@
                 }
                 TakenNews { changed: changed || taken.changed, whole }
             }
-            StoreNews::Whole { items, configuration } => {
+            StoreNews::Whole { items, tables, configuration } => {
+                let tables = self.take_tables(now, tables);
                 let taken = self.take_configuration(configuration);
-                // Adopted without it, the change would not be asked for.
-                let changed = taken.whole && self.mirror.adopt(items);
-                let changed = changed || taken.changed;
-                TakenNews { changed, whole: taken.whole }
+                let whole = tables && taken.whole;
+                // Adopted without them, what is missing would not be asked
+                // for.
+                let changed = whole && self.mirror.adopt(items);
+                TakenNews { changed: changed || taken.changed, whole }
             }
         }
     }
--- a/goldcrestramp-entry/src/mirror.rs
+++ b/goldcrestramp-entry/src/mirror.rs
@@ -220,7 +220,16 @@
         true
     }
 
-    /// Takes another VM's copy, if it is newer.
+    /// A copy for another VM, without tables: these are told by what has
+    /// changed in them.
+    #[must_use]
+    pub fn without_tables(&self) -> Self {
+        let mut copy = self.clone();
+        copy.items.retain(|key, _value| !key.starts_with(TABLE_PREFIX));
+        copy
+    }
+
+    /// Takes another VM's copy, if it is newer; tables stay as they are.
     pub fn adopt(&mut self, other: Self) -> bool {
         if other.revision <= self.revision {
             return false;
@@ -228,7 +237,7 @@
         let since = other.revision;
         let own = std::mem::replace(self, other);
         for (key, value) in own.items {
-            if value.revision > since {
+            if value.revision > since || key.starts_with(TABLE_PREFIX) {
                 let known = self.items.get(&key).map(|v| v.revision);
                 if known.is_none_or(|known| known < value.revision) {
                     self.items.insert(key, value);
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -61,8 +61,10 @@
     },
     /// More than is remembered: all of it.
     Whole {
-        /// All items, tables included.
+        /// All other items.
         items: StoreMirror,
+        /// Tables that have changed.
+        tables: Vec<TableNews>,
         /// The configuration, if it has changed.
         configuration: Option<ConfigurationNews>,
     },
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -144,6 +144,24 @@
     assert_eq!(value(&mirror, "a"), Some(&b"2"[..]));
 }
 
+/// Guards against whole tables to every VM at once when the store has lost
+/// its history.
+#[test]
+fn a_copy_of_the_store_leaves_tables_as_they_are() {
+    let mut source = StoreMirror::default();
+    let items = vec![item("router/table/s", "theirs", 3), item("a", "1", 4)];
+    source.replace(items, 9);
+    let mut follower = StoreMirror::default();
+    follower.write(item("router/table/s", "own", 2));
+
+    let copy = source.without_tables();
+
+    assert!(copy.get("router/table/s").is_none());
+    assert!(follower.adopt(copy));
+    assert_eq!(value(&follower, "a"), Some(&b"1"[..]));
+    assert_eq!(value(&follower, "router/table/s"), Some(&b"own"[..]));
+}
+
 /// This VM's own commit is newer than a reading that began before it. The
 /// reading must not take the commit back.
 #[test]
