--- a/goldcrestramp-entry/tests/configurations.rs
+++ b/goldcrestramp-entry/tests/configurations.rs
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn a_change_of_another_version_is_refused() {
+fn a_configuration_s_change_of_another_version_is_refused() {
     let mut source = ConfigurationHistory::default();
     let mut follower = ConfigurationHistory::default();
     source.take_value(&value(1, &Routes::from([(1, 0)])));
