Show that an older entry makes a planner give away a server's keys

Two servers held the same keys for up to 5.3 s after a VM with old news had begun to plan, so callers of one key could be served by both.

The planner takes a holder for ended if its own entry is missing and another entry names its address, or if its id is at another address. It does not look which of the two runs is the older one. These tests have the older run's entry beside a holder that serves; and a VM that begins to plan before it knows what happened up to its own record.

Measured: all three fail on the code as it is, the first two as two servers hold a key, the third as a table is committed by old news.

--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -1,13 +1,14 @@
 //! Each key has one owner, through losses and moves.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use rustix::process::Signal;
+use serde_json::json;
 
 use crate::{
     relay::{Relay, RelayManner},
     store::StoreStandin,
-    world::{DIVIDED, World, entry, eventually},
+    world::{DIVIDED, World, entry, entry_at, eventually},
 };
 
 /// Keys all over the space, far fewer than would make a test slow.
@@ -67,6 +68,92 @@
     }
 }
 
+/// A server has started where another one ran before. Its own entry has
+/// ended, and that of the former one is still there: it is older than the
+/// holder, so it says nothing of its end. Were the holder taken for ended,
+/// its keys would go to another server while it serves them. It is asked.
+#[tokio::test]
+async fn an_older_entry_at_its_address_does_not_end_a_server() {
+    let world = World::open(DIVIDED, 2, 1).await;
+    world.wait_served(0, 0).await;
+    let mut former = entry(&world.servers[0], DIVIDED, "draining");
+    former["born"] = json!(1_600_000_000_000_u64);
+
+    world.store.put("servers/former", &former);
+    world.store.remove("servers/server-0");
+
+    for key in some_keys() {
+        eventually(async || {
+            assert!(world.holders(key) <= 1);
+            world.servers[1].holds(key)
+        })
+        .await;
+    }
+}
+
+/// The same with an entry under the holder's own id, which names the
+/// address of an earlier run.
+#[tokio::test]
+async fn an_older_run_elsewhere_does_not_end_a_server() {
+    let world = World::open(DIVIDED, 2, 1).await;
+    world.wait_served(0, 0).await;
+    let elsewhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut former = entry_at(elsewhere, DIVIDED, "draining");
+    former["born"] = json!(1_600_000_000_000_u64);
+
+    world.store.put("servers/server-0", &former);
+
+    for key in some_keys() {
+        eventually(async || {
+            assert!(world.holders(key) <= 1);
+            world.servers[1].holds(key)
+        })
+        .await;
+    }
+}
+
+/// The VM that plans is killed, and what happens in the store from then on
+/// reaches the other one late. By what it knows it would give keys to
+/// servers that have ended meanwhile, and take them from servers that have
+/// been given them. It renews what is assigned, and plans once it knows
+/// everything from before its own record.
+#[tokio::test]
+async fn a_planner_that_is_behind_only_renews() {
+    /// Longer than a renewal and than a round of planning.
+    const BEHIND: Duration = Duration::from_secs(2);
+    let world = World::open(DIVIDED, 2, 2).await;
+    world.wait_served(0, 0).await;
+    world.wait_served(1, 0).await;
+    let planner = world.store.get("router/planner").expect("a planner");
+    let first = String::from_utf8_lossy(&planner).contains("vm-0");
+    let (killed, other) = if first { (0, 1) } else { (1, 0) };
+    let table = world.store.get("router/table/stock").expect("a table");
+
+    world.store.hide_from_next_planner();
+    world.nodes[killed].signal(Signal::KILL);
+    let draining = entry(&world.servers[0], DIVIDED, "draining");
+    world.store.put("servers/server-0", &draining);
+    eventually(async || {
+        let known = world.store.get("router/planner");
+        known.is_some_and(|known| known != planner)
+    })
+    .await;
+    let orders = world.servers[0].orders();
+    tokio::time::sleep(BEHIND).await;
+
+    assert_eq!(world.store.get("router/table/stock"), Some(table));
+    assert!(world.servers[0].orders() > orders, "it renews");
+    world.store.show_all();
+    for key in some_keys() {
+        eventually(async || {
+            assert!(world.holders(key) <= 1);
+            world.servers[1].holds(key)
+        })
+        .await;
+        world.wait_served(other, key).await;
+    }
+}
+
 /// The VM that plans is killed. The other one renews what is assigned, so
 /// every key is served, and plans for a server that leaves then.
 #[tokio::test]
--- a/goldcrestramp-entry/tests/daemon/store.rs
+++ b/goldcrestramp-entry/tests/daemon/store.rs
@@ -41,6 +41,10 @@
     /// are turned away.
     claims_lost: u32,
     readings_refused: u32,
+    /// Whether watches hide what follows the next end of a planner.
+    hides: bool,
+    /// Watches tell of no change after this revision.
+    hidden_after: Option<u64>,
     /// Where a VM is said to be reached, in place of its own address.
     detours: HashMap<String, SocketAddr>,
 }
@@ -105,6 +109,21 @@
         self.lock().claims_lost = 1;
     }
 
+    /// Watches tell of the end of the planner's record, and of nothing
+    /// after it until everything is shown.
+    #[allow(dead_code, reason = "not every test binary hides anything")]
+    pub fn hide_from_next_planner(&self) {
+        self.lock().hides = true;
+    }
+
+    /// Watches tell of every change again.
+    #[allow(dead_code, reason = "not every test binary hides anything")]
+    pub fn show_all(&self) {
+        let mut state = self.lock();
+        state.hides = false;
+        state.hidden_after = None;
+    }
+
     /// From now on the entry of a VM names this address.
     #[allow(dead_code, reason = "not every test binary has a detour")]
     pub fn detour(&self, vm: &str, address: SocketAddr) {
@@ -191,7 +210,7 @@
                     return status(StatusCode::GONE);
                 }
                 if over || (!deaf && !events.is_empty()) {
-                    let revision = state.revision;
+                    let revision = state.shown();
                     return reply(&json!({
                         "events": events, "current_rev": revision
                     }));
@@ -228,9 +247,17 @@
         if self.items.remove(key).is_some() {
             self.revision += 1;
             self.history.push((self.revision, key.to_owned(), None));
+            if self.hides && key == "router/planner" {
+                self.hidden_after.get_or_insert(self.revision);
+            }
         }
     }
 
+    /// The revision up to which watches tell of changes.
+    fn shown(&self) -> u64 {
+        self.hidden_after.unwrap_or(self.revision)
+    }
+
     /// Ends leases that were not renewed.
     fn lapse(&mut self) {
         let now = Instant::now();
@@ -259,7 +286,8 @@
     }
 
     fn events(&self, after: u64) -> Vec<Value> {
-        let changes = self.history.iter().filter(|(at, ..)| *at > after);
+        let told = after + 1..=self.shown();
+        let changes = self.history.iter().filter(|(at, ..)| told.contains(at));
         let event =
             |(at, key, value): &(u64, String, Option<Vec<u8>>)| match value {
                 Some(value) => json!({
