Take a server for ended only if a later run proves it

Two servers held the same keys for up to 5.3 s, so callers of one key could be served by both: a VM began to plan when the store had been away twice and 39 of 91 VMs were killed, and gave keys away without asking their holders.

Cause: entries end by themselves while the store is away. The VM knew the store as it was before some servers had started, and read the current table after its claim. At the holder's address it knew the entry of the run before it, and took that for a successor: the holder for ended, its keys for free. Its first commit gave them to another server, and the renewals that were due by the committed table went to the holder at the same moment.

Change: a run proves the end of another only if it started later; else the holder is asked, or waited out if it is gone. And a new planner only renews until it knows all that happened up to its own record: by old news it also gave keys to servers that had ended, three commits in a row.

Not changed: the VM that is asked to stop may not be the one that planned last, if the news are old.

--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -87,6 +87,17 @@
         now.since(self.proof) < PROOF_LIFE
     }
 
+    /// Whether all that happened up to this term's record is known, once
+    /// all changes up to `revision` are.
+    ///
+    /// The load: a VM to which the store was silent claims the planner's
+    /// place as soon as it is answered again, and learns what it missed
+    /// later. By old news it gives keys to servers that have ended, one
+    /// commit after the other.
+    const fn knows_its_begin(&self, revision: u64) -> bool {
+        revision >= self.revision
+    }
+
     /// Takes the knowledge that the former planner has stopped.
     pub(crate) fn inherit(&mut self, stopped_at: LocalTime) {
         self.sent_until = self.sent_until.min(stopped_at);
@@ -106,27 +117,38 @@
 }
 
 /// What is known of the holder of keys.
+///
+/// The failure: entries end by themselves and come back, so that of a former
+/// run may be known while the holder's own is not. Taken for a successor, it
+/// has a server that serves lose its keys to another without being asked.
+/// Only a run that started later proves that the holder has ended.
 fn fate_of(
     view: &FleetView,
     returning: bool,
     life: &ServerLife,
 ) -> HolderFate {
-    match view.servers.get(&life.id) {
-        Some(entry) if entry.address != life.address => HolderFate::Ended,
-        Some(entry) if entry.started_ms != life.started_ms => {
-            HolderFate::Leaving
-        }
-        Some(entry) if entry.phase == ServerPhase::Draining => {
+    let own = view.servers.get(&life.id);
+    if let Some(entry) = own.filter(|entry| entry.address == life.address) {
+        let drains = entry.phase == ServerPhase::Draining;
+        let leaving = drains || entry.started_ms != life.started_ms;
+        return if leaving {
             HolderFate::Leaving
-        }
-        Some(_) => HolderFate::Serving,
-        // An address is given away only after its server has ended, and
-        // orders name the server that they are for.
-        None if view.servers.values().any(|e| e.address == life.address) => {
-            HolderFate::Ended
-        }
-        None if returning => HolderFate::Serving,
-        None => HolderFate::Missing,
+        } else {
+            HolderFate::Serving
+        };
+    }
+    // An address is given away only after its server has ended, and orders
+    // name the server that they are for.
+    let succeeds = |entry: &Arc<ServerEntry>| {
+        (entry.id == life.id || entry.address == life.address)
+            && entry.started_ms > life.started_ms
+    };
+    if view.servers.values().any(succeeds) {
+        HolderFate::Ended
+    } else if returning {
+        HolderFate::Serving
+    } else {
+        HolderFate::Missing
     }
 }
 
@@ -145,14 +167,18 @@
         let view = Arc::clone(&self.view);
         let Some(routes) = &view.routes else { return };
         let away = self.news.is_unsure(now);
+        let revision = self.mirror.revision();
         let term = self.term.as_mut().filter(|term| term.may_renew(now));
         let Some(term) = term else { return };
+        let plans = term.knows_its_begin(revision);
         let mut commits = Vec::new();
         for name in routes.divided() {
             let key = table_key(name);
             if !term.services.contains_key(name) {
                 let Some(item) = self.mirror.get(&key) else {
-                    commits.extend(first_table(term, now, name, &view));
+                    if plans {
+                        commits.extend(first_table(term, now, name, &view));
+                    }
                     continue;
                 };
                 let Ok(table) = AssignmentTable::decode(&item.value) else {
@@ -173,7 +199,7 @@
             let Some(service) = term.services.get_mut(name) else { continue };
             let fate = |life: &ServerLife| fate_of(&view, away, life);
             let ready = view.ready.get(name).map_or(&[][..], Vec::as_slice);
-            if let Some(next) = service.plan(now, fate, ready) {
+            if plans && let Some(next) = service.plan(now, fate, ready) {
                 service.committing = true;
                 commits.push((Arc::clone(name), service.revision, next));
             }
