Show that a planner that stopped does not speak for the one before it

A planner that is cut off renews for up to 12 s. Its successor stops or runs anew after a moment, and the one after that takes this for the end of all former planners. The model had every former planner stop where the program asks only the last one that it knows of; it now has three planners and stops the holder of the record alone.

--- a/goldcrestramp-assignment/tests/ownership/fuzz.rs
+++ b/goldcrestramp-assignment/tests/ownership/fuzz.rs
@@ -290,6 +290,41 @@
     assert!(!two_owners_in(WorldGuards::ALL, &steps));
 }
 
+/// A planner is cut off and renews; its successor plans for a moment, stops,
+/// and says so to the next. That one says nothing of the first, which may
+/// still renew what it can reach.
+#[test]
+fn a_planner_that_stopped_does_not_speak_for_the_one_before_it() {
+    let arrives = || vec![OrderFate::Arrives];
+    let lost = [
+        Step::Orders(0, arrives()),
+        Step::Wait(2_600),
+        Step::TakeOver(1, false),
+        Step::Wait(500),
+        Step::TakeOver(2, true),
+        Step::Listed(0, false),
+        Step::Reachable(0, false),
+        Step::Plan(2, CommitFate::Done, 60_000),
+        Step::Orders(2, arrives()),
+    ];
+    let renewal = [
+        Step::Reachable(0, true),
+        Step::Orders(0, arrives()),
+        Step::Reachable(0, false),
+    ];
+    let taken =
+        [Step::Plan(2, CommitFate::Done, 60_000), Step::Orders(2, arrives())];
+    let steps: Vec<Step> = lost
+        .into_iter()
+        .chain(keep(2, 6_000))
+        .chain(renewal)
+        .chain(keep(2, 2_500))
+        .chain(taken)
+        .collect();
+
+    assert!(!two_owners_in(WorldGuards::ALL, &steps));
+}
+
 /// Two servers hold nothing in a world in which nothing works; this shows
 /// that the fuzzed world serves at all.
 #[test]
--- a/goldcrestramp-assignment/tests/ownership/world.rs
+++ b/goldcrestramp-assignment/tests/ownership/world.rs
@@ -21,7 +21,7 @@
 
 /// Servers and VMs of the world.
 pub const SERVERS: usize = 3;
-pub const PLANNERS: usize = 2;
+pub const PLANNERS: usize = 3;
 
 /// What keeps two servers from holding a key; each can be taken out.
 #[expect(clippy::struct_excessive_bools, reason = "independent of each other")]
@@ -199,11 +199,12 @@
         if stands && !former_stops {
             return;
         }
+        let former = self.record;
         self.revision += 1;
         self.record = self.revision;
         if former_stops {
             for (other, planner) in self.planners.iter_mut().enumerate() {
-                if other != number {
+                if other != number && planner.record == former {
                     planner.planner = None;
                 }
             }
