Name the hedge and the time-outs of news by the field's words

HEDGE_DELAY, FIRST_ANSWER_TIMEOUT and BODY_IDLE_TIMEOUT instead of words of our own; comments on tests in one line, and shorter ones where a reason is due. Nothing that runs has changed.

--- a/goldcrestramp-assignment/tests/ownership/fuzz.rs
+++ b/goldcrestramp-assignment/tests/ownership/fuzz.rs
@@ -290,9 +290,7 @@
     assert!(!two_owners_in(WorldGuards::ALL, &steps));
 }
 
-/// A planner is cut off and renews; its successor plans for a moment, stops,
-/// and says so to the next. That one says nothing of the first, which may
-/// still renew what it can reach.
+/// Guards against renewals of a planner before the one that has stopped.
 #[test]
 fn a_planner_that_stopped_does_not_speak_for_the_one_before_it() {
     let arrives = || vec![OrderFate::Arrives];
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -45,14 +45,11 @@
 
 /// A VM that is asked for the first time answers within this or is replaced
 /// by the next.
-const FIRST_LIMIT: Duration = Duration::from_millis(600);
+const FIRST_ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// An answer that has not come whole after this is not waited for.
-///
-/// The failure: the link of the VM that is followed carries a few kilobytes a
-/// second. A change that its answer holds is in force seconds too late,
-/// though other VMs and the store could tell it at once.
-const PATIENCE: Duration = Duration::from_millis(1_200);
+/// If an answer has not come whole after this, the next source is asked as
+/// well: the link of the first may carry a few kilobytes a second.
+const HEDGE_DELAY: Duration = Duration::from_millis(1_200);
 
 /// Pauses after a failure: the first is short, as one lost answer is no
 /// outage; all VMs come back together, so they spread over half of it.
@@ -73,7 +70,7 @@
 }
 
 /// A call for news to another VM.
-struct PeerQuestion {
+struct NewsFetch {
     peers: PeerClient,
     control: Address<ControlActor>,
     address: SocketAddr,
@@ -82,9 +79,9 @@
     limit: Option<Duration>,
 }
 
-impl PeerQuestion {
-    /// Asks, and tells the actor what was answered; whether anything was.
-    async fn ask(self) -> bool {
+impl NewsFetch {
+    /// Fetches, and tells the actor; whether there was an answer.
+    async fn run(self) -> bool {
         let Self { peers, control, address, call, limit } = self;
         let sent_at = MonotonicClock.now();
         let reply = match limit {
@@ -145,9 +142,8 @@
         Ok(true)
     }
 
-    /// Asks another VM. An answer that is long on its way is left to come,
-    /// and the next source is asked meanwhile; one at a time, or what comes
-    /// slowly would be asked for from everybody.
+    /// Asks another VM, and goes on to the next source if its answer is
+    /// slow; that call ends by itself. Only one such call is left under way.
     async fn ask_peer(
         &mut self,
         address: SocketAddr,
@@ -156,8 +152,9 @@
         // One that is asked for the first time answers at once, so that
         // several silent ones cost little time.
         let wait = self.followed == Some(address);
-        let limit = (!wait && known.revision > 0).then_some(FIRST_LIMIT);
-        let question = PeerQuestion {
+        let limit =
+            (!wait && known.revision > 0).then_some(FIRST_ANSWER_TIMEOUT);
+        let fetch = NewsFetch {
             peers: self.peers.clone(),
             control: self.control.clone(),
             address,
@@ -165,8 +162,8 @@
             limit,
         };
         self.followed = None;
-        let mut asked = tokio::spawn(question.ask());
-        let answered = match timeout(PATIENCE, &mut asked).await {
+        let mut asked = tokio::spawn(fetch.run());
+        let answered = match timeout(HEDGE_DELAY, &mut asked).await {
             Ok(answered) => answered,
             Err(_elapsed) if self.has_slow_answer() => asked.await,
             Err(_elapsed) => {
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -227,10 +227,9 @@
     /// the VMs that may follow the store for this one, best first. One that
     /// could not be followed is replaced by the next.
     ///
-    /// The failure: a VM that many others follow is restarted on a plan. If
-    /// all of them then follow the store themselves, each with all servers'
-    /// heartbeats, they fill the link between the regions: servers can't be
-    /// reached, and more VMs lose the one that they follow.
+    /// If all that follow a VM followed the store while it restarts, each
+    /// with all servers' heartbeats, they would fill the link between regions
+    /// and more VMs would lose the one that they follow.
     ///
     /// A VM that starts reads who the others are, and has the rest from
     /// one of them. If a whole fleet starts at once and each VM reads the
@@ -269,9 +268,8 @@
 
     /// Whether other VMs may rely on this one's news.
     ///
-    /// The failure: the link of a VM that others follow is so full that what
-    /// the store tells takes seconds. Its lease is renewed in time, so it
-    /// takes itself for fresh, and a change reaches none of them.
+    /// A lease that is renewed in time says nothing of the watch, which has a
+    /// connection of its own: the news themselves must be young as well.
     #[must_use]
     pub fn may_be_followed(&self, now: LocalTime, proof: LocalTime) -> bool {
         self.direct && self.is_fresh(now, proof) && self.age(now) < SILENCE
--- a/goldcrestramp-entry/src/control/ranking.rs
+++ b/goldcrestramp-entry/src/control/ranking.rs
@@ -27,9 +27,8 @@
 /// takes the place of one that fails. For a small one those of other failure
 /// domains come last, the ones of its own region before the others.
 ///
-/// The failure: both large VMs of a failure domain are restarted at a time.
-/// If small ones follow the store in their place, what the store tells fills
-/// their links, and callers' requests wait behind it.
+/// Small VMs are no sources: heartbeats and whole configurations from the
+/// store would fill their links, and callers' requests wait behind them.
 #[must_use]
 pub fn source_vms<'a>(
     me: &VmRun,
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -90,10 +90,8 @@
     /// Whether all that happened up to this term's record is known, once
     /// all changes up to `revision` are.
     ///
-    /// The load: a VM to which the store was silent claims the planner's
-    /// place as soon as it is answered again, and learns what it missed
-    /// later. By old news it gives keys to servers that have ended, one
-    /// commit after the other.
+    /// A VM to which the store was silent may claim before it has learnt what
+    /// it missed; planning then would give keys to servers that have ended.
     const fn knows_its_begin(&self, revision: u64) -> bool {
         revision >= self.revision
     }
@@ -118,10 +116,8 @@
 
 /// What is known of the holder of keys.
 ///
-/// The failure: entries end by themselves and come back, so that of a former
-/// run may be known while the holder's own is not. Taken for a successor, it
-/// has a server that serves lose its keys to another without being asked.
-/// Only a run that started later proves that the holder has ended.
+/// Only a run that started later proves that the holder has ended: entries
+/// lapse and return, so a former run's may be known while the holder's is not.
 fn fate_of(
     view: &FleetView,
     returning: bool,
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -247,7 +247,7 @@
 }
 
 /// An answer whose next bytes do not come for so long is given up.
-const BODY_STALL: Duration = Duration::from_secs(1);
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Answers at least this long are logged: they hold up others on a link.
 const LARGE_ANSWER_BYTES: usize = 64 * 1024;
@@ -320,7 +320,7 @@
     let mut body = Limited::new(body, answer_bytes_most);
     let mut bytes = BytesMut::new();
     loop {
-        let frame = timeout(BODY_STALL, body.frame()).await;
+        let frame = timeout(BODY_IDLE_TIMEOUT, body.frame()).await;
         let Some(frame) = frame.map_err(silent)? else { break };
         let frame = frame.map_err(|_error| CallFailure::Unknown)?;
         // Trailers are of no use here.
--- a/goldcrestramp-entry/tests/daemon/configuration.rs
+++ b/goldcrestramp-entry/tests/daemon/configuration.rs
@@ -57,8 +57,7 @@
     }
 }
 
-/// Guards against copies of a configuration that are given up half way and
-/// asked for again until the links carry nothing else.
+/// Guards against copies that are given up half way and asked for again.
 #[tokio::test]
 async fn a_large_configuration_comes_into_force_over_a_narrow_link() {
     let narrow = NarrowWorld::open().await;
@@ -135,8 +134,7 @@
     assert!(cost < changed.to_string().len() / 4, "{cost} bytes");
 }
 
-/// Guards against a final "no such route" from a VM whose configuration may
-/// have been replaced.
+/// Guards against a final "no such route" by an old configuration.
 #[tokio::test]
 async fn a_vm_without_news_refuses_what_it_has_no_route_for() {
     let mut store = StoreStandin::spawn().await;
--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -68,10 +68,7 @@
     }
 }
 
-/// A server has started where another one ran before. Its own entry has
-/// ended, and that of the former one is still there: it is older than the
-/// holder, so it says nothing of its end. Were the holder taken for ended,
-/// its keys would go to another server while it serves them. It is asked.
+/// Guards against taking a holder for ended by its predecessor's entry.
 #[tokio::test]
 async fn an_older_entry_at_its_address_does_not_end_a_server() {
     let world = World::open(DIVIDED, 2, 1).await;
@@ -91,8 +88,7 @@
     }
 }
 
-/// The same with an entry under the holder's own id, which names the
-/// address of an earlier run.
+/// Guards against taking a holder for ended by an earlier run of its own.
 #[tokio::test]
 async fn an_older_run_elsewhere_does_not_end_a_server() {
     let world = World::open(DIVIDED, 2, 1).await;
@@ -112,11 +108,7 @@
     }
 }
 
-/// The VM that plans is killed, and what happens in the store from then on
-/// reaches the other one late. By what it knows it would give keys to
-/// servers that have ended meanwhile, and take them from servers that have
-/// been given them. It renews what is assigned, and plans once it knows
-/// everything from before its own record.
+/// Guards against a new planner that decides by what it knew before.
 #[tokio::test]
 async fn a_planner_that_is_behind_only_renews() {
     /// Longer than a renewal and than a round of planning.
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -144,8 +144,7 @@
     assert_eq!(value(&mirror, "a"), Some(&b"2"[..]));
 }
 
-/// Guards against whole tables to every VM at once when the store has lost
-/// its history.
+/// Guards against whole tables to every VM after a loss of history.
 #[test]
 fn a_copy_of_the_store_leaves_tables_as_they_are() {
     let mut source = StoreMirror::default();
@@ -333,8 +332,7 @@
     assert_eq!(at_last, NewsSource::StoreChanges(5));
 }
 
-/// Guards against a source that knows nothing yet, or to which the store's
-/// changes come slowly while its lease is renewed.
+/// Guards against a source that knows nothing yet, or hears slowly.
 #[test]
 fn a_vm_whose_own_news_are_old_is_not_followed() {
     let mut source = NewsState::default();
--- a/goldcrestramp-entry/tests/sources.rs
+++ b/goldcrestramp-entry/tests/sources.rs
@@ -51,8 +51,7 @@
     assert!(sources.iter().all(|vm| vm.capacity == LARGE));
 }
 
-/// Guards against small VMs whose links are filled by what the store tells
-/// while the large ones of their domain are restarted.
+/// Guards against narrow links that are filled by what the store tells.
 #[test]
 fn without_a_large_vm_a_domain_follows_those_of_another() {
     let mut vms = fleet();
@@ -67,8 +66,7 @@
     }
 }
 
-/// Whoever others follow first follows the store itself: the first source of
-/// a VM has none of its own.
+/// Guards against sources that have sources of their own.
 #[test]
 fn the_first_source_follows_the_store() {
     for lost in 0..fleet().len() {
@@ -105,8 +103,7 @@
     assert_eq!(followers.count(), 3);
 }
 
-/// Each silent source costs a part of the time in which a change has to be
-/// known.
+/// Guards against silent sources that use up the time of a change.
 #[test]
 fn a_vm_has_three_sources_at_most() {
     let vms = fleet();
