Say in comments what the limits of calls cover now

Calls to VMs and to the store are limited until their answer begins; three comments still told of the whole answer, and one of a share of time that has changed. Comments only.

--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -35,8 +35,7 @@
 ///
 /// The failure: the store answers nothing to one VM and serves the others.
 /// That VM's watch waits on, and a change of the configuration is not in
-/// force on it, nor on the VMs that follow it. With the wait of a peer's
-/// call this leaves half of the time in which it has to be.
+/// force on it, nor on the VMs that follow it.
 const SILENCE: TimeSpan = TimeSpan::from_millis(1_050);
 
 /// How often a VM that the store is silent to asks another one.
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -15,10 +15,10 @@
 /// Between regions a call takes 24 ms; a VM that takes longer is full.
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 
-/// A call that waits for news is answered at once or within 0.4 s.
+/// The answer to a call that waits for news begins at once or within 0.4 s.
 const NEWS_LIMIT: Duration = Duration::from_millis(800);
 
-/// A copy of the whole store takes longer over a narrow link.
+/// A copy of the whole store begins later, as its maker has more to do.
 const COPY_LIMIT: Duration = Duration::from_secs(2);
 
 /// A copy of the store is some hundred kilobytes at most.
--- a/goldcrestramp-entry/src/store.rs
+++ b/goldcrestramp-entry/src/store.rs
@@ -16,8 +16,9 @@
 /// in milliseconds, and in a quarter of a second when it is slow.
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// A page of items is waited for longer: it is up to a megabyte on a link
-/// that may be half full, and one that is given up is asked for again.
+/// A page of items is waited for longer until it begins: pages of several
+/// VMs may stand before it on a link, and one that is given up is asked for
+/// again.
 const PAGE_LIMIT: Duration = Duration::from_secs(4);
 
 /// An answer is at most a page of items: 1 MB, a third more as text.
