Let each VM of a large fleet have one request under way at a server

Cause: each VM may have two requests under way at a server whatever its share. 195 VMs then send 390 to an owner that runs four and queues sixteen and answers nothing to the rest.

Change: the share is a decision of its own. Where there are more VMs than a server has places, it is one request.

Fleets of up to twenty VMs for four slots are as before.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -23,6 +23,7 @@
 - [`attempt_timeout()`]: how long an answer is waited for.
 - [`PipelineGate`]: which pipelined requests are served at once.
 - [`SendBudget`]: how many sends beyond the first a VM may make.
+- [`server_share`]: what one VM may have under way at a server.
 - [`WorkEstimate`]: how long a server works on a request.
 - [`WeightedRobin`]: the parts of a divided route.
 - [`rebalancing_moves`]: which runs of keys move between servers, and when.
@@ -48,6 +49,7 @@
 mod retry;
 mod round_robin;
 mod send_budget;
+mod share;
 mod times;
 mod work;
 
@@ -86,6 +88,7 @@
     },
     round_robin::WeightedRobin,
     send_budget::{BudgetSettings, SendBudget},
+    share::server_share,
     times::AnswerTimes,
     work::WorkEstimate,
 };
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -10,7 +10,7 @@
 use goldcrestramp_assignment::ServerLife;
 use goldcrestramp_decisions::{
     AnswerTimes, BudgetSettings, SendBudget, ServerLimit, ServerWay,
-    WeightedRobin,
+    WeightedRobin, server_share,
 };
 use goldcrestramp_types::{
     ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
@@ -26,14 +26,6 @@
     view::FleetView,
 };
 
-/// What all VMs together may have under way at a server, for each of its
-/// slots: as much again as it can run waits there, so that no slot is idle
-/// for the time of a round trip. Servers queue four times as much.
-const SHARED_DEPTH: usize = 2;
-
-/// A VM may have this much under way at a server whatever its share.
-const SHARE_LEAST: usize = 2;
-
 /// What is kept of one service.
 #[derive(Debug)]
 pub(crate) struct ServiceState {
@@ -154,11 +146,10 @@
         sharers: usize,
     ) -> Rc<ServerState> {
         let slots = entry.map_or(1, |entry| entry.slots as usize);
-        let share = (SHARED_DEPTH * slots).div_ceil(sharers.max(1));
-        let share = share.clamp(SHARE_LEAST, slots.max(SHARE_LEAST));
+        let share = server_share(slots, sharers);
         let mut servers = self.servers.borrow_mut();
         let server = servers.entry(life.clone()).or_insert_with(|| {
-            let most = slots.max(SHARE_LEAST);
+            let most = server_share(slots, 1);
             let id = Arc::clone(&life.id);
             let warm = entry.is_some_and(|e| e.cold_left == TimeSpan::ZERO);
             let limit = if warm {
