Send a lookup without an answer to the next owner of its key

Cause: an owner cannot be replaced, so its answer was waited for to the end. A server that is full answers nothing; its busy keys move to others within a second or two, and requests that hang at it stayed there.

Ruled out: an answer that is still on its way. A release is answered once all that ran on its keys has ended, and the next owner is granted them after that.

Change: a request that may run twice leaves its server when another one has been granted its key, if the budget for repeats and the route's limit of servers allow it. Orders stay and end unknown, as before.

The test failed before (504 in place of 200).

--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -10,7 +10,7 @@
     header::CONTENT_ENCODING, response::Parts,
 };
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{error::Elapsed, timeout};
 
 use crate::{
     http::LinkSender,
@@ -18,9 +18,10 @@
         answer::{
             AnswerBody, ReadAnswer, read_answer, streamed_answer, whole_answer,
         },
+        choose::has_other_owner,
         headers::text,
         request::RoutedRequest,
-        server::ServerSlot,
+        server::{ServerSlot, ServerState},
         state::TrafficState,
     },
 };
@@ -50,6 +51,8 @@
     Broken,
     /// No answer came in the time that it was given.
     Silent,
+    /// Another server owns the key by now, and no answer has come.
+    OwnerChanged,
 }
 
 impl AttemptEnd {
@@ -63,6 +66,7 @@
             Self::NotSent => "not-sent",
             Self::Broken => "broken",
             Self::Silent => "silent",
+            Self::OwnerChanged => "owner-changed",
         }
     }
 }
@@ -73,6 +77,8 @@
     pub(crate) way: ServerWay,
     /// How long the begin of an answer is waited for.
     pub(crate) answer_timeout: TimeSpan,
+    /// Whether the request goes to the key's next owner when it changes.
+    pub(crate) follows_owner: bool,
 }
 
 /// Sends a request; dropped, it ends the server's work by closing the
@@ -105,14 +111,20 @@
     outgoing: Request<crate::http::SendBody>,
     plan: AttemptPlan,
 ) -> AttemptEnd {
-    let mut sent = pin!(link.try_send_request(outgoing));
-    let mut response = timeout(plan.answer_timeout.to_std(), &mut sent).await;
-    // The server may be at work. Given up now, with nobody else to ask, its
-    // caller would get a failure where the answer was on the way.
-    if response.is_err() && !state.may_replace(request) {
-        let rest = full_timeout(request, MonotonicClock.now());
-        response = timeout(rest.to_std(), &mut sent).await;
-    }
+    let sent = link.try_send_request(outgoing);
+    let response = wait_for_answer(state, request, sent, plan);
+    // A former owner has answered all that it ran before the next one is
+    // granted the key, so nothing more is to come from it.
+    let response = tokio::select! {
+        biased;
+        response = response => response,
+        () = wait_for_next_owner(state, request, &slot.server),
+            if plan.follows_owner =>
+        {
+            slot.end(MonotonicClock.now(), ServerSign::Cancelled);
+            return AttemptEnd::OwnerChanged;
+        }
+    };
     let now = MonotonicClock.now();
     let response = match response {
         Err(_elapsed) => {
@@ -153,6 +165,45 @@
     }
 }
 
+/// Waits for the begin of the answer.
+async fn wait_for_answer<Sent: Future>(
+    state: &TrafficState,
+    request: &RoutedRequest,
+    sent: Sent,
+    plan: AttemptPlan,
+) -> Result<Sent::Output, Elapsed> {
+    let mut sent = pin!(sent);
+    let response = timeout(plan.answer_timeout.to_std(), &mut sent).await;
+    // The server may be at work. Given up now, with nobody else to ask, its
+    // caller would get a failure where the answer was on the way.
+    if response.is_err() && !state.may_replace(request) {
+        let rest = full_timeout(request, MonotonicClock.now());
+        return timeout(rest.to_std(), &mut sent).await;
+    }
+    response
+}
+
+/// Waits until another server owns the request's key and the budget lets
+/// the request be sent there.
+async fn wait_for_next_owner(
+    state: &TrafficState,
+    request: &RoutedRequest,
+    server: &ServerState,
+) {
+    let mut views = state.watch_views();
+    loop {
+        // The sender ends with the process.
+        if views.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        let view = state.view();
+        let moved = has_other_owner(&view, request, &server.id);
+        if moved && state.may_replace(request) {
+            return;
+        }
+    }
+}
+
 /// What a server's answer is.
 enum AnswerKind {
     /// It belongs to this request.
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -142,6 +142,19 @@
     }
 }
 
+/// Whether the request's key was granted to another server than this one.
+pub(crate) fn has_other_owner(
+    view: &FleetView,
+    request: &RoutedRequest,
+    server: &str,
+) -> bool {
+    let Some(slice) = request.slice else { return false };
+    view.tables.get(&request.service).is_some_and(|table| {
+        let run = table.find(slice);
+        run.phase == RunPhase::Granted && *table.life(run.life).id != *server
+    })
+}
+
 /// What may be under way at an owner. Nobody else can serve its keys, so
 /// when its answers are nearly late, the VMs' shares of its queue shrink to
 /// one each: what waits there is answered in time, and the rest is told at
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -246,7 +246,11 @@
         state.metrics.took(&request.service, "waiting", waited);
     }
     progress.sends += 1;
-    let plan = AttemptPlan { way, answer_timeout };
+    // The next owner is one more server, and one more send.
+    let used = progress.tried.len() + usize::from(!known);
+    let follows_owner =
+        request.may_repeat() && used < most && progress.sends < SENDS_MOST;
+    let plan = AttemptPlan { way, answer_timeout, follows_owner };
     let end = send(state, request, slot, plan).await;
     note_send(state, request, server, now, &end);
     if !matches!(end, AttemptEnd::NotSent) && !known {
@@ -314,6 +318,10 @@
             }
             Ok(None)
         }
+        AttemptEnd::OwnerChanged => {
+            progress.may_have_run = true;
+            Ok(None)
+        }
         AttemptEnd::Broken | AttemptEnd::Silent => {
             progress.may_have_run = true;
             let silent = matches!(end, AttemptEnd::Silent);
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -81,6 +81,11 @@
         Arc::clone(&self.views.borrow())
     }
 
+    /// Tells when the fleet has changed.
+    pub(crate) fn watch_views(&self) -> watch::Receiver<Arc<FleetView>> {
+        self.views.clone()
+    }
+
     /// Whether this VM goes on; one that leaves cuts no work short.
     pub(crate) fn stays(&self) -> bool {
         *self.phase.borrow() == StopPhase::Serving
--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -2,13 +2,15 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use reqwest::{Method, Response, header::HeaderMap};
 use rustix::process::Signal;
 use serde_json::json;
 
 use crate::{
     relay::{Relay, RelayManner},
+    server::ServerManner,
     store::StoreStandin,
-    world::{DIVIDED, World, entry, entry_at, eventually},
+    world::{DIVIDED, World, configuration, entry, entry_at, eventually},
 };
 
 /// Keys all over the space, far fewer than would make a test slow.
@@ -195,3 +197,85 @@
     let before = world.servers[0].orders();
     eventually(async || world.servers[0].orders() > before).await;
 }
+
+/// A world of two servers with routes that wait for a long time, a safe and
+/// an unsafe one.
+async fn patient_world() -> World {
+    let world = World::open(DIVIDED, 2, 1).await;
+    world.wait_served(0, 0).await;
+    let mut patient = configuration(2, None);
+    let mut route = patient["routes"]["stock"].clone();
+    route["timeout"] = json!("25000ms");
+    route["path_prefix"] = json!("/look/");
+    patient["routes"]["look"] = route.clone();
+    route["path_prefix"] = json!("/take/");
+    route["kind"] = json!("unsafe");
+    patient["routes"]["take"] = route;
+    world.store.put("op/config", &patient);
+    let known = async || world.get(0, "/take/rice").await.status() != 404;
+    eventually(known).await;
+    world
+}
+
+/// A key that the first server owns.
+async fn key_of_first(world: &World) -> u64 {
+    let mut key = None;
+    eventually(async || {
+        key = some_keys().find(|key| world.servers[0].holds(*key));
+        key.is_some()
+    })
+    .await;
+    key.expect("it was found")
+}
+
+/// Has a request hang at the first server, then moves its key to the second.
+async fn ask_while_key_moves(
+    world: &World,
+    path: &str,
+    attempt: &str,
+    deadline_ms: u32,
+) -> Response {
+    let key = key_of_first(world).await;
+    world.servers[0].set_manner(ServerManner::Hangs);
+    let mut deadline = HeaderMap::new();
+    deadline.insert("x-deadline-ms", deadline_ms.into());
+    let request = world
+        .request(0, Method::GET, path, attempt)
+        .headers(deadline)
+        .header("X-Shard-Key", key.to_string());
+    let asked = tokio::spawn(request.send());
+    eventually(async || world.servers[0].hung() > 0).await;
+
+    let draining = entry(&world.servers[0], DIVIDED, "draining");
+    world.store.put("servers/server-0", &draining);
+
+    wait_moved(world, key).await;
+    let answer = asked.await.expect("it ends");
+    answer.expect("an answer")
+}
+
+/// Guards against lookups that wait for a former owner until their deadline.
+#[tokio::test]
+async fn a_lookup_without_an_answer_goes_to_the_next_owner() {
+    let world = patient_world().await;
+    let attempt = world.attempt();
+
+    let asked = ask_while_key_moves(&world, "/look/rice", &attempt, 25_000);
+    let answer = asked.await;
+
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.text().await.expect("a body"), "server-1");
+}
+
+/// Guards against an order that runs at two owners of its key.
+#[tokio::test]
+async fn an_order_without_an_answer_goes_to_no_other_owner() {
+    let world = patient_world().await;
+    let attempt = world.attempt();
+
+    let asked = ask_while_key_moves(&world, "/take/rice", &attempt, 5_000);
+    let answer = asked.await;
+
+    assert_eq!(answer.status(), 504);
+    assert_eq!(world.runs_of(&attempt), 0);
+}
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -33,6 +33,8 @@
     Sheds,
     /// It answers with the id of another request.
     MixesUp,
+    /// It is full, and answers nothing on the connection any more.
+    Hangs,
 }
 
 #[derive(Debug)]
@@ -49,6 +51,8 @@
     abandoned: u32,
     /// Requests that it did not run as it was full.
     resets: u32,
+    /// Requests that it neither ran nor answered.
+    hung: u32,
 }
 
 /// A backend server; it ends with the test, or when it is stopped.
@@ -71,6 +75,7 @@
             divided,
             abandoned: 0,
             resets: 0,
+            hung: 0,
         }));
         let (known, name) = (Arc::clone(&state), id.to_owned());
         let task = tokio::spawn(async move {
@@ -111,6 +116,12 @@
         self.lock().resets
     }
 
+    /// Requests that it neither ran nor answered.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub fn hung(&self) -> u32 {
+        self.lock().hung
+    }
+
     /// Grants and releases that it has taken.
     pub fn orders(&self) -> usize {
         self.lock().seen.len()
@@ -227,6 +238,12 @@
             let socket = SockRef::from(stream.get_ref());
             return socket.set_linger(Some(Duration::ZERO));
         }
+        if hangs(state, &request) {
+            // The caller's leaving ends the read.
+            let mut rest = Vec::new();
+            stream.read_to_end(&mut rest).await?;
+            return Ok(());
+        }
         let (head, wait, close) = answer(state, id, &request);
         tokio::time::sleep(wait).await;
         wait_released(&mut stream, state).await?;
@@ -249,6 +266,17 @@
     resets
 }
 
+/// Whether a request of a caller is never answered.
+fn hangs(state: &Mutex<ServerState>, request: &ReadRequest) -> bool {
+    let mut state = state.lock().expect("no handler panics");
+    let hangs = state.manner == ServerManner::Hangs
+        && !request.path.starts_with("/v1/");
+    if hangs {
+        state.hung += 1;
+    }
+    hangs
+}
+
 /// Waits while answers are held back; an error if the caller leaves.
 async fn wait_released(
     stream: &mut BufReader<TcpStream>,
@@ -328,7 +356,7 @@
         }
         ServerManner::Works(wait) => (whole, wait, false),
         ServerManner::Holds => (whole, Duration::ZERO, false),
-        ServerManner::Sheds | ServerManner::Resets => {
+        ServerManner::Sheds | ServerManner::Resets | ServerManner::Hangs => {
             unreachable!("answered above")
         }
     }
