Tell callers of a key without an owner to return after a second

Cause: a key that has had no owner for 0.9 s is not being moved: the holds of a server that can't be reached are waited out, which takes up to eight seconds. Its callers were told to return after 0.25 s and spent their one return on nothing.

Change: one to two seconds, spread.

The test failed before (0.25 s).

--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -21,6 +21,11 @@
 /// When a caller is told to return if nothing better is known.
 pub(crate) const RETURN_USUAL: TimeSpan = TimeSpan::from_millis(250);
 
+/// When a caller is told to return at the latest whose key has no owner. The
+/// usual time of a move has passed by then: the holds of a server that can't
+/// be reached are waited out, which takes seconds.
+const RETURN_WITHOUT_OWNER: TimeSpan = TimeSpan::from_millis(2_000);
+
 /// Why a request ends with an answer of this VM's own.
 pub(crate) struct RequestEnd {
     pub(crate) reason: EndReason,
@@ -30,7 +35,13 @@
 
 impl From<EndReason> for RequestEnd {
     fn from(reason: EndReason) -> Self {
-        Self { reason, retry_after: RETURN_USUAL }
+        let retry_after = match reason {
+            EndReason::NoOwner => {
+                RETURN_WITHOUT_OWNER.percent(rand::random_range(50..100))
+            }
+            _ => RETURN_USUAL,
+        };
+        Self { reason, retry_after }
     }
 }
 
--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -279,3 +279,20 @@
     assert_eq!(answer.status(), 504);
     assert_eq!(world.runs_of(&attempt), 0);
 }
+
+/// Guards against callers that return before their key can have an owner.
+#[tokio::test]
+async fn a_caller_without_an_owner_is_told_to_return_after_a_second() {
+    let world = World::open(DIVIDED, 1, 1).await;
+    world.wait_served(0, 0).await;
+    let draining = entry(&world.servers[0], DIVIDED, "draining");
+    world.store.put("servers/server-0", &draining);
+    eventually(async || world.holders(0) == 0).await;
+
+    let answer = world.ask_key(0, 0).await;
+
+    assert_eq!(answer.status(), 503);
+    let after = answer.headers()["retry-after"].to_str().expect("a text");
+    let seconds: f64 = after.parse().expect("seconds");
+    assert!((1.0..=2.0).contains(&seconds), "{seconds}");
+}
