Renew the leases of VMs that nobody follows a quarter as often

Cause: every VM renewed as if it planned. Only a planner's record has to end soon after it, and only VMs that are followed have to know within a second that the store is silent to them.

Change: a VM with less than half of what the largest has keeps a lease of six seconds, renewed every two. One that is to plan takes a short lease first. The age of its lease no longer tells such a VM that the store is silent, so a follower goes by the age of its news: when they are older than 1.5 s, whatever the cause, it asks a large VM that it does not follow. Before, it asked any VM, and only when its own lease was not renewed.

Ruled out: longer leases for all (a lost planner's grants end after 5.5 s); renewals every 0.8 s with the same span (one lost answer ends the lease).

Fleets of equal VMs renew as before.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -11,10 +11,12 @@
     configuration::ConfigurationHistory,
     control::{
         claim::{claim, stop_former},
+        lease::LeaseTerms,
         load::{LoadBook, LoadReport},
-        message::ClaimEnded,
+        message::{ClaimEnded, LeaseProof},
         news::NewsState,
         order::OrderPermit,
+        ranking::is_large,
         tables::TellBook,
         term::PlannerTerm,
     },
@@ -43,6 +45,17 @@
 /// How often a VM reports what it was asked.
 const REPORT_PAUSE: TimeSpan = TimeSpan::from_millis(400);
 
+/// How far this VM is on its way to plan.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ClaimStage {
+    /// It makes no claim.
+    None,
+    /// A claim waits for a lease on short terms.
+    AwaitsLease,
+    /// The store is being asked.
+    UnderWay,
+}
+
 /// The control state of one VM.
 #[derive(Debug)]
 pub struct ControlActor {
@@ -68,12 +81,16 @@
     pub(crate) metrics: Arc<EntryMetrics>,
     report_at: LocalTime,
     pub(crate) lease: Option<u64>,
+    /// The terms on which the lease is kept.
+    lease_terms: LeaseTerms,
+    /// The terms on which it is to be kept; nothing: not known yet.
+    wanted_terms: watch::Sender<Option<LeaseTerms>>,
     /// When the last call was sent that proved the lease alive.
     pub(crate) proof: LocalTime,
     /// The planner before this VM, as it was last known.
     former: Option<VmRun>,
     vacant_since: Option<LocalTime>,
-    claiming: bool,
+    claim: ClaimStage,
     /// Whether another VM is being asked while the store is silent.
     pub(crate) asking: bool,
     pub(crate) term: Option<PlannerTerm>,
@@ -120,10 +137,12 @@
             metrics: shared.metrics,
             report_at: LocalTime::default(),
             lease: None,
+            lease_terms: LeaseTerms::SHORT,
+            wanted_terms: watch::channel(None).0,
             proof: LocalTime::default(),
             former: None,
             vacant_since: None,
-            claiming: false,
+            claim: ClaimStage::None,
             asking: false,
             term: None,
             ending: Vec::new(),
@@ -154,6 +173,29 @@
             newer
         });
         self.check_term();
+        self.choose_terms();
+    }
+
+    /// Chooses the terms of the lease by the VMs that are known.
+    fn choose_terms(&self) {
+        let claims = self.claim != ClaimStage::None;
+        let plans = claims || self.term.is_some();
+        let terms = if plans || is_large(&self.me, &self.view.vms) {
+            LeaseTerms::SHORT
+        } else {
+            LeaseTerms::LONG
+        };
+        self.want_terms(terms);
+    }
+
+    fn want_terms(&self, terms: LeaseTerms) {
+        self.wanted_terms
+            .send_if_modified(|wanted| wanted.replace(terms) != Some(terms));
+    }
+
+    /// The terms on which the lease is to be kept.
+    pub(crate) fn wanted_terms(&self) -> watch::Receiver<Option<LeaseTerms>> {
+        self.wanted_terms.subscribe()
     }
 
     fn note_gauges(&self, revision: u64) {
@@ -197,7 +239,9 @@
 
     /// Claims to plan, if no other VM does.
     pub(crate) fn claim_if_vacant(&mut self, now: LocalTime) {
-        let idle = self.term.is_none() && !self.claiming && !self.stopping;
+        let idle = self.term.is_none()
+            && self.claim != ClaimStage::UnderWay
+            && !self.stopping;
         let Some(lease) = self.lease.filter(|_| idle) else { return };
         let known = self.planner();
         // The record of an earlier run of this process outlives it until
@@ -209,6 +253,7 @@
             .is_some_and(|(planner, _)| planner.vm == self.me.vm);
         if self.mirror.revision() == 0 || (known.is_some() && !own) {
             self.vacant_since = None;
+            self.claim = ClaimStage::None;
             return;
         }
         let since = *self.vacant_since.get_or_insert(now);
@@ -217,7 +262,13 @@
         if !own && now.since(since) < pause {
             return;
         }
-        self.claiming = true;
+        // A planner's record has to end soon after its VM.
+        if self.lease_terms != LeaseTerms::SHORT {
+            self.claim = ClaimStage::AwaitsLease;
+            self.want_terms(LeaseTerms::SHORT);
+            return;
+        }
+        self.claim = ClaimStage::UnderWay;
         let revision = known.map_or(0, |(_, revision)| revision);
         tokio::spawn(claim(
             Arc::clone(&self.store),
@@ -236,7 +287,7 @@
 
     /// Takes the end of a claim.
     pub(crate) fn claim_ended(&mut self, now: LocalTime, ended: ClaimEnded) {
-        self.claiming = false;
+        self.claim = ClaimStage::None;
         self.vacant_since = None;
         let Some(revision) = ended.won else { return };
         if self.stopping
@@ -294,12 +345,10 @@
     }
 
     /// Takes what became of the lease.
-    pub(crate) fn take_lease(
-        &mut self,
-        lease: Option<u64>,
-        sent_at: LocalTime,
-    ) {
+    pub(crate) fn take_lease(&mut self, message: LeaseProof) {
+        let LeaseProof { lease, terms, sent_at } = message;
         self.lease = lease;
+        self.lease_terms = terms;
         if lease.is_some() {
             self.proof = self.proof.max(sent_at);
         }
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -162,7 +162,7 @@
         if self.stopping {
             return false;
         }
-        self.take_lease(message.lease, message.sent_at);
+        self.take_lease(message);
         true
     }
 }
--- a/goldcrestramp-entry/src/control/lease.rs
+++ b/goldcrestramp-entry/src/control/lease.rs
@@ -6,7 +6,10 @@
     StoreCall, StoreReply, StoreTransaction, StoreWrite,
 };
 use goldcrestramp_types::{ClockSource, MonotonicClock, TimeSpan};
-use tokio::time::sleep;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 use xtra::Address;
 
 use crate::{
@@ -15,15 +18,38 @@
     store::{StoreClient, StoreFailure},
 };
 
-/// How long entries outlive their VM. A planner's loss stops renewals for
-/// this long, so it is well below a grant's hold; three renewals may be
-/// lost before it ends.
+/// How long a planner's record outlives it. Its loss stops renewals of
+/// grants for this long, so it is well below a grant's hold; three renewals
+/// may be lost before it ends.
 pub(crate) const LEASE_SPAN: TimeSpan = TimeSpan::from_millis(2_500);
 
-/// How often the lease is renewed. Its answers are also how a VM knows
-/// that the store has not fallen silent, which a watch that waits can't
-/// tell; a renewal costs a tenth of a call.
-const RENEW_PAUSE: Duration = Duration::from_millis(500);
+/// How long a VM's entry outlives it, and how often its lease is renewed.
+///
+/// Renewals are most of what a large fleet asks of the store, though only a
+/// VM that plans or that others follow has to be missed soon.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LeaseTerms {
+    /// How long the lease lasts without a renewal.
+    pub span: TimeSpan,
+    /// How long after a renewal the next is sent.
+    pub renew_pause: TimeSpan,
+}
+
+impl LeaseTerms {
+    /// The terms of a VM that plans or may be followed.
+    pub const SHORT: Self =
+        Self { span: LEASE_SPAN, renew_pause: TimeSpan::from_millis(500) };
+
+    /// The terms of the others. Two renewals may be lost before it ends.
+    pub const LONG: Self = Self {
+        span: TimeSpan::from_millis(6_000),
+        renew_pause: TimeSpan::from_millis(2_000),
+    };
+}
+
+/// A VM that starts waits so long for the list of the others, by which its
+/// terms are chosen.
+const TERMS_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// The pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -33,26 +59,37 @@
     store: Arc<StoreClient>,
     me: VmRun,
     span_least: TimeSpan,
+    mut wanted: watch::Receiver<Option<LeaseTerms>>,
     control: Address<ControlActor>,
 ) {
-    let span = LEASE_SPAN.max(span_least);
-    let mut lease = None;
+    // Without a list in time the short terms hold.
+    let known = wanted.wait_for(Option::is_some);
+    let _in_time = timeout(TERMS_TIMEOUT, known).await.is_ok();
+    let mut kept = None;
     while control.is_connected() {
+        let terms = wanted.borrow_and_update().unwrap_or(LeaseTerms::SHORT);
         let sent_at = MonotonicClock.now();
-        let kept = match lease {
-            None => announce(&store, &me, span).await.map(Some),
-            Some(lease) => renew(&store, lease).await,
+        let reply = match kept {
+            Some((lease, known)) if known == terms => {
+                renew(&store, lease).await
+            }
+            // The entry goes over to the new lease; a former one just ends.
+            _ => {
+                let span = terms.span.max(span_least);
+                announce(&store, &me, span).await.map(Some)
+            }
         };
-        match kept {
-            Ok(known) => {
-                let ended = known.is_none();
-                lease = known;
-                let proof = LeaseProof { lease, sent_at };
+        match reply {
+            Ok(lease) => {
+                kept = lease.map(|lease| (lease, terms));
+                let proof = LeaseProof { lease, terms, sent_at };
                 if !control.send(proof).await.unwrap_or(false) {
                     return;
                 }
-                if !ended {
-                    sleep(RENEW_PAUSE).await;
+                if lease.is_some() {
+                    let pause = terms.renew_pause.to_std();
+                    // Other terms are taken up at once.
+                    let _changed = timeout(pause, wanted.changed()).await;
                 }
             }
             Err(failure) => {
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -7,7 +7,7 @@
 use goldcrestramp_types::LocalTime;
 
 use crate::{
-    control::NewsSource,
+    control::{LeaseTerms, NewsSource},
     history::TableMark,
     peers::{NewsMarks, StoreNews},
     records::VmRun,
@@ -84,9 +84,11 @@
 
 /// The lease was alive when the store took a call that was sent then; no
 /// lease: it has ended. The reply tells whether to keep one.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct LeaseProof {
     pub(crate) lease: Option<u64>,
+    /// The terms on which it is kept.
+    pub(crate) terms: LeaseTerms,
     pub(crate) sent_at: LocalTime,
 }
 
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -27,9 +27,10 @@
 
 pub use crate::control::{
     actor::ControlActor,
+    lease::LeaseTerms,
     load::{AnswerSum, LoadBook, LoadReport, ServiceLoad},
     news::{NewsClock, NewsSource, NewsState, told_as_of},
-    ranking::source_vms,
+    ranking::{advising_vms, is_large, source_vms},
 };
 use crate::{
     control::{
@@ -80,6 +81,7 @@
         address.clone(),
     );
     let revisions = actor.revisions();
+    let terms = actor.wanted_terms();
     tokio::spawn(xtra::run(mailbox, actor));
     let follower = StoreFollower {
         store: Arc::clone(&store),
@@ -91,7 +93,7 @@
     };
     tokio::spawn(follower.run());
     let least = settings.lease_least;
-    tokio::spawn(keep_lease(store, me, least, address.clone()));
+    tokio::spawn(keep_lease(store, me, least, terms, address.clone()));
     let source = PeerSource { control: address.clone(), revisions };
     tokio::spawn(serve_peers(peers, source));
     tokio::spawn(tick(address.clone()));
--- a/goldcrestramp-entry/src/control/news.rs
+++ b/goldcrestramp-entry/src/control/news.rs
@@ -38,6 +38,11 @@
 /// force on it, nor on the VMs that follow it.
 const SILENCE: TimeSpan = TimeSpan::from_millis(1_050);
 
+/// A VM with news that are older than this asks another one than it
+/// follows. News of a source that answers in time are younger: its own age,
+/// and the time that it holds a call.
+const NEWS_OLD: TimeSpan = TimeSpan::from_millis(1_500);
+
 /// How often a VM that the store is silent to asks another one.
 const ASK_PAUSE: TimeSpan = TimeSpan::from_millis(400);
 
@@ -274,10 +279,19 @@
         self.direct && self.is_fresh(now, proof) && self.age(now) < SILENCE
     }
 
-    /// Whether to ask another VM now, as the store is silent to this one.
+    /// Whether to ask another VM now: the store is silent to this one, or
+    /// the VMs that it follows are.
     pub fn ask_due(&mut self, now: LocalTime, proof: LocalTime) -> bool {
         let pause = now.since(self.asked) >= ASK_PAUSE;
-        let due = !self.is_fresh(now, proof) && pause;
+        // The lease of a VM that nobody follows is renewed too seldom to
+        // tell.
+        let silent = if self.direct {
+            !self.is_fresh(now, proof)
+        } else {
+            let known = self.clock.current_at() > LocalTime::default();
+            known && self.age(now) >= NEWS_OLD
+        };
+        let due = silent && pause;
         if due {
             self.asked = now;
         }
--- a/goldcrestramp-entry/src/control/ranking.rs
+++ b/goldcrestramp-entry/src/control/ranking.rs
@@ -20,6 +20,22 @@
 /// A VM is large if it has at least this part of what the largest has.
 const LARGE_PERCENT: u64 = 50;
 
+/// Whether a VM may plan and be followed while others like it are there.
+#[must_use]
+pub fn is_large(me: &VmRun, vms: &[VmRun]) -> bool {
+    has_large_part(me, largest_of(me, vms))
+}
+
+/// The largest capacity there is.
+fn largest_of(me: &VmRun, vms: &[VmRun]) -> u32 {
+    let others = vms.iter().map(|vm| vm.capacity).max();
+    others.unwrap_or(0).max(me.capacity)
+}
+
+fn has_large_part(vm: &VmRun, largest: u32) -> bool {
+    u64::from(vm.capacity) * 100 >= u64::from(largest) * LARGE_PERCENT
+}
+
 /// The VMs that `me` may follow, best first; none: it follows the store.
 /// `is_near` tells the failure domains of its own region.
 ///
@@ -35,11 +51,8 @@
     vms: &'a [VmRun],
     is_near: impl Fn(&str) -> bool,
 ) -> Vec<&'a VmRun> {
-    let largest = vms.iter().map(|vm| vm.capacity).max();
-    let largest = largest.unwrap_or(0).max(me.capacity);
-    let is_large = |vm: &VmRun| {
-        u64::from(vm.capacity) * 100 >= u64::from(largest) * LARGE_PERCENT
-    };
+    let largest = largest_of(me, vms);
+    let is_large = |vm: &VmRun| has_large_part(vm, largest);
     let large: Vec<&VmRun> = vms.iter().filter(|vm| is_large(vm)).collect();
     let mut sources = large.clone();
     sources.retain(|vm| {
@@ -61,6 +74,17 @@
     sources
 }
 
+/// The VMs that `me` may ask when its own sources fail: the other large
+/// ones, whose news come from the store or from one VM that follows it.
+#[must_use]
+pub fn advising_vms<'a>(me: &VmRun, vms: &'a [VmRun]) -> Vec<&'a VmRun> {
+    let largest = largest_of(me, vms);
+    let others = || vms.iter().filter(|vm| vm.vm != me.vm);
+    let large: Vec<&VmRun> =
+        others().filter(|vm| has_large_part(vm, largest)).collect();
+    if large.is_empty() { others().collect() } else { large }
+}
+
 /// The best ranked VM of each failure domain.
 fn domain_heads(vms: Vec<&VmRun>) -> Vec<&VmRun> {
     let mut heads: FastMap<&str, &VmRun> = FastMap::default();
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -8,10 +8,9 @@
         ControlActor,
         message::{AskEnded, PeerNews},
         news::{NewsSource, told_as_of},
-        ranking::source_vms,
+        ranking::{advising_vms, source_vms},
     },
     peers::{NewsMarks, PeerCall, PeerReply, StoreNews},
-    records::VmRun,
 };
 
 /// What came of another VM's news.
@@ -128,8 +127,7 @@
         if self.asking {
             return;
         }
-        let others: Vec<&VmRun> =
-            self.view.vms.iter().filter(|vm| vm.vm != self.me.vm).collect();
+        let others = advising_vms(&self.me, &self.view.vms);
         if others.is_empty() {
             return;
         }
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod configuration;
+mod leases;
 mod node;
 mod orders;
 mod ownership;
--- a/goldcrestramp-entry/tests/daemon/store.rs
+++ b/goldcrestramp-entry/tests/daemon/store.rs
@@ -84,6 +84,14 @@
         state.items.get(key).map(|item| item.value.clone())
     }
 
+    /// How long the lease of a key lasts without a renewal.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub fn lease_span(&self, key: &str) -> Option<Duration> {
+        let state = self.lock();
+        let lease = state.items.get(key)?.lease;
+        state.leases.get(&lease).map(|(_until, span)| *span)
+    }
+
     /// From now on watches that begin hear nothing, and what changes is
     /// forgotten; those that wait end.
     pub fn fall_deaf(&self) {
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -354,6 +354,31 @@
     assert_eq!(told_as_of(at(1_000), ms(0), ms(700)), at(300));
 }
 
+/// Guards against a follower that waits for a source that has fallen silent.
+#[test]
+fn a_vm_with_old_news_asks_another_than_it_follows() {
+    let mut follower = NewsState::default();
+    follower.next(at(0), 5, [peer()].into_iter());
+
+    assert!(!follower.ask_due(at(9_000), at(0)), "it has just started");
+    follower.was_current(at(10_000));
+    assert!(!follower.ask_due(at(11_400), at(0)), "its source tells it");
+    assert!(follower.ask_due(at(11_500), at(11_400)));
+    assert!(!follower.ask_due(at(11_600), at(11_400)), "it has just asked");
+    assert!(follower.ask_due(at(11_900), at(11_400)));
+}
+
+/// Guards against a source that does not know that the store is silent to it.
+#[test]
+fn a_vm_that_follows_the_store_asks_once_that_is_silent() {
+    let mut source = NewsState::default();
+    source.next(at(0), 5, std::iter::empty());
+    source.was_current(at(10_000));
+
+    assert!(!source.ask_due(at(10_500), at(10_000)));
+    assert!(source.ask_due(at(11_100), at(10_000)));
+}
+
 /// A VM that was not fresh for a moment is followed on: only answers that
 /// are stale without a break count.
 #[test]
--- a/goldcrestramp-entry/tests/sources.rs
+++ b/goldcrestramp-entry/tests/sources.rs
@@ -1,6 +1,9 @@
 //! Which VM follows which.
 
-use goldcrestramp_entry::{control::source_vms, records::VmRun};
+use goldcrestramp_entry::{
+    control::{advising_vms, is_large, source_vms},
+    records::VmRun,
+};
 
 const LARGE: u32 = 50;
 const SMALL: u32 = 10;
@@ -112,3 +115,25 @@
         assert!(sources_of(me, &vms).len() <= 3);
     }
 }
+
+/// Guards against asking a VM that has its news from the source that failed.
+#[test]
+fn a_vm_whose_sources_fail_asks_large_ones() {
+    let vms = fleet();
+    for me in &vms {
+        let advising = advising_vms(me, &vms);
+
+        assert!(advising.iter().all(|vm| vm.capacity == LARGE));
+        assert!(advising.iter().all(|vm| vm.vm != me.vm));
+        assert_eq!(advising.len(), if is_large(me, &vms) { 5 } else { 6 });
+    }
+}
+
+#[test]
+fn among_small_vms_alone_all_may_be_asked() {
+    let mut vms = fleet();
+    vms.retain(|vm| vm.capacity == SMALL);
+
+    assert!(vms.iter().all(|vm| is_large(vm, &vms)));
+    assert_eq!(advising_vms(&vms[0], &vms).len(), vms.len() - 1);
+}
