Wait for the planners before one that has stopped

What callers could see: two servers that serve the same key, an order at each.

Cause: a planner that is cut off renews grants for up to 12 s after its last proof. Its successor stops, or runs anew, after a moment; the one after that took this for the end of all former planners and did not wait for the first.

Ruled out: having a planner that stops tell until when those before it may have sent. One that is killed tells nothing, and VMs of both forms meet in a rolling restart.

Change: a VM notes when it first knew the former planner to plan. Whoever renewed before that one has ended 12 s after this moment, so the wait lasts until then, and no longer than before if the former planner planned for 12 s. The program and the model use the same function, last_grant_sent.

The model's take-over now follows the program's rule. Cost: keys of a server that is gone and silent wait up to 12 s longer if planners changed twice within that time.

--- a/goldcrestramp-assignment/src/lib.rs
+++ b/goldcrestramp-assignment/src/lib.rs
@@ -31,6 +31,7 @@
 */
 
 mod edit;
+mod former;
 mod holds;
 mod memo;
 mod moves;
@@ -40,6 +41,7 @@
 mod table;
 
 pub use crate::{
+    former::{FormerPlanner, last_grant_sent},
     holds::HoldBounds,
     order::{OrderKind, OrderOutcome, ServerOrder},
     patch::TablePatch,
--- a/goldcrestramp-assignment/tests/ownership/world.rs
+++ b/goldcrestramp-assignment/tests/ownership/world.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use goldcrestramp_assignment::{
-    AssignmentTable, HolderFate, MoveWish, OrderKind, OrderOutcome,
-    PlannerTiming, ServerLife, ServerOrder, TablePlanner,
+    AssignmentTable, FormerPlanner, HolderFate, MoveWish, OrderKind,
+    OrderOutcome, PlannerTiming, ServerLife, ServerOrder, TablePlanner,
+    last_grant_sent,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
 
@@ -122,6 +123,8 @@
     /// The store: revision counter, planner's record, table.
     revision: u64,
     record: u64,
+    /// When the planner's record was written.
+    record_at: LocalTime,
     table: (u64, AssignmentTable),
 }
 
@@ -177,6 +180,7 @@
             planners: planners.collect(),
             revision: 1,
             record: 0,
+            record_at: LocalTime::default(),
             table: (1, table),
         }
     }
@@ -200,8 +204,10 @@
             return;
         }
         let former = self.record;
+        let planned_by = self.record_at;
         self.revision += 1;
         self.record = self.revision;
+        self.record_at = now;
         if former_stops {
             for (other, planner) in self.planners.iter_mut().enumerate() {
                 if other != number && planner.record == former {
@@ -209,8 +215,16 @@
                 }
             }
         }
-        let waits = self.guards.waits_for_predecessor && !former_stops;
-        let sent_until = if waits { now + PROOF_LIFE } else { now };
+        let known = if former_stops {
+            FormerPlanner::Stopped { planned_by }
+        } else {
+            FormerPlanner::MayRenew
+        };
+        let sent_until = if self.guards.waits_for_predecessor {
+            last_grant_sent(now, known, PROOF_LIFE)
+        } else {
+            now
+        };
         let table = self.table.1.clone();
         let planner = &mut self.planners[number];
         planner.planner =
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Weak};
 
 use goldcrestramp_adapter::CONFIGURATION_KEY;
+use goldcrestramp_assignment::{FormerPlanner, last_grant_sent};
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 use tokio::sync::watch;
 use xtra::Address;
@@ -87,8 +88,9 @@
     wanted_terms: watch::Sender<Option<LeaseTerms>>,
     /// When the last call was sent that proved the lease alive.
     pub(crate) proof: LocalTime,
-    /// The planner before this VM, as it was last known.
-    former: Option<VmRun>,
+    /// The planner before this VM, as it was last known, with when it was
+    /// first known to plan.
+    former: Option<(VmRun, LocalTime)>,
     vacant_since: Option<LocalTime>,
     claim: ClaimStage,
     /// Whether another VM is being asked while the store is silent.
@@ -172,7 +174,7 @@
             *known = news_at.max(*known);
             newer
         });
-        self.check_term();
+        self.check_term(now);
         self.choose_terms();
     }
 
@@ -222,19 +224,23 @@
     }
 
     /// Ends the term when another VM's record stands.
-    fn check_term(&mut self) {
+    fn check_term(&mut self, now: LocalTime) {
         let Some((planner, revision)) = self.planner() else { return };
         if planner == self.me {
             return;
         }
-        if self.former.as_ref() != Some(&planner) {
+        let known = self.former.as_ref();
+        let is_known = known.is_some_and(|(former, _at)| *former == planner);
+        if !is_known {
             log::info!("[control] VM {} plans now.", planner.vm);
         }
         if self.term.as_ref().is_some_and(|term| term.revision < revision) {
             log::warn!("[control] This VM plans no more.");
             self.end_term();
         }
-        self.former = Some(planner);
+        if !is_known {
+            self.former = Some((planner, now));
+        }
     }
 
     /// Claims to plan, if no other VM does.
@@ -306,25 +312,32 @@
         log::info!(
             "[control] This VM plans from revision {revision} on; before it \
              planned {}.",
-            former.as_ref().map_or("an unknown VM", |vm| &vm.vm)
+            former.as_ref().map_or("an unknown VM", |(vm, _at)| &vm.vm)
         );
         // An earlier run of this process is over. This run itself may have
         // had a successor since it lost its lease, and one that is unknown
         // may be cut off and renew grants.
-        let is_over = former.as_ref().is_some_and(|vm| {
-            vm.vm == self.me.vm && vm.start != self.me.start
-        });
-        let sent_until = if is_over { now } else { now + PROOF_LIFE };
+        let known = match &former {
+            Some((vm, at))
+                if vm.vm == self.me.vm && vm.start != self.me.start =>
+            {
+                FormerPlanner::Stopped { planned_by: *at }
+            }
+            _ => FormerPlanner::MayRenew,
+        };
+        let sent_until = last_grant_sent(now, known, PROOF_LIFE);
         self.term = Some(PlannerTerm::open(
             revision,
             ended.lease,
             ended.sent_at,
             sent_until,
         ));
-        if let Some(former) = former.filter(|vm| vm.vm != self.me.vm) {
+        let other = former.filter(|(vm, _at)| vm.vm != self.me.vm);
+        if let Some((former, planned_by)) = other {
             tokio::spawn(stop_former(
                 self.peers.clone(),
                 former,
+                planned_by,
                 self.address.clone(),
             ));
         }
@@ -358,7 +371,7 @@
         } else {
             log::warn!("[control] The planner's lease has ended.");
             self.end_term();
-            self.former = Some(self.me.clone());
+            self.former = Some((self.me.clone(), sent_at));
         }
     }
 
--- a/goldcrestramp-entry/src/control/claim.rs
+++ b/goldcrestramp-entry/src/control/claim.rs
@@ -5,7 +5,7 @@
 use goldcrestramp_adapter::{
     KeyCondition, StoreCall, StoreReply, StoreTransaction, StoreWrite,
 };
-use goldcrestramp_types::{ClockSource, MonotonicClock};
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
 use xtra::Address;
 
 use crate::{
@@ -53,6 +53,7 @@
 pub(crate) async fn stop_former(
     peers: PeerClient,
     former: VmRun,
+    planned_by: LocalTime,
     control: Address<ControlActor>,
 ) {
     /// By then what it may have sent has ended by itself.
@@ -65,7 +66,8 @@
         if matches!(reply, Some(PeerReply::StoodDown)) {
             let at = MonotonicClock.now();
             // The actor is gone only when the process ends.
-            let _gone = control.send(FormerStopped { at }).await;
+            let stopped = FormerStopped { at, planned_by };
+            let _gone = control.send(stopped).await;
             return;
         }
         tokio::time::sleep(PAUSE).await;
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -1,12 +1,14 @@
 //! What the control actor does with what it is told.
 
 use goldcrestramp_adapter::StoreCall;
+use goldcrestramp_assignment::{FormerPlanner, last_grant_sent};
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use xtra::{Actor, Context, Handler};
 
 use crate::{
     control::{
         ControlActor,
+        actor::PROOF_LIFE,
         message::{
             AskEnded, ClaimEnded, CommitEnded, ControlTick, FormerStopped,
             HistoryGone, LeaseProof, NextSource, NextStep, OrderEnded,
@@ -194,8 +196,10 @@
     type Return = ();
 
     async fn handle(&mut self, message: FormerStopped, _: &mut Context<Self>) {
+        let FormerStopped { at, planned_by } = message;
+        let stopped = FormerPlanner::Stopped { planned_by };
         if let Some(term) = &mut self.term {
-            term.inherit(message.at);
+            term.inherit(last_grant_sent(at, stopped, PROOF_LIFE));
         }
     }
 }
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -137,6 +137,8 @@
 pub(crate) struct FormerStopped {
     /// When that became known.
     pub(crate) at: LocalTime,
+    /// When it was first known to plan.
+    pub(crate) planned_by: LocalTime,
 }
 
 /// The process is to stop: nothing new is planned, and the lease ends.
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -96,11 +96,12 @@
         revision >= self.revision
     }
 
-    /// Takes the knowledge that the former planner has stopped.
-    pub(crate) fn inherit(&mut self, stopped_at: LocalTime) {
-        self.sent_until = self.sent_until.min(stopped_at);
+    /// Takes the knowledge that the planners before this one sent their last
+    /// grants before `sent_until`.
+    pub(crate) fn inherit(&mut self, sent_until: LocalTime) {
+        self.sent_until = self.sent_until.min(sent_until);
         for service in self.services.values_mut() {
-            service.planner.inherit(stopped_at);
+            service.planner.inherit(sent_until);
         }
     }
 
