Show that a claim waits for a short lease

With the check taken out a_small_vm_that_plans_has_a_short_lease still passed: once the large VM's entry has ended, the small one counts as large and has a short lease anyway. The new test keeps a larger VM's entry that claims nothing; without the check the planner's record has a lease of 6 s, with it of 2.5 s. No code changes.

--- a/goldcrestramp-entry/tests/daemon/leases.rs
+++ b/goldcrestramp-entry/tests/daemon/leases.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     node::NodeProcess,
+    store::StoreStandin,
     world::{DIVIDED, World, eventually},
 };
 
@@ -55,3 +56,23 @@
     assert_eq!(span("router/vm/small"), Some(SHORT));
     world.wait_served(1, 0).await;
 }
+
+/// Guards against a claim with a lease that long outlives its VM.
+#[tokio::test]
+async fn a_claim_waits_for_a_short_lease() {
+    let store = StoreStandin::spawn().await;
+    let idle = json!({
+        "vm": "idle", "start": 1, "domain": "north-a",
+        "address": "127.0.0.1:1", "capacity": 4_000_000
+    });
+    store.put("router/vm/idle", &idle);
+
+    let mut world = World::open_on(store, DIVIDED, 1, 0).await;
+    let limits = json!({"cpu_share": 0.1, "link_mbps": 1.0});
+    let address = world.store.address;
+    world.add_node(NodeProcess::spawn_sized("small", address, &limits)).await;
+
+    let span = |key: &str| world.store.lease_span(key);
+    eventually(async || span("router/planner").is_some()).await;
+    assert_eq!(span("router/planner"), Some(SHORT));
+}
