--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -10,7 +10,9 @@
     relay::{Relay, RelayManner},
     server::ServerManner,
     store::StoreStandin,
-    world::{DIVIDED, World, configuration, entry, entry_at, eventually},
+    world::{
+        DIVIDED, POOLED, World, configuration, entry, entry_at, eventually,
+    },
 };
 
 /// Keys all over the space, far fewer than would make a test slow.
@@ -103,6 +105,38 @@
     }
 }
 
+/// Guards against keys that stay with a server whose address is another's.
+#[tokio::test]
+async fn a_successor_at_its_address_ends_a_server() {
+    let world = World::open(DIVIDED, 2, 1).await;
+    world.wait_served(0, 0).await;
+
+    let successor = world.servers[0].replace("successor").await;
+    let mut later = entry(&successor, POOLED, "ready");
+    later["born"] = json!(1_800_000_000_000_u64);
+    world.store.put("servers/successor", &later);
+
+    for key in some_keys() {
+        wait_moved(&world, key).await;
+    }
+}
+
+/// Guards against repeats that reach whichever server has the address now.
+#[tokio::test]
+async fn an_owner_that_denies_its_key_is_asked_once() {
+    let world = World::open(DIVIDED, 2, 1).await;
+    let key = key_of_first(&world).await;
+    world.wait_served(0, key).await;
+    // The grant has long arrived.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+
+    let successor = world.servers[0].replace("successor").await;
+    let answer = world.ask_key(0, key).await;
+
+    assert_eq!(answer.status(), 503);
+    assert_eq!(successor.misdirected(), 1);
+}
+
 /// Guards against a new planner that decides by what it knew before.
 #[tokio::test]
 async fn a_planner_that_is_behind_only_renews() {
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -12,7 +12,7 @@
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
-    task::JoinHandle,
+    task::{JoinHandle, JoinSet},
     time::timeout,
 };
 
@@ -53,6 +53,8 @@
     resets: u32,
     /// Requests that it neither ran nor answered.
     hung: u32,
+    /// Requests that were meant for another server or key.
+    misdirected: u32,
 }
 
 /// A backend server; it ends with the test, or when it is stopped.
@@ -61,11 +63,17 @@
     pub address: SocketAddr,
     state: Arc<Mutex<ServerState>>,
     task: JoinHandle<()>,
+    links: Arc<Mutex<JoinSet<()>>>,
 }
 
 impl ServerStandin {
     pub async fn spawn(id: &str, divided: bool) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::spawn_at(any, id, divided).await
+    }
+
+    async fn spawn_at(place: SocketAddr, id: &str, divided: bool) -> Self {
+        let listener = TcpListener::bind(place).await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let state = Arc::new(Mutex::new(ServerState {
             manner: ServerManner::Works(Duration::ZERO),
@@ -76,19 +84,22 @@
             abandoned: 0,
             resets: 0,
             hung: 0,
+            misdirected: 0,
         }));
         let (known, name) = (Arc::clone(&state), id.to_owned());
+        let links = Arc::new(Mutex::new(JoinSet::new()));
+        let opened = Arc::clone(&links);
         let task = tokio::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("a caller");
                 let (state, id) = (Arc::clone(&known), name.clone());
-                tokio::spawn(async move {
+                opened.lock().expect("no handler panics").spawn(async move {
                     // Callers may leave at any time.
                     let _left = serve(stream, &state, &id).await;
                 });
             }
         });
-        Self { address, state, task }
+        Self { address, state, task, links }
     }
 
     pub fn set_manner(&self, manner: ServerManner) {
@@ -139,6 +150,24 @@
         self.lock().holds.clear();
     }
 
+    /// Ends without a word; a server of a service that is not divided gets
+    /// its address.
+    #[allow(dead_code, reason = "not every test binary replaces one")]
+    pub async fn replace(&self, id: &str) -> Self {
+        self.end();
+        self.links.lock().expect("no handler panics").abort_all();
+        while !self.task.is_finished() {
+            tokio::task::yield_now().await;
+        }
+        Self::spawn_at(self.address, id, false).await
+    }
+
+    /// Requests that were meant for another server or key.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub fn misdirected(&self) -> u32 {
+        self.lock().misdirected
+    }
+
     /// Whether it holds a key now.
     pub fn holds(&self, key: u64) -> bool {
         self.lock().holds(key)
@@ -310,11 +339,18 @@
     let attempt = header("x-attempt-id").unwrap_or_default();
     let echo = format!("X-Attempt-Id: {attempt}\r\n");
     let refusal = "X-Not-Executed: 1\r\n";
+    let order = request.path.starts_with("/v1/");
+    // A server of a service that is not divided knows no orders.
+    if order && !state.divided {
+        let head = response("400 Bad Request", "", "");
+        return (head, Duration::ZERO, false);
+    }
     if header("x-expect-instance").is_some_and(|named| named != id) {
+        state.misdirected += u32::from(!order);
         let head = response("421 Misdirected Request", refusal, "");
         return (head, Duration::ZERO, false);
     }
-    if request.path.starts_with("/v1/") {
+    if order {
         let order = serde_json::from_slice(&request.body).expect("an order");
         let grant = request.path == "/v1/grant";
         if grant && state.is_outdated(&order) {
@@ -333,6 +369,7 @@
     }
     let key = header("x-shard-key").and_then(|text| text.parse().ok());
     if state.divided && !key.is_some_and(|key| state.holds(key)) {
+        state.misdirected += 1;
         let head = response("421 Misdirected Request", refusal, "");
         return (head, Duration::ZERO, false);
     }
