Take a server for ended once another has its address

Callers got 503 for keys of servers that had ended, 2.5 s longer than needed, and their lookups went on to the addresses, where servers of another service turned them away: arrivals beyond the first of their request there.

Cause: while the entry of an ended server lasts (three heartbeats), it spoke for the server, although a later entry named another server at its address. The planner's renewals did not tell either: servers of a service that is not divided answer them 400, which is no proof (log of the planner).

Now the later occupant of an address ends the former one in the view: it is not ready, its keys have no owner, the planner gives them away. An address is given away only after its server has ended, so this is as safe as the rule before it, by which a later entry counted when the former had lapsed; orders name their server, so the successor takes none. A restart under its own id still has to release. The look-up by address replaces a walk over all entries for each holder.

a_successor_at_its_address_ends_a_server failed (30 s, "it never came") and passes; a_server_whose_address_another_has_is_gone is new.

--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -134,13 +134,9 @@
             HolderFate::Serving
         };
     }
-    // An address is given away only after its server has ended, and orders
-    // name the server that they are for.
-    let succeeds = |entry: &Arc<ServerEntry>| {
-        (entry.id == life.id || entry.address == life.address)
-            && entry.started_ms > life.started_ms
-    };
-    if view.servers.values().any(succeeds) {
+    let runs_anew = own.is_some_and(|own| own.started_ms > life.started_ms);
+    // Orders name the server that they are for: its successor takes none.
+    if runs_anew || view.has_successor(life) {
         HolderFate::Ended
     } else if returning {
         HolderFate::Serving
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -116,6 +116,10 @@
     if known < GRANT_WAY {
         return Destination::Hold(GRANT_WAY.minus(known));
     }
+    if view.has_successor(life) {
+        let gone = view.leaving.get(&life.id);
+        return unavailable(gone.map_or(TimeSpan::ZERO, |g| now.since(*g)));
+    }
     if let Some(leaving) = view.leaving.get(&life.id) {
         let left = now.since(*leaving);
         let served = state.settings.drain_limit.percent(LEAVING_PERCENT);
--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -1,12 +1,12 @@
 //! What the traffic thread knows of the fleet.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use goldcrestramp_adapter::{
     FleetConfiguration, RequestRoute, SERVER_PREFIX, ServerEntry, ServerPhase,
     TrafficLimits,
 };
-use goldcrestramp_assignment::AssignmentTable;
+use goldcrestramp_assignment::{AssignmentTable, ServerLife};
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 
 use crate::{
@@ -94,8 +94,11 @@
 pub struct FleetView {
     /// The operators' configuration, once it is known.
     pub routes: Option<Arc<RouteBook>>,
-    /// The servers that say that they are there, by id.
+    /// The servers that say that they are there, by id; those at whose
+    /// address another has started since have ended.
     pub servers: FastMap<Arc<str>, Arc<ServerEntry>>,
+    /// The server that started last at each address.
+    pub occupants: AddressBook,
     /// The servers that take new work, by service.
     pub ready: FastMap<Arc<str>, Vec<Arc<ServerEntry>>>,
     /// Servers that leave or have gone, with the earliest moment at which
@@ -107,7 +110,47 @@
     pub vms: Vec<VmRun>,
 }
 
+/// The server that started last at each address.
+pub type AddressBook = FastMap<SocketAddr, Arc<ServerEntry>>;
+
+fn last_occupants<'a>(
+    entries: impl Iterator<Item = &'a Arc<ServerEntry>>,
+) -> AddressBook {
+    let mut occupants = AddressBook::default();
+    for entry in entries {
+        let last = occupants.entry(entry.address);
+        let last = last.or_insert_with(|| Arc::clone(entry));
+        if entry.started_ms > last.started_ms {
+            *last = Arc::clone(entry);
+        }
+    }
+    occupants
+}
+
+/// Whether another server than `id`, which started at `started_ms`, has
+/// started at its address since.
+///
+/// An address is given away only after its server has ended, while the entry
+/// of that server may stay until its heartbeats are missed.
+fn is_succeeded(
+    occupants: &AddressBook,
+    address: SocketAddr,
+    id: &str,
+    started_ms: u64,
+) -> bool {
+    occupants
+        .get(&address)
+        .is_some_and(|last| *last.id != *id && last.started_ms > started_ms)
+}
+
 impl FleetView {
+    /// Whether another server has started at the address of this one since.
+    #[must_use]
+    pub fn has_successor(&self, life: &ServerLife) -> bool {
+        let ServerLife { id, started_ms, address } = life;
+        is_succeeded(&self.occupants, *address, id, *started_ms)
+    }
+
     /// The VMs in a failure domain, at least one.
     #[must_use]
     pub fn vms_in(&self, domain: &str) -> usize {
@@ -151,7 +194,7 @@
         changed
     }
 
-    fn values(&self) -> impl Iterator<Item = (&Arc<str>, &Value)> {
+    fn values(&self) -> impl Iterator<Item = (&Arc<str>, &Value)> + Clone {
         let items = self.0.iter();
         items.filter_map(|(key, (_, value))| Some((key, value.as_ref()?)))
     }
@@ -166,6 +209,7 @@
     vms: ParsedItems<VmRun>,
     leaving: FastMap<Arc<str>, LocalTime>,
     present: FastMap<Arc<str>, Arc<ServerEntry>>,
+    occupants: AddressBook,
 }
 
 impl ViewBuilder {
@@ -215,6 +259,7 @@
         FleetView {
             routes: self.routes.as_ref().map(|(_, book)| Arc::clone(book)),
             servers: self.present.clone(),
+            occupants: self.occupants.clone(),
             ready,
             leaving: self.leaving.clone(),
             tables: tables.collect(),
@@ -241,9 +286,14 @@
 
     /// Notes since when servers leave or are gone.
     fn note_leaving(&mut self, now: LocalTime, since: LocalTime) {
-        let entries = self.servers.values();
+        let entries = self.servers.values().map(|(_, entry)| entry);
+        let occupants = last_occupants(entries.clone());
         let servers: FastMap<Arc<str>, Arc<ServerEntry>> = entries
-            .map(|(_, entry)| (Arc::clone(&entry.id), Arc::clone(entry)))
+            .filter(|entry| {
+                let ServerEntry { address, id, started_ms, .. } = &***entry;
+                !is_succeeded(&occupants, *address, id, *started_ms)
+            })
+            .map(|entry| (Arc::clone(&entry.id), Arc::clone(entry)))
             .collect();
         for (id, known) in &self.present {
             let same = servers
@@ -270,5 +320,6 @@
             servers.contains_key(id) || now.since(*left_at) < GONE_KEPT
         });
         self.present = servers;
+        self.occupants = occupants;
     }
 }
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -221,6 +221,32 @@
     assert_eq!(view.leaving.get("i"), Some(&at(700)));
 }
 
+/// Guards against requests to a server whose address is another's by now.
+#[test]
+fn a_server_whose_address_another_has_is_gone() {
+    let entry = |service: &str, started_ms: u64| {
+        let entry = json!({
+            "address": "10.0.0.9:80", "born": started_ms,
+            "info": {"service": service, "zone": "a", "slots": 2},
+            "status": {"state": "ready", "seq": 1}
+        });
+        entry.to_string()
+    };
+    let mut builder = ViewBuilder::default();
+    let mut mirror = StoreMirror::default();
+    mirror.write(item("servers/former", &entry("stock", 5), 2));
+    assert!(builder.build(at(0), at(0), &mirror, None).is_some());
+
+    mirror.write(item("servers/later", &entry("orders", 6), 3));
+    let view = builder.build(at(900), at(700), &mirror, None);
+
+    let view = view.expect("news");
+    assert!(!view.servers.contains_key("former"));
+    assert!(!view.ready.contains_key("stock"));
+    assert_eq!(view.leaving.get("former"), Some(&at(700)));
+    assert_eq!(view.ready["orders"].len(), 1);
+}
+
 /// The VM that is followed falls silent, so a server's leaving is learnt
 /// most of a second late. Counted from then, requests reach the server
 /// after the time that is allowed; counted from the last news, they don't.
