Ask an owner that denies a key once for each assignment

Cause: a retry without new information. After 421 a request went to the owner that the same table named, after a pause, until it had used its sends. A grant on its way is the only case in which that helps, and it is there within a second of its table.

Now the denial is kept with the token by which the owner was asked. While the assignment is young, the owner is asked again as before; a settled one is not, the request waits until the key has another assignment, for 0.9 s at most, and is then refused with a time to return. The decision is owner_step, tested without a network.

an_owner_that_denies_its_key_is_asked_once failed (6 arrivals) and passes (1).

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -25,6 +25,7 @@
 - [`SendBudget`]: how many sends beyond the first a VM may make.
 - [`server_share`]: what one VM may have under way at a server.
 - [`WorkEstimate`]: how long a server works on a request.
+- [`owner_step`]: whether an owner that denied a key is asked again.
 - [`WeightedRobin`]: the parts of a divided route.
 - [`rebalancing_moves`]: which runs of keys move between servers, and when.
 - [`baseline`]: two simple ways, kept to be measured against.
@@ -35,6 +36,7 @@
 mod attempt_timeout;
 pub mod baseline;
 mod deadline;
+mod denial;
 mod gateway;
 mod limit;
 mod link;
@@ -62,6 +64,7 @@
     },
     attempt_timeout::{TimeoutSight, attempt_timeout},
     deadline::{TransitEstimate, span_to_send},
+    denial::{OwnerDenial, OwnerStep, owner_step},
     gateway::GatewayLimit,
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSign},
     link::{LINK_CHUNK, LinkFlow, LinkSettings, LinkShare, LinkVolume},
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -5,7 +5,8 @@
 use goldcrestramp_adapter::{RouteEffect, ServerEntry};
 use goldcrestramp_assignment::{RunPhase, ServerLife};
 use goldcrestramp_decisions::{
-    AnswerTimes, PoolCandidate, PoolChoice, ServerWay, choose_server,
+    AnswerTimes, OwnerDenial, OwnerStep, PoolCandidate, PoolChoice, ServerWay,
+    choose_server, owner_step,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, TimeSpan};
 
@@ -33,16 +34,23 @@
 /// if not, their owner can't be reached, and it takes seconds.
 const MOVE_TIME: TimeSpan = TimeSpan::from_millis(900);
 
+/// A server that a request is sent to.
+#[derive(Debug)]
+pub(crate) struct ChosenServer {
+    pub(crate) server: Rc<ServerState>,
+    pub(crate) way: ServerWay,
+    /// Whether another server could answer too.
+    pub(crate) replaceable: bool,
+    /// The token of the assignment by which it owns the key; 0: any server
+    /// may serve.
+    pub(crate) token: u64,
+}
+
 /// Where a request goes.
 #[derive(Debug)]
 pub(crate) enum Destination {
     /// To this server.
-    Server {
-        server: Rc<ServerState>,
-        way: ServerWay,
-        /// Whether another server could answer too.
-        replaceable: bool,
-    },
+    Server(ChosenServer),
     /// It waits in a queue for a free slot.
     Wait {
         queue: QueueKind,
@@ -79,18 +87,28 @@
     }
 }
 
-/// Chooses the destination of a request; `tried` are the servers that were
-/// sent it before.
+/// What became of the earlier sends of a request.
+#[derive(Debug, Default)]
+pub(crate) struct SendHistory {
+    /// The servers that it has reached.
+    pub(crate) tried: Vec<Arc<str>>,
+    /// The last statement of an owner that it does not hold the key.
+    pub(crate) denial: Option<OwnerDenial>,
+}
+
+/// Chooses the destination of a request.
 pub(crate) fn choose(
     state: &TrafficState,
     view: &FleetView,
     request: &RoutedRequest,
     now: LocalTime,
-    tried: &[Arc<str>],
+    history: &SendHistory,
 ) -> Destination {
     match request.slice {
-        Some(slice) => choose_owner(state, view, request, now, slice),
-        None => choose_pooled(state, view, request, now, tried),
+        Some(slice) => {
+            choose_owner(state, view, request, now, slice, history.denial)
+        }
+        None => choose_pooled(state, view, request, now, &history.tried),
     }
 }
 
@@ -101,6 +119,7 @@
     request: &RoutedRequest,
     now: LocalTime,
     slice: SliceIndex,
+    denial: Option<OwnerDenial>,
 ) -> Destination {
     let service = &request.service;
     let Some(table) = view.tables.get(service) else {
@@ -116,6 +135,10 @@
     if known < GRANT_WAY {
         return Destination::Hold(GRANT_WAY.minus(known));
     }
+    let step = owner_step(denial, run.token, since, now);
+    if let OwnerStep::AwaitChange { denied_for } = step {
+        return unavailable(denied_for);
+    }
     if view.has_successor(life) {
         let gone = view.leaving.get(&life.id);
         return unavailable(gone.map_or(TimeSpan::ZERO, |g| now.since(*g)));
@@ -136,7 +159,13 @@
         if server.queue.borrow().is_empty() {
             server.queue.borrow_mut().moves();
         }
-        return Destination::Server { server, way, replaceable: false };
+        let token = run.token;
+        return Destination::Server(ChosenServer {
+            server,
+            way,
+            replaceable: false,
+            token,
+        });
     }
     let latency = server.times.borrow().mean();
     Destination::Wait {
@@ -219,11 +248,12 @@
                 service.queue.borrow_mut().moves();
             }
             let chosen = usable[position];
-            Destination::Server {
+            Destination::Server(ChosenServer {
                 server: Rc::clone(&chosen.server),
                 way: chosen.candidate.way,
                 replaceable: usable.len() > 1,
-            }
+                token: 0,
+            })
         }
         PoolChoice::Full => {
             let slots = candidates.iter().map(|c| c.limit).sum::<usize>();
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -4,7 +4,7 @@
 
 use goldcrestramp_adapter::{RouteEffect, headers as names};
 use goldcrestramp_decisions::{
-    QueuePlace, SendBudget, ServerWay, TimeoutSight, attempt_timeout,
+    OwnerDenial, QueuePlace, SendBudget, TimeoutSight, attempt_timeout,
 };
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{HeaderValue, Request, Response};
@@ -14,7 +14,7 @@
 use crate::traffic::{
     answer::{AnswerBody, own_answer},
     attempt::{AttemptEnd, AttemptPlan, full_timeout, send},
-    choose::{Destination, choose},
+    choose::{ChosenServer, Destination, SendHistory, choose},
     reason::EndReason,
     request::{
         RequestBody, RoutedRequest, deadline_of, find_route,
@@ -35,8 +35,7 @@
 /// How far a request has come.
 #[derive(Debug, Default)]
 struct RequestProgress {
-    /// The servers that it has reached.
-    tried: Vec<Arc<str>>,
+    history: SendHistory,
     sends: u32,
     /// Whether one of them may have run it.
     may_have_run: bool,
@@ -183,17 +182,9 @@
             return Err(reason.into());
         }
         let view = state.view();
-        match choose(state, &view, request, now, &progress.tried) {
-            Destination::Server { server, way, replaceable } => {
-                let end = try_server(
-                    state,
-                    request,
-                    progress,
-                    &server,
-                    way,
-                    replaceable,
-                )
-                .await?;
+        match choose(state, &view, request, now, &progress.history) {
+            Destination::Server(chosen) => {
+                let end = try_server(state, request, progress, chosen).await?;
                 if let Some(answer) = end {
                     return Ok(answer);
                 }
@@ -214,20 +205,19 @@
     state: &Rc<TrafficState>,
     request: &mut RoutedRequest,
     progress: &mut RequestProgress,
-    server: &Rc<ServerState>,
-    way: ServerWay,
-    replaceable: bool,
+    chosen: ChosenServer,
 ) -> Result<Option<Response<AnswerBody>>, RequestEnd> {
+    let ChosenServer { server, way, replaceable, token } = chosen;
     let now = MonotonicClock.now();
-    let known = progress.tried.contains(&server.id);
+    let known = progress.history.tried.contains(&server.id);
     let most = request.route.attempts_most as usize;
-    if !known && progress.tried.len() >= most {
+    if !known && progress.history.tried.len() >= most {
         return Err(EndReason::AttemptsUsed.into());
     }
     if progress.sends >= SENDS_MOST {
         return Err(EndReason::AttemptsUsed.into());
     }
-    if !progress.tried.is_empty() && !state.take_repeat(request) {
+    if !progress.history.tried.is_empty() && !state.take_repeat(request) {
         return Err(EndReason::RetryBudget.into());
     }
     let service = state.service(&request.service);
@@ -239,7 +229,7 @@
         left: full_timeout(request, now),
         replaceable: request.may_repeat()
             && replaceable
-            && progress.tried.len() + 1 < most,
+            && progress.history.tried.len() + 1 < most,
     });
     if progress.sends == 0 {
         let waited = now.since(request.arrived);
@@ -247,14 +237,18 @@
     }
     progress.sends += 1;
     // The next owner is one more server, and one more send.
-    let used = progress.tried.len() + usize::from(!known);
+    let used = progress.history.tried.len() + usize::from(!known);
     let follows_owner =
         request.may_repeat() && used < most && progress.sends < SENDS_MOST;
     let plan = AttemptPlan { way, answer_timeout, follows_owner };
     let end = send(state, request, slot, plan).await;
-    note_send(state, request, server, now, &end);
+    note_send(state, request, &server, now, &end);
     if !matches!(end, AttemptEnd::NotSent) && !known {
-        progress.tried.push(Arc::clone(&server.id));
+        progress.history.tried.push(Arc::clone(&server.id));
+    }
+    if matches!(end, AttemptEnd::Misdirected) {
+        let denied_at = MonotonicClock.now();
+        progress.history.denial = Some(OwnerDenial { token, denied_at });
     }
     let again = matches!(end, AttemptEnd::NotRun | AttemptEnd::Misdirected);
     // Known now: told after the pause, its caller returns later for nothing.
