Count the parts of the retry budget's constant by the largest fleet known

What all VMs together may send beyond the first of each request has a constant that they divide by the number of VMs each of them knows.

Now a VM takes no part for one window after its start; the ratio of what it is asked holds from the first request on. Within a window it counts the most VMs that it knew. What remains: VMs that know few others for longer than a window, while those go on serving.

--- a/goldcrestramp-decisions/src/send_budget.rs
+++ b/goldcrestramp-decisions/src/send_budget.rs
@@ -4,7 +4,10 @@
 //! The operators bound what all VMs together may send beyond the first of
 //! each request in any window. VMs can't ask one another when they are cut
 //! off, so each keeps to its own part: the ratio of what it was asked
-//! itself, and an equal part of the constant.
+//! itself, and an equal part of the constant. How many share it is what the
+//! VM knows of the fleet: too few while it starts, or when some are thought
+//! lost that still serve. So a VM that has just started takes no part of it,
+//! and a fleet that shrinks counts as large for a window more.
 
 use std::collections::VecDeque;
 
@@ -34,6 +37,8 @@
     number: u64,
     requests: u64,
     repeats: u64,
+    /// The most VMs that were known.
+    vms: u64,
 }
 
 /// The sends of one VM to one service.
@@ -55,13 +60,24 @@
 pub struct SendBudget {
     settings: BudgetSettings,
     steps: VecDeque<WindowStep>,
+    /// When a part of the constant may first be taken.
+    share_from: LocalTime,
 }
 
 impl SendBudget {
     /// A budget of which nothing was used.
     #[must_use]
-    pub const fn new(settings: BudgetSettings) -> Self {
-        Self { settings, steps: VecDeque::new() }
+    pub fn new(settings: BudgetSettings) -> Self {
+        let share_from = LocalTime::default();
+        Self { settings, steps: VecDeque::new(), share_from }
+    }
+
+    /// The budget of a VM that started at `started`: what its former run
+    /// has taken of the constant is forgotten, and other VMs may not be
+    /// known yet.
+    #[must_use]
+    pub fn started(self, started: LocalTime) -> Self {
+        Self { share_from: started + self.settings.span, ..self }
     }
 
     /// Counts a request that came in.
@@ -79,14 +95,24 @@
 
     /// Whether a send beyond the first is left.
     pub fn has_room(&mut self, now: LocalTime, vms: usize) -> bool {
-        self.step(now);
+        let step = self.step(now);
+        step.vms = step.vms.max(vms as u64);
         let requests: u64 = self.steps.iter().map(|s| s.requests).sum();
         let repeats: u64 = self.steps.iter().map(|s| s.repeats).sum();
-        let share = self.settings.extra / (vms.max(1) as u64);
-        let allowed = requests * self.settings.per_mille / 1_000 + share;
+        let allowed =
+            requests * self.settings.per_mille / 1_000 + self.share(now);
         (repeats + 1) * 100 <= allowed * USED_PERCENT
     }
 
+    /// This VM's part of the constant.
+    fn share(&self, now: LocalTime) -> u64 {
+        if now < self.share_from {
+            return 0;
+        }
+        let vms = self.steps.iter().map(|step| step.vms).max();
+        self.settings.extra / vms.unwrap_or(1).max(1)
+    }
+
     fn step(&mut self, now: LocalTime) -> &mut WindowStep {
         let length = (self.settings.span.as_micros() / STEPS).max(1);
         let number = now.as_micros() / length;
--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -97,6 +97,60 @@
     assert!(sent.len() > 600, "some repeats are made: {}", sent.len());
 }
 
+/// What a fleet of 90 VMs sends beyond the first while every send fails, in
+/// any 10 s; `known` are the VMs that one of them knows at a time.
+fn most_repeats(known: impl Fn(u64) -> usize) -> (usize, usize) {
+    const VMS: usize = 90;
+    const WINDOW_MS: u64 = 10_000;
+    const END_MS: u64 = 40_000;
+    let span = TimeSpan::from_millis(WINDOW_MS);
+    let settings = BudgetSettings { span, per_mille: 200, extra: 222 };
+    let fresh = SendBudget::new(settings).started(at(0));
+    let mut windows = vec![fresh; VMS];
+    let mut sent = Vec::new();
+    let mut asked = Vec::new();
+    for millis in 0..END_MS {
+        let vm = usize::try_from(millis).expect("small") % VMS;
+        windows[vm].request(at(millis));
+        asked.push(millis);
+        let repeats =
+            (0..5).filter(|_| windows[vm].take(at(millis), known(millis)));
+        sent.extend(repeats.map(|_| millis));
+    }
+    let inside = |list: &[u64], begin: u64| {
+        let window = begin..begin + WINDOW_MS;
+        list.iter().filter(|moment| window.contains(moment)).count()
+    };
+    let windows = (0..=END_MS - WINDOW_MS).step_by(500);
+    windows
+        .map(|from| (inside(&sent, from), inside(&asked, from) / 5 + 222))
+        .max()
+        .expect("some window")
+}
+
+/// Guards against VMs that each take the whole constant while they start.
+#[test]
+fn vms_that_know_no_others_yet_stay_within_the_budget() {
+    let (sent, allowed) =
+        most_repeats(|millis| if millis < 2_000 { 1 } else { 90 });
+
+    assert!(sent <= allowed, "{sent} repeats, {allowed} allowed");
+}
+
+/// Guards against larger parts of the constant while a part of the fleet is
+/// thought lost.
+#[test]
+fn vms_that_think_others_lost_stay_within_the_budget() {
+    let (sent, allowed) =
+        most_repeats(
+            |millis| {
+                if (15_000..23_000).contains(&millis) { 10 } else { 90 }
+            },
+        );
+
+    assert!(sent <= allowed, "{sent} repeats, {allowed} allowed");
+}
+
 fn timeout_sight() -> TimeoutSight {
     TimeoutSight {
         usual: Some(TimeSpan::from_millis(250)),
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -50,6 +50,7 @@
     services: RefCell<FastMap<Arc<str>, Rc<ServiceState>>>,
     robins: RefCell<FastMap<Arc<str>, WeightedRobin>>,
     arrivals: Cell<u64>,
+    started: LocalTime,
     /// Since when each token of a table has been known, by service.
     tokens: RefCell<FastMap<Arc<str>, FastMap<u64, LocalTime>>>,
 }
@@ -72,6 +73,7 @@
             services: RefCell::default(),
             robins: RefCell::default(),
             arrivals: Cell::new(0),
+            started: MonotonicClock.now(),
             tokens: RefCell::default(),
         }
     }
@@ -186,7 +188,7 @@
             });
             Rc::new(ServiceState {
                 queue: Rc::default(),
-                budget: RefCell::new(budget),
+                budget: RefCell::new(budget.started(self.started)),
                 times: RefCell::default(),
                 bytes: Default::default(),
             })
