--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod configuration;
 mod leases;
+mod limits;
 mod node;
 mod orders;
 mod ownership;
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -55,6 +55,10 @@
     hung: u32,
     /// Requests that were meant for another server or key.
     misdirected: u32,
+    /// The limit that it names in its answers.
+    limit: Option<String>,
+    /// When requests came while it named one.
+    limited: Vec<Instant>,
 }
 
 /// A backend server; it ends with the test, or when it is stopped.
@@ -85,6 +89,8 @@
             resets: 0,
             hung: 0,
             misdirected: 0,
+            limit: None,
+            limited: Vec::new(),
         }));
         let (known, name) = (Arc::clone(&state), id.to_owned());
         let links = Arc::new(Mutex::new(JoinSet::new()));
@@ -106,6 +112,30 @@
         self.lock().manner = manner;
     }
 
+    /// Names a limit in its answers from now on, or no longer.
+    #[allow(dead_code, reason = "not every test binary does")]
+    pub fn name_limit(&self, limit: Option<&str>) {
+        let mut state = self.lock();
+        state.limit = limit.map(str::to_owned);
+        state.limited.clear();
+    }
+
+    /// The most requests that came in so long a time, later than `settled`
+    /// after a limit was named.
+    #[allow(dead_code, reason = "not every test binary asks")]
+    pub fn most_limited(&self, settled: Instant, span: Duration) -> usize {
+        let state = self.lock();
+        let mut came = state.limited.clone();
+        came.retain(|moment| *moment >= settled);
+        let within = |begin: &Instant| {
+            let inside = |moment: &&Instant| {
+                **moment >= *begin && moment.duration_since(*begin) < span
+            };
+            came.iter().filter(inside).count()
+        };
+        came.iter().map(within).max().unwrap_or(0)
+    }
+
     /// How often an attempt was run.
     pub fn runs_of(&self, attempt: &str) -> u32 {
         self.lock().runs.get(attempt).copied().unwrap_or(0)
@@ -367,6 +397,9 @@
         }
         return (response("200 OK", "", ""), Duration::ZERO, false);
     }
+    if state.limit.is_some() {
+        state.limited.push(Instant::now());
+    }
     let key = header("x-shard-key").and_then(|text| text.parse().ok());
     if state.divided && !key.is_some_and(|key| state.holds(key)) {
         state.misdirected += 1;
@@ -380,7 +413,10 @@
     }
     *state.runs.entry(attempt).or_default() += 1;
     let stamp = format!("X-Response-Stamp: by-{id}\r\n");
-    let whole = response("200 OK", &format!("{echo}{stamp}"), id);
+    let limit = state.limit.as_ref();
+    let limit = limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
+    let limit = limit.unwrap_or_default();
+    let whole = response("200 OK", &format!("{echo}{stamp}{limit}"), id);
     match state.manner {
         ServerManner::LosesAnswers => (String::new(), Duration::ZERO, true),
         ServerManner::BreaksOff => {
