Let a VM that has just started repeat its first requests

The ratio allows no repeat of a VM's first requests, so their callers got 502 and 503.

Until the window has passed a VM now takes twelve of the constant at the most, or its part if that is less. The tests pass unchanged; with eight they pass as well, with six one fails. A fleet of 90 that starts at once and knows no others for 2 s stays within the budget in the model, as before.

--- a/goldcrestramp-decisions/src/send_budget.rs
+++ b/goldcrestramp-decisions/src/send_budget.rs
@@ -6,7 +6,7 @@
 //! off, so each keeps to its own part: the ratio of what it was asked
 //! itself, and an equal part of the constant. How many share it is what the
 //! VM knows of the fleet: too few while it starts, or when some are thought
-//! lost that still serve. So a VM that has just started takes no part of it,
+//! lost that still serve. So a VM that has just started takes little of it,
 //! and a fleet that shrinks counts as large for a window more.
 
 use std::collections::VecDeque;
@@ -21,6 +21,10 @@
 /// operators when callers send them, here when they are read.
 const USED_PERCENT: u64 = 70;
 
+/// The most of the constant that a VM takes while it may not know the
+/// others: enough for its first requests, of which the ratio allows none.
+const START_SHARE: u64 = 12;
+
 /// What the operators allow.
 #[derive(Clone, Copy, Debug)]
 pub struct BudgetSettings {
@@ -60,7 +64,7 @@
 pub struct SendBudget {
     settings: BudgetSettings,
     steps: VecDeque<WindowStep>,
-    /// When a part of the constant may first be taken.
+    /// When a whole part of the constant may first be taken.
     share_from: LocalTime,
 }
 
@@ -106,11 +110,12 @@
 
     /// This VM's part of the constant.
     fn share(&self, now: LocalTime) -> u64 {
+        let vms = self.steps.iter().map(|step| step.vms).max();
+        let share = self.settings.extra / vms.unwrap_or(1).max(1);
         if now < self.share_from {
-            return 0;
+            return share.min(START_SHARE);
         }
-        let vms = self.steps.iter().map(|step| step.vms).max();
-        self.settings.extra / vms.unwrap_or(1).max(1)
+        share
     }
 
     fn step(&mut self, now: LocalTime) -> &mut WindowStep {
