--- a/goldcrestramp-entry/tests/daemon/limits.rs
+++ b/goldcrestramp-entry/tests/daemon/limits.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::world::{DIVIDED, World, eventually};
+use crate::world::{DIVIDED, POOLED, World, eventually};
 
 /// How long requests come, and how many a second at each of the VMs.
 const LOAD_SPAN: Duration = Duration::from_secs(9);
@@ -64,6 +64,31 @@
     .await;
 }
 
+/// Guards against requests that wait for a limited server while others of its
+/// service are idle.
+#[tokio::test]
+async fn other_servers_take_what_is_above_a_limit() {
+    const WINDOW: Duration = Duration::from_secs(4);
+    let world = World::open(POOLED, 2, 1).await;
+    world.servers[0].name_limit(Some("0.5"));
+    eventually(async || {
+        let answer = world.get(0, "/list/all").await;
+        answer.headers().contains_key("server-limit")
+    })
+    .await;
+    let told = Instant::now();
+
+    for _ in 0..60 {
+        let answer = world.get(0, "/list/all").await;
+
+        assert_eq!(answer.status(), 200);
+        tokio::time::sleep(PAUSE / 2).await;
+    }
+
+    let most = world.servers[0].most_limited(told, WINDOW);
+    assert!(most <= 8, "{most} requests in 4 s");
+}
+
 /// Guards against VMs that go by a limit which is no longer named.
 #[tokio::test]
 async fn a_limit_that_is_no_longer_named_ends() {
