Count permits from when they come, not from when they are taken up

Found by reading the change again: answers about permits wait in the shared mailbox until a request for a limited server looks for them, and lapsed 0.8 s after that. Permits that came when their caller had left stayed good for as long as no other came, on every VM at once, past what bounds the sum.

Answers keep the moment at which they came, and permits lapse from then on. An answer "no limit" from before the last statement of a limit is left aside. Tests: permits_count_from_when_they_came, one_answer_is_awaited_at_a_time, a_statement_ages_while_it_waits_to_be_asked and an_answer_from_before_a_statement_ends_no_limit; the first and last state what the code before did not do, they were not run against it.

--- a/goldcrestramp-decisions/src/rate.rs
+++ b/goldcrestramp-decisions/src/rate.rs
@@ -4,8 +4,8 @@
 //! of hundreds of VMs that can't see what the others send. Equal parts would
 //! be one request in minutes for each VM and unused by most of them; a burst
 //! of one for each is many times what the server takes. So one VM, the
-//! planning one, keeps the account of each such server, and the others ask
-//! it for permits when requests wait for one. A permit is for one send and
+//! planning one, issues permits from an account of each such server, and the
+//! others ask it for them when requests wait for one. A permit is for one send and
 //! lapses soon, so what is sent within any span is bounded by what was given
 //! out in it and shortly before.
 
@@ -27,12 +27,12 @@
 
 /// Without an answer about permits for so long, a VM goes by its own part of
 /// the limit.
-const KEEPER_SILENT: TimeSpan = TimeSpan::from_millis(1_500);
+const ISSUER_SILENT: TimeSpan = TimeSpan::from_millis(1_500);
 
 /// Requests that wait for permits, for this time of a VM's equal part.
 const WAITING_S: f64 = 0.5;
 
-/// Without a keeper each VM may have saved one request up, so only so many
+/// Without an issuer each VM may have saved one request up, so only so many
 /// of them send, and as many more as the server takes in this time.
 const SENDERS_LEAST: f64 = 4.0;
 const SENDERS_S: f64 = 2.0;
@@ -47,7 +47,7 @@
 }
 
 impl FleetPlace {
-    /// The requests a second that it sends without a keeper.
+    /// The requests a second that it sends without an issuer.
     fn own_rate(self, per_s: f64) -> f64 {
         #[expect(
             clippy::cast_possible_truncation,
@@ -241,14 +241,16 @@
         changed
     }
 
-    /// Takes the answer to a request for permits.
-    pub fn granted(&mut self, now: LocalTime, grant: PermitGrant) {
-        self.heard_at = now;
+    /// Takes the answer to a request for permits, which came at `came_at`.
+    pub fn granted(&mut self, came_at: LocalTime, grant: PermitGrant) {
+        self.heard_at = self.heard_at.max(came_at);
         self.own = None;
         match grant {
+            // The server may have named a limit since.
+            PermitGrant::Unlimited if came_at < self.stated_at => {}
             PermitGrant::Unlimited => self.per_s = None,
             PermitGrant::Permits(permits) => {
-                let lapses_at = now + PERMIT_LIFE;
+                let lapses_at = came_at + PERMIT_LIFE;
                 self.permits.extend((0..permits).map(|_| lapses_at));
             }
         }
@@ -291,7 +293,7 @@
         if !self.permits.is_empty() {
             return true;
         }
-        if now.since(self.heard_at) < KEEPER_SILENT {
+        if now.since(self.heard_at) < ISSUER_SILENT {
             return false;
         }
         let own = self.own.get_or_insert(RateBucket::empty(now));
--- a/goldcrestramp-decisions/tests/rate.rs
+++ b/goldcrestramp-decisions/tests/rate.rs
@@ -67,9 +67,9 @@
     Arrives(usize),
     /// Its answer reaches the VM.
     Answered(usize, Option<f64>),
-    /// A VM's question reaches the keeper.
+    /// A VM's question reaches the issuer.
     Asked(usize, PermitRequest),
-    /// The keeper's answer reaches the VM.
+    /// The issuer's answer reaches the VM.
     Granted(usize, PermitGrant),
 }
 
@@ -237,9 +237,9 @@
     }
 }
 
-/// Guards against a new keeper that gives out what the former one did.
+/// Guards against a new issuer that gives out what the former one did.
 #[test]
-fn a_new_keeper_and_restarted_vms_keep_to_the_rate() {
+fn a_new_issuer_and_restarted_vms_keep_to_the_rate() {
     for vms in [10, 91, 640] {
         let arrivals = play(RatePlay {
             unkept: (12_000, 15_500),
@@ -254,7 +254,7 @@
 
 /// Guards against VMs that all use what they have saved up in an outage.
 #[test]
-fn vms_without_a_keeper_keep_to_the_rate() {
+fn vms_without_an_issuer_keep_to_the_rate() {
     for vms in [3, 10, 91, 640] {
         let arrivals = play(RatePlay {
             unkept: (5_000, 120_000),
@@ -280,6 +280,18 @@
     assert!(!allowance.take(at(1_000), place));
 }
 
+/// Guards against an old answer that ends a limit named since.
+#[test]
+fn an_answer_from_before_a_statement_ends_no_limit() {
+    let place = FleetPlace { vms: 91, rank: 40 };
+    let mut allowance = RateAllowance::default();
+    allowance.stated(at(500), Some(3.0));
+
+    allowance.granted(at(400), PermitGrant::Unlimited);
+
+    assert!(!allowance.has_permit(at(600), place));
+}
+
 /// Guards against a limit below one that keeps a server from all requests.
 #[test]
 fn a_limit_below_one_a_second_is_used() {
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -31,7 +31,7 @@
     lease::LeaseTerms,
     load::{AnswerSum, LoadBook, LoadReport, ServiceLoad},
     news::{NewsClock, NewsSource, NewsState, told_as_of},
-    permits::{PermitDesk, PermitGrants, PermitRequests},
+    permits::{PermitGrants, PermitMailbox, PermitRequests},
     ranking::{advising_vms, is_large, source_vms},
 };
 use crate::{
--- a/goldcrestramp-entry/src/control/permits.rs
+++ b/goldcrestramp-entry/src/control/permits.rs
@@ -7,7 +7,7 @@
 
 use goldcrestramp_assignment::ServerLife;
 use goldcrestramp_decisions::{PermitGrant, PermitRequest};
-use goldcrestramp_types::{FastMap, LocalTime};
+use goldcrestramp_types::{ClockSource, FastMap, LocalTime, MonotonicClock};
 
 use crate::{
     control::ControlActor,
@@ -22,21 +22,22 @@
 pub type PermitGrants = Vec<(ServerLife, PermitGrant)>;
 
 #[derive(Debug, Default)]
-struct DeskState {
+struct MailboxState {
     /// What is to be asked, with the moment at which it was put down.
     requests: FastMap<ServerLife, (PermitRequest, LocalTime)>,
-    grants: PermitGrants,
+    /// Answers with the moments at which they came.
+    grants: Vec<(LocalTime, PermitGrants)>,
     /// Whether an answer is awaited.
     asking: bool,
 }
 
 /// Where both threads leave what they have for each other.
 #[derive(Clone, Debug, Default)]
-pub struct PermitDesk(Arc<Mutex<DeskState>>);
+pub struct PermitMailbox(Arc<Mutex<MailboxState>>);
 
-impl PermitDesk {
+impl PermitMailbox {
     /// Puts down what is to be asked for a server, in place of what was.
-    pub(crate) fn request(
+    pub fn request(
         &self,
         now: LocalTime,
         server: &ServerLife,
@@ -45,13 +46,16 @@
         self.lock().requests.insert(server.clone(), (request, now));
     }
 
-    /// Takes the answers that have come.
-    pub(crate) fn take_grants(&self) -> PermitGrants {
+    /// Takes the answers that have come, each with the moment at which it
+    /// did: permits lapse from then on.
+    #[must_use]
+    pub fn take_grants(&self) -> Vec<(LocalTime, PermitGrants)> {
         std::mem::take(&mut self.lock().grants)
     }
 
     /// Takes what is to be asked, unless an answer is awaited.
-    fn begin(&self, now: LocalTime) -> Option<PermitRequests> {
+    #[must_use]
+    pub fn begin(&self, now: LocalTime) -> Option<PermitRequests> {
         let mut state = self.lock();
         if state.asking || state.requests.is_empty() {
             return None;
@@ -65,13 +69,14 @@
         Some(requests.into_iter().map(aged).collect())
     }
 
-    fn finish(&self, grants: PermitGrants) {
+    /// Leaves an answer for the traffic thread.
+    pub fn finish(&self, now: LocalTime, grants: PermitGrants) {
         let mut state = self.lock();
         state.asking = false;
-        state.grants.extend(grants);
+        state.grants.push((now, grants));
     }
 
-    fn lock(&self) -> MutexGuard<'_, DeskState> {
+    fn lock(&self) -> MutexGuard<'_, MailboxState> {
         // What lies there is valid whatever happened to its holder.
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -83,14 +88,14 @@
         let Some(requests) = self.permits.begin(now) else { return };
         if self.term.is_some() {
             let grants = self.grant_permits(now, requests);
-            self.permits.finish(grants);
+            self.permits.finish(now, grants);
             return;
         }
         let planner = self.planner().map(|(planner, _)| planner);
-        let (peers, desk) = (self.peers.clone(), self.permits.clone());
+        let (peers, mailbox) = (self.peers.clone(), self.permits.clone());
         tokio::spawn(async move {
             let grants = fetch(&peers, planner, requests).await;
-            desk.finish(grants.unwrap_or_default());
+            mailbox.finish(MonotonicClock.now(), grants.unwrap_or_default());
         });
     }
 
--- a/goldcrestramp-entry/src/shared.rs
+++ b/goldcrestramp-entry/src/shared.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    control::{LoadBook, NewsClock, PermitDesk},
+    control::{LoadBook, NewsClock, PermitMailbox},
     metrics::EntryMetrics,
 };
 
@@ -13,7 +13,7 @@
     /// What was asked for, told to the planning VM.
     pub loads: LoadBook,
     /// Permits for servers that name a limit.
-    pub permits: PermitDesk,
+    pub permits: PermitMailbox,
     /// What is counted.
     pub metrics: Arc<EntryMetrics>,
     /// The moment up to which the store's changes are known.
--- a/goldcrestramp-entry/src/traffic/permit.rs
+++ b/goldcrestramp-entry/src/traffic/permit.rs
@@ -78,11 +78,8 @@
         now: LocalTime,
         server: &ServerState,
     ) -> bool {
-        if server.allowance.borrow().limit().is_none() {
-            return true;
-        }
-        self.take_grants(now);
-        let place = self.place_at(server);
+        let Some(place) = self.limited_place(server) else { return true };
+        self.take_grants();
         server.allowance.borrow_mut().has_permit(now, place)
     }
 
@@ -92,23 +89,21 @@
         now: LocalTime,
         server: &ServerState,
     ) -> bool {
-        if server.allowance.borrow().limit().is_none() {
-            return true;
-        }
-        let place = self.place_at(server);
+        let Some(place) = self.limited_place(server) else { return true };
         server.allowance.borrow_mut().take(now, place)
     }
 
-    /// This VM's place among those that send to a server, in an order that
-    /// differs from server to server.
-    fn place_at(&self, server: &ServerState) -> FleetPlace {
+    /// This VM's place among those that send to a server that names a limit,
+    /// in an order that differs from server to server.
+    fn limited_place(&self, server: &ServerState) -> Option<FleetPlace> {
+        server.allowance.borrow().limit()?;
         let seed = xxh3_64(server.life.id.as_bytes());
         let weight = |vm: &str| xxh3_64_with_seed(vm.as_bytes(), seed);
         let own = weight(&self.settings.vm);
         let view = self.view();
         let before = |vm: &&VmRun| weight(&vm.vm) < own;
         let rank = view.vms.iter().filter(before).count();
-        FleetPlace { vms: view.vms.len(), rank }
+        Some(FleetPlace { vms: view.vms.len(), rank })
     }
 
     /// Asks for permits for so many requests.
@@ -123,11 +118,12 @@
         self.permits.request(now, &server.life, request);
     }
 
-    fn take_grants(&self, now: LocalTime) {
+    fn take_grants(&self) {
         let servers = self.servers.borrow();
-        for (life, grant) in self.permits.take_grants() {
-            if let Some(server) = servers.get(&life) {
-                server.allowance.borrow_mut().granted(now, grant);
+        for (came_at, grants) in self.permits.take_grants() {
+            for (life, grant) in grants {
+                let Some(server) = servers.get(&life) else { continue };
+                server.allowance.borrow_mut().granted(came_at, grant);
             }
         }
     }
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -18,7 +18,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    control::{LoadBook, NewsClock, PermitDesk},
+    control::{LoadBook, NewsClock, PermitMailbox},
     metrics::EntryMetrics,
     run::StopPhase,
     shared::SharedState,
@@ -42,7 +42,7 @@
 pub(crate) struct TrafficState {
     pub(crate) settings: Arc<NodeSettings>,
     pub(crate) loads: LoadBook,
-    pub(crate) permits: PermitDesk,
+    pub(crate) permits: PermitMailbox,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) clock: NewsClock,
     views: watch::Receiver<Arc<FleetView>>,
--- /dev/null
+++ b/goldcrestramp-entry/tests/permits.rs
@@ -0,0 +1,60 @@
+//! Permits on their way between the threads of a VM.
+
+use goldcrestramp_assignment::ServerLife;
+use goldcrestramp_decisions::{PermitGrant, PermitRequest};
+use goldcrestramp_entry::control::PermitMailbox;
+use goldcrestramp_types::{LocalTime, TimeSpan};
+
+fn at(millis: u64) -> LocalTime {
+    LocalTime::from_micros(1_000_000_000) + TimeSpan::from_millis(millis)
+}
+
+fn server() -> ServerLife {
+    let address = ([10, 0, 0, 9], 80).into();
+    ServerLife { id: "server".into(), started_ms: 5, address }
+}
+
+fn request(wanted: u32) -> PermitRequest {
+    let age = TimeSpan::from_millis(100);
+    PermitRequest { per_s: Some(3.0), age, wanted }
+}
+
+/// Guards against permits that lapse later when they are taken up later.
+#[test]
+fn permits_count_from_when_they_came() {
+    let mailbox = PermitMailbox::default();
+    mailbox.request(at(0), &server(), request(1));
+    let _asked = mailbox.begin(at(0));
+
+    mailbox.finish(at(50), vec![(server(), PermitGrant::Permits(1))]);
+
+    let grants = mailbox.take_grants();
+    assert_eq!(grants.len(), 1);
+    assert_eq!(grants[0].0, at(50));
+}
+
+/// Guards against old statements that pass for new ones.
+#[test]
+fn a_statement_ages_while_it_waits_to_be_asked() {
+    let mailbox = PermitMailbox::default();
+    mailbox.request(at(0), &server(), request(1));
+
+    let asked = mailbox.begin(at(70)).expect("something to ask");
+
+    assert_eq!(asked[0].1.age, TimeSpan::from_millis(170));
+}
+
+#[test]
+fn one_answer_is_awaited_at_a_time() {
+    let mailbox = PermitMailbox::default();
+    mailbox.request(at(0), &server(), request(1));
+    let first = mailbox.begin(at(0));
+    mailbox.request(at(10), &server(), request(2));
+
+    let second = mailbox.begin(at(10));
+
+    assert!(first.is_some());
+    assert!(second.is_none());
+    mailbox.finish(at(20), Vec::new());
+    assert!(mailbox.begin(at(20)).is_some());
+}
