--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -41,9 +41,8 @@
     pub(crate) way: ServerWay,
     /// Whether another server could answer too.
     pub(crate) replaceable: bool,
-    /// The token of the assignment by which it owns the key; 0: any server
-    /// may serve.
-    pub(crate) token: u64,
+    /// The token of the assignment by which it owns the request's key.
+    pub(crate) token: Option<u64>,
 }
 
 /// Where a request goes.
@@ -130,27 +129,15 @@
     let run = table.find(slice);
     let life = table.life(run.life);
     let since = state.token_since(service, run.token).unwrap_or(now);
-    let known = now.since(since);
     if run.phase == RunPhase::Releasing {
-        return unavailable(known);
-    }
-    if known < GRANT_WAY {
-        return Destination::Hold(GRANT_WAY.minus(known));
+        return unavailable(now.since(since));
     }
     let step = owner_step(denial, run.token, since, now);
     if let OwnerStep::AwaitChange { denied_for } = step {
         return unavailable(denied_for);
     }
-    if view.has_successor(life) {
-        let gone = view.leaving.get(&life.id);
-        return unavailable(gone.map_or(TimeSpan::ZERO, |g| now.since(*g)));
-    }
-    if let Some(leaving) = view.leaving.get(&life.id) {
-        let left = now.since(*leaving);
-        let served = state.settings.drain_limit.percent(LEAVING_PERCENT);
-        if left >= served {
-            return unavailable(left.minus(served));
-        }
+    if let Some(wait) = wait_for_life(state, view, now, life, since) {
+        return wait;
     }
     let entry = view.servers.get(&life.id);
     let entry = entry.map(|entry| &**entry);
@@ -164,7 +151,7 @@
         if !state.has_permit(now, &server) {
             return Destination::Permit(server);
         }
-        let token = run.token;
+        let token = Some(run.token);
         return Destination::Server(ChosenServer {
             server,
             way,
@@ -180,6 +167,28 @@
     }
 }
 
+/// Why nothing is sent to an owner that the table has named `since`, if so.
+fn wait_for_life(
+    state: &TrafficState,
+    view: &FleetView,
+    now: LocalTime,
+    life: &ServerLife,
+    since: LocalTime,
+) -> Option<Destination> {
+    let known = now.since(since);
+    if known < GRANT_WAY {
+        return Some(Destination::Hold(GRANT_WAY.minus(known)));
+    }
+    let leaving = view.leaving.get(&life.id);
+    let left = leaving.map(|leaving| now.since(*leaving));
+    if view.has_successor(life) {
+        return Some(unavailable(left.unwrap_or(TimeSpan::ZERO)));
+    }
+    let served = state.settings.drain_limit.percent(LEAVING_PERCENT);
+    let over = left.filter(|left| *left >= served)?;
+    Some(unavailable(over.minus(served)))
+}
+
 /// Whether the request's key was granted to another server than this one.
 pub(crate) fn has_other_owner(
     view: &FleetView,
@@ -257,7 +266,7 @@
                 server: Rc::clone(&chosen.server),
                 way: chosen.candidate.way,
                 replaceable: usable.len() > 1,
-                token: 0,
+                token: None,
             })
         }
         PoolChoice::Full => {
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -259,7 +259,8 @@
     }
     if matches!(end, AttemptEnd::Misdirected) {
         let denied_at = MonotonicClock.now();
-        progress.history.denial = Some(OwnerDenial { token, denied_at });
+        progress.history.denial =
+            token.map(|token| OwnerDenial { token, denied_at });
     }
     let again = matches!(end, AttemptEnd::NotRun | AttemptEnd::Misdirected);
     // Known now: told after the pause, its caller returns later for nothing.
