--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -22,8 +22,8 @@
 - [`AdmissionQueue`]: who is next when a slot becomes free.
 - [`attempt_timeout()`]: how long an answer is waited for.
 - [`PipelineGate`]: which pipelined requests are served at once.
-- [`RateLedger`], [`RateAllowance`]: who sends to a server that names the rate it
-  takes from all.
+- [`RateLedger`], [`RateAllowance`]: who sends to a server that names the
+  rate it takes from all.
 - [`SendBudget`]: how many sends beyond the first a VM may make.
 - [`server_share`]: what one VM may have under way at a server.
 - [`WorkEstimate`]: how long a server works on a request.
--- a/goldcrestramp-decisions/src/rate.rs
+++ b/goldcrestramp-decisions/src/rate.rs
@@ -5,9 +5,9 @@
 //! be one request in minutes for each VM and unused by most of them; a burst
 //! of one for each is many times what the server takes. So one VM, the
 //! planning one, issues permits from an account of each such server, and the
-//! others ask it for them when requests wait for one. A permit is for one send and
-//! lapses soon, so what is sent within any span is bounded by what was given
-//! out in it and shortly before.
+//! others ask it for them when requests wait for one. A permit is for one
+//! send and lapses soon, so what is sent within any span is bounded by what
+//! was given out in it and shortly before.
 
 use std::{collections::VecDeque, hash::Hash};
 
@@ -32,8 +32,9 @@
 /// Requests that wait for permits, for this time of a VM's equal part.
 const WAITING_S: f64 = 0.5;
 
-/// Without an issuer each VM may have saved one request up, so only so many
-/// of them send, and as many more as the server takes in this time.
+/// While nothing is heard of the issuer, each VM may save one request up and
+/// send it when the others do. So only this many VMs send, and as many more as
+/// the server takes requests in this time.
 const SENDERS_LEAST: f64 = 4.0;
 const SENDERS_S: f64 = 2.0;
 
