Let VMs choose among equal servers in different orders

Cause: all VMs list the servers of a service in the same order, and the first of those with the lowest cost is chosen. With 88 VMs that know little of the servers' load, all chose the same ones: their queues overflowed from the first tenth of a second on, and a server that is full never responds.

Change: each choice begins at a random server.

--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -296,10 +296,14 @@
     let untried =
         |server: &ServerCandidate| !tried.contains(&server.server.instance.id);
     let any_untried = servers.iter().any(untried);
-    let usable: Vec<&ServerCandidate> = servers
+    let mut usable: Vec<&ServerCandidate> = servers
         .iter()
         .filter(|server| untried(server) || !any_untried)
         .collect();
+    // All VMs list the servers in the same order; of equal servers each of
+    // them would choose the same one.
+    let start = rand::random_range(0..usable.len().max(1));
+    usable.rotate_left(start);
     let candidates = usable.iter().map(|server| server.candidate);
     let candidates: Vec<PoolCandidate> =
         candidates.map(|candidate| with_queue(candidate, waiting)).collect();
