Let a delay well before the target cost less than distance

Cause: a server was chosen by its expected delay plus the cost of the distance, however early the response would be.

Change: up to half of the target latency, a delay counts for a quarter.

--- a/goldcrestramp-decisions/src/pool.rs
+++ b/goldcrestramp-decisions/src/pool.rs
@@ -12,6 +12,11 @@
 
 use goldcrestramp_types::TimeSpan;
 
+/// Up to this share of the target latency, a delay counts as
+/// `EASY_COST_PERCENT` of its length.
+const EASY_PERCENT: u64 = 50;
+const EASY_COST_PERCENT: u64 = 25;
+
 /// How close a server is.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum ServerProximity {
@@ -81,8 +86,8 @@
     TooLate,
 }
 
-/// Chooses a server for a request with `remaining` time and a response of
-/// about `bytes`.
+/// Chooses a server for a request with `remaining` time, whose response has
+/// about `bytes` and should arrive within `target`.
 ///
 /// # Example
 ///
@@ -104,13 +109,15 @@
 ///     ..near
 /// };
 /// let remaining = TimeSpan::from_millis(1_000);
-/// let choice = choose_server(&[near, next], remaining, 1_500);
+/// let target = TimeSpan::from_millis(400);
+/// let choice = choose_server(&[near, next], remaining, target, 1_500);
 /// assert_eq!(choice, PoolChoice::Send(1));
 /// ```
 #[must_use]
 pub fn choose_server(
     candidates: &[PoolCandidate],
     remaining: TimeSpan,
+    target: TimeSpan,
     bytes: u64,
 ) -> PoolChoice {
     let mut best: Option<(TimeSpan, usize)> = None;
@@ -122,7 +129,7 @@
         if expected > remaining || candidate.limit == 0 {
             continue;
         }
-        let cost = cost_of(candidate, bytes);
+        let cost = cost_of(candidate, target, bytes);
         if best.is_none_or(|(lowest, _)| cost < lowest) {
             best = Some((cost, position));
         }
@@ -141,7 +148,11 @@
 
 /// The expected time until the response, as far as it depends on the choice,
 /// plus the cost of the distance.
-fn cost_of(candidate: &PoolCandidate, bytes: u64) -> TimeSpan {
+fn cost_of(
+    candidate: &PoolCandidate,
+    target: TimeSpan,
+    bytes: u64,
+) -> TimeSpan {
     let in_flight = candidate.in_flight as u64;
     let limit = candidate.limit.max(1) as u64;
     // Up to the limit requests use free slots for the first half, and then
@@ -152,5 +163,13 @@
     } else {
         200 + 100 * (in_flight - limit + 1) / limit
     };
-    candidate.latency.percent(percent).plus(candidate.proximity.cost(bytes))
+    let expected = candidate.latency.percent(percent);
+    delay_cost(expected, target).plus(candidate.proximity.cost(bytes))
+}
+
+/// The cost of a response after `expected`: a response well before the target
+/// latency is worth nearly as much to its caller as an earlier one.
+fn delay_cost(expected: TimeSpan, target: TimeSpan) -> TimeSpan {
+    let easy = expected.min(target.percent(EASY_PERCENT));
+    easy.percent(EASY_COST_PERCENT).plus(expected.minus(easy))
 }
--- a/goldcrestramp-decisions/tests/direct.rs
+++ b/goldcrestramp-decisions/tests/direct.rs
@@ -12,6 +12,9 @@
 
 const SECOND: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// The target latency of the requests.
+const TARGET: TimeSpan = TimeSpan::from_millis(400);
+
 fn at(millis: u64) -> LocalTime {
     LocalTime::from_micros(0) + TimeSpan::from_millis(millis)
 }
@@ -30,7 +33,7 @@
     let slow = candidate(ServerProximity::SameDomain, 0, 160);
     let fast =
         |in_flight| candidate(ServerProximity::SameDomain, in_flight, 80);
-    let choose = |a, b| choose_server(&[a, b], SECOND, 1_000);
+    let choose = |a, b| choose_server(&[a, b], SECOND, TARGET, 1_000);
 
     assert_eq!(choose(slow, fast(0)), PoolChoice::Send(1));
     assert_eq!(choose(slow, fast(3)), PoolChoice::Send(1));
@@ -45,7 +48,7 @@
 fn large_responses_stay_in_the_domain_and_small_ones_may_leave_it() {
     let near = candidate(ServerProximity::SameDomain, 3, 100);
     let other = candidate(ServerProximity::SameRegion, 0, 100);
-    let choose = |bytes| choose_server(&[near, other], SECOND, bytes);
+    let choose = |bytes| choose_server(&[near, other], SECOND, TARGET, bytes);
 
     assert_eq!(choose(90_000), PoolChoice::Send(0));
     assert_eq!(choose(3_000), PoolChoice::Send(1));
@@ -61,7 +64,7 @@
     };
     let remote = candidate(ServerProximity::Remote, 0, 100);
 
-    let choice = choose_server(&[suspended, remote], SECOND, 90_000);
+    let choice = choose_server(&[suspended, remote], SECOND, TARGET, 90_000);
 
     assert_eq!(choice, PoolChoice::Send(1));
 }
@@ -71,7 +74,26 @@
     let slow = candidate(ServerProximity::SameDomain, 0, 400);
     let remaining = TimeSpan::from_millis(300);
 
-    assert_eq!(choose_server(&[slow], remaining, 1), PoolChoice::TooLate);
+    let choice = choose_server(&[slow], remaining, TARGET, 1);
+
+    assert_eq!(choice, PoolChoice::TooLate);
+}
+
+/// Guards against downloads that cross the narrow link between regions while
+/// they would be early next to their callers. A target that is near lets them
+/// leave.
+#[test]
+fn a_download_waits_in_its_region_while_it_is_early() {
+    let near = candidate(ServerProximity::SameDomain, 8, 400);
+    let remote = candidate(ServerProximity::Remote, 0, 400);
+    let choose = |target_ms| {
+        let target = TimeSpan::from_millis(target_ms);
+        let remaining = TimeSpan::from_millis(5_000);
+        choose_server(&[near, remote], remaining, target, 90_000)
+    };
+
+    assert_eq!(choose(4_000), PoolChoice::Full);
+    assert_eq!(choose(400), PoolChoice::Send(1));
 }
 
 /// Every server fails for a minute, and each request would be retried by each
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -307,7 +307,9 @@
     let candidates = usable.iter().map(|server| server.candidate);
     let candidates: Vec<PoolCandidate> =
         candidates.map(|candidate| with_queue(candidate, waiting)).collect();
-    match choose_server(&candidates, request.remaining(now), bytes) {
+    let remaining = request.remaining(now);
+    let target = request.route.target_latency;
+    match choose_server(&candidates, remaining, target, bytes) {
         PoolChoice::Send(position) => {
             if waiting == 0 {
                 service.queue.borrow_mut().record_progress();
