Back off longer while the store does not serve a VM

Cause: while the store is away each VM renews its lease every 0.3 s and follows the store about every 0.6 s.

Leases on short terms, on which planning depends, are retried as before.

--- a/goldcrestramp-entry/src/control/lease.rs
+++ b/goldcrestramp-entry/src/control/lease.rs
@@ -53,8 +53,11 @@
 /// its terms.
 const TERMS_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The delay after a failure, before jitter.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// The delays after failures, before jitter. The first is short, because one
+/// lost response is not an outage. During an outage the calls of all VMs are
+/// refused and paid for, and a lease on long terms outlasts some failures.
+const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(300);
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Keeps a lease and this VM's entry alive until the actor stops.
 pub(crate) async fn keep_lease(
@@ -68,6 +71,7 @@
     let known = wanted.wait_for(Option::is_some);
     let _in_time = timeout(TERMS_TIMEOUT, known).await.is_ok();
     let mut current = None;
+    let mut delay = INITIAL_RETRY_DELAY;
     while control.is_connected() {
         let terms = wanted.borrow_and_update().unwrap_or(LeaseTerms::SHORT);
         let sent_at = MonotonicClock.now();
@@ -85,6 +89,7 @@
         match reply {
             Ok(lease) => {
                 current = lease.map(|lease| (lease, terms));
+                delay = INITIAL_RETRY_DELAY;
                 let proof = LeaseProof { lease, terms, sent_at };
                 if !control.send(proof).await.unwrap_or(false) {
                     return;
@@ -100,7 +105,10 @@
                     "[store] The lease was not opened or renewed: {failure}."
                 );
                 let jitter = rand::random_range(0.5..1.5);
-                sleep(RETRY_DELAY.mul_f64(jitter)).await;
+                sleep(delay.mul_f64(jitter)).await;
+                if terms == LeaseTerms::LONG {
+                    delay = (delay * 2).min(MAX_RETRY_DELAY);
+                }
             }
         }
     }
