Let each VM of a large fleet send to a few servers of a pool

Cause: where VMs are many and slots few, each VM sees each server idle; one request from each of 88 VMs overflows a server of two slots, and a full one never responds. Callers then wait for an answer that doesn't come, and an order whose outcome is unknown is not asked again.

Change: VMs and servers stand on a ring for each failure domain, and a VM sends to a window of it, so that each server gets requests from some four VMs. In its own region a window has three servers of a domain or more. A VM has one request in flight at each of them, a second one while responses come well before the target and two from each sender fit in a server's queue. A fleet with few VMs for its slots sends to all servers as before. The choice among a pool's servers has a file of its own.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -26,6 +26,7 @@
   for all of its senders.
 - [`ColdAllowance`]: which VMs send to a cold server, and how often.
 - [`AttemptBudget`]: limits the attempts beyond the first that a VM may make.
+- [`ServerWindow`]: which servers a VM of a large fleet sends to.
 - [`server_share`]: the requests that one VM may have in flight at a server.
 - [`WorkEstimate`]: how long a server works on a request.
 - [`denial_action`]: whether a request is retried at an owner that denied
@@ -58,6 +59,7 @@
 mod retry;
 mod round_robin;
 mod share;
+mod subset;
 mod times;
 mod work;
 
@@ -101,7 +103,8 @@
         RetryDecision, RetryPolicy,
     },
     round_robin::WeightedRoundRobin,
-    share::server_share,
+    share::{is_crowded, server_share, window_share},
+    subset::ServerWindow,
     times::ResponseTimes,
     work::WorkEstimate,
 };
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -57,7 +57,7 @@
 /// not an outage. All VMs reconnect at the same time, so jitter spreads
 /// each delay over half of its length.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(2_000);
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(2);
 
 /// The task that follows the store for the control actor.
 #[derive(Debug)]
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -13,8 +13,9 @@
 };
 use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
 
-use crate::control::{
-    load::ServiceLoad, speed::SpeedEstimates, term::instance_of,
+use crate::{
+    control::{load::ServiceLoad, speed::SpeedEstimates},
+    view::instance_of,
 };
 
 /// How long a grant is valid. A server that has ended and cannot be reached
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -25,7 +25,7 @@
     peers::PeerReply,
     records::{PLANNER_KEY, TABLE_PREFIX, table_key},
     store::StoreClient,
-    view::FleetView,
+    view::{FleetView, instance_of},
 };
 
 /// The first table of a service is created when no server has joined for this
@@ -176,15 +176,6 @@
     if warm.is_empty() { allowed.cloned().collect() } else { warm }
 }
 
-/// The instance of a server that has an entry.
-pub(crate) fn instance_of(entry: &ServerEntry) -> ServerInstance {
-    ServerInstance {
-        id: Arc::clone(&entry.id),
-        started_ms: entry.started_ms,
-        address: entry.address,
-    }
-}
-
 impl ControlActor {
     /// Plans the next tables, commits them, and sends the orders that are due.
     pub(crate) fn run_planner(&mut self, now: LocalTime) {
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -2,16 +2,16 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use goldcrestramp_adapter::{RouteEffect, ServerEntry};
+use goldcrestramp_adapter::ServerEntry;
 use goldcrestramp_assignment::{AssignmentPhase, ServerInstance};
 use goldcrestramp_decisions::{
-    DenialAction, OwnerDenial, PoolCandidate, PoolChoice, ResponseTimes,
-    ServerProximity, choose_server, denial_action,
+    DenialAction, OwnerDenial, ServerProximity, denial_action,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, TimeSpan};
 
 use crate::{
     traffic::{
+        pool::choose_pooled,
         reason::EndReason,
         request::RoutedRequest,
         server::{RequestQueue, ServerState},
@@ -266,126 +266,3 @@
     }
     Destination::Refused(EndReason::NoOwner)
 }
-
-/// Chooses the best server of a service.
-fn choose_pooled(
-    state: &TrafficState,
-    view: &FleetView,
-    request: &RoutedRequest,
-    now: LocalTime,
-    tried: &[Arc<str>],
-) -> Destination {
-    let ready = view.ready.get(&request.service);
-    let Some(ready) = ready.filter(|ready| !ready.is_empty()) else {
-        return Destination::Refused(EndReason::NoServer);
-    };
-    let service = state.service(&request.service);
-    let download = request.route.effect == RouteEffect::Download;
-    let bytes = service.bytes[usize::from(download)].get();
-    let waiting = service.queue.borrow().len();
-    let times = service.times.borrow();
-    let route = &request.route.name;
-    let regions = state.region_filter(view, &request.route);
-    let allowed = ready.iter().filter(|entry| regions.allows(&entry.domain));
-    let servers = allowed
-        .map(|entry| candidate_for(state, view, now, entry, route, &times));
-    let servers: Vec<ServerCandidate> = servers.collect();
-    if servers.is_empty() {
-        return Destination::Refused(EndReason::NoServerInRegion);
-    }
-    let untried =
-        |server: &ServerCandidate| !tried.contains(&server.server.instance.id);
-    let any_untried = servers.iter().any(untried);
-    let mut usable: Vec<&ServerCandidate> = servers
-        .iter()
-        .filter(|server| untried(server) || !any_untried)
-        .collect();
-    // All VMs list the servers in the same order; of equal servers each of
-    // them would choose the same one.
-    let start = rand::random_range(0..usable.len().max(1));
-    usable.rotate_left(start);
-    let candidates = usable.iter().map(|server| server.candidate);
-    let candidates: Vec<PoolCandidate> =
-        candidates.map(|candidate| with_queue(candidate, waiting)).collect();
-    let remaining = request.remaining(now);
-    let target = request.route.target_latency;
-    match choose_server(&candidates, remaining, target, bytes) {
-        PoolChoice::Send(position) => {
-            if waiting == 0 {
-                service.queue.borrow_mut().record_progress();
-            }
-            let chosen = usable[position];
-            Destination::Server(ChosenServer {
-                server: Rc::clone(&chosen.server),
-                proximity: chosen.candidate.proximity,
-                replaceable: usable.len() > 1,
-                token: None,
-            })
-        }
-        PoolChoice::Full => {
-            let slots = candidates.iter().map(|c| c.limit).sum::<usize>();
-            let latency = mean_latency(&candidates);
-            let queue = QueueKind::Service(Rc::clone(&service.queue));
-            Destination::Wait { queue, slots: slots.max(1), latency }
-        }
-        PoolChoice::TooLate => Destination::Refused(EndReason::TooLate),
-    }
-}
-
-/// A server and its inputs to the choice.
-struct ServerCandidate {
-    server: Rc<ServerState>,
-    candidate: PoolCandidate,
-}
-
-fn candidate_for(
-    state: &TrafficState,
-    view: &FleetView,
-    now: LocalTime,
-    entry: &ServerEntry,
-    route: &str,
-    service_times: &ResponseTimes,
-) -> ServerCandidate {
-    let instance = ServerInstance {
-        id: Arc::clone(&entry.id),
-        started_ms: entry.started_ms,
-        address: entry.address,
-    };
-    let proximity = state.proximity_to(entry);
-    let sharers = match proximity {
-        ServerProximity::SameDomain => view.vms_in(&entry.domain),
-        ServerProximity::SameRegion | ServerProximity::Remote => {
-            view.vms.len()
-        }
-    };
-    let server = state.server(now, &instance, Some(entry), sharers);
-    let latency = server.times.borrow().expected(route, service_times);
-    let has_permit = state.has_permit(now, &server);
-    if !has_permit {
-        state.request_permits(now, &server, 1);
-    }
-    let permitted =
-        has_permit && state.may_send_cold(now, view, entry, &server);
-    let candidate = PoolCandidate {
-        proximity,
-        limit: if permitted { server.limit(now) } else { 0 },
-        in_flight: server.in_flight(),
-        latency,
-    };
-    ServerCandidate { server, candidate }
-}
-
-/// Adds the queued requests to the requests in flight of a full candidate. All
-/// queued requests count, since each waits for the nearest server first.
-fn with_queue(candidate: PoolCandidate, waiting: usize) -> PoolCandidate {
-    if candidate.in_flight < candidate.limit {
-        return candidate;
-    }
-    let in_flight = candidate.in_flight + waiting;
-    PoolCandidate { in_flight, ..candidate }
-}
-
-fn mean_latency(candidates: &[PoolCandidate]) -> TimeSpan {
-    let sum: u64 = candidates.iter().map(|c| c.latency.as_micros()).sum();
-    TimeSpan::from_micros(sum / candidates.len().max(1) as u64)
-}
--- a/goldcrestramp-entry/src/traffic/cold.rs
+++ b/goldcrestramp-entry/src/traffic/cold.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_adapter::ServerEntry;
+use goldcrestramp_adapter::{ColdLimit, ServerEntry};
 use goldcrestramp_decisions::FleetPosition;
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -95,25 +95,6 @@
         allowance.may_send(now, self.started, position, limit.per_s())
     }
 
-    /// Records a request to a server, which may be cold.
-    pub(super) fn record_cold_send(
-        &self,
-        now: LocalTime,
-        view: &FleetView,
-        server: &ServerState,
-    ) {
-        let Some((position, _until)) = server.cold_position.get() else {
-            return;
-        };
-        let entry = view.servers.get(&server.instance.id);
-        let limit = entry.and_then(|entry| view.cold_limit(now, entry));
-        if let Some(limit) = limit {
-            let mut allowance = server.cold_allowance.get();
-            allowance.record_send(now, position, limit.per_s());
-            server.cold_allowance.set(allowance);
-        }
-    }
-
     /// The requests per second that the owner of keys accepts from all VMs
     /// while it is cold; `None` if it is warm, states no limit or owns no keys.
     ///
@@ -127,6 +108,22 @@
         let entry = view.servers.get(server)?;
         let routes = view.routes.as_ref();
         routes.filter(|routes| routes.is_sharded(&entry.service))?;
-        view.cold_limit(now, entry).map(|limit| limit.per_s())
+        view.cold_limit(now, entry).map(ColdLimit::per_s)
+    }
+}
+
+impl ServerState {
+    /// Records a request to this server, which may be cold.
+    pub(super) fn record_cold_send(&self, now: LocalTime, view: &FleetView) {
+        let Some((position, _until)) = self.cold_position.get() else {
+            return;
+        };
+        let entry = view.servers.get(&self.instance.id);
+        let limit = entry.and_then(|entry| view.cold_limit(now, entry));
+        if let Some(limit) = limit {
+            let mut allowance = self.cold_allowance.get();
+            allowance.record_send(now, position, limit.per_s());
+            self.cold_allowance.set(allowance);
+        }
     }
 }
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -13,12 +13,14 @@
 mod headers;
 mod listener;
 mod permit;
+mod pool;
 mod reason;
 mod request;
 mod response;
 mod serve;
 mod server;
 mod state;
+mod subset;
 mod wait;
 
 use std::{rc::Rc, sync::Arc};
--- /dev/null
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -0,0 +1,189 @@
+//! Chooses a server of a service that any of its servers may serve.
+
+use std::{rc::Rc, sync::Arc};
+
+use goldcrestramp_adapter::{RouteEffect, ServerEntry};
+use goldcrestramp_decisions::{
+    PoolCandidate, PoolChoice, ServerProximity, choose_server, window_share,
+};
+use goldcrestramp_types::{LocalTime, TimeSpan};
+
+use crate::{
+    traffic::{
+        choose::{ChosenServer, Destination, QueueKind},
+        reason::EndReason,
+        request::RoutedRequest,
+        server::ServerState,
+        state::{ServiceState, TrafficState},
+        subset::SubsetServer,
+    },
+    view::{FleetView, instance_of},
+};
+
+/// A server and its inputs to the choice.
+struct ServerCandidate {
+    server: Rc<ServerState>,
+    candidate: PoolCandidate,
+}
+
+/// The choice for one request.
+struct PoolRequest<'a> {
+    state: &'a TrafficState,
+    view: &'a FleetView,
+    service: &'a ServiceState,
+    request: &'a RoutedRequest,
+    now: LocalTime,
+}
+
+/// Chooses the best server of a service; the request was sent to those in
+/// `tried` already.
+pub(super) fn choose_pooled(
+    state: &TrafficState,
+    view: &FleetView,
+    request: &RoutedRequest,
+    now: LocalTime,
+    tried: &[Arc<str>],
+) -> Destination {
+    let ready = view.ready.get(&request.service);
+    if ready.is_none_or(Vec::is_empty) {
+        return Destination::Refused(EndReason::NoServer);
+    }
+    let service = state.service(&request.service);
+    let pool = PoolRequest { state, view, service: &service, request, now };
+    let servers = pool.candidates();
+    if servers.is_empty() {
+        return Destination::Refused(EndReason::NoServerInRegion);
+    }
+    let untried =
+        |server: &ServerCandidate| !tried.contains(&server.server.instance.id);
+    let any_untried = servers.iter().any(untried);
+    let mut usable: Vec<&ServerCandidate> = servers
+        .iter()
+        .filter(|server| untried(server) || !any_untried)
+        .collect();
+    // All VMs list the servers in the same order; of equal servers each of
+    // them would choose the same one.
+    let start = rand::random_range(0..usable.len().max(1));
+    usable.rotate_left(start);
+    pool.destination(&usable)
+}
+
+impl PoolRequest<'_> {
+    /// The servers that the request may be sent to.
+    fn candidates(&self) -> Vec<ServerCandidate> {
+        let regions = self.state.region_filter(self.view, &self.request.route);
+        let subset = self.state.subset(self.view, &self.request.service);
+        let near = subset.iter().filter(|s| regions.allows(&s.entry.domain));
+        let candidates: Vec<ServerCandidate> =
+            near.map(|server| self.subset_candidate(server)).collect();
+        if candidates.iter().any(|server| server.candidate.limit > 0) {
+            return candidates;
+        }
+        // Nothing can be sent to the subset, but another server may be idle.
+        let ready = self.view.ready.get(&self.request.service);
+        let ready = ready.into_iter().flatten();
+        let allowed = ready.filter(|entry| regions.allows(&entry.domain));
+        allowed.map(|entry| self.candidate(entry)).collect()
+    }
+
+    fn subset_candidate(&self, server: &SubsetServer) -> ServerCandidate {
+        let SubsetServer { entry, senders } = server;
+        let mut candidate = self.candidate(entry);
+        if let Some(senders) = senders {
+            let state = &candidate.server;
+            let latency = state.times.borrow().mean();
+            let target = self.request.route.target_latency;
+            let slots = entry.slots as usize;
+            state.share.set(window_share(slots, *senders, latency, target));
+            candidate.candidate.limit = self.limit(entry, state);
+        }
+        candidate
+    }
+
+    fn candidate(&self, entry: &ServerEntry) -> ServerCandidate {
+        let proximity = self.state.proximity_to(entry);
+        let sharers = match proximity {
+            ServerProximity::SameDomain => self.view.vms_in(&entry.domain),
+            ServerProximity::SameRegion | ServerProximity::Remote => {
+                self.view.vms.len()
+            }
+        };
+        let instance = instance_of(entry);
+        let server =
+            self.state.server(self.now, &instance, Some(entry), sharers);
+        let times = self.service.times.borrow();
+        let latency =
+            server.times.borrow().expected(&self.request.route.name, &times);
+        let candidate = PoolCandidate {
+            proximity,
+            limit: self.limit(entry, &server),
+            in_flight: server.in_flight(),
+            latency,
+        };
+        ServerCandidate { server, candidate }
+    }
+
+    /// The limit of this VM's requests in flight at a server; 0 if nothing may
+    /// be sent there now.
+    fn limit(&self, entry: &ServerEntry, server: &ServerState) -> usize {
+        let Self { state, view, now, .. } = *self;
+        if !state.has_permit(now, server) {
+            state.request_permits(now, server, 1);
+            return 0;
+        }
+        if !state.may_send_cold(now, view, entry, server) {
+            return 0;
+        }
+        server.limit(now)
+    }
+
+    /// The next step of the request among these servers.
+    fn destination(&self, usable: &[&ServerCandidate]) -> Destination {
+        let queue = &self.service.queue;
+        let waiting = queue.borrow().len();
+        let route = &self.request.route;
+        let download = route.effect == RouteEffect::Download;
+        let bytes = self.service.bytes[usize::from(download)].get();
+        let candidates = usable.iter().map(|server| server.candidate);
+        let candidates: Vec<PoolCandidate> =
+            candidates.map(|c| with_queue(c, waiting)).collect();
+        let remaining = self.request.remaining(self.now);
+        let target = route.target_latency;
+        match choose_server(&candidates, remaining, target, bytes) {
+            PoolChoice::Send(position) => {
+                if waiting == 0 {
+                    queue.borrow_mut().record_progress();
+                }
+                let chosen = usable[position];
+                Destination::Server(ChosenServer {
+                    server: Rc::clone(&chosen.server),
+                    proximity: chosen.candidate.proximity,
+                    replaceable: usable.len() > 1,
+                    token: None,
+                })
+            }
+            PoolChoice::Full => {
+                let slots = candidates.iter().map(|c| c.limit).sum::<usize>();
+                let latency = mean_latency(&candidates);
+                let queue = QueueKind::Service(Rc::clone(queue));
+                Destination::Wait { queue, slots: slots.max(1), latency }
+            }
+            PoolChoice::TooLate => Destination::Refused(EndReason::TooLate),
+        }
+    }
+}
+
+/// Adds the queued requests to the requests in flight of a full candidate. All
+/// queued requests count, since each waits for the nearest server first.
+fn with_queue(candidate: PoolCandidate, waiting: usize) -> PoolCandidate {
+    if candidate.in_flight < candidate.limit {
+        return candidate;
+    }
+    let in_flight = candidate.in_flight + waiting;
+    PoolCandidate { in_flight, ..candidate }
+}
+
+fn mean_latency(candidates: &[PoolCandidate]) -> TimeSpan {
+    let sum: u64 = candidates.iter().map(|c| c.latency.as_micros()).sum();
+    TimeSpan::from_micros(sum / candidates.len().max(1) as u64)
+}
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -239,7 +239,7 @@
     }
     progress.permit_wait_since = None;
     if request.slice.is_none() {
-        state.record_cold_send(now, &state.view(), &server);
+        server.record_cold_send(now, &state.view());
     }
     let service = state.service(&request.service);
     let queue = request.slice.is_none().then(|| Rc::clone(&service.queue));
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -27,6 +27,7 @@
     traffic::{
         cold::FleetMembers,
         server::{RequestQueue, ServerState},
+        subset::SubsetCache,
     },
     view::FleetView,
 };
@@ -80,6 +81,8 @@
     round_robins: RefCell<FastMap<Arc<str>, WeightedRoundRobin>>,
     arrivals: Cell<u64>,
     pub(super) started: LocalTime,
+    /// The servers that this VM sends to; cleared with each view.
+    pub(super) subsets: RefCell<SubsetCache>,
     /// The VMs that are known, for the choice of senders to cold servers.
     pub(super) members: RefCell<FleetMembers>,
     /// Since when each token of a table has been known, by service.
@@ -107,6 +110,7 @@
             arrivals: Cell::new(0),
             started: MonotonicClock.now(),
             members: RefCell::default(),
+            subsets: RefCell::default(),
             tokens: RefCell::default(),
         }
     }
@@ -130,6 +134,7 @@
     pub(crate) fn apply_view(&self, view: &FleetView) {
         let now = MonotonicClock.now();
         self.record_tokens(now, view);
+        self.subsets.borrow_mut().clear();
         self.members.borrow_mut().record(now, view);
         self.remove_unlisted_servers(view);
         for service in self.services.borrow().values() {
--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -164,6 +164,15 @@
     pub vms: Vec<VmInstance>,
 }
 
+/// The instance of a server that has an entry.
+pub(crate) fn instance_of(entry: &ServerEntry) -> ServerInstance {
+    ServerInstance {
+        id: Arc::clone(&entry.id),
+        started_ms: entry.started_ms,
+        address: entry.address,
+    }
+}
+
 /// The server that started last at each address.
 pub type AddressMap = FastMap<SocketAddr, Arc<ServerEntry>>;
 
