Answer what a stopping VM still waits for before it exits

Cause: when the grace period ended, the process exited and closed the connections of requests that still waited for a server.

Change: 0.3 s before the end of the grace period these requests are answered: not run if they were never sent, unknown otherwise.

The test fails without the change: the connection ends without a message.

--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -35,8 +35,11 @@
 /// would be killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
-/// The phase of a process's shutdown.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// The time to deliver the last responses within that margin.
+const LAST_RESPONSE_TIME: Duration = Duration::from_millis(150);
+
+/// The phase of a process's shutdown, in order.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum StopPhase {
     /// It accepts connections and serves requests.
     Serving,
@@ -44,6 +47,9 @@
     Draining,
     /// It accepts no new connection and closes each after its response.
     Closing,
+    /// Its grace period ends: it responds to what it has read and waits for no
+    /// server any more.
+    Expired,
 }
 
 /// The reason why a VM could not be started.
@@ -148,6 +154,10 @@
         () = traffic.wait_empty() => {}
         () = sleep_until(deadline) => {
             log::warn!("[stop] The grace period ends with open connections.");
+            phases.send_replace(StopPhase::Expired);
+            let last = deadline + LAST_RESPONSE_TIME;
+            // Callers whose responses are not delivered by then lose them.
+            let _in_time = timeout_at(last, traffic.wait_empty()).await;
         }
     }
     log::info!("[stop] This VM has shut down.");
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -64,7 +64,7 @@
 
 /// Waits until the process closes.
 async fn wait_for_close(phase: &mut watch::Receiver<StopPhase>) {
-    let closed = phase.wait_for(|phase| *phase == StopPhase::Closing).await;
+    let closed = phase.wait_for(|phase| *phase >= StopPhase::Closing).await;
     if closed.is_err() {
         // The process exits without a stop phase: there is nothing to wait
         // for.
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -67,7 +67,16 @@
         }
     };
     let mut progress = RequestProgress::default();
-    let end = match respond(state, &mut request, &mut progress).await {
+    let responded = tokio::select! {
+        biased;
+        responded = respond(state, &mut request, &mut progress) => responded,
+        () = state.wait_expired() => Err(EndReason::Timeout.into()),
+    };
+    if state.is_expired() {
+        // The outcome of an attempt that was given up is unknown.
+        progress.may_have_run |= progress.attempts > 0;
+    }
+    let end = match responded {
         Ok(response) => {
             state.metrics.record_end("answered");
             let elapsed = MonotonicClock.now().since(request.arrived);
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -130,6 +130,21 @@
         *self.phase.borrow() == StopPhase::Serving
     }
 
+    /// Whether this VM's grace period ends.
+    pub(crate) fn is_expired(&self) -> bool {
+        *self.phase.borrow() == StopPhase::Expired
+    }
+
+    /// Waits until this VM's grace period ends.
+    pub(crate) async fn wait_expired(&self) {
+        let mut phase = self.phase.clone();
+        let expired = phase.wait_for(|phase| *phase == StopPhase::Expired);
+        if expired.await.is_err() {
+            // The process exits without a stop phase.
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Applies a new view and wakes all queued requests.
     pub(crate) fn apply_view(&self, view: &FleetView) {
         let now = MonotonicClock.now();
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -2,12 +2,16 @@
 
 use std::time::Duration;
 
-use reqwest::Method;
+use reqwest::{
+    Method,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
 use rustix::process::Signal;
+use serde_json::json;
 use tokio::io::AsyncReadExt;
 
 use crate::{
-    cluster::{Cluster, POOLED, eventually},
+    cluster::{Cluster, POOLED, configuration, eventually},
     relay::{Relay, RelayBehavior},
     server::ServerBehavior,
     store::StoreStandin,
@@ -131,3 +135,35 @@
         .expect("response arrives");
     assert_eq!(response.status(), 200);
 }
+
+/// Guards against callers whose connection is closed without a response: a
+/// server that is overloaded never responds, and the VM's grace period ends
+/// before their deadline.
+#[tokio::test]
+async fn a_request_without_an_answer_is_told_so_before_the_process_exits() {
+    let mut cluster = Cluster::start(POOLED, 1, 1).await;
+    let mut patient = configuration(2, Some("/more/"));
+    patient["routes"]["order"]["timeout"] = json!("20s");
+    cluster.store.put("op/config", &patient);
+    eventually(async || cluster.get(0, "/more/all").await.status() == 200)
+        .await;
+    cluster.servers[0].set_behavior(ServerBehavior::Withholds);
+    let attempt = cluster.next_attempt();
+    let request = cluster.request(0, Method::POST, "/order/1", &attempt);
+    let deadline = HeaderMap::from_iter([(
+        HeaderName::from_static("x-deadline-ms"),
+        HeaderValue::from_static("20000"),
+    )]);
+    let request = request.headers(deadline);
+    let sent = tokio::spawn(request.send());
+    eventually(async || cluster.executions_of(&attempt) == 1).await;
+
+    cluster.nodes[0].signal(Signal::TERM);
+
+    let response = sent
+        .await
+        .expect("request task does not panic")
+        .expect("response arrives");
+    assert_eq!(response.status(), 504);
+    assert!(cluster.nodes[0].wait_for_exit().await.success());
+}
