Admit to a standing queue only what is expected well before its target

Cause: in a queue that is standing, a request was admitted if it was expected to be served just within its target latency. Work varies, so half of these were late, and each made those behind it wait.

Change: three quarters of the target are the bound.

--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -10,6 +10,11 @@
     state::{TrafficState, shorter},
 };
 
+/// In a standing queue, a request is admitted if it is expected to be served
+/// within this share of its target latency. Half of those that are expected
+/// just in time are late, and each delays all behind it.
+const ADMISSION_PERCENT: u64 = 75;
+
 /// Queued requests check the state this often: a suspended server accepts
 /// requests again without an event.
 const RECHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
@@ -74,7 +79,8 @@
     let expected = latency.percent(100 * (ahead + 1) / slots as u64);
     let standing = queue.with(|queue| queue.is_standing(now));
     let remaining = if standing {
-        shorter(request.remaining(now), request.target_remaining(now))
+        let target = request.target_remaining(now).percent(ADMISSION_PERCENT);
+        shorter(request.remaining(now), target)
     } else {
         request.remaining(now)
     };
