Find a VM's rank and a server's limit in one place each

A VM's position in an order on which all VMs agree was computed three times: for permits, for cold servers and for windows. Windows of servers computed each limit twice per request, once with a share that was replaced at once. The cold limit of an owner was looked up twice per request. A stopping VM asked for its phase after each request.

Now position_among serves all three, one path builds a candidate with its limit, the cold limit is looked up once, and the branch that gives a request up marks its attempt as unknown.

--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -21,9 +21,9 @@
 };
 
 /// A draining server, and one in a failure domain that is evacuated, gets no
-/// new requests after this share of the time that the settings allow. Its keys have been moved by then, unless no VM can
-/// plan at the moment. The rest of the time is for transit and for delays on
-/// the path.
+/// new requests after this share of the time that the settings allow. Its keys
+/// have been moved by then, unless no VM can plan at the moment. The rest of
+/// the time is for transit and for delays on the path.
 const DRAIN_SEND_PERCENT: u64 = 80;
 
 /// A new owner gets its first request this long after its table arrived: its
@@ -156,10 +156,7 @@
         if server.queue.borrow().is_empty() {
             server.queue.borrow_mut().record_progress();
         }
-        if state.cold_rate(now, &instance.id).is_some() {
-            let stated = server.allowance.borrow().limit();
-            state.set_rate(now, &server, stated);
-        }
+        state.apply_cold_rate(now, &server);
         if !state.has_permit(now, &server) {
             return Destination::Permit(server);
         }
--- a/goldcrestramp-entry/src/traffic/cold.rs
+++ b/goldcrestramp-entry/src/traffic/cold.rs
@@ -5,10 +5,12 @@
 use goldcrestramp_adapter::{ColdLimit, ServerEntry};
 use goldcrestramp_decisions::FleetPosition;
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    traffic::{server::ServerState, state::TrafficState},
+    traffic::{
+        position::position_among, server::ServerState, state::TrafficState,
+    },
     view::FleetView,
 };
 
@@ -47,23 +49,19 @@
     /// those of its failure domain, or all if there are none. The order
     /// differs from server to server.
     fn position(&self, vm: &str, server: &str, domain: &str) -> FleetPosition {
-        let seed = xxh3_64(server.as_bytes());
-        let weight = |vm: &str| xxh3_64_with_seed(vm.as_bytes(), seed);
         let is_near = |member: &FleetMember| *member.domain == *domain;
         let any_near = self.0.values().any(is_near);
-        let candidates = self.0.iter().filter(|(name, member)| {
-            !any_near || is_near(member) || ***name == *vm
-        });
-        let own = weight(vm);
-        let own_near = self.0.get(vm).is_some_and(is_near);
-        let (mut vms, mut rank) = (0, 0);
-        for (name, _member) in candidates {
-            vms += 1;
-            rank += usize::from(weight(name) < own);
+        let candidates = self.0.iter();
+        let candidates = candidates
+            .filter(|(_vm, member)| !any_near || is_near(member))
+            .map(|(vm, _member)| &**vm);
+        let seed = xxh3_64(server.as_bytes());
+        let position = position_among(vm, candidates, seed);
+        if any_near && !self.0.get(vm).is_some_and(is_near) {
+            // The last rank: a VM of another failure domain is never chosen.
+            return FleetPosition { rank: position.vms, ..position };
         }
-        // A VM of another failure domain is never chosen.
-        let rank = if any_near && !own_near { vms } else { rank };
-        FleetPosition { vms, rank }
+        position
     }
 }
 
@@ -96,7 +94,8 @@
     }
 
     /// The requests per second that the owner of keys accepts from all VMs
-    /// while it is cold; `None` if it is warm, states no limit or owns no keys.
+    /// while it is cold; `None` if it is warm, states no limit or owns no
+    /// keys.
     ///
     /// Only one server serves a key, so all VMs send to it, by permits.
     pub(super) fn cold_rate(
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod listener;
 mod permit;
 mod pool;
+mod position;
 mod reason;
 mod request;
 mod response;
--- a/goldcrestramp-entry/src/traffic/permit.rs
+++ b/goldcrestramp-entry/src/traffic/permit.rs
@@ -7,17 +7,15 @@
 use goldcrestramp_decisions::FleetPosition;
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::HeaderMap;
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
-
-use crate::{
-    records::VmInstance,
-    traffic::{
-        reason::EndReason,
-        request::RoutedRequest,
-        server::ServerState,
-        state::{TrafficState, shorter},
-        wait::RequestEnd,
-    },
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::traffic::{
+    position::position_among,
+    reason::EndReason,
+    request::RoutedRequest,
+    server::ServerState,
+    state::{TrafficState, shorter},
+    wait::RequestEnd,
 };
 
 /// How long a request waits for a permit. Permits arrive with the planning
@@ -61,20 +59,33 @@
                 return;
             }
         };
+        let cold = self.cold_rate(now, id);
+        let rate = rate.into_iter().chain(cold).reduce(f64::min);
         self.set_rate(now, server, rate);
     }
 
-    /// Applies the rate limit that a server states, or the lower one that it
-    /// has while it is cold.
-    pub(crate) fn set_rate(
+    /// Applies the limit of an owner while it is cold, unless it states a
+    /// lower one.
+    pub(crate) fn apply_cold_rate(
         &self,
         now: LocalTime,
         server: &ServerState,
-        stated: Option<f64>,
+    ) {
+        if let Some(cold) = self.cold_rate(now, &server.instance.id) {
+            let known = server.allowance.borrow().limit();
+            let rate = known.map_or(cold, |known| known.min(cold));
+            self.set_rate(now, server, Some(rate));
+        }
+    }
+
+    /// Applies a rate limit, and reports it if it has changed.
+    fn set_rate(
+        &self,
+        now: LocalTime,
+        server: &ServerState,
+        rate: Option<f64>,
     ) {
         let id = &server.instance.id;
-        let cold = self.cold_rate(now, id);
-        let rate = stated.into_iter().chain(cold).reduce(f64::min);
         let mut allowance = server.allowance.borrow_mut();
         if allowance.record_limit(now, rate) {
             match rate {
@@ -115,12 +126,9 @@
     fn fleet_position(&self, server: &ServerState) -> Option<FleetPosition> {
         server.allowance.borrow().limit()?;
         let seed = xxh3_64(server.instance.id.as_bytes());
-        let weight = |vm: &str| xxh3_64_with_seed(vm.as_bytes(), seed);
-        let own = weight(&self.settings.vm);
         let view = self.view();
-        let precedes = |vm: &&VmInstance| weight(&vm.vm) < own;
-        let rank = view.vms.iter().filter(precedes).count();
-        Some(FleetPosition { vms: view.vms.len(), rank })
+        let vms = view.vms.iter().map(|vm| &*vm.vm);
+        Some(position_among(&self.settings.vm, vms, seed))
     }
 
     /// Requests permits for `wanted` requests.
--- a/goldcrestramp-entry/src/traffic/pool.rs
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -15,7 +15,6 @@
         request::RoutedRequest,
         server::ServerState,
         state::{ServiceState, TrafficState},
-        subset::SubsetServer,
     },
     view::{FleetView, instance_of},
 };
@@ -75,7 +74,7 @@
         let subset = self.state.subset(self.view, &self.request.service);
         let near = subset.iter().filter(|s| regions.allows(&s.entry.domain));
         let candidates: Vec<ServerCandidate> =
-            near.map(|server| self.subset_candidate(server)).collect();
+            near.map(|s| self.candidate(&s.entry, s.senders)).collect();
         if candidates.iter().any(|server| server.candidate.limit > 0) {
             return candidates;
         }
@@ -83,34 +82,32 @@
         let ready = self.view.ready.get(&self.request.service);
         let ready = ready.into_iter().flatten();
         let allowed = ready.filter(|entry| regions.allows(&entry.domain));
-        allowed.map(|entry| self.candidate(entry)).collect()
+        allowed.map(|entry| self.candidate(entry, None)).collect()
     }
 
-    fn subset_candidate(&self, server: &SubsetServer) -> ServerCandidate {
-        let SubsetServer { entry, senders } = server;
-        let mut candidate = self.candidate(entry);
-        if let Some(senders) = senders {
-            let state = &candidate.server;
-            let latency = state.times.borrow().mean();
-            let target = self.request.route.target_latency;
-            let slots = entry.slots as usize;
-            state.share.set(window_share(slots, *senders, latency, target));
-            candidate.candidate.limit = self.limit(entry, state);
-        }
-        candidate
-    }
-
-    fn candidate(&self, entry: &ServerEntry) -> ServerCandidate {
+    /// A server with this VM's measurements. `senders` is the number of VMs
+    /// that send to it, if it is in this VM's window.
+    fn candidate(
+        &self,
+        entry: &ServerEntry,
+        senders: Option<usize>,
+    ) -> ServerCandidate {
         let proximity = self.state.proximity_to(entry);
-        let sharers = match proximity {
+        let sharers = senders.unwrap_or_else(|| match proximity {
             ServerProximity::SameDomain => self.view.vms_in(&entry.domain),
             ServerProximity::SameRegion | ServerProximity::Remote => {
                 self.view.vms.len()
             }
-        };
+        });
         let instance = instance_of(entry);
         let server =
             self.state.server(self.now, &instance, Some(entry), sharers);
+        if let Some(senders) = senders {
+            let latency = server.times.borrow().mean();
+            let target = self.request.route.target_latency;
+            let slots = entry.slots as usize;
+            server.share.set(window_share(slots, senders, latency, target));
+        }
         let times = self.service.times.borrow();
         let latency =
             server.times.borrow().expected(&self.request.route.name, &times);
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -70,12 +70,12 @@
     let responded = tokio::select! {
         biased;
         responded = respond(state, &mut request, &mut progress) => responded,
-        () = state.wait_expired() => Err(EndReason::Timeout.into()),
+        () = state.wait_expired() => {
+            // The outcome of an attempt that was given up is unknown.
+            progress.may_have_run |= progress.attempts > 0;
+            Err(EndReason::Timeout.into())
+        }
     };
-    if state.is_expired() {
-        // The outcome of an attempt that was given up is unknown.
-        progress.may_have_run |= progress.attempts > 0;
-    }
     let end = match responded {
         Ok(response) => {
             state.metrics.record_end("answered");
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -130,11 +130,6 @@
         *self.phase.borrow() == StopPhase::Serving
     }
 
-    /// Whether this VM's grace period ends.
-    pub(crate) fn is_expired(&self) -> bool {
-        *self.phase.borrow() == StopPhase::Expired
-    }
-
     /// Waits until this VM's grace period ends.
     pub(crate) async fn wait_expired(&self) {
         let mut phase = self.phase.clone();
--- a/goldcrestramp-entry/src/traffic/subset.rs
+++ b/goldcrestramp-entry/src/traffic/subset.rs
@@ -9,7 +9,10 @@
 use goldcrestramp_types::FastMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{traffic::state::TrafficState, view::FleetView};
+use crate::{
+    traffic::{position::position_among, state::TrafficState},
+    view::FleetView,
+};
 
 /// The VMs that send to each server of a crowded fleet, for each of its
 /// slots.
@@ -20,6 +23,9 @@
 /// to those is idle.
 const MIN_NEAR_SERVERS: usize = 3;
 
+/// The seed of the order of VMs on the ring.
+const WINDOW_SEED: u64 = 0;
+
 /// A server that this VM sends to.
 #[derive(Clone, Debug)]
 pub(super) struct SubsetServer {
@@ -45,20 +51,13 @@
             return Rc::clone(subset);
         }
         let ready = view.ready.get(service).map_or(&[][..], Vec::as_slice);
-        let position = self.fleet_rank(view);
+        let vms = view.vms.iter().map(|vm| &*vm.vm);
+        let position = position_among(&self.settings.vm, vms, WINDOW_SEED);
         let subset: Rc<[SubsetServer]> =
             subset_of(self, position, ready).into_iter().collect();
         subsets.insert(Arc::clone(service), Rc::clone(&subset));
         subset
     }
-
-    /// This VM's position among all VMs.
-    fn fleet_rank(&self, view: &FleetView) -> FleetPosition {
-        let own = xxh3_64(self.settings.vm.as_bytes());
-        let names = view.vms.iter().map(|vm| xxh3_64(vm.vm.as_bytes()));
-        let rank = names.filter(|hash| *hash < own).count();
-        FleetPosition { vms: view.vms.len(), rank }
-    }
 }
 
 fn subset_of(
