Share the request and the reply for changes between both forms

The basic form of the call and the one with an extension each listed the same fields, the received update listed them a third time, and both arms of the handler built the reply. Now SyncRequest and SyncReply serve both, and the extension is moved out of the reply instead of copied for each follower. The bytes of the basic form are the same.

--- a/goldcrestramp-entry/src/configuration.rs
+++ b/goldcrestramp-entry/src/configuration.rs
@@ -52,20 +52,15 @@
 }
 
 impl ConfigurationUpdate {
-    /// Returns the part that is sent beside the update.
+    /// Takes the part that is sent beside the update.
     #[must_use]
-    pub fn extension(&self) -> ConfigurationExtension {
-        self.extension.clone()
+    pub fn take_extension(&mut self) -> ConfigurationExtension {
+        std::mem::take(&mut self.extension)
     }
 
     /// Adds the part that was received beside the update.
-    #[must_use]
-    pub fn with_extension(
-        mut self,
-        extension: ConfigurationExtension,
-    ) -> Self {
+    pub fn set_extension(&mut self, extension: ConfigurationExtension) {
         self.extension = extension;
-        self
     }
 }
 
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -25,7 +25,10 @@
         update_as_of,
     },
     metrics::EntryMetrics,
-    peers::{KnownRevisions, PeerCall, PeerClient, PeerReply, ReceivedUpdate},
+    peers::{
+        KnownRevisions, PeerCall, PeerClient, PeerReply, SyncReply,
+        SyncRequest,
+    },
     records::VM_PREFIX,
     store::{StoreClient, StoreFailure},
 };
@@ -99,7 +102,7 @@
         let Some(received) = reply.and_then(PeerReply::into_update) else {
             return false;
         };
-        let ReceivedUpdate { update, age, held, fresh } = received;
+        let SyncReply { update, age, held, fresh } = received;
         let as_of = update_as_of(sent_at, held, age);
         let source = Some(address);
         let update = PeerUpdate { update, as_of, fresh, source };
@@ -170,7 +173,7 @@
             peers: self.peers.clone(),
             control: self.control.clone(),
             address,
-            call: PeerCall::Sync { known, wait },
+            call: PeerCall::Sync(SyncRequest { known, wait }),
             head_timeout,
         };
         self.followed = None;
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -2,7 +2,7 @@
 
 use goldcrestramp_adapter::StoreCall;
 use goldcrestramp_assignment::{PreviousPlanner, last_grant_sent};
-use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
 use xtra::{Actor, Context, Handler};
 
 use crate::{
@@ -288,18 +288,13 @@
     ) -> PeerReply {
         let now = now();
         match message {
-            PeerCall::BasicSync { known, .. } => {
-                let fresh = self.sync.may_be_followed(now, self.proof);
-                let update = self.update_since(&known);
-                let (age, held) = (self.sync.age(now), TimeSpan::ZERO);
-                PeerReply::BasicUpdate { update, age, held, fresh }
+            PeerCall::BasicSync(request) => {
+                PeerReply::BasicUpdate(self.sync_reply(now, &request.known))
             }
-            PeerCall::Sync { known, .. } => {
-                let fresh = self.sync.may_be_followed(now, self.proof);
-                let update = self.update_since(&known);
-                let extension = update.extension();
-                let (age, held) = (self.sync.age(now), TimeSpan::ZERO);
-                PeerReply::Update { update, extension, age, held, fresh }
+            PeerCall::Sync(request) => {
+                let mut reply = self.sync_reply(now, &request.known);
+                let extension = reply.take_extension();
+                PeerReply::Update(reply, extension)
             }
             PeerCall::Tables(update) => {
                 self.apply_tables(now, update);
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -1,7 +1,7 @@
 //! Chooses the source of a VM's store updates, builds updates for other VMs
 //! and applies theirs.
 
-use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 
 use crate::{
     configuration::ConfigurationUpdate,
@@ -12,7 +12,8 @@
         sync::{UpdateSource, update_as_of},
     },
     peers::{
-        KnownRevisions, PeerCall, PeerReply, ReceivedUpdate, StoreUpdate,
+        KnownRevisions, PeerCall, PeerReply, StoreUpdate, SyncReply,
+        SyncRequest,
     },
 };
 
@@ -58,8 +59,23 @@
         }
     }
 
+    /// The reply to a VM that requests the changes since the revisions in
+    /// `known`.
+    pub(crate) fn sync_reply(
+        &self,
+        now: LocalTime,
+        known: &KnownRevisions,
+    ) -> SyncReply {
+        SyncReply {
+            update: self.update_since(known),
+            age: self.sync.age(now),
+            held: TimeSpan::ZERO,
+            fresh: self.sync.may_be_followed(now, self.proof),
+        }
+    }
+
     /// The changes of the store for a VM that knows the revisions in `known`.
-    pub(crate) fn update_since(&self, known: &KnownRevisions) -> StoreUpdate {
+    fn update_since(&self, known: &KnownRevisions) -> StoreUpdate {
         let tables = self.history.update_for(&known.tables);
         let configuration =
             self.configurations.update_for(known.configuration);
@@ -143,15 +159,15 @@
         }
         let chosen = rand::random_range(0..others.len());
         let address = others[chosen].address;
-        let call =
-            PeerCall::Sync { known: self.known_revisions(), wait: false };
+        let known = self.known_revisions();
+        let call = PeerCall::Sync(SyncRequest { known, wait: false });
         let (peers, control) = (self.peers.clone(), self.address.clone());
         self.query_in_flight = true;
         tokio::spawn(async move {
             let sent_at = MonotonicClock.now();
             let reply = peers.call(address, &call).await;
             if let Some(received) = reply.and_then(PeerReply::into_update) {
-                let ReceivedUpdate { update, age, held, .. } = received;
+                let SyncReply { update, age, held, .. } = received;
                 let as_of = update_as_of(sent_at, held, age);
                 // The response does not show whether this VM reaches the
                 // store.
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -52,9 +52,9 @@
         address: SocketAddr,
         call: &PeerCall,
     ) -> Option<PeerReply> {
-        let head_timeout = match call.sync_inputs() {
-            Some((known, _)) if known.revision == 0 => SNAPSHOT_TIMEOUT,
-            Some((_, true)) => UPDATE_TIMEOUT,
+        let head_timeout = match call.sync_request() {
+            Some(sync) if sync.known.revision == 0 => SNAPSHOT_TIMEOUT,
+            Some(sync) if sync.wait => UPDATE_TIMEOUT,
             _ => CALL_TIMEOUT,
         };
         self.call_within(address, call, head_timeout).await
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -20,12 +20,7 @@
 pub enum PeerCall {
     /// Requests the changes of the store, as earlier builds do: they can't
     /// read an extension of the configuration.
-    BasicSync {
-        /// The revisions that the calling VM knows.
-        known: KnownRevisions,
-        /// Whether to wait for a change if there is none yet.
-        wait: bool,
-    },
+    BasicSync(SyncRequest),
     /// Replicates tables that were committed.
     Tables(Vec<TableUpdate>),
     /// Reports a VM's load to the planning VM.
@@ -39,28 +34,29 @@
     Permits(PermitRequests),
     /// Requests the changes of the store. A VM of an earlier build does not
     /// reply, and another one is followed.
-    Sync {
-        /// The revisions that the calling VM knows.
-        known: KnownRevisions,
-        /// Whether to wait for a change if there is none yet.
-        wait: bool,
-    },
+    Sync(SyncRequest),
 }
 
 impl PeerCall {
-    /// The revisions that the calling VM knows and whether the call waits for
-    /// changes, if it requests changes.
+    /// The request for changes of the store, if the call is one.
     #[must_use]
-    pub const fn sync_inputs(&self) -> Option<(&KnownRevisions, bool)> {
+    pub const fn sync_request(&self) -> Option<&SyncRequest> {
         match self {
-            Self::BasicSync { known, wait } | Self::Sync { known, wait } => {
-                Some((known, *wait))
-            }
+            Self::BasicSync(request) | Self::Sync(request) => Some(request),
             _ => None,
         }
     }
 }
 
+/// A request for the changes of the store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SyncRequest {
+    /// The revisions that the calling VM knows.
+    pub known: KnownRevisions,
+    /// Whether to wait for a change if there is none yet.
+    pub wait: bool,
+}
+
 /// The revisions up to which a VM knows the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct KnownRevisions {
@@ -102,35 +98,19 @@
 }
 
 impl StoreUpdate {
-    /// The extension of the configuration in the update.
-    #[must_use]
-    pub fn extension(&self) -> ConfigurationExtension {
+    /// The configuration in the update, if it has any.
+    const fn configuration(&mut self) -> Option<&mut ConfigurationUpdate> {
         match self {
-            Self::Unchanged => ConfigurationExtension::default(),
+            Self::Unchanged => None,
             Self::Delta { configuration, .. }
-            | Self::Snapshot { configuration, .. } => {
-                let update = configuration.as_ref();
-                update.map(ConfigurationUpdate::extension).unwrap_or_default()
-            }
-        }
-    }
-
-    /// Adds the extension that was received beside the update.
-    fn with_extension(mut self, extension: ConfigurationExtension) -> Self {
-        if let Self::Delta { configuration, .. }
-        | Self::Snapshot { configuration, .. } = &mut self
-        {
-            *configuration = configuration
-                .take()
-                .map(|update| update.with_extension(extension));
+            | Self::Snapshot { configuration, .. } => configuration.as_mut(),
         }
-        self
     }
 }
 
 /// The changes of the store as another VM knows them.
-#[derive(Clone, Debug)]
-pub struct ReceivedUpdate {
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct SyncReply {
     /// The changes themselves.
     pub update: StoreUpdate,
     /// The age of the replying VM's copy of the store.
@@ -142,6 +122,17 @@
     pub fresh: bool,
 }
 
+impl SyncReply {
+    /// Takes the extension of the configuration, which is sent beside it.
+    #[must_use]
+    pub fn take_extension(&mut self) -> ConfigurationExtension {
+        let configuration = self.update.configuration();
+        configuration
+            .map(ConfigurationUpdate::take_extension)
+            .unwrap_or_default()
+    }
+}
+
 /// The reply to a call.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerReply {
@@ -150,56 +141,33 @@
     /// The versions of the tables that the VM has now.
     Tables(Vec<TableRevision>),
     /// What has changed in the store, for a VM of an earlier build.
-    BasicUpdate {
-        /// The changes themselves.
-        update: StoreUpdate,
-        /// The age of the replying VM's copy of the store.
-        age: TimeSpan,
-        /// How long the call had waited for changes by then.
-        held: TimeSpan,
-        /// Whether the replying VM follows the store itself and its copy is
-        /// recent.
-        fresh: bool,
-    },
+    BasicUpdate(SyncReply),
     /// That instance does not plan and has no order in flight.
     SteppedDown,
     /// That instance still has orders in flight.
     Busy,
     /// The permits that were granted.
     Permits(PermitGrants),
-    /// What has changed in the store.
-    Update {
-        /// The changes themselves.
-        update: StoreUpdate,
-        /// The extension of the configuration in the update.
-        extension: ConfigurationExtension,
-        /// The age of the replying VM's copy of the store.
-        age: TimeSpan,
-        /// How long the call had waited for changes by then.
-        held: TimeSpan,
-        /// Whether the replying VM follows the store itself and its copy is
-        /// recent.
-        fresh: bool,
-    },
+    /// What has changed in the store, and the extension of the configuration
+    /// in it.
+    Update(SyncReply, ConfigurationExtension),
 }
 
 impl PeerReply {
     /// Records for how long a call for changes has waited.
     pub const fn set_held(&mut self, waited: TimeSpan) {
-        if let Self::BasicUpdate { held, .. } | Self::Update { held, .. } =
-            self
-        {
-            *held = waited;
+        if let Self::BasicUpdate(reply) | Self::Update(reply, _) = self {
+            reply.held = waited;
         }
     }
 
     /// The changes of the store, if the reply has any with their extension.
     #[must_use]
-    pub fn into_update(self) -> Option<ReceivedUpdate> {
-        let Self::Update { update, extension, age, held, fresh } = self else {
-            return None;
-        };
-        let update = update.with_extension(extension);
-        Some(ReceivedUpdate { update, age, held, fresh })
+    pub fn into_update(self) -> Option<SyncReply> {
+        let Self::Update(mut reply, extension) = self else { return None };
+        if let Some(configuration) = reply.update.configuration() {
+            configuration.set_extension(extension);
+        }
+        Some(reply)
     }
 }
--- a/goldcrestramp-entry/src/peers/mod.rs
+++ b/goldcrestramp-entry/src/peers/mod.rs
@@ -11,7 +11,8 @@
 pub use crate::peers::{
     client::PeerClient,
     message::{
-        KnownRevisions, PeerCall, PeerReply, ReceivedUpdate, StoreUpdate,
+        KnownRevisions, PeerCall, PeerReply, StoreUpdate, SyncReply,
+        SyncRequest,
     },
     server::{PeerSource, serve_peers},
 };
--- a/goldcrestramp-entry/src/peers/server.rs
+++ b/goldcrestramp-entry/src/peers/server.rs
@@ -52,8 +52,9 @@
         return status(StatusCode::BAD_REQUEST);
     };
     let arrived = MonotonicClock.now();
-    if let Some((known, true)) = call.sync_inputs() {
-        let newer = source.revisions.wait_for(|at| *at > known.revision);
+    if let Some(sync) = call.sync_request().filter(|sync| sync.wait) {
+        let known = sync.known.revision;
+        let newer = source.revisions.wait_for(|at| *at > known);
         // Without changes, the reply shows that this VM is alive.
         let _in_time = timeout(UPDATE_WAIT, newer).await;
     }
--- a/goldcrestramp-entry/tests/configurations.rs
+++ b/goldcrestramp-entry/tests/configurations.rs
@@ -189,11 +189,13 @@
 }
 
 /// The update as another VM receives it, with the extension beside it.
-fn received(update: &ConfigurationUpdate) -> ConfigurationUpdate {
-    let extension = postcard::to_allocvec(&update.extension());
+fn received(mut update: ConfigurationUpdate) -> ConfigurationUpdate {
+    let extension = postcard::to_allocvec(&update.take_extension());
     let extension = extension.expect("the extension encodes");
     let extension = postcard::from_bytes(&extension);
-    round_trip(update).with_extension(extension.expect("it decodes"))
+    let mut received = round_trip(&update);
+    received.set_extension(extension.expect("the extension decodes"));
+    received
 }
 
 /// Guards against a VM that serves a route in all regions because it has the
@@ -207,7 +209,7 @@
         let update = source.update_for(follower.known_revision());
 
         let update = update.expect("there is an update");
-        follower.apply_update(received(&update)).expect("it applies");
+        follower.apply_update(received(update)).expect("it applies");
 
         assert_eq!(newest(&follower), newest(&source));
     }
