--- a/goldcrestramp-decisions/src/admission.rs
+++ b/goldcrestramp-decisions/src/admission.rs
@@ -14,6 +14,11 @@
 /// exceeds the capacity, and not only in a short burst.
 const STANDING_AFTER: TimeSpan = TimeSpan::from_millis(300);
 
+/// In a standing queue, a request is admitted if it is expected to be served
+/// within this share of its target latency. Half of those that are expected
+/// just in time are late, and each delays all behind it.
+const ADMISSION_PERCENT: u64 = 75;
+
 /// The position of a request, the same in every queue that it joins.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct QueuePosition {
@@ -60,10 +65,26 @@
     /// In a standing queue, a request that can only be served late should be
     /// refused at once. If it were admitted, every request would be late,
     /// since each one waits for those before it until the end of its deadline.
-    pub fn is_standing(&mut self, now: LocalTime) -> bool {
+    fn is_standing(&mut self, now: LocalTime) -> bool {
         now.since(*self.waiting_since.get_or_insert(now)) >= STANDING_AFTER
     }
 
+    /// The time within which a request that has to wait must be expected to be
+    /// served, or it is refused; `target` is what remains of its target
+    /// latency, and `remaining` of its deadline.
+    pub fn admission_time(
+        &mut self,
+        now: LocalTime,
+        target: TimeSpan,
+        remaining: TimeSpan,
+    ) -> TimeSpan {
+        if self.is_standing(now) {
+            remaining.min(target.percent(ADMISSION_PERCENT))
+        } else {
+            remaining
+        }
+    }
+
     /// Records that a request did not have to wait.
     pub const fn record_progress(&mut self) {
         self.waiting_since = None;
--- a/goldcrestramp-decisions/tests/cold.rs
+++ b/goldcrestramp-decisions/tests/cold.rs
@@ -1,11 +1,15 @@
 //! A fleet keeps to what a cold server accepts from all VMs.
 
+mod random;
+
 use goldcrestramp_decisions::{
     ColdAllowance, FleetPosition, PermitGrant, PermitRequest, RateAllowance,
     RateLedger,
 };
 use goldcrestramp_types::{LocalTime, TimeSpan};
 
+use crate::random::next_number;
+
 /// The requests per second that the server accepts while it is cold.
 const PER_S: f64 = 3.3;
 
@@ -23,12 +27,6 @@
     LocalTime::from_micros(1_000_000_000) + TimeSpan::from_millis(millis)
 }
 
-/// Pseudo-random numbers, the same in each run.
-fn next_number(state: &mut u64) -> u64 {
-    *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-    *state >> 33
-}
-
 /// A policy by which the VMs of a fleet send to a cold server.
 trait SendPolicy {
     /// Whether a VM sends a request now.
--- a/goldcrestramp-decisions/tests/rate.rs
+++ b/goldcrestramp-decisions/tests/rate.rs
@@ -1,5 +1,7 @@
 //! A fleet keeps to the rate that a server accepts from all VMs.
 
+mod random;
+
 use std::collections::VecDeque;
 
 use goldcrestramp_decisions::{
@@ -7,6 +9,8 @@
 };
 use goldcrestramp_types::{LocalTime, TimeSpan};
 
+use crate::random::next_number;
+
 const SERVER: &str = "server";
 
 /// The latency from one VM to another and from a VM to the server.
@@ -101,12 +105,6 @@
     }
 }
 
-/// Pseudo-random numbers, the same in each run.
-fn next_number(state: &mut u64) -> u64 {
-    *state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
-    *state >> 33
-}
-
 fn simulate(scenario: RateScenario) -> SimArrivals {
     let mut vms = vec![SimVm::default(); scenario.vms];
     let mut ledger = RateLedger::default();
--- a/goldcrestramp-decisions/tests/share.rs
+++ b/goldcrestramp-decisions/tests/share.rs
@@ -2,7 +2,8 @@
 
 use std::collections::VecDeque;
 
-use goldcrestramp_decisions::server_share;
+use goldcrestramp_decisions::{server_share, window_share};
+use goldcrestramp_types::TimeSpan;
 
 /// The server: the requests that it runs at once, the length of its queue, and
 /// its service time. It never responds to requests beyond the queue.
@@ -90,3 +91,17 @@
         assert!(server_share(SLOTS, vms) * vms >= SLOTS);
     }
 }
+
+/// Guards against a VM that refuses callers while the servers of its window are
+/// idle, and against senders that together overflow a server's queue.
+#[test]
+fn a_second_request_in_a_window_needs_early_responses_and_room() {
+    let share = |senders, latency_ms| {
+        let latency = TimeSpan::from_millis(latency_ms);
+        window_share(2, senders, latency, TimeSpan::from_millis(1_200))
+    };
+
+    assert_eq!(share(5, 400), 2);
+    assert_eq!(share(5, 700), 1);
+    assert_eq!(share(6, 400), 1);
+}
--- a/goldcrestramp-decisions/tests/subset.rs
+++ b/goldcrestramp-decisions/tests/subset.rs
@@ -4,6 +4,8 @@
 //! slot, and never responds to any beyond that. VMs see only the responses to
 //! their own requests.
 
+mod random;
+
 use std::{cmp::Reverse, collections::BinaryHeap};
 
 use goldcrestramp_decisions::{
@@ -12,6 +14,8 @@
 };
 use goldcrestramp_types::TimeSpan;
 
+use crate::random::next_number;
+
 const SLOTS: usize = 2;
 const QUEUE: usize = 4 * SLOTS;
 
@@ -113,9 +117,7 @@
 
     /// A pseudo-random number below `end`, the same in each run.
     fn random(&mut self, end: u64) -> u64 {
-        let next = self.random.wrapping_mul(6_364_136_223_846_793_005);
-        self.random = next.wrapping_add(1);
-        (self.random >> 33) % end
+        next_number(&mut self.random) % end
     }
 
     fn run(mut self) -> CallerCounts {
--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -10,11 +10,6 @@
     state::{TrafficState, shorter},
 };
 
-/// In a standing queue, a request is admitted if it is expected to be served
-/// within this share of its target latency. Half of those that are expected
-/// just in time are late, and each delays all behind it.
-const ADMISSION_PERCENT: u64 = 75;
-
 /// Queued requests check the state this often: a suspended server accepts
 /// requests again without an event.
 const RECHECK_INTERVAL: TimeSpan = TimeSpan::from_millis(100);
@@ -77,14 +72,11 @@
     let position = request.position;
     let ahead = queue.with(|queue| queue.ahead_of(position)) as u64;
     let expected = latency.percent(100 * (ahead + 1) / slots as u64);
-    let standing = queue.with(|queue| queue.is_standing(now));
-    let remaining = if standing {
-        let target = request.target_remaining(now).percent(ADMISSION_PERCENT);
-        shorter(request.remaining(now), target)
-    } else {
-        request.remaining(now)
-    };
-    if expected.plus(latency) > remaining {
+    let target = request.target_remaining(now);
+    let remaining = request.remaining(now);
+    let admission_time =
+        queue.with(|queue| queue.admission_time(now, target, remaining));
+    if expected.plus(latency) > admission_time {
         let retry_after = expected.percent(rand::random_range(80..160));
         return Err(RequestEnd { reason: EndReason::Full, retry_after });
     }
