Name the regions in which servers may own keys

run_planner built the rule from three closures; OwnerRegions holds it, and a service without a ready server in its regions is one case of it. Three tests of the stop shared nine lines, which are now one function.

--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 
 use goldcrestramp_adapter::{
-    KeyCondition, ServerEntry, ServerPhase, StoreCall, StoreItem, StoreReply,
-    StoreTransaction, StoreWrite,
+    AllowedRegions, KeyCondition, ServerEntry, ServerPhase, StoreCall,
+    StoreItem, StoreReply, StoreTransaction, StoreWrite,
 };
 use goldcrestramp_assignment::{
     AssignmentTable, HolderStatus, OrderKind, OrderOutcome, ServerInstance,
 };
 use goldcrestramp_decisions::RateLedger;
-use goldcrestramp_types::{FastSet, LocalTime, TimeSpan};
+use goldcrestramp_types::{FastMap, FastSet, LocalTime, TimeSpan};
 use xtra::Address;
 
 use crate::{
@@ -131,7 +131,7 @@
 fn holder_status(
     view: &FleetView,
     uncertain: bool,
-    may_own: impl Fn(&ServerEntry) -> bool,
+    owners: &OwnerRegions<'_>,
     instance: &ServerInstance,
 ) -> HolderStatus {
     let own = view.servers.get(&instance.id);
@@ -141,7 +141,7 @@
         let leaving = drains
             || entry.started_ms != instance.started_ms
             || view.evacuated.contains_key(&entry.domain)
-            || !may_own(entry);
+            || !owners.include(entry);
         return if leaving {
             HolderStatus::Leaving
         } else {
@@ -161,15 +161,43 @@
     }
 }
 
+/// The regions in which servers may own a service's keys.
+struct OwnerRegions<'a> {
+    /// The region of each failure domain.
+    regions: &'a FastMap<Arc<str>, Arc<str>>,
+    allowed: AllowedRegions,
+}
+
+impl<'a> OwnerRegions<'a> {
+    /// The regions that all routes to a service allow. Without a ready server
+    /// there, keys stay in the others, which may serve some of the routes.
+    fn new(
+        regions: &'a FastMap<Arc<str>, Arc<str>>,
+        allowed: AllowedRegions,
+        ready: &[Arc<ServerEntry>],
+    ) -> Self {
+        let owners = Self { regions, allowed };
+        if ready.iter().any(|entry| owners.include(entry)) {
+            return owners;
+        }
+        Self { allowed: AllowedRegions::default(), ..owners }
+    }
+
+    fn include(&self, entry: &ServerEntry) -> bool {
+        let region = self.regions.get(&entry.domain);
+        self.allowed.allows(region.map(|region| &**region))
+    }
+}
+
 /// The servers that keys are assigned to: those that are warm, or all if none
 /// is.
 fn owner_candidates(
     now: LocalTime,
     view: &FleetView,
     ready: &[Arc<ServerEntry>],
-    may_own: impl Fn(&ServerEntry) -> bool,
+    owners: &OwnerRegions<'_>,
 ) -> Vec<Arc<ServerEntry>> {
-    let allowed = ready.iter().filter(|entry| may_own(entry));
+    let allowed = ready.iter().filter(|entry| owners.include(entry));
     let is_warm =
         |entry: &&Arc<ServerEntry>| view.cold_limit(now, entry).is_none();
     let warm: Vec<_> = allowed.clone().filter(is_warm).cloned().collect();
@@ -191,19 +219,11 @@
         for name in routes.sharded() {
             let ready = view.ready.get(name).map_or(&[][..], Vec::as_slice);
             let allowed = routes.service_regions(name);
-            let in_region = |entry: &ServerEntry| {
-                let region = self.regions.get(&entry.domain);
-                allowed.allows(region.map(|region| &**region))
-            };
-            let any_in_region = ready.iter().any(|entry| in_region(entry));
-            // Without a server in these regions, keys stay where they are for
-            // the routes that may be served there.
-            let may_own =
-                |entry: &ServerEntry| !any_in_region || in_region(entry);
+            let owners = OwnerRegions::new(&self.regions, allowed, ready);
             let status_of = |instance: &ServerInstance| {
-                holder_status(&view, uncertain, may_own, instance)
+                holder_status(&view, uncertain, &owners, instance)
             };
-            let targets = owner_candidates(now, &view, ready, may_own);
+            let targets = owner_candidates(now, &view, ready, &owners);
             let key = table_key(name);
             if !term.services.contains_key(name) {
                 let Some(item) = self.mirror.get(&key) else {
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use reqwest::{
-    Method,
+    Method, RequestBuilder, Response,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
 use rustix::process::Signal;
@@ -17,6 +17,19 @@
     store::StoreStandin,
 };
 
+/// Sends a request, stops the first VM while a server runs it, and returns the
+/// response.
+async fn stop_while_running(
+    cluster: &Cluster,
+    attempt: &str,
+    request: RequestBuilder,
+) -> Response {
+    let sent = tokio::spawn(request.send());
+    eventually(async || cluster.executions_of(attempt) == 1).await;
+    cluster.nodes[0].signal(Signal::TERM);
+    sent.await.expect("request task does not panic").expect("response arrives")
+}
+
 /// Guards against lost responses on SIGTERM. The response of an order in
 /// flight is delivered with `Connection: close`, and the process then exits
 /// successfully.
@@ -27,15 +40,9 @@
     cluster.servers[0].set_behavior(ServerBehavior::Responds(work));
     let attempt = cluster.next_attempt();
     let request = cluster.request(0, Method::POST, "/order/1", &attempt);
-    let sent = tokio::spawn(request.send());
-    eventually(async || cluster.executions_of(&attempt) == 1).await;
 
-    cluster.nodes[0].signal(Signal::TERM);
+    let response = stop_while_running(&cluster, &attempt, request).await;
 
-    let response = sent
-        .await
-        .expect("request task does not panic")
-        .expect("response arrives");
     assert_eq!(response.status(), 200);
     assert_eq!(response.headers()["connection"], "close");
     assert!(cluster.nodes[0].wait_for_exit().await.success());
@@ -85,15 +92,9 @@
     }
     let attempt = cluster.next_attempt();
     let request = cluster.request(0, Method::GET, "/list/all", &attempt);
-    let sent = tokio::spawn(request.send());
-    eventually(async || cluster.executions_of(&attempt) == 1).await;
 
-    cluster.nodes[0].signal(Signal::TERM);
+    let response = stop_while_running(&cluster, &attempt, request).await;
 
-    let response = sent
-        .await
-        .expect("request task does not panic")
-        .expect("response arrives");
     assert_eq!(response.status(), 200);
     assert_eq!(cluster.executions_of(&attempt), 1);
 }
@@ -155,15 +156,9 @@
         HeaderValue::from_static("20000"),
     )]);
     let request = request.headers(deadline);
-    let sent = tokio::spawn(request.send());
-    eventually(async || cluster.executions_of(&attempt) == 1).await;
 
-    cluster.nodes[0].signal(Signal::TERM);
+    let response = stop_while_running(&cluster, &attempt, request).await;
 
-    let response = sent
-        .await
-        .expect("request task does not panic")
-        .expect("response arrives");
     assert_eq!(response.status(), 504);
     assert!(cluster.nodes[0].wait_for_exit().await.success());
 }
