Read the store once for each failure domain when a fleet starts at once

At a simultaneous start no VM finds the entries of the others, so each takes itself for the first of its domain and reads the full store. On top, 150 far VMs read a list of all 300 VMs (158 KB), which alone takes six seconds of a link of 30 Mbit/s. Watches then time out, and a VM that the store does not serve asks only the store, so the link stays full for good.

Change: a VM reads the entries of its own failure domain alone; their keys name the domain. One that finds no better VM reads them again once its own entry is in the store. It gets the contents from the best VM of its domain that responds, in order of rank, and waits for 2 s on one that has none yet. Only without such a VM does it read the full store.

Tried besides and not kept: the first VM of each domain follows the planning VM instead of the store, so that heartbeats do not cross to each domain of the far region. It makes all domains depend on one VM for that.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -378,6 +378,7 @@
         self.lease_terms = terms;
         if lease.is_some() {
             self.proof = self.proof.max(sent_at);
+            self.sync.record_registration();
         }
         let Some(term) = &mut self.term else { return };
         if lease == Some(term.lease) {
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -29,7 +29,6 @@
         KnownRevisions, PeerCall, PeerClient, PeerReply, SyncReply,
         SyncRequest,
     },
-    records::VM_PREFIX,
     store::{StoreClient, StoreFailure},
 };
 
@@ -56,6 +55,9 @@
 /// second.
 const HEDGE_DELAY: Duration = Duration::from_millis(1_200);
 
+/// How often a starting VM checks whether its own entry is in the store.
+const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Delays after a failure. The first is short, because one lost response is
 /// not an outage. All VMs reconnect at the same time, so jitter spreads
 /// each delay over half of its length.
@@ -69,6 +71,8 @@
     pub(crate) peers: PeerClient,
     pub(crate) control: Address<ControlActor>,
     pub(crate) metrics: Arc<EntryMetrics>,
+    /// The prefix of the keys of this failure domain's VMs.
+    pub(crate) vm_prefix: Arc<str>,
     /// The VM that responded to the last call.
     pub(crate) followed: Option<SocketAddr>,
     /// The call whose response was too slow to wait for; it may still be in
@@ -137,6 +141,10 @@
             UpdateSource::Peer(address, _revision) => {
                 return self.query_peer(address, step.known).await;
             }
+            UpdateSource::AwaitEntry => {
+                sleep(ENTRY_CHECK_INTERVAL).await;
+                return Ok(true);
+            }
             UpdateSource::StoreVms => self.read_vms().await?,
             UpdateSource::FullStore => self.read_all().await?,
             UpdateSource::StoreChanges(after) => self.watch(after).await?,
@@ -206,7 +214,7 @@
     async fn read_vms(
         &self,
     ) -> Result<Result<(), StoreFailure>, ActorStopped> {
-        match self.store.read_all(VM_PREFIX).await {
+        match self.store.read_all(&self.vm_prefix).await {
             Ok(page) => self.notify(VmPage(page)).await.map(Ok),
             Err(failure) => Ok(Err(failure)),
         }
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -69,7 +69,7 @@
     async fn handle(&mut self, VmPage(page): VmPage, _: &mut Context<Self>) {
         let now = now();
         self.sync.record_response(now);
-        self.sync.record_read();
+        self.sync.record_vms(now);
         for item in page.items {
             self.mirror.write(item);
         }
--- a/goldcrestramp-entry/src/control/lease.rs
+++ b/goldcrestramp-entry/src/control/lease.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     control::{ControlActor, message::LeaseProof},
-    records::{VmInstance, vm_key},
+    records::VmInstance,
     store::{StoreClient, StoreFailure},
 };
 
@@ -124,8 +124,7 @@
     let StoreReply::Leased { lease, .. } = reply else {
         return Err(StoreFailure::Unknown);
     };
-    let write =
-        StoreWrite { key: vm_key(&me.vm), value: me.encode().into(), lease };
+    let write = StoreWrite { key: me.key(), value: me.encode().into(), lease };
     let transaction =
         StoreTransaction { conditions: Vec::new(), writes: vec![write] };
     match store.call(&StoreCall::Commit(transaction)).await? {
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod service;
 mod source;
 mod speed;
+mod start;
 mod sync;
 mod tables;
 mod term;
@@ -32,7 +33,7 @@
     lease::LeaseTerms,
     load::{LoadRecorder, LoadReport, ResponseTotals, ServiceLoad},
     permits::{PermitGrants, PermitMailbox, PermitRequests},
-    ranking::{fallback_vms, is_large, source_vms},
+    ranking::{fallback_vms, is_large, source_vms, starting_vms},
     sync::{FreshnessClock, SyncState, UpdateSource, update_as_of},
 };
 use crate::{
@@ -41,7 +42,7 @@
         message::StopControl, service::GRANT_DURATION,
     },
     peers::{PeerClient, PeerSource, serve_peers},
-    records::VmInstance,
+    records::{VmInstance, domain_prefix},
     shared::SharedState,
     store::StoreClient,
     view::FleetView,
@@ -92,6 +93,7 @@
         peers: PeerClient::open(),
         control: address.clone(),
         metrics: shared.metrics,
+        vm_prefix: domain_prefix(&me.domain),
         followed: None,
         slow_response: None,
     };
--- a/goldcrestramp-entry/src/control/ranking.rs
+++ b/goldcrestramp-entry/src/control/ranking.rs
@@ -78,6 +78,22 @@
     sources
 }
 
+/// The VMs that may hand the store's contents to `me` while it starts, best
+/// first: the better-ranked ones of its failure domain, the only ones that it
+/// knows then.
+#[must_use]
+pub fn starting_vms<'a>(
+    me: &VmInstance,
+    vms: &'a [VmInstance],
+) -> Vec<&'a VmInstance> {
+    let is_better = |vm: &&VmInstance| {
+        vm.domain == me.domain && vm.duty_rank() > me.duty_rank()
+    };
+    let mut better: Vec<&VmInstance> = vms.iter().filter(is_better).collect();
+    better.sort_unstable_by_key(|vm| Reverse(vm.duty_rank()));
+    better
+}
+
 /// The VMs that `me` may query when its own sources fail: the other large
 /// ones, whose updates come from the store or from one VM that follows it. If
 /// there are none, all other VMs.
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -8,7 +8,7 @@
     control::{
         ControlActor,
         message::{PeerQueryEnded, PeerUpdate},
-        ranking::{fallback_vms, source_vms},
+        ranking::{fallback_vms, source_vms, starting_vms},
         sync::{UpdateSource, update_as_of},
     },
     peers::{
@@ -39,12 +39,15 @@
     /// to follow use the store; all others use another VM.
     pub(crate) fn next_source(&mut self, now: LocalTime) -> UpdateSource {
         let revision = self.mirror.revision();
-        let sources = if self.term.is_none() {
+        let vms = &self.view.vms;
+        let sources = if self.term.is_some() {
+            Vec::new()
+        } else if revision == 0 {
+            starting_vms(&self.me, vms)
+        } else {
             let region = self.regions.get(&self.me.domain);
             let is_near = |domain: &str| self.regions.get(domain) == region;
-            source_vms(&self.me, &self.view.vms, is_near)
-        } else {
-            Vec::new()
+            source_vms(&self.me, vms, is_near)
         };
         let peers = sources.into_iter().map(|vm| vm.address);
         self.sync.next(now, revision, peers)
--- a/goldcrestramp-entry/src/control/sync.rs
+++ b/goldcrestramp-entry/src/control/sync.rs
@@ -11,6 +11,8 @@
 
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 
+use crate::control::start::{StartPhase, StartStep};
+
 /// How long the store must be without a response to count as an outage: longer
 /// than a lost response and its retry.
 const MIN_OUTAGE: TimeSpan = TimeSpan::from_millis(600);
@@ -33,6 +35,11 @@
 /// arrive in this time.
 const MAX_STALE_TIME: TimeSpan = TimeSpan::from_millis(700);
 
+/// How long a VM without any contents follows a VM that has none either. The
+/// full store takes this long to cross a link between regions that several VMs
+/// share.
+const MAX_EMPTY_TIME: TimeSpan = TimeSpan::from_millis(2_000);
+
 /// The store counts as unresponsive when the last call that it responded to
 /// was sent this long ago: two renewals of the lease.
 ///
@@ -52,7 +59,9 @@
 /// The source from which changes are followed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum UpdateSource {
-    /// Reads only the VMs' entries from the store.
+    /// Waits until this VM's own entry is in the store.
+    AwaitEntry,
+    /// Reads only the entries of the failure domain's VMs from the store.
     StoreVms,
     /// Reads the full store.
     FullStore,
@@ -62,15 +71,15 @@
     Peer(SocketAddr, u64),
 }
 
-/// What has been read from the store.
+/// The state of a VM's copy of the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-enum ReadState {
-    /// Nothing.
+enum CopyState {
+    /// Nothing was read yet.
+    Empty,
+    /// Changes after its revision are requested.
     #[default]
-    Unread,
-    /// The VMs' entries, or everything.
-    VmsKnown,
-    /// The history after the known revision is lost.
+    Followed,
+    /// The store's history after its revision is lost.
     HistoryLost,
 }
 
@@ -129,8 +138,8 @@
     unavailable: bool,
     /// Whether this VM follows the store itself.
     follows_store: bool,
-    /// What has been read from the store.
-    read_state: ReadState,
+    start: StartPhase,
+    copy: CopyState,
     /// The VMs that could not be followed, with the time of the failure.
     failed_peers: FastMap<SocketAddr, LocalTime>,
     /// The followed VM whose updates are not fresh, and since when.
@@ -200,12 +209,22 @@
     /// Records that the changes after the known revision are no longer
     /// available.
     pub const fn record_history_loss(&mut self) {
-        self.read_state = ReadState::HistoryLost;
+        self.copy = CopyState::HistoryLost;
+    }
+
+    /// Records that the entries of the failure domain's VMs were read.
+    pub fn record_vms(&mut self, now: LocalTime) {
+        self.start.record_vms(now);
+    }
+
+    /// Records that this VM's own entry is in the store.
+    pub const fn record_registration(&mut self) {
+        self.start.record_registration();
     }
 
-    /// Records that the other VMs' entries, or everything, was read.
+    /// Records that the full store was read.
     pub const fn record_read(&mut self) {
-        self.read_state = ReadState::VmsKnown;
+        self.copy = CopyState::Followed;
     }
 
     /// Records that a VM did not respond.
@@ -229,7 +248,12 @@
         let known = self.stale_peer.filter(|(stale, _since)| *stale == peer);
         let (_peer, since) =
             *self.stale_peer.insert(known.unwrap_or((peer, now)));
-        if now.since(since) >= MAX_STALE_TIME {
+        let limit = if self.copy == CopyState::Empty {
+            MAX_EMPTY_TIME
+        } else {
+            MAX_STALE_TIME
+        };
+        if now.since(since) >= limit {
             self.record_peer_failure(now, peer);
         }
     }
@@ -241,36 +265,54 @@
     /// If all VMs that follow a VM followed the store while that VM restarts,
     /// each would receive the heartbeats of all servers. They would fill the
     /// link between regions, and more VMs would lose the VM that they follow.
-    ///
-    /// A starting VM reads only the VMs' entries, and gets the rest from one
-    /// of those VMs. If a large fleet starts at once and each VM reads the
-    /// full store, the reads fill the link between the regions: no read ends
-    /// within its timeout, all start again, and no server is reached.
     pub fn next(
         &mut self,
         now: LocalTime,
         revision: u64,
         mut peers: impl Iterator<Item = SocketAddr>,
     ) -> UpdateSource {
-        if revision == 0 && self.read_state == ReadState::Unread {
-            self.follows_store = true;
-            return UpdateSource::StoreVms;
-        }
         self.failed_peers
             .retain(|_peer, at| now.since(*at) < PEER_RETRY_DELAY);
-        let lost = self.read_state == ReadState::HistoryLost;
-        let usable = !self.unavailable && !lost;
         let failed = &self.failed_peers;
         let peer = peers.find(|peer| !failed.contains_key(peer));
-        let peer = peer.filter(|_peer| usable);
-        self.follows_store = peer.is_none();
-        match peer {
+        let source = if revision == 0 {
+            self.copy = CopyState::Empty;
+            self.next_at_start(now, peer)
+        } else {
+            self.next_after_start(peer, revision)
+        };
+        self.follows_store = !matches!(source, UpdateSource::Peer(..));
+        source
+    }
+
+    fn next_after_start(
+        &mut self,
+        peer: Option<SocketAddr>,
+        revision: u64,
+    ) -> UpdateSource {
+        if self.copy == CopyState::HistoryLost {
+            return UpdateSource::FullStore;
+        }
+        self.copy = CopyState::Followed;
+        match peer.filter(|_peer| !self.unavailable) {
             Some(address) => UpdateSource::Peer(address, revision),
-            None if revision == 0 || lost => UpdateSource::FullStore,
             None => UpdateSource::StoreChanges(revision),
         }
     }
 
+    fn next_at_start(
+        &self,
+        now: LocalTime,
+        peer: Option<SocketAddr>,
+    ) -> UpdateSource {
+        match self.start.next(now, peer) {
+            StartStep::ReadVms => UpdateSource::StoreVms,
+            StartStep::AwaitEntry => UpdateSource::AwaitEntry,
+            StartStep::Follow(address) => UpdateSource::Peer(address, 0),
+            StartStep::ReadAll => UpdateSource::FullStore,
+        }
+    }
+
     /// Whether the store responds to this VM; `proof` is when the last call
     /// that it responded to was sent.
     #[must_use]
--- a/goldcrestramp-entry/src/records.rs
+++ b/goldcrestramp-entry/src/records.rs
@@ -17,7 +17,8 @@
 pub const TABLE_PREFIX: &str = "router/table/";
 
 /// The prefix of the keys of the VMs' entries; each expires with its VM's
-/// lease.
+/// lease. The failure domain follows, so that a VM can read the entries of its
+/// own domain alone.
 pub const VM_PREFIX: &str = "router/vm/";
 
 /// The key of the assignment table of `service`.
@@ -26,10 +27,10 @@
     format!("{TABLE_PREFIX}{service}").into()
 }
 
-/// The key of the entry of the VM named `vm`.
+/// The prefix of the keys of the entries of a failure domain's VMs.
 #[must_use]
-pub fn vm_key(vm: &str) -> Arc<str> {
-    format!("{VM_PREFIX}{vm}").into()
+pub fn domain_prefix(domain: &str) -> Arc<str> {
+    format!("{VM_PREFIX}{domain}/").into()
 }
 
 /// One instance of the process on a VM, from its start to its end.
@@ -73,6 +74,13 @@
         DutyRank { capacity: self.capacity, name_hash }
     }
 
+    /// The key of the VM's entry.
+    #[must_use]
+    pub fn key(&self) -> Arc<str> {
+        let Self { domain, vm, .. } = self;
+        format!("{VM_PREFIX}{domain}/{vm}").into()
+    }
+
     /// Encodes the record as JSON.
     #[must_use]
     pub fn encode(&self) -> Vec<u8> {
--- a/goldcrestramp-entry/tests/daemon/leases.rs
+++ b/goldcrestramp-entry/tests/daemon/leases.rs
@@ -31,9 +31,10 @@
     let cluster = mixed_size_cluster().await;
 
     let ttl = |key: &str| cluster.store.lease_ttl(key);
-    eventually(async || ttl("router/vm/small") == Some(LONG_TTL)).await;
+    eventually(async || ttl("router/vm/north-a/small") == Some(LONG_TTL))
+        .await;
     eventually(async || ttl("router/planner") == Some(SHORT_TTL)).await;
-    assert_eq!(ttl("router/vm/vm-0"), Some(SHORT_TTL));
+    assert_eq!(ttl("router/vm/north-a/vm-0"), Some(SHORT_TTL));
 }
 
 /// Guards against a planner's record that outlives a small VM for long.
@@ -42,7 +43,8 @@
     let cluster = mixed_size_cluster().await;
     cluster.wait_served(1, 0).await;
     let ttl = |key: &str| cluster.store.lease_ttl(key);
-    eventually(async || ttl("router/vm/small") == Some(LONG_TTL)).await;
+    eventually(async || ttl("router/vm/north-a/small") == Some(LONG_TTL))
+        .await;
 
     cluster.nodes[0].signal(Signal::KILL);
 
@@ -54,7 +56,7 @@
     };
     eventually(planner).await;
     assert_eq!(ttl("router/planner"), Some(SHORT_TTL));
-    assert_eq!(ttl("router/vm/small"), Some(SHORT_TTL));
+    assert_eq!(ttl("router/vm/north-a/small"), Some(SHORT_TTL));
     cluster.wait_served(1, 0).await;
 }
 
@@ -67,7 +69,7 @@
         "vm": "idle", "start": 1, "domain": "north-a",
         "address": "127.0.0.1:1", "capacity": 4_000_000
     });
-    store.put("router/vm/idle", &idle);
+    store.put("router/vm/north-a/idle", &idle);
 
     let mut cluster = Cluster::start_on(store, SHARDED, 1, 0).await;
     let limits = json!({"cpu_share": 0.1, "link_mbps": 1.0});
--- a/goldcrestramp-entry/tests/daemon/store.rs
+++ b/goldcrestramp-entry/tests/daemon/store.rs
@@ -135,10 +135,11 @@
         state.hidden_after = None;
     }
 
-    /// Replaces the address in the entry of a VM, now and at each write.
+    /// Replaces the address in the entry of a VM of the failure domain
+    /// `north-a`, now and at each write.
     #[allow(dead_code, reason = "not every test binary has a detour")]
     pub fn override_address(&self, vm: &str, address: SocketAddr) {
-        let key = format!("router/vm/{vm}");
+        let key = format!("router/vm/north-a/{vm}");
         let mut state = self.lock();
         state.address_overrides.insert(key.clone(), address);
         let known = state.items.get(&key).cloned();
--- a/goldcrestramp-entry/tests/knowledge.rs
+++ b/goldcrestramp-entry/tests/knowledge.rs
@@ -288,22 +288,76 @@
 
 /// Guards against a link to the store's region that is full for seconds, and
 /// with it the link of callers' requests. After a loss of power all VMs start
-/// at once; each reads only the few bytes that list the other VMs, and not the
-/// full store.
+/// at once; each reads only the few bytes that list the other VMs of its
+/// failure domain, and not the full store.
 #[test]
 fn a_starting_vm_gets_the_store_s_contents_from_its_peer() {
     let mut sync = SyncState::default();
     let first = sync.next(at(0), 0, std::iter::empty());
-    sync.record_read();
+    sync.record_vms(at(0));
     let second = sync.next(at(0), 0, [peer()].into_iter());
     sync.record_peer_failure(at(10), peer());
-    let alone = sync.next(at(10), 0, [peer()].into_iter());
+    sync.record_registration();
+    let third = sync.next(at(10), 0, [peer()].into_iter());
+    sync.record_vms(at(20));
+    let alone = sync.next(at(20), 0, [peer()].into_iter());
 
     assert_eq!(first, UpdateSource::StoreVms);
     assert_eq!(second, UpdateSource::Peer(peer(), 0));
+    assert_eq!(third, UpdateSource::StoreVms);
     assert_eq!(alone, UpdateSource::FullStore);
 }
 
+/// Guards against a fleet of which each VM reads the full store because all
+/// started at the same moment: none finds the entries of the others at first.
+#[test]
+fn a_starting_vm_without_a_peer_waits_for_its_own_entry() {
+    let mut sync = SyncState::default();
+    sync.record_vms(at(5));
+
+    let waits = sync.next(at(5), 0, std::iter::empty());
+    sync.record_registration();
+    let reads = sync.next(at(30), 0, std::iter::empty());
+    sync.record_vms(at(35));
+    let follows = sync.next(at(35), 0, [peer()].into_iter());
+
+    assert_eq!(waits, UpdateSource::AwaitEntry);
+    assert_eq!(reads, UpdateSource::StoreVms);
+    assert_eq!(follows, UpdateSource::Peer(peer(), 0));
+}
+
+/// Guards against a VM that does not start while the store accepts no writes.
+#[test]
+fn a_starting_vm_does_not_wait_long_for_its_own_entry() {
+    let mut sync = SyncState::default();
+    sync.record_vms(at(0));
+
+    let reads = sync.next(at(500), 0, std::iter::empty());
+    sync.record_vms(at(510));
+    let alone = sync.next(at(510), 0, std::iter::empty());
+
+    assert_eq!(reads, UpdateSource::StoreVms);
+    assert_eq!(alone, UpdateSource::FullStore);
+}
+
+/// Guards against a source that is given up while it reads the full store over
+/// a slow link: each VM that follows it would then read it as well.
+#[test]
+fn a_starting_vm_is_patient_with_a_source_that_has_nothing_yet() {
+    let mut sync = SyncState::default();
+    sync.record_vms(at(0));
+    sync.next(at(0), 0, [peer()].into_iter());
+    sync.record_peer_response(at(0), peer(), false);
+
+    sync.record_peer_response(at(1_900), peer(), false);
+    let patient = sync.next(at(1_900), 0, [peer()].into_iter());
+    sync.record_peer_response(at(2_000), peer(), false);
+    let given_up = sync.next(at(2_000), 0, [peer()].into_iter());
+
+    assert_eq!(patient, UpdateSource::Peer(peer(), 0));
+    assert_ne!(given_up, UpdateSource::Peer(peer(), 0));
+}
+
 #[test]
 fn a_vm_follows_its_peer_if_it_has_one() {
     let mut sync = SyncState::default();
