Use the C library's allocator in the entry daemon

The peak of the busiest VM was 41 to 45 MB.

Change: the daemon no longer replaces the allocator. goldcrestrampd keeps mimalloc.

--- a/goldcrestramp-entry/src/main.rs
+++ b/goldcrestramp-entry/src/main.rs
@@ -7,9 +7,6 @@
 use goldcrestramp_adapter::SETTINGS_VARIABLE;
 use goldcrestramp_entry::logs::start_logs;
 
-#[global_allocator]
-static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
-
 fn main() -> ExitCode {
     let matches = command().get_matches();
     match run(&matches) {
