Commit the steps of moves that end within 150 ms together

Each commit is a call to the store and is sent to all 88 VMs, across regions too.

Change: CommitPace lets 150 ms pass between two commits of a table; a step that follows none is still committed at once.

--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod load;
 mod message;
 mod order;
+mod pace;
 mod permits;
 mod ranking;
 mod service;
@@ -32,6 +33,7 @@
     actor::ControlActor,
     lease::LeaseTerms,
     load::{LoadRecorder, LoadReport, ResponseTotals, ServiceLoad},
+    pace::CommitPace,
     permits::{PermitGrants, PermitMailbox, PermitRequests},
     ranking::{fallback_vms, is_large, source_vms, starting_vms},
     sync::{FreshnessClock, SyncState, UpdateSource, update_as_of},
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -14,7 +14,7 @@
 use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
 
 use crate::{
-    control::{load::ServiceLoad, speed::SpeedEstimates},
+    control::{load::ServiceLoad, pace::CommitPace, speed::SpeedEstimates},
     view::instance_of,
 };
 
@@ -44,8 +44,7 @@
     /// The committed table's revision, which is a condition of the next
     /// commit.
     pub(crate) revision: u64,
-    /// Whether a commit is in flight.
-    pub(crate) committing: bool,
+    pace: CommitPace,
     load: RangeLoad,
     speeds: SpeedEstimates,
     rebalance_at: LocalTime,
@@ -69,7 +68,7 @@
         Self {
             planner: TablePlanner::open(timing, table, last_grant_at),
             revision,
-            committing: false,
+            pace: CommitPace::open(now),
             load: RangeLoad::open(now),
             speeds: SpeedEstimates::default(),
             rebalance_at: now + REBALANCE_INTERVAL,
@@ -94,7 +93,7 @@
         table: AssignmentTable,
         revision: u64,
     ) {
-        self.committing = false;
+        self.pace.end();
         if revision < self.revision {
             return;
         }
@@ -107,7 +106,12 @@
         self.planner.committed(table);
     }
 
-    /// The next table, if anything must change.
+    /// Records that a commit of the next table begins.
+    pub(crate) fn begin_commit(&mut self, now: LocalTime) {
+        self.pace.begin(now);
+    }
+
+    /// The next table, if anything must change and a commit is due.
     pub(crate) fn plan(
         &mut self,
         now: LocalTime,
@@ -115,7 +119,7 @@
         ready: &[Arc<ServerEntry>],
         rates: &RateLedger<ServerInstance>,
     ) -> Option<AssignmentTable> {
-        if self.committing {
+        if !self.pace.is_due(now) {
             return None;
         }
         self.cooling_down.retain(|(_range, until)| *until > now);
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -253,7 +253,7 @@
                 && let Some(next) =
                     service.plan(now, status_of, &targets, &term.rates)
             {
-                service.committing = true;
+                service.begin_commit(now);
                 commits.push((Arc::clone(name), service.revision, next));
             }
             let orders = service.planner.orders(now);
