Give each daemon of one_node its own host, and read a restored store at once

Change: each daemon of one_node has a host of its own, as in the other fixtures. The stand-in of the platform restores its copy and returns the value of a key in one step. Nothing that is asserted has changed.

--- a/goldcrestramp-node/tests/one_node/mod.rs
+++ b/goldcrestramp-node/tests/one_node/mod.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    sync::atomic::{AtomicU8, Ordering},
     time::Duration,
 };
 
@@ -100,10 +101,13 @@
 }
 
 fn settings(platform: SocketAddr) -> NodeSettings {
-    // A loopback host of this process alone: no connection or other
-    // listener takes a port before the daemon binds it.
+    // A loopback host of this daemon alone: no connection or other listener,
+    // also of another test in this process, takes a port before the daemon
+    // binds it.
+    static NEXT_HOST: AtomicU8 = AtomicU8::new(3);
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let host = Ipv4Addr::new(127, 64 + (high & 0x3f), low, 3);
+    let last = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
+    let host = Ipv4Addr::new(127, 64 + (high & 0x3f), low, last);
     let listeners: [TcpListener; 4] = std::array::from_fn(|_| {
         TcpListener::bind((host, 0)).expect("port is free")
     });
--- a/goldcrestramp-node/tests/planner.rs
+++ b/goldcrestramp-node/tests/planner.rs
@@ -49,9 +49,8 @@
     two.wait_until_served(0).await;
     let newer = two.division().await.expect("division is stored").revision;
 
-    two.platform.restore();
+    let older = two.restore().map_or(0, |r| r.revision);
 
-    let older = two.division().await.map_or(0, |r| r.revision);
     two.wait_for_division(|r| r.revision >= newer).await;
     two.wait_until_served(0).await;
     assert!(older < newer);
--- a/goldcrestramp-node/tests/two_domains/mod.rs
+++ b/goldcrestramp-node/tests/two_domains/mod.rs
@@ -279,6 +279,14 @@
         ServiceRecord::decode(&stored.value).ok()
     }
 
+    /// Restores the platform from its snapshot; returns the service's record
+    /// in it, as the daemons write the newer one again at once.
+    pub(crate) fn restore(&self) -> Option<ServiceRecord> {
+        let service = ServiceName::new("stock").expect("name is valid");
+        let value = self.platform.restore_and_read(&keys::slices(&service))?;
+        ServiceRecord::decode(&value).ok()
+    }
+
     /// Waits until the service's record satisfies `wanted`.
     pub(crate) async fn wait_for_division(
         &self,
--- a/goldcrestramp-standins/src/platform/mod.rs
+++ b/goldcrestramp-standins/src/platform/mod.rs
@@ -29,6 +29,7 @@
     sync::Arc,
 };
 
+use bytes::Bytes;
 use goldcrestramp_platform::VmEntry;
 
 pub use self::{
@@ -119,6 +120,13 @@
         self.shared.restore();
     }
 
+    /// Like `restore`; returns the value that `key` has then, before any
+    /// client of the store can write it again.
+    #[must_use]
+    pub fn restore_and_read(&self, key: &str) -> Option<Bytes> {
+        self.shared.restore_and_read(key)
+    }
+
     /// The calls accepted and refused so far.
     #[must_use]
     pub fn counts(&self) -> CallTally {
--- a/goldcrestramp-standins/src/platform/shared.rs
+++ b/goldcrestramp-standins/src/platform/shared.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use bytes::Bytes;
 use goldcrestramp_platform::VmEntry;
 use tokio::sync::watch;
 
@@ -57,6 +58,17 @@
         self.changed();
     }
 
+    /// Restores the saved copy and returns the value of `key` in it.
+    pub(super) fn restore_and_read(&self, key: &str) -> Option<Bytes> {
+        let value = {
+            let mut state = self.state();
+            state.restore();
+            state.read(key).map(|entry| entry.value.clone())
+        };
+        self.changed();
+        value
+    }
+
     /// Wakes the watches.
     pub(super) fn changed(&self) {
         self.changes.send_modify(|count| *count += 1);
