Say what a response is, and name the unit of MAX_HEAD_BYTES

AttemptOutcome::Answered and ServerSignal::Answered become Responded, as a response may be an error; the stable code in logs stays. A comment of the pace tells the reason instead of an observation.

No behavior changes.

--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -62,7 +62,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServerSignal {
     /// It completed a request of this class in this time.
-    Answered(RequestClass, TimeSpan),
+    Responded(RequestClass, TimeSpan),
     /// It refused to start a request.
     Refused,
     /// A request was cut off or timed out.
@@ -219,7 +219,7 @@
         random: u64,
     ) {
         match signal {
-            ServerSignal::Answered(class, span) => {
+            ServerSignal::Responded(class, span) => {
                 self.pace.record(now, class, span);
                 self.record_response();
             }
--- a/goldcrestramp-decisions/src/limit/pace.rs
+++ b/goldcrestramp-decisions/src/limit/pace.rs
@@ -11,9 +11,9 @@
 const TYPICAL_GAIN: u64 = 64;
 const TYPICAL_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// A server this many times slower than is typical for it is slow. A factor of
-/// 2 occurs at each shop opening. Harm begins where the queue grows at the
-/// typical load of about a third.
+/// A server this many times slower than is typical for it is slow: its queue
+/// grows at a load of a third. Twice as slow is common while callers arrive
+/// together.
 const SLOW_FACTOR: u64 = 3;
 
 /// A server has to be slow for this long before anything is moved: a move
--- a/goldcrestramp-decisions/tests/limit.rs
+++ b/goldcrestramp-decisions/tests/limit.rs
@@ -10,7 +10,10 @@
 }
 
 fn answered(millis: u64) -> ServerSignal {
-    ServerSignal::Answered(RequestClass::Lookup, TimeSpan::from_millis(millis))
+    ServerSignal::Responded(
+        RequestClass::Lookup,
+        TimeSpan::from_millis(millis),
+    )
 }
 
 /// Sends one request at `now` that ends with `signal` after `millis`.
--- a/goldcrestramp-decisions/tests/overload/policy.rs
+++ b/goldcrestramp-decisions/tests/overload/policy.rs
@@ -133,7 +133,7 @@
         let (queue, limit) = &mut self.servers[server];
         queue.finished(now, key, CompletionOutcome::Answered);
         limit.replied(now);
-        limit.finished(now, ServerSignal::Answered(class, span), 0);
+        limit.finished(now, ServerSignal::Responded(class, span), 0);
     }
 
     fn next_action(&mut self, now: LocalTime) -> Option<PolicyAction> {
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub(crate) enum AttemptOutcome {
     /// The server's response, to be forwarded to the caller.
-    Answered(Response<ResponseBody>),
+    Responded(Response<ResponseBody>),
     /// The server ran the request and responded with an error of its own.
     Failed(Response<ResponseBody>),
     /// The server states that it did not run the request.
@@ -62,7 +62,7 @@
     /// The stable code in logs and counters.
     pub(crate) const fn code(&self) -> &'static str {
         match self {
-            Self::Answered(_) => "answered",
+            Self::Responded(_) => "answered",
             Self::Failed(_) => "failed",
             Self::NotRun => "not-run",
             Self::Misdirected => "misdirected",
@@ -301,7 +301,7 @@
             if failed {
                 AttemptOutcome::Failed(response)
             } else {
-                AttemptOutcome::Answered(response)
+                AttemptOutcome::Responded(response)
             }
         }
         Ok(Ok(ReadResponse::Partial(prefix, rest))) => {
@@ -309,7 +309,7 @@
             let response = streamed_response(
                 status, headers, prefix, rest, slot, connection,
             );
-            AttemptOutcome::Answered(response)
+            AttemptOutcome::Responded(response)
         }
     }
 }
--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -47,7 +47,7 @@
 const MAX_RECEIVED_BYTES: usize = 24 * 1024;
 
 /// Heads longer than this are subject to the library's own limits.
-const MAX_HEAD: usize = 16 * 1024;
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 
 /// The buffer space reserved for one read.
 const READ_BYTES: usize = 4 * 1024;
@@ -238,7 +238,9 @@
                 self.body_remaining = request.body_bytes;
                 return Some(request);
             }
-            FrameStep::Incomplete if unread.len() <= MAX_HEAD => return None,
+            FrameStep::Incomplete if unread.len() <= MAX_HEAD_BYTES => {
+                return None;
+            }
             FrameStep::Incomplete | FrameStep::Opaque => {}
         }
         self.opaque = true;
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -306,7 +306,7 @@
     metrics.record_attempt(outcome.code());
     let elapsed = MonotonicClock.now().since(sent_at);
     metrics.record_time(&request.service, "server", elapsed);
-    if matches!(outcome, AttemptOutcome::Answered(_)) {
+    if matches!(outcome, AttemptOutcome::Responded(_)) {
         return;
     }
     log::info!(
@@ -327,7 +327,7 @@
     outcome: AttemptOutcome,
 ) -> Result<Option<Response<ResponseBody>>, RequestEnd> {
     match outcome {
-        AttemptOutcome::Answered(response) => Ok(Some(response)),
+        AttemptOutcome::Responded(response) => Ok(Some(response)),
         AttemptOutcome::Failed(response) => {
             // The owner of a key would fail again; another server of a pool
             // may not.
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -194,7 +194,7 @@
     pub(crate) fn record_response(&self, now: LocalTime) -> TimeSpan {
         let span = now.since(self.entered_at);
         self.server.times.borrow_mut().record(&self.route, span);
-        self.end(now, ServerSignal::Answered(self.class, span));
+        self.end(now, ServerSignal::Responded(self.class, span));
         span
     }
 }
--- a/goldcrestramp-node/src/keeper/admission/state.rs
+++ b/goldcrestramp-node/src/keeper/admission/state.rs
@@ -62,7 +62,7 @@
         let (outcome, sign) = match end {
             SlotEnd::Responded(span) => (
                 CompletionOutcome::Answered,
-                ServerSignal::Answered(class, span),
+                ServerSignal::Responded(class, span),
             ),
             SlotEnd::Refused => {
                 (CompletionOutcome::Refused, ServerSignal::Refused)
