--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -1,6 +1,7 @@
 //! Client connections to the store, backend servers and other VMs.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
@@ -98,7 +99,35 @@
 pub async fn dial(
     address: SocketAddr,
     close_mode: CloseMode,
-) -> std::io::Result<ConnectionSender> {
+) -> io::Result<ConnectionSender> {
+    let began_at = MonotonicClock.now();
+    let opened = open_connection(address, close_mode).await;
+    opened.inspect_err(|error| {
+        log::info!(
+            cause = dial_failure_code(error.kind()),
+            took_ms = MonotonicClock.now().since(began_at).as_millis();
+            "[link] No connection to {address} could be opened."
+        );
+    })
+}
+
+/// The stable code of the reason why a connection could not be opened.
+const fn dial_failure_code(kind: io::ErrorKind) -> &'static str {
+    match kind {
+        io::ErrorKind::ConnectionRefused => "refused",
+        io::ErrorKind::ConnectionReset => "reset",
+        io::ErrorKind::TimedOut => "silent",
+        io::ErrorKind::HostUnreachable | io::ErrorKind::NetworkUnreachable => {
+            "unreachable"
+        }
+        _ => "other",
+    }
+}
+
+async fn open_connection(
+    address: SocketAddr,
+    close_mode: CloseMode,
+) -> io::Result<ConnectionSender> {
     let socket = TcpSocket::new_v4()?;
     let options = SockRef::from(&socket);
     options.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
@@ -115,7 +144,7 @@
     let (sender, connection) = http1::Builder::new()
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(std::io::Error::other)?;
+        .map_err(io::Error::other)?;
     tokio::spawn(async move {
         // A sender that waits for a response on the connection gets the error,
         // too.
