Test VMs that are partitioned from all servers, failing

One VM reaches the servers over links that can be cut; the store stand-in shows that VM the addresses of its links in place of the servers'. Silent links answer no new connection: their listener's backlog is filled.

--- a/goldcrestramp-entry/tests/daemon/cluster.rs
+++ b/goldcrestramp-entry/tests/daemon/cluster.rs
@@ -148,6 +148,13 @@
         cluster
     }
 
+    /// Starts a daemon on a VM of a failure domain; [`Self::add_node`] waits
+    /// until it is ready.
+    #[allow(dead_code, reason = "not every test binary has several domains")]
+    pub fn spawn_in(&self, vm: &str, domain: &str) -> NodeProcess {
+        NodeProcess::spawn_in(vm, domain, self.store.address, &json!({}))
+    }
+
     /// Adds a daemon and waits until it is ready.
     #[allow(dead_code, reason = "not every test binary adds one")]
     pub async fn add_node(&mut self, node: NodeProcess) {
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -7,9 +7,11 @@
 mod domains;
 mod leases;
 mod limits;
+mod link;
 mod node;
 mod orders;
 mod ownership;
+mod partition;
 mod pipeline;
 #[path = "../soak/relay.rs"]
 #[allow(dead_code, reason = "shared with the soak")]
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -19,9 +19,9 @@
 const FIRST_PORT: u16 = 12_000;
 const PORTS: u32 = 18_000;
 
-/// Returns three ports that are free now and that this process hands out
+/// Returns four ports that are free now and that this process hands out
 /// only once per cycle through the ports.
-fn free_ports() -> [u16; 3] {
+fn free_ports() -> [u16; 4] {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     // Concurrent test processes begin at distant ports.
     let start_offset = std::process::id().wrapping_mul(389);
@@ -36,7 +36,7 @@
             |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
         ports.find(is_free).expect("a port is free")
     };
-    [free(), free(), free()]
+    [free(), free(), free(), free()]
 }
 
 /// A running daemon, killed on drop.
@@ -57,13 +57,23 @@
 
     /// Starts a daemon on a VM with these limits of CPU and network link.
     pub fn spawn_sized(vm: &str, store: SocketAddr, limits: &Value) -> Self {
-        let [traffic, ready, inner] = free_ports();
+        Self::spawn_in(vm, "north-a", store, limits)
+    }
+
+    /// Starts a daemon on a VM of a failure domain with these limits.
+    pub fn spawn_in(
+        vm: &str,
+        domain: &str,
+        store: SocketAddr,
+        limits: &Value,
+    ) -> Self {
+        let [traffic, ready, first, last] = free_ports();
         let name = format!("goldcrestramp-{}-{traffic}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("folder is created");
         let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let settings = json!({
-            "node": vm, "zone": "north-a", "region": "north",
+            "node": vm, "zone": domain, "region": "north",
             "zones": {
                 "north-a": "north", "north-b": "north", "south-a": "south"
             },
@@ -72,7 +82,7 @@
                 "front": local(traffic).to_string(),
                 "ready": local(ready).to_string()
             },
-            "inner_ports": [inner, inner],
+            "inner_ports": [first, last],
             "limits": limits,
             "beat_interval": "870ms",
             "bounds": ["grace=6s", "drain=2000ms"],
@@ -85,7 +95,7 @@
             .expect("settings file is written");
         let child = start(&path);
         let (traffic, ready) = (local(traffic), local(ready));
-        Self { child, folder, traffic, ready, peers: local(inner) }
+        Self { child, folder, traffic, ready, peers: local(first) }
     }
 
     pub fn signal(&self, signal: Signal) {
--- a/goldcrestramp-entry/tests/daemon/store.rs
+++ b/goldcrestramp-entry/tests/daemon/store.rs
@@ -56,6 +56,9 @@
 pub struct StoreStandin {
     pub address: SocketAddr,
     state: Arc<Mutex<StoreState>>,
+    /// The addresses that are replaced for the VMs that use this address of
+    /// the store: pairs of an address in the store and what they see.
+    replaced: Arc<Mutex<Vec<(SocketAddr, SocketAddr)>>>,
 }
 
 impl StoreStandin {
@@ -67,11 +70,51 @@
             revision: 1,
             ..StoreState::default()
         }));
-        let store = Self { address, state };
+        let store = Self { address, state, replaced: Arc::default() };
         tokio::spawn(store.clone().serve(listener));
         store
     }
 
+    /// Opens another address of the same store, at which some addresses of
+    /// servers and VMs are replaced, in what is read and in what is written.
+    #[allow(dead_code, reason = "not every test binary replaces any")]
+    pub async fn with_replaced_addresses(&self) -> Self {
+        let listener =
+            TcpListener::bind("127.0.0.1:0").await.expect("port binds");
+        let address = listener.local_addr().expect("listener has an address");
+        let state = Arc::clone(&self.state);
+        let store = Self { address, state, replaced: Arc::default() };
+        tokio::spawn(store.clone().serve(listener));
+        store
+    }
+
+    /// Replaces an address for the VMs that use this address of the store.
+    #[allow(dead_code, reason = "not every test binary replaces any")]
+    pub fn replace_address(&self, stored: SocketAddr, seen: SocketAddr) {
+        let mut replaced = self.replaced.lock().expect("lock is not poisoned");
+        replaced.push((stored, seen));
+    }
+
+    /// Replaces the addresses in the base64 values of `items`: the stored ones
+    /// by those that are seen, or the other way round.
+    fn replace_addresses(&self, items: &mut Value, stored_by_seen: bool) {
+        let replaced = self.replaced.lock().expect("lock is not poisoned");
+        let items = items.as_array_mut().into_iter().flatten();
+        for item in items {
+            let Some(value) = item["value"].as_str() else { continue };
+            let mut value = STANDARD.decode(value).expect("value is base64");
+            for &(stored, seen) in &*replaced {
+                let (from, to) = if stored_by_seen {
+                    (stored, seen)
+                } else {
+                    (seen, stored)
+                };
+                value = replace_address(&value, from, to);
+            }
+            item["value"] = json!(STANDARD.encode(value));
+        }
+    }
+
     /// Writes a key without a lease, as an operator or a server does.
     pub fn put(&self, key: &str, value: &Value) {
         let value = value.to_string().into_bytes();
@@ -176,7 +219,29 @@
     ) -> Response<Full<Bytes>> {
         let (parts, body) = request.into_parts();
         let body = body.collect().await.expect("body is received").to_bytes();
-        let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+        let mut body: Value =
+            serde_json::from_slice(&body).unwrap_or(Value::Null);
+        self.replace_addresses(&mut body["writes"], false);
+        let response = self.respond(&parts, &body).await;
+        if self.replaced.lock().expect("lock is not poisoned").is_empty() {
+            return response;
+        }
+        let (parts, body) = response.into_parts();
+        let body = body.collect().await.expect("body is complete").to_bytes();
+        let Ok(mut body) = serde_json::from_slice::<Value>(&body) else {
+            return Response::from_parts(parts, Full::new(body));
+        };
+        for list in ["items", "events"] {
+            self.replace_addresses(&mut body[list], true);
+        }
+        Response::from_parts(parts, Full::new(body.to_string().into()))
+    }
+
+    async fn respond(
+        &self,
+        parts: &http::request::Parts,
+        body: &Value,
+    ) -> Response<Full<Bytes>> {
         let query = parts.uri.query().unwrap_or("");
         let query: HashMap<String, String> = query
             .split('&')
@@ -188,14 +253,14 @@
             "/v1/kv-range" => self.lock().range(&query),
             "/v1/kv-watch" => self.watch(&query).await,
             "/v1/kv-txn" => {
-                let response = self.lock().transact(&body);
+                let response = self.lock().transact(body);
                 let is_claim = body["writes"][0]["key"] == "router/planner";
                 if is_claim && self.lock().take_lost_claim() {
                     std::future::pending::<()>().await;
                 }
                 response
             }
-            "/v1/kv-lease" => self.lock().lease(&body),
+            "/v1/kv-lease" => self.lock().lease(body),
             path => self.lock().lease_call(path),
         }
     }
@@ -413,6 +478,30 @@
     response
 }
 
+/// Replaces an address in a value, both as text and as `postcard` encodes it.
+fn replace_address(value: &[u8], from: SocketAddr, to: SocketAddr) -> Vec<u8> {
+    let text = |address: SocketAddr| address.to_string().into_bytes();
+    let encoded = |address: SocketAddr| {
+        postcard::to_allocvec(&address).expect("address is encoded")
+    };
+    let value = replace_bytes(value, &text(from), &text(to));
+    replace_bytes(&value, &encoded(from), &encoded(to))
+}
+
+fn replace_bytes(mut value: &[u8], from: &[u8], to: &[u8]) -> Vec<u8> {
+    let mut replaced = Vec::with_capacity(value.len());
+    while !value.is_empty() {
+        if let Some(rest) = value.strip_prefix(from) {
+            replaced.extend_from_slice(to);
+            value = rest;
+        } else {
+            replaced.push(value[0]);
+            value = &value[1..];
+        }
+    }
+    replaced
+}
+
 /// Decodes the percent escapes of a query value.
 fn unescaped(text: &str) -> String {
     let mut bytes = Vec::new();
