--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -10,6 +10,7 @@
     cluster::{Cluster, POOLED, SHARDED, eventually},
     link::{LinkState, ServerLink},
     node::NodeProcess,
+    server::ServerBehavior,
 };
 
 const SERVERS: usize = 4;
@@ -120,6 +121,23 @@
     assert_callers_are_served(LinkState::Reset).await;
 }
 
+/// Guards against requests that fail when more connections are needed than
+/// are open: open ones work, and new ones are refused.
+#[tokio::test]
+async fn callers_are_served_while_new_connections_are_refused() {
+    const WORK: Duration = Duration::from_millis(150);
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.send_load(CUT, Duration::from_secs(1)).await;
+
+    partitioned.set_links(LinkState::RefusesNew);
+    partitioned.cluster.set_behavior(ServerBehavior::Responds(WORK));
+    partitioned.send_load(CUT, CONTACT).await;
+    let (sent, served) =
+        partitioned.send_load(CUT, Duration::from_secs(3)).await;
+
+    assert!(served * 10 >= sent * 9, "{served} of {sent} are served");
+}
+
 /// Guards against keys without an owner while the VM that renews their grants
 /// reaches no server.
 #[tokio::test]
