Hand the planner's role over when its VM reaches no server

What callers saw: of the VMs that kept all links 765 of 1,404 first attempts were served, and no lookup anywhere from 6 s after the cut.

Cause: the planner keeps its role as long as its lease lives, and the lease depends on the store alone. A planner that was partitioned from all servers went on planning; its grants did not arrive, and after 5.5 s no key had an owner. The class: a role held by the proof of one link, fulfilled over another.

Change: orders are evidence for the reach monitor, too. A planner that has been partitioned from the servers of a sharded service for 0.4 s ends its term and removes its record, on the condition of the record's revision, and again until it is gone. A VM that is partitioned claims 3 s later than it else would, so only if no other VM claims, and then keeps the role. Claims of VMs of lower ranks come within 2 s, not after 0.15 s for each VM before them, as those may be partitioned, too. Orders are never passed through another VM: one that was held up there could follow a successor's.

The first run after the change failed, as the test's store did not remove keys.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -17,7 +17,8 @@
         message::{ClaimEnded, LeaseProof},
         order::OrderGate,
         permits::PermitMailbox,
-        ranking::is_large,
+        ranking::{claim_delay, is_large},
+        reach::PARTITIONED_CLAIM_DELAY,
         sync::SyncState,
         tables::ReplicaTracker,
         term::PlannerTerm,
@@ -27,6 +28,7 @@
     metrics::EntryMetrics,
     mirror::StoreMirror,
     peers::{PeerCall, PeerClient},
+    reach::ReachTracker,
     records::{PLANNER_KEY, VmInstance, decode},
     shared::SharedState,
     store::StoreClient,
@@ -42,11 +44,6 @@
 /// for a server that it cannot reach.
 pub(crate) const MAX_PROOF_AGE: TimeSpan = TimeSpan::from_millis(12_000);
 
-/// How long a VM waits for each VM of a better rank before it claims to be the
-/// planner. The best-ranked live VM has finished its claim by then, so no two
-/// VMs write.
-const RANK_DELAY: TimeSpan = TimeSpan::from_millis(150);
-
 /// How often a VM reports its load to the planner.
 const REPORT_INTERVAL: TimeSpan = TimeSpan::from_millis(400);
 
@@ -79,12 +76,13 @@
     pub(crate) replicas: ReplicaTracker,
     builder: ViewBuilder,
     pub(crate) view: Arc<FleetView>,
-    view_sender: watch::Sender<Arc<FleetView>>,
+    pub(crate) view_sender: watch::Sender<Arc<FleetView>>,
     revision_sender: watch::Sender<u64>,
     pub(crate) sync: SyncState,
     loads: LoadRecorder,
     pub(crate) permits: PermitMailbox,
     pub(crate) metrics: Arc<EntryMetrics>,
+    pub(crate) reach: ReachTracker,
     report_at: LocalTime,
     pub(crate) lease: Option<u64>,
     /// The terms of the current lease.
@@ -95,8 +93,11 @@
     pub(crate) proof: LocalTime,
     /// The last known planner before this VM, with the time at which it was
     /// first known to plan.
-    previous_planner: Option<(VmInstance, LocalTime)>,
+    pub(crate) previous_planner: Option<(VmInstance, LocalTime)>,
     vacant_since: Option<LocalTime>,
+    /// When the planner's record is to be removed, or removed again, after
+    /// this VM has given up the role.
+    pub(crate) removal_due_at: Option<LocalTime>,
     claim: ClaimStage,
     /// Whether a query to another VM is in flight while the store does not
     /// respond.
@@ -144,6 +145,7 @@
             loads: shared.loads,
             permits: shared.permits,
             metrics: shared.metrics,
+            reach: shared.reach,
             report_at: LocalTime::default(),
             lease: None,
             lease_terms: LeaseTerms::SHORT,
@@ -151,6 +153,7 @@
             proof: LocalTime::default(),
             previous_planner: None,
             vacant_since: None,
+            removal_due_at: None,
             claim: ClaimStage::None,
             query_in_flight: false,
             term: None,
@@ -257,6 +260,7 @@
     pub(crate) fn claim_if_vacant(&mut self, now: LocalTime) {
         let idle = self.term.is_none()
             && self.claim != ClaimStage::InFlight
+            && self.removal_due_at.is_none()
             && !self.stopping;
         let Some(lease) = self.lease.filter(|_| idle) else { return };
         let known = self.planner();
@@ -274,9 +278,12 @@
             return;
         }
         let since = *self.vacant_since.get_or_insert(now);
-        let rank = u64::try_from(self.rank()).unwrap_or(u64::MAX);
-        let delay = RANK_DELAY.percent(rank.saturating_mul(100));
-        if !own && now.since(since) < delay {
+        let mut delay =
+            if own { TimeSpan::ZERO } else { claim_delay(self.rank()) };
+        if self.is_partitioned() {
+            delay = delay.plus(PARTITIONED_CLAIM_DELAY);
+        }
+        if now.since(since) < delay {
             return;
         }
         // A planner's record must expire soon after its VM fails.
--- a/goldcrestramp-entry/src/control/claim.rs
+++ b/goldcrestramp-entry/src/control/claim.rs
@@ -32,6 +32,7 @@
     let transaction = StoreTransaction {
         conditions: vec![KeyCondition { key: Arc::clone(&key), revision }],
         writes: vec![StoreWrite { key, value: me.encode().into(), lease }],
+        ..StoreTransaction::default()
     };
     let reply = store.call(&StoreCall::Commit(transaction)).await;
     let read = match reply {
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -171,6 +171,7 @@
 
     async fn handle(&mut self, _: ControlTick, _: &mut Context<Self>) {
         let now = now();
+        self.hand_over_if_partitioned(now);
         self.claim_if_vacant(now);
         self.record_update_age(now);
         self.query_peer_if_stale(now);
--- a/goldcrestramp-entry/src/control/lease.rs
+++ b/goldcrestramp-entry/src/control/lease.rs
@@ -125,8 +125,9 @@
         return Err(StoreFailure::Unknown);
     };
     let write = StoreWrite { key: me.key(), value: me.encode().into(), lease };
+    let writes = vec![write];
     let transaction =
-        StoreTransaction { conditions: Vec::new(), writes: vec![write] };
+        StoreTransaction { writes, ..StoreTransaction::default() };
     match store.call(&StoreCall::Commit(transaction)).await? {
         StoreReply::Committed(_revision) => Ok(lease),
         _ => Err(StoreFailure::NotDone),
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod pace;
 mod permits;
 mod ranking;
+mod reach;
 mod service;
 mod source;
 mod speed;
@@ -35,7 +36,7 @@
     load::{LoadRecorder, LoadReport, ResponseTotals, ServiceLoad},
     pace::CommitPace,
     permits::{PermitGrants, PermitMailbox, PermitRequests},
-    ranking::{fallback_vms, is_large, source_vms, starting_vms},
+    ranking::{claim_delay, fallback_vms, is_large, source_vms, starting_vms},
     sync::{FreshnessClock, SyncState, UpdateSource, update_as_of},
 };
 use crate::{
--- a/goldcrestramp-entry/src/control/ranking.rs
+++ b/goldcrestramp-entry/src/control/ranking.rs
@@ -7,7 +7,7 @@
 
 use std::cmp::Reverse;
 
-use goldcrestramp_types::FastMap;
+use goldcrestramp_types::{FastMap, TimeSpan};
 
 use crate::records::VmInstance;
 
@@ -22,6 +22,30 @@
 /// capacity.
 const LARGE_PERCENT: u64 = 50;
 
+/// How long a VM waits for each of the first VMs of a better rank before it
+/// claims to be the planner. The best-ranked live VM has finished its claim by
+/// then, so no two VMs write.
+const RANK_DELAY: TimeSpan = TimeSpan::from_millis(150);
+
+/// The ranks up to which the delay grows by the same step. Most VMs of a fleet
+/// may be lost or partitioned at once, and grants last for seconds, so from
+/// then on each step doubles the rank.
+const LINEAR_RANKS: u64 = 6;
+
+/// How long a VM waits before it claims to be the planner, if `rank` VMs rank
+/// before it.
+#[must_use]
+pub fn claim_delay(rank: usize) -> TimeSpan {
+    let rank = u64::try_from(rank).unwrap_or(u64::MAX);
+    let Some(doublings) = (rank / LINEAR_RANKS).checked_ilog2() else {
+        return RANK_DELAY.percent(100 * rank);
+    };
+    let base = LINEAR_RANKS << doublings;
+    let fraction = 100 * (rank - base) / base;
+    let steps = LINEAR_RANKS + u64::from(doublings);
+    RANK_DELAY.percent(100 * steps + fraction)
+}
+
 /// Whether a VM is large, so that it may plan and be followed while `vms` are
 /// present.
 #[must_use]
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -9,7 +9,7 @@
 use goldcrestramp_assignment::{
     AssignmentTable, HolderStatus, OrderKind, OrderOutcome, ServerInstance,
 };
-use goldcrestramp_decisions::RateLedger;
+use goldcrestramp_decisions::{RateLedger, ReachEvent};
 use goldcrestramp_types::{FastMap, FastSet, LocalTime, TimeSpan};
 use xtra::Address;
 
@@ -61,6 +61,9 @@
     pub(crate) rates: RateLedger<ServerInstance>,
     /// Lets orders of this term be sent until it ends.
     pub(crate) gate: Arc<OrderGate>,
+    /// Whether this VM has reached the servers since the term began. A VM that
+    /// has not claimed as no other one did, and keeps the term.
+    pub(crate) has_reached_servers: bool,
 }
 
 impl Drop for PlannerTerm {
@@ -86,6 +89,7 @@
             creating: FastSet::default(),
             rates: RateLedger::default(),
             gate: Arc::default(),
+            has_reached_servers: false,
         }
     }
 
@@ -293,6 +297,7 @@
                 value: table.encode().into(),
                 lease: 0,
             }],
+            ..StoreTransaction::default()
         };
         let (store, control) = (Arc::clone(&self.store), self.address.clone());
         tokio::spawn(async move {
@@ -370,6 +375,10 @@
             return false;
         };
         plan.planner.order_ended(now, &ended.order, &ended.outcome);
+        let may_connect = now < term.proof + LEASE_TTL;
+        if let Some(event) = reach_event(&ended.outcome, may_connect) {
+            self.record_reach(ended, event);
+        }
         log_order(ended);
         let release = ended.order.kind == OrderKind::Release;
         if release && matches!(ended.outcome, OrderOutcome::Done { .. }) {
@@ -396,6 +405,24 @@
     }
 }
 
+/// What the outcome of an order shows about the way to its server.
+/// `may_connect` says whether a new connection could have been opened for it.
+const fn reach_event(
+    outcome: &OrderOutcome,
+    may_connect: bool,
+) -> Option<ReachEvent> {
+    match outcome {
+        OrderOutcome::Done { .. }
+        | OrderOutcome::Outdated
+        | OrderOutcome::Ended => Some(ReachEvent::Responded),
+        OrderOutcome::NotSent if may_connect => Some(ReachEvent::Unconnected),
+        OrderOutcome::NotSent => None,
+        OrderOutcome::Unknown | OrderOutcome::TimedOut => {
+            Some(ReachEvent::Broken)
+        }
+    }
+}
+
 /// Logs each order that the server did not simply carry out, and each release,
 /// because these change who owns which keys.
 fn log_order(ended: &OrderEnded) {
--- a/goldcrestramp-entry/src/reach.rs
+++ b/goldcrestramp-entry/src/reach.rs
@@ -14,9 +14,7 @@
 };
 
 use goldcrestramp_decisions::{ReachEvent, ReachMonitor};
-use goldcrestramp_types::{
-    ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
-};
+use goldcrestramp_types::{ClockSource, FastMap, LocalTime, MonotonicClock};
 use rand::seq::IndexedRandom;
 use tokio::{sync::watch, task::JoinSet, time::sleep};
 
@@ -86,12 +84,11 @@
             && self.partitioned_since(service).is_some()
     }
 
-    /// How long this VM has been partitioned from the servers of a service;
-    /// zero if it is not.
+    /// Since when this VM has been partitioned from the servers of a service,
+    /// if it is.
     #[must_use]
-    pub fn partitioned_for(&self, now: LocalTime, service: &str) -> TimeSpan {
-        let since = self.partitioned_since(service);
-        since.map_or(TimeSpan::ZERO, |since| now.since(since))
+    pub fn partitioned_since(&self, service: &str) -> Option<LocalTime> {
+        self.lock().get(service)?.partitioned_since()
     }
 
     /// A receiver that is notified when a partition begins or ends.
@@ -100,10 +97,6 @@
         self.0.changes.subscribe()
     }
 
-    fn partitioned_since(&self, service: &str) -> Option<LocalTime> {
-        self.lock().get(service)?.partitioned_since()
-    }
-
     fn spawn_probes(&self, service: &Arc<str>, views: &FleetViews) {
         let tracker = self.clone();
         let (service, views) = (Arc::clone(service), views.clone());
--- a/goldcrestramp-entry/tests/daemon/store.rs
+++ b/goldcrestramp-entry/tests/daemon/store.rs
@@ -431,6 +431,9 @@
                 lease,
             );
         }
+        for key in body["remove"].as_array().expect("removals are a list") {
+            self.remove(key.as_str().expect("key is a string"));
+        }
         reply(&json!({ "revision": self.revision }))
     }
 
--- a/goldcrestramp-entry/tests/sources.rs
+++ b/goldcrestramp-entry/tests/sources.rs
@@ -1,9 +1,10 @@
 //! Which VM follows which, by capacity and failure domain.
 
 use goldcrestramp_entry::{
-    control::{fallback_vms, is_large, source_vms},
+    control::{claim_delay, fallback_vms, is_large, source_vms},
     records::VmInstance,
 };
+use goldcrestramp_types::TimeSpan;
 
 const LARGE: u32 = 50;
 const SMALL: u32 = 10;
@@ -146,3 +147,15 @@
     assert!(vms.iter().all(|vm| is_large(vm, &vms)));
     assert_eq!(fallback_vms(&vms[0], &vms).len(), vms.len() - 1);
 }
+
+/// Guards against keys whose grants expire because most VMs of a large fleet
+/// are lost or partitioned, and the next one waits for each of them.
+#[test]
+fn a_claim_waits_two_seconds_at_most() {
+    let delays: Vec<TimeSpan> = (0..640).map(claim_delay).collect();
+
+    assert_eq!(delays[0], TimeSpan::ZERO);
+    assert_eq!(delays[1], TimeSpan::from_millis(150));
+    assert!(delays.is_sorted());
+    assert!(delays[639] <= TimeSpan::from_millis(2_000), "{delays:?}");
+}
