--- a/goldcrestramp-entry/src/traffic/relay_vms.rs
+++ b/goldcrestramp-entry/src/traffic/relay_vms.rs
@@ -1,6 +1,10 @@
 //! The other VMs, to which requests can be passed.
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use goldcrestramp_assignment::ServerInstance;
 use goldcrestramp_decisions::{
@@ -24,8 +28,8 @@
 /// in the memory of both.
 const MAX_PASSED: usize = 64;
 
-/// How long a VM that reaches no server either, or that can't be reached, gets
-/// no requests.
+/// How long a VM gets no requests after it could not be reached, or reached
+/// no server either.
 const UNUSABLE_TIME: TimeSpan = TimeSpan::from_millis(500);
 
 /// How long a VM counts as partitioned after it has passed on a request.
@@ -37,7 +41,11 @@
     /// The connections to the VM and the requests in flight through it; it
     /// accepts requests like a server.
     pub(super) server: Rc<ServerState>,
-    unusable_until: Cell<LocalTime>,
+    /// Until when the VM can't be reached.
+    lost_until: Cell<LocalTime>,
+    /// The services whose servers it does not reach either, each with the time
+    /// until which it gets no requests for them.
+    unreachable: RefCell<FastMap<Arc<str>, LocalTime>>,
 }
 
 impl RelayVm {
@@ -49,17 +57,36 @@
         };
         let limit = ServerLimit::warm(now, MAX_PASSED);
         let server = ServerState::open(instance, limit, MAX_PASSED);
-        let unusable_until = Cell::default();
-        Some(Self { server: Rc::new(server), unusable_until })
+        Some(Self {
+            server: Rc::new(server),
+            lost_until: Cell::default(),
+            unreachable: RefCell::default(),
+        })
+    }
+
+    /// Stops passing requests to the VM for a while: it can't be reached.
+    pub(super) fn record_lost(&self, now: LocalTime) {
+        self.lost_until.set(now + UNUSABLE_TIME);
     }
 
-    /// Stops passing requests to the VM for a while.
-    pub(super) fn suspend(&self, now: LocalTime) {
-        self.unusable_until.set(now + UNUSABLE_TIME);
+    /// Stops passing requests for a service to the VM for a while: it reaches
+    /// no server of the service either.
+    pub(super) fn record_unreachable(
+        &self,
+        now: LocalTime,
+        service: &Arc<str>,
+    ) {
+        let mut unreachable = self.unreachable.borrow_mut();
+        unreachable.insert(Arc::clone(service), now + UNUSABLE_TIME);
     }
 
-    fn limit(&self, now: LocalTime) -> usize {
-        if now < self.unusable_until.get() {
+    /// The limit of requests for a service in flight through the VM; 0 if none
+    /// may be passed to it now.
+    fn limit(&self, now: LocalTime, service: &str) -> usize {
+        let unreachable = self.unreachable.borrow().get(service).copied();
+        let unusable_until =
+            unreachable.unwrap_or_default().max(self.lost_until.get());
+        if now < unusable_until {
             return 0;
         }
         self.server.limit(now)
@@ -126,7 +153,7 @@
         let Some(relay) = relays.get(now, vm) else { continue };
         let candidate = RelayCandidate {
             proximity: state.proximity_of(&vm.domain),
-            limit: relay.limit(now),
+            limit: relay.limit(now, &request.service),
             in_flight: relay.server.in_flight(),
         };
         usable.push((candidate, relay));
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -382,11 +382,11 @@
         AttemptOutcome::RelayEnded(end)
             if end.reason == EndReason::Unreachable && !end.may_have_run =>
         {
-            relay.suspend(MonotonicClock.now());
+            relay.record_unreachable(MonotonicClock.now(), &request.service);
             Ok(None)
         }
         AttemptOutcome::NotSent => {
-            relay.suspend(MonotonicClock.now());
+            relay.record_lost(MonotonicClock.now());
             Ok(None)
         }
         AttemptOutcome::RelayEnded(_) => {
