Let the user timeout alone decide when keepalive probes give up

With TCP_USER_TIMEOUT set, Linux ignores the number of keepalive probes: a silent idle connection ends after 2 s, not after the 3 s that the two retries suggested. Both constants stood side by side and one had no effect. The number of probes is no longer set; behavior on Linux is unchanged.

--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -38,16 +38,16 @@
 /// kernel retries only after 1 s; a new connection elsewhere is sooner.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// How long bytes may stay unacknowledged before the connection is closed. A
-/// peer behind a partition never responds; without this timeout a request to
-/// it would hang until its deadline.
+/// How long bytes or keepalive probes may stay unacknowledged before the
+/// connection is closed. A peer behind a partition never responds; without
+/// this timeout a request to it would hang until its deadline.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Keepalive probes of an idle connection. A connection can fail silently for
-/// good while new ones work, and nothing else shows it to a process that only
-/// listens on it.
+/// The interval of keepalive probes on an idle connection. A connection can
+/// fail silently for good while new ones work, and nothing else shows it to a
+/// process that only listens on it. The user timeout decides when the probes
+/// give up, whatever their number.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-const KEEPALIVE_RETRIES: u32 = 2;
 
 /// What happens to bytes in flight when a connection is given up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -136,8 +136,7 @@
     options.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
+        .with_interval(KEEPALIVE_INTERVAL);
     options.set_tcp_keepalive(&keepalive)?;
     if close_mode == CloseMode::Reset {
         options.set_linger(Some(Duration::ZERO))?;
