Let a VM without a configuration say that it reaches no server

A VM that has just started may be chosen to send a request before it knows any server; its refusal would end the request, though the next VM could serve it. Found by reading; the case is not played.

--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -164,6 +164,10 @@
         log::warn!("[relay] A request has no valid envelope.");
         return RelayEnd::from(EndReason::Unreachable).response();
     };
+    if state.view().routes.is_none() {
+        // A VM that has just started knows no servers yet.
+        return RelayEnd::from(EndReason::Unreachable).response();
+    }
     state.record_relayed(arrived, &envelope.vm);
     let route = route_of(&envelope);
     let deadline = deadline_of(arrived, &parts.headers, &route);
