Count the silence of a server from the start of an attempt

The silence that makes a VM probe its servers was counted from when a request was sent on an open connection, so a VM that had to open connections first noticed a partition only when these had timed out, after 500 ms.

--- a/goldcrestramp-decisions/src/reach.rs
+++ b/goldcrestramp-decisions/src/reach.rs
@@ -30,8 +30,8 @@
 /// What happened on the way to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReachEvent {
-    /// A request was sent on an open connection.
-    Sent,
+    /// An attempt at a request began.
+    Started,
     /// The head of a response arrived.
     Responded,
     /// A connection ended before the response to a request.
@@ -72,7 +72,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct ReachMonitor<Server> {
-    /// The servers that were sent a request since the last response of any
+    /// The servers at which an attempt began since the last response of any
     /// server, each with the time from which on that counts as a failure.
     unanswered: FastMap<Server, LocalTime>,
     /// The servers to which no connection could be opened since the last one
@@ -105,7 +105,7 @@
         event: ReachEvent,
     ) {
         match event {
-            ReachEvent::Sent => {
+            ReachEvent::Started => {
                 self.unanswered.entry(server).or_insert(now + SILENCE);
             }
             ReachEvent::Responded => self.unanswered.clear(),
--- a/goldcrestramp-decisions/tests/reach.rs
+++ b/goldcrestramp-decisions/tests/reach.rs
@@ -16,7 +16,7 @@
 fn sent_to_all(now: u64) -> ReachMonitor<usize> {
     let mut monitor = ReachMonitor::default();
     for server in 0..SERVERS {
-        monitor.record(at(now), server, ReachEvent::Sent);
+        monitor.record(at(now), server, ReachEvent::Started);
     }
     monitor
 }
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -118,6 +118,9 @@
     slot: ServerSlot,
     plan: AttemptPlan,
 ) -> AttemptOutcome {
+    if plan.is_direct() {
+        state.record_reach(request, &slot.server, ReachEvent::Started);
+    }
     let remaining = request.remaining(MonotonicClock.now());
     let connected = connect(state, request, &slot.server, &plan);
     let connected = timeout(remaining.to_std(), connected).await;
@@ -167,7 +170,6 @@
             state.record_reach(request, &slot.server, event);
         }
     };
-    record_reach(ReachEvent::Sent);
     let sent = connection.try_send_request(outgoing);
     let response = wait_for_response(state, request, sent, &plan);
     // A previous owner completes all requests that it ran before the next
