Test what holds when a request passes through another VM

At most once and 'not run' through two processes, a caller that leaves, a planned stop of the other VM, regions, one hop, one owner a key while the planner's role moves back and forth, and the direct way after the links are back.

--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -5,12 +5,15 @@
 
 use futures_util::future::join_all;
 use reqwest::Method;
+use rustix::process::Signal;
+use serde_json::json;
 
 use crate::{
-    cluster::{Cluster, POOLED, SHARDED, eventually},
+    cluster::{Cluster, POOLED, SHARDED, configuration, eventually},
     link::{LinkState, ServerLink},
     node::NodeProcess,
     server::ServerBehavior,
+    store::StoreStandin,
 };
 
 const SERVERS: usize = 4;
@@ -29,12 +32,21 @@
 struct PartitionedCluster {
     cluster: Cluster,
     links: Vec<ServerLink>,
+    /// The store as VMs with the links see it.
+    store: StoreStandin,
 }
 
 impl PartitionedCluster {
     /// Starts the VM with the links, which plans, and a VM of another failure
     /// domain, so that neither follows the other.
     async fn start(service: &str) -> Self {
+        let mut partitioned = Self::start_alone(service).await;
+        partitioned.add_connected("north-b").await;
+        partitioned
+    }
+
+    /// Starts only the VM with the links.
+    async fn start_alone(service: &str) -> Self {
         let mut cluster = Cluster::start(service, SERVERS, 0).await;
         let store = cluster.store.with_replaced_addresses().await;
         let mut links = Vec::new();
@@ -46,12 +58,23 @@
         cluster.add_node(NodeProcess::spawn("vm-0", store.address)).await;
         eventually(async || cluster.store.get("router/planner").is_some())
             .await;
-        let connected = cluster.spawn_in("vm-1", "north-b");
+        Self { cluster, links, store }
+    }
+
+    /// Adds a VM of a failure domain that reaches the servers directly.
+    async fn add_connected(&mut self, domain: &str) {
+        let connected = self.cluster.spawn_in("vm-1", domain);
         // Tables from a VM that sees other addresses would be of no use.
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
-        store.replace_address(connected.peers, nowhere);
-        cluster.add_node(connected).await;
-        Self { cluster, links }
+        self.store.replace_address(connected.peers, nowhere);
+        self.cluster.add_node(connected).await;
+    }
+
+    /// Cuts the links and waits until the VM passes requests on.
+    async fn cut(&self) {
+        self.set_links(LinkState::Reset);
+        self.send_load(CUT, CONTACT).await;
+        assert!(self.send(CUT, true).await, "a lookup is passed on");
     }
 
     fn set_links(&self, state: LinkState) {
@@ -164,3 +187,162 @@
     let sent = 8 * keys.len();
     assert!(served * 10 >= sent * 9, "{served} of {sent} are served");
 }
+
+/// Guards against a key with two owners while the planner's role moves from a
+/// VM whose links fail and return.
+#[tokio::test]
+async fn a_key_has_one_owner_while_the_role_moves() {
+    let partitioned = PartitionedCluster::start(SHARDED).await;
+    let cluster = &partitioned.cluster;
+    cluster.wait_served(CONNECTED, 0).await;
+
+    for state in [LinkState::Reset, LinkState::Up, LinkState::Silent] {
+        partitioned.set_links(state);
+        for _ in 0..150 {
+            for key in (0..65_536).step_by(8_191) {
+                assert!(cluster.owners(key) <= 1);
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    partitioned.set_links(LinkState::Up);
+    for key in (0..65_536).step_by(8_191) {
+        cluster.wait_served(CUT, key).await;
+        assert_eq!(cluster.owners(key), 1);
+    }
+}
+
+/// Guards against an order that runs twice when its response is lost on the
+/// way to the VM that sent it for another one.
+#[tokio::test]
+async fn a_passed_order_whose_response_is_lost_is_sent_once() {
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    cluster.set_behavior(ServerBehavior::DropsResponses);
+    let attempt = cluster.next_attempt();
+
+    let request = cluster.request(CUT, Method::POST, "/order/1", &attempt);
+    let response = request.body("one sack of rice").send().await;
+
+    assert_eq!(response.expect("response arrives").status(), 502);
+    assert_eq!(cluster.executions_of(&attempt), 1);
+}
+
+/// Guards against a refusal of a passed order without `Retry-After`, or one of
+/// an order that has run.
+#[tokio::test]
+async fn a_passed_order_that_every_server_sheds_is_refused() {
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    cluster.set_behavior(ServerBehavior::Sheds);
+    let attempt = cluster.next_attempt();
+
+    let request = cluster.request(CUT, Method::POST, "/order/1", &attempt);
+    let response = request.send().await.expect("response arrives");
+
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(cluster.executions_of(&attempt), 0);
+}
+
+/// Guards against a server that goes on working on a passed request after its
+/// caller has left.
+#[tokio::test]
+async fn a_caller_that_leaves_ends_its_passed_request() {
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    cluster.set_behavior(ServerBehavior::Withholds);
+    let attempt = cluster.next_attempt();
+
+    let request = cluster.request(CUT, Method::POST, "/order/1", &attempt);
+    let sent = tokio::spawn(request.send());
+    eventually(async || cluster.executions_of(&attempt) == 1).await;
+    sent.abort();
+
+    eventually(async || cluster.abandoned() == 1).await;
+}
+
+/// Guards against a planned stop that cuts requests which another VM passed
+/// on.
+#[tokio::test]
+async fn a_stopped_vm_completes_what_was_passed_to_it() {
+    const WORK: Duration = Duration::from_millis(1_500);
+    let mut partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &mut partitioned.cluster;
+    cluster.set_behavior(ServerBehavior::Responds(WORK));
+    let attempt = cluster.next_attempt();
+    let request = cluster.request(CUT, Method::POST, "/order/1", &attempt);
+
+    let sent = tokio::spawn(request.send());
+    eventually(async || cluster.executions_of(&attempt) == 1).await;
+    cluster.nodes[CONNECTED].signal(Signal::TERM);
+
+    let response = sent.await.expect("request task does not panic");
+    assert_eq!(response.expect("response arrives").status(), 200);
+    assert!(cluster.nodes[CONNECTED].wait_for_exit().await.success());
+}
+
+/// Guards against a VM that needs others, or avoids its servers, after its
+/// links are back.
+#[tokio::test]
+async fn requests_take_the_direct_way_when_links_are_back() {
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+
+    partitioned.set_links(LinkState::Up);
+    partitioned.send_load(CUT, Duration::from_secs(1)).await;
+    partitioned.cluster.nodes[CONNECTED].signal(Signal::KILL);
+    let (sent, served) =
+        partitioned.send_load(CUT, Duration::from_secs(1)).await;
+
+    assert_eq!(served, sent);
+}
+
+/// Guards against a request that leaves its regions on the way to a VM of
+/// another one.
+#[tokio::test]
+async fn a_restricted_request_is_not_passed_to_another_region() {
+    let mut partitioned = PartitionedCluster::start_alone(POOLED).await;
+    partitioned.add_connected("south-a").await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    let mut restricted = configuration(2, Some("/more/"));
+    restricted["routes"]["order"]["allowed_regions"] = json!(["north"]);
+    cluster.store.put("op/config", &restricted);
+    eventually(async || cluster.get(CUT, "/more/all").await.status() == 200)
+        .await;
+    let attempt = cluster.next_attempt();
+
+    let request = cluster.request(CUT, Method::POST, "/order/1", &attempt);
+    let response = request.send().await.expect("response arrives");
+
+    assert_eq!(response.status(), 503);
+    let reason = response.text().await.expect("body is received");
+    assert_eq!(reason, "unreachable");
+}
+
+/// Guards against requests that circle among VMs of which none reaches a
+/// server.
+#[tokio::test]
+async fn a_passed_request_is_not_passed_on() {
+    let mut partitioned = PartitionedCluster::start_alone(POOLED).await;
+    let other = NodeProcess::spawn("vm-1", partitioned.store.address);
+    partitioned.cluster.add_node(other).await;
+    partitioned.set_links(LinkState::Reset);
+    for node in [CUT, 1] {
+        partitioned.send_load(node, Duration::from_secs(1)).await;
+    }
+    let cluster = &partitioned.cluster;
+
+    let response = cluster.get(CUT, "/list/all").await;
+
+    assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
+    let reason = response.text().await.expect("body is received");
+    assert_eq!(reason, "unreachable");
+}
