Test that a passed request is refused, not passed on again

The new one sends a passed request to a partitioned VM beside one that could serve it, over the wire format that other builds will send. The former one stays, for what it shows, under another name.

--- a/goldcrestramp-entry/tests/daemon/cluster.rs
+++ b/goldcrestramp-entry/tests/daemon/cluster.rs
@@ -207,6 +207,16 @@
         attempt: &str,
     ) -> RequestBuilder {
         let url = format!("http://{}{path}", self.nodes[node].traffic);
+        self.request_to(&url, method, attempt)
+    }
+
+    /// A request of a caller, to any address.
+    pub fn request_to(
+        &self,
+        url: &str,
+        method: Method,
+        attempt: &str,
+    ) -> RequestBuilder {
         self.http
             .request(method, url)
             .header("Host", "shop.example")
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -48,6 +48,8 @@
     pub ready: SocketAddr,
     /// The address for calls of other daemons.
     pub peers: SocketAddr,
+    /// The address for requests that other daemons pass on.
+    pub relay: SocketAddr,
 }
 
 impl NodeProcess {
@@ -95,7 +97,14 @@
             .expect("settings file is written");
         let child = start(&path);
         let (traffic, ready) = (local(traffic), local(ready));
-        Self { child, folder, traffic, ready, peers: local(first) }
+        Self {
+            child,
+            folder,
+            traffic,
+            ready,
+            peers: local(first),
+            relay: local(last),
+        }
     }
 
     pub fn signal(&self, signal: Signal) {
--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -327,9 +327,36 @@
 }
 
 /// Guards against requests that circle among VMs of which none reaches a
-/// server.
+/// server. One that does would serve this request.
 #[tokio::test]
 async fn a_passed_request_is_not_passed_on() {
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    let envelope = json!({
+        "vm": "vm-2", "route": "list", "service": POOLED, "slice": null,
+        "effect": "Idempotent", "timeout": 4_000_000,
+        "target_latency": 400_000, "priority": 1, "max_attempts": 2,
+        "allowed_regions": null, "elapsed": 0, "tried": [], "counted": true
+    });
+
+    let attempt = cluster.next_attempt();
+    let url = format!("http://{}/list/all", cluster.nodes[CUT].relay);
+    let request = cluster
+        .request_to(&url, Method::GET, &attempt)
+        .header("x-goldcrestramp-relay", envelope.to_string());
+    let response = request.send().await.expect("response arrives");
+
+    assert_eq!(response.status(), 503);
+    let end = response.headers()["x-goldcrestramp-end"].to_str();
+    let end = end.expect("end is text");
+    assert!(end.contains(r#""reason":"unreachable""#), "{end}");
+}
+
+/// Guards against requests that wait for their deadlines although no VM
+/// reaches a server.
+#[tokio::test]
+async fn a_request_that_no_vm_can_serve_is_refused() {
     let mut partitioned = PartitionedCluster::start_alone(POOLED).await;
     let other = NodeProcess::spawn("vm-1", partitioned.store.address);
     partitioned.cluster.add_node(other).await;
