Let the passed order outlast the drain of the VM that sends it

With the graceful end of connections between VMs taken out the test still passed: the order ended before the stopped VM closed connections. It now takes 3.3 s. In a scratch copy with both parts taken out, this test and a_passed_request_is_not_passed_on fail.

--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -4,7 +4,10 @@
 use std::{net::SocketAddr, time::Duration};
 
 use futures_util::future::join_all;
-use reqwest::Method;
+use reqwest::{
+    Method,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -270,13 +273,17 @@
 /// on.
 #[tokio::test]
 async fn a_stopped_vm_completes_what_was_passed_to_it() {
-    const WORK: Duration = Duration::from_millis(1_500);
+    // Longer than a stopped VM keeps connections open.
+    const WORK: Duration = Duration::from_millis(3_300);
     let mut partitioned = PartitionedCluster::start(POOLED).await;
     partitioned.cut().await;
     let cluster = &mut partitioned.cluster;
     cluster.set_behavior(ServerBehavior::Responds(WORK));
     let attempt = cluster.next_attempt();
     let request = cluster.request(CUT, Method::POST, "/order/1", &attempt);
+    let deadline = HeaderValue::from_static("4000");
+    let deadline = [(HeaderName::from_static("x-deadline-ms"), deadline)];
+    let request = request.headers(HeaderMap::from_iter(deadline));
 
     let sent = tokio::spawn(request.send());
     eventually(async || cluster.executions_of(&attempt) == 1).await;
