Drop suspensions only of servers whose partition has ended

Each begin and end of a partition dropped the suspensions of the servers of every service that was reached, so a server that had failed by itself got requests again when another service was lost.

--- a/goldcrestramp-entry/src/reach.rs
+++ b/goldcrestramp-entry/src/reach.rs
@@ -37,6 +37,8 @@
     services: Mutex<FastMap<Arc<str>, ReachMonitor<Arc<str>>>>,
     /// The number of services from whose servers this VM is partitioned.
     partitions: AtomicUsize,
+    /// The services whose servers are reached again, until they are taken.
+    restored: Mutex<Vec<Arc<str>>>,
     changes: watch::Sender<()>,
 }
 
@@ -49,6 +51,7 @@
         Self(Arc::new(ReachState {
             services: Mutex::default(),
             partitions: AtomicUsize::new(0),
+            restored: Mutex::default(),
             changes: watch::channel(()).0,
         }))
     }
@@ -97,6 +100,17 @@
         self.0.changes.subscribe()
     }
 
+    /// Takes the services whose partition has ended since the last call.
+    #[must_use]
+    pub fn take_restored(&self) -> Vec<Arc<str>> {
+        std::mem::take(&mut *self.restored())
+    }
+
+    fn restored(&self) -> MutexGuard<'_, Vec<Arc<str>>> {
+        // The list remains valid if a thread panicked while it held the lock.
+        self.0.restored.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn spawn_probes(&self, service: &Arc<str>, views: &FleetViews) {
         let tracker = self.clone();
         let (service, views) = (Arc::clone(service), views.clone());
@@ -121,7 +135,7 @@
 
     /// Records the result of a round of probes; returns whether a partition
     /// has begun or ended.
-    fn record_probes(&self, service: &str, reached: bool) -> bool {
+    fn record_probes(&self, service: &Arc<str>, reached: bool) -> bool {
         let now = MonotonicClock.now();
         let changed = {
             let mut services = self.lock();
@@ -139,6 +153,7 @@
         if changed {
             if reached {
                 log::info!("[reach] Servers of {service} are reached again.");
+                self.restored().push(Arc::clone(service));
             } else {
                 log::warn!("[reach] No server of {service} can be reached.");
             }
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -191,12 +191,10 @@
     pub(crate) fn apply_reach(&self) {
         let now = MonotonicClock.now();
         let view = self.view();
+        let restored = self.reach.take_restored();
         for (instance, server) in &*self.servers.borrow() {
             let entry = view.servers.get(&instance.id);
-            let reached = entry.is_some_and(|entry| {
-                !self.reach.is_partitioned(&entry.service)
-            });
-            if reached {
+            if entry.is_some_and(|entry| restored.contains(&entry.service)) {
                 server.links_restored(now);
             }
         }
