--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -222,10 +222,13 @@
         metrics.planning.set(i64::from(self.term.is_some()));
     }
 
-    /// Sets the metric for the age of this VM's copy of the store.
-    pub(crate) fn record_update_age(&self, now: LocalTime) {
+    /// Sets the metrics that change with time: the age of this VM's copy of
+    /// the store, and the services that it does not reach.
+    pub(crate) fn update_timed_gauges(&self, now: LocalTime) {
         let age = self.sync.age(now).as_millis();
         self.metrics.news_age.set(age.cast_signed());
+        let partitions = i64::try_from(self.reach.partitions());
+        self.metrics.partitions.set(partitions.unwrap_or(i64::MAX));
     }
 
     /// The record of the planning VM, with its revision.
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -173,7 +173,7 @@
         let now = now();
         self.hand_over_if_partitioned(now);
         self.claim_if_vacant(now);
-        self.record_update_age(now);
+        self.update_timed_gauges(now);
         self.query_peer_if_stale(now);
         self.report_load(now);
         self.fetch_permits(now);
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -73,6 +73,8 @@
     pub vms: Gauge,
     /// The number of known backend servers.
     pub servers: Gauge,
+    /// The number of services whose servers this VM does not reach.
+    pub partitions: Gauge,
     /// 1 while this VM plans assignments, else 0.
     pub planning: Gauge,
     /// The number of key ranges that servers released.
@@ -103,6 +105,7 @@
             revision: Gauge::default(),
             vms: Gauge::default(),
             servers: Gauge::default(),
+            partitions: Gauge::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
             pipelined: Counter::default(),
@@ -141,6 +144,11 @@
             "Backend servers that are known",
             self.servers.clone(),
         );
+        registry.register(
+            "partitioned_services",
+            "Services whose servers this VM does not reach",
+            self.partitions.clone(),
+        );
         registry.register(
             "planning",
             "1 while this VM plans assignments",
--- a/goldcrestramp-entry/src/reach.rs
+++ b/goldcrestramp-entry/src/reach.rs
@@ -83,8 +83,7 @@
     /// Whether this VM is partitioned from the servers of a service.
     #[must_use]
     pub fn is_partitioned(&self, service: &str) -> bool {
-        self.0.partitions.load(Ordering::Relaxed) > 0
-            && self.partitioned_since(service).is_some()
+        self.partitions() > 0 && self.partitioned_since(service).is_some()
     }
 
     /// Since when this VM has been partitioned from the servers of a service,
@@ -94,6 +93,12 @@
         self.lock().get(service)?.partitioned_since()
     }
 
+    /// The number of services from whose servers this VM is partitioned.
+    #[must_use]
+    pub fn partitions(&self) -> usize {
+        self.0.partitions.load(Ordering::Relaxed)
+    }
+
     /// A receiver that is notified when a partition begins or ends.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<()> {
