--- a/goldcrestramp-entry/tests/metrics.rs
+++ b/goldcrestramp-entry/tests/metrics.rs
@@ -30,6 +30,7 @@
     let metrics = EntryMetrics::default();
     metrics.record_end("answered");
     metrics.record_attempt("answered");
+    metrics.record_passed("answered");
     metrics.news("peer");
     metrics.record_time("stock", "whole", TimeSpan::from_millis(5));
     let text = metrics.text();
