Don't pass a request on again after an unknown outcome

The VM that a lookup was passed to had sent it to two servers that fell silent, and the first VM, which counted one attempt for it, passed the lookup to a third VM.

A VM that is silent or breaks off may have used every attempt that the route allows. Such a request now ends, unknown; the first VM waits for the other one until the deadline, as that one replaces silent servers itself. A way that was weighed: to allow the other VM fewer attempts and keep one. It would take the second attempt from every passed request for the loss of a VM in between, which is rare.

a_passed_lookup_runs_on_as_many_servers_as_its_route_allows failed before (3 executions) and passes. A request whose streamed body is gone is no longer passed to one VM after the other, either; found by reading.

--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -351,22 +351,18 @@
     chosen: ChosenVm,
 ) -> Result<Option<Response<ResponseBody>>, RequestEnd> {
     let ChosenVm { relay, proximity } = chosen;
-    let tried = progress.history.tried.len();
     let max_attempts = request.route.max_attempts as usize;
-    if tried >= max_attempts || progress.attempts >= MAX_TOTAL_ATTEMPTS {
+    if progress.history.tried.len() >= max_attempts {
         return Err(EndReason::AttemptsUsed.into());
     }
+    if matches!(request.body, RequestBody::Streamed(None)) {
+        return Err(EndReason::Unreachable.into());
+    }
     let now = MonotonicClock.now();
     let envelope = envelope(state, request, &progress.history);
-    let response_timeout = attempt_timeout(TimeoutInputs {
-        typical: relay.server.times.borrow().typical_for(&request.route.name),
-        target_latency: request.route.target_latency,
-        remaining: full_timeout(request, now),
-        replaceable: request.may_repeat() && tried + 1 < max_attempts,
-    });
     let plan = AttemptPlan {
         proximity,
-        response_timeout,
+        response_timeout: full_timeout(request, now),
         is_replaceable: false,
         envelope: Some(envelope.ok_or(EndReason::Unreachable)?),
     };
@@ -389,14 +385,21 @@
             relay.record_lost(MonotonicClock.now());
             Ok(None)
         }
-        AttemptOutcome::RelayEnded(_) => {
-            after_attempt(request, progress, outcome).await
+        AttemptOutcome::RelayEnded(RelayEnd {
+            reason,
+            may_have_run,
+            retry_after,
+        }) => {
+            progress.may_have_run |= may_have_run;
+            Err(RequestEnd { reason, retry_after })
         }
+        // The other VM may have sent it to as many servers as are allowed.
         outcome => {
-            // The other VM may have sent it to a server.
-            progress.attempts += 1;
-            progress.history.tried.push(vm);
-            after_attempt(request, progress, outcome).await
+            progress.may_have_run = true;
+            let timed_out = matches!(outcome, AttemptOutcome::TimedOut);
+            let reason =
+                if timed_out { EndReason::Timeout } else { EndReason::Broken };
+            Err(reason.into())
         }
     }
 }
@@ -484,12 +487,9 @@
             progress.may_have_run = true;
             Ok(None)
         }
-        AttemptOutcome::RelayEnded(end) => {
-            progress.may_have_run |= end.may_have_run;
-            let RelayEnd { reason, retry_after, .. } = end;
-            Err(RequestEnd { reason, retry_after })
-        }
-        AttemptOutcome::Broken | AttemptOutcome::TimedOut => {
+        AttemptOutcome::Broken
+        | AttemptOutcome::TimedOut
+        | AttemptOutcome::RelayEnded(_) => {
             progress.may_have_run = true;
             let timed_out = matches!(outcome, AttemptOutcome::TimedOut);
             let reason =
--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -44,7 +44,7 @@
     /// domain, so that neither follows the other.
     async fn start(service: &str) -> Self {
         let mut partitioned = Self::start_alone(service).await;
-        partitioned.add_connected("north-b").await;
+        partitioned.add_connected("vm-1", "north-b").await;
         partitioned
     }
 
@@ -65,8 +65,8 @@
     }
 
     /// Adds a VM of a failure domain that reaches the servers directly.
-    async fn add_connected(&mut self, domain: &str) {
-        let connected = self.cluster.spawn_in("vm-1", domain);
+    async fn add_connected(&mut self, vm: &str, domain: &str) {
+        let connected = self.cluster.spawn_in(vm, domain);
         // Tables from a VM that sees other addresses would be of no use.
         let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
         self.store.replace_address(connected.peers, nowhere);
@@ -233,6 +233,32 @@
     assert_eq!(cluster.executions_of(&attempt), 1);
 }
 
+/// Guards against a lookup that runs on more servers than its route allows:
+/// each VM that it is passed to may send it to several.
+#[tokio::test]
+async fn a_passed_lookup_runs_on_as_many_servers_as_its_route_allows() {
+    /// The number in the routes of the test configuration.
+    const MAX_ATTEMPTS: u32 = 2;
+    let mut partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.add_connected("vm-2", "north-b").await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    cluster.set_behavior(ServerBehavior::Withholds);
+    let attempts: Vec<String> =
+        (0..5).map(|_| cluster.next_attempt()).collect();
+
+    join_all(attempts.iter().map(async |attempt| {
+        let request = cluster.request(CUT, Method::GET, "/list/all", attempt);
+        request.send().await.expect("response arrives")
+    }))
+    .await;
+
+    for attempt in &attempts {
+        let executions = cluster.executions_of(attempt);
+        assert!(executions <= MAX_ATTEMPTS, "{executions} executions");
+    }
+}
+
 /// Guards against a refusal of a passed order without `Retry-After`, or one of
 /// an order that has run.
 #[tokio::test]
@@ -315,7 +341,7 @@
 #[tokio::test]
 async fn a_restricted_request_is_not_passed_to_another_region() {
     let mut partitioned = PartitionedCluster::start_alone(POOLED).await;
-    partitioned.add_connected("south-a").await;
+    partitioned.add_connected("vm-1", "south-a").await;
     partitioned.cut().await;
     let cluster = &partitioned.cluster;
     let mut restricted = configuration(2, Some("/more/"));
