Prefer VMs that have served requests when one is passed on

A VM that has served a request in the last 2 s is preferred now, until four more are in flight through it than through one that is not known.

--- a/goldcrestramp-decisions/src/relay.rs
+++ b/goldcrestramp-decisions/src/relay.rs
@@ -3,7 +3,9 @@
 //! Several VMs may be partitioned at once, most of a failure domain or of the
 //! fleet, and they pass on all their requests. Each chooses by its own
 //! requests in flight, so that the load spreads over the VMs that are left
-//! instead of filling the nearest one.
+//! instead of filling the nearest one. VMs that have served requests are
+//! preferred: in a large fleet most attempts at others would find VMs that
+//! reach no server either.
 
 use crate::pool::ServerProximity;
 
@@ -17,6 +19,8 @@
     pub limit: usize,
     /// How many of this VM's requests are in flight through it.
     pub in_flight: usize,
+    /// Whether it has served a request for this VM recently.
+    pub is_proven: bool,
 }
 
 impl RelayCandidate {
@@ -24,11 +28,13 @@
     /// before this one is chosen. Volume between failure domains is paid for,
     /// and the link between regions is narrow.
     const fn handicap(self) -> usize {
-        match self.proximity {
+        let distance = match self.proximity {
             ServerProximity::SameDomain => 0,
             ServerProximity::SameRegion => 2,
             ServerProximity::Remote => 16,
-        }
+        };
+        let doubt = if self.is_proven { 0 } else { 4 };
+        distance + doubt
     }
 }
 
@@ -46,6 +52,7 @@
 ///     proximity: ServerProximity::SameDomain,
 ///     limit: 64,
 ///     in_flight: 1,
+///     is_proven: true,
 /// };
 /// let proximity = ServerProximity::SameRegion;
 /// let next = RelayCandidate { proximity, in_flight: 0, ..near };
--- a/goldcrestramp-decisions/tests/reach.rs
+++ b/goldcrestramp-decisions/tests/reach.rs
@@ -163,8 +163,12 @@
 /// Guards against one VM that gets the requests of all that are partitioned.
 #[test]
 fn requests_spread_over_the_vms_that_are_left() {
-    let relay =
-        |proximity| RelayCandidate { proximity, limit: 64, in_flight: 0 };
+    let relay = |proximity| RelayCandidate {
+        proximity,
+        limit: 64,
+        in_flight: 0,
+        is_proven: true,
+    };
     let mut relays = vec![
         relay(ServerProximity::SameDomain),
         relay(ServerProximity::SameRegion),
@@ -189,8 +193,27 @@
         proximity: ServerProximity::SameDomain,
         limit: 2,
         in_flight: 2,
+        is_proven: true,
     };
     let closed = RelayCandidate { limit: 0, in_flight: 0, ..full };
 
     assert_eq!(choose_relay(&[full, closed]), None);
 }
+
+/// Guards against a fleet in which most attempts to pass a request on find
+/// VMs that are partitioned, too.
+#[test]
+fn vms_that_have_served_requests_are_preferred() {
+    let unknown = RelayCandidate {
+        proximity: ServerProximity::SameDomain,
+        limit: 64,
+        in_flight: 0,
+        is_proven: false,
+    };
+    let proximity = ServerProximity::SameRegion;
+    let proven = RelayCandidate { proximity, is_proven: true, ..unknown };
+    let busy = RelayCandidate { in_flight: 3, ..proven };
+
+    assert_eq!(choose_relay(&[unknown, proven]), Some(1));
+    assert_eq!(choose_relay(&[unknown, busy]), Some(0));
+}
--- a/goldcrestramp-entry/src/traffic/relay_vms.rs
+++ b/goldcrestramp-entry/src/traffic/relay_vms.rs
@@ -32,6 +32,9 @@
 /// no server either.
 const UNUSABLE_TIME: TimeSpan = TimeSpan::from_millis(500);
 
+/// How long a VM is preferred after it has served a request.
+const PROVEN_TIME: TimeSpan = TimeSpan::from_millis(2_000);
+
 /// How long a VM counts as partitioned after it has passed on a request.
 const PARTITIONED_TIME: TimeSpan = TimeSpan::from_millis(1_000);
 
@@ -41,6 +44,8 @@
     /// The connections to the VM and the requests in flight through it; it
     /// accepts requests like a server.
     pub(super) server: Rc<ServerState>,
+    /// Until when it counts as one that serves requests.
+    proven_until: Cell<LocalTime>,
     /// Until when the VM can't be reached.
     lost_until: Cell<LocalTime>,
     /// The services whose servers it does not reach either, each with the time
@@ -59,11 +64,17 @@
         let server = ServerState::open(instance, limit, MAX_PASSED);
         Some(Self {
             server: Rc::new(server),
+            proven_until: Cell::default(),
             lost_until: Cell::default(),
             unreachable: RefCell::default(),
         })
     }
 
+    /// Records that the VM has served a request.
+    pub(super) fn record_served(&self, now: LocalTime) {
+        self.proven_until.set(now + PROVEN_TIME);
+    }
+
     /// Stops passing requests to the VM for a while: it can't be reached.
     pub(super) fn record_lost(&self, now: LocalTime) {
         self.lost_until.set(now + UNUSABLE_TIME);
@@ -155,6 +166,7 @@
             proximity: state.proximity_of(&vm.domain),
             limit: relay.limit(now, &request.service),
             in_flight: relay.server.in_flight(),
+            is_proven: now < relay.proven_until.get(),
         };
         usable.push((candidate, relay));
     }
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -374,7 +374,10 @@
     log_passed(request, &vm, now, &outcome);
     match outcome {
         AttemptOutcome::Responded(response)
-        | AttemptOutcome::Failed(response) => Ok(Some(response)),
+        | AttemptOutcome::Failed(response) => {
+            relay.record_served(MonotonicClock.now());
+            Ok(Some(response))
+        }
         AttemptOutcome::RelayEnded(end)
             if end.reason == EndReason::Unreachable && !end.may_have_run =>
         {
