Say that a passed order may have run when the grace period ends

The request of a stopped VM that is in flight when its grace period ends is told 504 if it was sent, else 503. A passed request was not counted as sent, so its caller was told 'not run' (503) while a server ran it. Found by reading; a_stopped_vm_does_not_know_whether_a_passed_order_ran failed before (503) and passes.

--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -53,6 +53,13 @@
     failure: Option<Response<ResponseBody>>,
 }
 
+impl RequestProgress {
+    /// Whether an attempt at a server or through another VM has begun.
+    const fn has_been_sent(&self) -> bool {
+        self.attempts > 0 || !self.history.passed_to.is_empty()
+    }
+}
+
 /// Serves a request; `body` is `None` if it has none.
 pub(crate) async fn serve(
     state: &Rc<TrafficState>,
@@ -107,7 +114,7 @@
         responded = respond(state, request, &mut progress) => responded,
         () = state.wait_expired() => {
             // The outcome of an attempt that was given up is unknown.
-            progress.may_have_run |= progress.attempts > 0;
+            progress.may_have_run |= progress.has_been_sent();
             Err(EndReason::Timeout.into())
         }
     };
@@ -367,10 +374,10 @@
         envelope: Some(envelope.ok_or(EndReason::Unreachable)?),
     };
     let vm = Arc::clone(&relay.server.instance.id);
+    progress.history.passed_to.push(Arc::clone(&vm));
     let slot = relay.server.enter(now, request, None);
     let outcome = send(state, request, slot, plan).await;
     state.metrics.record_passed(outcome.code());
-    progress.history.passed_to.push(Arc::clone(&vm));
     log_passed(request, &vm, now, &outcome);
     match outcome {
         AttemptOutcome::Responded(response)
--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -121,6 +121,12 @@
     }
 }
 
+/// The headers of a request whose caller waits this many milliseconds.
+fn deadline(millis: &'static str) -> HeaderMap {
+    let name = HeaderName::from_static("x-deadline-ms");
+    HeaderMap::from_iter([(name, HeaderValue::from_static(millis))])
+}
+
 async fn assert_callers_are_served(state: LinkState) {
     let partitioned = PartitionedCluster::start(POOLED).await;
     let (sent, served) =
@@ -307,9 +313,7 @@
     cluster.set_behavior(ServerBehavior::Responds(WORK));
     let attempt = cluster.next_attempt();
     let request = cluster.request(CUT, Method::POST, "/order/1", &attempt);
-    let deadline = HeaderValue::from_static("4000");
-    let deadline = [(HeaderName::from_static("x-deadline-ms"), deadline)];
-    let request = request.headers(HeaderMap::from_iter(deadline));
+    let request = request.headers(deadline("4000"));
 
     let sent = tokio::spawn(request.send());
     eventually(async || cluster.executions_of(&attempt) == 1).await;
@@ -320,6 +324,30 @@
     assert!(cluster.nodes[CONNECTED].wait_for_exit().await.success());
 }
 
+/// Guards against a refusal that says "not run" when the grace period of the
+/// VM that passed an order on ends before the order's response.
+#[tokio::test]
+async fn a_stopped_vm_does_not_know_whether_a_passed_order_ran() {
+    let mut partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &mut partitioned.cluster;
+    let mut patient = configuration(2, Some("/more/"));
+    patient["routes"]["order"]["timeout"] = json!("20s");
+    cluster.store.put("op/config", &patient);
+    eventually(async || cluster.get(CUT, "/more/all").await.status() == 200)
+        .await;
+    cluster.set_behavior(ServerBehavior::Withholds);
+    let attempt = cluster.next_attempt();
+    let request = cluster.request(CUT, Method::POST, "/order/1", &attempt);
+
+    let sent = tokio::spawn(request.headers(deadline("20000")).send());
+    eventually(async || cluster.executions_of(&attempt) == 1).await;
+    cluster.nodes[CUT].signal(Signal::TERM);
+
+    let response = sent.await.expect("request task does not panic");
+    assert_eq!(response.expect("response arrives").status(), 504);
+}
+
 /// Guards against a VM that needs others, or avoids its servers, after its
 /// links are back.
 #[tokio::test]
