Let the limit of a VM decide whether requests can be passed to it

A request that could not be sent marked the other VM as lost for 0.5 s, also when it had only run out of time, or when an idle connection had been closed. Each VM has a limit as servers do, which suspends it after three failures and probes it; the mark beside it is taken out.

--- a/goldcrestramp-entry/src/traffic/relay_vms.rs
+++ b/goldcrestramp-entry/src/traffic/relay_vms.rs
@@ -28,9 +28,9 @@
 /// in the memory of both.
 const MAX_PASSED: usize = 64;
 
-/// How long a VM gets no requests after it could not be reached, or reached
-/// no server either.
-const UNUSABLE_TIME: TimeSpan = TimeSpan::from_millis(500);
+/// How long a VM gets no requests for a service after it reached none of its
+/// servers either.
+const UNREACHABLE_TIME: TimeSpan = TimeSpan::from_millis(500);
 
 /// How long a VM is preferred after it has served a request.
 const PROVEN_TIME: TimeSpan = TimeSpan::from_millis(2_000);
@@ -46,8 +46,6 @@
     pub(super) server: Rc<ServerState>,
     /// Until when it counts as one that serves requests.
     proven_until: Cell<LocalTime>,
-    /// Until when the VM can't be reached.
-    lost_until: Cell<LocalTime>,
     /// The services whose servers it does not reach either, each with the time
     /// until which it gets no requests for them.
     unreachable: RefCell<FastMap<Arc<str>, LocalTime>>,
@@ -65,7 +63,6 @@
         Some(Self {
             server: Rc::new(server),
             proven_until: Cell::default(),
-            lost_until: Cell::default(),
             unreachable: RefCell::default(),
         })
     }
@@ -75,11 +72,6 @@
         self.proven_until.set(now + PROVEN_TIME);
     }
 
-    /// Stops passing requests to the VM for a while: it can't be reached.
-    pub(super) fn record_lost(&self, now: LocalTime) {
-        self.lost_until.set(now + UNUSABLE_TIME);
-    }
-
     /// Stops passing requests for a service to the VM for a while: it reaches
     /// no server of the service either.
     pub(super) fn record_unreachable(
@@ -88,16 +80,14 @@
         service: &Arc<str>,
     ) {
         let mut unreachable = self.unreachable.borrow_mut();
-        unreachable.insert(Arc::clone(service), now + UNUSABLE_TIME);
+        unreachable.insert(Arc::clone(service), now + UNREACHABLE_TIME);
     }
 
     /// The limit of requests for a service in flight through the VM; 0 if none
     /// may be passed to it now.
     fn limit(&self, now: LocalTime, service: &str) -> usize {
         let unreachable = self.unreachable.borrow().get(service).copied();
-        let unusable_until =
-            unreachable.unwrap_or_default().max(self.lost_until.get());
-        if now < unusable_until {
+        if unreachable.is_some_and(|until| now < until) {
             return 0;
         }
         self.server.limit(now)
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -391,10 +391,7 @@
             relay.record_unreachable(MonotonicClock.now(), &request.service);
             Ok(None)
         }
-        AttemptOutcome::NotSent => {
-            relay.record_lost(MonotonicClock.now());
-            Ok(None)
-        }
+        AttemptOutcome::NotSent => Ok(None),
         AttemptOutcome::RelayEnded(RelayEnd {
             reason,
             may_have_run,
