Accept connections of callers and VMs in one loop

The listener for requests of other VMs repeated the loop of the callers' listener. Both now hand each connection to a function that serves it.

--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -40,32 +40,25 @@
 /// The smallest head buffer that the library accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
-/// Accepts connections until the process closes.
-pub(crate) async fn serve_listener(
-    state: Rc<TrafficState>,
+/// Accepts connections until the process closes, and serves each in a task of
+/// its own.
+pub(crate) async fn serve_listener<Served>(
     listener: TcpListener,
     mut phase: watch::Receiver<StopPhase>,
     connections: Rc<ConnectionCount>,
-) {
-    while let Some(stream) = accept(&listener, &mut phase).await {
-        let guard = connections.enter();
-        let (state, phase) = (Rc::clone(&state), phase.clone());
-        spawn_local(serve_stream(state, stream, phase, guard));
-    }
-}
-
-/// Accepts the next connection; `None` when the process closes.
-pub(super) async fn accept(
-    listener: &TcpListener,
-    phase: &mut watch::Receiver<StopPhase>,
-) -> Option<TcpStream> {
+    serve: impl Fn(TcpStream, ConnectionGuard) -> Served,
+) where
+    Served: Future<Output = ()> + 'static,
+{
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_close(phase) => return None,
+            () = wait_for_close(&mut phase) => return,
         };
         match accepted {
-            Ok((stream, _address)) => return Some(stream),
+            Ok((stream, _address)) => {
+                spawn_local(serve(stream, connections.enter()));
+            }
             Err(error) => {
                 log::warn!("[gateway] Accept failed: {error}.");
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -84,10 +77,11 @@
     }
 }
 
-async fn serve_stream(
+/// Serves one connection of a caller.
+pub(crate) async fn serve_caller(
     state: Rc<TrafficState>,
-    stream: TcpStream,
     mut phase: watch::Receiver<StopPhase>,
+    stream: TcpStream,
     _guard: ConnectionGuard,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -2,7 +2,8 @@
 //! responses.
 //!
 //! Each VM sends directly to the servers: the servers enforce key ownership
-//! themselves, so no VM has to be in between. The requests that a VM may have
+//! themselves, so no VM has to be in between. Only a VM that reaches no server
+//! passes requests to another one. The requests that a VM may have
 //! in flight at a server are its share of the server's slots, adapted to the
 //! server's responses.
 
@@ -17,7 +18,7 @@
 mod position;
 mod reason;
 mod relay;
-mod relay_listener;
+mod relay_connection;
 mod relay_vms;
 mod request;
 mod response;
@@ -40,7 +41,8 @@
     run::StopPhase,
     shared::SharedState,
     traffic::{
-        listener::serve_listener, relay_listener::serve_relays,
+        listener::{serve_caller, serve_listener},
+        relay_connection::serve_vm,
         state::TrafficState,
     },
     view::FleetView,
@@ -117,11 +119,23 @@
     spawn_local(follow_reach(Rc::clone(&state)));
     let TrafficListeners { callers, relayed } = listeners;
     if let Some(relayed) = relayed {
-        let (state, phase) = (Rc::clone(&state), phase.clone());
+        let (state, stop) = (Rc::clone(&state), phase.clone());
+        let serve = move |stream, guard| {
+            serve_vm(Rc::clone(&state), stop.clone(), stream, guard)
+        };
         let connections = Rc::clone(&connections);
-        spawn_local(serve_relays(state, relayed, phase, connections));
+        spawn_local(serve_listener(
+            relayed,
+            phase.clone(),
+            connections,
+            serve,
+        ));
     }
-    spawn_local(serve_listener(state, callers, phase, connections));
+    let stop = phase.clone();
+    let serve = move |stream, guard| {
+        serve_caller(Rc::clone(&state), stop.clone(), stream, guard)
+    };
+    spawn_local(serve_listener(callers, phase, connections, serve));
     handle
 }
 
--- a/goldcrestramp-entry/src/traffic/relay_listener.rs
+++ b/goldcrestramp-entry/src/traffic/relay_connection.rs
@@ -1,23 +1,16 @@
-//! Accepts connections of VMs that pass requests to this one.
+//! Serves connections of VMs that pass requests to this one.
 
 use std::{convert::Infallible, rc::Rc};
 
 use http::Request;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::{
-    net::{TcpListener, TcpStream},
-    pin,
-    sync::watch,
-    task::spawn_local,
-};
+use tokio::{net::TcpStream, pin, sync::watch};
 
 use crate::{
     run::StopPhase,
     traffic::{
-        ConnectionCount, ConnectionGuard,
-        listener::{accept, wait_for_close},
-        relay::serve_passed,
+        ConnectionGuard, listener::wait_for_close, relay::serve_passed,
         state::TrafficState,
     },
 };
@@ -25,27 +18,14 @@
 /// The head buffer: a caller's head with the envelope.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// Accepts connections of other VMs until the process closes.
+/// Serves one connection of another VM.
 ///
 /// A draining VM still serves what is passed to it: its entry is gone from the
 /// store, so the other VMs soon choose another one.
-pub(super) async fn serve_relays(
+pub(super) async fn serve_vm(
     state: Rc<TrafficState>,
-    listener: TcpListener,
     mut phase: watch::Receiver<StopPhase>,
-    connections: Rc<ConnectionCount>,
-) {
-    while let Some(stream) = accept(&listener, &mut phase).await {
-        let guard = connections.enter();
-        let (state, phase) = (Rc::clone(&state), phase.clone());
-        spawn_local(serve_stream(state, stream, phase, guard));
-    }
-}
-
-async fn serve_stream(
-    state: Rc<TrafficState>,
     stream: TcpStream,
-    mut phase: watch::Receiver<StopPhase>,
     _guard: ConnectionGuard,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
