Count a passed request for the retry budget where it is sent

A request that a partitioned VM passes on is counted by the VM that gets it. One that reached no server counted it, too, and the next VM counted it again, so retries could exceed the ratio that operators allow. Found by reading; without a test of its own.

With it go wording: LocalEnd names how a request ended at any VM, and the delay after a refusal is chosen in one expression.

--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -1,4 +1,4 @@
-//! Sends one attempt of a request to one server.
+//! Sends one attempt of a request to a server, or passes it to another VM.
 
 use std::{io, pin::pin, rc::Rc, time::Duration};
 
@@ -17,7 +17,7 @@
     traffic::{
         choose::has_other_owner,
         headers::text,
-        relay::{ENVELOPE, RelayEnd},
+        relay::{ENVELOPE, LocalEnd},
         request::RoutedRequest,
         response::{
             ReadResponse, ResponseBody, full_response, read_response,
@@ -62,7 +62,7 @@
     Partitioned,
     /// The VM to which the request was passed ended it without a server's
     /// response.
-    RelayEnded(RelayEnd),
+    RelayEnded(LocalEnd),
 }
 
 impl AttemptOutcome {
@@ -105,8 +105,8 @@
 
     /// The end of a request that was passed to another VM; `None` if the
     /// response is a server's.
-    fn read_relay_end(&self, parts: &Parts) -> Option<RelayEnd> {
-        if self.is_direct() { None } else { RelayEnd::read(parts) }
+    fn read_relay_end(&self, parts: &Parts) -> Option<LocalEnd> {
+        if self.is_direct() { None } else { LocalEnd::read(parts) }
     }
 }
 
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -3,9 +3,9 @@
 //!
 //! Each VM sends directly to the servers: the servers enforce key ownership
 //! themselves, so no VM has to be in between. Only a VM that reaches no server
-//! passes requests to another one. The requests that a VM may have
-//! in flight at a server are its share of the server's slots, adapted to the
-//! server's responses.
+//! passes requests to another one. The requests that a VM may have in flight
+//! at a server are its share of the server's slots, adapted to the server's
+//! responses.
 
 mod attempt;
 mod choose;
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -60,17 +60,16 @@
     counted: bool,
 }
 
-/// How a request ended at the VM that it was passed to, without a server's
-/// response.
+/// How a request ended at a VM without a server's response.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct RelayEnd {
+pub(super) struct LocalEnd {
     pub(super) reason: EndReason,
     pub(super) may_have_run: bool,
     /// The delay after which the caller should retry.
     pub(super) retry_after: TimeSpan,
 }
 
-/// A [`RelayEnd`] as it is sent.
+/// A [`LocalEnd`] as it is sent to the VM that passed the request on.
 #[derive(Serialize, Deserialize)]
 struct EncodedEnd<'a> {
     reason: &'a str,
@@ -78,12 +77,12 @@
     retry_after: TimeSpan,
 }
 
-impl RelayEnd {
+impl LocalEnd {
     /// Reads the end from the head of a response; `None` if the response is a
     /// server's.
     pub(super) fn read(parts: &Parts) -> Option<Self> {
         /// What an end that can't be read may mean.
-        const UNREADABLE: RelayEnd = RelayEnd {
+        const UNREADABLE: LocalEnd = LocalEnd {
             reason: EndReason::Broken,
             may_have_run: true,
             retry_after: DEFAULT_RETRY_AFTER,
@@ -115,7 +114,7 @@
     }
 }
 
-impl From<EndReason> for RelayEnd {
+impl From<EndReason> for LocalEnd {
     fn from(reason: EndReason) -> Self {
         let retry_after = DEFAULT_RETRY_AFTER;
         Self { reason, may_have_run: false, retry_after }
@@ -162,20 +161,21 @@
         .and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
     let Some(envelope) = envelope else {
         log::warn!("[relay] A request has no valid envelope.");
-        return RelayEnd::from(EndReason::Unreachable).response();
+        return LocalEnd::from(EndReason::Unreachable).response();
     };
     if state.view().routes.is_none() {
         // A VM that has just started knows no servers yet.
-        return RelayEnd::from(EndReason::Unreachable).response();
+        return LocalEnd::from(EndReason::Unreachable).response();
     }
     state.record_relayed(arrived, &envelope.vm);
     let route = route_of(&envelope);
     let deadline = deadline_of(arrived, &parts.headers, &route);
     let body = match read_passed(body, arrived, deadline).await {
         Ok(body) => body,
-        Err(reason) => return RelayEnd::from(reason).response(),
+        Err(reason) => return LocalEnd::from(reason).response(),
     };
-    if !envelope.counted {
+    // The VM that is tried after this one counts it otherwise.
+    if !envelope.counted && !state.reach.is_partitioned(&envelope.service) {
         let service = state.service(&envelope.service);
         service.budget.borrow_mut().record_request(arrived);
     }
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -16,7 +16,7 @@
     choose::{AttemptHistory, ChosenServer, Destination, choose},
     permit::wait_for_permit,
     reason::EndReason,
-    relay::{RelayEnd, envelope},
+    relay::{LocalEnd, envelope},
     relay_vms::ChosenVm,
     request::{
         RequestBody, RequestOrigin, RoutedRequest, deadline_of, find_route,
@@ -100,7 +100,7 @@
     let history = AttemptHistory { tried, ..AttemptHistory::default() };
     let progress = RequestProgress { history, ..RequestProgress::default() };
     let served = serve_routed(state, &mut request, progress).await;
-    served.unwrap_or_else(RelayEnd::response)
+    served.unwrap_or_else(LocalEnd::response)
 }
 
 /// Serves a request until it ends, or until the process does.
@@ -108,7 +108,7 @@
     state: &Rc<TrafficState>,
     request: &mut RoutedRequest,
     mut progress: RequestProgress,
-) -> Result<Response<ResponseBody>, RelayEnd> {
+) -> Result<Response<ResponseBody>, LocalEnd> {
     let responded = tokio::select! {
         biased;
         responded = respond(state, request, &mut progress) => responded,
@@ -126,7 +126,7 @@
         return Ok(failure);
     }
     log_end(request, &progress, &end);
-    Err(RelayEnd {
+    Err(LocalEnd {
         reason: end.reason,
         may_have_run: progress.may_have_run,
         retry_after: end.retry_after.min(MAX_RETRY_AFTER),
@@ -392,7 +392,7 @@
             Ok(None)
         }
         AttemptOutcome::NotSent => Ok(None),
-        AttemptOutcome::RelayEnded(RelayEnd {
+        AttemptOutcome::RelayEnded(LocalEnd {
             reason,
             may_have_run,
             retry_after,
--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -42,16 +42,16 @@
 
 impl From<EndReason> for RequestEnd {
     fn from(reason: EndReason) -> Self {
-        let retry_after =
-            match reason {
-                EndReason::Unreachable => UNREACHABLE_RETRY_AFTER
-                    .percent(rand::random_range(50..100)),
-                EndReason::NoOwner
-                | EndReason::NoServerInRegion
-                | EndReason::RateLimited => MAX_NO_OWNER_RETRY_AFTER
-                    .percent(rand::random_range(50..100)),
-                _ => DEFAULT_RETRY_AFTER,
-            };
+        let longest = match reason {
+            EndReason::Unreachable => Some(UNREACHABLE_RETRY_AFTER),
+            EndReason::NoOwner
+            | EndReason::NoServerInRegion
+            | EndReason::RateLimited => Some(MAX_NO_OWNER_RETRY_AFTER),
+            _ => None,
+        };
+        let retry_after = longest.map_or(DEFAULT_RETRY_AFTER, |longest| {
+            longest.percent(rand::random_range(50..100))
+        });
         Self { reason, retry_after }
     }
 }
