Count and log the backoffs that servers request

Logs and metrics could not tell a repeat at a server that had asked for time from a request that was on its way, nor whether the server had asked at all. A line of the part backoff says when a server refuses with Retry-After, and server_backoffs and early_requests count such refusals and the requests that are sent before the named time is over.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -31,6 +31,7 @@
 - [`ReachMonitor`]: whether a VM has lost its links to the servers of a
   service.
 - [`choose_relay`]: the VM that sends a request for one that reaches no server.
+- [`ServerNotices`]: what servers have stated to this VM in their responses.
 - [`WorkEstimate`]: how long a server works on a request.
 - [`denial_action`]: whether a request is retried at an owner that denied
   its key.
@@ -51,6 +52,7 @@
 mod limit;
 mod link;
 mod load;
+mod notices;
 mod pipeline;
 mod placement;
 mod pool;
@@ -84,6 +86,7 @@
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSignal},
     link::{LINK_CHUNK_BYTES, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReport, REPORTED_SLICES, ServerLoad},
+    notices::ServerNotices,
     pipeline::{PipelineEffect, PipelineGate, PipelineStart},
     placement::{
         LoadEstimate, PlacementPlanner, PlacementSettings, PlannedMove,
--- /dev/null
+++ b/goldcrestramp-decisions/src/notices.rs
@@ -0,0 +1,80 @@
+//! What servers have stated to this VM in their responses.
+//!
+//! An overloaded server that refuses a request may name a time for which it
+//! wants no other one from the same VM. If that is ignored, a refused request
+//! comes back after some ten milliseconds, and as often as its caller waits,
+//! and each repeat costs the server as much as another refusal.
+//!
+//! These are facts about one instance of a server. They are kept apart from
+//! its limits and its entry, because both are dropped while the store is away.
+
+use std::hash::Hash;
+
+use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
+
+/// What one server instance has stated.
+#[derive(Clone, Copy, Debug, Default)]
+struct ServerNotice {
+    /// The end of its longest backoff.
+    backoff_until: LocalTime,
+}
+
+/// The notices of servers, by the key of the instance.
+///
+/// # Example
+///
+/// ```
+/// use goldcrestramp_decisions::ServerNotices;
+/// use goldcrestramp_types::{LocalTime, TimeSpan};
+///
+/// let at = |millis: u64| LocalTime::from_micros(millis * 1_000);
+/// let mut notices = ServerNotices::default();
+/// notices.record_backoff(at(0), "a", TimeSpan::from_millis(3_000));
+/// assert_eq!(notices.backoff_until(at(10), &"a"), Some(at(3_000)));
+/// assert_eq!(notices.backoff_until(at(3_000), &"a"), None);
+/// ```
+#[derive(Clone, Debug)]
+pub struct ServerNotices<Key>(FastMap<Key, ServerNotice>);
+
+impl<Key> Default for ServerNotices<Key> {
+    fn default() -> Self {
+        Self(FastMap::default())
+    }
+}
+
+impl<Key: Clone + Eq + Hash> ServerNotices<Key> {
+    /// Records that a server wants no request for `span`; returns whether it
+    /// was in no backoff before. A shorter backoff does not end a longer one.
+    pub fn record_backoff(
+        &mut self,
+        now: LocalTime,
+        key: Key,
+        span: TimeSpan,
+    ) -> bool {
+        let notice = self.0.entry(key).or_default();
+        let begins = notice.backoff_until <= now && span > TimeSpan::ZERO;
+        notice.backoff_until = notice.backoff_until.max(now + span);
+        begins
+    }
+
+    /// The end of a server's backoff, if it is in one.
+    pub fn backoff_until(
+        &self,
+        now: LocalTime,
+        key: &Key,
+    ) -> Option<LocalTime> {
+        let until = self.0.get(key)?.backoff_until;
+        (now < until).then_some(until)
+    }
+
+    /// Removes what no longer matters.
+    pub fn retain(&mut self, now: LocalTime) {
+        self.0.retain(|_key, notice| now < notice.backoff_until);
+    }
+
+    /// Whether nothing is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
--- a/goldcrestramp-entry/src/lib.rs
+++ b/goldcrestramp-entry/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod mirror;
+mod notices;
 pub mod peers;
 mod reach;
 mod ready;
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -63,6 +63,10 @@
     news: Family<ReasonLabel, Counter>,
     /// The number of requests that other VMs passed to this one.
     pub relayed: Counter,
+    /// The number of refusals with which a server requested a backoff.
+    pub backoffs: Counter,
+    /// The number of requests sent to a server during its backoff.
+    pub early_requests: Counter,
     /// The age of this VM's copy of the store, in milliseconds.
     pub news_age: Gauge,
     /// The version of the configuration in force.
@@ -99,6 +103,8 @@
             times: Family::new_with_constructor(TimeBuckets),
             passed: Family::default(),
             relayed: Counter::default(),
+            backoffs: Counter::default(),
+            early_requests: Counter::default(),
             news: Family::default(),
             news_age: Gauge::default(),
             configuration: Gauge::default(),
@@ -184,6 +190,16 @@
             "Requests that other VMs passed to this one",
             self.relayed.clone(),
         );
+        registry.register(
+            "server_backoffs",
+            "Refusals with which a server requested a backoff",
+            self.backoffs.clone(),
+        );
+        registry.register(
+            "early_requests",
+            "Requests sent to a server during its backoff",
+            self.early_requests.clone(),
+        );
         registry.register(
             "request_seconds",
             "Times of requests by service and part of the way",
--- a/goldcrestramp-entry/src/shared.rs
+++ b/goldcrestramp-entry/src/shared.rs
@@ -6,6 +6,7 @@
 use crate::{
     control::{FreshnessClock, LoadRecorder, PermitMailbox},
     metrics::EntryMetrics,
+    notices::NoticeBoard,
     reach::ReachTracker,
 };
 
@@ -20,6 +21,8 @@
     pub metrics: Arc<EntryMetrics>,
     /// The time up to which the store's changes are known.
     pub clock: FreshnessClock,
+    /// What servers have stated in their responses.
+    pub notices: NoticeBoard,
     /// Whether this VM reaches the servers of each service.
     pub reach: ReachTracker,
 }
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -170,6 +170,11 @@
             state.record_reach(request, &slot.server, event);
         }
     };
+    let instance = &slot.server.instance;
+    let now = MonotonicClock.now();
+    if state.notices.backoff_until(now, instance).is_some() {
+        state.metrics.early_requests.inc();
+    }
     let sent = connection.try_send_request(outgoing);
     let response = wait_for_response(state, request, sent, &plan);
     // A previous owner completes all requests that it ran before the next
@@ -215,6 +220,9 @@
         finish_refusal(&slot, connection, parts, body).await;
         return AttemptOutcome::RelayEnded(end);
     }
+    if plan.is_direct() {
+        state.record_notices(now, &slot.server, &parts);
+    }
     match classify(request, &parts) {
         ResponseKind::Foreign => {
             slot.end(now, ServerSignal::Broken);
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -13,6 +13,7 @@
 mod connection;
 mod headers;
 mod listener;
+mod notice;
 mod permit;
 mod pool;
 mod position;
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -22,6 +22,7 @@
 use crate::{
     control::{FreshnessClock, LoadRecorder, PermitMailbox},
     metrics::EntryMetrics,
+    notices::NoticeBoard,
     reach::ReachTracker,
     run::StopPhase,
     shared::SharedState,
@@ -83,6 +84,7 @@
     pub(crate) permits: PermitMailbox,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) clock: FreshnessClock,
+    pub(crate) notices: NoticeBoard,
     pub(crate) reach: ReachTracker,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
@@ -114,6 +116,7 @@
             permits: shared.permits,
             metrics: shared.metrics,
             clock: shared.clock,
+            notices: shared.notices,
             reach: shared.reach,
             views,
             phase,
@@ -162,6 +165,7 @@
         self.members.borrow_mut().record(now, view);
         self.relays.borrow_mut().retain_listed(now, view);
         self.remove_unlisted_servers(view);
+        self.notices.retain(now);
         self.wake_queued();
     }
 
