Test that backoffs and leaving servers are respected

An owner that refuses with Retry-After: 60 gets 22 requests for 10 of callers, as each comes back after 40 to 500 ms. A server that states Server-Leaving: 1 in its responses gets 10 of 10 requests that follow, as only its entry is looked at.

The stand-in of a server states both headers on demand.

--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -1,11 +1,13 @@
 //! Tests the daemon as a process against stand-ins of the store and of
 //! backend servers.
 
+mod backoff;
 mod callers;
 mod cluster;
 mod configuration;
 mod domains;
 mod leases;
+mod leaving;
 mod limits;
 mod link;
 mod node;
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -59,7 +59,11 @@
     misdirected: u32,
     /// The rate limit that it states in its responses.
     limit: Option<String>,
-    /// The arrival times of requests since its rate limit was last set.
+    /// The backoff that it requests with each refusal, in seconds.
+    retry_after: Option<String>,
+    /// Whether it states in its responses that it is leaving.
+    leaving: bool,
+    /// The arrival times of requests since one of these was last set.
     arrived_at: Vec<Instant>,
 }
 
@@ -97,6 +101,8 @@
             hung: 0,
             misdirected: 0,
             limit: None,
+            retry_after: None,
+            leaving: false,
             arrived_at: Vec::new(),
         }));
         let (task_state, task_id) = (Arc::clone(&state), id.to_owned());
@@ -130,6 +136,23 @@
         state.arrived_at.clear();
     }
 
+    /// Refuses requests and asks for a backoff of this many seconds.
+    #[allow(dead_code, reason = "not every test binary does")]
+    pub fn shed_with_backoff(&self, seconds: &str) {
+        let mut state = self.lock();
+        state.behavior = ServerBehavior::Sheds;
+        state.retry_after = Some(seconds.to_owned());
+        state.arrived_at.clear();
+    }
+
+    /// Sets whether it states in its responses that it is leaving.
+    #[allow(dead_code, reason = "not every test binary does")]
+    pub fn set_leaving(&self, leaving: bool) {
+        let mut state = self.lock();
+        state.leaving = leaving;
+        state.arrived_at.clear();
+    }
+
     /// The maximum number of requests within any `window`, of those that
     /// arrived during `period` and since its rate limit was last set.
     #[allow(dead_code, reason = "not every test binary asks")]
@@ -171,7 +194,7 @@
         self.lock().resets
     }
 
-    /// Requests that it has read since its rate limit was last set, but for
+    /// Requests that it has read since what it states was last set, but for
     /// those that it reset or never responded to.
     #[allow(dead_code, reason = "not every test binary asks")]
     pub fn arrivals(&self) -> usize {
@@ -328,7 +351,10 @@
             stream.read_to_end(&mut rest).await?;
             return Ok(());
         }
-        let (head, wait, close) = respond(state, id, &request);
+        let (mut head, wait, close) = respond(state, id, &request);
+        if state.lock().expect("lock is not poisoned").leaving {
+            head = head.replacen("\r\n", "\r\nServer-Leaving: 1\r\n", 1);
+        }
         tokio::time::sleep(wait).await;
         wait_released(&mut stream, state).await?;
         stream.get_mut().write_all(head.as_bytes()).await?;
@@ -432,7 +458,10 @@
         return (head, Duration::ZERO, false);
     }
     if state.behavior == ServerBehavior::Sheds {
-        let headers = format!("{echo}{refusal}");
+        let backoff = state.retry_after.as_ref();
+        let backoff = backoff.map(|s| format!("Retry-After: {s}\r\n"));
+        let backoff = backoff.unwrap_or_default();
+        let headers = format!("{echo}{refusal}{backoff}");
         let head = response("503 Service Unavailable", &headers, "");
         return (head, Duration::ZERO, false);
     }
