Send nothing to a server until the backoff that it requested ends

Callers saw: while 5 of 18 servers refused all lookups with Retry-After: 3, 192 to 204 of 251 to 266 lookups a second were in time; a VM sent 10 and 14 requests to a server within the 3 s.

Cause: a refusal became an outcome without data, so its terms were lost. The same request came back to the key's owner after 40 to 500 ms, later ones at once, until a server had refused 16 in a row.

Change: what a server states about itself is recorded for its instance, apart from its limits and its entry. No request is sent there before the end of its longest backoff, by any way: owned, pooled, queued, passed on, or one whose connection is opened meanwhile. Its callers are refused at once with that end, without the cap of 2 s on Retry-After, which holds for estimates of a queue only; held if they may still be served within the target latency; and sent elsewhere if another server may serve them. One request follows the end.

New tests: lapsed entry, new configuration, unmarked refusal, passed requests, first request after the end, malformed values.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -31,6 +31,7 @@
 - [`ReachMonitor`]: whether a VM has lost its links to the servers of a
   service.
 - [`choose_relay`]: the VM that sends a request for one that reaches no server.
+- [`backoff_action`]: whether a request waits for the end of a backoff.
 - [`ServerNotices`]: what servers have stated to this VM in their responses.
 - [`WorkEstimate`]: how long a server works on a request.
 - [`denial_action`]: whether a request is retried at an owner that denied
@@ -44,6 +45,7 @@
 mod attempt;
 mod attempt_budget;
 mod attempt_timeout;
+mod backoff;
 pub mod baseline;
 mod cold;
 mod deadline;
@@ -79,6 +81,7 @@
     },
     attempt_budget::{AttemptBudget, BudgetSettings},
     attempt_timeout::{TimeoutInputs, attempt_timeout},
+    backoff::{BackoffAction, BackoffInputs, backoff_action},
     cold::ColdAllowance,
     deadline::{TransitEstimate, timeout_to_forward},
     denial::{DenialAction, OwnerDenial, denial_action},
--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -11,7 +11,8 @@
 shows more by its responses, and an idle one gets one request at a time anyway.
 
 - *Cold*: the limit starts at one request and grows with the responses.
-- *Overloaded*: a refusal halves the limit; a run of responses adds one.
+- *Overloaded*: a refusal halves the limit; a run of responses adds one. If
+  the server asks for a backoff, one request follows its end.
 - *Failing or frozen*: the server is suspended for a time that doubles with
   each failed probe. Then one request is sent as a probe, and its response lets
   the limit grow again step by step.
@@ -65,6 +66,8 @@
     Responded(RequestClass, TimeSpan),
     /// It refused to start a request.
     Refused,
+    /// It refused to start a request and asked for a backoff.
+    BackedOff,
     /// A request was cut off or timed out.
     Broken,
     /// No connection could be made.
@@ -224,6 +227,7 @@
                 self.record_response();
             }
             ServerSignal::Refused => self.record_refusal(now, random),
+            ServerSignal::BackedOff => self.record_backoff(),
             ServerSignal::Broken | ServerSignal::Unreachable => {
                 self.record_failure(now, random);
             }
@@ -310,6 +314,15 @@
         self.suspend_if(self.refusals >= REFUSAL_THRESHOLD, now, random);
     }
 
+    /// Lets one request follow a backoff, whose end the server itself has
+    /// named: VMs that send all that has waited would overload it again.
+    const fn record_backoff(&mut self) {
+        self.failures = 0;
+        self.refusals = 0;
+        self.suspended_since = None;
+        self.stage = LimitStage::Active { limit: 1, responses: 0 };
+    }
+
     fn record_failure(&mut self, now: LocalTime, random: u64) {
         self.failures += 1;
         self.suspend_if(self.failures >= FAILURE_THRESHOLD, now, random);
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -65,8 +65,6 @@
     pub relayed: Counter,
     /// The number of refusals with which a server requested a backoff.
     pub backoffs: Counter,
-    /// The number of requests sent to a server during its backoff.
-    pub early_requests: Counter,
     /// The age of this VM's copy of the store, in milliseconds.
     pub news_age: Gauge,
     /// The version of the configuration in force.
@@ -104,7 +102,6 @@
             passed: Family::default(),
             relayed: Counter::default(),
             backoffs: Counter::default(),
-            early_requests: Counter::default(),
             news: Family::default(),
             news_age: Gauge::default(),
             configuration: Gauge::default(),
@@ -195,11 +192,6 @@
             "Refusals with which a server requested a backoff",
             self.backoffs.clone(),
         );
-        registry.register(
-            "early_requests",
-            "Requests sent to a server during its backoff",
-            self.early_requests.clone(),
-        );
         registry.register(
             "request_seconds",
             "Times of requests by service and part of the way",
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -129,6 +129,12 @@
         return AttemptOutcome::NotSent;
     };
     let now = MonotonicClock.now();
+    // It may have begun while the connection was opened.
+    if state.is_in_backoff(&slot.server) {
+        slot.server.put_idle(connection, None);
+        slot.end(now, ServerSignal::Cancelled);
+        return AttemptOutcome::NotSent;
+    }
     let Some(outgoing) = outgoing(request, &slot, &plan, now) else {
         slot.end(now, ServerSignal::Cancelled);
         return AttemptOutcome::NotSent;
@@ -170,11 +176,6 @@
             state.record_reach(request, &slot.server, event);
         }
     };
-    let instance = &slot.server.instance;
-    let now = MonotonicClock.now();
-    if state.notices.backoff_until(now, instance).is_some() {
-        state.metrics.early_requests.inc();
-    }
     let sent = connection.try_send_request(outgoing);
     let response = wait_for_response(state, request, sent, &plan);
     // A previous owner completes all requests that it ran before the next
@@ -234,7 +235,12 @@
             if !misdirected && plan.is_direct() {
                 state.record_rate(now, &slot.server, &parts.headers);
             }
-            slot.end(now, ServerSignal::Refused);
+            let signal = if state.is_in_backoff(&slot.server) {
+                ServerSignal::BackedOff
+            } else {
+                ServerSignal::Refused
+            };
+            slot.end(now, signal);
             finish_refusal(&slot, connection, parts, body).await;
             if misdirected {
                 AttemptOutcome::Misdirected
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -5,7 +5,8 @@
 use goldcrestramp_adapter::ServerEntry;
 use goldcrestramp_assignment::{AssignmentPhase, ServerInstance};
 use goldcrestramp_decisions::{
-    DenialAction, OwnerDenial, ServerProximity, denial_action,
+    BackoffAction, BackoffInputs, DenialAction, OwnerDenial, ServerProximity,
+    backoff_action, denial_action,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, TimeSpan};
 
@@ -17,6 +18,7 @@
         request::RoutedRequest,
         server::{RequestQueue, ServerState},
         state::TrafficState,
+        wait::RequestEnd,
     },
     view::FleetView,
 };
@@ -65,10 +67,11 @@
     Vm(ChosenVm),
     /// Wait for a permit to send it to this server.
     Permit(Rc<ServerState>),
-    /// Wait for the key to get an owner, at most this long.
-    AwaitOwner(TimeSpan),
+    /// Wait for a change of the fleet, such as the key's owner, at most this
+    /// long.
+    AwaitChange(TimeSpan),
     /// Refuse it: it can't be served now.
-    Refused(EndReason),
+    Refused(RequestEnd),
 }
 
 /// The queue in which a request waits.
@@ -134,7 +137,7 @@
 ) -> Destination {
     let service = &request.service;
     let Some(table) = view.tables.get(service) else {
-        return Destination::Refused(EndReason::NoOwner);
+        return Destination::Refused(EndReason::NoOwner.into());
     };
     let range = table.find(slice);
     let instance = table.instance(range.instance);
@@ -149,7 +152,7 @@
     let entry = view.servers.get(&instance.id);
     let entry = entry.map(|entry| &**entry);
     if !allows_owner(state, view, request, entry) {
-        return Destination::Refused(EndReason::NoServerInRegion);
+        return Destination::Refused(EndReason::NoServerInRegion.into());
     }
     if let Some(wait) =
         wait_for_instance(state, view, now, instance, entry, since)
@@ -160,6 +163,10 @@
         .map_or(ServerProximity::Remote, |entry| state.proximity_to(entry));
     let senders = state.senders(now, view, None);
     let server = state.server(now, instance, entry, senders);
+    if let Some(until) = state.notices.backoff_until(now, instance) {
+        let latency = server.times.borrow().mean();
+        return await_backoff(request, now, until, latency);
+    }
     let limit = owner_limit(server.limit(now), &server, request);
     if server.in_flight() < limit {
         if server.queue.borrow().is_empty() {
@@ -197,7 +204,7 @@
 ) -> Option<Destination> {
     let known = now.since(since);
     if known < GRANT_TRANSIT {
-        return Some(Destination::AwaitOwner(GRANT_TRANSIT.minus(known)));
+        return Some(Destination::AwaitChange(GRANT_TRANSIT.minus(known)));
     }
     let leaving = view.leaving.get(&instance.id);
     let drained_for = leaving.map(|leaving| now.since(*leaving));
@@ -218,6 +225,25 @@
     Some(unavailable(exceeded))
 }
 
+/// What to do with a request whose servers are all in a backoff, the first of
+/// which ends at `until`.
+pub(super) fn await_backoff(
+    request: &RoutedRequest,
+    now: LocalTime,
+    until: LocalTime,
+    latency: TimeSpan,
+) -> Destination {
+    let ends_in = until.since(now);
+    let target_remaining = request.target_remaining(now);
+    let inputs = BackoffInputs { ends_in, latency, target_remaining };
+    match backoff_action(inputs) {
+        BackoffAction::Wait => Destination::AwaitChange(ends_in),
+        BackoffAction::Refuse => {
+            Destination::Refused(RequestEnd::in_backoff(ends_in))
+        }
+    }
+}
+
 /// Whether the route allows the region of the key's owner. The region of an
 /// owner without an entry is unknown.
 fn allows_owner(
@@ -266,9 +292,9 @@
 /// What to do with a request whose key has had no owner for `ownerless_for`.
 fn unavailable(ownerless_for: TimeSpan) -> Destination {
     if ownerless_for < TYPICAL_MOVE_TIME {
-        return Destination::AwaitOwner(
+        return Destination::AwaitChange(
             TYPICAL_MOVE_TIME.minus(ownerless_for),
         );
     }
-    Destination::Refused(EndReason::NoOwner)
+    Destination::Refused(EndReason::NoOwner.into())
 }
--- a/goldcrestramp-entry/src/traffic/notice.rs
+++ b/goldcrestramp-entry/src/traffic/notice.rs
@@ -1,12 +1,18 @@
 //! What servers state in their responses about themselves.
 
 use goldcrestramp_adapter::requested_backoff;
-use goldcrestramp_types::LocalTime;
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
 use http::{StatusCode, response::Parts};
 
 use crate::traffic::{server::ServerState, state::TrafficState};
 
 impl TrafficState {
+    /// Whether a server has asked this VM for a backoff that has not ended.
+    pub(super) fn is_in_backoff(&self, server: &ServerState) -> bool {
+        let now = MonotonicClock.now();
+        self.notices.backoff_until(now, &server.instance).is_some()
+    }
+
     /// Records what a server states in the head of a response, whichever
     /// request the response belongs to.
     pub(super) fn record_notices(
@@ -23,7 +29,9 @@
         match requested_backoff(parts.status, &parts.headers) {
             Ok(Some(span)) => {
                 self.metrics.backoffs.inc();
-                self.notices.record_backoff(now, instance, span);
+                if self.notices.record_backoff(now, instance, span) {
+                    self.wake_queued();
+                }
             }
             Ok(None) => {}
             Err(error) => {
--- a/goldcrestramp-entry/src/traffic/pool.rs
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     traffic::{
-        choose::{ChosenServer, Destination, QueueKind},
+        choose::{ChosenServer, Destination, QueueKind, await_backoff},
         reason::EndReason,
         request::RoutedRequest,
         server::ServerState,
@@ -23,6 +23,8 @@
 struct ServerCandidate {
     server: Rc<ServerState>,
     candidate: PoolCandidate,
+    /// The end of its backoff, if it is in one.
+    backoff_until: Option<LocalTime>,
 }
 
 /// The choice for one request.
@@ -45,21 +47,25 @@
 ) -> Destination {
     let ready = view.ready.get(&request.service);
     if ready.is_none_or(Vec::is_empty) {
-        return Destination::Refused(EndReason::NoServer);
+        return Destination::Refused(EndReason::NoServer.into());
     }
     let service = state.service(&request.service);
     let pool = PoolRequest { state, view, service: &service, request, now };
     let servers = pool.candidates();
     if servers.is_empty() {
-        return Destination::Refused(EndReason::NoServerInRegion);
+        return Destination::Refused(EndReason::NoServerInRegion.into());
+    }
+    let open = servers.iter().filter(|s| s.backoff_until.is_none());
+    let mut usable: Vec<&ServerCandidate> = open.collect();
+    if usable.is_empty() {
+        return pool.await_backoff(&servers);
+    }
+    let untried = |server: &&ServerCandidate| {
+        !tried.contains(&server.server.instance.id)
+    };
+    if usable.iter().any(untried) {
+        usable.retain(untried);
     }
-    let untried =
-        |server: &ServerCandidate| !tried.contains(&server.server.instance.id);
-    let any_untried = servers.iter().any(untried);
-    let mut usable: Vec<&ServerCandidate> = servers
-        .iter()
-        .filter(|server| untried(server) || !any_untried)
-        .collect();
     // All VMs list the servers in the same order; of equal servers each of
     // them would choose the same one.
     let start = rand::random_range(0..usable.len().max(1));
@@ -110,13 +116,18 @@
         let times = self.service.times.borrow();
         let latency =
             server.times.borrow().expected(&self.request.route.name, &times);
+        let backoff_until =
+            self.state.notices.backoff_until(self.now, &instance);
         let candidate = PoolCandidate {
             proximity,
-            limit: self.limit(entry, &server),
+            limit: match backoff_until {
+                Some(_until) => 0,
+                None => self.limit(entry, &server),
+            },
             in_flight: server.in_flight(),
             latency,
         };
-        ServerCandidate { server, candidate }
+        ServerCandidate { server, candidate, backoff_until }
     }
 
     /// The limit of this VM's requests in flight at a server; 0 if nothing may
@@ -133,6 +144,16 @@
         server.limit(now)
     }
 
+    /// The next step of the request if all servers are in a backoff.
+    fn await_backoff(&self, servers: &[ServerCandidate]) -> Destination {
+        let first = servers.iter().filter_map(|s| s.backoff_until).min();
+        let candidates: Vec<PoolCandidate> =
+            servers.iter().map(|server| server.candidate).collect();
+        let until = first.unwrap_or(self.now);
+        let latency = mean_latency(&candidates);
+        await_backoff(self.request, self.now, until, latency)
+    }
+
     /// The next step of the request among these servers.
     fn destination(&self, usable: &[&ServerCandidate]) -> Destination {
         let queue = &self.service.queue;
@@ -164,7 +185,9 @@
                 let queue = QueueKind::Service(Rc::clone(queue));
                 Destination::Wait { queue, slots: slots.max(1), latency }
             }
-            PoolChoice::TooLate => Destination::Refused(EndReason::TooLate),
+            PoolChoice::TooLate => {
+                Destination::Refused(EndReason::TooLate.into())
+            }
         }
     }
 }
--- a/goldcrestramp-entry/src/traffic/reason.rs
+++ b/goldcrestramp-entry/src/traffic/reason.rs
@@ -25,6 +25,8 @@
     NoOwner,
     /// The key's owner accepts no more requests from all VMs at the moment.
     RateLimited,
+    /// The servers that could respond have asked for a backoff.
+    ServerBackoff,
     /// Every server that could respond in time is full.
     Full,
     /// Too little time remains until the deadline.
@@ -41,7 +43,7 @@
 
 impl EndReason {
     /// All reasons.
-    const ALL: [Self; 17] = [
+    const ALL: [Self; 18] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::OldConfiguration,
@@ -53,6 +55,7 @@
         Self::NoServerInRegion,
         Self::NoOwner,
         Self::RateLimited,
+        Self::ServerBackoff,
         Self::Full,
         Self::TooLate,
         Self::RetryBudget,
@@ -80,6 +83,7 @@
             Self::NoServerInRegion => "no-server-in-region",
             Self::NoOwner => "no-owner",
             Self::RateLimited => "rate-limited",
+            Self::ServerBackoff => "server-backoff",
             Self::Full => "full",
             Self::TooLate => "too-late",
             Self::RetryBudget => "retry-budget",
--- a/goldcrestramp-entry/src/traffic/relay_vms.rs
+++ b/goldcrestramp-entry/src/traffic/relay_vms.rs
@@ -139,7 +139,7 @@
     history: &AttemptHistory,
 ) -> Destination {
     if request.origin == RequestOrigin::Vm {
-        return Destination::Refused(EndReason::Unreachable);
+        return Destination::Refused(EndReason::Unreachable.into());
     }
     let regions = state.region_filter(view, &request.route);
     let mut relays = state.relays.borrow_mut();
@@ -171,7 +171,7 @@
             let proximity = candidate.proximity;
             Destination::Vm(ChosenVm { relay, proximity })
         }
-        None => Destination::Refused(EndReason::Unreachable),
+        None => Destination::Refused(EndReason::Unreachable.into()),
     }
 }
 
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -26,7 +26,7 @@
     server::{ServerSlot, ServerState},
     state::TrafficState,
     wait::{
-        DEFAULT_RETRY_AFTER, RequestEnd, back_off, wait_for_owner,
+        DEFAULT_RETRY_AFTER, RequestEnd, back_off, wait_for_change,
         wait_in_queue,
     },
 };
@@ -37,9 +37,6 @@
 /// tried.
 const MAX_TOTAL_ATTEMPTS: u32 = 6;
 
-/// The maximum delay after which a caller is asked to retry.
-const MAX_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(2_000);
-
 /// The progress of a request.
 #[derive(Debug, Default)]
 struct RequestProgress {
@@ -129,7 +126,7 @@
     Err(LocalEnd {
         reason: end.reason,
         may_have_run: progress.may_have_run,
-        retry_after: end.retry_after.min(MAX_RETRY_AFTER),
+        retry_after: end.retry_after,
     })
 }
 
@@ -266,10 +263,10 @@
                 let since = &mut progress.permit_wait_since;
                 wait_for_permit(state, request, &server, since).await?;
             }
-            Destination::AwaitOwner(max_wait) => {
-                wait_for_owner(state, request, max_wait).await?;
+            Destination::AwaitChange(max_wait) => {
+                wait_for_change(state, request, max_wait).await?;
             }
-            Destination::Refused(reason) => return Err(reason.into()),
+            Destination::Refused(end) => return Err(end),
         }
     }
 }
@@ -338,6 +335,11 @@
         progress.history.denial =
             token.map(|token| OwnerDenial { token, denied_at });
     }
+    let not_run =
+        matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::NotSent);
+    if not_run && state.is_in_backoff(&server) {
+        return Ok(None);
+    }
     let retryable = matches!(
         outcome,
         AttemptOutcome::NotRun | AttemptOutcome::Misdirected
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -170,7 +170,7 @@
     }
 
     /// Wakes all queued requests.
-    fn wake_queued(&self) {
+    pub(super) fn wake_queued(&self) {
         for service in self.services.borrow().values() {
             wake_all(&service.queue);
         }
--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -33,7 +33,12 @@
 /// nor another one reaches a server: the time of a round of probes.
 const UNREACHABLE_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(600);
 
+/// The longest delay after which a caller is asked to retry because of a
+/// queue.
+const MAX_QUEUE_RETRY_AFTER: TimeSpan = TimeSpan::from_millis(2_000);
+
 /// Why a request ends with a response of this VM's own.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct RequestEnd {
     pub(crate) reason: EndReason,
     /// The delay after which the caller should retry.
@@ -56,6 +61,15 @@
     }
 }
 
+impl RequestEnd {
+    /// The end of a request whose servers are all in a backoff that ends in
+    /// `ends_in`. Callers return spread over some time after that.
+    pub(crate) fn in_backoff(ends_in: TimeSpan) -> Self {
+        let retry_after = ends_in.percent(rand::random_range(100..125));
+        Self { reason: EndReason::ServerBackoff, retry_after }
+    }
+}
+
 /// Waits with exponential backoff and jitter before the same server gets a
 /// retry.
 pub(crate) async fn back_off(request: &RoutedRequest, attempts: u32) {
@@ -84,6 +98,7 @@
         queue.with(|queue| queue.admission_time(now, target, remaining));
     if expected.plus(latency) > admission_time {
         let retry_after = expected.percent(rand::random_range(80..160));
+        let retry_after = shorter(retry_after, MAX_QUEUE_RETRY_AFTER);
         return Err(RequestEnd { reason: EndReason::Full, retry_after });
     }
     let (waker, woken) = oneshot::channel();
@@ -96,8 +111,8 @@
     Ok(())
 }
 
-/// Waits until the key's owner may have changed.
-pub(crate) async fn wait_for_owner(
+/// Waits until the fleet changes, such as the key's owner, at most `max_wait`.
+pub(crate) async fn wait_for_change(
     state: &TrafficState,
     request: &RoutedRequest,
     max_wait: TimeSpan,
--- a/goldcrestramp-entry/tests/daemon/backoff.rs
+++ b/goldcrestramp-entry/tests/daemon/backoff.rs
@@ -1,10 +1,32 @@
 //! Servers that refuse a request and ask for a backoff get none before its end.
 
-use crate::cluster::{Cluster, SHARDED};
+use std::time::Duration;
+
+use futures_util::future::join_all;
+
+use crate::{
+    cluster::{Cluster, POOLED, SHARDED, configuration, entry, eventually},
+    server::ServerBehavior,
+};
 
 /// A backoff that outlasts every test, in seconds.
 const LONG: &str = "60";
 
+const IDLE: ServerBehavior = ServerBehavior::Responds(Duration::ZERO);
+
+/// A cluster of one VM and one server that owns all keys.
+async fn start_with_owner() -> Cluster {
+    let cluster = Cluster::start(SHARDED, 1, 1).await;
+    cluster.wait_served(0, 0).await;
+    cluster
+}
+
+/// The reason that a VM names in its response to a lookup.
+async fn reason(cluster: &Cluster) -> String {
+    let response = cluster.get(0, "/list/all").await;
+    response.text().await.expect("body arrives")
+}
+
 /// Guards against repeats at an owner that has asked for a backoff.
 #[tokio::test]
 async fn an_owner_in_a_backoff_gets_no_request() {
@@ -19,3 +41,121 @@
 
     assert_eq!(cluster.servers[0].arrivals(), 1);
 }
+
+/// Guards against callers that return while nothing can be sent yet.
+#[tokio::test]
+async fn a_refusal_names_the_end_of_the_backoff() {
+    let cluster = start_with_owner().await;
+    cluster.servers[0].shed_with_backoff(LONG);
+
+    for _ in 0..10 {
+        let response = cluster.get_key(0, 0).await;
+
+        let stated = response.headers()["retry-after"].to_str();
+        let stated = stated.expect("header is text");
+        let seconds: f64 = stated.parse().expect("header is a number");
+        assert!((30.0..=75.0).contains(&seconds), "{seconds}");
+    }
+}
+
+/// Guards against a backoff that is only honored if the refusal also states
+/// that the request was not run.
+#[tokio::test]
+async fn a_backoff_in_an_unmarked_refusal_counts() {
+    let cluster = start_with_owner().await;
+    let server = &cluster.servers[0];
+    server.shed_with_backoff(LONG);
+    server.set_behavior(ServerBehavior::ShedsUnmarked);
+
+    for _ in 0..10 {
+        assert_eq!(cluster.get_key(0, 0).await.status(), 503);
+    }
+
+    assert_eq!(server.arrivals(), 1);
+}
+
+/// Guards against requests that are refused while other servers are idle.
+#[tokio::test]
+async fn lookups_are_served_by_servers_in_no_backoff() {
+    const SLOW: Duration = Duration::from_millis(60);
+    let cluster = Cluster::start(POOLED, 3, 1).await;
+    cluster.set_behavior(ServerBehavior::Responds(SLOW));
+    let server = &cluster.servers[0];
+    server.shed_with_backoff(LONG);
+
+    for _ in 0..30 {
+        let response = cluster.get(0, "/list/all").await;
+        assert_eq!(response.status(), 200);
+    }
+
+    assert!(server.arrivals() <= 1, "{} arrivals", server.arrivals());
+}
+
+/// Guards against a backoff that is forgotten with the state of a server whose
+/// entry lapses for a moment.
+#[tokio::test]
+async fn a_backoff_outlasts_a_lapsed_entry() {
+    let cluster = Cluster::start(POOLED, 1, 1).await;
+    let server = &cluster.servers[0];
+    server.shed_with_backoff(LONG);
+    assert_eq!(cluster.get(0, "/list/all").await.status(), 503);
+
+    cluster.store.remove("servers/server-0");
+    eventually(async || reason(&cluster).await == "no-server").await;
+    let entry = entry(server, POOLED, "ready");
+    cluster.store.put("servers/server-0", &entry);
+    eventually(async || reason(&cluster).await == "server-backoff").await;
+
+    assert_eq!(server.arrivals(), 1);
+}
+
+/// Guards against a backoff that ends with a new configuration.
+#[tokio::test]
+async fn a_backoff_outlasts_a_configuration() {
+    let cluster = Cluster::start(POOLED, 1, 1).await;
+    let server = &cluster.servers[0];
+    server.shed_with_backoff(LONG);
+    assert_eq!(reason(&cluster).await, "server-backoff");
+
+    let next = configuration(2, Some("/more/"));
+    cluster.store.put("op/config", &next);
+    eventually(async || cluster.get(0, "/more/all").await.status() != 404)
+        .await;
+
+    assert_eq!(reason(&cluster).await, "server-backoff");
+    assert_eq!(server.arrivals(), 1);
+}
+
+/// Guards against a VM that sends all that has waited as soon as a backoff
+/// ends.
+#[tokio::test]
+async fn one_request_follows_a_backoff() {
+    const WORK: Duration = Duration::from_millis(300);
+    let cluster = start_with_owner().await;
+    let server = &cluster.servers[0];
+    server.shed_with_backoff("1");
+    assert_eq!(cluster.get_key(0, 0).await.status(), 503);
+
+    server.set_behavior(ServerBehavior::Responds(WORK));
+    eventually(async || {
+        let sent = (0..2).map(|_| cluster.get_key(0, 0));
+        let responses = join_all(sent).await;
+        responses.iter().any(|response| response.status() == 200)
+    })
+    .await;
+
+    let arrivals = server.max_requests_within(.., WORK / 2);
+    assert_eq!(arrivals, 1);
+}
+
+/// Guards against an owner that stays unused after its backoff.
+#[tokio::test]
+async fn an_owner_is_used_again_after_its_backoff() {
+    let cluster = start_with_owner().await;
+    cluster.servers[0].shed_with_backoff("1");
+    assert_eq!(cluster.get_key(0, 0).await.status(), 503);
+
+    cluster.servers[0].set_behavior(IDLE);
+
+    cluster.wait_served(0, 0).await;
+}
--- a/goldcrestramp-entry/tests/daemon/leaving.rs
+++ b/goldcrestramp-entry/tests/daemon/leaving.rs
@@ -14,7 +14,7 @@
 async fn a_leaving_server_gets_no_new_request() {
     const SLOW: Duration = Duration::from_millis(100);
     let cluster = Cluster::start(POOLED, 2, 1).await;
-    let [leaving, other] = &cluster.servers[..] else { unreachable!() };
+    let (leaving, other) = (&cluster.servers[0], &cluster.servers[1]);
     other.set_behavior(ServerBehavior::Responds(SLOW));
     leaving.set_leaving(true);
     eventually(async || {
--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -283,6 +283,29 @@
     assert_eq!(cluster.executions_of(&attempt), 0);
 }
 
+/// Guards against a server that is asked again during its backoff by requests
+/// that were passed on.
+#[tokio::test]
+async fn a_passed_request_respects_a_backoff() {
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    for server in &cluster.servers {
+        server.shed_with_backoff("60");
+    }
+    for _ in 0..SERVERS {
+        assert!(!partitioned.send(CONNECTED, true).await);
+    }
+
+    for _ in 0..10 {
+        assert!(!partitioned.send(CUT, true).await);
+    }
+
+    for server in &cluster.servers {
+        assert!(server.arrivals() <= 1, "{} arrivals", server.arrivals());
+    }
+}
+
 /// Guards against a server that goes on working on a passed request after its
 /// caller has left.
 #[tokio::test]
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -32,6 +32,8 @@
     Resets,
     /// It sheds load: it responds that it did not run them.
     Sheds,
+    /// It sheds load, and its responses do not say that it did not run them.
+    ShedsUnmarked,
     /// It runs them and responds with the id of another request.
     WrongId,
     /// It is overloaded: it neither runs them nor ever responds on their
@@ -136,11 +138,11 @@
         state.arrived_at.clear();
     }
 
-    /// Refuses requests and asks for a backoff of this many seconds.
+    /// Sheds load and asks for a backoff of this many seconds.
     #[allow(dead_code, reason = "not every test binary does")]
     pub fn shed_with_backoff(&self, seconds: &str) {
+        self.set_behavior(ServerBehavior::Sheds);
         let mut state = self.lock();
-        state.behavior = ServerBehavior::Sheds;
         state.retry_after = Some(seconds.to_owned());
         state.arrived_at.clear();
     }
@@ -457,10 +459,12 @@
         let head = response("421 Misdirected Request", refusal, "");
         return (head, Duration::ZERO, false);
     }
-    if state.behavior == ServerBehavior::Sheds {
+    let unmarked = state.behavior == ServerBehavior::ShedsUnmarked;
+    if unmarked || state.behavior == ServerBehavior::Sheds {
         let backoff = state.retry_after.as_ref();
         let backoff = backoff.map(|s| format!("Retry-After: {s}\r\n"));
         let backoff = backoff.unwrap_or_default();
+        let refusal = if unmarked { "" } else { refusal };
         let headers = format!("{echo}{refusal}{backoff}");
         let head = response("503 Service Unavailable", &headers, "");
         return (head, Duration::ZERO, false);
@@ -486,6 +490,7 @@
         ServerBehavior::Responds(wait) => (complete, wait, false),
         ServerBehavior::Withholds => (complete, Duration::ZERO, false),
         ServerBehavior::Sheds
+        | ServerBehavior::ShedsUnmarked
         | ServerBehavior::Resets
         | ServerBehavior::Hangs => {
             unreachable!("handled above")
