Stop sending to servers that state that they are leaving

Cause, of the same class as the backoffs: the term in the response was passed on to the caller and otherwise thrown away; only the store's entry counted.

Change: the statement is recorded for the instance, whatever the entry says later. Pooled services leave the server out at once; the owner of a key serves for four fifths of the drain time, as with an entry that says draining. The planner learns of it from responses to its own orders and from reports of the VMs, and moves the keys. A VM that passed a request to another one is told by a header, which callers don't see. 421 proves nothing, as another server may have responded.

--- a/goldcrestramp-decisions/tests/notices.rs
+++ b/goldcrestramp-decisions/tests/notices.rs
@@ -56,9 +56,46 @@
     let mut notices = ServerNotices::default();
     notices.record_backoff(at(0), "a", seconds(3));
 
-    notices.retain(at(2_000));
+    notices.retain(at(2_000), |_key| true);
     assert!(!notices.is_empty());
-    notices.retain(at(3_000));
+    notices.retain(at(3_000), |_key| true);
 
     assert!(notices.is_empty());
 }
+
+/// Guards against a later response that starts the time of leaving anew.
+#[test]
+fn leaving_counts_from_the_first_response() {
+    let mut notices = ServerNotices::default();
+
+    assert!(notices.record_leaving(at(0), "a"));
+    assert!(!notices.record_leaving(at(1_500), "a"));
+
+    assert_eq!(notices.leaving_since(&"a"), Some(at(0)));
+    assert_eq!(notices.leaving_since(&"b"), None);
+}
+
+/// Guards against a leaving server that is forgotten while its entry, or a
+/// late copy of it, still says that it is ready.
+#[test]
+fn a_leaving_server_is_remembered_while_it_is_listed() {
+    let hour = at(0) + seconds(3_600);
+    let mut notices = ServerNotices::default();
+    notices.record_leaving(at(0), "a");
+    notices.record_leaving(at(0), "b");
+
+    notices.retain(hour, |key| *key == "a");
+
+    assert_eq!(notices.leaving().collect::<Vec<_>>(), [&"a"]);
+}
+
+/// Guards against a leaving server that is forgotten when its entry lapses.
+#[test]
+fn a_leaving_server_without_an_entry_is_remembered_for_a_while() {
+    let mut notices = ServerNotices::default();
+    notices.record_leaving(at(0), "a");
+
+    notices.retain(at(0) + seconds(300), |_key| false);
+
+    assert!(notices.leaving_since(&"a").is_some());
+}
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -27,6 +27,7 @@
     http::{CallPool, CloseMode, TimeoutScope},
     metrics::EntryMetrics,
     mirror::StoreMirror,
+    notices::{InstanceKey, NoticeBoard},
     peers::{PeerCall, PeerClient},
     reach::ReachTracker,
     records::{PLANNER_KEY, VmInstance, decode},
@@ -83,6 +84,7 @@
     pub(crate) permits: PermitMailbox,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) reach: ReachTracker,
+    pub(crate) notices: NoticeBoard,
     report_at: LocalTime,
     pub(crate) lease: Option<u64>,
     /// The terms of the current lease.
@@ -146,6 +148,7 @@
             permits: shared.permits,
             metrics: shared.metrics,
             reach: shared.reach,
+            notices: shared.notices,
             report_at: LocalTime::default(),
             lease: None,
             lease_terms: LeaseTerms::SHORT,
@@ -408,6 +411,7 @@
             return;
         }
         self.report_at = now;
+        self.report_leaving();
         let report = self.loads.take();
         if report.is_empty() {
             return;
@@ -425,6 +429,33 @@
         });
     }
 
+    /// Reports to the planning VM which owners of keys are leaving: their
+    /// entries may not say so, or not be read while the store is away.
+    fn report_leaving(&self) {
+        let leaving = self.notices.leaving_owners(&self.view);
+        if leaving.is_empty() || self.term.is_some() {
+            return;
+        }
+        let Some((planner, _)) = self.planner() else { return };
+        let peers = self.peers.clone();
+        tokio::spawn(async move {
+            let call = PeerCall::Leaving(leaving);
+            // A lost report is not retried; the next one makes up for it.
+            let _lost = peers.call(planner.address, &call).await;
+        });
+    }
+
+    /// Records the servers that a VM reports as leaving.
+    pub(crate) fn record_leaving(
+        &self,
+        now: LocalTime,
+        leaving: Vec<InstanceKey>,
+    ) {
+        for key in leaving {
+            self.notices.record_leaving(now, key);
+        }
+    }
+
     /// Records the load of a VM if this VM plans.
     pub(crate) fn record_load(&mut self, now: LocalTime, report: &LoadReport) {
         if let Some(term) = &mut self.term {
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -305,6 +305,10 @@
                 self.record_load(now, &report);
                 PeerReply::Accepted
             }
+            PeerCall::Leaving(leaving) => {
+                self.record_leaving(now, leaving);
+                PeerReply::Accepted
+            }
             PeerCall::StepDown { start } => self.step_down(start),
             PeerCall::Permits(_) if self.term.is_none() => PeerReply::Accepted,
             PeerCall::Permits(requests) => {
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -131,6 +131,8 @@
     pub(crate) service: Arc<str>,
     pub(crate) order: ServerOrder,
     pub(crate) outcome: OrderOutcome,
+    /// Whether the server states that it is leaving.
+    pub(crate) leaving: bool,
 }
 
 /// The previous planner has stopped planning.
--- a/goldcrestramp-entry/src/control/order.rs
+++ b/goldcrestramp-entry/src/control/order.rs
@@ -8,7 +8,9 @@
     time::Duration,
 };
 
-use goldcrestramp_adapter::{GrantOrder, ReleaseOrder, headers};
+use goldcrestramp_adapter::{
+    GrantOrder, ReleaseOrder, headers, states_leaving,
+};
 use goldcrestramp_assignment::{OrderKind, OrderOutcome, ServerOrder};
 use goldcrestramp_types::{ClockSource, FastMap, LocalTime, MonotonicClock};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
@@ -16,7 +18,9 @@
 
 use crate::{
     control::{ControlActor, message::OrderEnded},
-    http::{CallFailure, CallPool, CallRequest, ConnectionReuse},
+    http::{
+        CallFailure, CallPool, CallRequest, CallResponse, ConnectionReuse,
+    },
 };
 
 /// The timeout of a grant. A server responds to it at once; a grant without a
@@ -105,11 +109,12 @@
     async fn send_batch(self, batch: Vec<ServerOrder>) {
         let mut failed = false;
         for order in batch {
-            let outcome = if failed || !self.gate.is_valid() {
-                OrderOutcome::NotSent
+            let reply = if failed || !self.gate.is_valid() {
+                OrderReply::from(OrderOutcome::NotSent)
             } else {
                 send_order(&self.pool, self.connection_reuse(), &order).await
             };
+            let OrderReply { outcome, leaving } = reply;
             failed |= matches!(
                 outcome,
                 OrderOutcome::NotSent
@@ -117,7 +122,7 @@
                     | OrderOutcome::TimedOut
             );
             let service = Arc::clone(&self.service);
-            let ended = OrderEnded { service, order, outcome };
+            let ended = OrderEnded { service, order, outcome, leaving };
             if self.control.send(ended).await.is_err() {
                 return;
             }
@@ -125,11 +130,24 @@
     }
 }
 
+/// How an order ended.
+struct OrderReply {
+    outcome: OrderOutcome,
+    /// Whether the server states that it is leaving.
+    leaving: bool,
+}
+
+impl From<OrderOutcome> for OrderReply {
+    fn from(outcome: OrderOutcome) -> Self {
+        Self { outcome, leaving: false }
+    }
+}
+
 async fn send_order(
     pool: &CallPool,
     reuse: ConnectionReuse,
     order: &ServerOrder,
-) -> OrderOutcome {
+) -> OrderReply {
     let (first, last) = (order.range.first.get(), order.range.last.get());
     let token = order.token;
     let (path, body, timeout) = match &order.kind {
@@ -151,11 +169,26 @@
         body,
     };
     match pool.call(request, reuse, timeout).await {
-        Ok(response) => outcome(response.status, &response.headers),
-        Err(CallFailure::NotSent) => OrderOutcome::NotSent,
-        Err(CallFailure::Unknown) => OrderOutcome::Unknown,
-        Err(CallFailure::TimedOut) => OrderOutcome::TimedOut,
+        Ok(response) => OrderReply {
+            outcome: outcome(response.status, &response.headers),
+            leaving: is_leaving(&order.instance.id, &response),
+        },
+        Err(CallFailure::NotSent) => OrderOutcome::NotSent.into(),
+        Err(CallFailure::Unknown) => OrderOutcome::Unknown.into(),
+        Err(CallFailure::TimedOut) => OrderOutcome::TimedOut.into(),
+    }
+}
+
+/// Whether the server of an order states in its response that it is leaving.
+fn is_leaving(id: &str, response: &CallResponse) -> bool {
+    // Another server may respond at this address.
+    if response.status == StatusCode::MISDIRECTED_REQUEST {
+        return false;
     }
+    states_leaving(&response.headers).unwrap_or_else(|error| {
+        log::warn!("[leaving] Server {id}: {error}.");
+        false
+    })
 }
 
 /// The headers of an order. Addresses are reused, so the order names its
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -1,6 +1,6 @@
 //! The work of this VM while it plans: tables, commits and orders.
 
-use std::sync::Arc;
+use std::{borrow::Cow, sync::Arc};
 
 use goldcrestramp_adapter::{
     AllowedRegions, KeyCondition, ServerEntry, ServerPhase, StoreCall,
@@ -22,6 +22,7 @@
         order::{OrderGate, OrderSender},
         service::ServicePlan,
     },
+    notices::{InstanceKey, NoticeBoard},
     peers::PeerReply,
     records::{PLANNER_KEY, TABLE_PREFIX, table_key},
     store::StoreClient,
@@ -134,6 +135,7 @@
 /// while the holder's is not.
 fn holder_status(
     view: &FleetView,
+    notices: &NoticeBoard,
     uncertain: bool,
     owners: &OwnerRegions<'_>,
     instance: &ServerInstance,
@@ -143,6 +145,7 @@
     {
         let drains = entry.phase == ServerPhase::Draining;
         let leaving = drains
+            || notices.is_leaving(instance)
             || entry.started_ms != instance.started_ms
             || view.evacuated.contains_key(&entry.domain)
             || !owners.include(entry);
@@ -158,6 +161,8 @@
     // accepts none of them.
     if restarted || view.has_successor(instance) {
         HolderStatus::Ended
+    } else if uncertain && notices.is_leaving(instance) {
+        HolderStatus::Leaving
     } else if uncertain {
         HolderStatus::Serving
     } else {
@@ -193,6 +198,22 @@
     }
 }
 
+/// The servers of a service that accept new work, by their entries and
+/// responses.
+fn ready_servers<'a>(
+    view: &'a FleetView,
+    notices: &NoticeBoard,
+    service: &str,
+) -> Cow<'a, [Arc<ServerEntry>]> {
+    let ready = view.ready.get(service).map_or(&[][..], Vec::as_slice);
+    let stays =
+        |entry: &&Arc<ServerEntry>| !notices.is_leaving(&instance_of(entry));
+    if ready.iter().all(|entry| stays(&entry)) {
+        return Cow::Borrowed(ready);
+    }
+    ready.iter().filter(stays).cloned().collect()
+}
+
 /// The servers that keys are assigned to: those that are warm, or all if none
 /// is.
 fn owner_candidates(
@@ -221,13 +242,19 @@
         term.rates.retain(|instance| view.servers.contains_key(&instance.id));
         let mut commits = Vec::new();
         for name in routes.sharded() {
-            let ready = view.ready.get(name).map_or(&[][..], Vec::as_slice);
+            let ready = ready_servers(&view, &self.notices, name);
             let allowed = routes.service_regions(name);
-            let owners = OwnerRegions::new(&self.regions, allowed, ready);
+            let owners = OwnerRegions::new(&self.regions, allowed, &ready);
             let status_of = |instance: &ServerInstance| {
-                holder_status(&view, uncertain, &owners, instance)
+                holder_status(
+                    &view,
+                    &self.notices,
+                    uncertain,
+                    &owners,
+                    instance,
+                )
             };
-            let targets = owner_candidates(now, &view, ready, &owners);
+            let targets = owner_candidates(now, &view, &ready, &owners);
             let key = table_key(name);
             if !term.services.contains_key(name) {
                 let Some(item) = self.mirror.get(&key) else {
@@ -370,6 +397,10 @@
         now: LocalTime,
         ended: &OrderEnded,
     ) -> bool {
+        if ended.leaving {
+            let key = InstanceKey::from(&ended.order.instance);
+            self.notices.record_leaving(now, key);
+        }
         let Some(term) = &mut self.term else { return false };
         let Some(plan) = term.services.get_mut(&ended.service) else {
             return false;
@@ -426,7 +457,7 @@
 /// Logs each order that the server did not simply carry out, and each release,
 /// because these change who owns which keys.
 fn log_order(ended: &OrderEnded) {
-    let OrderEnded { service, order, outcome } = ended;
+    let OrderEnded { service, order, outcome, .. } = ended;
     let grant = order.kind != OrderKind::Release;
     let done = matches!(outcome, OrderOutcome::Done { .. });
     if grant && done {
--- a/goldcrestramp-entry/src/notices.rs
+++ b/goldcrestramp-entry/src/notices.rs
@@ -8,9 +8,12 @@
 use goldcrestramp_assignment::ServerInstance;
 use goldcrestramp_decisions::ServerNotices;
 use goldcrestramp_types::{LocalTime, TimeSpan};
+use serde::{Deserialize, Serialize};
+
+use crate::view::FleetView;
 
 /// An instance of a server, whatever the address at which it is reached.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct InstanceKey {
     /// The server's id.
     pub id: Arc<str>,
@@ -25,6 +28,12 @@
     }
 }
 
+impl InstanceKey {
+    fn identifies(&self, instance: &ServerInstance) -> bool {
+        self.id == instance.id && self.started_ms == instance.started_ms
+    }
+}
+
 #[derive(Debug, Default)]
 struct BoardState {
     notices: Mutex<ServerNotices<InstanceKey>>,
@@ -62,19 +71,70 @@
         now: LocalTime,
         instance: &ServerInstance,
     ) -> Option<LocalTime> {
-        if !self.0.has_any.load(Ordering::Relaxed) {
+        if !self.has_any() {
             return None;
         }
         self.lock().backoff_until(now, &instance.into())
     }
 
+    /// Records that a server is leaving; returns whether that is new.
+    pub(crate) fn record_leaving(
+        &self,
+        now: LocalTime,
+        key: InstanceKey,
+    ) -> bool {
+        let id = Arc::clone(&key.id);
+        let is_new = self.lock().record_leaving(now, key);
+        self.0.has_any.store(true, Ordering::Relaxed);
+        if is_new {
+            log::info!("[leaving] Server {id} says that it is leaving.");
+        }
+        is_new
+    }
+
+    /// Since when a server has been known to be leaving, if it is.
+    pub(crate) fn leaving_since(
+        &self,
+        instance: &ServerInstance,
+    ) -> Option<LocalTime> {
+        if !self.has_any() {
+            return None;
+        }
+        self.lock().leaving_since(&instance.into())
+    }
+
+    /// Whether a server is known to be leaving.
+    pub(crate) fn is_leaving(&self, instance: &ServerInstance) -> bool {
+        self.leaving_since(instance).is_some()
+    }
+
+    /// The owners of keys that are leaving.
+    pub(crate) fn leaving_owners(&self, view: &FleetView) -> Vec<InstanceKey> {
+        if !self.has_any() {
+            return Vec::new();
+        }
+        let notices = self.lock();
+        let is_owner = |key: &&InstanceKey| {
+            view.owners().any(|instance| key.identifies(instance))
+        };
+        notices.leaving().filter(is_owner).cloned().collect()
+    }
+
     /// Removes what no longer matters.
-    pub(crate) fn retain(&self, now: LocalTime) {
+    pub(crate) fn retain(&self, now: LocalTime, view: &FleetView) {
+        let is_listed = |key: &InstanceKey| {
+            let entry = view.servers.get(&key.id);
+            entry.is_some_and(|entry| entry.started_ms == key.started_ms)
+        };
         let mut notices = self.lock();
-        notices.retain(now);
+        notices.retain(now, is_listed);
         self.0.has_any.store(!notices.is_empty(), Ordering::Relaxed);
     }
 
+    fn has_any(&self) -> bool {
+        self.0.has_any.load(Ordering::Relaxed)
+    }
+
     fn lock(&self) -> MutexGuard<'_, ServerNotices<InstanceKey>> {
         // The notices remain valid if a thread panicked while it held the
         // lock.
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -66,6 +66,18 @@
 }
 
 impl AttemptOutcome {
+    /// The server's response, if there is one.
+    pub(crate) const fn response_mut(
+        &mut self,
+    ) -> Option<&mut Response<ResponseBody>> {
+        match self {
+            Self::Responded(response) | Self::Failed(response) => {
+                Some(response)
+            }
+            _ => None,
+        }
+    }
+
     /// The stable code in logs and counters.
     pub(crate) const fn code(&self) -> &'static str {
         match self {
@@ -129,8 +141,8 @@
         return AttemptOutcome::NotSent;
     };
     let now = MonotonicClock.now();
-    // It may have begun while the connection was opened.
-    if state.is_in_backoff(&slot.server) {
+    // That may have changed while the connection was opened.
+    if plan.is_direct() && state.is_declined(request, &slot.server) {
         slot.server.put_idle(connection, None);
         slot.end(now, ServerSignal::Cancelled);
         return AttemptOutcome::NotSent;
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -206,8 +206,10 @@
     if known < GRANT_TRANSIT {
         return Some(Destination::AwaitChange(GRANT_TRANSIT.minus(known)));
     }
-    let leaving = view.leaving.get(&instance.id);
-    let drained_for = leaving.map(|leaving| now.since(*leaving));
+    let listed = view.leaving.get(&instance.id).copied();
+    let stated = state.notices.leaving_since(instance);
+    let leaving = listed.into_iter().chain(stated).min();
+    let drained_for = leaving.map(|leaving| now.since(leaving));
     if view.has_successor(instance) {
         return Some(unavailable(drained_for.unwrap_or(TimeSpan::ZERO)));
     }
--- a/goldcrestramp-entry/src/traffic/pool.rs
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -45,12 +45,11 @@
     now: LocalTime,
     tried: &[Arc<str>],
 ) -> Destination {
-    let ready = view.ready.get(&request.service);
-    if ready.is_none_or(Vec::is_empty) {
-        return Destination::Refused(EndReason::NoServer.into());
-    }
     let service = state.service(&request.service);
     let pool = PoolRequest { state, view, service: &service, request, now };
+    if pool.ready().next().is_none() {
+        return Destination::Refused(EndReason::NoServer.into());
+    }
     let servers = pool.candidates();
     if servers.is_empty() {
         return Destination::Refused(EndReason::NoServerInRegion.into());
@@ -74,19 +73,30 @@
 }
 
 impl PoolRequest<'_> {
+    /// The servers that accept new work, by their entries and responses.
+    fn ready(&self) -> impl Iterator<Item = &Arc<ServerEntry>> {
+        let ready = self.view.ready.get(&self.request.service);
+        ready.into_iter().flatten().filter(|entry| !self.is_leaving(entry))
+    }
+
+    fn is_leaving(&self, entry: &ServerEntry) -> bool {
+        self.state.notices.is_leaving(&instance_of(entry))
+    }
+
     /// The servers that the request may be sent to.
     fn candidates(&self) -> Vec<ServerCandidate> {
         let regions = self.state.region_filter(self.view, &self.request.route);
         let subset = self.state.subset(self.view, &self.request.service);
-        let near = subset.iter().filter(|s| regions.allows(&s.entry.domain));
+        let near = subset.iter().filter(|s| {
+            regions.allows(&s.entry.domain) && !self.is_leaving(&s.entry)
+        });
         let candidates: Vec<ServerCandidate> =
             near.map(|s| self.candidate(&s.entry, s.senders)).collect();
         if candidates.iter().any(|server| server.candidate.limit > 0) {
             return candidates;
         }
         // Nothing can be sent to the subset, but another server may be idle.
-        let ready = self.view.ready.get(&self.request.service);
-        let ready = ready.into_iter().flatten();
+        let ready = self.ready();
         let allowed = ready.filter(|entry| regions.allows(&entry.domain));
         allowed.map(|entry| self.candidate(entry, None)).collect()
     }
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -9,6 +9,7 @@
 use std::{rc::Rc, sync::Arc};
 
 use goldcrestramp_adapter::{AllowedRegions, RequestRoute, RouteEffect};
+use goldcrestramp_assignment::ServerInstance;
 use goldcrestramp_decisions::QueuePosition;
 use goldcrestramp_types::{
     ClockSource, LocalTime, MonotonicClock, SliceIndex, TimeSpan,
@@ -18,17 +19,20 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
-use crate::traffic::{
-    choose::AttemptHistory,
-    reason::EndReason,
-    request::{
-        RequestBody, RequestOrigin, RoutedRequest, deadline_of,
-        forwarded_headers, read_body,
+use crate::{
+    notices::InstanceKey,
+    traffic::{
+        choose::AttemptHistory,
+        reason::EndReason,
+        request::{
+            RequestBody, RequestOrigin, RoutedRequest, deadline_of,
+            forwarded_headers, read_body,
+        },
+        response::{ResponseBody, local_response},
+        serve::serve_relayed,
+        state::TrafficState,
+        wait::DEFAULT_RETRY_AFTER,
     },
-    response::{ResponseBody, local_response},
-    serve::serve_relayed,
-    state::TrafficState,
-    wait::DEFAULT_RETRY_AFTER,
 };
 
 /// The header that describes a request to the VM to which it is passed.
@@ -38,6 +42,9 @@
 /// The header of a response that is the other VM's own.
 const END: HeaderName = HeaderName::from_static("x-goldcrestramp-end");
 
+/// The header that names the leaving server whose response is returned.
+const LEAVING: HeaderName = HeaderName::from_static("x-goldcrestramp-leaving");
+
 /// What the VM that a caller reached has decided about a request.
 #[derive(Debug, Serialize, Deserialize)]
 struct RelayEnvelope {
@@ -121,6 +128,27 @@
     }
 }
 
+/// Names the leaving server of a response, for the VM that passed the request
+/// on.
+pub(super) fn name_leaving_server(
+    response: &mut Response<ResponseBody>,
+    server: &ServerInstance,
+) {
+    let key = serde_json::to_vec(&InstanceKey::from(server)).ok();
+    let key = key.and_then(|key| HeaderValue::from_bytes(&key).ok());
+    if let Some(key) = key {
+        response.headers_mut().insert(LEAVING, key);
+    }
+}
+
+/// Takes the name of the leaving server from its response.
+pub(super) fn take_leaving_server(
+    response: &mut Response<ResponseBody>,
+) -> Option<InstanceKey> {
+    let key = response.headers_mut().remove(LEAVING)?;
+    serde_json::from_slice(key.as_bytes()).ok()
+}
+
 /// Describes a request for the VM that it is passed to; `None` if a name does
 /// not fit into a header.
 pub(super) fn envelope(
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -16,7 +16,7 @@
     choose::{AttemptHistory, ChosenServer, Destination, choose},
     permit::wait_for_permit,
     reason::EndReason,
-    relay::{LocalEnd, envelope},
+    relay::{LocalEnd, envelope, name_leaving_server, take_leaving_server},
     relay_vms::ChosenVm,
     request::{
         RequestBody, RequestOrigin, RoutedRequest, deadline_of, find_route,
@@ -325,7 +325,13 @@
         is_replaceable,
         envelope: None,
     };
-    let outcome = send(state, request, slot, plan).await;
+    let mut outcome = send(state, request, slot, plan).await;
+    if request.origin == RequestOrigin::Vm
+        && state.notices.is_leaving(&server.instance)
+        && let Some(response) = outcome.response_mut()
+    {
+        name_leaving_server(response, &server.instance);
+    }
     record_attempt(state, request, &server, now, &outcome);
     if !matches!(outcome, AttemptOutcome::NotSent) && !was_tried {
         progress.history.tried.push(Arc::clone(&server.instance.id));
@@ -337,7 +343,7 @@
     }
     let not_run =
         matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::NotSent);
-    if not_run && state.is_in_backoff(&server) {
+    if not_run && state.is_declined(request, &server) {
         return Ok(None);
     }
     let retryable = matches!(
@@ -382,9 +388,13 @@
     state.metrics.record_passed(outcome.code());
     log_passed(request, &vm, now, &outcome);
     match outcome {
-        AttemptOutcome::Responded(response)
-        | AttemptOutcome::Failed(response) => {
-            relay.record_served(MonotonicClock.now());
+        AttemptOutcome::Responded(mut response)
+        | AttemptOutcome::Failed(mut response) => {
+            let now = MonotonicClock.now();
+            relay.record_served(now);
+            if let Some(server) = take_leaving_server(&mut response) {
+                state.notices.record_leaving(now, server);
+            }
             Ok(Some(response))
         }
         AttemptOutcome::RelayEnded(end)
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -165,7 +165,7 @@
         self.members.borrow_mut().record(now, view);
         self.relays.borrow_mut().retain_listed(now, view);
         self.remove_unlisted_servers(view);
-        self.notices.retain(now);
+        self.notices.retain(now, view);
         self.wake_queued();
     }
 
@@ -231,11 +231,7 @@
     /// Drops the state of servers that are removed and have nothing in flight.
     fn remove_unlisted_servers(&self, view: &FleetView) {
         let is_owner = |instance: &ServerInstance| {
-            let mut tables = view.tables.values();
-            tables.any(|table| {
-                let mut instances = table.instances();
-                instances.any(|(_key, holder)| holder == instance)
-            })
+            view.owners().any(|owner| owner == instance)
         };
         self.servers.borrow_mut().retain(|instance, server| {
             server.in_flight() > 0
--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -214,6 +214,12 @@
         is_superseded(&self.latest_by_address, *address, id, *started_ms)
     }
 
+    /// The servers that own keys, each at least once.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = &ServerInstance> {
+        let tables = self.tables.values();
+        tables.flat_map(|table| table.instances().map(|(_, owner)| owner))
+    }
+
     /// What a server tolerates at `now`, if it is cold and that is limited.
     #[must_use]
     pub fn cold_limit(
--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -306,6 +306,34 @@
     }
 }
 
+/// Guards against requests to a leaving server by a VM that has passed on its
+/// statement, but was told so by another VM only.
+#[tokio::test]
+async fn a_vm_that_passed_a_request_on_knows_that_its_server_is_leaving() {
+    const SLOW: Duration = Duration::from_millis(60);
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    cluster.set_behavior(ServerBehavior::Responds(SLOW));
+    let leaving = &cluster.servers[0];
+    leaving.set_behavior(ServerBehavior::Responds(Duration::ZERO));
+    leaving.set_leaving(true);
+    eventually(async || {
+        let response = cluster.get(CUT, "/list/all").await;
+        assert!(!response.headers().contains_key("x-goldcrestramp-leaving"));
+        response.headers().contains_key("server-leaving")
+    })
+    .await;
+
+    leaving.set_leaving(true);
+    partitioned.set_links(LinkState::Up);
+    for _ in 0..40 {
+        assert_eq!(cluster.get(CUT, "/list/all").await.status(), 200);
+    }
+
+    assert_eq!(leaving.arrivals(), 0);
+}
+
 /// Guards against a server that goes on working on a passed request after its
 /// caller has left.
 #[tokio::test]
