Move keys away from owners that ask many VMs for a backoff

Callers saw: the keys of an owner that refuses everything stayed with it while other servers had room, since VMs that keep to its backoffs send it nothing, and the planner saw less load there, not more.

Change: VMs report the backoffs of owners to the planner, with the owners that are leaving.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -32,6 +32,7 @@
   service.
 - [`choose_relay`]: the VM that sends a request for one that reaches no server.
 - [`backoff_action`]: whether a request waits for the end of a backoff.
+- [`BackoffReports`]: what the backoffs of all VMs tell about a server.
 - [`ServerNotices`]: what servers have stated to this VM in their responses.
 - [`WorkEstimate`]: how long a server works on a request.
 - [`denial_action`]: whether a request is retried at an owner that denied
@@ -46,6 +47,7 @@
 mod attempt_budget;
 mod attempt_timeout;
 mod backoff;
+mod backoff_reports;
 pub mod baseline;
 mod cold;
 mod deadline;
@@ -82,6 +84,7 @@
     attempt_budget::{AttemptBudget, BudgetSettings},
     attempt_timeout::{TimeoutInputs, attempt_timeout},
     backoff::{BackoffAction, BackoffInputs, backoff_action},
+    backoff_reports::BackoffReports,
     cold::ColdAllowance,
     deadline::{TransitEstimate, timeout_to_forward},
     denial::{DenialAction, OwnerDenial, denial_action},
--- a/goldcrestramp-decisions/src/notices.rs
+++ b/goldcrestramp-decisions/src/notices.rs
@@ -91,6 +91,15 @@
         is_new
     }
 
+    /// The servers in a backoff, each with its end.
+    pub fn backoffs(
+        &self,
+        now: LocalTime,
+    ) -> impl Iterator<Item = (&Key, LocalTime)> {
+        let ends = self.0.iter().map(|(key, n)| (key, n.backoff_until));
+        ends.filter(move |(_key, until)| now < *until)
+    }
+
     /// Since when a server has been known to be leaving, if it is.
     pub fn leaving_since(&self, key: &Key) -> Option<LocalTime> {
         Some(self.0.get(key)?.leaving?.first)
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -27,7 +27,7 @@
     http::{CallPool, CloseMode, TimeoutScope},
     metrics::EntryMetrics,
     mirror::StoreMirror,
-    notices::{InstanceKey, NoticeBoard},
+    notices::{NoticeBoard, NoticeReport},
     peers::{PeerCall, PeerClient},
     reach::ReachTracker,
     records::{PLANNER_KEY, VmInstance, decode},
@@ -411,7 +411,7 @@
             return;
         }
         self.report_at = now;
-        self.report_leaving();
+        self.report_notices(now);
         let report = self.loads.take();
         if report.is_empty() {
             return;
@@ -429,31 +429,39 @@
         });
     }
 
-    /// Reports to the planning VM which owners of keys are leaving: their
-    /// entries may not say so, or not be read while the store is away.
-    fn report_leaving(&self) {
-        let leaving = self.notices.leaving_owners(&self.view);
-        if leaving.is_empty() || self.term.is_some() {
+    /// Reports to the planning VM what owners of keys have stated: they ask
+    /// each VM by itself for a backoff, and their entries may not say that
+    /// they are leaving, or not be read while the store is away.
+    fn report_notices(&mut self, now: LocalTime) {
+        let report = self.notices.report(now, &self.me.vm, &self.view);
+        let Some(report) = report else { return };
+        if self.term.is_some() {
+            self.record_notices(now, report);
             return;
         }
         let Some((planner, _)) = self.planner() else { return };
         let peers = self.peers.clone();
         tokio::spawn(async move {
-            let call = PeerCall::Leaving(leaving);
+            let call = PeerCall::Notices(report);
             // A lost report is not retried; the next one makes up for it.
             let _lost = peers.call(planner.address, &call).await;
         });
     }
 
-    /// Records the servers that a VM reports as leaving.
-    pub(crate) fn record_leaving(
-        &self,
+    /// Records what owners of keys have stated to a VM, if this VM plans.
+    pub(crate) fn record_notices(
+        &mut self,
         now: LocalTime,
-        leaving: Vec<InstanceKey>,
+        report: NoticeReport,
     ) {
-        for key in leaving {
+        let Some(term) = &mut self.term else { return };
+        for key in report.leaving {
             self.notices.record_leaving(now, key);
         }
+        for (key, remaining) in report.backoffs {
+            let vm = Arc::clone(&report.vm);
+            term.backoffs.record(key, vm, now + remaining);
+        }
     }
 
     /// Records the load of a VM if this VM plans.
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -305,8 +305,8 @@
                 self.record_load(now, &report);
                 PeerReply::Accepted
             }
-            PeerCall::Leaving(leaving) => {
-                self.record_leaving(now, leaving);
+            PeerCall::Notices(report) => {
+                self.record_notices(now, report);
                 PeerReply::Accepted
             }
             PeerCall::StepDown { start } => self.step_down(start),
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -8,13 +8,15 @@
     PlannerTiming, ServerInstance, TablePlanner,
 };
 use goldcrestramp_decisions::{
-    PlacedRange, RangeLoad, RangeMove, RateLedger, RebalanceSettings,
-    TargetLoad, least_loaded_target, rebalancing_moves, target_utilization,
+    BackoffReports, PlacedRange, RangeLoad, RangeMove, RateLedger,
+    RebalanceSettings, TargetLoad, least_loaded_target, rebalancing_moves,
+    target_utilization,
 };
 use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
 
 use crate::{
     control::{load::ServiceLoad, pace::CommitPace, speed::SpeedEstimates},
+    notices::InstanceKey,
     view::instance_of,
 };
 
@@ -37,6 +39,31 @@
 /// move it back and forth.
 const MOVE_COOLDOWN: TimeSpan = TimeSpan::from_millis(800);
 
+/// What servers have stated of the requests that they accept.
+pub(crate) struct CapacityReports<'a> {
+    pub(crate) rates: &'a RateLedger<ServerInstance>,
+    pub(crate) backoffs: &'a BackoffReports<InstanceKey>,
+    /// The number of VMs.
+    pub(crate) vms: usize,
+}
+
+impl CapacityReports<'_> {
+    /// The work of a request at a server, in seconds, where it takes `work_s`
+    /// if the server accepts all requests.
+    fn work_s(
+        &self,
+        now: LocalTime,
+        instance: &ServerInstance,
+        slots: u32,
+        work_s: f32,
+    ) -> f32 {
+        let limited = work_at_rate(self.rates.limit_of(instance), slots);
+        let key = InstanceKey::from(instance);
+        let factor = self.backoffs.work_factor(now, &key, self.vms);
+        limited.max(work_s) * factor
+    }
+}
+
 /// The plan of one service while this VM plans.
 #[derive(Debug)]
 pub(crate) struct ServicePlan {
@@ -117,7 +144,7 @@
         now: LocalTime,
         status_of: impl Fn(&ServerInstance) -> HolderStatus,
         ready: &[Arc<ServerEntry>],
-        rates: &RateLedger<ServerInstance>,
+        capacity: &CapacityReports<'_>,
     ) -> Option<AssignmentTable> {
         if !self.pace.is_due(now) {
             return None;
@@ -129,7 +156,7 @@
             self.load.decay(now);
             self.speeds.decay(now, ready);
         }
-        let inputs = PlacementInputs::new(self, ready, rates);
+        let inputs = PlacementInputs::new(self, now, ready, capacity);
         let move_requests =
             if rebalance { self.move_requests(&inputs) } else { Vec::new() };
         let mut placed = Vec::new();
@@ -199,8 +226,9 @@
 impl PlacementInputs {
     fn new(
         plan: &ServicePlan,
+        now: LocalTime,
         ready: &[Arc<ServerEntry>],
-        rates: &RateLedger<ServerInstance>,
+        capacity: &CapacityReports<'_>,
     ) -> Self {
         let speeds = &plan.speeds;
         let typical = speeds.typical_work_s(ready);
@@ -210,9 +238,12 @@
         let mut targets: Vec<TargetLoad> = pairs
             .map(|(entry, instance)| TargetLoad {
                 slots: entry.slots,
-                work_s: speeds
-                    .work_s(entry, typical)
-                    .max(work_at_rate(rates.limit_of(instance), entry.slots)),
+                work_s: capacity.work_s(
+                    now,
+                    instance,
+                    entry.slots,
+                    speeds.work_s(entry, typical),
+                ),
                 accepts_keys: true,
             })
             .collect();
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -9,7 +9,7 @@
 use goldcrestramp_assignment::{
     AssignmentTable, HolderStatus, OrderKind, OrderOutcome, ServerInstance,
 };
-use goldcrestramp_decisions::{RateLedger, ReachEvent};
+use goldcrestramp_decisions::{BackoffReports, RateLedger, ReachEvent};
 use goldcrestramp_types::{FastMap, FastSet, LocalTime, TimeSpan};
 use xtra::Address;
 
@@ -20,7 +20,7 @@
         lease::LEASE_TTL,
         message::{CommitEnded, OrderEnded, ReadBack},
         order::{OrderGate, OrderSender},
-        service::ServicePlan,
+        service::{CapacityReports, ServicePlan},
     },
     notices::{InstanceKey, NoticeBoard},
     peers::PeerReply,
@@ -60,6 +60,8 @@
     creating: FastSet<Arc<str>>,
     /// The permits of servers that state the rate that they accept.
     pub(crate) rates: RateLedger<ServerInstance>,
+    /// The backoffs that the VMs report.
+    pub(crate) backoffs: BackoffReports<InstanceKey>,
     /// Lets orders of this term be sent until it ends.
     pub(crate) gate: Arc<OrderGate>,
     /// Whether this VM has reached the servers since the term began. A VM that
@@ -89,6 +91,7 @@
             unsettled: ByService::default(),
             creating: FastSet::default(),
             rates: RateLedger::default(),
+            backoffs: BackoffReports::default(),
             gate: Arc::default(),
             has_reached_servers: false,
         }
@@ -239,6 +242,7 @@
         let term = self.term.as_mut().filter(|term| term.may_renew(now));
         let Some(term) = term else { return };
         let plans = term.knows_its_start(revision);
+        term.backoffs.retain(now);
         term.rates.retain(|instance| view.servers.contains_key(&instance.id));
         let mut commits = Vec::new();
         for name in routes.sharded() {
@@ -280,9 +284,14 @@
                 term.services.insert(Arc::clone(name), plan);
             }
             let Some(service) = term.services.get_mut(name) else { continue };
+            let capacity = CapacityReports {
+                rates: &term.rates,
+                backoffs: &term.backoffs,
+                vms: view.vms.len(),
+            };
             if plans
                 && let Some(next) =
-                    service.plan(now, status_of, &targets, &term.rates)
+                    service.plan(now, status_of, &targets, &capacity)
             {
                 service.begin_commit(now);
                 commits.push((Arc::clone(name), service.revision, next));
--- a/goldcrestramp-entry/src/notices.rs
+++ b/goldcrestramp-entry/src/notices.rs
@@ -29,11 +29,23 @@
 }
 
 impl InstanceKey {
-    fn identifies(&self, instance: &ServerInstance) -> bool {
+    /// Whether it is the key of `instance`.
+    fn names(&self, instance: &ServerInstance) -> bool {
         self.id == instance.id && self.started_ms == instance.started_ms
     }
 }
 
+/// What the owners of keys have stated to one VM.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NoticeReport {
+    /// The name of the VM.
+    pub vm: Arc<str>,
+    /// The owners that are leaving.
+    pub leaving: Vec<InstanceKey>,
+    /// The owners in a backoff, each with the remaining time.
+    pub backoffs: Vec<(InstanceKey, TimeSpan)>,
+}
+
 #[derive(Debug, Default)]
 struct BoardState {
     notices: Mutex<ServerNotices<InstanceKey>>,
@@ -108,16 +120,30 @@
         self.leaving_since(instance).is_some()
     }
 
-    /// The owners of keys that are leaving.
-    pub(crate) fn leaving_owners(&self, view: &FleetView) -> Vec<InstanceKey> {
+    /// What the owners of keys have stated, for the VM that plans; `None` if
+    /// that is nothing.
+    pub(crate) fn report(
+        &self,
+        now: LocalTime,
+        vm: &Arc<str>,
+        view: &FleetView,
+    ) -> Option<NoticeReport> {
         if !self.has_any() {
-            return Vec::new();
+            return None;
         }
+        let is_owner =
+            |key: &InstanceKey| view.owners().any(|owner| key.names(owner));
         let notices = self.lock();
-        let is_owner = |key: &&InstanceKey| {
-            view.owners().any(|instance| key.identifies(instance))
-        };
-        notices.leaving().filter(is_owner).cloned().collect()
+        let leaving = notices.leaving().filter(|key| is_owner(key));
+        let leaving = leaving.cloned().collect::<Vec<_>>();
+        let backoffs = notices.backoffs(now);
+        let backoffs = backoffs.filter(|(key, _until)| is_owner(key));
+        let backoffs = backoffs
+            .map(|(key, until)| (key.clone(), until.since(now)))
+            .collect::<Vec<_>>();
+        let is_empty = leaving.is_empty() && backoffs.is_empty();
+        let vm = Arc::clone(vm);
+        (!is_empty).then_some(NoticeReport { vm, leaving, backoffs })
     }
 
     /// Removes what no longer matters.
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -13,7 +13,7 @@
     control::{LoadReport, PermitGrants, PermitRequests},
     history::{TableRevision, TableUpdate},
     mirror::{MirrorDelta, StoreMirror},
-    notices::InstanceKey,
+    notices::NoticeReport,
 };
 
 /// A call of one VM to another.
@@ -36,9 +36,9 @@
     /// Requests the changes of the store. A VM of an earlier build does not
     /// reply, and another one is followed.
     Sync(SyncRequest),
-    /// Reports the owners of keys that are leaving to the planning VM. One of
-    /// an earlier build rejects it and learns that from the store.
-    Leaving(Vec<InstanceKey>),
+    /// Reports to the planning VM what owners of keys have stated. One of an
+    /// earlier build rejects it.
+    Notices(NoticeReport),
 }
 
 impl PeerCall {
--- a/goldcrestramp-entry/tests/daemon/backoff.rs
+++ b/goldcrestramp-entry/tests/daemon/backoff.rs
@@ -159,3 +159,29 @@
 
     cluster.wait_served(0, 0).await;
 }
+
+/// Guards against callers that are refused for as long as an owner refuses
+/// them, while other servers have room.
+#[tokio::test]
+async fn keys_move_away_from_an_owner_in_backoffs() {
+    const WORK: Duration = Duration::from_millis(20);
+    const PAUSE: Duration = Duration::from_millis(200);
+    let cluster = Cluster::start(SHARDED, 2, 2).await;
+    cluster.set_behavior(ServerBehavior::Responds(WORK));
+    let keys: Vec<u64> = (0..65_536).step_by(2_048).collect();
+    for key in &keys {
+        cluster.wait_served(0, *key).await;
+    }
+
+    cluster.servers[0].shed_with_backoff("3");
+
+    eventually(async || {
+        let sent = keys.iter().enumerate();
+        let sent = sent.map(|(node, key)| cluster.get_key(node % 2, *key));
+        let responses = join_all(sent).await;
+        let served = responses.iter().filter(|r| r.status() == 200).count();
+        tokio::time::sleep(PAUSE).await;
+        served * 4 >= keys.len() * 3
+    })
+    .await;
+}
