--- a/goldcrestramp-decisions/src/backoff_reports.rs
+++ b/goldcrestramp-decisions/src/backoff_reports.rs
@@ -3,7 +3,7 @@
 //! A server asks each VM by itself for a backoff. One VM can't tell a server
 //! that sheds a little from one that refuses everything. The VM that plans
 //! can: the share of the fleet that is in a backoff is the share of requests
-//! that the server does not accept, and its keys are better off elsewhere.
+//! that the server does not accept. Its keys move to servers with room.
 
 use std::{hash::Hash, sync::Arc};
 
--- a/goldcrestramp-entry/src/notices.rs
+++ b/goldcrestramp-entry/src/notices.rs
@@ -29,8 +29,7 @@
 }
 
 impl InstanceKey {
-    /// Whether it is the key of `instance`.
-    fn names(&self, instance: &ServerInstance) -> bool {
+    fn identifies(&self, instance: &ServerInstance) -> bool {
         self.id == instance.id && self.started_ms == instance.started_ms
     }
 }
@@ -131,19 +130,22 @@
         if !self.has_any() {
             return None;
         }
-        let is_owner =
-            |key: &InstanceKey| view.owners().any(|owner| key.names(owner));
+        let is_owner = |key: &InstanceKey| {
+            view.owners().any(|owner| key.identifies(owner))
+        };
         let notices = self.lock();
         let leaving = notices.leaving().filter(|key| is_owner(key));
-        let leaving = leaving.cloned().collect::<Vec<_>>();
         let backoffs = notices.backoffs(now);
         let backoffs = backoffs.filter(|(key, _until)| is_owner(key));
-        let backoffs = backoffs
-            .map(|(key, until)| (key.clone(), until.since(now)))
-            .collect::<Vec<_>>();
-        let is_empty = leaving.is_empty() && backoffs.is_empty();
-        let vm = Arc::clone(vm);
-        (!is_empty).then_some(NoticeReport { vm, leaving, backoffs })
+        let backoffs =
+            backoffs.map(|(key, until)| (key.clone(), until.since(now)));
+        let report = NoticeReport {
+            vm: Arc::clone(vm),
+            leaving: leaving.cloned().collect(),
+            backoffs: backoffs.collect(),
+        };
+        let is_empty = report.leaving.is_empty() && report.backoffs.is_empty();
+        (!is_empty).then_some(report)
     }
 
     /// Removes what no longer matters.
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -141,7 +141,7 @@
         return AttemptOutcome::NotSent;
     };
     let now = MonotonicClock.now();
-    // That may have changed while the connection was opened.
+    // The server may have said so while the connection was opened.
     if plan.is_direct() && state.is_declined(request, &slot.server) {
         slot.server.put_idle(connection, None);
         slot.end(now, ServerSignal::Cancelled);
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -343,6 +343,7 @@
     }
     let not_run =
         matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::NotSent);
+    // The next choice sends it elsewhere or refuses it, without a delay.
     if not_run && state.is_declined(request, &server) {
         return Ok(None);
     }
