Keep the ports of test links, servers and daemons while a test runs

An order was seen to run twice beside load, by the tests of partitioned VMs. Cause: a link that refuses connections closed its listener, and the kernel gave its port to a server, a link or a daemon of another test. That server had the same id and the same attempt ids, so it ran the order of the other test as one of its own; no daemon sent an order twice. Through the same ports a cut VM reached a server of another test, took its links for restored, and passed nothing on. Evidence: servers now record who ran what for which cluster. Change: ports of links, servers and daemons stay bound until the test drops them. Nothing is assigned a bound port, and connections to one on which nothing listens are refused, as before. No check, load or time is changed. The new test of a link fails with the former link (the port can be bound) and passes now.

--- a/goldcrestramp-entry/tests/daemon/cluster.rs
+++ b/goldcrestramp-entry/tests/daemon/cluster.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     node::NodeProcess,
-    server::{ServerBehavior, ServerStandin},
+    server::{ExecutionRecord, ServerBehavior, ServerStandin},
     store::StoreStandin,
 };
 
@@ -24,6 +24,8 @@
 pub const SHARDED: &str = "stock";
 
 pub struct Cluster {
+    /// Names the cluster in the records of servers, of all test processes.
+    name: String,
     pub store: StoreStandin,
     pub servers: Vec<ServerStandin>,
     pub nodes: Vec<NodeProcess>,
@@ -126,7 +128,7 @@
         for number in 0..servers {
             let id = format!("server-{number}");
             let sharded = service == SHARDED;
-            let server = ServerStandin::spawn(&id, sharded).await;
+            let server = ServerStandin::spawn(&id, sharded);
             let key = format!("servers/{id}");
             store.put(&key, &entry(&server, service, "ready"));
             started.push(server);
@@ -136,6 +138,7 @@
             NodeProcess::spawn(&format!("vm-{number}"), address)
         });
         let cluster = Self {
+            name: next_cluster_name(),
             store,
             servers: started,
             nodes: nodes.collect(),
@@ -222,6 +225,7 @@
             .header("Host", "shop.example")
             .header("X-Attempt-Id", attempt)
             .header("X-Deadline-Ms", "3000")
+            .header("X-Test-Cluster", &self.name)
     }
 
     pub async fn get(&self, node: usize, path: &str) -> Response {
@@ -258,12 +262,25 @@
         self.servers.iter().filter(|server| server.owns(key)).count()
     }
 
+    /// The executions of an attempt at all servers.
+    pub fn execution_records(&self, attempt: &str) -> Vec<ExecutionRecord> {
+        let servers = self.servers.iter();
+        servers.flat_map(|server| server.execution_records(attempt)).collect()
+    }
+
     /// The number of executions of an attempt at all servers.
     pub fn executions_of(&self, attempt: &str) -> u32 {
         self.servers.iter().map(|server| server.executions_of(attempt)).sum()
     }
 }
 
+/// Returns a name that no other cluster of a running test process has.
+fn next_cluster_name() -> String {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    format!("cluster-{}-{number}", std::process::id())
+}
+
 /// Polls a condition until it holds.
 pub async fn eventually(mut condition: impl AsyncFnMut() -> bool) {
     let end = tokio::time::Instant::now() + WAIT_TIMEOUT;
--- a/goldcrestramp-entry/tests/daemon/domains.rs
+++ b/goldcrestramp-entry/tests/daemon/domains.rs
@@ -25,7 +25,7 @@
     let mut cluster = Cluster::start(service, 0, 1).await;
     for domain in domains {
         let id = format!("server-{domain}");
-        let server = ServerStandin::spawn(&id, service == SHARDED).await;
+        let server = ServerStandin::spawn(&id, service == SHARDED);
         let entry = entry_in(server.address, service, "ready", domain);
         cluster.store.put(&format!("servers/{id}"), &entry);
         cluster.servers.push(server);
@@ -180,7 +180,7 @@
         .await;
     tokio::time::sleep(Duration::from_secs(3)).await;
 
-    let cold = ServerStandin::spawn("cold", false).await;
+    let cold = ServerStandin::spawn("cold", false);
     let mut entry = entry_in(cold.address, POOLED, "ready", "north-a");
     entry["status"]["cold_left"] = json!("3s");
     let cold_until = Instant::now() + COLD_TIME;
--- a/goldcrestramp-entry/tests/daemon/link.rs
+++ b/goldcrestramp-entry/tests/daemon/link.rs
@@ -1,16 +1,15 @@
 //! The link of one VM to one backend server, which can be cut.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::{
-    io::copy_bidirectional,
-    net::{TcpListener, TcpSocket, TcpStream},
-    sync::watch,
-    task::JoinHandle,
+    io::copy_bidirectional, net::TcpStream, sync::watch, task::JoinHandle,
     time::timeout,
 };
 
+use crate::port::HeldPort;
+
 /// How a link handles connections.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LinkState {
@@ -39,11 +38,10 @@
 
 impl ServerLink {
     pub fn open(target: SocketAddr) -> Self {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let listener = listen(any).expect("port binds");
-        let address = listener.local_addr().expect("listener has an address");
+        let port = HeldPort::open();
+        let address = port.address;
         let (state, states) = watch::channel(LinkState::Up);
-        let task = tokio::spawn(run(listener, target, states));
+        let task = tokio::spawn(run(port, target, states));
         Self { address, state, task }
     }
 
@@ -58,27 +56,18 @@
     }
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 async fn run(
-    listener: TcpListener,
+    port: HeldPort,
     target: SocketAddr,
     mut states: watch::Receiver<LinkState>,
 ) {
-    let address = listener.local_addr().expect("listener has an address");
-    let mut listener = Some(listener);
+    let mut listener = Some(port.listen(BACKLOG));
     loop {
         let state = *states.borrow_and_update();
         match state {
             LinkState::Up => {
-                let open = listener.get_or_insert_with(|| {
-                    listen(address).expect("port binds")
-                });
+                let open =
+                    listener.get_or_insert_with(|| port.listen(BACKLOG));
                 tokio::select! {
                     accepted = open.accept() => {
                         let (caller, _) = accepted.expect("accept succeeds");
@@ -93,7 +82,7 @@
                 continue;
             }
             LinkState::Silent => {
-                let _waiting = fill_backlog(address).await;
+                let _waiting = fill_backlog(port.address).await;
                 if states.changed().await.is_err() {
                     return;
                 }
@@ -148,3 +137,19 @@
         }
     }
 }
+
+/// Guards against requests of one test that reach a server of another one, to
+/// which the port of a link that refuses connections was given.
+#[tokio::test]
+async fn a_link_that_refuses_connections_keeps_its_port() {
+    let target = SocketAddr::from(([127, 0, 0, 1], 1));
+    let link = ServerLink::open(target);
+    link.set_state(LinkState::Reset);
+    while TcpStream::connect(link.address).await.is_ok() {}
+
+    let other = Socket::new(Domain::IPV4, Type::STREAM, None);
+    let bound = other.and_then(|other| other.bind(&link.address.into()));
+
+    let error = bound.expect_err("the port is held");
+    assert_eq!(error.kind(), ErrorKind::AddrInUse);
+}
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -15,6 +15,7 @@
 mod ownership;
 mod partition;
 mod pipeline;
+mod port;
 #[path = "../soak/relay.rs"]
 #[allow(dead_code, reason = "shared with the soak")]
 mod relay;
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -12,38 +12,15 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
-/// The first port to try, and the number of ports. They are below the
-/// kernel's ephemeral ports: a connection of another test took an ephemeral
-/// port after it was found free and before the daemon could bind it, and the
-/// daemon did not start.
-const FIRST_PORT: u16 = 12_000;
-const PORTS: u32 = 18_000;
-
-/// Returns four ports that are free now and that this process hands out
-/// only once per cycle through the ports.
-fn free_ports() -> [u16; 4] {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    // Concurrent test processes begin at distant ports.
-    let start_offset = std::process::id().wrapping_mul(389);
-    let mut ports = std::iter::from_fn(|| {
-        let sequence = NEXT.fetch_add(1, Ordering::Relaxed);
-        let offset = start_offset.wrapping_add(sequence) % PORTS;
-        let offset = u16::try_from(offset).expect("offset is below 18,000");
-        Some(FIRST_PORT + offset)
-    });
-    let mut free = || {
-        let is_free =
-            |port: &u16| TcpListener::bind(("127.0.0.1", *port)).is_ok();
-        ports.find(is_free).expect("a port is free")
-    };
-    [free(), free(), free(), free()]
-}
+use crate::port::HeldPort;
 
 /// A running daemon, killed on drop.
 #[derive(Debug)]
 pub struct NodeProcess {
     child: Child,
     folder: PathBuf,
+    /// Held for the restarts of the process, and until it is dropped.
+    _ports: [HeldPort; 4],
     pub traffic: SocketAddr,
     pub ready: SocketAddr,
     /// The address for calls of other daemons.
@@ -69,11 +46,13 @@
         store: SocketAddr,
         limits: &Value,
     ) -> Self {
-        let [traffic, ready, first, last] = free_ports();
-        let name = format!("goldcrestramp-{}-{traffic}", std::process::id());
+        let ports = std::array::from_fn(|_| HeldPort::open());
+        let [traffic, ready, first, last] =
+            ports.each_ref().map(|port: &HeldPort| port.address);
+        let name =
+            format!("goldcrestramp-{}-{}", std::process::id(), traffic.port());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("folder is created");
-        let local = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
         let settings = json!({
             "node": vm, "zone": domain, "region": "north",
             "zones": {
@@ -81,10 +60,9 @@
             },
             "ip": "127.0.0.1",
             "listen": {
-                "front": local(traffic).to_string(),
-                "ready": local(ready).to_string()
+                "front": traffic.to_string(), "ready": ready.to_string()
             },
-            "inner_ports": [first, last],
+            "inner_ports": [first.port(), last.port()],
             "limits": limits,
             "beat_interval": "870ms",
             "bounds": ["grace=6s", "drain=2000ms"],
@@ -96,14 +74,14 @@
         fs::write(&path, settings.to_string())
             .expect("settings file is written");
         let child = start(&path);
-        let (traffic, ready) = (local(traffic), local(ready));
         Self {
             child,
             folder,
+            _ports: ports,
             traffic,
             ready,
-            peers: local(first),
-            relay: local(last),
+            peers: first,
+            relay: last,
         }
     }
 
--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -113,8 +113,9 @@
         let response = request.send().await.expect("response arrives");
         let status = response.status();
         if !is_lookup {
-            let executions = cluster.executions_of(&attempt);
-            assert!(executions <= 1, "{executions} executions");
+            let records = cluster.execution_records(&attempt);
+            let executions = records.len();
+            assert!(executions <= 1, "{executions} executions: {records:?}");
             assert!(status != 503 || executions == 0, "it ran despite 503");
         }
         status == 200
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -12,11 +12,16 @@
 use socket2::SockRef;
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     task::{JoinHandle, JoinSet},
     time::timeout,
 };
 
+use crate::port::HeldPort;
+
+/// The connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// How a server handles requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServerBehavior {
@@ -44,8 +49,8 @@
 #[derive(Debug)]
 struct ServerState {
     behavior: ServerBehavior,
-    /// The number of executions by attempt id.
-    executions: HashMap<String, u32>,
+    /// The executions by attempt id.
+    executions: HashMap<String, Vec<ExecutionRecord>>,
     /// Owned key ranges (first, last) with the expiry of their grant.
     grants: Vec<(u64, u64, Instant)>,
     /// Key ranges (first, last) with the tokens of the orders for them.
@@ -73,6 +78,19 @@
     backoffs: Vec<RequestedBackoff>,
 }
 
+/// One execution of a request, as its server saw it.
+#[derive(Clone, Debug)]
+#[allow(dead_code, reason = "printed when a check fails")]
+pub struct ExecutionRecord {
+    /// The id of the server.
+    pub server: String,
+    /// The address of the peer on the connection: a link or a daemon.
+    pub peer: SocketAddr,
+    /// The name of the cluster whose caller sent the request.
+    pub cluster: String,
+    pub at: Instant,
+}
+
 /// A refusal with which a server asked for a backoff.
 #[derive(Clone, Debug)]
 #[allow(dead_code, reason = "not every test binary reads it")]
@@ -91,22 +109,18 @@
     state: Arc<Mutex<ServerState>>,
     task: JoinHandle<()>,
     connections: Arc<Mutex<JoinSet<()>>>,
+    /// Held after the server has stopped, as daemons go on calling it.
+    port: Arc<HeldPort>,
 }
 
 impl ServerStandin {
-    pub async fn spawn(id: &str, sharded: bool) -> Self {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        Self::spawn_at(any, id, sharded).await
-    }
-
-    async fn spawn_at(
-        bind_address: SocketAddr,
-        id: &str,
-        sharded: bool,
-    ) -> Self {
-        let listener =
-            TcpListener::bind(bind_address).await.expect("port binds");
-        let address = listener.local_addr().expect("listener has an address");
+    pub fn spawn(id: &str, sharded: bool) -> Self {
+        Self::spawn_at(Arc::new(HeldPort::open()), id, sharded)
+    }
+
+    fn spawn_at(port: Arc<HeldPort>, id: &str, sharded: bool) -> Self {
+        let listener = port.listen(BACKLOG);
+        let address = port.address;
         let state = Arc::new(Mutex::new(ServerState {
             behavior: ServerBehavior::Responds(Duration::ZERO),
             executions: HashMap::new(),
@@ -141,7 +155,7 @@
             }
         });
         let id = id.to_owned();
-        Self { id, address, state, task, connections }
+        Self { id, address, state, task, connections, port }
     }
 
     pub fn set_behavior(&self, behavior: ServerBehavior) {
@@ -195,11 +209,19 @@
 
     /// The number of executions of an attempt.
     pub fn executions_of(&self, attempt: &str) -> u32 {
-        self.lock().executions.get(attempt).copied().unwrap_or(0)
+        let executions = self.execution_records(attempt).len();
+        u32::try_from(executions).expect("count fits in u32")
     }
 
     pub fn executions(&self) -> u32 {
-        self.lock().executions.values().sum()
+        let executions: usize =
+            self.lock().executions.values().map(Vec::len).sum();
+        u32::try_from(executions).expect("count fits in u32")
+    }
+
+    /// The executions of an attempt.
+    pub fn execution_records(&self, attempt: &str) -> Vec<ExecutionRecord> {
+        self.lock().executions.get(attempt).cloned().unwrap_or_default()
     }
 
     /// Requests whose caller disconnected while the response was withheld.
@@ -265,7 +287,7 @@
         while !self.task.is_finished() {
             tokio::task::yield_now().await;
         }
-        Self::spawn_at(self.address, id, false).await
+        Self::spawn_at(Arc::clone(&self.port), id, false)
     }
 
     /// Requests for another server, or for a key that it does not own.
@@ -350,6 +372,7 @@
 
 /// A request that was read completely.
 struct ReadRequest {
+    peer: SocketAddr,
     path: String,
     headers: HashMap<String, String>,
     body: Vec<u8>,
@@ -358,6 +381,7 @@
 async fn read(
     stream: &mut BufReader<TcpStream>,
 ) -> std::io::Result<Option<ReadRequest>> {
+    let peer = stream.get_ref().peer_addr()?;
     let mut line = String::new();
     if stream.read_line(&mut line).await? == 0 {
         return Ok(None);
@@ -376,7 +400,7 @@
     let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
-    Ok(Some(ReadRequest { path, headers, body }))
+    Ok(Some(ReadRequest { peer, path, headers, body }))
 }
 
 async fn serve(
@@ -512,7 +536,13 @@
         let head = response("503 Service Unavailable", &headers, "");
         return (head, Duration::ZERO, false);
     }
-    *state.executions.entry(attempt).or_default() += 1;
+    let record = ExecutionRecord {
+        server: id.to_owned(),
+        peer: request.peer,
+        cluster: header("x-test-cluster").unwrap_or_default(),
+        at: now,
+    };
+    state.executions.entry(attempt).or_default().push(record);
     let stamp = format!("X-Response-Stamp: by-{id}\r\n");
     let limit = state.limit.as_ref();
     let limit = limit.map(|limit| format!("Server-Limit: {limit}\r\n"));
--- a/goldcrestramp-entry/tests/soak/harness.rs
+++ b/goldcrestramp-entry/tests/soak/harness.rs
@@ -158,7 +158,7 @@
     async fn new_backend(&self, service: &'static str) -> Backend {
         let number = self.next_server.fetch_add(1, Ordering::Relaxed);
         let id = format!("server-{number}");
-        let server = ServerStandin::spawn(&id, service == SHARDED).await;
+        let server = ServerStandin::spawn(&id, service == SHARDED);
         let relay = Relay::spawn(server.address).await;
         let entry = entry_at(relay.address, service, "ready");
         self.store.put(&format!("servers/{id}"), &entry);
--- a/goldcrestramp-entry/tests/soak/main.rs
+++ b/goldcrestramp-entry/tests/soak/main.rs
@@ -26,6 +26,8 @@
 mod node;
 mod oracle;
 mod plan;
+#[path = "../daemon/port.rs"]
+mod port;
 mod relay;
 #[path = "../daemon/server.rs"]
 #[allow(dead_code, reason = "shared with the tests of single faults")]
