Log why a request of the former daemon ends with an unknown outcome

A failed run of a_graceful_stop_breaks_off_nothing said neither who broke a connection off nor which of five places took a keeper for lost. Calls of the load keep the address and the error of one without a response, failed tests print the calls whose outcome is unknown, and gateways and keepers log each of the five places, with the later refusal if there is one. Nothing else changes.

--- a/goldcrestramp-node/src/gateway/recover.rs
+++ b/goldcrestramp-node/src/gateway/recover.rs
@@ -40,6 +40,10 @@
                 break;
             }
         }
+        log::info!(
+            "gateway: no keeper of {server} reported the outcome of order {}.",
+            request.name,
+        );
         RouteOutcome::unknown(UnknownReason::KeeperLost)
     }
 
--- a/goldcrestramp-node/src/gateway/route.rs
+++ b/goldcrestramp-node/src/gateway/route.rs
@@ -131,7 +131,17 @@
         // refused its retry.
         match proof.judge(reason, by) {
             Ok(reason) => RouteOutcome::NotRun { reason, retry_after, by },
-            Err(reason) => RouteOutcome::Unknown { reason, retry_after },
+            Err(unknown) => {
+                log::info!(
+                    "gateway: {} {} of {} may have run, and a later attempt \
+                     was refused: {}.",
+                    request.class.code(),
+                    request.name,
+                    request.caller,
+                    reason.code(),
+                );
+                RouteOutcome::Unknown { reason: unknown, retry_after }
+            }
         }
     }
 
@@ -217,6 +227,12 @@
                 return Some(RouteOutcome::NotRun { reason, retry_after, by });
             }
             RetryDecision::Unknown => {
+                log::info!(
+                    "gateway: {} {} of {} may have run and is not retried.",
+                    request.class.code(),
+                    request.name,
+                    request.caller,
+                );
                 let reason = UnknownReason::KeeperLost;
                 return Some(RouteOutcome::unknown(reason));
             }
--- a/goldcrestramp-node/src/keeper/recover.rs
+++ b/goldcrestramp-node/src/keeper/recover.rs
@@ -75,7 +75,14 @@
             Some(RequestState::NotSeen) => {
                 return unknown(frames, UnknownReason::KeeperTooYoung).await;
             }
-            None => return unknown(frames, UnknownReason::KeeperLost).await,
+            None => {
+                log::info!(
+                    "keeper: server {} did not report the outcome of {}.",
+                    lost.address,
+                    lost.request.id,
+                );
+                return unknown(frames, UnknownReason::KeeperLost).await;
+            }
         }
     }
 }
@@ -124,12 +131,22 @@
     let id = utf8_percent_encode(&lost.request.id, NON_ALPHANUMERIC);
     let url = format!("http://{}/answer/{id}", lost.address);
     let Ok(response) = http.get(url).send().await else {
+        log::info!(
+            "keeper: server {} did not return the response to {}.",
+            lost.address,
+            lost.request.id,
+        );
         return unknown(frames, UnknownReason::KeeperLost).await;
     };
     let echoed = response.headers().get(HEADER_REQUEST);
     let is_same =
         echoed.is_some_and(|id| id.as_bytes() == lost.request.id.as_bytes());
     if !response.status().is_success() || !is_same {
+        log::info!(
+            "keeper: server {} no longer has the response to {}.",
+            lost.address,
+            lost.request.id,
+        );
         return unknown(frames, UnknownReason::KeeperLost).await;
     }
     let (address, request) = (lost.address, &*lost.request.id);
--- a/goldcrestramp-standins/src/load/call.rs
+++ b/goldcrestramp-standins/src/load/call.rs
@@ -1,6 +1,6 @@
 //! One attempt of a caller, from send to outcome.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{error::Error, net::SocketAddr, sync::Arc, time::Duration};
 
 use goldcrestramp_types::RequestClass;
 use reqwest::{Client, Method, Response};
@@ -50,6 +50,7 @@
             sent,
             ended: MachineTime::now(),
             outcome,
+            error: None,
         }
     }
 }
@@ -77,7 +78,9 @@
             Err(error) => {
                 let reason =
                     if error.is_timeout() { "silence" } else { "broken-off" };
-                return call.entry(sent, unknown(reason));
+                let error = error_chain(*target, &error);
+                let entry = call.entry(sent, unknown(reason));
+                return CallEntry { error: Some(error), ..entry };
             }
         }
     }
@@ -85,6 +88,17 @@
     call.entry(sent, CallOutcome::NotRun { reason })
 }
 
+/// Formats an error with its sources, and the address that was called.
+fn error_chain(target: SocketAddr, error: &reqwest::Error) -> Arc<str> {
+    let mut text = format!("{target}: {error}");
+    let mut source = error.source();
+    while let Some(error) = source {
+        text = format!("{text}: {error}");
+        source = error.source();
+    }
+    Arc::from(text)
+}
+
 fn request(
     http: &Client,
     target: SocketAddr,
--- a/goldcrestramp-standins/src/records.rs
+++ b/goldcrestramp-standins/src/records.rs
@@ -153,4 +153,7 @@
     pub ended: MachineTime,
     /// The outcome that the caller received.
     pub outcome: CallOutcome,
+    /// The address and the error of a call that got no response.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub error: Option<Arc<str>>,
 }
--- a/goldcrestramp-standins/tests/checker.rs
+++ b/goldcrestramp-standins/tests/checker.rs
@@ -73,6 +73,7 @@
         sent: at(sent),
         ended: at(sent + 5),
         outcome,
+        error: None,
     }
 }
 
--- a/goldcrestramp-standins/tests/history.rs
+++ b/goldcrestramp-standins/tests/history.rs
@@ -73,6 +73,7 @@
         sent,
         ended: MachineTime::from_micros(sent.as_micros() + span),
         outcome,
+        error: None,
     }
 }
 
--- a/goldcrestramp-standins/tests/load.rs
+++ b/goldcrestramp-standins/tests/load.rs
@@ -86,6 +86,7 @@
         sent: time(ended - 1),
         ended: time(ended),
         outcome: CallOutcome::NotRun { reason },
+        error: None,
     }
 }
 
--- a/tests/process/trial.rs
+++ b/tests/process/trial.rs
@@ -259,7 +259,8 @@
     }
 }
 
-/// Formats the number of calls with each outcome.
+/// Formats the number of calls with each outcome, and the calls whose outcome
+/// is unknown.
 pub fn outcomes(calls: &[CallEntry]) -> String {
     let mut counts = std::collections::BTreeMap::<String, usize>::new();
     for call in calls {
@@ -270,7 +271,10 @@
         let name = name.split(" value").next().unwrap_or_default().to_owned();
         *counts.entry(name).or_default() += 1;
     }
-    format!("{counts:?}")
+    let unknown = calls
+        .iter()
+        .filter(|call| matches!(call.outcome, CallOutcome::Unknown { .. }));
+    format!("{counts:?}\n{:#?}", unknown.collect::<Vec<_>>())
 }
 
 /// The rules of these failure domains, without duplicates.
