Wait for lookups in flight while a VM hands its servers over

Cause: a gateway gave a keeper up 300 ms after the table named another one, and a keeper gave its lookups up 300 ms after it no longer kept their server. Both were still at work on them. Change: a gateway probes the keeper that the table no longer names and waits for one that responds; a keeper gives a lookup up only for another server. A lost VM responds to no probe, so its callers are still served elsewhere. lookups_in_flight_complete_when_their_keeper_stops failed before (a lookup ran twice) and passes.

--- a/goldcrestramp-node/src/gateway/attempt.rs
+++ b/goldcrestramp-node/src/gateway/attempt.rs
@@ -4,11 +4,12 @@
 
 use goldcrestramp_decisions::{RefusedBy, timeout_to_forward};
 use goldcrestramp_types::{
-    NotRunReason, RequestEffect, RetryReason, ServerName, TimeSpan,
-    UnknownReason, slice_of,
+    NotRunReason, RequestEffect, RetryReason, ServerName, ServiceName,
+    TimeSpan, UnknownReason, slice_of,
 };
 use goldcrestramp_wire::peer::{
-    RouteFrame, RouteRequest, peer_client::PeerClient, route_frame::Frame,
+    OrderParcel, RouteFrame, RouteRequest, peer_client::PeerClient,
+    route_frame::Frame,
 };
 use tonic::{Streaming, transport::Channel};
 
@@ -21,11 +22,33 @@
 };
 
 /// How long a keeper that lost a server may take to redirect its requests and
-/// to complete those that run, before it counts as unresponsive.
+/// to complete those that run, before it is probed.
 const MOVE_GRACE: Duration = Duration::from_millis(300);
+/// A keeper that does not respond to a probe within this time is lost, like
+/// one that accepts no connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long a keeper's response may be in transit.
 const RESPONSE_MARGIN: TimeSpan = TimeSpan::from_millis(700);
 
+/// Why a keeper's response is no longer waited for.
+#[derive(Clone, Copy, Debug)]
+enum KeeperLoss {
+    /// The routing table names another keeper, and it responds to no probe.
+    Replaced,
+    /// The connection broke before the first frame.
+    Disconnected,
+}
+
+impl KeeperLoss {
+    /// The stable code in logs.
+    const fn code(self) -> &'static str {
+        match self {
+            Self::Replaced => "replaced",
+            Self::Disconnected => "disconnected",
+        }
+    }
+}
+
 /// The result of one attempt.
 pub(super) enum AttemptResult {
     /// The caller gets this outcome.
@@ -56,6 +79,15 @@
     Some((first.frame?, spent, frames))
 }
 
+/// Whether a peer responds to a probe: a batch without records.
+async fn is_alive(channel: Channel, service: &ServiceName) -> bool {
+    let mut peer = PeerClient::new(channel);
+    let service = service.to_string();
+    let probe = OrderParcel { service, orders: Vec::new() };
+    let response = tokio::time::timeout(PROBE_TIMEOUT, peer.remember(probe));
+    matches!(response.await, Ok(Ok(_receipt)))
+}
+
 impl RequestRouter {
     /// Sends the request to this keeper and returns the result.
     pub(super) async fn attempt(
@@ -82,7 +114,7 @@
             return AttemptResult::Final(refused(reason));
         };
         let message = self.message(request, &target.server, timeout);
-        let call = first_frame(channel, message);
+        let call = first_frame(channel.clone(), message);
         // The keeper responds by the deadline. The margin covers the transit
         // of its response, which is more exact than a timeout here.
         let wait = remaining.plus(RESPONSE_MARGIN);
@@ -90,8 +122,11 @@
         let mut call = std::pin::pin!(call);
         let response = tokio::select! {
             response = &mut call => response,
-            () = self.owner_moved(request, address) => {
-                match self.keeper_lost(request, target, remaining).await {
+            () = self.keeper_replaced(request, address, channel) => {
+                let loss = KeeperLoss::Replaced;
+                let found =
+                    self.keeper_lost(request, target, remaining, loss);
+                match found.await {
                     // No other keeper knows; the first may still respond.
                     AttemptResult::Final(RouteOutcome::Unknown { .. }) => {
                         call.await
@@ -108,7 +143,8 @@
             }
             Ok(None) => {
                 self.channels.forget(address);
-                self.keeper_lost(request, target, remaining).await
+                let loss = KeeperLoss::Disconnected;
+                self.keeper_lost(request, target, remaining, loss).await
             }
             Err(_elapsed) => {
                 let reason = UnknownReason::DeadlinePassed;
@@ -118,19 +154,28 @@
     }
 
     /// Completes when the routing table has sent the key's requests to
-    /// another keeper for [`MOVE_GRACE`].
+    /// another keeper for [`MOVE_GRACE`] and this one is lost.
     ///
     /// A keeper that was cut off or paused does not respond, and its
     /// connection stays open for seconds. Its callers would wait although
-    /// another VM keeps the server by then.
-    async fn owner_moved(&self, request: &CallerRequest, address: &Arc<str>) {
+    /// another VM keeps the server by then. One that has handed the server
+    /// over still completes the requests that it has sent there.
+    async fn keeper_replaced(
+        &self,
+        request: &CallerRequest,
+        address: &Arc<str>,
+        channel: Channel,
+    ) {
         let mut changes = self.context.table_changed.subscribe();
         loop {
             if self.is_elsewhere(request, address) {
                 tokio::time::sleep(MOVE_GRACE).await;
-                if self.is_elsewhere(request, address) {
+                if self.is_elsewhere(request, address)
+                    && !is_alive(channel.clone(), &request.service).await
+                {
                     return;
                 }
+                continue;
             }
             if changes.changed().await.is_err() {
                 // The daemon stops, and its requests with it.
@@ -156,7 +201,16 @@
         request: &CallerRequest,
         target: &KeeperTarget,
         remaining: TimeSpan,
+        loss: KeeperLoss,
     ) -> AttemptResult {
+        log::info!(
+            "gateway: {} {} of {} gets no response of keeper {}: {}.",
+            request.class.code(),
+            request.name,
+            request.caller,
+            target.address,
+            loss.code(),
+        );
         match self.effect(request) {
             RequestEffect::Idempotent => {
                 AttemptResult::Interrupted(UnknownReason::KeeperLost)
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -338,12 +338,22 @@
         let mut misses = 0;
         while misses < MAX_MISSES {
             tokio::time::sleep(ROUTE_CHECK_INTERVAL).await;
-            let kept = self.find(request);
-            let here = kept.is_some_and(|k| k.order.server == *server);
-            misses = if here { 0 } else { misses + 1 };
+            let owns = self.is_owner(request, server);
+            misses = if owns { 0 } else { misses + 1 };
         }
     }
 
+    /// Whether a server owns the slice of a request, whichever VM keeps it.
+    fn is_owner(&self, request: &ServerRequest, server: &ServerName) -> bool {
+        if let Some(kept) = self.find(request) {
+            return kept.order.server == *server;
+        }
+        let table = self.context.table.load();
+        let routes = table.service(&request.service);
+        let target = routes.and_then(|routes| routes.target(request.slice));
+        target.is_some_and(|target| target.server == *server)
+    }
+
     fn find(&self, request: &ServerRequest) -> Option<KeptServer> {
         let view = self.context.view.load();
         view.find(self.context.now(), &request.service, request.slice)
--- a/goldcrestramp-node/tests/moves.rs
+++ b/goldcrestramp-node/tests/moves.rs
@@ -95,6 +95,42 @@
     assert_eq!(domain.runs("order-1").iter().sum::<usize>(), 1);
 }
 
+/// Guards against lookups that end without a response because the VM that
+/// keeps their server stops: the server goes on working on them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lookups_in_flight_complete_when_their_keeper_stops() {
+    /// Longer than the handover of a server to another VM.
+    const SLOW_PERCENT: u64 = 30_000;
+    const LOOKUPS: usize = 4;
+    let mut domain = OneDomain::spawn(19, 3).await;
+    let keeper = domain.keeper_of(0).await;
+    let gateway = (keeper + 1) % 3;
+    let key = domain.key_of(0).await;
+    let faults =
+        ServerFaults { slow_percent: SLOW_PERCENT, ..ServerFaults::default() };
+    domain.servers[0].set_faults(faults);
+    let lookups = (0..LOOKUPS).map(|number| {
+        let lookup = domain.request(gateway, Method::GET, &key);
+        let lookup = lookup.header("goldcrestramp-caller", "once");
+        let id = format!("slow-{number}");
+        tokio::spawn(lookup.header("goldcrestramp-request", id).send())
+    });
+    let lookups: Vec<_> = lookups.collect();
+    domain.wait_until_running(0, "slow-", LOOKUPS).await;
+
+    domain.nodes[keeper].drain().await;
+
+    for lookup in lookups {
+        let response = lookup.await.expect("request task does not panic");
+        let response = response.expect("request gets a response");
+        assert_eq!(outcome(&response), "done");
+    }
+    for number in 0..LOOKUPS {
+        let runs = domain.runs(&format!("slow-{number}"));
+        assert_eq!(runs.iter().sum::<usize>(), 1, "slow-{number}");
+    }
+}
+
 /// The first frame of a keeper's response to an order that arrives past its
 /// deadline, as after a slow connection.
 async fn late_order(domain: &OneDomain, is_resend: bool) -> RouteFrame {
--- a/goldcrestramp-node/tests/one_domain/mod.rs
+++ b/goldcrestramp-node/tests/one_domain/mod.rs
@@ -206,6 +206,29 @@
             .expect("key moves in time");
     }
 
+    /// Waits until a server has started this many requests whose ids contain
+    /// this text.
+    pub(crate) async fn wait_until_running(
+        &self,
+        server: usize,
+        request: &str,
+        count: usize,
+    ) {
+        let started = || {
+            let log = self.servers[server].log();
+            let runs = log.executions.iter();
+            runs.filter(|run| run.request.contains(request)).count()
+        };
+        let polling = async {
+            while started() < count {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+        };
+        tokio::time::timeout(TIMEOUT, polling)
+            .await
+            .expect("server starts the requests in time");
+    }
+
     async fn wait_until_served(&self, node: usize) {
         let polling = async {
             loop {
