Serve requests on idle connections while the former daemon drains

Cause: idle connections were closed a second after the last accept, and a pool gives out one that was idle for longer when load rises. Change: a draining VM closes an idle connection no sooner than a serving one, after 10 s; a used one is closed by its response, as before. A connection is read once more before it is closed. a_draining_vm_serves_requests_on_idle_connections got no response before and passes.

--- a/goldcrestramp-node/src/gateway/listener.rs
+++ b/goldcrestramp-node/src/gateway/listener.rs
@@ -6,19 +6,18 @@
 use hyper::server::conn::http1;
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
     service::TowerToHyperService,
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, oneshot},
+    sync::{Semaphore, oneshot, watch},
     task::JoinHandle,
     time::{Instant, timeout_at},
 };
 use warp::{Filter, Rejection, Reply};
 
 /// Connections beyond this number wait in the accept queue of the system.
-const MAX_CONNECTIONS: usize = 8_192;
+const MAX_CONNECTIONS: u32 = 8_192;
 /// A connection whose request head takes longer is closed. Half-open
 /// connections would otherwise use up [`MAX_CONNECTIONS`].
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -39,10 +38,12 @@
 /// How long open connections may still send a request after that.
 ///
 /// A caller may send on an idle connection at the moment it is closed, and
-/// then cannot know whether its order ran. A connection in use sends its next
-/// request within this time, and the response closes it. One that stays idle
-/// longer is at the bottom of its caller's pool.
-const DRAIN_IDLE_TIME: Duration = Duration::from_secs(1);
+/// then cannot know whether its order ran. So a draining VM closes none
+/// sooner than a serving one; the response to the next request closes it.
+const DRAIN_IDLE_TIME: Duration = HEAD_TIMEOUT;
+/// How long a connection is still read before it is closed, so that a request
+/// whose bytes have arrived is served.
+const LAST_READ_TIME: Duration = Duration::from_millis(20);
 
 /// A running listener for callers.
 #[derive(Debug)]
@@ -98,14 +99,15 @@
     F::Future: Send,
     F::Extract: Reply + Send,
 {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
-    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
+    let closing = watch::Sender::new(false);
     let accept_one = async |listener: &TcpListener| {
         // The semaphore is never closed, so this always returns a permit.
         let permit = Arc::clone(&permits).acquire_owned().await;
         match listener.accept().await {
             Ok((stream, _)) => {
-                let serve = connection(stream, routes.clone(), &graceful);
+                let closing = closing.subscribe();
+                let serve = connection(stream, routes.clone(), closing);
                 tokio::spawn(async move {
                     serve.await;
                     drop(permit);
@@ -126,14 +128,21 @@
     // dropped.
     while accept_one(&listener).now_or_never().is_some() {}
     drop(listener);
-    tokio::time::sleep(DRAIN_IDLE_TIME).await;
-    graceful.shutdown().await;
+    let idle_until = Instant::now() + DRAIN_IDLE_TIME;
+    let all_closed = || permits.acquire_many(MAX_CONNECTIONS);
+    if timeout_at(idle_until, all_closed()).await.is_err() {
+        let open = MAX_CONNECTIONS as usize - permits.available_permits();
+        log::info!("gateway: closing {open} connections.");
+    }
+    closing.send_replace(true);
+    // The semaphore is never closed, so this ends with the last connection.
+    drop(all_closed().await);
 }
 
 fn connection<F>(
     stream: TcpStream,
     routes: F,
-    graceful: &GracefulShutdown,
+    mut closing: watch::Receiver<bool>,
 ) -> impl Future<Output = ()> + Send + 'static
 where
     F: Filter<Error = Rejection> + Clone + Send + Sync + 'static,
@@ -149,9 +158,20 @@
         .max_buf_size(MAX_HEAD_BYTES)
         .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service);
-    let watched = graceful.watch(served);
     async move {
+        let mut served = std::pin::pin!(served);
+        let closing = async {
+            // The sender is dropped only when nothing is served any more.
+            drop(closing.wait_for(|closing| *closing).await);
+            tokio::time::sleep(LAST_READ_TIME).await;
+        };
         // A failed connection affects its caller only.
-        drop(watched.await);
+        tokio::select! {
+            biased;
+            ended = served.as_mut() => return drop(ended),
+            () = closing => {}
+        }
+        served.as_mut().graceful_shutdown();
+        drop(served.await);
     }
 }
