Accept queued connections before the former daemon closes its listener

Cause: the queue was taken for empty as soon as the runtime knew of no connection, which on a busy machine is later than the system does. Closing the listener resets what is queued. Change: the listener is turned into one of the standard library and asked until it has none. Gateways and keepers also log what got no response by a deadline, which the remaining failures call for.

--- a/goldcrestramp-node/src/gateway/attempt.rs
+++ b/goldcrestramp-node/src/gateway/attempt.rs
@@ -147,6 +147,14 @@
                 self.keeper_lost(request, target, remaining, loss).await
             }
             Err(_elapsed) => {
+                log::info!(
+                    "gateway: {} {} of {} got no response of keeper {} by \
+                     its deadline.",
+                    request.class.code(),
+                    request.name,
+                    request.caller,
+                    address,
+                );
                 let reason = UnknownReason::DeadlinePassed;
                 AttemptResult::Final(RouteOutcome::unknown(reason))
             }
--- a/goldcrestramp-node/src/gateway/listener.rs
+++ b/goldcrestramp-node/src/gateway/listener.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use futures_util::FutureExt;
 use hyper::server::conn::http1;
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
@@ -67,7 +66,7 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let (stop, stopped) = oneshot::channel();
-        let task = tokio::spawn(accept(listener, routes, stopped));
+        let task = tokio::spawn(serve_callers(listener, routes, stopped));
         Ok(Self { address, stop: Some(stop), task })
     }
 
@@ -90,7 +89,8 @@
     }
 }
 
-async fn accept<F>(
+/// Serves callers until `stopped` completes, and then drains.
+async fn serve_callers<F>(
     listener: TcpListener,
     routes: F,
     mut stopped: oneshot::Receiver<()>,
@@ -99,44 +99,95 @@
     F::Future: Send,
     F::Extract: Reply + Send,
 {
-    let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
-    let closing = watch::Sender::new(false);
-    let accept_one = async |listener: &TcpListener| {
-        // The semaphore is never closed, so this always returns a permit.
-        let permit = Arc::clone(&permits).acquire_owned().await;
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let closing = closing.subscribe();
-                let serve = connection(stream, routes.clone(), closing);
-                tokio::spawn(async move {
-                    serve.await;
-                    drop(permit);
-                });
-            }
-            Err(_error) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
-        }
-    };
+    let connections = ConnectionServer::new(routes);
     loop {
         tokio::select! {
-            () = accept_one(&listener) => {}
+            () = connections.accept(&listener) => {}
             _ = &mut stopped => break,
         }
     }
     let accept_until = Instant::now() + DRAIN_ACCEPT_TIME;
-    while timeout_at(accept_until, accept_one(&listener)).await.is_ok() {}
-    // Connections in the accept queue would be reset when the listener is
-    // dropped.
-    while accept_one(&listener).now_or_never().is_some() {}
-    drop(listener);
-    let idle_until = Instant::now() + DRAIN_IDLE_TIME;
-    let all_closed = || permits.acquire_many(MAX_CONNECTIONS);
-    if timeout_at(idle_until, all_closed()).await.is_err() {
-        let open = MAX_CONNECTIONS as usize - permits.available_permits();
-        log::info!("gateway: closing {open} connections.");
+    let accept = || timeout_at(accept_until, connections.accept(&listener));
+    while accept().await.is_ok() {}
+    connections.accept_queued(listener).await;
+    connections.close(Instant::now() + DRAIN_IDLE_TIME).await;
+}
+
+/// Serves connections, each in a task of its own.
+struct ConnectionServer<F> {
+    routes: F,
+    /// One is held by each open connection.
+    permits: Arc<Semaphore>,
+    /// Whether idle connections are closed.
+    closing: watch::Sender<bool>,
+}
+
+impl<F> ConnectionServer<F>
+where
+    F: Filter<Error = Rejection> + Clone + Send + Sync + 'static,
+    F::Future: Send,
+    F::Extract: Reply + Send,
+{
+    fn new(routes: F) -> Self {
+        let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS as usize));
+        Self { routes, permits, closing: watch::Sender::new(false) }
+    }
+
+    /// Accepts one connection when there is room for it.
+    async fn accept(&self, listener: &TcpListener) {
+        // The semaphore is never closed, so this always returns a permit.
+        let permit = Arc::clone(&self.permits).acquire_owned().await;
+        match listener.accept().await {
+            Ok((stream, _)) => self.serve(stream, permit),
+            Err(_error) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+        }
+    }
+
+    /// Accepts the connections that wait to be accepted, and closes the
+    /// listener, which would reset them.
+    async fn accept_queued(&self, listener: TcpListener) {
+        // The runtime may not have noticed the last ones yet, so the system
+        // itself is asked.
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, _)) = listener.accept() {
+            let stream = stream.set_nonblocking(true).map(|()| stream);
+            let stream = stream.and_then(TcpStream::from_std);
+            let permit = Arc::clone(&self.permits).acquire_owned().await;
+            match stream {
+                Ok(stream) => self.serve(stream, permit),
+                Err(error) => {
+                    log::warn!("gateway: a connection is lost: {error}.");
+                }
+            }
+        }
+    }
+
+    fn serve<Permit: Send + 'static>(
+        &self,
+        stream: TcpStream,
+        permit: Permit,
+    ) {
+        let closing = self.closing.subscribe();
+        let served = connection(stream, self.routes.clone(), closing);
+        tokio::spawn(async move {
+            served.await;
+            drop(permit);
+        });
+    }
+
+    /// Waits until all connections are closed; idle ones are closed at
+    /// `idle_until`.
+    async fn close(&self, idle_until: Instant) {
+        let all_closed = || self.permits.acquire_many(MAX_CONNECTIONS);
+        if timeout_at(idle_until, all_closed()).await.is_err() {
+            let closed = self.permits.available_permits();
+            let open = MAX_CONNECTIONS as usize - closed;
+            log::info!("gateway: closing {open} connections.");
+        }
+        self.closing.send_replace(true);
+        // The semaphore is never closed, so this ends with the last one.
+        drop(all_closed().await);
     }
-    closing.send_replace(true);
-    // The semaphore is never closed, so this ends with the last connection.
-    drop(all_closed().await);
 }
 
 fn connection<F>(
--- a/goldcrestramp-node/src/keeper/send.rs
+++ b/goldcrestramp-node/src/keeper/send.rs
@@ -137,6 +137,12 @@
     frames: &FrameSender,
     attempt: &mut AttemptGuard,
 ) {
+    log::info!(
+        "keeper: server {} did not respond to {}: {}.",
+        kept.order.server,
+        request.id,
+        fallback.code(),
+    );
     let frame = prove::outcome(http, kept, request, fallback).await;
     if let Some(Frame::NotRun(not_run)) = &frame.frame {
         let reason = NotRunReason::from_code(&not_run.reason);
