Serve what has arrived before the entry daemon closes connections

Cause: the library's graceful shutdown closes a connection of which nothing was read, and the listener was closed with connections in its queue.

--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -40,6 +40,10 @@
 /// The smallest head buffer that the library accepts.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
+/// How long a connection is still read before it is closed, so that a request
+/// whose bytes have arrived is served.
+const LAST_READ_TIME: Duration = Duration::from_millis(10);
+
 /// Accepts connections until the process closes, and serves each in a task of
 /// its own.
 pub(crate) async fn serve_listener<Served>(
@@ -53,7 +57,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_close(&mut phase) => return,
+            () = wait_for_close(&mut phase) => break,
         };
         match accepted {
             Ok((stream, _address)) => {
@@ -65,10 +69,33 @@
             }
         }
     }
+    for stream in accept_queued(listener) {
+        spawn_local(serve(stream, connections.enter()));
+    }
+}
+
+/// Closes a listener and returns the connections that waited to be accepted.
+/// Those that are in its queue when it is closed are reset.
+fn accept_queued(listener: TcpListener) -> Vec<TcpStream> {
+    // The runtime may not have noticed the last ones yet, so the system
+    // itself is asked.
+    let accepted = listener.into_std().and_then(|listener| {
+        let accept = || Some(listener.accept().ok()?.0);
+        std::iter::from_fn(accept)
+            .map(|stream| {
+                stream.set_nonblocking(true)?;
+                TcpStream::from_std(stream)
+            })
+            .collect()
+    });
+    accepted.unwrap_or_else(|error| {
+        log::warn!("[gateway] Queued connections were lost: {error}.");
+        Vec::new()
+    })
 }
 
 /// Waits until the process closes.
-pub(super) async fn wait_for_close(phase: &mut watch::Receiver<StopPhase>) {
+async fn wait_for_close(phase: &mut watch::Receiver<StopPhase>) {
     let closed = phase.wait_for(|phase| *phase >= StopPhase::Closing).await;
     if closed.is_err() {
         // The process exits without a stop phase: there is nothing to wait
@@ -77,6 +104,15 @@
     }
 }
 
+/// Waits until the process closes and what has arrived on a connection can
+/// have been read.
+pub(super) async fn wait_for_last_read(
+    phase: &mut watch::Receiver<StopPhase>,
+) {
+    wait_for_close(phase).await;
+    tokio::time::sleep(LAST_READ_TIME).await;
+}
+
 /// Serves one connection of a caller.
 pub(crate) async fn serve_caller(
     state: Rc<TrafficState>,
@@ -119,8 +155,9 @@
     let received = caller.receive(reader);
     pin!(connection, received);
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        biased;
         () = received.as_mut() => return,
+        ended = connection.as_mut() => ended,
         () = wait_to_close(&mut phase, &caller) => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
@@ -134,12 +171,13 @@
     }
 }
 
-/// Waits until a connection may be closed after its next response.
+/// Waits until a connection may be closed after the response to what has
+/// arrived on it.
 async fn wait_to_close(
     phase: &mut watch::Receiver<StopPhase>,
     caller: &CallerConnection,
 ) {
-    wait_for_close(phase).await;
+    wait_for_last_read(phase).await;
     caller.wait_caught_up().await;
 }
 
--- a/goldcrestramp-entry/src/traffic/relay_connection.rs
+++ b/goldcrestramp-entry/src/traffic/relay_connection.rs
@@ -10,7 +10,7 @@
 use crate::{
     run::StopPhase,
     traffic::{
-        ConnectionGuard, listener::wait_for_close, relay::serve_passed,
+        ConnectionGuard, listener::wait_for_last_read, relay::serve_passed,
         state::TrafficState,
     },
 };
@@ -41,8 +41,9 @@
         .serve_connection(TokioIo::new(stream), service);
     pin!(connection);
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = wait_for_close(&mut phase) => {
+        () = wait_for_last_read(&mut phase) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -8,7 +8,10 @@
 };
 use rustix::process::Signal;
 use serde_json::json;
-use tokio::io::AsyncReadExt;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::{
     cluster::{Cluster, POOLED, configuration, eventually},
@@ -137,6 +140,47 @@
     assert_eq!(response.status(), 200);
 }
 
+/// Guards against orders that are lost because they arrive, on open and on new
+/// connections, while a stopping process that is short of CPU time closes.
+#[tokio::test]
+async fn requests_that_arrive_before_the_close_are_served() {
+    const DRAINING: Duration = Duration::from_millis(2_000);
+    /// Lasts beyond the end of the drain.
+    const PAUSE: Duration = Duration::from_millis(1_200);
+    const ORDER: &str = "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n\
+        X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n";
+    let mut cluster = Cluster::start(POOLED, 1, 1).await;
+    let traffic = cluster.nodes[0].traffic;
+    let connect = async || {
+        let stream = TcpStream::connect(traffic).await;
+        stream.expect("connection succeeds")
+    };
+    let mut callers = vec![connect().await];
+    cluster.nodes[0].signal(Signal::TERM);
+    tokio::time::sleep(DRAINING).await;
+    cluster.nodes[0].signal(Signal::STOP);
+    callers.push(connect().await);
+    let mut attempts = Vec::new();
+    for caller in &mut callers {
+        let attempt = cluster.next_attempt();
+        let order = format!("{ORDER}X-Attempt-Id: {attempt}\r\n\r\n");
+        caller.write_all(order.as_bytes()).await.expect("order is sent");
+        attempts.push(attempt);
+    }
+    tokio::time::sleep(PAUSE).await;
+
+    cluster.nodes[0].signal(Signal::CONT);
+
+    for (caller, attempt) in callers.iter_mut().zip(&attempts) {
+        let mut response = String::new();
+        let read = caller.read_to_string(&mut response).await;
+        read.expect("connection is not reset");
+        assert!(response.starts_with("HTTP/1.1 200"), "{response:?}");
+        assert_eq!(cluster.executions_of(attempt), 1);
+    }
+    assert!(cluster.nodes[0].wait_for_exit().await.success());
+}
+
 /// Guards against callers whose connection is closed without a response: a
 /// server that is overloaded never responds, and the VM's grace period ends
 /// before their deadline.
