--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -144,7 +144,7 @@
 /// connections, while a stopping process that is short of CPU time closes.
 #[tokio::test]
 async fn requests_that_arrive_before_the_close_are_served() {
-    const DRAINING: Duration = Duration::from_millis(2_000);
+    const DRAINING: Duration = Duration::from_secs(2);
     /// Lasts beyond the end of the drain.
     const PAUSE: Duration = Duration::from_millis(1_200);
     const ORDER: &str = "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n\
