Decide in one place whether a response says that a server is leaving

Both readers of the header left 421 out themselves and so did their comments; states_leaving takes the status, as requested_backoff does. The pool asks whether there are any notices before it builds an instance for each candidate. No change of behavior.

--- a/goldcrestramp-entry/src/control/order.rs
+++ b/goldcrestramp-entry/src/control/order.rs
@@ -181,11 +181,8 @@
 
 /// Whether the server of an order states in its response that it is leaving.
 fn is_leaving(id: &str, response: &CallResponse) -> bool {
-    // Another server may respond at this address.
-    if response.status == StatusCode::MISDIRECTED_REQUEST {
-        return false;
-    }
-    states_leaving(&response.headers).unwrap_or_else(|error| {
+    let leaving = states_leaving(response.status, &response.headers);
+    leaving.unwrap_or_else(|error| {
         log::warn!("[leaving] Server {id}: {error}.");
         false
     })
--- a/goldcrestramp-entry/src/notices.rs
+++ b/goldcrestramp-entry/src/notices.rs
@@ -159,7 +159,8 @@
         self.0.has_any.store(!notices.is_empty(), Ordering::Relaxed);
     }
 
-    fn has_any(&self) -> bool {
+    /// Whether any server has stated anything that matters now.
+    pub(crate) fn has_any(&self) -> bool {
         self.0.has_any.load(Ordering::Relaxed)
     }
 
--- a/goldcrestramp-entry/src/traffic/notice.rs
+++ b/goldcrestramp-entry/src/traffic/notice.rs
@@ -2,7 +2,7 @@
 
 use goldcrestramp_adapter::{requested_backoff, states_leaving};
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock};
-use http::{StatusCode, response::Parts};
+use http::response::Parts;
 
 use crate::traffic::{
     request::RoutedRequest, server::ServerState, state::TrafficState,
@@ -35,10 +35,6 @@
         server: &ServerState,
         parts: &Parts,
     ) {
-        // The response may be from another server at this address.
-        if parts.status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
         let instance = &server.instance;
         match requested_backoff(parts.status, &parts.headers) {
             Ok(Some(span)) => {
@@ -52,7 +48,7 @@
                 log::warn!("[backoff] Server {}: {error}.", instance.id);
             }
         }
-        match states_leaving(&parts.headers) {
+        match states_leaving(parts.status, &parts.headers) {
             Ok(true) => {
                 if self.notices.record_leaving(now, instance.into()) {
                     self.wake_queued();
--- a/goldcrestramp-entry/src/traffic/pool.rs
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -83,7 +83,8 @@
     }
 
     fn is_leaving(&self, entry: &ServerEntry) -> bool {
-        self.state.notices.is_leaving(&instance_of(entry))
+        let notices = &self.state.notices;
+        notices.has_any() && notices.is_leaving(&instance_of(entry))
     }
 
     /// The servers that the request may be sent to.
