--- a/goldcrestramp-entry/tests/daemon/backoff.rs
+++ b/goldcrestramp-entry/tests/daemon/backoff.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use rustix::process::Signal;
 
 use crate::{
     cluster::{Cluster, POOLED, SHARDED, configuration, entry, eventually},
@@ -100,6 +101,22 @@
     assert_eq!(server.arrivals(), arrivals);
 }
 
+/// Guards against requests in a backoff from a VM that is being stopped.
+#[tokio::test]
+async fn a_draining_vm_respects_a_backoff() {
+    let cluster = start_with_owner().await;
+    let server = &cluster.servers[0];
+    server.shed_with_backoff(LONG);
+    assert_eq!(cluster.get_key(0, 0).await.status(), 503);
+
+    cluster.nodes[0].signal(Signal::TERM);
+    for _ in 0..10 {
+        assert_eq!(cluster.get_key(0, 0).await.status(), 503);
+    }
+
+    assert_eq!(server.arrivals(), 1);
+}
+
 /// Guards against a backoff that is forgotten with the state of a server whose
 /// entry lapses for a moment.
 #[tokio::test]
