Give a VM to which requests are passed a limit of its own kind

Callers of a VM that reaches no server were refused as unreachable while the other VM was slow: 130 and 134 of 150 served, beside load.

--- a/goldcrestramp-decisions/src/limit/mod.rs
+++ b/goldcrestramp-decisions/src/limit/mod.rs
@@ -31,7 +31,7 @@
 
 use goldcrestramp_types::{LocalTime, RequestClass, TimeSpan};
 
-use crate::limit::pace::ServerPace;
+use crate::limit::pace::{MIN_SILENCE, ServerPace};
 
 /// Consecutive failures after which a server is suspended. Two may be chance:
 /// on a server of two slots, one lost connection can break both.
@@ -59,6 +59,10 @@
 /// owner.
 const LONG_SUSPENSION: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// The shortest silence of a VM to which requests are passed that counts: it
+/// may wait for a slow server.
+const RELAY_SILENCE: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// What the keeper observed of a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServerSignal {
@@ -132,6 +136,8 @@
     refusals: u32,
     halved_at: LocalTime,
     suspended_since: Option<LocalTime>,
+    /// Whether it is a VM, which has limits of its own.
+    is_relay: bool,
 }
 
 impl ServerLimit {
@@ -141,14 +147,26 @@
         Self {
             slots: slots.max(1),
             stage: LimitStage::Active { limit: 1, responses: 0 },
-            pace: ServerPace::new(now),
+            pace: ServerPace::new(now, MIN_SILENCE),
             failures: 0,
             refusals: 0,
             halved_at: now,
             suspended_since: None,
+            is_relay: false,
         }
     }
 
+    /// The limit of a VM to which requests are passed.
+    ///
+    /// It has queues and limits of its own, and what its servers refuse says
+    /// nothing about it. So refusals don't lower its limit, and after a
+    /// suspension one response restores it.
+    #[must_use]
+    pub fn relay(now: LocalTime, max_passed: usize) -> Self {
+        let pace = ServerPace::new(now, RELAY_SILENCE);
+        Self { pace, is_relay: true, ..Self::warm(now, max_passed) }
+    }
+
     /// The limit of a server that has been running for a while, as seen by a
     /// VM that has not: it may use all slots at once.
     ///
@@ -285,7 +303,8 @@
         self.refusals = 0;
         self.suspended_since = None;
         let LimitStage::Active { limit, responses } = self.stage else {
-            self.stage = LimitStage::Active { limit: 1, responses: 1 };
+            let limit = if self.is_relay { self.slots } else { 1 };
+            self.stage = LimitStage::Active { limit, responses: 1 };
             return;
         };
         let responses = responses + 1;
@@ -299,6 +318,10 @@
 
     /// Handles a refusal: the server is alive but overloaded.
     fn record_refusal(&mut self, now: LocalTime, random: u64) {
+        if self.is_relay {
+            self.record_response();
+            return;
+        }
         if let LimitStage::Active { limit, .. } = self.stage
             && limit > 1
         {
--- a/goldcrestramp-decisions/src/limit/pace.rs
+++ b/goldcrestramp-decisions/src/limit/pace.rs
@@ -23,7 +23,7 @@
 /// A server that is silent for this many slot times, within these bounds,
 /// counts as frozen.
 const SILENCE_FACTOR: u64 = 10;
-const MIN_SILENCE: TimeSpan = TimeSpan::from_millis(300);
+pub(crate) const MIN_SILENCE: TimeSpan = TimeSpan::from_millis(300);
 const MAX_SILENCE: TimeSpan = TimeSpan::from_millis(10_000);
 
 /// The pace of one class.
@@ -47,11 +47,14 @@
     has_long: bool,
     last_alive_at: LocalTime,
     slow_since: Option<LocalTime>,
+    /// The shortest silence that counts.
+    min_silence: TimeSpan,
 }
 
 impl ServerPace {
-    pub(crate) fn new(now: LocalTime) -> Self {
+    pub(crate) fn new(now: LocalTime, min_silence: TimeSpan) -> Self {
         Self {
+            min_silence,
             classes: [ClassPace::default(); 3],
             running: 0,
             has_long: false,
@@ -122,7 +125,7 @@
         let span = if self.has_long {
             MAX_SILENCE
         } else {
-            TimeSpan::from_micros(short).clamp(MIN_SILENCE, MAX_SILENCE)
+            TimeSpan::from_micros(short).clamp(self.min_silence, MAX_SILENCE)
         };
         Some(self.last_alive_at + span)
     }
--- a/goldcrestramp-decisions/tests/limit.rs
+++ b/goldcrestramp-decisions/tests/limit.rs
@@ -54,6 +54,30 @@
     assert_eq!(limit.verdict(at(0)), LimitVerdict::Allowed(4));
 }
 
+/// Guards against a VM that gets one request at a time after a silence, or
+/// fewer for what its servers refuse.
+#[test]
+fn a_vm_gets_as_many_requests_as_before_once_it_responds() {
+    let mut limit = ServerLimit::relay(at(0), 64);
+    for _ in 0..16 {
+        limit.started(at(0), RequestClass::Lookup);
+    }
+
+    limit.tick(at(900), 0);
+    let slow = limit.verdict(at(900));
+    limit.tick(at(1_000), 0);
+    let silent = limit.verdict(at(1_000));
+    limit.replied(at(1_050));
+    limit.finished(at(1_050), answered(1_050), 0);
+    let alive = limit.verdict(at(1_050));
+    run(&mut limit, 1_060, 5, ServerSignal::Refused);
+
+    assert_eq!(slow, LimitVerdict::Allowed(64));
+    assert!(matches!(silent, LimitVerdict::Suspended(_)));
+    assert_eq!(alive, LimitVerdict::Allowed(64));
+    assert_eq!(limit.verdict(at(1_065)), LimitVerdict::Allowed(64));
+}
+
 #[test]
 fn a_download_at_a_cold_server_does_not_keep_it_cold() {
     let mut limit = ServerLimit::open(at(0), 2);
--- a/goldcrestramp-entry/src/traffic/relay_vms.rs
+++ b/goldcrestramp-entry/src/traffic/relay_vms.rs
@@ -58,7 +58,7 @@
             started_ms: vm.start,
             address: vm.relay_address?,
         };
-        let limit = ServerLimit::warm(now, MAX_PASSED);
+        let limit = ServerLimit::relay(now, MAX_PASSED);
         let server = ServerState::open(instance, limit, MAX_PASSED);
         Some(Self {
             server: Rc::new(server),
--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -307,11 +307,65 @@
     }
 }
 
+/// Guards against callers that are refused because a VM to which requests are
+/// passed responds more slowly than before: it has limits of its own.
+#[tokio::test]
+async fn a_slow_vm_gets_as_many_requests_as_before() {
+    /// Longer than a server may be silent.
+    const WORK: Duration = Duration::from_millis(700);
+    const INTERVAL: Duration = Duration::from_millis(60);
+    const ORDERS: u32 = 30;
+    let partitioned = PartitionedCluster::start(POOLED).await;
+    partitioned.cut().await;
+    let cluster = &partitioned.cluster;
+    cluster.set_behavior(ServerBehavior::Responds(WORK));
+
+    let sent = (0..ORDERS).map(async |number| {
+        tokio::time::sleep(INTERVAL * number).await;
+        let attempt = cluster.next_attempt();
+        let order = cluster.request(CUT, Method::POST, "/order/new", &attempt);
+        let response = order.send().await.expect("response arrives");
+        response.text().await.expect("body arrives")
+    });
+    let reasons = join_all(sent).await;
+
+    // The other VM itself may be full.
+    let refused = reasons.iter().filter(|text| *text == "unreachable");
+    assert_eq!(refused.count(), 0);
+}
+
+/// Guards against a backoff that is forgotten with what is forgotten when the
+/// links to the servers are back.
+#[tokio::test]
+async fn a_backoff_outlasts_a_partition() {
+    let partitioned = PartitionedCluster::start_alone(POOLED).await;
+    let servers = &partitioned.cluster.servers;
+    for server in servers {
+        server.shed_with_backoff("60");
+    }
+    for _ in 0..SERVERS {
+        assert!(!partitioned.send(CUT, true).await);
+    }
+    let arrivals = || servers.iter().map(|server| server.arrivals()).sum();
+    let before: usize = arrivals();
+
+    partitioned.set_links(LinkState::Reset);
+    partitioned.send_load(CUT, Duration::from_secs(1)).await;
+    partitioned.set_links(LinkState::Up);
+    partitioned.send_load(CUT, Duration::from_secs(1)).await;
+
+    assert_eq!(before, SERVERS);
+    assert_eq!(arrivals(), before);
+}
+
 /// Guards against requests to a leaving server by a VM that has passed on its
 /// statement, but was told so by another VM only.
 #[tokio::test]
 async fn a_vm_that_passed_a_request_on_knows_that_its_server_is_leaving() {
     const SLOW: Duration = Duration::from_millis(60);
+    /// More than the other servers take at once, so that none is left out for
+    /// its response times.
+    const CONCURRENT: usize = 16;
     let partitioned = PartitionedCluster::start(POOLED).await;
     partitioned.cut().await;
     let cluster = &partitioned.cluster;
@@ -320,9 +374,13 @@
     leaving.set_behavior(ServerBehavior::Responds(Duration::ZERO));
     leaving.set_leaving(true);
     eventually(async || {
-        let response = cluster.get(CUT, "/list/all").await;
-        assert!(!response.headers().contains_key("x-goldcrestramp-leaving"));
-        response.headers().contains_key("server-leaving")
+        let sent = (0..CONCURRENT).map(|_| cluster.get(CUT, "/list/all"));
+        let responses = join_all(sent).await;
+        let has = |name: &str| {
+            responses.iter().any(|one| one.headers().contains_key(name))
+        };
+        assert!(!has("x-goldcrestramp-leaving"));
+        has("server-leaving")
     })
     .await;
 
