--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -15,7 +15,7 @@
     cluster::{Cluster, POOLED, SHARDED, configuration, eventually},
     link::{LinkState, ServerLink},
     node::NodeProcess,
-    server::ServerBehavior,
+    server::{ServerBehavior, ServerStandin},
     store::StoreStandin,
 };
 
@@ -346,8 +346,9 @@
     for _ in 0..SERVERS {
         assert!(!partitioned.send(CUT, true).await);
     }
-    let arrivals = || servers.iter().map(|server| server.arrivals()).sum();
-    let before: usize = arrivals();
+    let arrivals =
+        || servers.iter().map(ServerStandin::arrivals).sum::<usize>();
+    let before = arrivals();
 
     partitioned.set_links(LinkState::Reset);
     partitioned.send_load(CUT, Duration::from_secs(1)).await;
