Allot capacity that all VMs share where settings ask for it

Cause: each VM sees only a small part of the link between regions, the retry budget and the slots of a busy owner, and nobody keeps the account.

The planner allots nothing yet.

--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Weak};
 
-use goldcrestramp_adapter::CONFIGURATION_KEY;
+use goldcrestramp_adapter::{CONFIGURATION_KEY, NodeSettings};
 use goldcrestramp_assignment::{PreviousPlanner, last_grant_sent};
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 use tokio::sync::watch;
@@ -12,6 +12,7 @@
     configuration::ConfigurationHistory,
     control::{
         claim::{claim, stop_previous_planner},
+        demand::ShareBoard,
         lease::LeaseTerms,
         load::{LoadRecorder, LoadReport},
         message::{ClaimEnded, LeaseProof},
@@ -19,6 +20,7 @@
         permits::PermitMailbox,
         ranking::{claim_delay, is_large},
         reach::PARTITIONED_CLAIM_DELAY,
+        service::GRANT_DURATION,
         sync::SyncState,
         tables::ReplicaTracker,
         term::PlannerTerm,
@@ -68,6 +70,8 @@
     pub(crate) regions: FastMap<Arc<str>, Arc<str>>,
     /// How long a grant is valid.
     pub(crate) grant_duration: TimeSpan,
+    /// Whether capacity that all VMs share is allotted to them.
+    pub(crate) load_control: bool,
     pub(crate) store: Arc<StoreClient>,
     pub(crate) orders: Arc<CallPool>,
     pub(crate) peers: PeerClient,
@@ -82,6 +86,7 @@
     revision_sender: watch::Sender<u64>,
     pub(crate) sync: SyncState,
     loads: LoadRecorder,
+    pub(crate) shares: ShareBoard,
     pub(crate) permits: PermitMailbox,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) reach: ReachTracker,
@@ -115,8 +120,7 @@
 impl ControlActor {
     pub(crate) fn new(
         me: VmInstance,
-        regions: FastMap<Arc<str>, Arc<str>>,
-        grant_duration: TimeSpan,
+        settings: &NodeSettings,
         store: Arc<StoreClient>,
         shared: SharedState,
         view_sender: watch::Sender<Arc<FleetView>>,
@@ -131,8 +135,9 @@
         );
         Self {
             me,
-            regions,
-            grant_duration,
+            regions: settings.regions.clone(),
+            grant_duration: GRANT_DURATION.min(settings.max_grant_duration),
+            load_control: settings.load_control,
             store,
             orders: Arc::new(orders),
             peers: PeerClient::open(),
@@ -147,6 +152,7 @@
             revision_sender: watch::channel(0).0,
             sync: SyncState::open(shared.clock),
             loads: shared.loads,
+            shares: shared.shares,
             permits: shared.permits,
             metrics: shared.metrics,
             reach: shared.reach,
@@ -421,6 +427,10 @@
         self.report_at = now;
         self.report_notices(now);
         let report = self.loads.take();
+        if self.load_control {
+            self.report_demand(now, report);
+            return;
+        }
         if report.is_empty() {
             return;
         }
--- /dev/null
+++ b/goldcrestramp-entry/src/control/demand.rs
@@ -0,0 +1,150 @@
+//! What each VM reports of its requests to the planning VM, and the parts of
+//! shared capacity that the planning VM allots in its reply.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use goldcrestramp_types::{
+    ClockSource, FastMap, LocalTime, MonotonicClock, SliceIndex, TimeSpan,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    control::{ControlActor, load::LoadReport},
+    peers::{PeerCall, PeerReply},
+};
+
+/// How long allotted shares are valid: two and a half reports. After that a VM
+/// decides by itself.
+const SHARE_TTL: TimeSpan = TimeSpan::from_millis(1_000);
+
+/// The use of one service's retry budget by one VM.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct RetryCounts {
+    /// The requests that count towards the budget.
+    pub requests: u32,
+    /// The attempts beyond the first of each request.
+    pub retries: u32,
+    /// The attempts that were denied for lack of budget.
+    pub denied: u32,
+}
+
+/// The requests of a VM since its last report.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct DemandReport {
+    /// The name of the reporting VM.
+    pub vm: Arc<str>,
+    /// Its load by service.
+    pub load: LoadReport,
+    /// The use of its retry budgets by service.
+    pub retries: FastMap<Arc<str>, RetryCounts>,
+}
+
+/// The part of the requests for some keys that their owner can serve.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KeyShare {
+    /// The first of the keys.
+    pub first: u16,
+    /// The last of the keys.
+    pub last: u16,
+    /// The admitted requests of each thousand.
+    pub per_mille: u16,
+}
+
+/// What the planning VM allots to one VM.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct FleetShares {
+    /// The keys whose requests are limited, by service, in ascending order.
+    pub keys: FastMap<Arc<str>, Vec<KeyShare>>,
+    /// The retries beyond its own budget that the VM may make while the shares
+    /// are valid, by service.
+    pub loans: FastMap<Arc<str>, u32>,
+}
+
+/// The shares that were allotted last; written by the control thread, read by
+/// the traffic thread. A clone refers to the same state.
+#[derive(Clone, Debug, Default)]
+pub struct ShareBoard(Arc<Mutex<Option<AllottedShares>>>);
+
+#[derive(Debug)]
+struct AllottedShares {
+    shares: FleetShares,
+    valid_until: LocalTime,
+}
+
+impl ShareBoard {
+    /// Stores shares that the planning VM allotted.
+    pub fn store(&self, now: LocalTime, shares: FleetShares) {
+        let valid_until = now + SHARE_TTL;
+        *self.lock() = Some(AllottedShares { shares, valid_until });
+    }
+
+    /// The admitted requests of each thousand for a key; `None` if they are
+    /// not limited.
+    #[must_use]
+    pub fn key_share(
+        &self,
+        now: LocalTime,
+        service: &str,
+        slice: SliceIndex,
+    ) -> Option<u16> {
+        let board = self.lock();
+        let allotted = board.as_ref().filter(|a| a.valid_until > now)?;
+        let shares = allotted.shares.keys.get(service)?;
+        let after = shares.partition_point(|share| share.first <= slice.get());
+        let share = shares[..after].last()?;
+        (slice.get() <= share.last).then_some(share.per_mille)
+    }
+
+    /// Takes one of the lent retries of a service, if one is left.
+    #[must_use]
+    pub fn take_loan(&self, now: LocalTime, service: &str) -> bool {
+        let mut board = self.lock();
+        let allotted = board.as_mut().filter(|a| a.valid_until > now);
+        let loan = allotted.and_then(|a| a.shares.loans.get_mut(service));
+        let Some(left) = loan.filter(|left| **left > 0) else { return false };
+        *left -= 1;
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<AllottedShares>> {
+        // Shares remain valid if a thread panicked while it held the lock.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ControlActor {
+    /// Reports this VM's demand to the planning VM and stores the shares that
+    /// it allots.
+    pub(crate) fn report_demand(&mut self, now: LocalTime, load: LoadReport) {
+        let vm = Arc::clone(&self.me.vm);
+        let report = DemandReport { vm, load, ..DemandReport::default() };
+        if let Some(shares) = self.allot_shares(now, &report) {
+            self.shares.store(now, shares);
+            return;
+        }
+        let Some((planner, _)) = self.planner() else { return };
+        let (peers, board) = (self.peers.clone(), self.shares.clone());
+        tokio::spawn(async move {
+            let call = PeerCall::Demand(report);
+            match peers.call(planner.address, &call).await {
+                Some(PeerReply::Shares(shares)) => {
+                    board.store(MonotonicClock.now(), shares);
+                }
+                // A lost report is not retried; the next one makes up for it.
+                _ => log::debug!("[planner] VM {} allots none.", planner.vm),
+            }
+        });
+    }
+
+    /// Records the demand of a VM and allots its shares; `None` if this VM
+    /// does not plan.
+    pub(crate) fn allot_shares(
+        &mut self,
+        now: LocalTime,
+        report: &DemandReport,
+    ) -> Option<FleetShares> {
+        let term = self.term.as_mut()?;
+        term.record_load(now, &report.load);
+        Some(FleetShares::default())
+    }
+}
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -305,6 +305,9 @@
                 self.record_load(now, &report);
                 PeerReply::Accepted
             }
+            PeerCall::Demand(report) => self
+                .allot_shares(now, &report)
+                .map_or(PeerReply::Accepted, PeerReply::Shares),
             PeerCall::Notices(report) => {
                 self.record_notices(now, report);
                 PeerReply::Accepted
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod actor;
 mod claim;
 mod crashes;
+mod demand;
 mod follow;
 mod handlers;
 mod lease;
@@ -33,6 +34,7 @@
 
 pub use crate::control::{
     actor::ControlActor,
+    demand::{DemandReport, FleetShares, KeyShare, RetryCounts, ShareBoard},
     lease::LeaseTerms,
     load::{LoadRecorder, LoadReport, ResponseTotals, ServiceLoad},
     pace::CommitPace,
@@ -43,7 +45,7 @@
 use crate::{
     control::{
         crashes::CrashReporter, follow::StoreFollower, lease::keep_lease,
-        message::ControlTick, message::StopControl, service::GRANT_DURATION,
+        message::ControlTick, message::StopControl,
     },
     peers::{PeerClient, PeerSource, serve_peers},
     records::{VmInstance, domain_prefix},
@@ -83,8 +85,7 @@
     let crashes = shared.crashes.clone();
     let actor = ControlActor::new(
         me.clone(),
-        settings.regions.clone(),
-        GRANT_DURATION.min(settings.max_grant_duration),
+        settings,
         Arc::clone(&store),
         shared.clone(),
         views,
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -10,7 +10,9 @@
     configuration::{
         ConfigurationExtension, ConfigurationRevision, ConfigurationUpdate,
     },
-    control::{LoadReport, PermitGrants, PermitRequests},
+    control::{
+        DemandReport, FleetShares, LoadReport, PermitGrants, PermitRequests,
+    },
     crashes::CrashReport,
     history::{TableRevision, TableUpdate},
     mirror::{MirrorDelta, StoreMirror},
@@ -43,6 +45,9 @@
     /// Reports the requests under which servers ended. A VM of an earlier
     /// build rejects it.
     Crashes(CrashReport),
+    /// Reports a VM's demand to the planning VM. A VM of an earlier build
+    /// rejects it.
+    Demand(DemandReport),
 }
 
 impl PeerCall {
@@ -159,6 +164,8 @@
     /// What has changed in the store, and the extension of the configuration
     /// in it.
     Update(SyncReply, ConfigurationExtension),
+    /// The shares that the planning VM allots to the calling VM.
+    Shares(FleetShares),
 }
 
 impl PeerReply {
--- a/goldcrestramp-entry/src/shared.rs
+++ b/goldcrestramp-entry/src/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::{
-    control::{FreshnessClock, LoadRecorder, PermitMailbox},
+    control::{FreshnessClock, LoadRecorder, PermitMailbox, ShareBoard},
     crashes::CrashBoard,
     metrics::EntryMetrics,
     notices::NoticeBoard,
@@ -16,6 +16,8 @@
 pub struct SharedState {
     /// The recorded load, reported to the planning VM.
     pub loads: LoadRecorder,
+    /// The shares of capacity that the planning VM allots to this VM.
+    pub shares: ShareBoard,
     /// Permits for servers that state a rate limit.
     pub permits: PermitMailbox,
     /// The metrics of this VM.
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -589,6 +589,7 @@
     /// Takes an attempt beyond the first from the budget, if one is left.
     fn take_retry(&self, request: &RoutedRequest) -> bool {
         self.with_budget(request, AttemptBudget::try_take)
+            || self.shares.take_loan(MonotonicClock.now(), &request.service)
     }
 
     fn with_budget(
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -20,7 +20,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    control::{FreshnessClock, LoadRecorder, PermitMailbox},
+    control::{FreshnessClock, LoadRecorder, PermitMailbox, ShareBoard},
     crashes::CrashBoard,
     metrics::EntryMetrics,
     notices::NoticeBoard,
@@ -83,6 +83,7 @@
 pub(crate) struct TrafficState {
     pub(crate) settings: Arc<NodeSettings>,
     pub(crate) loads: LoadRecorder,
+    pub(crate) shares: ShareBoard,
     pub(crate) permits: PermitMailbox,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) clock: FreshnessClock,
@@ -118,6 +119,7 @@
         Self {
             settings,
             loads: shared.loads,
+            shares: shared.shares,
             permits: shared.permits,
             metrics: shared.metrics,
             clock: shared.clock,
