Divide an overloaded owner's capacity among its keys

Cause: one key with 270 requests a second at an owner that completes 15 makes 20,000 requests end as full after up to 1.2 s, and the owner's other keys wait in the same queue.

Change: the pure decision. The capacity of an owner keeps the wait for a slot to a fifth of the target latency; max-min fairness divides it among the keys. RangeLoad keeps the rates of keys that changed suddenly apart, so that a limit begins and ends with a burst; the placement's rates are as before.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -40,6 +40,8 @@
   its key.
 - [`WeightedRoundRobin`]: splits a route by weight.
 - [`rebalancing_moves`]: which key ranges move between servers, and when.
+- [`limited_keys`]: which keys of an overloaded owner are limited, and to what
+  part of their requests.
 - [`baseline`]: two simple policies for comparison.
 */
 
@@ -58,6 +60,7 @@
 mod link;
 mod load;
 mod notices;
+mod owner_admission;
 mod pipeline;
 mod placement;
 mod pool;
@@ -94,6 +97,10 @@
     link::{LINK_CHUNK_BYTES, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReport, REPORTED_SLICES, ServerLoad},
     notices::ServerNotices,
+    owner_admission::{
+        LimitedKey, MAX_LIMITED_KEYS, limited_keys, owner_capacity,
+        published_keys, shortage_retry_after,
+    },
     pipeline::{PipelineEffect, PipelineGate, PipelineStart},
     placement::{
         LoadEstimate, PlacementPlanner, PlacementSettings, PlannedMove,
--- a/goldcrestramp-decisions/src/queueing.rs
+++ b/goldcrestramp-decisions/src/queueing.rs
@@ -22,7 +22,7 @@
 
 /// The mean number of waiting requests at a utilization below 1, by
 /// Sakasegawa's formula.
-fn waiting_at(used: f32, slots: f32) -> f32 {
+pub(crate) fn waiting_at(used: f32, slots: f32) -> f32 {
     used.powf(power(slots)) / (1.0 - used).max(f32::EPSILON)
 }
 
--- a/goldcrestramp-decisions/src/rebalancing/load.rs
+++ b/goldcrestramp-decisions/src/rebalancing/load.rs
@@ -4,7 +4,9 @@
 //! get half of the requests, more than one server can handle. A service takes
 //! 512 KiB on the planning VM, whatever callers request.
 
-use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
+use goldcrestramp_types::{
+    FastMap, LocalTime, SliceIndex, SliceRange, TimeSpan,
+};
 
 /// One key for each slice index.
 const KEYS: usize = 65_536;
@@ -26,6 +28,21 @@
 /// nothing.
 const COLD_FRACTION: f32 = 0.02;
 
+/// A rate that differs from its average by this factor has changed, if either
+/// is based on at least `MIN_CHANGED_REQUESTS` requests. Reports of every
+/// 400 ms counted in rounds of 500 ms differ by less than this factor.
+const CHANGED_FACTOR: f32 = 1.5;
+const MIN_CHANGED_REQUESTS: f32 = 16.0;
+
+/// A changed rate is kept apart until its average is this near, or both are
+/// below `MIN_CHANGED_RATE`.
+const SAME_FACTOR: f32 = 1.1;
+const MIN_CHANGED_RATE: f32 = 1.0;
+
+/// Keys with a lower rate are left out of the rates by key: an average never
+/// becomes exactly zero.
+const MIN_KEY_RATE: f32 = 0.01;
+
 /// A key with more than this many times the rate to move is left out.
 const HOT_FACTOR: f32 = 1.5;
 
@@ -38,6 +55,9 @@
     /// The part of the rates that is based on counts, from 0 to 1. The rest is
     /// the zero at which they started.
     known: f32,
+    /// The averages since the last sudden change of a key's rate, by position,
+    /// until the averages in `rates` have followed.
+    changed: FastMap<usize, f32>,
 }
 
 impl RangeLoad {
@@ -45,7 +65,13 @@
     #[must_use]
     pub fn open(now: LocalTime) -> Self {
         let (rates, counted) = (vec![0.0; KEYS], vec![0; KEYS]);
-        Self { rates, counted, since: now, known: 0.0 }
+        Self {
+            rates,
+            counted,
+            since: now,
+            known: 0.0,
+            changed: FastMap::default(),
+        }
     }
 
     /// Records requests for a key.
@@ -67,15 +93,36 @@
         let factor = 0.5_f32.powf(elapsed / seconds(HALF_LIFE));
         self.known = 1.0 - (1.0 - self.known) * factor;
         let gain = (1.0 - factor) / self.known;
-        for (rate, counted) in self.rates.iter_mut().zip(&mut self.counted) {
+        self.decay_changed(elapsed, gain);
+        let pairs = self.rates.iter_mut().zip(&mut self.counted);
+        for (position, (rate, counted)) in pairs.enumerate() {
             #[expect(clippy::cast_precision_loss, reason = "small counts")]
             let new_rate = *counted as f32 / elapsed;
             *rate += gain * (new_rate - *rate);
             *counted = 0;
+            if has_changed(*rate, new_rate, elapsed) {
+                self.changed.entry(position).or_insert(new_rate);
+            }
         }
         self.since = now;
     }
 
+    /// Updates the averages of the keys whose rates have changed, and drops
+    /// those that `rates` has reached.
+    fn decay_changed(&mut self, elapsed: f32, gain: f32) {
+        let (rates, counted) = (&self.rates, &self.counted);
+        self.changed.retain(|position, rate| {
+            #[expect(clippy::cast_precision_loss, reason = "small counts")]
+            let new_rate = counted[*position] as f32 / elapsed;
+            let gain =
+                if has_changed(*rate, new_rate, elapsed) { 1.0 } else { gain };
+            *rate += gain * (new_rate - *rate);
+            let average = rates[*position];
+            let (low, high) = (average.min(*rate), average.max(*rate));
+            high > low * SAME_FACTOR && high >= MIN_CHANGED_RATE
+        });
+    }
+
     /// The requests a second of a range.
     #[must_use]
     pub fn load_of(&self, range: SliceRange) -> f32 {
@@ -84,6 +131,23 @@
         rates.iter().sum::<f32>() + BASE_KEY_RATE * count(rates.len())
     }
 
+    /// The requests a second of each requested key of a range. Where a rate
+    /// has changed suddenly, only the time since then counts: the average of a
+    /// key with 270 requests a second would exceed 15 for four seconds after
+    /// the last one.
+    pub fn key_rates(
+        &self,
+        range: SliceRange,
+    ) -> impl Iterator<Item = (SliceIndex, f32)> + '_ {
+        let positions = range.first.position()..=range.last.position();
+        positions.filter_map(|position| {
+            let average = self.rates[position];
+            let changed = self.changed.get(&position).copied();
+            let rate = changed.unwrap_or(average);
+            (rate >= MIN_KEY_RATE).then(|| (slice_at(position), rate))
+        })
+    }
+
     /// The dense part of a range with about `wanted` requests a second. `None`
     /// if its busiest key alone has far more.
     pub(super) fn dense_range(
@@ -170,10 +234,17 @@
 
 /// The range of keys between two positions.
 fn keys(first: usize, last: usize) -> SliceRange {
-    let slice = |position: usize| {
-        SliceIndex::from(u16::try_from(position).unwrap_or(u16::MAX))
-    };
-    SliceRange { first: slice(first), last: slice(last) }
+    SliceRange { first: slice_at(first), last: slice_at(last) }
+}
+
+fn slice_at(position: usize) -> SliceIndex {
+    SliceIndex::from(u16::try_from(position).unwrap_or(u16::MAX))
+}
+
+/// Whether the rate of a key differs from its average by more than noise.
+fn has_changed(average: f32, rate: f32, elapsed: f32) -> bool {
+    let (low, high) = (average.min(rate), average.max(rate));
+    high > low * CHANGED_FACTOR && high * elapsed >= MIN_CHANGED_REQUESTS
 }
 
 pub(super) fn count(number: usize) -> f32 {
