Publish the limited keys of overloaded owners to all VMs

Cause: only the planner knows the rates of all keys of an owner; a VM of 77 has a response from that owner every five seconds.

Change: once per round of rates the plan of a service computes the limited keys, at most 64, from owners whose work is known by their own responses. Replies to demand reports carry them. Nothing is published before reports have arrived for one second, or 1.5 s after the last round. A VM keeps since when a key has been limited. Log part admission, gauge of limited keys.

Without load control nothing is computed.

--- a/goldcrestramp-entry/src/control/demand.rs
+++ b/goldcrestramp-entry/src/control/demand.rs
@@ -60,6 +60,15 @@
     pub loans: FastMap<Arc<str>, u32>,
 }
 
+/// The limit of a key's requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeyLimit {
+    /// The admitted requests of each thousand.
+    pub per_mille: u16,
+    /// Since when the VM has known limits of the key without interruption.
+    pub since: LocalTime,
+}
+
 /// The shares that were allotted last; written by the control thread, read by
 /// the traffic thread. A clone refers to the same state.
 #[derive(Clone, Debug, Default)]
@@ -69,13 +78,54 @@
 struct AllottedShares {
     shares: FleetShares,
     valid_until: LocalTime,
+    /// Since when the keys have been limited, by service and first key.
+    limited_since: FastMap<Arc<str>, FastMap<u16, LocalTime>>,
+}
+
+impl AllottedShares {
+    /// The share of a key with the time since when it has been limited.
+    fn find(&self, service: &str, slice: SliceIndex) -> Option<KeyLimit> {
+        let shares = self.shares.keys.get(service)?;
+        let after = shares.partition_point(|share| share.first <= slice.get());
+        let share = shares[..after].last()?;
+        let since = *self.limited_since.get(service)?.get(&share.first)?;
+        let limit = KeyLimit { per_mille: share.per_mille, since };
+        (slice.get() <= share.last).then_some(limit)
+    }
 }
 
 impl ShareBoard {
     /// Stores shares that the planning VM allotted.
     pub fn store(&self, now: LocalTime, shares: FleetShares) {
+        let mut board = self.lock();
+        let last = board.as_ref().filter(|last| last.valid_until > now);
+        let since = |service: &Arc<str>, share: &KeyShare| {
+            let known = last.and_then(|last| {
+                last.limited_since.get(service)?.get(&share.first)
+            });
+            (share.first, known.copied().unwrap_or(now))
+        };
+        let services = shares.keys.iter().map(|(service, keys)| {
+            let keys = keys.iter().map(|share| since(service, share));
+            (Arc::clone(service), keys.collect())
+        });
+        let limited_since = services.collect();
         let valid_until = now + SHARE_TTL;
-        *self.lock() = Some(AllottedShares { shares, valid_until });
+        *board = Some(AllottedShares { shares, valid_until, limited_since });
+    }
+
+    /// Whether shares are known that have not expired.
+    #[must_use]
+    pub fn is_valid(&self, now: LocalTime) -> bool {
+        self.lock().as_ref().is_some_and(|shares| shares.valid_until > now)
+    }
+
+    /// The number of shares that limit keys, of all services.
+    #[must_use]
+    pub fn limited_keys(&self, now: LocalTime) -> usize {
+        let board = self.lock();
+        let allotted = board.as_ref().filter(|a| a.valid_until > now);
+        allotted.map_or(0, |a| a.shares.keys.values().map(Vec::len).sum())
     }
 
     /// The admitted requests of each thousand for a key; `None` if they are
@@ -87,12 +137,20 @@
         service: &str,
         slice: SliceIndex,
     ) -> Option<u16> {
+        Some(self.key_limit(now, service, slice)?.per_mille)
+    }
+
+    /// The limit of a key; `None` if its requests are not limited.
+    #[must_use]
+    pub fn key_limit(
+        &self,
+        now: LocalTime,
+        service: &str,
+        slice: SliceIndex,
+    ) -> Option<KeyLimit> {
         let board = self.lock();
         let allotted = board.as_ref().filter(|a| a.valid_until > now)?;
-        let shares = allotted.shares.keys.get(service)?;
-        let after = shares.partition_point(|share| share.first <= slice.get());
-        let share = shares[..after].last()?;
-        (slice.get() <= share.last).then_some(share.per_mille)
+        allotted.find(service, slice)
     }
 
     /// Takes one of the lent retries of a service, if one is left.
@@ -116,6 +174,8 @@
     /// Reports this VM's demand to the planning VM and stores the shares that
     /// it allots.
     pub(crate) fn report_demand(&mut self, now: LocalTime, load: LoadReport) {
+        let limited = i64::try_from(self.shares.limited_keys(now));
+        self.metrics.limited_keys.set(limited.unwrap_or(i64::MAX));
         let vm = Arc::clone(&self.me.vm);
         let report = DemandReport { vm, load, ..DemandReport::default() };
         if let Some(shares) = self.allot_shares(now, &report) {
@@ -145,6 +205,6 @@
     ) -> Option<FleetShares> {
         let term = self.term.as_mut()?;
         term.record_load(now, &report.load);
-        Some(FleetShares::default())
+        Some(term.key_shares(now))
     }
 }
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! results, so no decision waits for a socket.
 
 mod actor;
+mod admission;
 mod claim;
 mod crashes;
 mod demand;
@@ -34,7 +35,10 @@
 
 pub use crate::control::{
     actor::ControlActor,
-    demand::{DemandReport, FleetShares, KeyShare, RetryCounts, ShareBoard},
+    admission::KeyLimits,
+    demand::{
+        DemandReport, FleetShares, KeyLimit, KeyShare, RetryCounts, ShareBoard,
+    },
     lease::LeaseTerms,
     load::{LoadRecorder, LoadReport, ResponseTotals, ServiceLoad},
     pace::CommitPace,
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -15,7 +15,10 @@
 use goldcrestramp_types::{FastMap, LocalTime, SliceRange, TimeSpan};
 
 use crate::{
-    control::{load::ServiceLoad, pace::CommitPace, speed::SpeedEstimates},
+    control::{
+        admission::KeyLimits, load::ServiceLoad, pace::CommitPace,
+        speed::SpeedEstimates,
+    },
     notices::InstanceKey,
     view::instance_of,
 };
@@ -72,9 +75,12 @@
     /// commit.
     pub(crate) revision: u64,
     pace: CommitPace,
-    load: RangeLoad,
-    speeds: SpeedEstimates,
+    pub(super) load: RangeLoad,
+    pub(super) speeds: SpeedEstimates,
     rebalance_at: LocalTime,
+    /// When the rates and the estimates were updated last.
+    pub(super) rated_at: Option<LocalTime>,
+    pub(super) limits: KeyLimits,
     /// The ranges that moved, each with the end of its cooldown.
     cooling_down: Vec<(SliceRange, LocalTime)>,
 }
@@ -99,12 +105,15 @@
             load: RangeLoad::open(now),
             speeds: SpeedEstimates::default(),
             rebalance_at: now + REBALANCE_INTERVAL,
+            rated_at: None,
+            limits: KeyLimits::default(),
             cooling_down: Vec::new(),
         }
     }
 
     /// Records the load that a VM reported.
     pub(crate) fn record_load(&mut self, now: LocalTime, load: &ServiceLoad) {
+        self.limits.record_report(now);
         for (key, requests) in &load.keys {
             self.load.record((*key).into(), *requests);
         }
@@ -155,6 +164,7 @@
             self.rebalance_at = now + REBALANCE_INTERVAL;
             self.load.decay(now);
             self.speeds.decay(now, ready);
+            self.rated_at = Some(now);
         }
         let inputs = PlacementInputs::new(self, now, ready, capacity);
         let move_requests =
@@ -217,14 +227,15 @@
 }
 
 /// The servers and ranges of a service, as input to the rebalancing.
-struct PlacementInputs {
+pub(super) struct PlacementInputs {
     instances: Vec<ServerInstance>,
-    targets: Vec<TargetLoad>,
-    ranges: Vec<PlacedRange>,
+    /// The ready servers in their order, then the holders that are not ready.
+    pub(super) targets: Vec<TargetLoad>,
+    pub(super) ranges: Vec<PlacedRange>,
 }
 
 impl PlacementInputs {
-    fn new(
+    pub(super) fn new(
         plan: &ServicePlan,
         now: LocalTime,
         ready: &[Arc<ServerEntry>],
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// The plans of all services.
+    pub(super) fn plans(
+        &self,
+    ) -> impl Iterator<Item = (&Arc<str>, &ServicePlan)> {
+        self.services.iter()
+    }
+
     /// Records the load that a VM reported.
     pub(crate) fn record_load(&mut self, now: LocalTime, report: &LoadReport) {
         for (name, load) in report {
@@ -296,6 +303,12 @@
                 service.begin_commit(now);
                 commits.push((Arc::clone(name), service.revision, next));
             }
+            if self.load_control
+                && service.has_new_rates()
+                && let Some(latency) = routes.min_target_latency(name)
+            {
+                service.limit_keys(now, name, &targets, &capacity, latency);
+            }
             let orders = service.planner.orders(now);
             let sender = OrderSender {
                 pool: Arc::clone(&self.orders),
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -81,6 +81,10 @@
     pub planning: Gauge,
     /// The number of key ranges that servers released.
     pub moves: Counter,
+    /// The number of requests for limited keys that were refused.
+    pub admission_refusals: Counter,
+    /// The number of limited keys of all services.
+    pub limited_keys: Gauge,
     /// The number of pipelined requests that were forwarded before the
     /// requests ahead of them had responses.
     pub pipelined: Counter,
@@ -111,6 +115,8 @@
             partitions: Gauge::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
+            admission_refusals: Counter::default(),
+            limited_keys: Gauge::default(),
             pipelined: Counter::default(),
         };
         metrics.register();
@@ -162,6 +168,16 @@
             "Runs of keys that servers gave back",
             self.moves.clone(),
         );
+        registry.register(
+            "admission_refusals",
+            "Requests for limited keys that were refused",
+            self.admission_refusals.clone(),
+        );
+        registry.register(
+            "limited_keys",
+            "Keys of overloaded owners that are limited",
+            self.limited_keys.clone(),
+        );
         registry.register(
             "pipelined",
             "Pipelined requests served before the ones ahead were answered",
--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -86,6 +86,17 @@
         self.service_regions.get(service).cloned().unwrap_or_default()
     }
 
+    /// The shortest target latency of the routes to a service; `None` if
+    /// there are no routes to it.
+    #[must_use]
+    pub fn min_target_latency(&self, service: &str) -> Option<TimeSpan> {
+        let routes = self.configuration.routes.values();
+        let leads_to = |route: &&Arc<RequestRoute>| {
+            route.targets.iter().any(|target| *target.service == *service)
+        };
+        routes.filter(leads_to).map(|route| route.target_latency).min()
+    }
+
     fn shape(&self, service: &str) -> Option<&ServiceShape> {
         self.configuration.services.get(service)
     }
--- a/goldcrestramp-entry/tests/shares.rs
+++ b/goldcrestramp-entry/tests/shares.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use goldcrestramp_entry::control::{FleetShares, KeyShare, ShareBoard};
+use goldcrestramp_decisions::LimitedKey;
+use goldcrestramp_entry::control::{
+    FleetShares, KeyLimits, KeyShare, ShareBoard,
+};
 use goldcrestramp_types::{LocalTime, TimeSpan};
 
 /// A board with a share for the keys 10 to 12 and a loan of one retry, stored
@@ -18,6 +21,19 @@
     board
 }
 
+/// Some milliseconds after the start of the clock.
+fn at(millis: u64) -> LocalTime {
+    LocalTime::default() + TimeSpan::from_millis(millis)
+}
+
+/// Shares that limit the key 10.
+fn one_key() -> FleetShares {
+    let mut shares = FleetShares::default();
+    let share = KeyShare { first: 10, last: 10, per_mille: 100 };
+    shares.keys.insert("stock".into(), vec![share]);
+    shares
+}
+
 /// Guards against limits on keys that have none.
 #[test]
 fn only_the_keys_of_a_share_are_limited() {
@@ -50,3 +66,68 @@
 
     assert_eq!(taken, [true, false, false]);
 }
+
+/// Guards against a shortage that seems to begin anew with each reply, after
+/// which callers would be told to return too early.
+#[test]
+fn a_limit_is_known_since_the_first_reply_with_it() {
+    let board = ShareBoard::default();
+    let since = |now: LocalTime| {
+        let limit = board.key_limit(now, "stock", 10_u16.into());
+        limit.expect("the key is limited").since
+    };
+
+    board.store(at(0), one_key());
+    board.store(at(400), one_key());
+    let continued = since(at(500));
+    board.store(at(1_500), one_key());
+    let begun_again = since(at(1_600));
+
+    assert_eq!([continued, begun_again], [at(0), at(1_500)]);
+}
+
+/// Guards against a VM that counts expired shares as known.
+#[test]
+fn expired_shares_are_not_counted() {
+    let board = ShareBoard::default();
+    assert!(!board.is_valid(at(0)));
+
+    board.store(at(0), one_key());
+
+    assert!(board.is_valid(at(999)));
+    assert_eq!(board.limited_keys(at(999)), 1);
+    assert!(!board.is_valid(at(1_000)));
+    assert_eq!(board.limited_keys(at(1_000)), 0);
+}
+
+/// Guards against limits by the rates that a new planner half knows.
+#[test]
+fn a_planner_limits_no_key_before_reports_arrived_for_a_second() {
+    let mut limits = KeyLimits::default();
+
+    assert!(!limits.is_known(at(5_000)));
+    limits.record_report(at(5_000));
+    limits.record_report(at(5_400));
+
+    assert!(!limits.is_known(at(5_999)));
+    assert!(limits.is_known(at(6_000)));
+}
+
+/// Guards against limits that stay published while rounds are held up, as by
+/// a commit that does not end.
+#[test]
+fn limits_of_an_old_round_are_not_published() {
+    let mut limits = KeyLimits::default();
+    let key = LimitedKey {
+        slice: 10_u16.into(),
+        per_mille: 100,
+        excess_per_s: 90.0,
+    };
+
+    limits.store(at(0), &[key]);
+
+    let published = limits.published(at(1_499)).expect("round is new");
+    let share = KeyShare { first: 10, last: 10, per_mille: 100 };
+    assert_eq!(*published, [share]);
+    assert_eq!(limits.published(at(1_500)), None);
+}
