Refuse requests for limited keys before anything is sent

Cause: requests for a hot key wait in the queues of all VMs and at its owner until they are refused as full.

Change: with load control on, a request for a limited key is admitted with the probability of its share, once and before its first attempt. A request that was passed on is decided on by the first VM that knows shares, and counted there. The envelope has one more field, which is left out without load control.

--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -105,6 +105,8 @@
     pub(crate) denials: DenialHistory,
     /// The attempts at servers.
     pub(crate) attempts: u32,
+    /// Whether a VM that knew the limits of keys has admitted the request.
+    pub(crate) admitted: bool,
 }
 
 /// Chooses the destination of a request.
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 //! at a server are its share of the server's slots, adapted to the server's
 //! responses.
 
+mod admission;
 mod attempt;
 mod choose;
 mod cold;
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -71,6 +71,10 @@
     /// The denials of owners.
     #[serde(default)]
     denials: Vec<PassedDenial>,
+    /// Whether the request was admitted by the limits of keys. It is left out
+    /// if not, so that the envelope is the same without load control.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    admitted: bool,
 }
 
 /// An [`OwnerDenial`] as it is sent to another VM, which has another clock.
@@ -95,7 +99,7 @@
         denied_at: now - passed.elapsed,
         denials: passed.denials,
     }));
-    AttemptHistory { tried, denials, attempts, passed_to: Vec::new() }
+    AttemptHistory { tried, denials, attempts, ..AttemptHistory::default() }
 }
 
 /// How a request ended at a VM without a server's response.
@@ -219,6 +223,7 @@
         counted: request.counted,
         attempts: history.attempts,
         denials: history.denials.iter().map(passed).collect(),
+        admitted: history.admitted,
     };
     let bytes = serde_json::to_vec(&envelope).ok()?;
     HeaderValue::from_bytes(&bytes).ok()
@@ -258,12 +263,14 @@
         priority: route.priority,
         sequence: state.next_sequence(),
     };
-    let history = passed_history(
+    state.record_passed_key(&envelope);
+    let mut history = passed_history(
         arrived,
         envelope.tried,
         envelope.attempts,
         envelope.denials,
     );
+    history.admitted = envelope.admitted;
     let request = RoutedRequest {
         position,
         route: Arc::new(route),
@@ -282,6 +289,17 @@
     serve_relayed(state, request, history).await
 }
 
+impl TrafficState {
+    /// Counts a request for a key if the VM that passed it on knew no limits:
+    /// that VM has no link to the planner and can't report it.
+    fn record_passed_key(&self, envelope: &RelayEnvelope) {
+        let counts = self.settings.load_control && !envelope.admitted;
+        if let Some(slice) = envelope.slice.filter(|_slice| counts) {
+            self.loads.record_request(&envelope.service, slice);
+        }
+    }
+}
+
 async fn read_passed(
     body: Incoming,
     arrived: LocalTime,
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout;
 
 use crate::traffic::{
+    admission::admit,
     attempt::{AttemptOutcome, AttemptPlan, full_timeout, send},
     choose::{AttemptHistory, ChosenServer, Destination, choose},
     crash::SuspectAdmission,
@@ -231,6 +232,7 @@
     request: &mut RoutedRequest,
     progress: &mut RequestProgress,
 ) -> Result<Response<ResponseBody>, RequestEnd> {
+    state.admit_to_owner(request, &mut progress.history)?;
     loop {
         let now = MonotonicClock.now();
         if request.remaining(now) == TimeSpan::ZERO {
@@ -575,6 +577,32 @@
         }
     }
 
+    /// Admits a request to the owner of its key, or refuses it at once.
+    ///
+    /// This is decided once per request, before its first attempt. A request
+    /// that another VM has admitted is not decided on again.
+    fn admit_to_owner(
+        &self,
+        request: &RoutedRequest,
+        history: &mut AttemptHistory,
+    ) -> Result<(), RequestEnd> {
+        let Some(slice) = request.slice else { return Ok(()) };
+        if !self.settings.load_control || history.admitted {
+            return Ok(());
+        }
+        let now = MonotonicClock.now();
+        let limit = self.shares.key_limit(now, &request.service, slice);
+        if let Some(limit) = limit {
+            let admitted = admit(now, request, limit);
+            if admitted.is_err() {
+                self.metrics.admission_refusals.inc();
+            }
+            admitted?;
+        }
+        history.admitted = self.shares.is_valid(now);
+        Ok(())
+    }
+
     /// Whether an attempt in flight may be given up for another server: this
     /// VM is not draining, and the budget has an attempt left.
     pub(crate) fn may_replace(&self, request: &RoutedRequest) -> bool {
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -1,6 +1,7 @@
 //! Tests the daemon as a process against stand-ins of the store and of
 //! backend servers.
 
+mod admission;
 mod backoff;
 mod callers;
 mod cluster;
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -45,6 +45,17 @@
         domain: &str,
         store: SocketAddr,
         limits: &Value,
+    ) -> Self {
+        Self::spawn_with(vm, domain, store, limits, false)
+    }
+
+    /// Starts a daemon, with load control on or off.
+    pub fn spawn_with(
+        vm: &str,
+        domain: &str,
+        store: SocketAddr,
+        limits: &Value,
+        load_control: bool,
     ) -> Self {
         let ports = std::array::from_fn(|_| HeldPort::open());
         let [traffic, ready, first, last] =
@@ -53,7 +64,7 @@
             format!("goldcrestramp-{}-{}", std::process::id(), traffic.port());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("folder is created");
-        let settings = json!({
+        let mut settings = json!({
             "node": vm, "zone": domain, "region": "north",
             "zones": {
                 "north-a": "north", "north-b": "north", "south-a": "south"
@@ -70,6 +81,9 @@
                 "address": store.to_string(), "ttl_min": "1000ms"
             }
         });
+        if load_control {
+            settings["load_control"] = json!(true);
+        }
         let path = folder.join("settings.json");
         fs::write(&path, settings.to_string())
             .expect("settings file is written");
