Keep an owner's capacity while its responses are lost

Cause: VMs do not wait for all responses of a saturated owner, which then looks slow.

Change: the work by which an owner is limited grows by 3% per round at most, shrinks by 10%, and stays while there is no estimate. Shares that are malformed are rejected and logged. Counts of requests do not overflow.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -98,7 +98,7 @@
     load::{LoadReport, REPORTED_SLICES, ServerLoad},
     notices::ServerNotices,
     owner_admission::{
-        LimitedKey, MAX_LIMITED_KEYS, limited_keys, owner_capacity,
+        LimitedKey, MAX_LIMITED_KEYS, OwnerWork, limited_keys, owner_capacity,
         published_keys, shortage_retry_after,
     },
     pipeline::{PipelineEffect, PipelineGate, PipelineStart},
--- a/goldcrestramp-decisions/src/owner_admission.rs
+++ b/goldcrestramp-decisions/src/owner_admission.rs
@@ -26,6 +26,13 @@
 const MIN_UTILIZATION: f32 = 0.5;
 const MAX_UTILIZATION: f32 = 0.9;
 
+/// The factors by which the work per request of an owner changes at most in a
+/// round. VMs give up most responses of a saturated owner, which then looks
+/// two to five times as slow within a few seconds, while it works as before. A
+/// server that has really become slow counts as such some seconds later.
+const MAX_WORK_GROWTH: f32 = 1.03;
+const MAX_WORK_FALL: f32 = 0.9;
+
 /// The limited keys that are published of one service: a few keys cause a
 /// shortage, and every VM receives them with each report.
 pub const MAX_LIMITED_KEYS: usize = 64;
@@ -48,6 +55,33 @@
     pub excess_per_s: f32,
 }
 
+/// The work per request by which an owner is limited, in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnerWork(f32);
+
+impl OwnerWork {
+    /// Starts from the first estimate.
+    #[must_use]
+    pub const fn open(work_s: f32) -> Self {
+        Self(work_s)
+    }
+
+    /// Follows the estimate of a round, and returns the new work. Without an
+    /// estimate it stays: an owner may be too busy to respond in time.
+    pub fn follow(&mut self, work_s: Option<f32>) -> f32 {
+        let work_s = work_s.unwrap_or(self.0);
+        let (low, high) = (self.0 * MAX_WORK_FALL, self.0 * MAX_WORK_GROWTH);
+        self.0 = work_s.max(low).min(high);
+        self.0
+    }
+
+    /// The work per request in seconds.
+    #[must_use]
+    pub const fn seconds(self) -> f32 {
+        self.0
+    }
+}
+
 /// The requests a second that an owner completes while they wait for a short
 /// part of the target latency. `work_s` is its work per request in seconds.
 #[must_use]
--- a/goldcrestramp-decisions/src/rebalancing/load.rs
+++ b/goldcrestramp-decisions/src/rebalancing/load.rs
@@ -76,7 +76,8 @@
 
     /// Records requests for a key.
     pub fn record(&mut self, slice: SliceIndex, requests: u32) {
-        self.counted[slice.position()] += requests;
+        let counted = &mut self.counted[slice.position()];
+        *counted = counted.saturating_add(requests);
     }
 
     /// Applies what was recorded since the last call to the rates.
--- a/goldcrestramp-decisions/tests/owner_admission/main.rs
+++ b/goldcrestramp-decisions/tests/owner_admission/main.rs
@@ -175,6 +175,23 @@
     }
 }
 
+/// Guards against an owner that is limited to a part of its capacity, or not
+/// any more: while it is saturated, VMs give up most of its responses or all,
+/// so it looks slow or unknown.
+#[test]
+fn the_capacity_of_an_owner_with_lost_responses_is_kept() {
+    for (seed, give_up_ms) in SEEDS.into_iter().zip([400, 800, 1_100, 1_300]) {
+        let mut simulation = simulation(seed);
+        simulation.give_up_ms = give_up_ms;
+
+        let capacities = simulation.run(5_000).capacities;
+
+        assert_eq!(capacities.len(), 10, "seed {seed}");
+        let lowest = capacities.iter().copied().fold(f32::INFINITY, f32::min);
+        assert!(lowest > 8.0, "seed {seed}: {capacities:?}");
+    }
+}
+
 /// Guards against limits that stay in force without a planner.
 #[test]
 fn everything_is_admitted_after_the_planner_stops_replying() {
--- a/goldcrestramp-decisions/tests/owner_admission/simulation.rs
+++ b/goldcrestramp-decisions/tests/owner_admission/simulation.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 
 use goldcrestramp_decisions::{
-    LimitedKey, RangeLoad, WorkEstimate, limited_keys, owner_capacity,
-    published_keys,
+    LimitedKey, OwnerWork, RangeLoad, WorkEstimate, limited_keys,
+    owner_capacity, published_keys,
 };
 use goldcrestramp_types::{LocalTime, SliceIndex, SliceRange, TimeSpan};
 
@@ -66,7 +66,7 @@
     limits: Vec<LimitedKey>,
     valid_until: u64,
     held: VecDeque<Job>,
-    has_sent: bool,
+    sent_at: Option<u64>,
 }
 
 /// VMs that report to a planner, and the owner of all keys.
@@ -75,6 +75,8 @@
     pub is_admission_on: bool,
     /// Whether the planner responds to reports.
     pub is_planner_up: bool,
+    /// How long VMs wait for a response.
+    pub give_up_ms: u64,
     pub rates: KeyRates,
     pub hot: u16,
     pub observed: Observed,
@@ -83,6 +85,7 @@
     waiting: VecDeque<Job>,
     load: RangeLoad,
     work: WorkEstimate,
+    owner: Option<OwnerWork>,
     limits: Vec<LimitedKey>,
     now: u64,
     random: u64,
@@ -94,6 +97,7 @@
         Self {
             is_admission_on: true,
             is_planner_up: true,
+            give_up_ms: u64::MAX,
             rates: Vec::new(),
             hot: 0,
             observed: Observed::default(),
@@ -102,6 +106,7 @@
             waiting: VecDeque::new(),
             load: RangeLoad::open(start),
             work: WorkEstimate::open(start),
+            owner: None,
             limits: Vec::new(),
             now: 0,
             random: seed,
@@ -177,10 +182,14 @@
         for (_end, job) in ended {
             let took = now - job.arrived;
             let in_time = took <= TARGET.as_millis();
+            let served = now - job.sent;
+            if served > self.give_up_ms {
+                continue;
+            }
             let vm = &mut self.vms[job.vm];
-            vm.has_sent = false;
+            vm.sent_at = None;
             vm.responses += 1;
-            vm.millis += now - job.sent;
+            vm.millis += served;
             let totals = self.totals(job.key);
             totals.completed += 1;
             totals.in_time += u32::from(in_time);
@@ -202,11 +211,12 @@
         while let Some(late) = self.vms[vm].held.pop_front_if(|j| is_late(j)) {
             self.totals(late.key).refused_late += 1;
         }
-        if self.vms[vm].has_sent {
+        let sent_at = self.vms[vm].sent_at;
+        if sent_at.is_some_and(|sent| now - sent <= self.give_up_ms) {
             return;
         }
         if let Some(job) = self.vms[vm].held.pop_front() {
-            self.vms[vm].has_sent = true;
+            self.vms[vm].sent_at = Some(now);
             self.observed.offered += 1;
             self.waiting.push_back(Job { sent: now, ..job });
         }
@@ -233,7 +243,9 @@
         let now = time(self.now);
         self.load.decay(now);
         self.work.decay(now);
-        let work = self.work.seconds(SLOTS);
+        let estimate = self.work.seconds(SLOTS);
+        self.owner = self.owner.or(estimate.map(OwnerWork::open));
+        let work = self.owner.as_mut().map(|owner| owner.follow(estimate));
         self.limits = match work.filter(|_work| self.is_admission_on) {
             Some(work) => {
                 let capacity = owner_capacity(SLOTS, work, TARGET);
--- a/goldcrestramp-entry/src/control/admission.rs
+++ b/goldcrestramp-entry/src/control/admission.rs
@@ -4,13 +4,14 @@
 
 use goldcrestramp_adapter::ServerEntry;
 use goldcrestramp_decisions::{
-    LimitedKey, limited_keys, owner_capacity, published_keys,
+    LimitedKey, OwnerWork, limited_keys, owner_capacity, published_keys,
 };
-use goldcrestramp_types::{LocalTime, TimeSpan};
+use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 
 use crate::control::{
     demand::{FleetShares, KeyShare},
     service::{CapacityReports, PlacementInputs, ServicePlan},
+    speed::SpeedEstimates,
     term::PlannerTerm,
 };
 
@@ -35,6 +36,8 @@
     /// The round of rates by which the limits were computed.
     round: Option<LocalTime>,
     shares: Vec<KeyShare>,
+    /// The work by which owners are limited, by server id.
+    works: FastMap<Arc<str>, OwnerWork>,
     /// When keys were limited last, from the logged begin of the limits to
     /// their logged end.
     limited_at: Option<LocalTime>,
@@ -58,6 +61,23 @@
         since.is_some_and(|since| now.since(since) >= MIN_REPORTED_TIME)
     }
 
+    /// Follows the estimates of all ready servers, and forgets the others.
+    fn follow_works(
+        &mut self,
+        ready: &[Arc<ServerEntry>],
+        speeds: &SpeedEstimates,
+    ) {
+        let mut known = std::mem::take(&mut self.works);
+        for entry in ready {
+            let estimate = speeds.known_work_s(entry);
+            let work = known.remove(&entry.id);
+            let work = work.or_else(|| estimate.map(OwnerWork::open));
+            let Some(mut work) = work else { continue };
+            work.follow(estimate);
+            self.works.insert(Arc::clone(&entry.id), work);
+        }
+    }
+
     /// Stores the limited keys of a round.
     pub fn store(&mut self, round: LocalTime, keys: &[LimitedKey]) {
         let share = |key: &LimitedKey| KeyShare {
@@ -118,7 +138,7 @@
 
     /// Computes the limited keys by the newest round of rates.
     ///
-    /// Only owners whose work is known from responses are limited.
+    /// Only owners whose work is or was known from responses are limited.
     pub(super) fn limit_keys(
         &mut self,
         now: LocalTime,
@@ -128,10 +148,10 @@
         target_latency: TimeSpan,
     ) {
         let Some(round) = self.rated_at else { return };
+        self.limits.follow_works(ready, &self.speeds);
         let mut keys = Vec::new();
         if self.limits.is_known(now) {
-            let inputs = PlacementInputs::new(self, now, ready, capacity);
-            keys = self.overloaded_keys(&inputs, ready, target_latency);
+            keys = self.overloaded_keys(now, ready, capacity, target_latency);
         }
         self.limits.log_change(now, service, &keys);
         self.limits.store(round, &keys);
@@ -140,23 +160,24 @@
     /// The keys of all overloaded owners that are limited.
     fn overloaded_keys(
         &self,
-        inputs: &PlacementInputs,
+        now: LocalTime,
         ready: &[Arc<ServerEntry>],
+        capacity: &CapacityReports<'_>,
         target_latency: TimeSpan,
     ) -> Vec<LimitedKey> {
+        let inputs = PlacementInputs::new(self, now, ready, capacity);
         let mut rates = vec![Vec::new(); inputs.targets.len()];
         for placed in &inputs.ranges {
             rates[placed.target].extend(self.load.key_rates(placed.range));
         }
-        let owners = ready.iter().zip(&inputs.targets).zip(rates);
+        let owners = ready.iter().zip(&inputs.instances).zip(rates);
         let mut keys = Vec::new();
-        for ((entry, target), rates) in owners {
-            if !self.speeds.is_known(entry) {
-                continue;
-            }
-            let capacity =
-                owner_capacity(target.slots, target.work_s, target_latency);
-            keys.extend(limited_keys(rates, capacity));
+        for ((entry, instance), rates) in owners {
+            let work = self.limits.works.get(&entry.id);
+            let Some(work) = work.map(|work| work.seconds()) else { continue };
+            let work = capacity.work_s(now, instance, entry.slots, work);
+            let completed = owner_capacity(entry.slots, work, target_latency);
+            keys.extend(limited_keys(rates, completed));
         }
         published_keys(keys)
     }
--- a/goldcrestramp-entry/src/control/demand.rs
+++ b/goldcrestramp-entry/src/control/demand.rs
@@ -3,6 +3,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use goldcrestramp_decisions::MAX_LIMITED_KEYS;
 use goldcrestramp_types::{
     ClockSource, FastMap, LocalTime, MonotonicClock, SliceIndex, TimeSpan,
 };
@@ -60,6 +61,22 @@
     pub loans: FastMap<Arc<str>, u32>,
 }
 
+impl FleetShares {
+    /// Whether the limited keys of each service are few, in ascending order,
+    /// and have valid shares. Anything else is not from a planner.
+    #[must_use]
+    pub fn has_valid_keys(&self) -> bool {
+        let is_valid = |share: &KeyShare| {
+            share.first <= share.last && share.per_mille <= 1_000
+        };
+        self.keys.values().all(|shares| {
+            shares.len() <= MAX_LIMITED_KEYS
+                && shares.iter().all(is_valid)
+                && shares.is_sorted_by(|a, b| a.last < b.first)
+        })
+    }
+}
+
 /// The limit of a key's requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct KeyLimit {
@@ -187,6 +204,14 @@
         tokio::spawn(async move {
             let call = PeerCall::Demand(report);
             match peers.call(planner.address, &call).await {
+                Some(PeerReply::Shares(shares))
+                    if !shares.has_valid_keys() =>
+                {
+                    log::warn!(
+                        "[admission] VM {} sent malformed shares.",
+                        planner.vm
+                    );
+                }
                 Some(PeerReply::Shares(shares)) => {
                     board.store(MonotonicClock.now(), shares);
                 }
--- a/goldcrestramp-entry/src/control/service.rs
+++ b/goldcrestramp-entry/src/control/service.rs
@@ -53,7 +53,7 @@
 impl CapacityReports<'_> {
     /// The work of a request at a server, in seconds, where it takes `work_s`
     /// if the server accepts all requests.
-    fn work_s(
+    pub(super) fn work_s(
         &self,
         now: LocalTime,
         instance: &ServerInstance,
@@ -228,7 +228,7 @@
 
 /// The servers and ranges of a service, as input to the rebalancing.
 pub(super) struct PlacementInputs {
-    instances: Vec<ServerInstance>,
+    pub(super) instances: Vec<ServerInstance>,
     /// The ready servers in their order, then the holders that are not ready.
     pub(super) targets: Vec<TargetLoad>,
     pub(super) ranges: Vec<PlacedRange>,
--- a/goldcrestramp-entry/src/control/speed.rs
+++ b/goldcrestramp-entry/src/control/speed.rs
@@ -76,12 +76,8 @@
         work.unwrap_or(typical)
     }
 
-    /// Whether the work of a server is known from its responses.
-    pub(crate) fn is_known(&self, entry: &ServerEntry) -> bool {
-        self.known_work_s(entry).is_some()
-    }
-
-    fn known_work_s(&self, entry: &ServerEntry) -> Option<f32> {
+    /// The work of a server per request by its own responses, in seconds.
+    pub(crate) fn known_work_s(&self, entry: &ServerEntry) -> Option<f32> {
         self.0.get(&entry.id)?.work_s
     }
 }
--- a/goldcrestramp-entry/tests/shares.rs
+++ b/goldcrestramp-entry/tests/shares.rs
@@ -131,3 +131,22 @@
     assert_eq!(*published, [share]);
     assert_eq!(limits.published(at(1_500)), None);
 }
+
+/// Guards against malformed shares of another VM, by which keys would be
+/// looked up in the wrong order.
+#[test]
+fn malformed_shares_are_not_valid() {
+    let share = |first, last, per_mille| KeyShare { first, last, per_mille };
+    let is_valid = |keys: Vec<KeyShare>| {
+        let mut shares = FleetShares::default();
+        shares.keys.insert("stock".into(), keys);
+        shares.has_valid_keys()
+    };
+
+    assert!(is_valid(vec![share(1, 3, 0), share(4, 4, 1_000)]));
+    assert!(!is_valid(vec![share(3, 1, 100)]));
+    assert!(!is_valid(vec![share(1, 1, 1_001)]));
+    assert!(!is_valid(vec![share(4, 4, 100), share(1, 1, 100)]));
+    assert!(!is_valid(vec![share(1, 4, 100), share(4, 5, 100)]));
+    assert!(!is_valid((0..65).map(|key| share(key, key, 100)).collect()));
+}
