Decide who gets scarce retries, and lend those that VMs give up

Cause: while servers refuse 55% of what arrives, retries go to the requests that ask first. An order is worth twice a lookup. Retries that some VMs leave unused are lost to the others.

Change: RetryShares decides by the class of a request when few retries are left. AttemptBudget::offer gives up retries, which RetryLedger lends to VMs that lack some. RetryShortage derives Retry-After from the length of the shortage.

--- a/goldcrestramp-decisions/src/attempt_budget.rs
+++ b/goldcrestramp-decisions/src/attempt_budget.rs
@@ -9,6 +9,11 @@
 //! VMs that still serve are believed to be lost. So a VM that has just started
 //! takes only a small part of the constant, and after the fleet shrinks, its
 //! largest size in the last window still counts.
+//!
+//! Demand is uneven, so some VMs leave a part of their budget unused while
+//! others run out. A VM gives up such a part before another VM may use it
+//! ([`AttemptBudget::offer`]), so all VMs together never exceed the sum of
+//! their own parts.
 
 use std::collections::VecDeque;
 
@@ -27,6 +32,23 @@
 /// retries.
 const MAX_START_SHARE: u64 = 12;
 
+/// The percentage of its usable retries that a VM never gives up, rounded up to
+/// whole ones. Its own demand may begin within the window.
+const KEPT_PERCENT: u64 = 25;
+
+/// How long after it was given up a retry may be made by another VM: as long
+/// as the planner may lend it, and then as long as a loan is valid.
+pub const OFFER_LIFE: TimeSpan = OFFER_TTL.plus(LOAN_TTL);
+
+/// How long the planner may lend what a VM has given up, from the time at
+/// which it sent the reply that asked for it. A VM reads such a reply, and
+/// reports what it gives up, within two report intervals of 0.4 s.
+pub const OFFER_TTL: TimeSpan = TimeSpan::from_millis(2_000);
+
+/// How long a loan is valid, from the time at which the VM that receives it
+/// sent its report.
+pub const LOAN_TTL: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// The operators' bound on retries.
 #[derive(Clone, Copy, Debug)]
 pub struct BudgetSettings {
@@ -43,10 +65,21 @@
     number: u64,
     requests: u64,
     retries: u64,
+    /// The retries given up for other VMs, in thousandths.
+    offered: u64,
     /// The largest number of VMs known in this step.
     vms: u64,
 }
 
+/// What a VM may use of its budget in the current window.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RetrySupply {
+    /// The retries that it may use in the window.
+    pub usable: u64,
+    /// How many of them are left.
+    pub left: u64,
+}
+
 /// The retries of one VM to one service.
 ///
 /// # Example
@@ -102,16 +135,57 @@
     pub fn has_remaining(&mut self, now: LocalTime, vms: usize) -> bool {
         let step = self.step(now);
         step.vms = step.vms.max(vms as u64);
-        let requests: u64 = self.steps.iter().map(|step| step.requests).sum();
-        let retries: u64 = self.steps.iter().map(|step| step.retries).sum();
+        let totals = self.totals(now, STEPS);
+        let usable = self.usable_thousandths(now, totals.requests);
+        (totals.retries + 1) * 1_000 + totals.offered <= usable
+    }
+
+    /// The retries that this VM may use, and those that are left. Takes none.
+    pub fn supply(&mut self, now: LocalTime, vms: usize) -> RetrySupply {
+        let step = self.step(now);
+        step.vms = step.vms.max(vms as u64);
+        let totals = self.totals(now, STEPS);
+        let usable = self.usable_thousandths(now, totals.requests);
+        let usable = usable.saturating_sub(totals.offered) / 1_000;
+        RetrySupply { usable, left: usable.saturating_sub(totals.retries) }
+    }
+
+    /// Gives up at most `wanted` thousandths of a retry for other VMs, and
+    /// returns how many. They may be used for [`OFFER_LIFE`] and count as
+    /// used by this VM until one window after that.
+    ///
+    /// Only requests that will still be in the window at the end of that time
+    /// allow for them. A VM that has just started gives up nothing: it does
+    /// not know what its previous instance has given up.
+    pub fn offer(&mut self, now: LocalTime, vms: usize, wanted: u64) -> u64 {
+        if now < self.full_share_at {
+            return 0;
+        }
+        let step = self.step(now);
+        step.vms = step.vms.max(vms as u64);
+        let recent_steps = STEPS.saturating_sub(self.offer_steps());
+        let recent = self.totals(now, recent_steps).requests;
+        let totals = self.totals(now, STEPS);
+        let usable = self.usable_thousandths(now, recent);
+        let used = totals.retries * 1_000 + totals.offered;
+        let left = usable.saturating_sub(used);
+        let kept = (usable * KEPT_PERCENT).div_ceil(100_000).min(left / 1_000);
+        let offered = (left - kept * 1_000).min(wanted);
+        self.step(now).offered += offered;
+        offered
+    }
+
+    /// The retries that `requests` and this VM's share of the constant allow,
+    /// with the safety margin, in thousandths.
+    fn usable_thousandths(&self, now: LocalTime, requests: u64) -> u64 {
         let allowed =
             requests * self.settings.per_mille / 1_000 + self.share(now);
-        (retries + 1) * 100 <= allowed * USABLE_PERCENT
+        allowed * 10 * USABLE_PERCENT
     }
 
     /// This VM's share of the constant.
     fn share(&self, now: LocalTime) -> u64 {
-        let vms = self.steps.iter().map(|step| step.vms).max();
+        let vms = self.window(now, STEPS).map(|step| step.vms).max();
         let share = self.settings.constant / vms.unwrap_or(1).max(1);
         if now < self.full_share_at {
             return share.min(MAX_START_SHARE);
@@ -119,13 +193,45 @@
         share
     }
 
+    /// The requests and retries of the last `steps` steps and the current one,
+    /// and what was given up and may have been used in the window.
+    fn totals(&self, now: LocalTime, steps: u64) -> WindowStep {
+        let mut totals = WindowStep::default();
+        for step in self.window(now, steps) {
+            totals.requests += step.requests;
+            totals.retries += step.retries;
+        }
+        let offered = self.window(now, STEPS + self.offer_steps());
+        totals.offered = offered.map(|step| step.offered).sum();
+        totals
+    }
+
+    fn step_length(&self) -> u64 {
+        (self.settings.window.as_micros() / STEPS).max(1)
+    }
+
+    /// The number of steps in which what was given up may be used.
+    fn offer_steps(&self) -> u64 {
+        OFFER_LIFE.as_micros().div_ceil(self.step_length())
+    }
+
+    /// The steps whose numbers are at most `steps` below the current one.
+    fn window(
+        &self,
+        now: LocalTime,
+        steps: u64,
+    ) -> impl Iterator<Item = &WindowStep> {
+        let number = now.as_micros() / self.step_length();
+        self.steps.iter().filter(move |step| step.number + steps >= number)
+    }
+
     fn step(&mut self, now: LocalTime) -> &mut WindowStep {
-        let length = (self.settings.window.as_micros() / STEPS).max(1);
-        let number = now.as_micros() / length;
+        let number = now.as_micros() / self.step_length();
+        let kept = STEPS + self.offer_steps();
         while self
             .steps
             .front()
-            .is_some_and(|step| step.number + STEPS < number)
+            .is_some_and(|step| step.number + kept < number)
         {
             self.steps.pop_front();
         }
--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -26,6 +26,9 @@
   for all of its senders.
 - [`ColdAllowance`]: which VMs send to a cold server, and how often.
 - [`AttemptBudget`]: limits the attempts beyond the first that a VM may make.
+- [`RetryShares`]: which requests get a retry when few are left.
+- [`RetryLedger`]: lends retries that some VMs leave unused to others.
+- [`RetryShortage`]: how long a service has been short of retries.
 - [`ServerWindow`]: which servers a VM of a large fleet sends to.
 - [`server_share`]: the requests that one VM may have in flight at a server.
 - [`ReachMonitor`]: whether a VM has lost its links to the servers of a
@@ -69,8 +72,11 @@
 mod rebalancing;
 mod relay;
 mod retry;
+mod retry_loans;
+mod retry_shares;
 mod round_robin;
 mod share;
+mod shortage;
 mod subset;
 mod times;
 mod work;
@@ -82,7 +88,10 @@
         AttemptRecord, AttemptSent, AttemptVerdict, MAX_ANSWER_BYTES,
         MemorySettings, StoredAnswer,
     },
-    attempt_budget::{AttemptBudget, BudgetSettings},
+    attempt_budget::{
+        AttemptBudget, BudgetSettings, LOAN_TTL, OFFER_LIFE, OFFER_TTL,
+        RetrySupply,
+    },
     attempt_timeout::{TimeoutInputs, attempt_timeout},
     backoff_reports::BackoffReports,
     cold::ColdAllowance,
@@ -119,8 +128,11 @@
         AttemptStart, FailedAttempt, MAX_REDIRECTS, RefusalProof, RefusedBy,
         RetryDecision, RetryPolicy,
     },
+    retry_loans::{RetryLedger, RetryUse},
+    retry_shares::{RetryClass, RetryShares},
     round_robin::WeightedRoundRobin,
     share::{is_crowded, server_share, window_share},
+    shortage::{RetryShortage, ShortageChange},
     subset::ServerWindow,
     times::ResponseTimes,
     work::WorkEstimate,
