Give scarce retries to orders first, and use what other VMs give up

Change: while load control is on, a request gets a retry by its class, VMs report the use of their retry budgets, the planner asks VMs without denials to give up what others lack and lends it, and the Retry-After of retry-budget follows from the length of the shortage. A loan is valid for 1 s after the report, not after the reply. Without load control nothing changes but the two new names in the metrics.

--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod permits;
 mod ranking;
 mod reach;
+mod retries;
 mod service;
 mod source;
 mod speed;
@@ -40,6 +41,7 @@
     pace::CommitPace,
     permits::{PermitGrants, PermitMailbox, PermitRequests},
     ranking::{claim_delay, fallback_vms, is_large, source_vms, starting_vms},
+    retries::{RetryOffers, RetryRecorder, RetryTicket, WantedRetries},
     sync::{FreshnessClock, SyncState, UpdateSource, update_as_of},
 };
 use crate::{
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -20,6 +20,7 @@
         lease::LEASE_TTL,
         message::{CommitEnded, OrderEnded, ReadBack},
         order::{OrderGate, OrderSender},
+        retries::RetryLedgers,
         service::{CapacityReports, ServicePlan},
     },
     notices::{InstanceKey, NoticeBoard},
@@ -62,6 +63,8 @@
     pub(crate) rates: RateLedger<ServerInstance>,
     /// The backoffs that the VMs report.
     pub(crate) backoffs: BackoffReports<InstanceKey>,
+    /// The retries that VMs lend to each other.
+    pub(crate) retries: RetryLedgers,
     /// Lets orders of this term be sent until it ends.
     pub(crate) gate: Arc<OrderGate>,
     /// Whether this VM has reached the servers since the term began. A VM that
@@ -92,6 +95,7 @@
             creating: FastSet::default(),
             rates: RateLedger::default(),
             backoffs: BackoffReports::default(),
+            retries: RetryLedgers::default(),
             gate: Arc::default(),
             has_reached_servers: false,
         }
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -61,6 +61,9 @@
     times: Family<StageLabel, Histogram, TimeBuckets>,
     passed: Family<ReasonLabel, Counter>,
     news: Family<ReasonLabel, Counter>,
+    denied_retries: Family<ReasonLabel, Counter>,
+    /// The number of retries that other VMs gave up and this one used.
+    pub borrowed_retries: Counter,
     /// The number of requests that other VMs passed to this one.
     pub relayed: Counter,
     /// The number of refusals with which a server requested a backoff.
@@ -100,6 +103,8 @@
             attempts: Family::default(),
             times: Family::new_with_constructor(TimeBuckets),
             passed: Family::default(),
+            denied_retries: Family::default(),
+            borrowed_retries: Counter::default(),
             relayed: Counter::default(),
             backoffs: Counter::default(),
             news: Family::default(),
@@ -192,6 +197,16 @@
             "Refusals with which a server requested a backoff",
             self.backoffs.clone(),
         );
+        registry.register(
+            "denied_retries",
+            "Retries denied for lack of budget, by class",
+            self.denied_retries.clone(),
+        );
+        registry.register(
+            "borrowed_retries",
+            "Retries that other VMs gave up and this one used",
+            self.borrowed_retries.clone(),
+        );
         registry.register(
             "request_seconds",
             "Times of requests by service and part of the way",
@@ -214,6 +229,12 @@
         self.passed.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a retry that was denied to a request of this class.
+    pub fn record_denied_retry(&self, class: &'static str) {
+        let label = ReasonLabel { reason: class };
+        self.denied_retries.get_or_create(&label).inc();
+    }
+
     /// Counts a request for updates by its source and outcome, such as `peer`
     /// or `peer-slow`.
     pub fn news(&self, reason: &'static str) {
--- a/goldcrestramp-entry/src/shared.rs
+++ b/goldcrestramp-entry/src/shared.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use crate::{
-    control::{FreshnessClock, LoadRecorder, PermitMailbox, ShareBoard},
+    control::{
+        FreshnessClock, LoadRecorder, PermitMailbox, RetryRecorder, ShareBoard,
+    },
     crashes::CrashBoard,
     metrics::EntryMetrics,
     notices::NoticeBoard,
@@ -18,6 +20,8 @@
     pub loads: LoadRecorder,
     /// The shares of capacity that the planning VM allots to this VM.
     pub shares: ShareBoard,
+    /// The use of the retry budgets, reported to the planning VM.
+    pub retries: RetryRecorder,
     /// Permits for servers that state a rate limit.
     pub permits: PermitMailbox,
     /// The metrics of this VM.
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -24,6 +24,7 @@
 mod relay_vms;
 mod request;
 mod response;
+mod retry;
 mod serve;
 mod server;
 mod state;
@@ -119,6 +120,9 @@
     let handle = TrafficHandle { connections: Rc::clone(&connections) };
     spawn_local(follow_views(Rc::clone(&state), views));
     spawn_local(follow_reach(Rc::clone(&state)));
+    if state.settings.load_control {
+        spawn_local(follow_wanted_retries(Rc::clone(&state)));
+    }
     let TrafficListeners { callers, relayed } = listeners;
     if let Some(relayed) = relayed {
         let (state, stop) = (Rc::clone(&state), phase.clone());
@@ -149,6 +153,14 @@
     }
 }
 
+/// Gives up retries for other VMs when the planning VM asks for them.
+async fn follow_wanted_retries(state: Rc<TrafficState>) {
+    loop {
+        let wanted = state.shares.wait_wanted().await;
+        state.offer_retries(&wanted);
+    }
+}
+
 /// Applies each new view and wakes the requests that wait for one.
 async fn follow_views(
     state: Rc<TrafficState>,
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -252,7 +252,7 @@
     // The VM that is tried after this one counts it otherwise.
     if !envelope.counted && !state.reach.is_partitioned(&envelope.service) {
         let service = state.service(&envelope.service);
-        service.budget.borrow_mut().record_request(arrived);
+        service.record_request(arrived, &route);
     }
     let position = QueuePosition {
         priority: route.priority,
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use goldcrestramp_adapter::{RequestRoute, RouteEffect, headers as names};
-use goldcrestramp_decisions::QueuePosition;
+use goldcrestramp_decisions::{QueuePosition, RetryClass};
 use goldcrestramp_types::{LocalTime, RequestClass, SliceIndex, TimeSpan};
 use http::{
     HeaderMap, Method, Uri,
@@ -122,6 +122,16 @@
         self.route.effect.may_repeat()
     }
 
+    /// The class of its retries, if a response takes `typical`.
+    pub(crate) fn retry_class(
+        &self,
+        now: LocalTime,
+        typical: TimeSpan,
+    ) -> RetryClass {
+        let late = self.target_remaining(now) < typical;
+        RetryClass { late, ..retry_class(&self.route) }
+    }
+
     /// The remaining time until the route's target latency.
     pub(crate) fn target_remaining(&self, now: LocalTime) -> TimeSpan {
         (self.arrived + self.route.target_latency).since(now)
@@ -133,6 +143,15 @@
     }
 }
 
+/// The class of the retries of a route's requests that can be in time.
+pub(crate) fn retry_class(route: &RequestRoute) -> RetryClass {
+    RetryClass {
+        idempotent: route.effect.may_repeat(),
+        priority: route.priority,
+        late: false,
+    }
+}
+
 /// Finds the route of a request by its host and path.
 pub(crate) fn find_route(
     table: &RouteTable,
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -3,9 +3,7 @@
 use std::{cell::OnceCell, rc::Rc, sync::Arc};
 
 use goldcrestramp_adapter::{RouteEffect, headers as names};
-use goldcrestramp_decisions::{
-    AttemptBudget, QueuePosition, TimeoutInputs, attempt_timeout,
-};
+use goldcrestramp_decisions::{QueuePosition, TimeoutInputs, attempt_timeout};
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
@@ -199,7 +197,7 @@
     // A request that is passed on counts where it is sent to servers.
     let counted = !state.reach.is_partitioned(&service);
     if counted {
-        state.service(&service).budget.borrow_mut().record_request(arrived);
+        state.service(&service).record_request(arrived, &route);
     }
     if let Some(slice) = slice {
         state.loads.record_request(&service, slice);
@@ -296,7 +294,7 @@
         }
     };
     if !progress.history.tried.is_empty() && !state.take_retry(request) {
-        return Err(EndReason::RetryBudget.into());
+        return Err(state.deny_retry(request));
     }
     if !state.take_permit(now, &server) {
         return Ok(None);
@@ -370,7 +368,7 @@
     // Fails before the backoff delay: the budget is already known to be used
     // up, and waiting would only delay the caller's retry.
     if retryable && !state.has_retry_budget(request) {
-        return Err(EndReason::RetryBudget.into());
+        return Err(state.deny_retry(request));
     }
     after_attempt(request, progress, outcome).await
 }
@@ -583,23 +581,35 @@
 
     /// Whether the budget allows an attempt beyond the first.
     fn has_retry_budget(&self, request: &RoutedRequest) -> bool {
-        self.with_budget(request, AttemptBudget::has_remaining)
+        let (now, vms) = (MonotonicClock.now(), self.view().vms.len());
+        let service = self.service(&request.service);
+        let budget = &mut *service.budget.borrow_mut();
+        let Some(retries) = &service.retries else {
+            return budget.has_remaining(now, vms);
+        };
+        retries.allows(now, service.retry_class(now, request), budget, vms)
     }
 
     /// Takes an attempt beyond the first from the budget, if one is left.
     fn take_retry(&self, request: &RoutedRequest) -> bool {
-        self.with_budget(request, AttemptBudget::try_take)
-            || self.shares.take_loan(MonotonicClock.now(), &request.service)
+        let (now, vms) = (MonotonicClock.now(), self.view().vms.len());
+        let service = self.service(&request.service);
+        let budget = &mut *service.budget.borrow_mut();
+        let Some(retries) = &service.retries else {
+            return budget.try_take(now, vms);
+        };
+        retries.try_take(now, service.retry_class(now, request), budget, vms)
     }
 
-    fn with_budget(
-        &self,
-        request: &RoutedRequest,
-        query: impl FnOnce(&mut AttemptBudget, LocalTime, usize) -> bool,
-    ) -> bool {
-        let vms = self.view().vms.len();
+    /// The end of a request that may not be retried for lack of budget.
+    fn deny_retry(&self, request: &RoutedRequest) -> RequestEnd {
         let service = self.service(&request.service);
-        query(&mut service.budget.borrow_mut(), MonotonicClock.now(), vms)
+        let reason = EndReason::RetryBudget;
+        let Some(retries) = &service.retries else { return reason.into() };
+        let now = MonotonicClock.now();
+        let class = service.retry_class(now, request);
+        let retry_after = retries.deny(now, class, request.remaining(now));
+        RequestEnd { reason, retry_after }
     }
 
     /// Records a response time for its server and its service, and returns it.
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -11,8 +11,8 @@
 };
 use goldcrestramp_assignment::ServerInstance;
 use goldcrestramp_decisions::{
-    AttemptBudget, BudgetSettings, ReachEvent, ResponseTimes, ServerLimit,
-    ServerProximity, WeightedRoundRobin, server_share,
+    AttemptBudget, BudgetSettings, ReachEvent, ResponseTimes, RetryClass,
+    ServerLimit, ServerProximity, WeightedRoundRobin, server_share,
 };
 use goldcrestramp_types::{
     ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
@@ -20,7 +20,10 @@
 use tokio::sync::watch;
 
 use crate::{
-    control::{FreshnessClock, LoadRecorder, PermitMailbox, ShareBoard},
+    control::{
+        FreshnessClock, LoadRecorder, PermitMailbox, RetryOffers,
+        RetryRecorder, ShareBoard, WantedRetries,
+    },
     crashes::CrashBoard,
     metrics::EntryMetrics,
     notices::NoticeBoard,
@@ -31,7 +34,8 @@
         cold::FleetMembers,
         crash::SuspectSet,
         relay_vms::RelayVms,
-        request::RoutedRequest,
+        request::{RoutedRequest, retry_class},
+        retry::{RetryBoards, ServiceRetries},
         server::{RequestQueue, ServerState},
         subset::SubsetCache,
     },
@@ -43,6 +47,8 @@
 pub(crate) struct ServiceState {
     pub(crate) queue: Rc<RefCell<RequestQueue>>,
     pub(crate) budget: RefCell<AttemptBudget>,
+    /// Who gets the retries; `None` without load control.
+    pub(crate) retries: Option<ServiceRetries>,
     /// The typical response times of all servers.
     pub(crate) times: RefCell<ResponseTimes>,
     /// Moving averages of the bytes that a request transfers: of requests that
@@ -50,6 +56,27 @@
     pub(crate) bytes: [Cell<u64>; 2],
 }
 
+impl ServiceState {
+    /// Counts a request on this route for the retry budget.
+    pub(crate) fn record_request(&self, now: LocalTime, route: &RequestRoute) {
+        self.budget.borrow_mut().record_request(now);
+        if let Some(retries) = &self.retries {
+            retries.record_request(now, retry_class(route));
+        }
+    }
+
+    /// The class of a request that asks for a retry.
+    pub(crate) fn retry_class(
+        &self,
+        now: LocalTime,
+        request: &RoutedRequest,
+    ) -> RetryClass {
+        let times = self.times.borrow();
+        let typical = times.typical_for(&request.route.name);
+        request.retry_class(now, typical.unwrap_or_default())
+    }
+}
+
 /// The regions in which a request may be served.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RegionFilter<'a> {
@@ -84,6 +111,7 @@
     pub(crate) settings: Arc<NodeSettings>,
     pub(crate) loads: LoadRecorder,
     pub(crate) shares: ShareBoard,
+    pub(crate) retries: RetryRecorder,
     pub(crate) permits: PermitMailbox,
     pub(crate) metrics: Arc<EntryMetrics>,
     pub(crate) clock: FreshnessClock,
@@ -120,6 +148,7 @@
             settings,
             loads: shared.loads,
             shares: shared.shares,
+            retries: shared.retries,
             permits: shared.permits,
             metrics: shared.metrics,
             clock: shared.clock,
@@ -292,7 +321,17 @@
                 per_mille,
                 constant: u64::from(settings.retry_constant),
             });
+            let retries = settings.load_control.then(|| {
+                let boards = RetryBoards {
+                    recorder: self.retries.clone(),
+                    shares: self.shares.clone(),
+                    metrics: Arc::clone(&self.metrics),
+                };
+                let window = settings.retry_window;
+                ServiceRetries::open(Arc::clone(name), window, boards)
+            });
             Rc::new(ServiceState {
+                retries,
                 queue: Rc::default(),
                 budget: RefCell::new(budget.with_start(self.started)),
                 times: RefCell::default(),
@@ -302,6 +341,25 @@
         Rc::clone(service)
     }
 
+    /// Gives up retries that the planning VM asks for, as far as this VM does
+    /// not need them. They are in its next report.
+    pub(super) fn offer_retries(&self, wanted: &WantedRetries) {
+        let now = MonotonicClock.now();
+        let view = self.view();
+        let is_known = |name: &str| view.ready.contains_key(name);
+        let mut thousandths = FastMap::default();
+        for (name, wanted) in &wanted.thousandths {
+            if is_known(name) {
+                let service = self.service(name);
+                let mut budget = service.budget.borrow_mut();
+                let offered = budget.offer(now, view.vms.len(), *wanted);
+                thousandths.insert(Arc::clone(name), offered);
+            }
+        }
+        let ticket = wanted.ticket;
+        self.retries.store_offers(RetryOffers { ticket, thousandths });
+    }
+
     /// The index of the target for a route's next request.
     pub(crate) fn next_target(
         &self,
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -20,6 +20,7 @@
 #[path = "../soak/relay.rs"]
 #[allow(dead_code, reason = "shared with the soak")]
 mod relay;
+mod retries;
 mod server;
 mod stop;
 mod store;
--- a/goldcrestramp-entry/tests/metrics.rs
+++ b/goldcrestramp-entry/tests/metrics.rs
@@ -31,6 +31,7 @@
     metrics.record_end("answered");
     metrics.record_attempt("answered");
     metrics.record_passed("answered");
+    metrics.record_denied_retry("idempotent");
     metrics.news("peer");
     metrics.record_time("stock", "whole", TimeSpan::from_millis(5));
     let text = metrics.text();
--- a/goldcrestramp-entry/tests/shares.rs
+++ b/goldcrestramp-entry/tests/shares.rs
@@ -14,7 +14,7 @@
     shares.keys.insert(Arc::clone(&service), vec![share]);
     shares.loans.insert(service, 1);
     let board = ShareBoard::default();
-    board.store(LocalTime::default(), shares);
+    board.store(LocalTime::default(), LocalTime::default(), shares);
     board
 }
 
@@ -50,3 +50,26 @@
 
     assert_eq!(taken, [true, false, false]);
 }
+
+/// Guards against loans of a late reply: the VM that gave up the retries
+/// counts them as used for a limited time only.
+#[test]
+fn a_loan_is_valid_for_a_second_after_the_report() {
+    let at = |millis| LocalTime::default() + TimeSpan::from_millis(millis);
+    let board = ShareBoard::default();
+    let lend = |loan: u32| {
+        let mut shares = FleetShares::default();
+        shares.loans.insert("stock".into(), loan);
+        shares
+    };
+    board.store(at(900), at(0), lend(2));
+    board.store(at(950), at(400), lend(1));
+
+    assert_eq!(board.loans_left(at(999), "stock"), 3);
+    assert_eq!(board.loans_left(at(1_000), "stock"), 1);
+    assert!(board.take_loan(at(1_399), "stock"));
+    assert!(!board.take_loan(at(1_399), "stock"));
+
+    board.store(at(2_100), at(1_000), lend(5));
+    assert!(!board.take_loan(at(2_100), "stock"));
+}
