--- a/goldcrestramp-entry/src/control/admission.rs
+++ b/goldcrestramp-entry/src/control/admission.rs
@@ -9,7 +9,7 @@
 use goldcrestramp_types::{FastMap, LocalTime, TimeSpan};
 
 use crate::control::{
-    demand::{FleetShares, KeyShare},
+    demand::KeyShare,
     service::{CapacityReports, PlacementInputs, ServicePlan},
     speed::SpeedEstimates,
     term::PlannerTerm,
@@ -184,14 +184,15 @@
 }
 
 impl PlannerTerm {
-    /// The shares of all services that VMs are allotted now.
-    pub(super) fn key_shares(&self, now: LocalTime) -> FleetShares {
-        let mut shares = FleetShares::default();
-        for (name, service) in self.plans() {
-            if let Some(limited) = service.limits.published(now) {
-                shares.keys.insert(Arc::clone(name), limited.clone());
-            }
-        }
-        shares
+    /// The limited keys of all services.
+    pub(super) fn key_shares(
+        &self,
+        now: LocalTime,
+    ) -> FastMap<Arc<str>, Vec<KeyShare>> {
+        let limited = self.plans().filter_map(|(name, service)| {
+            let shares = service.limits.published(now)?;
+            Some((Arc::clone(name), shares.clone()))
+        });
+        limited.collect()
     }
 }
--- a/goldcrestramp-entry/tests/daemon/admission.rs
+++ b/goldcrestramp-entry/tests/daemon/admission.rs
@@ -24,9 +24,9 @@
 async fn start() -> Cluster {
     let mut cluster = Cluster::start(SHARDED, 1, 0).await;
     for vm in ["vm-0", "vm-1"] {
-        let (domain, limits) = ("north-a", json!({}));
+        let settings = json!({"load_control": true});
         let store = cluster.store.address;
-        let node = NodeProcess::spawn_with(vm, domain, store, &limits, true);
+        let node = NodeProcess::spawn_with(vm, "north-a", store, &settings);
         cluster.add_node(node).await;
     }
     for node in 0..2 {
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -46,16 +46,16 @@
         store: SocketAddr,
         limits: &Value,
     ) -> Self {
-        Self::spawn_with(vm, domain, store, limits, false)
+        Self::spawn_with(vm, domain, store, &json!({"limits": limits}))
     }
 
-    /// Starts a daemon, with load control on or off.
+    /// Starts a daemon on a VM of a failure domain; `changes` replaces the
+    /// settings of the same names.
     pub fn spawn_with(
         vm: &str,
         domain: &str,
         store: SocketAddr,
-        limits: &Value,
-        load_control: bool,
+        changes: &Value,
     ) -> Self {
         let ports = std::array::from_fn(|_| HeldPort::open());
         let [traffic, ready, first, last] =
@@ -74,15 +74,14 @@
                 "front": traffic.to_string(), "ready": ready.to_string()
             },
             "inner_ports": [first.port(), last.port()],
-            "limits": limits,
             "beat_interval": "870ms",
             "bounds": ["grace=6s", "drain=2000ms"],
             "platform_settings": {
                 "address": store.to_string(), "ttl_min": "1000ms"
             }
         });
-        if load_control {
-            settings["load_control"] = json!(true);
+        for (name, value) in changes.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
         }
         let path = folder.join("settings.json");
         fs::write(&path, settings.to_string())
--- a/goldcrestramp-entry/tests/shares.rs
+++ b/goldcrestramp-entry/tests/shares.rs
@@ -17,7 +17,7 @@
     shares.keys.insert(Arc::clone(&service), vec![share]);
     shares.loans.insert(service, 1);
     let board = ShareBoard::default();
-    board.store(LocalTime::default(), shares);
+    board.store(LocalTime::default(), LocalTime::default(), shares);
     board
 }
 
@@ -77,10 +77,10 @@
         limit.expect("the key is limited").since
     };
 
-    board.store(at(0), one_key());
-    board.store(at(400), one_key());
+    board.store(at(0), at(0), one_key());
+    board.store(at(400), at(400), one_key());
     let continued = since(at(500));
-    board.store(at(1_500), one_key());
+    board.store(at(1_500), at(1_500), one_key());
     let begun_again = since(at(1_600));
 
     assert_eq!([continued, begun_again], [at(0), at(1_500)]);
@@ -92,7 +92,7 @@
     let board = ShareBoard::default();
     assert!(!board.is_valid(at(0)));
 
-    board.store(at(0), one_key());
+    board.store(at(0), at(0), one_key());
 
     assert!(board.is_valid(at(999)));
     assert_eq!(board.limited_keys(at(999)), 1);
@@ -150,3 +150,25 @@
     assert!(!is_valid(vec![share(1, 4, 100), share(4, 5, 100)]));
     assert!(!is_valid((0..65).map(|key| share(key, key, 100)).collect()));
 }
+
+/// Guards against loans of a late reply: the VM that gave up the retries
+/// counts them as used for a limited time only.
+#[test]
+fn a_loan_is_valid_for_a_second_after_the_report() {
+    let board = ShareBoard::default();
+    let lend = |loan: u32| {
+        let mut shares = FleetShares::default();
+        shares.loans.insert("stock".into(), loan);
+        shares
+    };
+    board.store(at(900), at(0), lend(2));
+    board.store(at(950), at(400), lend(1));
+
+    assert_eq!(board.loans_left(at(999), "stock"), 3);
+    assert_eq!(board.loans_left(at(1_000), "stock"), 1);
+    assert!(board.take_loan(at(1_399), "stock"));
+    assert!(!board.take_loan(at(1_399), "stock"));
+
+    board.store(at(2_100), at(1_000), lend(5));
+    assert!(!board.take_loan(at(2_100), "stock"));
+}
