Keep reports for as long as their offers may be received again

Cause: the ledger forgot a silent VM's report after 1.2 s, but accepts offers up to 2 s after their ticket. A report that arrived twice in between was lent twice.

Change: reports are kept for 2 s.

Result: the new test fails without the change and passes with it.

--- a/goldcrestramp-decisions/src/retry_loans.rs
+++ b/goldcrestramp-decisions/src/retry_loans.rs
@@ -144,7 +144,7 @@
     fn expire(&mut self, now: LocalTime) {
         self.offers.retain(|offer| offer.expires_at > now);
         self.vms
-            .retain(|_vm, demand| now.since(demand.reported_at) < REPORT_TTL);
+            .retain(|_vm, demand| now.since(demand.reported_at) < OFFER_TTL);
     }
 
     /// Adds an offer; returns whether it is accepted.
--- a/goldcrestramp-decisions/tests/retry_loans.rs
+++ b/goldcrestramp-decisions/tests/retry_loans.rs
@@ -457,3 +457,20 @@
 
     assert_eq!((first, late, expired), (1, 0, 0));
 }
+
+/// Guards against a report that arrives again, late, while its VM is cut off:
+/// its offer has been lent.
+#[test]
+fn an_offer_of_a_silent_vm_counts_once() {
+    let (idle, short): (Arc<str>, Arc<str>) = ("idle".into(), "short".into());
+    let mut ledger = RetryLedger::default();
+    let offer = RetryUse { denied: 0, offered: 1_000 };
+    let denied = RetryUse { denied: 9, offered: 0 };
+    ledger.report(at(200), &idle, offer, at(100));
+    let first = ledger.report(at(250), &short, denied, at(0));
+
+    ledger.report(at(1_900), &idle, offer, at(100));
+    let again = ledger.report(at(1_950), &short, denied, at(0));
+
+    assert_eq!((first, again), (1, 0));
+}
