Add a congestion window for downloads from another region

Cause: in a burst of downloads, VMs of both regions request them from each other at the same time and keep the link between regions full. Each VM sends only a few of them and does not see the others.

Change: BulkWindow limits the bytes in flight of one VM by the time that new connections take. It may be smaller than one response; then downloads are sent with pauses.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -35,6 +35,7 @@
 - [`ServerNotices`]: what servers have stated to this VM in their responses.
 - [`CrashLedger`]: which requests are refused because servers ended under
   them.
+- [`BulkWindow`]: limits the downloads that a VM requests from another region.
 - [`WorkEstimate`]: how long a server works on a request.
 - [`denial_action`]: whether a request is retried at an owner that denied
   its key.
@@ -49,6 +50,7 @@
 mod attempt_timeout;
 mod backoff_reports;
 pub mod baseline;
+mod bulk;
 mod cold;
 mod crashes;
 mod deadline;
@@ -85,6 +87,7 @@
     attempt_budget::{AttemptBudget, BudgetSettings},
     attempt_timeout::{TimeoutInputs, attempt_timeout},
     backoff_reports::BackoffReports,
+    bulk::{BulkWindow, is_clearly_sooner},
     cold::ColdAllowance,
     crashes::{CrashLedger, EndProof, LostAttempt, REPORT_ERROR, ServerCrash},
     deadline::{TransitEstimate, timeout_to_forward},
