Limit downloads between regions while load control is on

Cause: VMs request downloads from the other region although its servers are as loaded as their own. The responses keep the link between regions full, and lookups and connections behind them fail.

Change: the choice among pooled servers leaves out the servers of a region whose window is used up, or that do not respond clearly sooner than those of the own region. Connection times are measured where a connection is opened for a request. Only downloads to servers of other regions are affected; without load control no window exists.

--- a/goldcrestramp-decisions/src/bulk.rs
+++ b/goldcrestramp-decisions/src/bulk.rs
@@ -186,6 +186,16 @@
         }
     }
 
+    /// Records a connection that was begun at `began_at` and is abandoned
+    /// because its request has no time left. One that was abandoned early says
+    /// nothing about the link.
+    pub fn record_abandoned(&mut self, now: LocalTime, began_at: LocalTime) {
+        let expected = self.minimum().unwrap_or(TimeSpan::ZERO);
+        if now.since(began_at) >= expected.plus(MAX_EXTRA_DELAY) {
+            self.record_unconnected(now, began_at);
+        }
+    }
+
     /// Whether a download is to open a new connection, although an idle one
     /// exists: the delay of the link has not been observed for a while.
     #[must_use]
--- a/goldcrestramp-decisions/tests/bulk.rs
+++ b/goldcrestramp-decisions/tests/bulk.rs
@@ -445,6 +445,21 @@
     assert!(window.bytes() >= before);
 }
 
+/// Guards against requests with little time left, whose connections are
+/// abandoned early and would close the window.
+#[test]
+fn a_connection_that_is_abandoned_early_says_nothing() {
+    let (mut window, now) = grown_window(8);
+    let before = window.bytes();
+
+    window.record_abandoned(at(now + 60), at(now + 1));
+    let early = window.bytes();
+    window.record_abandoned(at(now + 200), at(now + 1));
+
+    assert_eq!(early, before);
+    assert_eq!(window.bytes(), before / 2);
+}
+
 /// Guards against a minimum that was measured on an earlier, shorter path and
 /// halves the window from then on.
 #[test]
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -33,6 +33,13 @@
     pub reason: &'static str,
 }
 
+/// The label of a gauge that is split by region.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
+pub struct RegionLabel {
+    /// The name of the region.
+    pub region: String,
+}
+
 /// The labels of a duration: the service and the stage of the request.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, EncodeLabelSet)]
 pub struct StageLabel {
@@ -61,6 +68,8 @@
     times: Family<StageLabel, Histogram, TimeBuckets>,
     passed: Family<ReasonLabel, Counter>,
     news: Family<ReasonLabel, Counter>,
+    bulk_windows: Family<RegionLabel, Gauge>,
+    kept_downloads: Family<ReasonLabel, Counter>,
     /// The number of requests that other VMs passed to this one.
     pub relayed: Counter,
     /// The number of refusals with which a server requested a backoff.
@@ -103,6 +112,8 @@
             relayed: Counter::default(),
             backoffs: Counter::default(),
             news: Family::default(),
+            bulk_windows: Family::default(),
+            kept_downloads: Family::default(),
             news_age: Gauge::default(),
             configuration: Gauge::default(),
             revision: Gauge::default(),
@@ -192,6 +203,16 @@
             "Refusals with which a server requested a backoff",
             self.backoffs.clone(),
         );
+        registry.register(
+            "bulk_window_bytes",
+            "Bytes of downloads that may be in flight from a region",
+            self.bulk_windows.clone(),
+        );
+        registry.register(
+            "kept_downloads",
+            "Downloads that were not sent to another region, by reason",
+            self.kept_downloads.clone(),
+        );
         registry.register(
             "request_seconds",
             "Times of requests by service and part of the way",
@@ -220,6 +241,18 @@
         self.news.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Sets the bytes of downloads that may be in flight from a region.
+    pub fn set_bulk_window(&self, region: &str, bytes: u64) {
+        let label = RegionLabel { region: region.to_owned() };
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.bulk_windows.get_or_create(&label).set(bytes);
+    }
+
+    /// Counts a download that was not sent to another region.
+    pub fn record_kept_download(&self, reason: &'static str) {
+        self.kept_downloads.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Records the duration of one stage of a request.
     pub fn record_time(
         &self,
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -9,12 +9,13 @@
     HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::CONTENT_ENCODING, response::Parts,
 };
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{error::Elapsed, timeout};
 
 use crate::{
     http::ConnectionSender,
     traffic::{
+        bulk::BulkRegion,
         choose::has_other_owner,
         crash::is_refused,
         headers::text,
@@ -111,6 +112,8 @@
     /// Describes the request to the VM to which it is passed; `None` if it is
     /// sent to a server.
     pub(crate) envelope: Option<HeaderValue>,
+    /// The region of the server, if downloads from there are limited.
+    pub(super) region: Option<Rc<BulkRegion>>,
 }
 
 impl AttemptPlan {
@@ -138,11 +141,17 @@
         state.record_reach(request, &slot.server, ReachEvent::Started);
     }
     let remaining = request.remaining(MonotonicClock.now());
-    let connected = connect(state, request, &slot.server, &plan);
+    let began_at = MonotonicClock.now();
+    let connected = connect(state, request, &slot, &plan);
     let connected = timeout(remaining.to_std(), connected).await;
     let connection = match connected {
         Ok(Ok(connection)) => connection,
         failed => {
+            if failed.is_err()
+                && let Some(region) = &plan.region
+            {
+                region.record_abandoned(began_at);
+            }
             slot.end(MonotonicClock.now(), ServerSignal::Unreachable);
             return match failed {
                 Ok(Err(error)) if is_refused(&error) => {
@@ -170,13 +179,22 @@
 async fn connect(
     state: &TrafficState,
     request: &RoutedRequest,
-    server: &ServerState,
+    slot: &ServerSlot,
     plan: &AttemptPlan,
 ) -> io::Result<ConnectionSender> {
-    if let Some(idle) = server.take_idle().await {
+    let server = &slot.server;
+    let began_at = MonotonicClock.now();
+    let is_sample = slot.transfer.is_some()
+        && plan.region.as_ref().is_some_and(|r| r.needs_sample(began_at));
+    if !is_sample && let Some(idle) = server.take_idle().await {
         return Ok(idle);
     }
+    let began_at = MonotonicClock.now();
     let opened = server.connect().await;
+    if let Some(region) = &plan.region {
+        let error = opened.as_ref().err().map(io::Error::kind);
+        region.record_connection(began_at, error);
+    }
     if plan.is_direct() {
         let event = match &opened {
             Ok(_) => ReachEvent::Connected,
@@ -410,13 +428,24 @@
     body: Incoming,
     plan: &AttemptPlan,
 ) -> AttemptOutcome {
-    let ReceivedHead { slot, connection, parts } = received;
+    let ReceivedHead { mut slot, connection, parts } = received;
+    if let (Some(transfer), Some(bytes)) =
+        (&mut slot.transfer, body.size_hint().exact())
+    {
+        transfer.record_size(bytes);
+    }
     let body_timeout =
         request.remaining(MonotonicClock.now()).plus(LATE_BODY_GRACE);
     let read = timeout(body_timeout.to_std(), read_response(body)).await;
     let now = MonotonicClock.now();
     let Parts { status, headers, .. } = parts;
     let failed = status.is_server_error();
+    if matches!(read, Ok(Ok(_)))
+        && !failed
+        && let Some(transfer) = &mut slot.transfer
+    {
+        transfer.record_received(now);
+    }
     match read {
         Err(_) | Ok(Err(_)) => {
             slot.end(now, ServerSignal::Broken);
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -8,6 +8,7 @@
 //! responses.
 
 mod attempt;
+mod bulk;
 mod choose;
 mod cold;
 mod connection;
--- a/goldcrestramp-entry/src/traffic/pool.rs
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     traffic::{
+        bulk::{BulkRegion, KeepReason},
         choose::{ChosenServer, Destination, QueueKind},
         reason::EndReason,
         request::RoutedRequest,
@@ -26,6 +27,8 @@
     candidate: PoolCandidate,
     /// The end of its backoff, if it is in one.
     backoff_until: Option<LocalTime>,
+    /// Its region, if the request is a download that is limited there.
+    region: Option<Rc<BulkRegion>>,
 }
 
 /// The choice for one request.
@@ -72,7 +75,7 @@
     // them would choose the same one.
     let start = rand::random_range(0..usable.len().max(1));
     usable.rotate_left(start);
-    pool.destination(&usable)
+    pool.limited_destination(&usable)
 }
 
 impl PoolRequest<'_> {
@@ -141,7 +144,12 @@
             in_flight: server.in_flight(),
             latency,
         };
-        ServerCandidate { server, candidate, backoff_until }
+        let region = if self.request.is_pooled_download() {
+            self.state.bulk.of_domain(&entry.domain).cloned()
+        } else {
+            None
+        };
+        ServerCandidate { server, candidate, backoff_until, region }
     }
 
     /// The limit of this VM's requests in flight at a server; 0 if nothing may
@@ -158,10 +166,12 @@
         server.limit(now)
     }
 
-    /// The next step of the request among these servers.
-    fn destination(&self, usable: &[&ServerCandidate]) -> Destination {
-        let queue = &self.service.queue;
-        let waiting = queue.borrow().len();
+    /// The choice among these servers, and what it was made by.
+    fn choice(
+        &self,
+        usable: &[&ServerCandidate],
+    ) -> (PoolChoice, Vec<PoolCandidate>) {
+        let waiting = self.service.queue.borrow().len();
         let route = &self.request.route;
         let download = route.effect == RouteEffect::Download;
         let bytes = self.service.bytes[usize::from(download)].get();
@@ -170,9 +180,81 @@
             candidates.map(|c| with_queue(c, waiting)).collect();
         let remaining = self.request.remaining(self.now);
         let target = route.target_latency;
-        match choose_server(&candidates, remaining, target, bytes) {
+        let choice = choose_server(&candidates, remaining, target, bytes);
+        (choice, candidates)
+    }
+
+    /// The next step of the request among these servers, without those of
+    /// other regions from which no download may be requested now.
+    fn limited_destination(&self, usable: &[&ServerCandidate]) -> Destination {
+        if usable.iter().all(|server| server.region.is_none()) {
+            return self.destination(usable);
+        }
+        let near = near_latency(usable);
+        let reasons: Vec<Option<KeepReason>> = usable
+            .iter()
+            .map(|server| self.keep_reason(server, near))
+            .collect();
+        if reasons.iter().all(Option::is_none) {
+            return self.destination(usable);
+        }
+        // Only a download that would have been sent there counts as kept.
+        if let PoolChoice::Send(position) = self.choice(usable).0
+            && let Some(reason) = reasons[position]
+            && let Some(region) = &usable[position].region
+        {
+            let is_first = !self.request.kept.replace(true);
+            region.record_kept(self.now, reason, is_first);
+        }
+        let admitted = usable.iter().zip(&reasons);
+        let admitted: Vec<&ServerCandidate> = admitted
+            .filter(|(_server, reason)| reason.is_none())
+            .map(|(server, _reason)| *server)
+            .collect();
+        if admitted.is_empty() {
+            return self.wait_for_window(usable, &reasons);
+        }
+        self.destination(&admitted)
+    }
+
+    fn keep_reason(
+        &self,
+        server: &ServerCandidate,
+        near: Option<TimeSpan>,
+    ) -> Option<KeepReason> {
+        let region = server.region.as_ref()?;
+        region.keep_reason(self.now, &self.request.route.name, near)
+    }
+
+    /// The next step of a download that only servers of other regions could
+    /// serve, while the windows of these are used up.
+    fn wait_for_window(
+        &self,
+        usable: &[&ServerCandidate],
+        reasons: &[Option<KeepReason>],
+    ) -> Destination {
+        let pauses = reasons.iter().filter_map(|reason| match reason {
+            Some(KeepReason::Window(Some(pause))) => Some(*pause),
+            _ => None,
+        });
+        let pause = pauses.min().unwrap_or(TimeSpan::ZERO);
+        let candidates: Vec<PoolCandidate> =
+            usable.iter().map(|server| server.candidate).collect();
+        let latency = mean_latency(&candidates);
+        if pause.plus(latency) > self.request.remaining(self.now) {
+            return Destination::Refused(RequestEnd::in_pause(pause));
+        }
+        let queue = QueueKind::Service(Rc::clone(&self.service.queue));
+        Destination::Wait { queue, slots: 1, latency }
+    }
+
+    /// The next step of the request among these servers.
+    fn destination(&self, usable: &[&ServerCandidate]) -> Destination {
+        let queue = &self.service.queue;
+        let (choice, candidates) = self.choice(usable);
+        match choice {
             PoolChoice::Send(position) => {
-                if waiting == 0 {
+                if queue.borrow().is_empty() {
                     queue.borrow_mut().record_progress();
                 }
                 let chosen = usable[position];
@@ -210,3 +292,14 @@
     let sum: u64 = candidates.iter().map(|c| c.latency.as_micros()).sum();
     TimeSpan::from_micros(sum / candidates.len().max(1) as u64)
 }
+
+/// The mean response time of the servers of the own region that may be sent
+/// to.
+fn near_latency(usable: &[&ServerCandidate]) -> Option<TimeSpan> {
+    let near: Vec<PoolCandidate> = usable
+        .iter()
+        .map(|server| server.candidate)
+        .filter(|c| c.proximity != ServerProximity::Remote && c.limit > 0)
+        .collect();
+    (!near.is_empty()).then(|| mean_latency(&near))
+}
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -6,7 +6,11 @@
 //! the request as if it were one of its own, with its own queues, permits and
 //! retries. It never passes the request on again.
 
-use std::{cell::OnceCell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use goldcrestramp_adapter::{AllowedRegions, RequestRoute, RouteEffect};
 use goldcrestramp_assignment::ServerInstance;
@@ -278,6 +282,7 @@
         origin: RequestOrigin::Vm,
         counted: true,
         fingerprint: OnceCell::new(),
+        kept: Cell::new(false),
     };
     serve_relayed(state, request, history).await
 }
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -1,6 +1,9 @@
 //! A request as it was read, with its route and its deadline.
 
-use std::{cell::OnceCell, sync::Arc};
+use std::{
+    cell::{Cell, OnceCell},
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use goldcrestramp_adapter::{RequestRoute, RouteEffect, headers as names};
@@ -86,6 +89,8 @@
     pub(crate) counted: bool,
     /// Its fingerprint, once it was needed.
     pub(super) fingerprint: OnceCell<Option<RequestFingerprint>>,
+    /// Whether it was counted as a download that was kept in its region.
+    pub(super) kept: Cell<bool>,
 }
 
 impl RoutedRequest {
@@ -94,6 +99,11 @@
         text(&self.headers, names::ATTEMPT_ID).unwrap_or("")
     }
 
+    /// Whether it is a download that any server of its service may serve.
+    pub(crate) fn is_pooled_download(&self) -> bool {
+        self.slice.is_none() && self.route.effect == RouteEffect::Download
+    }
+
     /// The class by which response times of servers are learnt.
     pub(crate) fn class(&self) -> RequestClass {
         match self.route.effect {
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -1,6 +1,10 @@
 //! Handles one request from its arrival to its response.
 
-use std::{cell::OnceCell, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+    sync::Arc,
+};
 
 use goldcrestramp_adapter::{RouteEffect, headers as names};
 use goldcrestramp_decisions::{
@@ -222,6 +226,7 @@
         origin: RequestOrigin::Caller,
         counted,
         fingerprint: OnceCell::new(),
+        kept: Cell::new(false),
     })
 }
 
@@ -307,7 +312,13 @@
     }
     let service = state.service(&request.service);
     let queue = request.slice.is_none().then(|| Rc::clone(&service.queue));
-    let slot = server.enter(now, request, queue);
+    let mut slot = server.enter(now, request, queue);
+    let region = state.bulk_region(&server);
+    if let Some(region) = &region
+        && request.is_pooled_download()
+    {
+        slot.transfer = Some(region.start(now, &request.route.name));
+    }
     let response_timeout = attempt_timeout(TimeoutInputs {
         typical: server.times.borrow().typical_for(&request.route.name),
         target_latency: request.route.target_latency,
@@ -331,6 +342,7 @@
         response_timeout,
         is_replaceable,
         envelope: None,
+        region,
     };
     let mut outcome = send(state, request, slot, plan).await;
     state.record_outcome(request, &server, now, &outcome);
@@ -397,6 +409,7 @@
         response_timeout: full_timeout(request, now),
         is_replaceable: false,
         envelope: Some(envelope.ok_or(EndReason::Unreachable)?),
+        region: None,
     };
     let vm = Arc::clone(&relay.server.instance.id);
     progress.history.passed_to.push(Arc::clone(&vm));
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     http::{CloseMode, ConnectionSender, dial, usable},
-    traffic::request::RoutedRequest,
+    traffic::{bulk::BulkTransfer, request::RoutedRequest},
 };
 
 /// A queue of requests; the sender wakes one of them.
@@ -121,6 +121,7 @@
             queue,
             replied: Cell::new(false),
             ended: Cell::new(false),
+            transfer: None,
         }
     }
 
@@ -184,6 +185,8 @@
     queue: Option<Rc<RefCell<RequestQueue>>>,
     replied: Cell<bool>,
     ended: Cell<bool>,
+    /// The download that the request is, if it is limited.
+    pub(super) transfer: Option<BulkTransfer>,
 }
 
 impl ServerSlot {
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -28,6 +28,7 @@
     run::StopPhase,
     shared::SharedState,
     traffic::{
+        bulk::{BulkRegion, BulkRegions},
         cold::FleetMembers,
         crash::SuspectSet,
         relay_vms::RelayVms,
@@ -92,6 +93,8 @@
     /// The suspect requests that are at work at a server.
     pub(super) suspects: SuspectSet,
     pub(crate) reach: ReachTracker,
+    /// The downloads from other regions.
+    pub(super) bulk: BulkRegions,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
     pub(super) servers: RefCell<FastMap<ServerInstance, Rc<ServerState>>>,
@@ -116,8 +119,10 @@
         phase: watch::Receiver<StopPhase>,
         shared: SharedState,
     ) -> Self {
+        let bulk = BulkRegions::open(&settings, &shared.metrics);
         Self {
             settings,
+            bulk,
             loads: shared.loads,
             shares: shared.shares,
             permits: shared.permits,
@@ -336,6 +341,19 @@
         }
     }
 
+    /// The region of a server, if downloads from there are limited.
+    pub(super) fn bulk_region(
+        &self,
+        server: &ServerState,
+    ) -> Option<Rc<BulkRegion>> {
+        if self.bulk.is_empty() {
+            return None;
+        }
+        let view = self.view();
+        let entry = view.servers.get(&server.instance.id)?;
+        self.bulk.of_domain(&entry.domain).cloned()
+    }
+
     /// The proximity of a server to this VM.
     pub(crate) fn proximity_to(&self, entry: &ServerEntry) -> ServerProximity {
         self.proximity_of(&entry.domain)
--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -72,6 +72,15 @@
         Self { reason: EndReason::ServerBackoff, retry_after }
     }
 
+    /// The end of a download that may be sent to another region in `ends_in`,
+    /// which is too late for it. Callers return spread over some time after
+    /// that.
+    pub(crate) fn in_pause(ends_in: TimeSpan) -> Self {
+        let retry_after = ends_in.percent(rand::random_range(100..150));
+        let retry_after = retry_after.max(DEFAULT_RETRY_AFTER);
+        Self { reason: EndReason::Full, retry_after }
+    }
+
     /// The end of a request that is refused for `ends_in`.
     pub(crate) const fn quarantined(ends_in: TimeSpan) -> Self {
         Self { reason: EndReason::Quarantined, retry_after: ends_in }
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -45,6 +45,26 @@
         domain: &str,
         store: SocketAddr,
         limits: &Value,
+    ) -> Self {
+        Self::spawn_with(vm, domain, store, &json!({ "limits": limits }))
+    }
+
+    /// Starts a daemon on a VM of a failure domain with load control.
+    #[allow(dead_code, reason = "not every test binary has one")]
+    pub fn spawn_controlled(
+        vm: &str,
+        domain: &str,
+        store: SocketAddr,
+    ) -> Self {
+        Self::spawn_with(vm, domain, store, &json!({ "load_control": true }))
+    }
+
+    /// Starts a daemon with these fields in its settings.
+    fn spawn_with(
+        vm: &str,
+        domain: &str,
+        store: SocketAddr,
+        fields: &Value,
     ) -> Self {
         let ports = std::array::from_fn(|_| HeldPort::open());
         let [traffic, ready, first, last] =
@@ -53,7 +73,7 @@
             format!("goldcrestramp-{}-{}", std::process::id(), traffic.port());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("folder is created");
-        let settings = json!({
+        let mut settings = json!({
             "node": vm, "zone": domain, "region": "north",
             "zones": {
                 "north-a": "north", "north-b": "north", "south-a": "south"
@@ -63,13 +83,16 @@
                 "front": traffic.to_string(), "ready": ready.to_string()
             },
             "inner_ports": [first.port(), last.port()],
-            "limits": limits,
+            "limits": {},
             "beat_interval": "870ms",
             "bounds": ["grace=6s", "drain=2000ms"],
             "platform_settings": {
                 "address": store.to_string(), "ttl_min": "1000ms"
             }
         });
+        for (name, value) in fields.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
+        }
         let path = folder.join("settings.json");
         fs::write(&path, settings.to_string())
             .expect("settings file is written");
--- a/goldcrestramp-entry/tests/metrics.rs
+++ b/goldcrestramp-entry/tests/metrics.rs
@@ -33,6 +33,8 @@
     metrics.record_passed("answered");
     metrics.news("peer");
     metrics.record_time("stock", "whole", TimeSpan::from_millis(5));
+    metrics.set_bulk_window("north", 90_000);
+    metrics.record_kept_download("window");
     let text = metrics.text();
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     types.filter_map(|line| Some(line.split_once(' ')?.0.to_owned())).collect()
