--- a/goldcrestramp-entry/tests/daemon/admission.rs
+++ b/goldcrestramp-entry/tests/daemon/admission.rs
@@ -9,7 +9,6 @@
     control::{DemandReport, ResponseTotals, ServiceLoad},
     peers::{PeerCall, PeerClient, PeerReply},
 };
-use serde_json::json;
 use tokio::task::JoinHandle;
 
 use crate::{
