Limit downloads for keys that another region owns

Cause: a route of downloads may lead to a sharded service. The owner of a key is in the other region as often as not, and the window acted on pooled servers only: downloads for keys filled the link with 36 to 48 Mbit/s each way, while pooled ones took 7.

Change: a download whose owner is in another region waits for that region's window in a queue of its own, or is refused at once as full.

--- a/goldcrestramp-decisions/src/bulk.rs
+++ b/goldcrestramp-decisions/src/bulk.rs
@@ -153,6 +153,19 @@
         }
     }
 
+    /// The downloads that the window holds; one at a time if it is smaller.
+    #[must_use]
+    pub fn capacity(&self) -> usize {
+        let count = self.window / self.response();
+        usize::try_from(count).unwrap_or(usize::MAX).max(1)
+    }
+
+    /// How long each place in the window is taken by one download.
+    #[must_use]
+    pub fn interval(&self) -> TimeSpan {
+        self.duration.max(self.pause())
+    }
+
     /// The window in bytes.
     #[must_use]
     pub const fn bytes(&self) -> u64 {
--- a/goldcrestramp-entry/src/traffic/bulk.rs
+++ b/goldcrestramp-entry/src/traffic/bulk.rs
@@ -11,7 +11,14 @@
     ClockSource, FastMap, LocalTime, MonotonicClock, TimeSpan,
 };
 
-use crate::metrics::EntryMetrics;
+use crate::{
+    metrics::EntryMetrics,
+    traffic::{
+        choose::{Destination, QueueKind},
+        server::RequestQueue,
+        wait::RequestEnd,
+    },
+};
 
 /// Why a download is not sent to a region.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -76,6 +83,9 @@
 pub(super) struct BulkRegion {
     name: Arc<str>,
     state: RefCell<RegionState>,
+    /// The downloads that wait for the window, as only a server of the region
+    /// owns their key.
+    queue: Rc<RefCell<RequestQueue>>,
     metrics: Arc<EntryMetrics>,
 }
 
@@ -98,7 +108,8 @@
             is_logged: false,
         };
         let state = RefCell::new(state);
-        Self { name, state, metrics: Arc::clone(metrics) }
+        let (queue, metrics) = (Rc::default(), Arc::clone(metrics));
+        Self { name, state, queue, metrics }
     }
 
     /// Why a download is not to be sent here, if it is not. `near` is the
@@ -125,6 +136,33 @@
         }
     }
 
+    /// The next step of a download whose key a server of this region owns, if
+    /// the window does not admit it now. It waits only if it can be expected
+    /// to be sent in time.
+    pub(super) fn wait_for_window(
+        &self,
+        now: LocalTime,
+        remaining: TimeSpan,
+    ) -> Option<Destination> {
+        let window = &self.state.borrow().window;
+        let wait = window.wait_time(now);
+        if wait == Some(TimeSpan::ZERO) {
+            let queue = &mut self.queue.borrow_mut();
+            if queue.is_empty() {
+                queue.record_progress();
+            }
+            return None;
+        }
+        let (slots, latency) = (window.capacity(), window.interval());
+        if let Some(pause) = wait
+            && pause.plus(latency) > remaining
+        {
+            return Some(Destination::Refused(RequestEnd::in_pause(pause)));
+        }
+        let queue = QueueKind::Region(Rc::clone(&self.queue));
+        Some(Destination::Wait { queue, slots, latency })
+    }
+
     /// Records that a download was not sent here; `is_first` unless it was
     /// counted before.
     pub(super) fn record_kept(
@@ -248,5 +286,8 @@
         self.region.update(now, |state| {
             state.window.record_end(now, self.bytes, took);
         });
+        let waker = self.region.queue.borrow_mut().wake();
+        // The receiver is closed if the request's caller has disconnected.
+        let _left = waker.map(|waker| waker.send(()));
     }
 }
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     traffic::{
+        bulk::KeepReason,
         pool::choose_pooled,
         reason::EndReason,
         relay_vms::{ChosenVm, choose_vm},
@@ -79,6 +80,8 @@
     Service(Rc<RefCell<RequestQueue>>),
     /// For one server.
     Server(Rc<ServerState>),
+    /// For the window of downloads from one region.
+    Region(Rc<RefCell<RequestQueue>>),
 }
 
 impl QueueKind {
@@ -88,7 +91,9 @@
         work: impl FnOnce(&mut RequestQueue) -> Out,
     ) -> Out {
         match self {
-            Self::Service(queue) => work(&mut queue.borrow_mut()),
+            Self::Service(queue) | Self::Region(queue) => {
+                work(&mut queue.borrow_mut())
+            }
             Self::Server(server) => work(&mut server.queue.borrow_mut()),
         }
     }
@@ -174,6 +179,9 @@
         let end = RequestEnd::in_backoff(until.since(now));
         return Destination::Refused(end);
     }
+    if let Some(wait) = wait_for_window(state, request, entry, now) {
+        return wait;
+    }
     let limit = owner_limit(server.limit(now), &server, request);
     if server.in_flight() < limit {
         if server.queue.borrow().is_empty() {
@@ -234,6 +242,22 @@
     Some(unavailable(exceeded))
 }
 
+/// The next step of a download whose owner is in another region, while the
+/// window of downloads from there does not admit it.
+fn wait_for_window(
+    state: &TrafficState,
+    request: &RoutedRequest,
+    entry: Option<&ServerEntry>,
+    now: LocalTime,
+) -> Option<Destination> {
+    let entry = entry.filter(|_entry| request.is_download())?;
+    let region = state.bulk.of_domain(&entry.domain)?;
+    let wait = region.wait_for_window(now, request.remaining(now))?;
+    let is_first = !request.kept.replace(true);
+    region.record_kept(now, KeepReason::Window(None), is_first);
+    Some(wait)
+}
+
 /// Whether the route allows the region of the key's owner. The region of an
 /// owner without an entry is unknown.
 fn allows_owner(
--- a/goldcrestramp-entry/src/traffic/pool.rs
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -144,7 +144,7 @@
             in_flight: server.in_flight(),
             latency,
         };
-        let region = if self.request.is_pooled_download() {
+        let region = if self.request.is_download() {
             self.state.bulk.of_domain(&entry.domain).cloned()
         } else {
             None
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -99,9 +99,9 @@
         text(&self.headers, names::ATTEMPT_ID).unwrap_or("")
     }
 
-    /// Whether it is a download that any server of its service may serve.
-    pub(crate) fn is_pooled_download(&self) -> bool {
-        self.slice.is_none() && self.route.effect == RouteEffect::Download
+    /// Whether its response is large.
+    pub(crate) fn is_download(&self) -> bool {
+        self.route.effect == RouteEffect::Download
     }
 
     /// The class by which response times of servers are learnt.
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -315,7 +315,7 @@
     let mut slot = server.enter(now, request, queue);
     let region = state.bulk_region(&server);
     if let Some(region) = &region
-        && request.is_pooled_download()
+        && request.is_download()
     {
         slot.transfer = Some(region.start(now, &request.route.name));
     }
