Bound the rise of the minimum connection time

Cause: the minimum of the last 10 s expires. On a link that is full for longer, the first connection after that sets the full delay as the minimum, and all windows grow although the link is full.

Change: the minimum rises by 15 ms in 10 s at most, and falls at once.

--- a/goldcrestramp-decisions/src/bulk.rs
+++ b/goldcrestramp-decisions/src/bulk.rs
@@ -42,8 +42,13 @@
 const HALVING_INTERVAL: TimeSpan = TimeSpan::from_millis(200);
 
 /// The minimum is taken over this many steps of one second.
+///
+/// In the same time it rises by `FREE_EXTRA_DELAY` at most. Otherwise, a link
+/// that is full for so long would look free at its full delay, and all windows
+/// would grow.
 const MINIMUM_STEPS: u64 = 10;
 const STEP: TimeSpan = TimeSpan::from_millis(1_000);
+const MINIMUM_TIME: TimeSpan = STEP.percent(100 * MINIMUM_STEPS);
 
 /// The longest time for which one connection's delay lets the window grow.
 const MAX_GROWTH_TIME: TimeSpan = TimeSpan::from_millis(1_000);
@@ -115,6 +120,9 @@
     paused_until: LocalTime,
     /// The shortest connection time of each step.
     minima: VecDeque<(u64, TimeSpan)>,
+    /// The connection time of the free link, as far as is known, and when it
+    /// was last changed.
+    minimum: Option<(TimeSpan, LocalTime)>,
     /// When the connection that was opened last was begun.
     connected_at: Option<LocalTime>,
     /// When a connection's outcome became known last.
@@ -141,6 +149,7 @@
             in_flight: 0,
             paused_until: now,
             minima: VecDeque::new(),
+            minimum: None,
             connected_at: None,
             sampled_at: None,
             halved_at: None,
@@ -386,10 +395,20 @@
             }
             _ => self.minima.push_back((step, took)),
         }
+        let recent = self.minima.iter().map(|(_step, minimum)| *minimum);
+        let recent = recent.min().unwrap_or(took);
+        self.minimum = Some(match self.minimum {
+            Some((known, _)) if recent <= known => (recent, now),
+            Some((known, at)) if now.since(at) >= MINIMUM_TIME => {
+                (recent.min(known.plus(FREE_EXTRA_DELAY)), now)
+            }
+            Some(unchanged) => unchanged,
+            None => (took, now),
+        });
     }
 
     fn minimum(&self) -> Option<TimeSpan> {
-        self.minima.iter().map(|(_step, minimum)| *minimum).min()
+        self.minimum.map(|(minimum, _changed_at)| minimum)
     }
 }
 
