Do not count refusals after the end of a pass as overload

Cause: a server refuses requests in flight when their slice moves or their grant ends, and the keeper took this for overload. In one traced run of a_drained_server_costs_no_request such a halving left 2 slots, both used by long responses, and the queue refused 45 requests as too late although nothing waited. That this refusal followed from ownership is inferred: 150 ms earlier the VM dropped 14 started requests whose pass was no longer valid.

Change: such a refusal leaves the limit as it is.

How many halvings remain was not measured. Tests of goldcrestramp-node and goldcrestramp-ownership pass.

--- a/goldcrestramp-node/src/keeper/admission/state.rs
+++ b/goldcrestramp-node/src/keeper/admission/state.rs
@@ -67,6 +67,9 @@
             SlotEnd::Refused => {
                 (CompletionOutcome::Refused, ServerSignal::Refused)
             }
+            SlotEnd::PassEnded => {
+                (CompletionOutcome::Refused, ServerSignal::Cancelled)
+            }
             SlotEnd::Unreachable => {
                 (CompletionOutcome::Refused, ServerSignal::Unreachable)
             }
--- a/goldcrestramp-node/src/keeper/service.rs
+++ b/goldcrestramp-node/src/keeper/service.rs
@@ -28,7 +28,7 @@
         recover::{self, LostRequest},
         request::ServerRequest,
         send,
-        slot::ServerSlot,
+        slot::{ServerSlot, SlotEnd},
         view::KeptServer,
     },
     routing::RouteTarget,
@@ -303,6 +303,7 @@
                 slice_moved,
             )
             .await;
+            self.check_refusal(kept, request, &mut call.slot);
         }
         cancel.disarm();
         // The outcome is recorded before the slice may be released, so that
@@ -314,6 +315,24 @@
         }
     }
 
+    /// Records that a refusal follows from ownership, if it does.
+    ///
+    /// While slices move or a grant is renewed late, requests in flight arrive
+    /// after the end of their pass. Counted as overload, their refusals halved
+    /// the slots of the servers that remained while another was drained.
+    fn check_refusal(
+        &self,
+        kept: &KeptServer,
+        request: &ServerRequest,
+        slot: &mut ServerSlot,
+    ) {
+        let now = self.context.now();
+        let view = self.context.view.load();
+        if slot.is_refused() && !view.is_current(now, kept, request.slice) {
+            slot.record_end(SlotEnd::PassEnded);
+        }
+    }
+
     /// Another server than the owner, if that fault is planted.
     fn wrong_server(&self, kept: &KeptServer) -> Option<KeptServer> {
         let planted = self.context.faults.has(PlantedFault::WrongServer);
--- a/goldcrestramp-node/src/keeper/slot.rs
+++ b/goldcrestramp-node/src/keeper/slot.rs
@@ -14,6 +14,9 @@
     Responded(TimeSpan),
     /// The server did not start the request.
     Refused,
+    /// The server did not start the request, whose pass had ended. This says
+    /// nothing about the server's load.
+    PassEnded,
     /// No connection could be made.
     Unreachable,
     /// The response was truncated or did not arrive.
@@ -79,6 +82,11 @@
         self.end = SlotEnd::Responded(latency);
     }
 
+    /// Whether the server did not start the request.
+    pub(crate) fn is_refused(&self) -> bool {
+        self.end == SlotEnd::Refused
+    }
+
     /// Records another end.
     pub(crate) const fn record_end(&mut self, end: SlotEnd) {
         self.end = end;
--- a/goldcrestramp-node/src/keeper/view.rs
+++ b/goldcrestramp-node/src/keeper/view.rs
@@ -48,6 +48,18 @@
         })
     }
 
+    /// Whether a request on `slice` that was sent to `kept` may still start
+    /// there.
+    pub(crate) fn is_current(
+        &self,
+        now: LocalTime,
+        kept: &KeptServer,
+        slice: SliceIndex,
+    ) -> bool {
+        let KeptServer { order, pass } = kept;
+        self.passes.is_current(now, &order.server, slice, pass)
+    }
+
     /// The server of this VM that may run requests on `slice` now.
     ///
     /// A VM keeps only a few servers, so a linear search is enough.
--- a/goldcrestramp-ownership/src/keeper/pass.rs
+++ b/goldcrestramp-ownership/src/keeper/pass.rs
@@ -24,6 +24,14 @@
     pub read_at: LocalTime,
 }
 
+impl SendPass {
+    /// Whether the grant has ended by the server's clock.
+    #[must_use]
+    pub fn has_ended(&self, now: LocalTime) -> bool {
+        self.server_clock + now.since(self.read_at) >= self.start_by
+    }
+}
+
 /// Why a request may not be sent to a server now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum PassRefusal {
@@ -74,4 +82,21 @@
         }
         Ok(passes.pass)
     }
+
+    /// Whether a request on `slice` that was sent to `server` with the pass
+    /// `sent` may still start there.
+    ///
+    /// If not, the server refuses it whatever its load.
+    #[must_use]
+    pub fn is_current(
+        &self,
+        now: LocalTime,
+        server: &ServerName,
+        slice: SliceIndex,
+        sent: &SendPass,
+    ) -> bool {
+        let same =
+            |pass: SendPass| pass.token == sent.token && pass.run == sent.run;
+        self.pass(now, server, slice).is_ok_and(same) && !sent.has_ended(now)
+    }
 }
--- a/goldcrestramp-ownership/tests/keeper.rs
+++ b/goldcrestramp-ownership/tests/keeper.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use goldcrestramp_ownership::{
-    GrantHolder, KeeperMachine, PermitAnswer, Safeguard, Safeguards,
-    ServerOrder, TermTiming,
+    GrantHolder, KeeperMachine, PassTable, PermitAnswer, Safeguard,
+    Safeguards, ServerOrder, TermTiming,
 };
 use goldcrestramp_types::{
     FenceToken, LocalTime, ServerName, ServerTime, ServiceName, SliceIndex,
@@ -157,3 +157,36 @@
         assert_eq!(report.servers.len() == 1, remembers);
     }
 }
+
+// A slice is released, or a grant is renewed late, while requests are on their
+// way. The server refuses them, which must not be taken for overload: a keeper
+// that did so halved the slots of servers while another one was drained.
+#[test]
+fn a_pass_is_not_current_after_a_release_or_its_end() {
+    let mut pair = KeptPair::new(Safeguards::default());
+    pair.permit(5_000, 1, &[slice()]);
+    pair.exchange(5_000);
+    pair.permit(5_010, 1, &[slice()]);
+    pair.exchange(5_010);
+    let sent = pair.keeper.passes(at(5_020));
+    let sent = sent.pass(at(5_020), &server(), slice());
+    let sent = sent.expect("slice is held");
+    let is_current = |passes: &PassTable, now: u64| {
+        passes.is_current(at(now), &server(), slice(), &sent)
+    };
+    let mut passes = pair.keeper.passes(at(5_500));
+    assert!(is_current(&passes, 5_500));
+
+    let kept = passes.servers.get_mut(&server()).expect("server is kept");
+    Arc::make_mut(kept).slices = Arc::default();
+    assert!(!is_current(&passes, 5_500), "the slice is released");
+
+    pair.permit(5_600, 1, &[slice()]);
+    pair.exchange(5_600);
+    let end = sent.start_by.as_micros().div_ceil(1_000);
+    let renewed = pair.keeper.passes(at(5_610));
+    assert!(is_current(&renewed, end - 1));
+    let newer = renewed.pass(at(end), &server(), slice());
+    assert!(newer.expect("pass is renewed").start_by > sent.start_by);
+    assert!(!is_current(&renewed, end), "the request has the former pass");
+}
