Wait for an update source that is busy with a large change

Cause: a VM gave its update source up after 0.8 s. The control thread of the source reads and builds a large change without a pause, on a busy machine for over a second, and responds to no call meanwhile. The VM then read the full change from the store. Two more causes had the same effect: the call was on its way for longer while the source was idle, and the copy of a source that had just read a large change counted as stale, because its age counts from when its watch was sent.

Change: after 0.5 s of silence a VM asks the traffic thread of its source whether its control thread is busy (GET /busy on the last inner port, a new request; the messages between VMs stay as they are). It waits for up to 2 s while the source is busy, and up to 1.2 s while it responds and is not. A source that does not respond to the question is given up after 0.8 s as before. An update with a configuration counts as fresh.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -32,6 +32,7 @@
   service.
 - [`choose_relay`]: the VM that sends a request for one that reaches no server.
 - [`BackoffReports`]: what the backoffs of all VMs tell about a server.
+- [`BusyWait`]: how long a VM waits for changes from a VM that is busy.
 - [`ServerNotices`]: what servers have stated to this VM in their responses.
 - [`CrashLedger`]: which requests are refused because servers ended under
   them.
@@ -49,6 +50,7 @@
 mod attempt_timeout;
 mod backoff_reports;
 pub mod baseline;
+mod busy_source;
 mod cold;
 mod crashes;
 mod deadline;
@@ -85,6 +87,7 @@
     attempt_budget::{AttemptBudget, BudgetSettings},
     attempt_timeout::{TimeoutInputs, attempt_timeout},
     backoff_reports::BackoffReports,
+    busy_source::BusyWait,
     cold::ColdAllowance,
     crashes::{CrashLedger, EndProof, LostAttempt, REPORT_ERROR, ServerCrash},
     deadline::{TransitEstimate, timeout_to_forward},
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -10,8 +10,8 @@
 use goldcrestramp_adapter::{StoreCall, StoreReply};
 use goldcrestramp_types::{ClockSource, MonotonicClock, TimeSpan};
 use tokio::{
-    task::JoinHandle,
-    time::{Instant, sleep, sleep_until, timeout},
+    task::{JoinError, JoinHandle},
+    time::{Instant, sleep, sleep_until, timeout_at},
 };
 use xtra::Address;
 
@@ -26,8 +26,7 @@
     },
     metrics::EntryMetrics,
     peers::{
-        KnownRevisions, PeerCall, PeerClient, PeerReply, SyncReply,
-        SyncRequest,
+        BusySource, PeerCall, PeerClient, PeerReply, SyncReply, SyncRequest,
     },
     store::{StoreClient, StoreFailure},
 };
@@ -48,7 +47,7 @@
 
 /// How long a VM that is queried for the first time may take to respond before
 /// the next source replaces it.
-const FIRST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+const FIRST_RESPONSE_TIMEOUT: TimeSpan = TimeSpan::from_millis(600);
 
 /// How long to wait for a full response before the next source is queried as
 /// well. The link of the first source may carry only a few kilobytes per
@@ -86,23 +85,21 @@
     control: Address<ControlActor>,
     address: SocketAddr,
     call: PeerCall,
-    /// How long the response may take to begin; `None` for the default
-    /// timeout.
-    head_timeout: Option<Duration>,
+    /// How long the response may take to begin while the VM is not busy;
+    /// `None` for the default timeout.
+    head_timeout: Option<TimeSpan>,
+    source: BusySource,
 }
 
 impl UpdateFetch {
     /// Fetches an update and sends it to the actor; returns whether there was
     /// a response.
     async fn run(self) -> bool {
-        let Self { peers, control, address, call, head_timeout } = self;
+        let Self { peers, control, address, call, head_timeout, source } =
+            self;
         let sent_at = MonotonicClock.now();
-        let reply = match head_timeout {
-            Some(head_timeout) => {
-                peers.call_within(address, &call, head_timeout).await
-            }
-            None => peers.call(address, &call).await,
-        };
+        let reply =
+            peers.call_while_busy(address, &call, head_timeout, source).await;
         let Some(received) = reply.and_then(PeerReply::into_update) else {
             return false;
         };
@@ -139,7 +136,7 @@
         let next = Instant::now() + MIN_WATCH_INTERVAL;
         let outcome = match step.source {
             UpdateSource::Peer(address, _revision) => {
-                return self.query_peer(address, step.known).await;
+                return self.query_peer(address, step).await;
             }
             UpdateSource::AwaitEntry => {
                 sleep(ENTRY_CHECK_INTERVAL).await;
@@ -170,32 +167,39 @@
     async fn query_peer(
         &mut self,
         address: SocketAddr,
-        known: KnownRevisions,
+        step: NextStep,
     ) -> Result<bool, ActorStopped> {
+        let NextStep { known, busy_address, .. } = step;
         // A VM that is queried for the first time responds at once, so several
         // that do not respond cost little time.
         let wait = self.followed == Some(address);
         let head_timeout =
             (!wait && known.revision > 0).then_some(FIRST_RESPONSE_TIMEOUT);
+        let busy = self.peers.busy_source(busy_address);
         let fetch = UpdateFetch {
             peers: self.peers.clone(),
             control: self.control.clone(),
             address,
             call: PeerCall::Sync(SyncRequest { known, wait }),
             head_timeout,
+            source: busy.clone(),
         };
         self.followed = None;
         let mut task = tokio::spawn(fetch.run());
-        let responded = match timeout(HEDGE_DELAY, &mut task).await {
-            Ok(responded) => responded,
-            Err(_elapsed) if self.has_slow_response() => task.await,
-            Err(_elapsed) => {
+        let responded = match await_response(&mut task, &busy).await {
+            Some(responded) => responded,
+            None if self.has_slow_response() => task.await,
+            None => {
                 self.metrics.news("peer-slow");
                 self.slow_response = Some(task);
                 self.notify(PeerTimedOut(address)).await?;
                 return Ok(true);
             }
         };
+        if busy.busy_at().is_some() {
+            self.metrics.news("peer-busy");
+            log::info!("[store] VM {address} was busy with a change.");
+        }
         if responded.unwrap_or(false) {
             self.metrics.news("peer");
             self.followed = Some(address);
@@ -266,3 +270,22 @@
         self.control.send(message).await.map_err(|_stopped| ActorStopped)
     }
 }
+
+/// Waits for a response, for [`HEDGE_DELAY`] since its source was last known
+/// to be busy; `None` if it takes longer.
+async fn await_response(
+    task: &mut JoinHandle<bool>,
+    busy: &BusySource,
+) -> Option<Result<bool, JoinError>> {
+    let mut limit = Instant::now() + HEDGE_DELAY;
+    loop {
+        if let Ok(responded) = timeout_at(limit, &mut *task).await {
+            return Some(responded);
+        }
+        let extended = busy.busy_at()? + HEDGE_DELAY;
+        if extended <= limit {
+            return None;
+        }
+        limit = extended;
+    }
+}
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -86,7 +86,11 @@
         _: &mut Context<Self>,
     ) -> NextStep {
         let source = self.next_source(now());
-        NextStep { source, known: self.known_revisions() }
+        NextStep {
+            source,
+            busy_address: self.busy_address(source),
+            known: self.known_revisions(),
+        }
     }
 }
 
@@ -135,7 +139,11 @@
             self.sync.record_response(now);
         }
         if let Some(source) = message.source {
-            self.sync.record_peer_response(now, source, message.fresh);
+            // The age of a VM's copy counts from when its watch was sent, so
+            // the copy looks old just after it has read a large change.
+            let changed = message.update.has_configuration();
+            let fresh = message.fresh || changed;
+            self.sync.record_peer_response(now, source, fresh);
         }
         let applied = self.apply_update(now, message.update);
         if applied.changed {
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -43,6 +43,9 @@
 #[derive(Debug)]
 pub(crate) struct NextStep {
     pub(crate) source: UpdateSource,
+    /// The address at which the source, if it is a VM, states whether it is
+    /// busy.
+    pub(crate) busy_address: Option<SocketAddr>,
     /// The revisions that this VM knows.
     pub(crate) known: KnownRevisions,
 }
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! One actor holds the state. Separate tasks make the calls and send it the
 //! results, so no decision waits for a socket.
 
+mod activity;
 mod actor;
 mod claim;
 mod crashes;
@@ -29,10 +30,12 @@
 use std::{sync::Arc, time::Duration};
 
 use goldcrestramp_adapter::NodeSettings;
+use goldcrestramp_types::{ClockSource, MonotonicClock};
 use tokio::{net::TcpListener, time::MissedTickBehavior};
 use xtra::{Address, Mailbox};
 
 pub use crate::control::{
+    activity::ControlActivity,
     actor::ControlActor,
     demand::{DemandReport, FleetShares, KeyShare, RetryCounts, ShareBoard},
     lease::LeaseTerms,
@@ -116,11 +119,11 @@
     tokio::spawn(keep_lease(store, me, min_ttl, terms, address.clone()));
     let source = PeerSource { control: address.clone(), revisions };
     tokio::spawn(serve_peers(peers, source));
-    tokio::spawn(tick(address.clone()));
+    tokio::spawn(tick(address.clone(), shared.activity));
     ControlHandle(address)
 }
 
-async fn tick(control: Address<ControlActor>) {
+async fn tick(control: Address<ControlActor>, activity: ControlActivity) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -128,5 +131,6 @@
         if control.send(ControlTick).await.is_err() {
             return;
         }
+        activity.record_sign(MonotonicClock.now());
     }
 }
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -1,6 +1,8 @@
 //! Chooses the source of a VM's store updates, builds updates for other VMs
 //! and applies theirs.
 
+use std::net::SocketAddr;
+
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 
 use crate::{
@@ -53,6 +55,19 @@
         self.sync.next(now, revision, peers)
     }
 
+    /// The address at which a source states whether it is busy, if it is a VM
+    /// that does.
+    pub(crate) fn busy_address(
+        &self,
+        source: UpdateSource,
+    ) -> Option<SocketAddr> {
+        let UpdateSource::Peer(address, _revision) = source else {
+            return None;
+        };
+        let mut vms = self.view.vms.iter();
+        vms.find(|vm| vm.address == address)?.relay_address
+    }
+
     /// The revisions of the store's contents that this VM knows.
     pub(crate) fn known_revisions(&self) -> KnownRevisions {
         KnownRevisions {
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -24,7 +24,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::{TcpSocket, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// The body of a request: bytes in memory, or the body of an incoming request
@@ -225,6 +225,21 @@
         request: CallRequest,
         reuse: ConnectionReuse,
         limit: Duration,
+    ) -> Result<CallResponse, CallFailure> {
+        self.call_until(request, reuse, async { sleep(limit).await }).await
+    }
+
+    /// Makes a call as [`Self::call`] does. The limit passes when `limit`
+    /// ends; it starts when the connection is open.
+    ///
+    /// # Errors
+    ///
+    /// A [`CallFailure`] when no complete response arrived.
+    pub async fn call_until(
+        &self,
+        request: CallRequest,
+        reuse: ConnectionReuse,
+        limit: impl Future<Output = ()>,
     ) -> Result<CallResponse, CallFailure> {
         let address = request.address;
         let sender = match self.take_idle(address).await {
@@ -238,12 +253,20 @@
         };
         let progress = CallProgress::begin();
         let max_bytes = self.max_response_bytes;
-        let exchange = exchange(sender, request, limit, max_bytes, &progress);
         let outcome = match self.scope {
-            TimeoutScope::ResponseHead => exchange.await,
-            TimeoutScope::FullResponse => timeout(limit, exchange)
-                .await
-                .unwrap_or(Err(CallFailure::TimedOut)),
+            TimeoutScope::ResponseHead => {
+                exchange(sender, request, limit, max_bytes, &progress).await
+            }
+            TimeoutScope::FullResponse => {
+                let unlimited = std::future::pending();
+                tokio::select! {
+                    biased;
+                    outcome = exchange(
+                        sender, request, unlimited, max_bytes, &progress,
+                    ) => outcome,
+                    () = limit => Err(CallFailure::TimedOut),
+                }
+            }
         };
         let (sender, response) = outcome.inspect_err(|failure| {
             if *failure == CallFailure::TimedOut {
@@ -353,13 +376,17 @@
 async fn exchange(
     mut sender: ConnectionSender,
     request: CallRequest,
-    limit: Duration,
+    limit: impl Future<Output = ()>,
     max_response_bytes: usize,
     progress: &CallProgress,
 ) -> Result<(ConnectionSender, CallResponse), CallFailure> {
     let timed_out = |_elapsed| CallFailure::TimedOut;
     let sent = sender.try_send_request(http_request(request));
-    let sent = timeout(limit, sent).await.map_err(timed_out)?;
+    let sent = tokio::select! {
+        biased;
+        sent = sent => sent,
+        () = limit => return Err(CallFailure::TimedOut),
+    };
     let response = sent.map_err(|mut error| match error.take_message() {
         Some(_unsent) => CallFailure::NotSent,
         None => CallFailure::Unknown,
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -1,28 +1,31 @@
 //! A client for calls to other VMs.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
+use goldcrestramp_types::TimeSpan;
 use http::{HeaderMap, Method};
+use tokio::time::sleep;
 
 use crate::{
     http::{CallPool, CallRequest, CloseMode, ConnectionReuse, TimeoutScope},
     peers::{
         PEER_PATH,
+        busy::{BusySource, question_pool},
         message::{PeerCall, PeerReply},
     },
 };
 
 /// The default timeout of a call. Between regions a call takes 24 ms; a VM
 /// that takes longer than this is overloaded.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: TimeSpan = TimeSpan::from_millis(1_000);
 
 /// The timeout of a call that waits for changes. Its response begins at once
 /// or within 0.4 s.
-const UPDATE_TIMEOUT: Duration = Duration::from_millis(800);
+const UPDATE_TIMEOUT: TimeSpan = TimeSpan::from_millis(800);
 
 /// The timeout of a call for the full store, whose response begins later
 /// because it takes longer to build.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_secs(2);
+const SNAPSHOT_TIMEOUT: TimeSpan = TimeSpan::from_millis(2_000);
 
 /// A snapshot of the store is some hundred kilobytes at most.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -31,6 +34,8 @@
 #[derive(Clone, Debug)]
 pub struct PeerClient {
     pool: Arc<CallPool>,
+    /// For the question whether a VM is busy.
+    questions: Arc<CallPool>,
 }
 
 impl PeerClient {
@@ -42,7 +47,8 @@
             TimeoutScope::ResponseHead,
             MAX_RESPONSE_BYTES,
         );
-        Self { pool: Arc::new(pool) }
+        let questions = Arc::new(question_pool());
+        Self { pool: Arc::new(pool), questions }
     }
 
     /// Makes a call with the timeout of its kind; returns `None` if no
@@ -52,20 +58,40 @@
         address: SocketAddr,
         call: &PeerCall,
     ) -> Option<PeerReply> {
-        let head_timeout = match call.sync_request() {
-            Some(sync) if sync.known.revision == 0 => SNAPSHOT_TIMEOUT,
-            Some(sync) if sync.wait => UPDATE_TIMEOUT,
-            _ => CALL_TIMEOUT,
-        };
-        self.call_within(address, call, head_timeout).await
+        let limit = sleep_for(head_timeout(call));
+        self.call_until(address, call, limit).await
+    }
+
+    /// A VM that is waited for while it is busy, and that is asked at
+    /// `address`.
+    pub(crate) fn busy_source(
+        &self,
+        address: Option<SocketAddr>,
+    ) -> BusySource {
+        BusySource::new(address, Arc::clone(&self.questions))
     }
 
-    /// Makes a call whose response must begin within `head_timeout`.
-    pub async fn call_within(
+    /// Makes a call whose response must begin within `timeout`, the timeout of
+    /// its kind if that is `None`, or later while `source`, which is the
+    /// called VM, is busy.
+    pub(crate) async fn call_while_busy(
         &self,
         address: SocketAddr,
         call: &PeerCall,
-        head_timeout: Duration,
+        timeout: Option<TimeSpan>,
+        source: BusySource,
+    ) -> Option<PeerReply> {
+        let timeout = timeout.unwrap_or_else(|| head_timeout(call));
+        let limit = source.wait(timeout);
+        self.call_until(address, call, limit).await
+    }
+
+    /// Makes a call whose response must begin before `limit` ends.
+    async fn call_until(
+        &self,
+        address: SocketAddr,
+        call: &PeerCall,
+        limit: impl Future<Output = ()>,
     ) -> Option<PeerReply> {
         let body = postcard::to_allocvec(call).ok()?;
         let request = CallRequest {
@@ -77,9 +103,23 @@
         };
         let response = self
             .pool
-            .call(request, ConnectionReuse::Any, head_timeout)
+            .call_until(request, ConnectionReuse::Any, limit)
             .await
             .ok()?;
         postcard::from_bytes(&response.body).ok()
     }
 }
+
+/// How long the response to a call may take to begin.
+const fn head_timeout(call: &PeerCall) -> TimeSpan {
+    match call.sync_request() {
+        Some(sync) if sync.known.revision == 0 => SNAPSHOT_TIMEOUT,
+        Some(sync) if sync.wait => UPDATE_TIMEOUT,
+        _ => CALL_TIMEOUT,
+    }
+}
+
+/// Sleeps for `span` from the first poll on.
+async fn sleep_for(span: TimeSpan) {
+    sleep(span.to_std()).await;
+}
--- a/goldcrestramp-entry/src/peers/message.rs
+++ b/goldcrestramp-entry/src/peers/message.rs
@@ -111,6 +111,16 @@
 }
 
 impl StoreUpdate {
+    /// Whether the update contains a change of the configuration.
+    #[must_use]
+    pub const fn has_configuration(&self) -> bool {
+        match self {
+            Self::Unchanged => false,
+            Self::Delta { configuration, .. }
+            | Self::Snapshot { configuration, .. } => configuration.is_some(),
+        }
+    }
+
     /// The configuration in the update, if it has any.
     const fn configuration(&mut self) -> Option<&mut ConfigurationUpdate> {
         match self {
--- a/goldcrestramp-entry/src/peers/mod.rs
+++ b/goldcrestramp-entry/src/peers/mod.rs
@@ -4,10 +4,12 @@
 //! store does not serve gets its updates from another, tables reach all VMs as
 //! soon as they are committed, and the planning VM gets load reports.
 
+mod busy;
 mod client;
 mod message;
 mod server;
 
+pub(crate) use crate::peers::busy::{BUSY_PATH, BusySource};
 pub use crate::peers::{
     client::PeerClient,
     message::{
--- a/goldcrestramp-entry/src/shared.rs
+++ b/goldcrestramp-entry/src/shared.rs
@@ -4,7 +4,10 @@
 use std::sync::Arc;
 
 use crate::{
-    control::{FreshnessClock, LoadRecorder, PermitMailbox, ShareBoard},
+    control::{
+        ControlActivity, FreshnessClock, LoadRecorder, PermitMailbox,
+        ShareBoard,
+    },
     crashes::CrashBoard,
     metrics::EntryMetrics,
     notices::NoticeBoard,
@@ -24,6 +27,8 @@
     pub metrics: Arc<EntryMetrics>,
     /// The time up to which the store's changes are known.
     pub clock: FreshnessClock,
+    /// Whether the control thread is busy.
+    pub activity: ControlActivity,
     /// What servers have stated in their responses.
     pub notices: NoticeBoard,
     /// The requests under which servers have ended.
--- a/goldcrestramp-entry/src/traffic/relay_connection.rs
+++ b/goldcrestramp-entry/src/traffic/relay_connection.rs
@@ -2,15 +2,21 @@
 
 use std::{convert::Infallible, rc::Rc};
 
-use http::Request;
+use bytes::Bytes;
+use goldcrestramp_types::{ClockSource, MonotonicClock};
+use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, pin, sync::watch};
 
 use crate::{
+    peers::BUSY_PATH,
     run::StopPhase,
     traffic::{
-        ConnectionGuard, listener::wait_for_last_read, relay::serve_passed,
+        ConnectionGuard,
+        listener::wait_for_last_read,
+        relay::{ENVELOPE, serve_passed},
+        response::{ResponseBody, full_response},
         state::TrafficState,
     },
 };
@@ -34,7 +40,7 @@
     }
     let service = service_fn(move |request: Request<Incoming>| {
         let state = Rc::clone(&state);
-        async move { Ok::<_, Infallible>(serve_passed(&state, request).await) }
+        async move { Ok::<_, Infallible>(serve_request(&state, request).await) }
     });
     let connection = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
@@ -52,3 +58,22 @@
         log::debug!("[relay] A connection ended: {error}.");
     }
 }
+
+/// Serves a request that another VM passed on, or its question whether the
+/// control thread is busy.
+async fn serve_request(
+    state: &Rc<TrafficState>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let is_question = request.uri().path() == BUSY_PATH
+        && !request.headers().contains_key(ENVELOPE);
+    if !is_question {
+        return serve_passed(state, request).await;
+    }
+    let status = if state.activity.is_busy(MonotonicClock.now()) {
+        StatusCode::OK
+    } else {
+        StatusCode::NO_CONTENT
+    };
+    full_response(status, HeaderMap::new(), Bytes::new())
+}
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -20,7 +20,10 @@
 use tokio::sync::watch;
 
 use crate::{
-    control::{FreshnessClock, LoadRecorder, PermitMailbox, ShareBoard},
+    control::{
+        ControlActivity, FreshnessClock, LoadRecorder, PermitMailbox,
+        ShareBoard,
+    },
     crashes::CrashBoard,
     metrics::EntryMetrics,
     notices::NoticeBoard,
@@ -92,6 +95,8 @@
     /// The suspect requests that are at work at a server.
     pub(super) suspects: SuspectSet,
     pub(crate) reach: ReachTracker,
+    /// Whether the control thread is busy.
+    pub(super) activity: ControlActivity,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
     pub(super) servers: RefCell<FastMap<ServerInstance, Rc<ServerState>>>,
@@ -127,6 +132,7 @@
             crashes: shared.crashes,
             suspects: SuspectSet::default(),
             reach: shared.reach,
+            activity: shared.activity,
             views,
             phase,
             servers: RefCell::default(),
