Test that an idle source says so and a frozen one is replaced in time

Guards against followers that wait for a VM which is not busy, and against a frozen source (SIGSTOP) that is waited for like a busy one: a changed configuration is in force on its follower within 2 s.

--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -2,6 +2,7 @@
 //! backend servers.
 
 mod backoff;
+mod busy;
 mod callers;
 mod cluster;
 mod configuration;
