Do not take a full link for a cut while load control is on

Cause: on a full link no probe gets a connection within 250 ms, so a VM that still gets responses counted as partitioned, and a planner gave up its role.

Change: a round of probes that fails makes the VM partitioned only if no response of a server of the service arrived in it, from 50 ms after its begin on; sooner ones may have been in flight when the link was cut. Probes of earlier rounds may still get a connection for 1.5 s. The planner's delay counts from its last answered order to the service. The rule is a setting of the monitor; the rule of today stays the default and applies while load control is off. New metric goldcrestramp_slow_link_rounds_total.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -30,6 +30,7 @@
 - [`server_share`]: the requests that one VM may have in flight at a server.
 - [`ReachMonitor`]: whether a VM has lost its links to the servers of a
   service.
+- [`PlannerReach`]: whether a partitioned planner gives up its role.
 - [`choose_relay`]: the VM that sends a request for one that reaches no server.
 - [`BackoffReports`]: what the backoffs of all VMs tell about a server.
 - [`BusyWait`]: how long a VM waits for changes from a VM that is busy.
@@ -111,7 +112,7 @@
     rate::{
         FleetPosition, PermitGrant, PermitRequest, RateAllowance, RateLedger,
     },
-    reach::{ReachEvent, ReachMonitor},
+    reach::{PlannerReach, ReachEvent, ReachMonitor, ReachRule},
     reader::is_reader_stalled,
     rebalancing::{
         PlacedRange, RangeLoad, RangeMove, RebalanceSettings, TargetLoad,
--- a/goldcrestramp-decisions/src/reach.rs
+++ b/goldcrestramp-decisions/src/reach.rs
@@ -10,6 +10,11 @@
 //! connections to servers drawn from all of the service. An overloaded server
 //! still accepts a connection. Only if none of the probes gets one, the VM
 //! counts as partitioned from the service.
+//!
+//! On a full link, a connection takes several round trips of over a second,
+//! and no probe gets one either. With [`ReachRule::ProbesAndResponses`], a
+//! response that arrives in a round of probes proves that the link is slow and
+//! not cut, and another round follows.
 
 use std::hash::Hash;
 
@@ -27,6 +32,25 @@
 /// are overloaded rather than out of reach.
 const PROBE_INTERVAL: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// A response that arrives this soon after a round of probes began may have
+/// been in flight when the link was cut: two round trips between regions.
+const IN_FLIGHT_TIME: TimeSpan = TimeSpan::from_millis(50);
+
+/// How long a planner may be partitioned before it gives up the role: another
+/// round of probes fails meanwhile.
+const HANDOVER_DELAY: TimeSpan = TimeSpan::from_millis(400);
+
+/// When a VM counts as partitioned.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ReachRule {
+    /// A round of probes has failed.
+    #[default]
+    Probes,
+    /// A round of probes has failed, and no response of a server has arrived
+    /// in it.
+    ProbesAndResponses,
+}
+
 /// What happened on the way to a server.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReachEvent {
@@ -79,6 +103,11 @@
     /// to any server was.
     unconnected: FastSet<Server>,
     stage: ReachStage,
+    rule: ReachRule,
+    /// When the current round of probes began.
+    round_at: LocalTime,
+    /// When the last response of any server arrived.
+    responded_at: Option<LocalTime>,
 }
 
 impl<Server> Default for ReachMonitor<Server> {
@@ -88,11 +117,20 @@
             unanswered: FastMap::default(),
             unconnected: FastSet::default(),
             stage: ReachStage::Reached { probe_after },
+            rule: ReachRule::default(),
+            round_at: LocalTime::default(),
+            responded_at: None,
         }
     }
 }
 
 impl<Server: Eq + Hash> ReachMonitor<Server> {
+    /// A monitor with a rule other than the default.
+    #[must_use]
+    pub fn with_rule(rule: ReachRule) -> Self {
+        Self { rule, ..Self::default() }
+    }
+
     /// Records what happened on the way to a server.
     ///
     /// Neither a response nor a connection ends a partition, as open
@@ -108,7 +146,10 @@
             ReachEvent::Started => {
                 self.unanswered.entry(server).or_insert(now + SILENCE);
             }
-            ReachEvent::Responded => self.unanswered.clear(),
+            ReachEvent::Responded => {
+                self.unanswered.clear();
+                self.responded_at = Some(now);
+            }
             ReachEvent::Broken => {
                 self.unanswered.insert(server, now);
             }
@@ -142,10 +183,25 @@
         );
         if due {
             self.stage = ReachStage::Probing { since: now };
+            self.round_at = now;
         }
         due
     }
 
+    /// Records that the next round of probes begins.
+    pub const fn begin_round(&mut self, now: LocalTime) {
+        self.round_at = now;
+    }
+
+    /// When the last response arrived that proves the link, if it did in the
+    /// current round of probes.
+    fn response_in_round(&self) -> Option<LocalTime> {
+        let counted_from = self.round_at + IN_FLIGHT_TIME;
+        self.responded_at.filter(|at| {
+            self.rule == ReachRule::ProbesAndResponses && *at >= counted_from
+        })
+    }
+
     /// Records the result of a round of probes: whether any of them opened a
     /// connection. Returns whether the state of the partition has changed.
     pub fn record_probes(&mut self, now: LocalTime, reached: bool) -> bool {
@@ -158,7 +214,10 @@
                 ReachStage::Reached { probe_after }
             }
             (ReachStage::Probing { since }, false) => {
-                ReachStage::Partitioned { since }
+                match self.response_in_round() {
+                    Some(since) => ReachStage::Probing { since },
+                    None => ReachStage::Partitioned { since },
+                }
             }
             (unchanged, false) => unchanged,
         };
@@ -176,3 +235,40 @@
         }
     }
 }
+
+/// Whether a planner that is partitioned from the servers of a service gives
+/// up its role.
+///
+/// Orders have connections of their own, so a response to one proves that the
+/// planner still reaches servers, whatever the probes show.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlannerReach {
+    /// When the last order to a server of the service was answered.
+    answered_at: Option<LocalTime>,
+}
+
+impl PlannerReach {
+    /// Records that an order was answered.
+    pub const fn record_answer(&mut self, now: LocalTime) {
+        self.answered_at = Some(now);
+    }
+
+    /// Whether to give up the role at `now`, after the VM has been partitioned
+    /// since `since`. With [`ReachRule::ProbesAndResponses`], the delay counts
+    /// from the last answered order.
+    #[must_use]
+    pub fn gives_up(
+        &self,
+        now: LocalTime,
+        since: LocalTime,
+        rule: ReachRule,
+    ) -> bool {
+        let from = match (rule, self.answered_at) {
+            (ReachRule::ProbesAndResponses, Some(answered_at)) => {
+                since.max(answered_at)
+            }
+            _ => since,
+        };
+        now.since(from) >= HANDOVER_DELAY
+    }
+}
--- a/goldcrestramp-entry/src/control/reach.rs
+++ b/goldcrestramp-entry/src/control/reach.rs
@@ -15,10 +15,6 @@
     records::PLANNER_KEY,
 };
 
-/// How long a planner may be partitioned before it gives up the role: another
-/// round of probes fails meanwhile.
-const HANDOVER_DELAY: TimeSpan = TimeSpan::from_millis(400);
-
 /// How much longer than other VMs one that is partitioned waits before it
 /// claims to be the planner. If it claims at all, every VM is.
 pub(crate) const PARTITIONED_CLAIM_DELAY: TimeSpan =
@@ -31,26 +27,39 @@
 impl ControlActor {
     /// Whether this VM is partitioned from the servers of a sharded service.
     pub(crate) fn is_partitioned(&self) -> bool {
-        self.longest_partition(LocalTime::default()).is_some()
+        !self.partitions().is_empty()
     }
 
-    /// How long this VM has been partitioned from the servers of a sharded
-    /// service; `None` if it reaches those of all.
-    fn longest_partition(&self, now: LocalTime) -> Option<TimeSpan> {
-        let routes = self.view.routes.as_ref()?;
+    /// The sharded services from whose servers this VM is partitioned, each
+    /// with the time since when it is.
+    fn partitions(&self) -> Vec<(&str, LocalTime)> {
+        let Some(routes) = &self.view.routes else { return Vec::new() };
         let sharded = routes.sharded();
-        let since = sharded.filter_map(|s| self.reach.partitioned_since(s));
-        since.map(|since| now.since(since)).max()
+        let partitioned = sharded.filter_map(|service| {
+            Some((&**service, self.reach.partitioned_since(service)?))
+        });
+        partitioned.collect()
+    }
+
+    /// Whether the planner has been partitioned for long enough to give up its
+    /// role.
+    fn is_partition_long(&self, now: LocalTime) -> bool {
+        let Some(term) = &self.term else { return false };
+        let rule = self.reach.rule();
+        self.partitions().into_iter().any(|(service, since)| {
+            let answers = term.answers.get(service).copied();
+            answers.unwrap_or_default().gives_up(now, since, rule)
+        })
     }
 
     /// Gives up the role of the planner if this VM no longer reaches the
     /// servers, and another VM may.
     pub(crate) fn hand_over_if_partitioned(&mut self, now: LocalTime) {
-        let partition = self.longest_partition(now);
+        let is_partitioned = self.is_partitioned();
+        let is_long = is_partitioned && self.is_partition_long(now);
         let is_alone = self.view.vms.len() < 2;
         if let Some(term) = &mut self.term {
-            term.has_reached_servers |= partition.is_none();
-            let is_long = partition.is_some_and(|p| p >= HANDOVER_DELAY);
+            term.has_reached_servers |= !is_partitioned;
             if !is_long || is_alone || !term.has_reached_servers {
                 return;
             }
@@ -98,7 +107,18 @@
     }
 
     /// Records what an order showed about the way to its server.
-    pub(crate) fn record_reach(&self, ended: &OrderEnded, event: ReachEvent) {
+    pub(crate) fn record_reach(
+        &mut self,
+        now: LocalTime,
+        ended: &OrderEnded,
+        event: ReachEvent,
+    ) {
+        if let Some(term) = &mut self.term
+            && event == ReachEvent::Responded
+        {
+            let service = Arc::clone(&ended.service);
+            term.answers.entry(service).or_default().record_answer(now);
+        }
         let server = &ended.order.instance.id;
         let views = self.view_sender.subscribe();
         self.reach.record(&ended.service, server, event, &views);
--- a/goldcrestramp-entry/src/control/term.rs
+++ b/goldcrestramp-entry/src/control/term.rs
@@ -9,7 +9,9 @@
 use goldcrestramp_assignment::{
     AssignmentTable, HolderStatus, OrderKind, OrderOutcome, ServerInstance,
 };
-use goldcrestramp_decisions::{BackoffReports, RateLedger, ReachEvent};
+use goldcrestramp_decisions::{
+    BackoffReports, PlannerReach, RateLedger, ReachEvent,
+};
 use goldcrestramp_types::{FastMap, FastSet, LocalTime, TimeSpan};
 use xtra::Address;
 
@@ -67,6 +69,8 @@
     /// Whether this VM has reached the servers since the term began. A VM that
     /// has not claimed as no other one did, and keeps the term.
     pub(crate) has_reached_servers: bool,
+    /// The answered orders by service.
+    pub(crate) answers: ByService<PlannerReach>,
 }
 
 impl Drop for PlannerTerm {
@@ -94,6 +98,7 @@
             backoffs: BackoffReports::default(),
             gate: Arc::default(),
             has_reached_servers: false,
+            answers: ByService::default(),
         }
     }
 
@@ -417,7 +422,7 @@
         plan.planner.order_ended(now, &ended.order, &ended.outcome);
         let may_connect = now < term.proof + LEASE_TTL;
         if let Some(event) = reach_event(&ended.outcome, may_connect) {
-            self.record_reach(ended, event);
+            self.record_reach(now, ended, event);
         }
         log_order(ended);
         let release = ended.order.kind == OrderKind::Release;
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -77,6 +77,8 @@
     pub servers: Gauge,
     /// The number of services whose servers this VM does not reach.
     pub partitions: Gauge,
+    /// The number of rounds of probes that failed while responses arrived.
+    pub slow_rounds: Counter,
     /// 1 while this VM plans assignments, else 0.
     pub planning: Gauge,
     /// The number of key ranges that servers released.
@@ -109,6 +111,7 @@
             vms: Gauge::default(),
             servers: Gauge::default(),
             partitions: Gauge::default(),
+            slow_rounds: Counter::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
             pipelined: Counter::default(),
@@ -192,6 +195,11 @@
             "Refusals with which a server requested a backoff",
             self.backoffs.clone(),
         );
+        registry.register(
+            "slow_link_rounds",
+            "Rounds of probes that failed while responses arrived",
+            self.slow_rounds.clone(),
+        );
         registry.register(
             "request_seconds",
             "Times of requests by service and part of the way",
--- a/goldcrestramp-entry/src/reach.rs
+++ b/goldcrestramp-entry/src/reach.rs
@@ -2,7 +2,8 @@
 //!
 //! Both threads report what happens on their connections to servers. When
 //! that calls for probes, they are sent here, and repeated until one of them
-//! opens a connection.
+//! opens a connection. While load control is on, a probe may take as long as a
+//! connection takes on a full link.
 
 use std::{
     net::SocketAddr,
@@ -13,18 +14,29 @@
     time::Duration,
 };
 
-use goldcrestramp_decisions::{ReachEvent, ReachMonitor};
+use goldcrestramp_decisions::{ReachEvent, ReachMonitor, ReachRule};
 use goldcrestramp_types::{ClockSource, FastMap, LocalTime, MonotonicClock};
+use prometheus_client::metrics::counter::Counter;
 use rand::seq::IndexedRandom;
-use tokio::{sync::watch, task::JoinSet, time::sleep};
+use tokio::{
+    sync::watch,
+    task::JoinSet,
+    time::{sleep, timeout},
+};
 
 use crate::{http::can_connect, view::FleetView};
 
 /// The number of servers that are probed at once.
 const PROBED_SERVERS: usize = 4;
 
-/// The timeout of a probe: several round trips between regions.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a round of probes lasts, and the timeout of a probe while load
+/// control is off: several round trips between regions.
+const ROUND_TIME: Duration = Duration::from_millis(250);
+
+/// The timeout of a probe while load control is on. On a full link a
+/// connection takes over a second. At most 24 probes of a service are open at
+/// a time.
+const SLOW_PROBE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The delay between two rounds of probes while this VM is partitioned.
 const REPROBE_DELAY: Duration = Duration::from_millis(300);
@@ -40,6 +52,10 @@
     /// The services whose servers are reached again, until they are taken.
     restored: Mutex<Vec<Arc<str>>>,
     changes: watch::Sender<()>,
+    /// When this VM counts as partitioned.
+    rule: ReachRule,
+    /// The rounds of probes that failed while responses arrived.
+    slow_rounds: Counter,
 }
 
 /// The reach of this VM towards the servers; a clone refers to the same state.
@@ -48,16 +64,34 @@
 
 impl Default for ReachTracker {
     fn default() -> Self {
+        Self::open(ReachRule::default(), Counter::default())
+    }
+}
+
+impl ReachTracker {
+    /// A tracker with this rule; it counts the rounds of probes that failed
+    /// while responses arrived.
+    #[must_use]
+    pub fn open(rule: ReachRule, slow_rounds: Counter) -> Self {
         Self(Arc::new(ReachState {
             services: Mutex::default(),
             partitions: AtomicUsize::new(0),
             restored: Mutex::default(),
             changes: watch::channel(()).0,
+            rule,
+            slow_rounds,
         }))
     }
-}
 
-impl ReachTracker {
+    /// When this VM counts as partitioned.
+    pub(crate) fn rule(&self) -> ReachRule {
+        self.0.rule
+    }
+
+    fn new_monitor(&self) -> ReachMonitor<Arc<str>> {
+        ReachMonitor::with_rule(self.0.rule)
+    }
+
     /// Records what happened on the way to a server, and probes the service's
     /// servers if this VM may be partitioned from them.
     pub(crate) fn record(
@@ -71,7 +105,9 @@
         let servers = server_count(&views.borrow(), service);
         let probes = {
             let mut services = self.lock();
-            let monitor = services.entry(Arc::clone(service)).or_default();
+            let monitor = services
+                .entry(Arc::clone(service))
+                .or_insert_with(|| self.new_monitor());
             monitor.record(now, Arc::clone(server), event);
             monitor.try_probe(now, servers)
         };
@@ -124,17 +160,65 @@
 
     /// Probes servers until one accepts a connection.
     async fn probe(self, service: Arc<str>, views: FleetViews) {
+        let mut probes = JoinSet::new();
+        let mut is_slow = false;
         loop {
             let addresses = probe_addresses(&views.borrow(), &service);
+            self.begin_round(&service);
             // A service that has no servers any more is not out of reach.
-            let reached = addresses.is_empty() || any_accepts(addresses).await;
+            let reached = addresses.is_empty()
+                || self.any_accepts(&mut probes, addresses).await;
             if self.record_probes(&service, reached) && !reached {
                 self.probe_other_services(&service, &views);
             }
             if reached {
                 return;
             }
-            sleep(REPROBE_DELAY).await;
+            if self.is_partitioned(&service) {
+                sleep(REPROBE_DELAY).await;
+            } else {
+                self.0.slow_rounds.inc();
+                if !is_slow {
+                    is_slow = true;
+                    log::info!(
+                        "[reach] No probe of {service} got a connection in \
+                         time; responses still arrive."
+                    );
+                }
+            }
+        }
+    }
+
+    /// Whether a probe of this round, or one of an earlier round that is still
+    /// open, gets a connection within [`ROUND_TIME`].
+    async fn any_accepts(
+        &self,
+        probes: &mut JoinSet<bool>,
+        addresses: Vec<SocketAddr>,
+    ) -> bool {
+        let limit = match self.0.rule {
+            ReachRule::Probes => ROUND_TIME,
+            ReachRule::ProbesAndResponses => SLOW_PROBE_TIMEOUT,
+        };
+        for address in addresses {
+            probes.spawn(can_connect(address, limit));
+        }
+        let accepted = async {
+            while let Some(accepted) = probes.join_next().await {
+                if accepted.unwrap_or(false) {
+                    return true;
+                }
+            }
+            false
+        };
+        timeout(ROUND_TIME, accepted).await.unwrap_or(false)
+    }
+
+    /// Records that a round of probes begins.
+    fn begin_round(&self, service: &str) {
+        let now = MonotonicClock.now();
+        if let Some(monitor) = self.lock().get_mut(service) {
+            monitor.begin_round(now);
         }
     }
 
@@ -176,7 +260,9 @@
         for name in others.filter(|name| server_count(&view, name) >= 2) {
             let begins = {
                 let mut services = self.lock();
-                let monitor = services.entry(Arc::clone(name)).or_default();
+                let monitor = services
+                    .entry(Arc::clone(name))
+                    .or_insert_with(|| self.new_monitor());
                 monitor.begin_probe(now)
             };
             if begins {
@@ -204,17 +290,3 @@
     let drawn = ready.choose_multiple(&mut rand::rng(), PROBED_SERVERS);
     drawn.map(|entry| entry.address).collect()
 }
-
-/// Whether any of the addresses accepts a connection.
-async fn any_accepts(addresses: Vec<SocketAddr>) -> bool {
-    let mut probes = JoinSet::new();
-    for address in addresses {
-        probes.spawn(can_connect(address, PROBE_TIMEOUT));
-    }
-    while let Some(accepted) = probes.join_next().await {
-        if accepted.unwrap_or(false) {
-            return true;
-        }
-    }
-    false
-}
--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -110,7 +110,7 @@
     );
     let (views, view) = watch::channel(Arc::<FleetView>::default());
     let (phases, phase) = watch::channel(StopPhase::Serving);
-    let shared = SharedState::default();
+    let shared = SharedState::open(&settings);
     let control = start_control(
         &settings,
         shared.clone(),
--- a/goldcrestramp-entry/src/shared.rs
+++ b/goldcrestramp-entry/src/shared.rs
@@ -3,6 +3,9 @@
 
 use std::sync::Arc;
 
+use goldcrestramp_adapter::NodeSettings;
+use goldcrestramp_decisions::ReachRule;
+
 use crate::{
     control::{
         ControlActivity, FreshnessClock, LoadRecorder, PermitMailbox,
@@ -36,3 +39,18 @@
     /// Whether this VM reaches the servers of each service.
     pub reach: ReachTracker,
 }
+
+impl SharedState {
+    /// The state of a VM with these settings.
+    #[must_use]
+    pub fn open(settings: &NodeSettings) -> Self {
+        let rule = if settings.load_control {
+            ReachRule::ProbesAndResponses
+        } else {
+            ReachRule::Probes
+        };
+        let metrics = Arc::<EntryMetrics>::default();
+        let reach = ReachTracker::open(rule, metrics.slow_rounds.clone());
+        Self { metrics, reach, ..Self::default() }
+    }
+}
