Ask VMs of the own region before the store while load control is on

Cause: VMs whose update sources did not respond all read the store at the same time, over a link that was full already.

Change: such a VM asks VMs of its own region first. The VM that follows the store for its failure domain, and a VM that starts, read as before. New metric goldcrestramp_deferred_store_reads_total.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -34,6 +34,7 @@
 - [`choose_relay`]: the VM that sends a request for one that reaches no server.
 - [`BackoffReports`]: what the backoffs of all VMs tell about a server.
 - [`BusyWait`]: how long a VM waits for changes from a VM that is busy.
+- [`StoreReadInputs`]: when a VM whose update sources fail reads the store.
 - [`ServerNotices`]: what servers have stated to this VM in their responses.
 - [`CrashLedger`]: which requests are refused because servers ended under
   them.
@@ -74,6 +75,7 @@
 mod retry;
 mod round_robin;
 mod share;
+mod store_read;
 mod subset;
 mod times;
 mod work;
@@ -125,6 +127,7 @@
     },
     round_robin::WeightedRoundRobin,
     share::{is_crowded, server_share, window_share},
+    store_read::{StoreReadInputs, StoreReadStep},
     subset::ServerWindow,
     times::ResponseTimes,
     work::WorkEstimate,
--- a/goldcrestramp-entry/src/control/actor.rs
+++ b/goldcrestramp-entry/src/control/actor.rs
@@ -72,6 +72,10 @@
     pub(crate) grant_duration: TimeSpan,
     /// Whether capacity that all VMs share is allotted to them.
     pub(crate) load_control: bool,
+    /// The time within which a configuration must be in force.
+    pub(crate) configuration_limit: TimeSpan,
+    /// Since when this VM has deferred a read of the store, if it does.
+    pub(crate) deferred_since: Option<LocalTime>,
     pub(crate) store: Arc<StoreClient>,
     pub(crate) orders: Arc<CallPool>,
     pub(crate) peers: PeerClient,
@@ -138,6 +142,8 @@
             regions: settings.regions.clone(),
             grant_duration: GRANT_DURATION.min(settings.max_grant_duration),
             load_control: settings.load_control,
+            configuration_limit: settings.configuration_limit,
+            deferred_since: None,
             store,
             orders: Arc::new(orders),
             peers: PeerClient::open(),
--- a/goldcrestramp-entry/src/control/follow.rs
+++ b/goldcrestramp-entry/src/control/follow.rs
@@ -57,6 +57,10 @@
 /// How often a starting VM checks whether its own entry is in the store.
 const ENTRY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// How often a VM that waits for another one to read the store checks whether
+/// it is to read the store itself.
+const DEFERRAL_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Delays after a failure. The first is short, because one lost response is
 /// not an outage. All VMs reconnect at the same time, so jitter spreads
 /// each delay over half of its length.
@@ -134,7 +138,11 @@
     /// Fetches the next changes; returns `false` if the source failed.
     async fn follow(&mut self, step: NextStep) -> Result<bool, ActorStopped> {
         let next = Instant::now() + MIN_WATCH_INTERVAL;
-        let outcome = match step.source {
+        let Some(source) = step.source else {
+            sleep(DEFERRAL_CHECK_INTERVAL).await;
+            return Ok(true);
+        };
+        let outcome = match source {
             UpdateSource::Peer(address, _revision) => {
                 return self.query_peer(address, step).await;
             }
@@ -155,7 +163,7 @@
             return Ok(false);
         }
         self.metrics.news("store");
-        if step.source != UpdateSource::StoreVms {
+        if source != UpdateSource::StoreVms {
             sleep_until(next).await;
         }
         Ok(true)
@@ -169,7 +177,9 @@
         address: SocketAddr,
         step: NextStep,
     ) -> Result<bool, ActorStopped> {
-        let NextStep { known, busy_address, .. } = step;
+        let NextStep { known, busy_address, response_time, .. } = step;
+        let response_time = response_time
+            .map_or(HEDGE_DELAY, |span| span.to_std().max(HEDGE_DELAY));
         // A VM that is queried for the first time responds at once, so several
         // that do not respond cost little time.
         let wait = self.followed == Some(address);
@@ -186,16 +196,17 @@
         };
         self.followed = None;
         let mut task = tokio::spawn(fetch.run());
-        let responded = match await_response(&mut task, &busy).await {
-            Some(responded) => responded,
-            None if self.has_slow_response() => task.await,
-            None => {
-                self.metrics.news("peer-slow");
-                self.slow_response = Some(task);
-                self.notify(PeerTimedOut(address)).await?;
-                return Ok(true);
-            }
-        };
+        let responded =
+            match await_response(&mut task, &busy, response_time).await {
+                Some(responded) => responded,
+                None if self.has_slow_response() => task.await,
+                None => {
+                    self.metrics.news("peer-slow");
+                    self.slow_response = Some(task);
+                    self.notify(PeerTimedOut(address)).await?;
+                    return Ok(true);
+                }
+            };
         if busy.busy_at().is_some() {
             self.metrics.news("peer-busy");
             log::info!("[store] VM {address} was busy with a change.");
@@ -271,13 +282,14 @@
     }
 }
 
-/// Waits for a response, for [`HEDGE_DELAY`] since its source was last known
-/// to be busy; `None` if it takes longer.
+/// Waits for a response, for `response_time` or for [`HEDGE_DELAY`] since its
+/// source was last known to be busy; `None` if it takes longer.
 async fn await_response(
     task: &mut JoinHandle<bool>,
     busy: &BusySource,
+    response_time: Duration,
 ) -> Option<Result<bool, JoinError>> {
-    let mut limit = Instant::now() + HEDGE_DELAY;
+    let mut limit = Instant::now() + response_time;
     loop {
         if let Ok(responded) = timeout_at(limit, &mut *task).await {
             return Some(responded);
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -85,10 +85,12 @@
         _: NextSource,
         _: &mut Context<Self>,
     ) -> NextStep {
-        let source = self.next_source(now());
+        let now = now();
+        let source = self.next_source(now);
         NextStep {
             source,
-            busy_address: self.busy_address(source),
+            busy_address: source.and_then(|from| self.busy_address(from)),
+            response_time: self.response_time(now),
             known: self.known_revisions(),
         }
     }
@@ -151,6 +153,10 @@
         }
         if applied.complete {
             self.sync.record_current_at(message.as_of);
+            if self.load_control {
+                // The store may still have the history after that VM's copy.
+                self.sync.record_read();
+            }
         }
         if applied.changed {
             self.run_planner(now);
--- a/goldcrestramp-entry/src/control/message.rs
+++ b/goldcrestramp-entry/src/control/message.rs
@@ -4,7 +4,7 @@
 
 use goldcrestramp_adapter::StoreEvent;
 use goldcrestramp_assignment::{AssignmentTable, OrderOutcome, ServerOrder};
-use goldcrestramp_types::LocalTime;
+use goldcrestramp_types::{LocalTime, TimeSpan};
 
 use crate::{
     control::{LeaseTerms, UpdateSource},
@@ -42,7 +42,11 @@
 /// The source to follow next.
 #[derive(Debug)]
 pub(crate) struct NextStep {
-    pub(crate) source: UpdateSource,
+    /// The source; `None` to wait before the next one is chosen.
+    pub(crate) source: Option<UpdateSource>,
+    /// How long to wait for a response before the next source is queried as
+    /// well; `None` for the default time.
+    pub(crate) response_time: Option<TimeSpan>,
     /// The address at which the source, if it is a VM, states whether it is
     /// busy.
     pub(crate) busy_address: Option<SocketAddr>,
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -42,7 +42,10 @@
     load::{LoadRecorder, LoadReport, ResponseTotals, ServiceLoad},
     pace::CommitPace,
     permits::{PermitGrants, PermitMailbox, PermitRequests},
-    ranking::{claim_delay, fallback_vms, is_large, source_vms, starting_vms},
+    ranking::{
+        claim_delay, fallback_vms, is_large, neighbor_vms, source_vms,
+        starting_vms,
+    },
     sync::{FreshnessClock, SyncState, UpdateSource, update_as_of},
 };
 use crate::{
--- a/goldcrestramp-entry/src/control/ranking.rs
+++ b/goldcrestramp-entry/src/control/ranking.rs
@@ -18,6 +18,10 @@
 /// respond costs a part of the time within which a change must be known.
 const MAX_SOURCES: usize = 3;
 
+/// The maximum number of VMs that a VM asks when its sources fail. Each that
+/// does not respond costs 0.6 s.
+const MAX_NEIGHBORS: usize = 4;
+
 /// A VM is large if it has at least this percentage of the largest VM's
 /// capacity.
 const LARGE_PERCENT: u64 = 50;
@@ -133,6 +137,29 @@
     if large.is_empty() { others().collect() } else { large }
 }
 
+/// The VMs of its own region that `me` asks for changes when its sources fail
+/// and load control is on, best first: those that follow the store for the
+/// other failure domains, then the better-ranked ones of its own.
+#[must_use]
+pub fn neighbor_vms<'a>(
+    me: &VmInstance,
+    vms: &'a [VmInstance],
+    is_near: impl Fn(&str) -> bool,
+) -> Vec<&'a VmInstance> {
+    let largest = largest_of(me, vms);
+    let is_large = |vm: &&VmInstance| has_large_capacity(vm, largest);
+    let large: Vec<&VmInstance> = vms.iter().filter(is_large).collect();
+    let mut neighbors = domain_leaders(large.clone());
+    neighbors.retain(|vm| vm.domain != me.domain && is_near(&vm.domain));
+    neighbors.sort_unstable_by_key(|vm| Reverse(vm.duty_rank()));
+    let mut own = large;
+    own.retain(|vm| vm.domain == me.domain && vm.duty_rank() > me.duty_rank());
+    own.sort_unstable_by_key(|vm| Reverse(vm.duty_rank()));
+    neighbors.extend(own);
+    neighbors.truncate(MAX_NEIGHBORS);
+    neighbors
+}
+
 /// The best-ranked VM of each failure domain.
 fn domain_leaders(vms: Vec<&VmInstance>) -> Vec<&VmInstance> {
     let mut leaders: FastMap<&str, &VmInstance> = FastMap::default();
--- a/goldcrestramp-entry/src/control/source.rs
+++ b/goldcrestramp-entry/src/control/source.rs
@@ -3,6 +3,7 @@
 
 use std::net::SocketAddr;
 
+use goldcrestramp_decisions::{StoreReadInputs, StoreReadStep};
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 
 use crate::{
@@ -10,7 +11,7 @@
     control::{
         ControlActor,
         message::{PeerQueryEnded, PeerUpdate},
-        ranking::{fallback_vms, source_vms, starting_vms},
+        ranking::{fallback_vms, neighbor_vms, source_vms, starting_vms},
         sync::{UpdateSource, update_as_of},
     },
     peers::{
@@ -38,8 +39,12 @@
     }
 
     /// The source to follow next. The planning VM and VMs without another VM
-    /// to follow use the store; all others use another VM.
-    pub(crate) fn next_source(&mut self, now: LocalTime) -> UpdateSource {
+    /// to follow use the store; all others use another VM. `None` if this VM
+    /// waits while another one reads the store.
+    pub(crate) fn next_source(
+        &mut self,
+        now: LocalTime,
+    ) -> Option<UpdateSource> {
         let revision = self.mirror.revision();
         let vms = &self.view.vms;
         let sources = if self.term.is_some() {
@@ -51,8 +56,89 @@
             let is_near = |domain: &str| self.regions.get(domain) == region;
             source_vms(&self.me, vms, is_near)
         };
+        let has_sources = !sources.is_empty();
         let peers = sources.into_iter().map(|vm| vm.address);
-        self.sync.next(now, revision, peers)
+        let source = self.sync.next(now, revision, peers);
+        let may_defer = self.load_control && has_sources && revision > 0;
+        if may_defer { self.defer_read(now, source) } else { Some(source) }
+    }
+
+    /// The source to follow in place of `source`, so that few VMs read the
+    /// store while their update sources fail. A VM without sources follows the
+    /// store for its failure domain and never comes here.
+    fn defer_read(
+        &mut self,
+        now: LocalTime,
+        source: UpdateSource,
+    ) -> Option<UpdateSource> {
+        if matches!(source, UpdateSource::Peer(..)) {
+            self.record_deferral(now, false);
+            return Some(source);
+        }
+        let region = self.regions.get(&self.me.domain);
+        let is_near = |domain: &str| self.regions.get(domain) == region;
+        let neighbors = neighbor_vms(&self.me, &self.view.vms, is_near);
+        let mut addresses = neighbors.into_iter().map(|vm| vm.address);
+        let neighbor =
+            addresses.find(|address| !self.sync.has_failed(*address));
+        let step = self.store_read_inputs(now, neighbor.is_some()).step();
+        self.record_deferral(now, step != StoreReadStep::Read);
+        if step == StoreReadStep::Read {
+            return Some(source);
+        }
+        self.sync.record_deferral();
+        let revision = self.mirror.revision();
+        neighbor.map(|address| UpdateSource::Peer(address, revision))
+    }
+
+    /// What this VM knows when it chooses where to read.
+    fn store_read_inputs(
+        &self,
+        now: LocalTime,
+        has_neighbor: bool,
+    ) -> StoreReadInputs {
+        let own = self.me.duty_rank();
+        let before = self.view.vms.iter().filter(|vm| {
+            vm.domain == self.me.domain
+                && vm.duty_rank() > own
+                && !self.sync.has_failed(vm.address)
+        });
+        StoreReadInputs {
+            age: self.sync.age(now),
+            limit: self.configuration_limit,
+            rank: before.count(),
+            has_neighbor,
+        }
+    }
+
+    /// Logs when this VM begins and ends to defer reads of the store, and
+    /// counts how often it begins.
+    fn record_deferral(&mut self, now: LocalTime, defers: bool) {
+        match (self.deferred_since, defers) {
+            (None, true) => {
+                self.deferred_since = Some(now);
+                self.metrics.deferred_reads.inc();
+                log::info!(
+                    "[store] No update source responds; VMs of this region \
+                     are asked before the store."
+                );
+            }
+            (Some(since), false) => {
+                self.deferred_since = None;
+                log::info!(
+                    took_ms = now.since(since).as_millis();
+                    "[store] Updates arrive again, or the store may be read."
+                );
+            }
+            (Some(_), true) | (None, false) => {}
+        }
+    }
+
+    /// How long to wait for a response that is arriving before the next source
+    /// is asked as well; `None` for the default time.
+    pub(crate) fn response_time(&self, now: LocalTime) -> Option<TimeSpan> {
+        let known = self.load_control && self.mirror.revision() > 0;
+        known.then(|| self.store_read_inputs(now, true).response_time())
     }
 
     /// The address at which a source states whether it is busy, if it is a VM
--- a/goldcrestramp-entry/src/control/sync.rs
+++ b/goldcrestramp-entry/src/control/sync.rs
@@ -313,6 +313,17 @@
         }
     }
 
+    /// Records that this VM does not read the store although its sources fail.
+    pub const fn record_deferral(&mut self) {
+        self.follows_store = false;
+    }
+
+    /// Whether a VM has failed to respond, or to send fresh updates, recently.
+    #[must_use]
+    pub fn has_failed(&self, peer: SocketAddr) -> bool {
+        self.failed_peers.contains_key(&peer)
+    }
+
     /// Whether the store responds to this VM; `proof` is when the last call
     /// that it responded to was sent.
     #[must_use]
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -79,6 +79,8 @@
     pub partitions: Gauge,
     /// The number of rounds of probes that failed while responses arrived.
     pub slow_rounds: Counter,
+    /// How often this VM began to defer a read of the store.
+    pub deferred_reads: Counter,
     /// 1 while this VM plans assignments, else 0.
     pub planning: Gauge,
     /// The number of key ranges that servers released.
@@ -112,6 +114,7 @@
             servers: Gauge::default(),
             partitions: Gauge::default(),
             slow_rounds: Counter::default(),
+            deferred_reads: Counter::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
             pipelined: Counter::default(),
@@ -200,6 +203,11 @@
             "Rounds of probes that failed while responses arrived",
             self.slow_rounds.clone(),
         );
+        registry.register(
+            "deferred_store_reads",
+            "How often a read of the store was deferred",
+            self.deferred_reads.clone(),
+        );
         registry.register(
             "request_seconds",
             "Times of requests by service and part of the way",
--- a/goldcrestramp-entry/tests/sources.rs
+++ b/goldcrestramp-entry/tests/sources.rs
@@ -1,7 +1,7 @@
 //! Which VM follows which, by capacity and failure domain.
 
 use goldcrestramp_entry::{
-    control::{claim_delay, fallback_vms, is_large, source_vms},
+    control::{claim_delay, fallback_vms, is_large, neighbor_vms, source_vms},
     records::VmInstance,
 };
 use goldcrestramp_types::TimeSpan;
@@ -159,3 +159,32 @@
     assert!(delays.is_sorted());
     assert!(delays[639] <= TimeSpan::from_millis(2_000), "{delays:?}");
 }
+
+/// Guards against questions that cross the link between regions, and that go
+/// to VMs which do not follow the store.
+#[test]
+fn neighbors_are_of_the_own_region_and_follow_the_store_first() {
+    let vms = fleet();
+    let me = vms.iter().find(|vm| &*vm.vm == "north-a-4");
+    let me = me.expect("the fleet has the VM");
+
+    let neighbors = neighbor_vms(me, &vms, |d| d.starts_with("north"));
+
+    let domains: Vec<&str> = neighbors.iter().map(|vm| &*vm.domain).collect();
+    assert_eq!(domains, ["north-b", "north-a", "north-a"]);
+    assert!(neighbors.iter().all(|vm| vm.capacity == LARGE));
+}
+
+/// Guards against two VMs that ask each other and wait for the store's changes
+/// forever.
+#[test]
+fn a_vm_asks_no_worse_ranked_vm_of_its_failure_domain() {
+    let vms = fleet();
+    let in_domain = vms.iter().filter(|vm| &*vm.domain == "north-a");
+    let first = in_domain.max_by_key(|vm| vm.duty_rank());
+    let first = first.expect("the failure domain has VMs");
+
+    let neighbors = neighbor_vms(first, &vms, |d| d.starts_with("north"));
+
+    assert!(neighbors.iter().all(|vm| &*vm.domain == "north-b"));
+}
