--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -33,8 +33,11 @@
 - [`server_share`]: the requests that one VM may have in flight at a server.
 - [`ReachMonitor`]: whether a VM has lost its links to the servers of a
   service.
+- [`PlannerReach`]: whether a partitioned planner gives up its role.
 - [`choose_relay`]: the VM that sends a request for one that reaches no server.
 - [`BackoffReports`]: what the backoffs of all VMs tell about a server.
+- [`BusyWait`]: how long a VM waits for changes from a VM that is busy.
+- [`StoreReadInputs`]: when a VM whose update sources fail reads the store.
 - [`ServerNotices`]: what servers have stated to this VM in their responses.
 - [`CrashLedger`]: which requests are refused because servers ended under
   them.
@@ -56,6 +59,7 @@
 mod backoff_reports;
 pub mod baseline;
 mod bulk;
+mod busy_source;
 mod cold;
 mod crashes;
 mod deadline;
@@ -82,6 +86,7 @@
 mod round_robin;
 mod share;
 mod shortage;
+mod store_read;
 mod subset;
 mod times;
 mod work;
@@ -100,6 +105,7 @@
     attempt_timeout::{TimeoutInputs, attempt_timeout},
     backoff_reports::BackoffReports,
     bulk::{BulkWindow, is_clearly_sooner},
+    busy_source::BusyWait,
     cold::ColdAllowance,
     crashes::{CrashLedger, EndProof, LostAttempt, REPORT_ERROR, ServerCrash},
     deadline::{TransitEstimate, timeout_to_forward},
@@ -127,7 +133,7 @@
     rate::{
         FleetPosition, PermitGrant, PermitRequest, RateAllowance, RateLedger,
     },
-    reach::{ReachEvent, ReachMonitor},
+    reach::{PlannerReach, ReachEvent, ReachMonitor, ReachRule},
     reader::is_reader_stalled,
     rebalancing::{
         PlacedRange, RangeLoad, RangeMove, RebalanceSettings, TargetLoad,
@@ -143,6 +149,7 @@
     round_robin::WeightedRoundRobin,
     share::{is_crowded, server_share, window_share},
     shortage::{RetryShortage, ShortageChange},
+    store_read::{StoreReadInputs, StoreReadStep},
     subset::ServerWindow,
     times::ResponseTimes,
     work::WorkEstimate,
--- a/goldcrestramp-entry/src/control/handlers.rs
+++ b/goldcrestramp-entry/src/control/handlers.rs
@@ -85,8 +85,14 @@
         _: NextSource,
         _: &mut Context<Self>,
     ) -> NextStep {
-        let source = self.next_source(now());
-        NextStep { source, known: self.known_revisions() }
+        let now = now();
+        let source = self.next_source(now);
+        NextStep {
+            source,
+            busy_address: source.and_then(|from| self.busy_address(from)),
+            response_time: self.response_time(now),
+            known: self.known_revisions(),
+        }
     }
 }
 
@@ -135,7 +141,11 @@
             self.sync.record_response(now);
         }
         if let Some(source) = message.source {
-            self.sync.record_peer_response(now, source, message.fresh);
+            // The age of a VM's copy counts from when its watch was sent, so
+            // the copy looks old just after it has read a large change.
+            let changed = message.update.has_configuration();
+            let fresh = message.fresh || changed;
+            self.sync.record_peer_response(now, source, fresh);
         }
         let applied = self.apply_update(now, message.update);
         if applied.changed {
@@ -143,6 +153,10 @@
         }
         if applied.complete {
             self.sync.record_current_at(message.as_of);
+            if self.load_control {
+                // The store may still have the history after that VM's copy.
+                self.sync.record_read();
+            }
         }
         if applied.changed {
             self.run_planner(now);
--- a/goldcrestramp-entry/src/control/mod.rs
+++ b/goldcrestramp-entry/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! One actor holds the state. Separate tasks make the calls and send it the
 //! results, so no decision waits for a socket.
 
+mod activity;
 mod actor;
 mod admission;
 mod claim;
@@ -31,10 +32,12 @@
 use std::{sync::Arc, time::Duration};
 
 use goldcrestramp_adapter::NodeSettings;
+use goldcrestramp_types::{ClockSource, MonotonicClock};
 use tokio::{net::TcpListener, time::MissedTickBehavior};
 use xtra::{Address, Mailbox};
 
 pub use crate::control::{
+    activity::ControlActivity,
     actor::ControlActor,
     admission::KeyLimits,
     demand::{
@@ -44,7 +47,10 @@
     load::{LoadRecorder, LoadReport, ResponseTotals, ServiceLoad},
     pace::CommitPace,
     permits::{PermitGrants, PermitMailbox, PermitRequests},
-    ranking::{claim_delay, fallback_vms, is_large, source_vms, starting_vms},
+    ranking::{
+        claim_delay, fallback_vms, is_large, neighbor_vms, source_vms,
+        starting_vms,
+    },
     retries::{RetryOffers, RetryRecorder, RetryTicket, WantedRetries},
     sync::{FreshnessClock, SyncState, UpdateSource, update_as_of},
 };
@@ -122,11 +128,11 @@
     tokio::spawn(keep_lease(store, me, min_ttl, terms, address.clone()));
     let source = PeerSource { control: address.clone(), revisions };
     tokio::spawn(serve_peers(peers, source));
-    tokio::spawn(tick(address.clone()));
+    tokio::spawn(tick(address.clone(), shared.activity));
     ControlHandle(address)
 }
 
-async fn tick(control: Address<ControlActor>) {
+async fn tick(control: Address<ControlActor>, activity: ControlActivity) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -134,5 +140,6 @@
         if control.send(ControlTick).await.is_err() {
             return;
         }
+        activity.record_sign(MonotonicClock.now());
     }
 }
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -89,6 +89,10 @@
     pub servers: Gauge,
     /// The number of services whose servers this VM does not reach.
     pub partitions: Gauge,
+    /// The number of rounds of probes that failed while responses arrived.
+    pub slow_rounds: Counter,
+    /// How often this VM began to defer a read of the store.
+    pub deferred_reads: Counter,
     /// 1 while this VM plans assignments, else 0.
     pub planning: Gauge,
     /// The number of key ranges that servers released.
@@ -129,6 +133,8 @@
             vms: Gauge::default(),
             servers: Gauge::default(),
             partitions: Gauge::default(),
+            slow_rounds: Counter::default(),
+            deferred_reads: Counter::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
             admission_refusals: Counter::default(),
@@ -215,6 +221,16 @@
             "Refusals with which a server requested a backoff",
             self.backoffs.clone(),
         );
+        registry.register(
+            "slow_link_rounds",
+            "Rounds of probes that failed while responses arrived",
+            self.slow_rounds.clone(),
+        );
+        registry.register(
+            "deferred_store_reads",
+            "How often a read of the store was deferred",
+            self.deferred_reads.clone(),
+        );
         registry.register(
             "request_seconds",
             "Times of requests by service and part of the way",
--- a/goldcrestramp-entry/src/shared.rs
+++ b/goldcrestramp-entry/src/shared.rs
@@ -3,9 +3,13 @@
 
 use std::sync::Arc;
 
+use goldcrestramp_adapter::NodeSettings;
+use goldcrestramp_decisions::ReachRule;
+
 use crate::{
     control::{
-        FreshnessClock, LoadRecorder, PermitMailbox, RetryRecorder, ShareBoard,
+        ControlActivity, FreshnessClock, LoadRecorder, PermitMailbox,
+        RetryRecorder, ShareBoard,
     },
     crashes::CrashBoard,
     metrics::EntryMetrics,
@@ -28,6 +32,8 @@
     pub metrics: Arc<EntryMetrics>,
     /// The time up to which the store's changes are known.
     pub clock: FreshnessClock,
+    /// Whether the control thread is busy.
+    pub activity: ControlActivity,
     /// What servers have stated in their responses.
     pub notices: NoticeBoard,
     /// The requests under which servers have ended.
@@ -35,3 +41,18 @@
     /// Whether this VM reaches the servers of each service.
     pub reach: ReachTracker,
 }
+
+impl SharedState {
+    /// The state of a VM with these settings.
+    #[must_use]
+    pub fn open(settings: &NodeSettings) -> Self {
+        let rule = if settings.load_control {
+            ReachRule::ProbesAndResponses
+        } else {
+            ReachRule::Probes
+        };
+        let metrics = Arc::<EntryMetrics>::default();
+        let reach = ReachTracker::open(rule, metrics.slow_rounds.clone());
+        Self { metrics, reach, ..Self::default() }
+    }
+}
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -21,8 +21,8 @@
 
 use crate::{
     control::{
-        FreshnessClock, LoadRecorder, PermitMailbox, RetryOffers,
-        RetryRecorder, ShareBoard, WantedRetries,
+        ControlActivity, FreshnessClock, LoadRecorder, PermitMailbox,
+        RetryOffers, RetryRecorder, ShareBoard, WantedRetries,
     },
     crashes::CrashBoard,
     metrics::EntryMetrics,
@@ -123,6 +123,8 @@
     pub(crate) reach: ReachTracker,
     /// The downloads from other regions.
     pub(super) bulk: BulkRegions,
+    /// Whether the control thread is busy.
+    pub(super) activity: ControlActivity,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
     pub(super) servers: RefCell<FastMap<ServerInstance, Rc<ServerState>>>,
@@ -161,6 +163,7 @@
             crashes: shared.crashes,
             suspects: SuspectSet::default(),
             reach: shared.reach,
+            activity: shared.activity,
             views,
             phase,
             servers: RefCell::default(),
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod backoff;
 mod bulk;
+mod busy;
 mod callers;
 mod cluster;
 mod configuration;
