Add the account of the bytes that a VM holds

Callers and servers that read slowly make a VM hold request bodies, buffered responses and pending writes. Nothing bounds their sum over all connections, and a process that exceeds its memory limit is killed.

Adds a note on the design and the pure decision: what may be buffered, what is streamed or refused, and which blocked readers are closed. Nothing uses it yet.

--- /dev/null
+++ b/goldcrestramp-decisions/src/held_bytes.rs
@@ -0,0 +1,252 @@
+//! Bounds the bytes that a VM holds for slow readers.
+//!
+//! Callers and servers may read slowly. Until they have read them, the VM
+//! holds the bodies of requests, the responses that it has buffered and what
+//! the HTTP library has queued. Each body is small, but a thousand callers
+//! that stop reading downloads of 256 KiB hold more than twice the memory of
+//! the smallest VMs, and a process that exceeds its memory limit is killed
+//! with all of its requests.
+//!
+//! One account sums these bytes over all connections:
+//!
+//! - From three quarters of the bound, responses are no longer buffered but
+//!   read from their servers as fast as their callers read them, and requests
+//!   with large bodies are refused.
+//! - At the bound, downloads and all requests with a body are refused.
+//! - Small responses are always held and delivered. Their number is bounded by
+//!   that of the connections.
+//! - While the bound acts, readers that have taken nothing for some seconds
+//!   are closed, the slowest first, until the account is down to half of the
+//!   bound. On a VM that has room, nobody is closed.
+
+use std::collections::BTreeMap;
+
+use goldcrestramp_types::{LocalTime, TimeSpan};
+
+/// Bodies up to this size are small. Larger ones are handed to the HTTP
+/// library in chunks of at most this size.
+pub const SMALL_BODY_BYTES: u64 = 16 * 1024;
+
+/// The bytes that a streamed body may take up in the buffers of the HTTP
+/// library: one that was read and one that is being filled, of 32 KiB each.
+pub const STREAM_BYTES: u64 = 64 * 1024;
+
+/// The share of a process's memory that held bytes may take up. If a VM has as
+/// many connections as descriptors, the buffers of their sockets take up more
+/// than half of its memory. The rest is for everything else.
+const MEMORY_PERCENT: u64 = 20;
+
+/// The share of the bound from which large bodies are no longer held.
+const LARGE_PERCENT: u64 = 75;
+
+/// The bound stops acting below this share of it. It is well below the share
+/// at which it begins, so that the state does not change with every body.
+const RELEASE_PERCENT: u64 = 50;
+
+/// The share of the bound that the requests in flight at one server may take
+/// up. Several servers that read slowly then leave room for the others.
+const SERVER_PERCENT: u64 = 12;
+
+/// How long a reader may make no progress while the bound acts: a phone that
+/// switches networks is back within a few seconds.
+const MAX_STALL: TimeSpan = TimeSpan::from_millis(5_000);
+
+/// The delay after which a refused caller may try again if no reader is about
+/// to be closed: readers that make progress free some bytes all the time.
+const MIN_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(250);
+
+/// Identifies a reader, which is a connection of a caller.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct ReaderId(pub u64);
+
+/// A reader that takes no bytes at the moment.
+#[derive(Debug)]
+struct BlockedReader<Closer> {
+    since: LocalTime,
+    /// The bytes that are held for it, at most.
+    held: u64,
+    closer: Closer,
+}
+
+/// The account of the bytes that a VM holds.
+///
+/// # Example
+///
+/// ```
+/// use goldcrestramp_decisions::HeldBytes;
+///
+/// let mut account = HeldBytes::<()>::with_memory(4_000_000);
+/// assert!(account.try_hold_response(600_000));
+/// assert!(!account.try_hold_response(1));
+/// assert!(account.is_acting());
+/// account.release(600_000);
+/// assert!(!account.is_acting());
+/// ```
+#[derive(Debug)]
+pub struct HeldBytes<Closer> {
+    bound: u64,
+    held: u64,
+    acting: bool,
+    blocked: BTreeMap<ReaderId, BlockedReader<Closer>>,
+}
+
+impl<Closer> HeldBytes<Closer> {
+    /// Returns an empty account for a process with this memory limit.
+    #[must_use]
+    pub const fn with_memory(memory_bytes: u64) -> Self {
+        Self {
+            bound: percent(memory_bytes, MEMORY_PERCENT),
+            held: 0,
+            acting: false,
+            blocked: BTreeMap::new(),
+        }
+    }
+
+    /// The bound of the held bytes.
+    #[must_use]
+    pub const fn bound(&self) -> u64 {
+        self.bound
+    }
+
+    /// The bytes that are held.
+    #[must_use]
+    pub const fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Whether the bound has been reached, and enough has not been released
+    /// since.
+    #[must_use]
+    pub const fn is_acting(&self) -> bool {
+        self.acting
+    }
+
+    /// Holds bytes that have to be held in any case.
+    pub const fn hold(&mut self, bytes: u64) {
+        self.held = self.held.saturating_add(bytes);
+        if self.held > percent(self.bound, LARGE_PERCENT) {
+            self.acting = true;
+        }
+    }
+
+    /// Holds a part of a large response, if it may be buffered; otherwise it
+    /// has to be streamed.
+    pub const fn try_hold_response(&mut self, bytes: u64) -> bool {
+        self.try_hold(bytes, percent(self.bound, LARGE_PERCENT))
+    }
+
+    /// Holds what has arrived of a request's body, which is `total` bytes long
+    /// as far as it is known; otherwise the request has to be refused.
+    pub const fn try_hold_request(&mut self, bytes: u64, total: u64) -> bool {
+        let limit = self.request_limit(total);
+        self.try_hold(bytes, limit)
+    }
+
+    /// Whether there is room for a request's body of this size. If there is
+    /// none, the bound begins to act.
+    pub const fn has_room_for_request(&mut self, bytes: u64) -> bool {
+        let limit = self.request_limit(bytes);
+        let has_room = self.held.saturating_add(bytes) <= limit;
+        self.acting |= !has_room;
+        has_room
+    }
+
+    /// Holds what `streams` streamed bodies take up, if there is room for
+    /// them; otherwise their request has to be refused.
+    pub const fn try_hold_streams(&mut self, streams: u64) -> bool {
+        self.try_hold(STREAM_BYTES.saturating_mul(streams), self.bound)
+    }
+
+    const fn request_limit(&self, total: u64) -> u64 {
+        if total <= SMALL_BODY_BYTES {
+            self.bound
+        } else {
+            percent(self.bound, LARGE_PERCENT)
+        }
+    }
+
+    const fn try_hold(&mut self, bytes: u64, limit: u64) -> bool {
+        if self.held.saturating_add(bytes) > limit {
+            self.acting = true;
+            return false;
+        }
+        self.hold(bytes);
+        true
+    }
+
+    /// Releases bytes that were held.
+    pub const fn release(&mut self, bytes: u64) {
+        self.held = self.held.saturating_sub(bytes);
+        if self.held < percent(self.bound, RELEASE_PERCENT) {
+            self.acting = false;
+        }
+    }
+
+    /// Whether a request of `bytes` may be sent to a server at which requests
+    /// of `in_flight` bytes are in flight. One request may always be sent.
+    #[must_use]
+    pub const fn allows_send(&self, in_flight: u64, bytes: u64) -> bool {
+        let limit = percent(self.bound, SERVER_PERCENT);
+        in_flight == 0 || in_flight.saturating_add(bytes) <= limit
+    }
+
+    /// Records that a reader takes no more bytes for now. `held` is the size
+    /// of what is held for it, and `closer` closes it.
+    pub fn record_blocked(
+        &mut self,
+        now: LocalTime,
+        reader: ReaderId,
+        held: u64,
+        closer: Closer,
+    ) {
+        let blocked = BlockedReader { since: now, held, closer };
+        self.blocked.entry(reader).or_insert(blocked);
+    }
+
+    /// Records that a reader has taken some bytes, or is closed.
+    pub fn record_progress(&mut self, reader: ReaderId) {
+        self.blocked.remove(&reader);
+    }
+
+    /// Removes the readers that are to be closed, the slowest first: while the
+    /// bound acts, those that have made no progress for some seconds, as many
+    /// as have to be closed for the bound to stop acting.
+    pub fn take_stalled(&mut self, now: LocalTime) -> Vec<Closer> {
+        if !self.acting {
+            return Vec::new();
+        }
+        let stalled = self.blocked.iter();
+        let stalled = stalled
+            .filter(|(_id, reader)| now.since(reader.since) >= MAX_STALL);
+        let mut stalled: Vec<(LocalTime, ReaderId)> =
+            stalled.map(|(id, reader)| (reader.since, *id)).collect();
+        stalled.sort_unstable();
+        let target = percent(self.bound, RELEASE_PERCENT);
+        let mut remaining = self.held;
+        let mut taken = Vec::new();
+        for (_since, id) in stalled {
+            if remaining < target {
+                break;
+            }
+            if let Some(reader) = self.blocked.remove(&id) {
+                remaining = remaining.saturating_sub(reader.held);
+                taken.push(reader.closer);
+            }
+        }
+        taken
+    }
+
+    /// The time after which there is expected to be room: when the slowest
+    /// reader is closed at the latest.
+    #[must_use]
+    pub fn room_expected_in(&self, now: LocalTime) -> TimeSpan {
+        let first = self.blocked.values().map(|reader| reader.since).min();
+        let closed_in = first.map(|since| (since + MAX_STALL).since(now));
+        closed_in.unwrap_or(MIN_RETRY_DELAY).max(MIN_RETRY_DELAY)
+    }
+}
+
+/// A share of an amount, which may be any number from the settings.
+const fn percent(amount: u64, percent: u64) -> u64 {
+    amount / 100 * percent + amount % 100 * percent / 100
+}
--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -36,6 +36,7 @@
 - [`CrashLedger`]: which requests are refused because servers ended under
   them.
 - [`WorkEstimate`]: how long a server works on a request.
+- [`HeldBytes`]: bounds the bytes that a VM holds for slow readers.
 - [`denial_action`]: whether a request is retried at an owner that denied
   its key.
 - [`WeightedRoundRobin`]: splits a route by weight.
@@ -54,6 +55,7 @@
 mod deadline;
 mod denial;
 mod gateway;
+mod held_bytes;
 mod limit;
 mod link;
 mod load;
@@ -90,6 +92,7 @@
     deadline::{TransitEstimate, timeout_to_forward},
     denial::{DenialAction, DenialHistory, OwnerDenial, denial_action},
     gateway::GatewayLimit,
+    held_bytes::{HeldBytes, ReaderId, SMALL_BODY_BYTES, STREAM_BYTES},
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSignal},
     link::{LINK_CHUNK_BYTES, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReport, REPORTED_SLICES, ServerLoad},
