Bound the bytes that a VM holds for slow readers

A VM buffered responses and request bodies of up to 256 KiB for each caller, and the HTTP library queued up to 400 KiB more per connection to a server. Nothing bounded the sum over all connections.

With load control on and a memory limit, each buffer is now charged to one account until its last byte is sent. Large responses are streamed and requests refused (memory-full, 503) when the account is nearly full, callers that take nothing for 5 s are closed while the bound acts, and the bytes of requests in flight at one server are bounded. Small requests are sent in any case. Without load control there is no account.

--- a/goldcrestramp-decisions/src/held_bytes.rs
+++ b/goldcrestramp-decisions/src/held_bytes.rs
@@ -183,11 +183,14 @@
     }
 
     /// Whether a request of `bytes` may be sent to a server at which requests
-    /// of `in_flight` bytes are in flight. One request may always be sent.
+    /// of `in_flight` bytes are in flight. One request may always be sent, and
+    /// small ones are limited by the server's slots alone.
     #[must_use]
     pub const fn allows_send(&self, in_flight: u64, bytes: u64) -> bool {
         let limit = percent(self.bound, SERVER_PERCENT);
-        in_flight == 0 || in_flight.saturating_add(bytes) <= limit
+        in_flight == 0
+            || bytes <= SMALL_BODY_BYTES
+            || in_flight.saturating_add(bytes) <= limit
     }
 
     /// Records that a reader takes no more bytes for now. `held` is the size
--- a/goldcrestramp-decisions/tests/held_bytes.rs
+++ b/goldcrestramp-decisions/tests/held_bytes.rs
@@ -200,7 +200,8 @@
 }
 
 /// Guards against a server that ends under the requests of one VM, and against
-/// a request that no server ever gets because it is larger than the bound.
+/// a request that no server ever gets because it is larger than the bound, or
+/// lookups that wait behind such a request.
 #[test]
 fn the_bytes_in_flight_at_one_server_are_bounded() {
     let account = account();
@@ -212,6 +213,7 @@
     assert!(in_flight >= 10 * DOWNLOAD_BYTES, "{in_flight} bytes");
     assert!(in_flight <= account.bound() / 8, "{in_flight} bytes");
     assert!(account.allows_send(0, MEMORY_BYTES));
+    assert!(account.allows_send(MEMORY_BYTES, SMALL_BODY_BYTES));
 }
 
 #[test]
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -102,9 +102,19 @@
 pub async fn dial(
     address: SocketAddr,
     close_mode: CloseMode,
+) -> io::Result<ConnectionSender> {
+    dial_buffered(address, close_mode, None).await
+}
+
+/// Opens a connection as [`dial`] does. Its buffers hold up to `buffer` bytes
+/// each, or as much as the HTTP library's default.
+pub(crate) async fn dial_buffered(
+    address: SocketAddr,
+    close_mode: CloseMode,
+    buffer: Option<usize>,
 ) -> io::Result<ConnectionSender> {
     let began_at = MonotonicClock.now();
-    let opened = open_connection(address, close_mode).await;
+    let opened = open_connection(address, close_mode, buffer).await;
     opened.inspect_err(|error| {
         log::info!(
             cause = dial_failure_code(error.kind()),
@@ -130,6 +140,7 @@
 async fn open_connection(
     address: SocketAddr,
     close_mode: CloseMode,
+    buffer: Option<usize>,
 ) -> io::Result<ConnectionSender> {
     let socket = TcpSocket::new_v4()?;
     let options = SockRef::from(&socket);
@@ -143,7 +154,11 @@
     }
     let stream = timeout(CONNECT_TIMEOUT, socket.connect(address)).await??;
     stream.set_nodelay(true)?;
-    let (sender, connection) = http1::Builder::new()
+    let mut builder = http1::Builder::new();
+    if let Some(buffer) = buffer {
+        builder.max_buf_size(buffer);
+    }
+    let (sender, connection) = builder
         .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -77,6 +77,12 @@
     pub servers: Gauge,
     /// The number of services whose servers this VM does not reach.
     pub partitions: Gauge,
+    /// The bytes that are held for callers and servers.
+    pub held_bytes: Gauge,
+    /// The number of requests refused for lack of memory.
+    pub memory_refusals: Counter,
+    /// The number of slow readers that were closed.
+    pub closed_readers: Counter,
     /// 1 while this VM plans assignments, else 0.
     pub planning: Gauge,
     /// The number of key ranges that servers released.
@@ -109,6 +115,9 @@
             vms: Gauge::default(),
             servers: Gauge::default(),
             partitions: Gauge::default(),
+            held_bytes: Gauge::default(),
+            memory_refusals: Counter::default(),
+            closed_readers: Counter::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
             pipelined: Counter::default(),
@@ -152,6 +161,21 @@
             "Services whose servers this VM does not reach",
             self.partitions.clone(),
         );
+        registry.register(
+            "held_bytes",
+            "Bytes held for callers and servers",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "memory_refusals",
+            "Requests refused because their bytes could not be held",
+            self.memory_refusals.clone(),
+        );
+        registry.register(
+            "closed_readers",
+            "Callers' connections closed because they were read too slowly",
+            self.closed_readers.clone(),
+        );
         registry.register(
             "planning",
             "1 while this VM plans assignments",
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -9,7 +9,7 @@
     HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::CONTENT_ENCODING, response::Parts,
 };
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use tokio::time::{error::Elapsed, timeout};
 
 use crate::{
@@ -18,11 +18,12 @@
         choose::has_other_owner,
         crash::is_refused,
         headers::text,
+        memory::MemoryAccount,
         relay::{ENVELOPE, LocalEnd},
         request::RoutedRequest,
         response::{
-            ReadResponse, ResponseBody, full_response, read_response,
-            streamed_response,
+            ReadResponse, ResponseBody, StreamSource, full_response,
+            read_response, streamed_response,
         },
         server::{ServerSlot, ServerState},
         state::TrafficState,
@@ -389,7 +390,11 @@
 ) {
     /// A refusal is a few bytes that arrive with its head.
     const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
-    let read = timeout(REFUSAL_BODY_TIMEOUT, read_response(body)).await;
+    let read = timeout(
+        REFUSAL_BODY_TIMEOUT,
+        read_response(&MemoryAccount::default(), body),
+    )
+    .await;
     if matches!(read, Ok(Ok(ReadResponse::Full(_)))) {
         slot.server.put_idle(connection, keep_alive(&parts.headers));
     }
@@ -413,7 +418,8 @@
     let ReceivedHead { slot, connection, parts } = received;
     let body_timeout =
         request.remaining(MonotonicClock.now()).plus(LATE_BODY_GRACE);
-    let read = timeout(body_timeout.to_std(), read_response(body)).await;
+    let read = read_response(&state.memory, body);
+    let read = timeout(body_timeout.to_std(), read).await;
     let now = MonotonicClock.now();
     let Parts { status, headers, .. } = parts;
     let failed = status.is_server_error();
@@ -430,7 +436,8 @@
                 state.loads.record_response(&request.service, id, latency);
             }
             let sent = request.body.buffered_bytes();
-            state.record_bytes(request, sent + body.len() as u64);
+            let size = body.size_hint().exact().unwrap_or(0);
+            state.record_bytes(request, sent + size);
             let response = full_response(status, headers, body);
             if failed {
                 AttemptOutcome::Failed(response)
@@ -440,9 +447,10 @@
         }
         Ok(Ok(ReadResponse::Partial(prefix, rest))) => {
             state.record_response(request, &slot, now);
-            let response = streamed_response(
-                status, headers, prefix, rest, slot, connection,
-            );
+            let source = StreamSource::new(rest, slot, connection);
+            let stream = state.memory.active();
+            let response =
+                streamed_response(status, headers, prefix, source, stream);
             AttemptOutcome::Responded(response)
         }
     }
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -173,6 +173,7 @@
         return Destination::Refused(end);
     }
     let limit = owner_limit(server.limit(now), &server, request);
+    let limit = state.limit_bytes(&server, request, limit);
     if server.in_flight() < limit {
         if server.queue.borrow().is_empty() {
             server.queue.borrow_mut().record_progress();
--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -46,6 +46,12 @@
 /// buffers leave half of its memory free.
 const MAX_RECEIVED_BYTES: usize = 24 * 1024;
 
+/// The same for the rest of a body, where the memory is accounted for. The
+/// library's own buffers grow with what it reads at once. With 600 callers
+/// that sent 200 kB each, all of these buffers together took up 120 kB per
+/// connection.
+const MAX_RECEIVED_BODY_BYTES: usize = 8 * 1024;
+
 /// Heads longer than this are subject to the library's own limits.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
@@ -133,7 +139,15 @@
     }
 
     fn is_full(&self) -> bool {
-        self.state.borrow().received.len() >= MAX_RECEIVED_BYTES
+        let state = self.state.borrow();
+        let accounted = self.traffic.memory.active().is_some();
+        let is_body = state.opaque || state.body_remaining > 0;
+        let max_bytes = if accounted && is_body {
+            MAX_RECEIVED_BODY_BYTES
+        } else {
+            MAX_RECEIVED_BYTES
+        };
+        state.received.len() >= max_bytes
     }
 
     fn read(&self, stream: &OwnedReadHalf) -> io::Result<usize> {
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -21,6 +21,7 @@
     traffic::{
         ConnectionCount, ConnectionGuard,
         connection::{CallerConnection, ConnectionReader},
+        memory::{CallerWriter, wait_closed},
         state::TrafficState,
     },
 };
@@ -130,15 +131,22 @@
         limits.idle_timeout.to_std() * IDLE_FACTOR
     });
     let head = limits.map_or(MIN_HEAD_BYTES, |limits| limits.max_head_bytes);
+    let reading = state.memory.open_reader(&stream).map(Rc::new);
     let (reader, writer) = stream.into_split();
+    let writer = CallerWriter::new(writer, reading.clone());
     let caller = CallerConnection::open(state);
+    let response_reader = reading.clone();
     let responder = Rc::clone(&caller);
     let request_phase = phase.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (caller, request_phase) =
             (Rc::clone(&responder), request_phase.clone());
+        let reader = response_reader.clone();
         async move {
             let mut response = caller.respond(request).await;
+            if let Some(reader) = reader {
+                reader.begin_response(response.body().held_bytes());
+            }
             let is_draining = *request_phase.borrow() != StopPhase::Serving;
             if is_draining && !caller.is_ahead() {
                 request_close(response.headers_mut());
@@ -154,15 +162,20 @@
         .serve_connection(TokioIo::new(stream), service);
     let received = caller.receive(reader);
     pin!(connection, received);
+    let stalled = wait_closed(reading.as_deref());
+    pin!(stalled);
     let ended = tokio::select! {
         biased;
         () = received.as_mut() => return,
         ended = connection.as_mut() => ended,
+        // The response is not complete, so its caller sees that it breaks off.
+        () = stalled.as_mut() => return,
         () = wait_to_close(&mut phase, &caller) => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 ended = connection => ended,
                 () = received => return,
+                () = stalled => return,
             }
         }
     };
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod crash;
 mod headers;
 mod listener;
+mod memory;
 mod notice;
 mod permit;
 mod pool;
@@ -44,6 +45,7 @@
     shared::SharedState,
     traffic::{
         listener::{serve_caller, serve_listener},
+        memory::close_stalled_readers,
         relay_connection::serve_vm,
         state::TrafficState,
     },
@@ -119,6 +121,7 @@
     let handle = TrafficHandle { connections: Rc::clone(&connections) };
     spawn_local(follow_views(Rc::clone(&state), views));
     spawn_local(follow_reach(Rc::clone(&state)));
+    spawn_local(close_stalled_readers(state.memory.clone()));
     let TrafficListeners { callers, relayed } = listeners;
     if let Some(relayed) = relayed {
         let (state, stop) = (Rc::clone(&state), phase.clone());
--- a/goldcrestramp-entry/src/traffic/pool.rs
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -134,9 +134,11 @@
             self.state.notices.backoff_until(self.now, &instance);
         let candidate = PoolCandidate {
             proximity,
-            limit: match backoff_until {
-                Some(_until) => 0,
-                None => self.limit(entry, &server),
+            limit: if backoff_until.is_some() {
+                0
+            } else {
+                let limit = self.limit(entry, &server);
+                self.state.limit_bytes(&server, self.request, limit)
             },
             in_flight: server.in_flight(),
             latency,
--- a/goldcrestramp-entry/src/traffic/reason.rs
+++ b/goldcrestramp-entry/src/traffic/reason.rs
@@ -29,6 +29,8 @@
     ServerBackoff,
     /// Servers have ended under the same request, one after the other.
     Quarantined,
+    /// This VM has no memory left to hold the request or its response.
+    MemoryFull,
     /// Every server that could respond in time is full.
     Full,
     /// Too little time remains until the deadline.
@@ -45,7 +47,7 @@
 
 impl EndReason {
     /// All reasons.
-    const ALL: [Self; 19] = [
+    const ALL: [Self; 20] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::OldConfiguration,
@@ -59,6 +61,7 @@
         Self::RateLimited,
         Self::ServerBackoff,
         Self::Quarantined,
+        Self::MemoryFull,
         Self::Full,
         Self::TooLate,
         Self::RetryBudget,
@@ -88,6 +91,7 @@
             Self::RateLimited => "rate-limited",
             Self::ServerBackoff => "server-backoff",
             Self::Quarantined => "quarantined",
+            Self::MemoryFull => "memory-full",
             Self::Full => "full",
             Self::TooLate => "too-late",
             Self::RetryBudget => "retry-budget",
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -23,6 +23,7 @@
     notices::InstanceKey,
     traffic::{
         choose::AttemptHistory,
+        memory::MemoryAccount,
         reason::EndReason,
         request::{
             RequestBody, RequestOrigin, RoutedRequest, deadline_of,
@@ -137,6 +138,11 @@
         })
     }
 
+    /// Builds the response for the caller.
+    pub(super) fn caller_response(self) -> Response<ResponseBody> {
+        local_response(self.reason, self.may_have_run, self.retry_after)
+    }
+
     /// Builds the response for the VM that passed the request on.
     pub(super) fn response(self) -> Response<ResponseBody> {
         let Self { reason, may_have_run, retry_after } = self;
@@ -245,9 +251,10 @@
     state.record_relayed(arrived, &envelope.vm);
     let route = route_of(&envelope);
     let deadline = deadline_of(arrived, &parts.headers, &route);
-    let body = match read_passed(body, arrived, deadline).await {
+    let body = read_passed(&state.memory, body, arrived, deadline).await;
+    let body = match body {
         Ok(body) => body,
-        Err(reason) => return LocalEnd::from(reason).response(),
+        Err(reason) => return state.end_unread(reason).response(),
     };
     // The VM that is tried after this one counts it otherwise.
     if !envelope.counted && !state.reach.is_partitioned(&envelope.service) {
@@ -277,18 +284,20 @@
         deadline,
         origin: RequestOrigin::Vm,
         counted: true,
+        reserved: None,
         fingerprint: OnceCell::new(),
     };
     serve_relayed(state, request, history).await
 }
 
 async fn read_passed(
+    memory: &MemoryAccount,
     body: Incoming,
     arrived: LocalTime,
     deadline: LocalTime,
 ) -> Result<RequestBody, EndReason> {
     // The other VM has checked the size.
-    let body = read_body(Some(body), u64::MAX);
+    let body = read_body(memory, Some(body), u64::MAX);
     let remaining = deadline.since(arrived).to_std();
     let body = timeout(remaining, body).await;
     body.map_err(|_elapsed| EndReason::BodyBroken)?
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -18,6 +18,7 @@
     http::SendBody,
     traffic::{
         headers::{strip_connection, text},
+        memory::{HeldCharge, MemoryAccount, discard},
         reason::EndReason,
         relay::ENVELOPE,
     },
@@ -47,6 +48,27 @@
         }
     }
 
+    /// The size of the body in bytes, as far as it is known.
+    pub(crate) fn size(&self) -> u64 {
+        match self {
+            Self::Full(bytes) => bytes.len() as u64,
+            Self::Streamed(body) => {
+                let body = body.as_ref();
+                body.map_or(0, |body| body.size_hint().lower())
+            }
+        }
+    }
+
+    /// Drops a body that is still to arrive and that no attempt has taken, so
+    /// that its caller gets the response.
+    pub(super) fn discard(&mut self) {
+        if let Self::Streamed(body) = self
+            && let Some(body) = body.take()
+        {
+            discard(body);
+        }
+    }
+
     /// The body for an attempt; `None` if an earlier one has taken it.
     pub(crate) fn for_send(&mut self) -> Option<SendBody> {
         match self {
@@ -84,6 +106,8 @@
     pub(crate) origin: RequestOrigin,
     /// Whether the retry budget of some VM counts it.
     pub(crate) counted: bool,
+    /// The memory that is reserved for its streamed bodies.
+    pub(super) reserved: Option<HeldCharge>,
     /// Its fingerprint, once it was needed.
     pub(super) fingerprint: OnceCell<Option<RequestFingerprint>>,
 }
@@ -94,6 +118,22 @@
         text(&self.headers, names::ATTEMPT_ID).unwrap_or("")
     }
 
+    /// Reserves the memory for the streamed bodies of the request before it is
+    /// first sent: its own, if it is large, and that of a download. Requests
+    /// that wait to be sent hold none of it.
+    pub(super) fn reserve(
+        &mut self,
+        memory: &MemoryAccount,
+    ) -> Result<(), EndReason> {
+        if self.reserved.is_none() {
+            let is_streamed = matches!(self.body, RequestBody::Streamed(_));
+            let is_download = self.route.effect == RouteEffect::Download;
+            let streams = u64::from(is_streamed) + u64::from(is_download);
+            self.reserved = memory.reserve_streams(streams)?;
+        }
+        Ok(())
+    }
+
     /// The class by which response times of servers are learnt.
     pub(crate) fn class(&self) -> RequestClass {
         match self.route.effect {
@@ -174,6 +214,7 @@
 
 /// Buffers the body, or leaves a large one to be streamed.
 pub(crate) async fn read_body(
+    memory: &MemoryAccount,
     body: Option<Incoming>,
     max_bytes: u64,
 ) -> Result<RequestBody, EndReason> {
@@ -187,6 +228,10 @@
     if stated.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES) {
         return Ok(RequestBody::Streamed(Some(body)));
     }
+    if let Some(account) = memory.active() {
+        let read = account.read_request(body, stated, max_bytes);
+        return read.await.map(RequestBody::Full);
+    }
     let body_limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
     match Limited::new(body, body_limit).collect().await {
         Ok(collected) => Ok(RequestBody::Full(collected.to_bytes())),
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -23,12 +23,11 @@
         RequestBody, RequestOrigin, RoutedRequest, deadline_of, find_route,
         forwarded_headers, read_body, slice_of,
     },
-    response::{ResponseBody, local_response},
+    response::ResponseBody,
     server::{ServerSlot, ServerState},
     state::TrafficState,
     wait::{
-        DEFAULT_RETRY_AFTER, RequestEnd, back_off, wait_for_owner,
-        wait_for_suspect, wait_in_queue,
+        RequestEnd, back_off, wait_for_owner, wait_for_suspect, wait_in_queue,
     },
 };
 
@@ -69,7 +68,7 @@
         Err(reason) => {
             log_unrouted(state, attempt.as_ref(), reason);
             state.metrics.record_end(reason.code());
-            return local_response(reason, false, DEFAULT_RETRY_AFTER);
+            return state.end_unread(reason).caller_response();
         }
     };
     let progress = RequestProgress::default();
@@ -82,7 +81,11 @@
         }
         Err(end) => {
             state.metrics.record_end(end.reason.code());
-            local_response(end.reason, end.may_have_run, end.retry_after)
+            // Bounded bytes in flight make such refusals frequent.
+            if state.memory.active().is_some() {
+                request.body.discard();
+            }
+            end.caller_response()
         }
     }
 }
@@ -194,7 +197,8 @@
     let deadline = deadline_of(arrived, &parts.headers, &route);
     let max_bytes = table.limits.max_body_bytes;
     let remaining = deadline.since(arrived).to_std();
-    let body = timeout(remaining, read_body(body, max_bytes)).await;
+    let body = read_body(&state.memory, body, max_bytes);
+    let body = timeout(remaining, body).await;
     let body = body.map_err(|_elapsed| EndReason::BodyBroken)??;
     // A request that is passed on counts where it is sent to servers.
     let counted = !state.reach.is_partitioned(&service);
@@ -221,6 +225,7 @@
         deadline,
         origin: RequestOrigin::Caller,
         counted,
+        reserved: None,
         fingerprint: OnceCell::new(),
     })
 }
@@ -295,6 +300,7 @@
             return Ok(None);
         }
     };
+    state.reserve(request)?;
     if !progress.history.tried.is_empty() && !state.take_retry(request) {
         return Err(EndReason::RetryBudget.into());
     }
@@ -392,6 +398,7 @@
     }
     let now = MonotonicClock.now();
     let envelope = envelope(state, request, &progress.history);
+    state.reserve(request)?;
     let plan = AttemptPlan {
         proximity,
         response_timeout: full_timeout(request, now),
@@ -575,6 +582,25 @@
         }
     }
 
+    /// Reserves the memory that a request needs when it is sent.
+    fn reserve(&self, request: &mut RoutedRequest) -> Result<(), RequestEnd> {
+        request.reserve(&self.memory).map_err(|reason| {
+            let end = self.end_unread(reason);
+            RequestEnd { reason, retry_after: end.retry_after }
+        })
+    }
+
+    /// The end of a request that was not read completely.
+    pub(super) fn end_unread(&self, reason: EndReason) -> LocalEnd {
+        let mut end = LocalEnd::from(reason);
+        if reason == EndReason::MemoryFull
+            && let Some(retry_after) = self.memory.retry_after()
+        {
+            end.retry_after = retry_after;
+        }
+        end
+    }
+
     /// Whether an attempt in flight may be given up for another server: this
     /// VM is not draining, and the budget has an attempt left.
     pub(crate) fn may_replace(&self, request: &RoutedRequest) -> bool {
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    http::{CloseMode, ConnectionSender, dial, usable},
+    http::{CloseMode, ConnectionSender, dial_buffered, usable},
     traffic::request::RoutedRequest,
 };
 
@@ -65,6 +65,10 @@
     /// The earliest time at which a connection may be opened only to learn
     /// whether the server has ended.
     pub(crate) probe_due_at: Cell<LocalTime>,
+    /// The bytes of the requests in flight there.
+    pub(crate) request_bytes: Cell<u64>,
+    /// The buffer size of connections; `None` for the default.
+    buffer: Option<usize>,
 }
 
 impl ServerState {
@@ -72,6 +76,7 @@
         instance: ServerInstance,
         limit: ServerLimit,
         share: usize,
+        buffer: Option<usize>,
     ) -> Self {
         Self {
             instance,
@@ -86,6 +91,8 @@
             cold_allowance: Cell::default(),
             cold_position: Cell::default(),
             probe_due_at: Cell::default(),
+            request_bytes: Cell::default(),
+            buffer,
         }
     }
 
@@ -112,6 +119,8 @@
     ) -> ServerSlot {
         let class = request.class();
         self.in_flight.set(self.in_flight.get() + 1);
+        let bytes = request.body.size();
+        self.request_bytes.set(self.request_bytes.get() + bytes);
         self.limit.borrow_mut().started(now, class);
         ServerSlot {
             server: Rc::clone(self),
@@ -119,6 +128,7 @@
             class,
             route: Arc::clone(&request.route.name),
             queue,
+            bytes,
             replied: Cell::new(false),
             ended: Cell::new(false),
         }
@@ -141,7 +151,8 @@
 
     /// Opens a new connection to the server.
     pub(crate) async fn connect(&self) -> io::Result<ConnectionSender> {
-        dial(self.instance.address, CloseMode::Close).await
+        dial_buffered(self.instance.address, CloseMode::Close, self.buffer)
+            .await
     }
 
     /// Keeps a connection whose response was read completely. `stated` is the
@@ -182,6 +193,8 @@
     route: Arc<str>,
     /// The queue of the service, if any of its servers may serve the request.
     queue: Option<Rc<RefCell<RequestQueue>>>,
+    /// The bytes of the request.
+    bytes: u64,
     replied: Cell<bool>,
     ended: Cell<bool>,
 }
@@ -218,6 +231,8 @@
         self.end(MonotonicClock.now(), ServerSignal::Cancelled);
         let server = &self.server;
         server.in_flight.set(server.in_flight.get().saturating_sub(1));
+        let bytes = server.request_bytes.get().saturating_sub(self.bytes);
+        server.request_bytes.set(bytes);
         let own = server.queue.borrow_mut().wake();
         let next = own.or_else(|| self.queue.as_ref()?.borrow_mut().wake());
         if let Some(next) = next {
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -30,6 +30,7 @@
     traffic::{
         cold::FleetMembers,
         crash::SuspectSet,
+        memory::MemoryAccount,
         relay_vms::RelayVms,
         request::RoutedRequest,
         server::{RequestQueue, ServerState},
@@ -92,6 +93,8 @@
     /// The suspect requests that are at work at a server.
     pub(super) suspects: SuspectSet,
     pub(crate) reach: ReachTracker,
+    /// The bytes that are held for callers and servers.
+    pub(super) memory: MemoryAccount,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
     pub(super) servers: RefCell<FastMap<ServerInstance, Rc<ServerState>>>,
@@ -117,6 +120,7 @@
         shared: SharedState,
     ) -> Self {
         Self {
+            memory: MemoryAccount::open(&settings, &shared.metrics),
             settings,
             loads: shared.loads,
             shares: shared.shares,
@@ -270,7 +274,11 @@
             } else {
                 ServerLimit::open(now, max_in_flight)
             };
-            Rc::new(ServerState::open(instance.clone(), limit, max_in_flight))
+            let buffer = self.memory.server_buffer();
+            let instance = instance.clone();
+            let server =
+                ServerState::open(instance, limit, max_in_flight, buffer);
+            Rc::new(server)
         });
         server.share.set(share);
         Rc::clone(server)
@@ -336,6 +344,22 @@
         }
     }
 
+    /// The limit of requests in flight at a server: no more than there are if
+    /// the bytes of this one can't be added.
+    pub(super) fn limit_bytes(
+        &self,
+        server: &ServerState,
+        request: &RoutedRequest,
+        limit: usize,
+    ) -> usize {
+        let in_flight = server.request_bytes.get();
+        if self.memory.allows_send(in_flight, request.body.size()) {
+            limit
+        } else {
+            limit.min(server.in_flight())
+        }
+    }
+
     /// The proximity of a server to this VM.
     pub(crate) fn proximity_to(&self, entry: &ServerEntry) -> ServerProximity {
         self.proximity_of(&entry.domain)
