Test slow callers and servers with real sockets

Nothing tested what a VM holds for slow readers. The new tests stall 1,000 callers of downloads and send 300 orders to a server that reads 100 kB a second, and compare the peak of the resident memory with a limit of 120 MB while lookups are served. Another one stalls callers on a VM that has room.

--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -21,5 +21,6 @@
 #[allow(dead_code, reason = "shared with the soak")]
 mod relay;
 mod server;
+mod slow_readers;
 mod stop;
 mod store;
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -45,6 +45,26 @@
         domain: &str,
         store: SocketAddr,
         limits: &Value,
+    ) -> Self {
+        Self::spawn_with(vm, domain, store, limits, false)
+    }
+
+    /// Starts a daemon with these limits that has load control on.
+    #[allow(dead_code, reason = "not every test binary has load control")]
+    pub fn spawn_controlled(
+        vm: &str,
+        store: SocketAddr,
+        limits: &Value,
+    ) -> Self {
+        Self::spawn_with(vm, "north-a", store, limits, true)
+    }
+
+    fn spawn_with(
+        vm: &str,
+        domain: &str,
+        store: SocketAddr,
+        limits: &Value,
+        load_control: bool,
     ) -> Self {
         let ports = std::array::from_fn(|_| HeldPort::open());
         let [traffic, ready, first, last] =
@@ -53,7 +73,7 @@
             format!("goldcrestramp-{}-{}", std::process::id(), traffic.port());
         let folder = std::env::temp_dir().join(name);
         fs::create_dir_all(&folder).expect("folder is created");
-        let settings = json!({
+        let mut settings = json!({
             "node": vm, "zone": domain, "region": "north",
             "zones": {
                 "north-a": "north", "north-b": "north", "south-a": "south"
@@ -70,6 +90,9 @@
                 "address": store.to_string(), "ttl_min": "1000ms"
             }
         });
+        if load_control {
+            settings["load_control"] = json!(true);
+        }
         let path = folder.join("settings.json");
         fs::write(&path, settings.to_string())
             .expect("settings file is written");
@@ -92,6 +115,17 @@
         kill_process(pid, signal).expect("process is running");
     }
 
+    /// The most memory that the process has had resident, in bytes.
+    #[allow(dead_code, reason = "not every test binary measures it")]
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("process is running");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes = kilobytes.and_then(|text| text.parse::<u64>().ok());
+        kilobytes.expect("status states the memory") * 1_024
+    }
+
     /// Kills the process if it runs, and starts it again with the same
     /// settings.
     #[allow(dead_code, reason = "not every test binary restarts one")]
