--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -93,6 +93,12 @@
     pub slow_rounds: Counter,
     /// How often this VM began to defer a read of the store.
     pub deferred_reads: Counter,
+    /// The bytes that are held for callers and servers.
+    pub held_bytes: Gauge,
+    /// The number of requests refused for lack of memory.
+    pub memory_refusals: Counter,
+    /// The number of slow readers that were closed.
+    pub closed_readers: Counter,
     /// 1 while this VM plans assignments, else 0.
     pub planning: Gauge,
     /// The number of key ranges that servers released.
@@ -135,6 +141,9 @@
             partitions: Gauge::default(),
             slow_rounds: Counter::default(),
             deferred_reads: Counter::default(),
+            held_bytes: Gauge::default(),
+            memory_refusals: Counter::default(),
+            closed_readers: Counter::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
             admission_refusals: Counter::default(),
@@ -221,16 +230,6 @@
             "Refusals with which a server requested a backoff",
             self.backoffs.clone(),
         );
-        registry.register(
-            "slow_link_rounds",
-            "Rounds of probes that failed while responses arrived",
-            self.slow_rounds.clone(),
-        );
-        registry.register(
-            "deferred_store_reads",
-            "How often a read of the store was deferred",
-            self.deferred_reads.clone(),
-        );
         registry.register(
             "request_seconds",
             "Times of requests by service and part of the way",
@@ -241,6 +240,31 @@
     /// Registers the metrics of load control.
     fn register_load_control(&mut self) {
         let registry = &mut self.registry;
+        registry.register(
+            "held_bytes",
+            "Bytes held for callers and servers",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "memory_refusals",
+            "Requests refused because their bytes could not be held",
+            self.memory_refusals.clone(),
+        );
+        registry.register(
+            "closed_readers",
+            "Callers' connections closed because they were read too slowly",
+            self.closed_readers.clone(),
+        );
+        registry.register(
+            "slow_link_rounds",
+            "Rounds of probes that failed while responses arrived",
+            self.slow_rounds.clone(),
+        );
+        registry.register(
+            "deferred_store_reads",
+            "How often a read of the store was deferred",
+            self.deferred_reads.clone(),
+        );
         registry.register(
             "admission_refusals",
             "Requests for limited keys that were refused",
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod crash;
 mod headers;
 mod listener;
+mod memory;
 mod notice;
 mod permit;
 mod pool;
@@ -47,6 +48,7 @@
     shared::SharedState,
     traffic::{
         listener::{serve_caller, serve_listener},
+        memory::close_stalled_readers,
         relay_connection::serve_vm,
         state::TrafficState,
     },
@@ -125,6 +127,7 @@
     if state.settings.load_control {
         spawn_local(follow_wanted_retries(Rc::clone(&state)));
     }
+    spawn_local(close_stalled_readers(state.memory.clone()));
     let TrafficListeners { callers, relayed } = listeners;
     if let Some(relayed) = relayed {
         let (state, stop) = (Rc::clone(&state), phase.clone());
--- a/goldcrestramp-entry/src/traffic/relay_connection.rs
+++ b/goldcrestramp-entry/src/traffic/relay_connection.rs
@@ -2,9 +2,9 @@
 
 use std::{convert::Infallible, rc::Rc};
 
-use bytes::Bytes;
 use goldcrestramp_types::{ClockSource, MonotonicClock};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, pin, sync::watch};
@@ -16,7 +16,7 @@
         ConnectionGuard,
         listener::wait_for_last_read,
         relay::{ENVELOPE, serve_passed},
-        response::{ResponseBody, full_response},
+        response::ResponseBody,
         state::TrafficState,
     },
 };
@@ -75,5 +75,7 @@
     } else {
         StatusCode::NO_CONTENT
     };
-    full_response(status, HeaderMap::new(), Bytes::new())
+    let mut response = Response::new(ResponseBody::Full(Full::default()));
+    *response.status_mut() = status;
+    response
 }
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -34,6 +34,7 @@
         bulk::{BulkRegion, BulkRegions},
         cold::FleetMembers,
         crash::SuspectSet,
+        memory::MemoryAccount,
         relay_vms::RelayVms,
         request::{RoutedRequest, retry_class},
         retry::{RetryBoards, ServiceRetries},
@@ -125,6 +126,8 @@
     pub(super) bulk: BulkRegions,
     /// Whether the control thread is busy.
     pub(super) activity: ControlActivity,
+    /// The bytes that are held for callers and servers.
+    pub(super) memory: MemoryAccount,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
     pub(super) servers: RefCell<FastMap<ServerInstance, Rc<ServerState>>>,
@@ -151,6 +154,7 @@
     ) -> Self {
         let bulk = BulkRegions::open(&settings, &shared.metrics);
         Self {
+            memory: MemoryAccount::open(&settings, &shared.metrics),
             settings,
             bulk,
             loads: shared.loads,
@@ -307,7 +311,11 @@
             } else {
                 ServerLimit::open(now, max_in_flight)
             };
-            Rc::new(ServerState::open(instance.clone(), limit, max_in_flight))
+            let buffer = self.memory.server_buffer();
+            let instance = instance.clone();
+            let server =
+                ServerState::open(instance, limit, max_in_flight, buffer);
+            Rc::new(server)
         });
         server.share.set(share);
         Rc::clone(server)
@@ -415,6 +423,22 @@
         self.bulk.of_domain(&entry.domain).cloned()
     }
 
+    /// The limit of requests in flight at a server: no more than there are if
+    /// the bytes of this one can't be added.
+    pub(super) fn limit_bytes(
+        &self,
+        server: &ServerState,
+        request: &RoutedRequest,
+        limit: usize,
+    ) -> usize {
+        let in_flight = server.request_bytes.get();
+        if self.memory.allows_send(in_flight, request.body.size()) {
+            limit
+        } else {
+            limit.min(server.in_flight())
+        }
+    }
+
     /// The proximity of a server to this VM.
     pub(crate) fn proximity_to(&self, entry: &ServerEntry) -> ServerProximity {
         self.proximity_of(&entry.domain)
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -25,5 +25,6 @@
 mod relay;
 mod retries;
 mod server;
+mod slow_readers;
 mod stop;
 mod store;
--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -115,6 +115,17 @@
         kill_process(pid, signal).expect("process is running");
     }
 
+    /// The most memory that the process has had resident, in bytes.
+    #[allow(dead_code, reason = "not every test binary measures it")]
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = fs::read_to_string(path).expect("process is running");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes = kilobytes.and_then(|text| text.parse::<u64>().ok());
+        kilobytes.expect("status states the memory") * 1_024
+    }
+
     /// Kills the process if it runs, and starts it again with the same
     /// settings.
     #[allow(dead_code, reason = "not every test binary restarts one")]
