Let the tests of downloads wait until a VM listens for callers

Cause: the listener for readiness checks is bound by the control thread, before the one for callers is bound. In 1 of 150 runs of two of these tests the first request was refused by the kernel.

Change: the set-up of these tests repeats its first request until it is served. What they check is unchanged. The order of the listeners is not.

--- a/goldcrestramp-entry/tests/daemon/bulk.rs
+++ b/goldcrestramp-entry/tests/daemon/bulk.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use reqwest::Method;
 use serde_json::json;
 
 use crate::{
@@ -38,8 +39,13 @@
         NodeProcess::spawn("vm-0", store)
     };
     cluster.add_node(node).await;
-    eventually(async || cluster.get(0, "/more/first").await.status() == 200)
-        .await;
+    // A VM may report that it is ready just before it listens for callers.
+    eventually(async || {
+        let attempt = cluster.next_attempt();
+        let first = cluster.request(0, Method::GET, "/more/first", &attempt);
+        first.send().await.is_ok_and(|r| r.status() == 200)
+    })
+    .await;
     cluster.set_behavior(ServerBehavior::Responds(WORK));
     cluster
 }
