Run the soak with load control in every second seed

Cause: the soak did not know the parts that load control switches on.

Change: the daemons of even seeds have load control and 64 MB, and half of the callers' requests are for one key.

--- a/goldcrestramp-entry/tests/soak/harness.rs
+++ b/goldcrestramp-entry/tests/soak/harness.rs
@@ -10,6 +10,7 @@
 
 use reqwest::{Client, Method};
 use rustix::process::Signal;
+use serde_json::{Value, json};
 use tokio::{
     sync::{Mutex, RwLock},
     time::{Instant, sleep},
@@ -40,6 +41,9 @@
 /// The path of a request that ends each server that runs it.
 const FATAL: &str = "/list/fatal";
 
+/// The key of half of the requests in runs with load control.
+const HOT_KEY: u16 = 7;
+
 /// The path prefix of the route that every second configuration adds.
 const ADDED_PREFIX: &str = "/more/";
 
@@ -129,7 +133,27 @@
     }
 }
 
+/// Whether the daemons of a run have load control: those of every second seed.
+const fn has_load_control(seed: u64) -> bool {
+    seed.is_multiple_of(2)
+}
+
+/// The settings of a run's daemons.
+fn settings_of(seed: u64) -> Value {
+    if !has_load_control(seed) {
+        return json!({});
+    }
+    json!({"load_control": true, "limits": {"memory_mb": 64}})
+}
+
 impl SoakHarness {
+    /// The key of a caller's next request. With load control, half of the
+    /// requests are for one key, whose owner gets more than it completes.
+    fn next_key(&self) -> u16 {
+        let is_hot = has_load_control(self.seed) && rand::random();
+        if is_hot { HOT_KEY } else { rand::random() }
+    }
+
     async fn start(seed: u64) -> Self {
         let store = StoreStandin::spawn().await;
         store.put("op/config", &configuration(1, None));
@@ -153,7 +177,10 @@
         for number in 0..NODES {
             let relay = Relay::spawn(harness.store.address);
             let name = format!("vm-{number}");
-            let process = NodeProcess::spawn(&name, relay.address);
+            let settings = settings_of(seed);
+            let (domain, store) = ("north-a", relay.address);
+            let process =
+                NodeProcess::spawn_with(&name, domain, store, &settings);
             let (traffic, ready) = (process.traffic, process.ready);
             let process = Mutex::new(process);
             daemons.push(Daemon { process, relay, traffic, ready });
@@ -382,7 +409,7 @@
             .header("Host", "shop.example")
             .header("X-Attempt-Id", &attempt)
             .header("X-Deadline-Ms", "1500")
-            .header("X-Shard-Key", rand::random::<u16>().to_string());
+            .header("X-Shard-Key", harness.next_key().to_string());
         // No two orders are the same.
         let body = if order { attempt.clone() } else { String::new() };
         let request = request.body(body);
--- a/goldcrestramp-entry/tests/soak/main.rs
+++ b/goldcrestramp-entry/tests/soak/main.rs
@@ -8,6 +8,9 @@
 //! change. An oracle checks what callers and servers
 //! saw against the guarantees.
 //!
+//! The daemons of every second seed have load control and little memory, and
+//! half of the callers' requests are for one key.
+//!
 //! Seeds that once violated a guarantee run again with each manual run.
 //!
 //! `GOLDCRESTRAMP_SOAK_SEEDS=50 GOLDCRESTRAMP_SOAK_FIRST=1000` runs 50 seeds
