--- a/goldcrestramp-entry/src/traffic/memory.rs
+++ b/goldcrestramp-entry/src/traffic/memory.rs
@@ -3,7 +3,7 @@
 //! A charge belongs to the buffer itself, and not to a request: the HTTP
 //! library keeps a reference to each buffer until its last byte is sent, so
 //! the buffer is charged until then. Without an account, bodies are buffered
-//! as they were before there was one.
+//! and not charged.
 
 use std::{
     cell::Cell,
