--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -49,6 +49,9 @@
 /// names for extra late responses.
 const FAULT_TIME: Duration = Duration::from_secs(5);
 
+/// How long the daemons may take until they are ready and each key is held.
+const START_LIMIT: Duration = Duration::from_secs(40);
+
 /// How long traffic runs before the disruption begins.
 const CALM_TIME: Duration = Duration::from_secs(6);
 
@@ -109,8 +112,9 @@
     }
 
     fn wait_until_ready(&self) -> Result<(), CannotRun> {
+        let end = Instant::now() + START_LIMIT;
         for node in &self.nodes {
-            if !node.wait_ready(Duration::from_secs(20)) {
+            if !node.wait_ready(end) {
                 return Err(CannotRun(format!("{} isn't ready", node.name)));
             }
             self.record.add(&format!(
@@ -118,7 +122,6 @@
                 node.name, node.front
             ));
         }
-        let end = Instant::now() + Duration::from_secs(20);
         let keys: Vec<usize> = (0..server::KEYS).step_by(512).collect();
         loop {
             let owners = self.owners(&keys);
@@ -295,7 +298,7 @@
         unsafe_of_ten: 10,
     });
     thread::sleep(CALM_TIME);
-    for _spell in 0..4 {
+    for _spell in 0..6 {
         if scene.has_trouble {
             scene.servers[0].send_extra(ExtraResponse::ToResend, FAULT_TIME);
         }
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -110,8 +110,7 @@
     }
 
     /// Waits until the daemon says that it is ready.
-    pub fn wait_ready(&self, limit: Duration) -> bool {
-        let end = Instant::now() + limit;
+    pub fn wait_ready(&self, end: Instant) -> bool {
         while Instant::now() < end {
             if self.is_ready().unwrap_or(false) {
                 return true;
