Keep the limit of extra responses in each spell of a fault

Cause: the stand-in of a server kept the share of extra responses (0.03) over all times in which it was faulty together, and read and raised the count in two steps.

Change: each time is counted by itself, in one step.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -224,12 +224,13 @@
             answers.len()
         ));
         for server in &self.servers {
-            let (responses, extras) = server.response_counts();
-            self.record.add(&format!(
-                "{} sent {responses} responses and {extras} extra ones while \
-                 it was faulty",
-                server.id
-            ));
+            for spell in server.fault_spells() {
+                self.record.add(&format!(
+                    "{} sent {} responses and {} extra ones in 5 s in which \
+                     it was faulty",
+                    server.id, spell.responses, spell.extras
+                ));
+            }
         }
     }
 }
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Condvar, Mutex, MutexGuard, Weak,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -47,9 +47,19 @@
 }
 
 /// The most extra responses, as a share of the responses that the server has
-/// sent while it was faulty.
+/// sent since it became faulty. What is left lapses when the fault ends.
 const MAX_EXTRA_SHARE: f64 = 0.03;
 
+/// A time in which a server is faulty.
+#[derive(Clone, Copy, Debug)]
+pub struct FaultSpell {
+    extra: ExtraResponse,
+    until: Instant,
+    /// The responses that it sent in this time, without extra ones.
+    pub responses: u64,
+    pub extras: u64,
+}
+
 /// Work on one request.
 #[derive(Clone, Debug)]
 struct Run {
@@ -95,12 +105,8 @@
     fleet: Mutex<Vec<Weak<Server>>>,
     /// The attempts that it began to work on.
     runs: Mutex<Vec<String>>,
-    /// The extra responses that it sends, and until when.
-    extra: Mutex<Option<(ExtraResponse, Instant)>>,
-    /// The responses that it sent while it was faulty, without extra ones.
-    responses: AtomicU64,
-    /// The extra responses among them.
-    extras: AtomicU64,
+    /// The times in which it was faulty; the last may last still.
+    spells: Mutex<Vec<FaultSpell>>,
     record: Arc<Record>,
     beats: AtomicBool,
 }
@@ -147,9 +153,7 @@
             changed: Condvar::new(),
             fleet: Mutex::default(),
             runs: Mutex::default(),
-            extra: Mutex::default(),
-            responses: AtomicU64::new(0),
-            extras: AtomicU64::new(0),
+            spells: Mutex::default(),
             record,
             beats: AtomicBool::new(true),
         });
@@ -211,14 +215,17 @@
         let line = format!("{} is faulty for {lasts:?}", self.id);
         self.record.add(&line);
         let until = Instant::now() + lasts;
-        let mut known = self.extra.lock().expect("lock is not poisoned");
-        *known = Some((extra, until));
+        let spell = FaultSpell { extra, until, responses: 0, extras: 0 };
+        self.lock_spells().push(spell);
+    }
+
+    /// The times in which it was faulty.
+    pub fn fault_spells(&self) -> Vec<FaultSpell> {
+        self.lock_spells().clone()
     }
 
-    /// The numbers of its responses while it was faulty and of extra ones.
-    pub fn response_counts(&self) -> (u64, u64) {
-        let load = |count: &AtomicU64| count.load(Ordering::Relaxed);
-        (load(&self.responses), load(&self.extras))
+    fn lock_spells(&self) -> MutexGuard<'_, Vec<FaultSpell>> {
+        self.spells.lock().expect("lock is not poisoned")
     }
 
     pub fn runs(&self) -> Vec<String> {
@@ -267,20 +274,20 @@
                 is_refusal: text.contains("X-Not-Executed"),
                 text: text.clone(),
             };
-            if self.fault().is_some() {
-                self.responses.fetch_add(1, Ordering::Relaxed);
-            }
+            self.count_response();
             if stream.get_mut().write_all(text.as_bytes()).is_err() {
                 return;
             }
         }
     }
 
-    /// The extra responses that it sends now.
-    fn fault(&self) -> Option<ExtraResponse> {
-        let extra = *self.extra.lock().expect("lock is not poisoned");
-        let (extra, until) = extra?;
-        (until > Instant::now()).then_some(extra)
+    fn count_response(&self) {
+        let now = Instant::now();
+        if let Some(spell) = self.lock_spells().last_mut()
+            && spell.until > now
+        {
+            spell.responses += 1;
+        }
     }
 
     /// The extra response to send before the response to a request.
@@ -289,7 +296,9 @@
         request: &Message,
         last: &LastResponse,
     ) -> Option<String> {
-        let fits = match self.fault()? {
+        let mut spells = self.lock_spells();
+        let spell = spells.last_mut()?;
+        let fits = match spell.extra {
             ExtraResponse::ToRelease => {
                 request.path() == "/v1/release"
                     && last.is_order
@@ -300,12 +309,12 @@
                     && request.header("x-attempt-id") == Some(&last.attempt)
             }
         };
-        let (responses, extras) = self.response_counts();
-        let allowed = MAX_EXTRA_SHARE * responses as f64;
-        if !fits || (extras + 1) as f64 > allowed {
+        let allowed = MAX_EXTRA_SHARE * spell.responses as f64;
+        let is_over = spell.until <= Instant::now();
+        if !fits || is_over || (spell.extras + 1) as f64 > allowed {
             return None;
         }
-        self.extras.fetch_add(1, Ordering::Relaxed);
+        spell.extras += 1;
         Some(last.text.clone())
     }
 
