Log why a server is no longer listed

The log said "The entry of server i-0 is gone" both for a removed entry and for a later entry at the same address, so it could not tell these hypotheses apart:

1. the entry of i-0 lapsed or was removed; 2. the entry of another writer counts as a later server at its address; 3. two VMs plan at once.

The line now says which of the first two it is.

--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -222,6 +222,24 @@
         .is_some_and(|last| *last.id != *id && last.started_ms > started_ms)
 }
 
+/// Logs why a server is no longer listed.
+fn log_departure(known: &ServerEntry, latest_by_address: &AddressMap) {
+    let ServerEntry { id, address, started_ms, .. } = known;
+    match latest_by_address.get(address) {
+        Some(last)
+            if is_superseded(latest_by_address, *address, id, *started_ms) =>
+        {
+            log::info!(
+                "[control] Server {id} has ended: server {} of {} has \
+                 started at its address since.",
+                last.id,
+                last.service
+            );
+        }
+        _ => log::info!("[control] The entry of server {id} is gone."),
+    }
+}
+
 impl FleetView {
     /// Whether another server has started at the address of `instance` since.
     #[must_use]
@@ -470,7 +488,7 @@
                 .get(id)
                 .is_some_and(|entry| entry.started_ms == known.started_ms);
             if !same && !self.leaving.contains_key(id) {
-                log::info!("[control] The entry of server {id} is gone.");
+                log_departure(known, &latest_by_address);
                 self.leaving.insert(Arc::clone(id), since);
             }
         }
