Ignore server entries that no server has written

Callers of a key could be served by two servers at once.

Cause: the view took every entry that could be decoded as proof of a reused address.

An address still counts as reused as soon as the configuration names the service of the server that has it now; until then requests and orders, which name their server, are refused there.

--- a/goldcrestramp-entry/src/view.rs
+++ b/goldcrestramp-entry/src/view.rs
@@ -32,6 +32,8 @@
     /// Limits on requests of callers.
     pub limits: TrafficLimits,
     configuration: Arc<FleetConfiguration>,
+    /// The services that the configuration names.
+    services: FastSet<Arc<str>>,
     /// The routes of each host, longest path prefix first.
     hosts: FastMap<Arc<str>, Vec<Arc<RequestRoute>>>,
     /// The regions that all routes to a service allow, for services all of
@@ -55,6 +57,7 @@
         Self {
             version: configuration.version,
             limits: configuration.limits,
+            services: named_services(configuration),
             service_regions: service_regions(configuration),
             configuration: Arc::clone(configuration),
             hosts,
@@ -101,6 +104,13 @@
         self.configuration.services.get(service)
     }
 
+    /// Whether the configuration names a service, by itself or as the target
+    /// of a route.
+    #[must_use]
+    pub fn names_service(&self, service: &str) -> bool {
+        self.services.contains(service)
+    }
+
     /// Whether a service's keys have one owner each.
     #[must_use]
     pub fn is_sharded(&self, service: &str) -> bool {
@@ -121,6 +131,12 @@
     }
 }
 
+fn named_services(configuration: &FleetConfiguration) -> FastSet<Arc<str>> {
+    let targets = configuration.routes.values().flat_map(|r| &r.targets);
+    let targets = targets.map(|target| &target.service);
+    configuration.services.keys().chain(targets).cloned().collect()
+}
+
 fn service_regions(
     configuration: &FleetConfiguration,
 ) -> FastMap<Arc<str>, AllowedRegions> {
@@ -156,8 +172,9 @@
 pub struct FleetView {
     /// The routes of the operators' configuration, once it is known.
     pub routes: Option<Arc<RouteTable>>,
-    /// The servers with an entry, by id. A server is left out if another has
-    /// started at its address since, because it has ended.
+    /// The servers with an entry, by id, of the services that the
+    /// configuration names. A server is left out if another has started at its
+    /// address since, because it has ended.
     pub servers: FastMap<Arc<str>, Arc<ServerEntry>>,
     /// The server that started last at each address.
     pub latest_by_address: AddressMap,
@@ -317,6 +334,8 @@
     vms: ParsedItems<VmInstance>,
     leaving: FastMap<Arc<str>, LocalTime>,
     present: FastMap<Arc<str>, Arc<ServerEntry>>,
+    /// The entries of services that the configuration does not name, by id.
+    foreign: FastSet<Arc<str>>,
     latest_by_address: AddressMap,
     cold: ColdTracker,
     evacuated: FastMap<Arc<str>, LocalTime>,
@@ -349,7 +368,7 @@
         let vms = self
             .vms
             .read(mirror.range(VM_PREFIX), |_key, value| decode(value));
-        if servers {
+        if servers || routes {
             self.update_leaving(now, since);
             self.update_cold(now);
         }
@@ -472,23 +491,56 @@
         }
     }
 
+    /// The entries of the services that the configuration names; all entries
+    /// while no configuration is known.
+    ///
+    /// Others than the servers write entries, too. What such an entry says of
+    /// its address must not count for the server that is reached there.
+    fn named_servers(&mut self) -> Vec<Arc<ServerEntry>> {
+        let routes = self.routes.as_ref().map(|(_, routes)| routes);
+        let is_named = |entry: &ServerEntry| {
+            routes.is_none_or(|routes| routes.names_service(&entry.service))
+        };
+        let mut named = Vec::new();
+        let mut foreign = FastSet::default();
+        for (_, entry) in self.servers.values() {
+            if is_named(entry) {
+                named.push(Arc::clone(entry));
+                continue;
+            }
+            let ServerEntry { id, service, .. } = &**entry;
+            if !self.foreign.contains(id) {
+                log::warn!(
+                    "[control] The entry of server {id} is ignored: the \
+                     configuration names no service {service}."
+                );
+            }
+            foreign.insert(Arc::clone(id));
+        }
+        self.foreign = foreign;
+        named
+    }
+
     /// Records since when servers are draining or without an entry.
     fn update_leaving(&mut self, now: LocalTime, since: LocalTime) {
-        let entries = self.servers.values().map(|(_, entry)| entry);
-        let latest_by_address = latest_by_address(entries.clone());
+        let entries = self.named_servers();
+        let latest_by_address = latest_by_address(entries.iter());
         let servers: FastMap<Arc<str>, Arc<ServerEntry>> = entries
+            .into_iter()
             .filter(|entry| {
-                let ServerEntry { address, id, started_ms, .. } = &***entry;
+                let ServerEntry { address, id, started_ms, .. } = &**entry;
                 !is_superseded(&latest_by_address, *address, id, *started_ms)
             })
-            .map(|entry| (Arc::clone(&entry.id), Arc::clone(entry)))
+            .map(|entry| (Arc::clone(&entry.id), entry))
             .collect();
         for (id, known) in &self.present {
             let same = servers
                 .get(id)
                 .is_some_and(|entry| entry.started_ms == known.started_ms);
             if !same && !self.leaving.contains_key(id) {
-                log_departure(known, &latest_by_address);
+                if !self.foreign.contains(id) {
+                    log_departure(known, &latest_by_address);
+                }
                 self.leaving.insert(Arc::clone(id), since);
             }
         }
--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -1,6 +1,9 @@
 //! Each key has at most one owner, also when servers fail and keys move.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use reqwest::{Method, Response, header::HeaderMap};
 use rustix::process::Signal;
@@ -108,6 +111,30 @@
     }
 }
 
+/// Guards against keys with two owners: another writer lists the address of a
+/// running server under a service that no configuration names.
+#[tokio::test]
+async fn an_entry_of_an_unknown_service_takes_no_keys() {
+    const OBSERVED: Duration = Duration::from_secs(2);
+    let cluster = Cluster::start(SHARDED, 2, 1).await;
+    let key = key_of_first_server(&cluster).await;
+    cluster.wait_served(0, key).await;
+    let mut foreign = entry(&cluster.servers[0], "agent", "ready");
+    foreign["born"] = json!(1_800_000_000_000_u64);
+
+    cluster.store.put("servers/agent", &foreign);
+
+    let end = Instant::now() + OBSERVED;
+    while Instant::now() < end {
+        for key in sample_keys() {
+            assert!(cluster.owners(key) <= 1, "key {key}");
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let stays = sample_keys().any(|key| cluster.servers[0].owns(key));
+    assert!(stays, "no key of its own is left");
+}
+
 /// Guards against keys that stay with a server whose address now belongs to
 /// another one.
 #[tokio::test]
