Send a request at most once over each connection

A server refused an order, the VM sent it again over the same connection, and a late second copy of the refusal arrived where the response was expected.

Cause: responses are told apart by the attempt id alone, and that connection carried the same attempt twice.

Evidence: [send] lines now name the connection.

Each request now keeps the keys of the connections that it was sent over, and takes none of them again. A copy that arrives for another request has the wrong id and is refused as before.

--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -12,23 +12,20 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::{error::Elapsed, timeout};
 
-use crate::{
-    http::ConnectionSender,
-    traffic::{
-        bulk::BulkRegion,
-        choose::has_other_owner,
-        crash::is_refused,
-        headers::text,
-        memory::MemoryAccount,
-        relay::{ENVELOPE, LocalEnd},
-        request::RoutedRequest,
-        response::{
-            ReadResponse, ResponseBody, StreamSource, full_response,
-            read_response, streamed_response,
-        },
-        server::{ServerSlot, ServerState},
-        state::TrafficState,
+use crate::traffic::{
+    bulk::BulkRegion,
+    choose::has_other_owner,
+    crash::is_refused,
+    headers::text,
+    memory::MemoryAccount,
+    relay::{ENVELOPE, LocalEnd},
+    request::RoutedRequest,
+    response::{
+        ReadResponse, ResponseBody, StreamSource, full_response,
+        read_response, streamed_response,
     },
+    server::{ServerConnection, ServerSlot, ServerState},
+    state::TrafficState,
 };
 
 /// How long past the deadline to wait for the head of a response: the server
@@ -173,21 +170,28 @@
         slot.end(now, ServerSignal::Cancelled);
         return AttemptOutcome::NotSent;
     };
+    request.connections.push(connection.key);
     exchange(state, request, slot, connection, outgoing, plan).await
 }
 
 /// Returns an idle connection, or opens a new one.
+///
+/// A connection carries a request once only: a second copy of an earlier
+/// response to the request could not be told from the response to this
+/// attempt.
 async fn connect(
     state: &TrafficState,
     request: &RoutedRequest,
     slot: &ServerSlot,
     plan: &AttemptPlan,
-) -> io::Result<ConnectionSender> {
+) -> io::Result<ServerConnection> {
     let server = &slot.server;
     let began_at = MonotonicClock.now();
     let is_sample = slot.transfer.is_some()
         && plan.region.as_ref().is_some_and(|r| r.needs_sample(began_at));
-    if !is_sample && let Some(idle) = server.take_idle().await {
+    if !is_sample
+        && let Some(idle) = server.take_idle(&request.connections).await
+    {
         return Ok(idle);
     }
     let began_at = MonotonicClock.now();
@@ -215,7 +219,7 @@
     state: &Rc<TrafficState>,
     request: &RoutedRequest,
     slot: ServerSlot,
-    mut connection: ConnectionSender,
+    mut connection: ServerConnection,
     outgoing: Request<crate::http::SendBody>,
     plan: AttemptPlan,
 ) -> AttemptOutcome {
@@ -224,7 +228,7 @@
             state.record_reach(request, &slot.server, event);
         }
     };
-    let sent = connection.try_send_request(outgoing);
+    let sent = connection.sender.try_send_request(outgoing);
     let response = wait_for_response(state, request, sent, &plan);
     // A previous owner completes all requests that it ran before the next
     // owner is granted the key, so no response can follow from it.
@@ -402,7 +406,7 @@
 /// Reads the rest of a refusal, so that its connection can be reused.
 async fn finish_refusal(
     slot: &ServerSlot,
-    connection: ConnectionSender,
+    connection: ServerConnection,
     parts: Parts,
     body: Incoming,
 ) {
@@ -421,7 +425,7 @@
 /// The head of a response, and where it arrived.
 struct ReceivedHead {
     slot: ServerSlot,
-    connection: ConnectionSender,
+    connection: ServerConnection,
     parts: Parts,
 }
 
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -297,6 +297,7 @@
         counted: true,
         reserved: None,
         fingerprint: OnceCell::new(),
+        connections: Vec::new(),
         kept: Cell::new(false),
     };
     serve_relayed(state, request, history).await
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -24,6 +24,7 @@
         memory::{HeldCharge, MemoryAccount, discard},
         reason::EndReason,
         relay::ENVELOPE,
+        server::ConnectionKey,
     },
     view::RouteTable,
 };
@@ -113,6 +114,8 @@
     pub(super) reserved: Option<HeldCharge>,
     /// Its fingerprint, once it was needed.
     pub(super) fingerprint: OnceCell<Option<RequestFingerprint>>,
+    /// The connections that it was sent over.
+    pub(crate) connections: Vec<ConnectionKey>,
     /// Whether it was counted as a download that was kept in its region.
     pub(super) kept: Cell<bool>,
 }
--- a/goldcrestramp-entry/src/traffic/response.rs
+++ b/goldcrestramp-entry/src/traffic/response.rs
@@ -16,17 +16,13 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use crate::{
-    http::ConnectionSender,
-    traffic::{
-        headers::strip_connection,
-        memory::{
-            ActiveAccount, ChunkWriter, HeldCharge, MAX_CHUNK_BYTES,
-            MemoryAccount,
-        },
-        reason::EndReason,
-        server::ServerSlot,
+use crate::traffic::{
+    headers::strip_connection,
+    memory::{
+        ActiveAccount, ChunkWriter, HeldCharge, MAX_CHUNK_BYTES, MemoryAccount,
     },
+    reason::EndReason,
+    server::{ServerConnection, ServerSlot},
 };
 
 /// Responses up to this size are buffered before the caller gets a byte. Then
@@ -64,14 +60,14 @@
 pub(crate) struct StreamSource {
     rest: Incoming,
     _slot: ServerSlot,
-    _connection: ConnectionSender,
+    _connection: ServerConnection,
 }
 
 impl StreamSource {
     pub(crate) const fn new(
         rest: Incoming,
         slot: ServerSlot,
-        connection: ConnectionSender,
+        connection: ServerConnection,
     ) -> Self {
         Self { rest, _slot: slot, _connection: connection }
     }
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -230,6 +230,7 @@
         counted,
         reserved: None,
         fingerprint: OnceCell::new(),
+        connections: Vec::new(),
         kept: Cell::new(false),
     })
 }
@@ -504,12 +505,14 @@
     }
     let since = token.and_then(|t| state.token_since(&request.service, t));
     let known_for = since.map(|since| sent_at.since(since));
+    let connection = request.connections.last().map_or(0, |key| key.get());
     log::info!(
         request = request.attempt_id(),
         service = &*request.service,
         server = &*server.instance.id,
         outcome = outcome.code(),
         took_ms = elapsed.as_millis(),
+        last_connection = connection,
         in_flight = server.in_flight(),
         token = token.unwrap_or(0),
         assignment_age_ms = known_for.map_or(0, TimeSpan::as_millis),
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -4,7 +4,10 @@
     cell::{Cell, RefCell},
     io,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use goldcrestramp_assignment::ServerInstance;
@@ -34,10 +37,33 @@
 /// retried.
 const IDLE_MARGIN: TimeSpan = TimeSpan::from_millis(1_500);
 
+/// Identifies a connection to a server within this process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct ConnectionKey(u64);
+
+impl ConnectionKey {
+    fn next() -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        Self(NEXT.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The number in logs.
+    pub(crate) const fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// An open connection to a server.
+#[derive(Debug)]
+pub(crate) struct ServerConnection {
+    pub(crate) key: ConnectionKey,
+    pub(crate) sender: ConnectionSender,
+}
+
 /// An idle connection and the time until which it is kept.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: ConnectionSender,
+    connection: ServerConnection,
     until: LocalTime,
 }
 
@@ -140,45 +166,56 @@
         self.limit.borrow_mut().links_restored(now);
     }
 
-    /// Takes an idle connection to the server.
-    pub(crate) async fn take_idle(&self) -> Option<ConnectionSender> {
-        while let Some(sender) = self.pop_idle() {
+    /// Takes an idle connection to the server, other than the ones in `used`.
+    pub(crate) async fn take_idle(
+        &self,
+        used: &[ConnectionKey],
+    ) -> Option<ServerConnection> {
+        while let Some(ServerConnection { key, sender }) = self.pop_idle(used)
+        {
             if let Some(sender) = usable(sender).await {
-                return Some(sender);
+                return Some(ServerConnection { key, sender });
             }
         }
         None
     }
 
     /// Opens a new connection to the server.
-    pub(crate) async fn connect(&self) -> io::Result<ConnectionSender> {
-        dial_buffered(self.instance.address, CloseMode::Close, self.buffer)
-            .await
+    pub(crate) async fn connect(&self) -> io::Result<ServerConnection> {
+        let address = self.instance.address;
+        let sender =
+            dial_buffered(address, CloseMode::Close, self.buffer).await?;
+        Ok(ServerConnection { key: ConnectionKey::next(), sender })
     }
 
     /// Keeps a connection whose response was read completely. `stated` is the
     /// idle time that the server states.
     pub(crate) fn put_idle(
         &self,
-        sender: ConnectionSender,
+        connection: ServerConnection,
         stated: Option<TimeSpan>,
     ) {
         let span = stated
             .map_or(DEFAULT_IDLE_TIME, |stated| stated.minus(IDLE_MARGIN));
-        if span == TimeSpan::ZERO || sender.is_closed() {
+        if span == TimeSpan::ZERO || connection.sender.is_closed() {
             return;
         }
         let until = MonotonicClock.now() + span;
-        self.idle.borrow_mut().push(IdleConnection { sender, until });
+        self.idle.borrow_mut().push(IdleConnection { connection, until });
     }
 
     /// Takes the connection that was used last, so that the others fall idle
     /// and expire.
-    fn pop_idle(&self) -> Option<ConnectionSender> {
+    fn pop_idle(&self, used: &[ConnectionKey]) -> Option<ServerConnection> {
         let now = MonotonicClock.now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|kept| kept.until > now && !kept.sender.is_closed());
-        idle.pop().map(|kept| kept.sender)
+        idle.retain(|kept| {
+            kept.until > now && !kept.connection.sender.is_closed()
+        });
+        let position = idle
+            .iter()
+            .rposition(|kept| !used.contains(&kept.connection.key))?;
+        Some(idle.remove(position).connection)
     }
 }
 
--- a/goldcrestramp-entry/tests/daemon/orders.rs
+++ b/goldcrestramp-entry/tests/daemon/orders.rs
@@ -68,3 +68,19 @@
     assert!(response.headers().contains_key("retry-after"));
     assert_eq!(cluster.executions_of(&attempt), 0);
 }
+
+/// Guards against an order that runs twice: a second copy of its refusal
+/// arrives where the response to its next send is expected.
+#[tokio::test]
+async fn a_repeated_refusal_does_not_end_the_next_send() {
+    let cluster = Cluster::start(POOLED, 1, 1).await;
+    let repeats = ServerBehavior::RepeatsRefusals { echoes: true };
+    cluster.servers[0].set_behavior(repeats);
+    let attempt = cluster.next_attempt();
+
+    let request = cluster.request(0, Method::POST, "/order/1", &attempt);
+    let response = request.send().await.expect("response arrives");
+
+    assert_eq!(response.status(), 200);
+    assert_eq!(cluster.executions_of(&attempt), 1);
+}
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -23,6 +23,10 @@
 /// The connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
+/// How long a server that repeats refusals works on a request, so that
+/// requests at the same time use several connections.
+const WORK_TIME: Duration = Duration::from_millis(50);
+
 /// How a server handles requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServerBehavior {
@@ -42,6 +46,10 @@
     ShedsUnmarked,
     /// It runs them and responds with the id of another request.
     WrongId,
+    /// It sheds each attempt when it first arrives. Where the response to the
+    /// next request on the connection is expected, it first sends the refusal
+    /// again, if it echoes ids only to the same attempt.
+    RepeatsRefusals { echoes: bool },
     /// It is overloaded: it neither runs them nor ever responds on their
     /// connection.
     Hangs,
@@ -458,6 +466,7 @@
     id: &str,
 ) -> std::io::Result<()> {
     let mut stream = BufReader::new(stream);
+    let mut last_refusal = LastRefusal::default();
     while let Some(request) = read(&mut stream).await? {
         if is_reset(state, &request) {
             let socket = SockRef::from(stream.get_ref());
@@ -476,6 +485,10 @@
         if state.lock().expect("lock is not poisoned").ended {
             return std::future::pending().await;
         }
+        if let Some(refusal) = last_refusal.take_for(&request) {
+            stream.get_mut().write_all(refusal.as_bytes()).await?;
+        }
+        last_refusal.record(state, &request, &head);
         tokio::time::sleep(wait).await;
         wait_released(&mut stream, state).await?;
         stream.get_mut().write_all(head.as_bytes()).await?;
@@ -486,6 +499,41 @@
     Ok(())
 }
 
+/// The refusal that is sent again on a connection.
+#[derive(Default)]
+struct LastRefusal {
+    /// The refusal, and the attempt whose next response it precedes; any if
+    /// the refusal has no id.
+    refusal: Option<(String, Option<String>)>,
+}
+
+impl LastRefusal {
+    /// Takes the refusal if it is sent before the response to a request.
+    fn take_for(&mut self, request: &ReadRequest) -> Option<String> {
+        let (head, refused) = self.refusal.take()?;
+        let attempt = request.headers.get("x-attempt-id");
+        let fits = refused.is_none() || refused.as_ref() == attempt;
+        fits.then_some(head)
+    }
+
+    fn record(
+        &mut self,
+        state: &Mutex<ServerState>,
+        request: &ReadRequest,
+        head: &str,
+    ) {
+        let state = state.lock().expect("lock is not poisoned");
+        let ServerBehavior::RepeatsRefusals { echoes } = state.behavior else {
+            return;
+        };
+        if head.contains("X-Not-Executed") {
+            let attempt = request.headers.get("x-attempt-id").cloned();
+            let refused = attempt.filter(|_attempt| echoes);
+            self.refusal = Some((head.to_owned(), refused));
+        }
+    }
+}
+
 /// Whether a request is to end with a reset of its connection. Orders are
 /// never reset.
 fn is_reset(state: &Mutex<ServerState>, request: &ReadRequest) -> bool {
@@ -580,6 +628,14 @@
         let head = response("421 Misdirected Request", refusal, "");
         return (head, Duration::ZERO, false);
     }
+    if let ServerBehavior::RepeatsRefusals { echoes } = state.behavior
+        && state.arrivals.iter().filter(|(id, _)| *id == attempt).count() == 1
+    {
+        let echo = if echoes { &*echo } else { "" };
+        let headers = format!("{echo}{refusal}");
+        let head = response("503 Service Unavailable", &headers, "");
+        return (head, Duration::ZERO, false);
+    }
     let unmarked = state.behavior == ServerBehavior::ShedsUnmarked;
     if unmarked || state.behavior == ServerBehavior::Sheds {
         let backoff = state.record_backoff(now, &attempt);
@@ -617,6 +673,7 @@
         }
         ServerBehavior::Responds(wait) => (complete, wait, false),
         ServerBehavior::Withholds => (complete, Duration::ZERO, false),
+        ServerBehavior::RepeatsRefusals { .. } => (complete, WORK_TIME, false),
         ServerBehavior::Sheds
         | ServerBehavior::ShedsUnmarked
         | ServerBehavior::Resets
