Keep connections only after identified responses

A refusal counts also without an attempt id, as a server at a reused address may send it, and its connection was kept. A late second copy of it then counted as the refusal of the next order on the connection, which ran: the order ran twice, or was answered 503.

A connection is now kept only after a response that bears the id of its request, so a response without one cannot be a copy.

--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -293,7 +293,9 @@
                 ServerSignal::Refused
             };
             slot.end(now, signal);
-            finish_refusal(&slot, connection, parts, body).await;
+            if echoes_attempt(request, &parts.headers) {
+                finish_refusal(&slot, connection, parts, body).await;
+            }
             if misdirected {
                 AttemptOutcome::Misdirected
             } else {
@@ -403,6 +405,15 @@
     ResponseKind::Own
 }
 
+/// Whether a response bears the id of the request.
+///
+/// A connection is kept only after such a response. A second copy of one
+/// without an id could not be told from the response to the next request.
+fn echoes_attempt(request: &RoutedRequest, headers: &HeaderMap) -> bool {
+    let expected = request.attempt_id();
+    text(headers, names::ATTEMPT_ID).is_some_and(|echoed| echoed == expected)
+}
+
 /// Reads the rest of a refusal, so that its connection can be reused.
 async fn finish_refusal(
     slot: &ServerSlot,
@@ -463,7 +474,9 @@
         }
         Ok(Ok(ReadResponse::Full(body))) => {
             let latency = state.record_response(request, &slot, now);
-            slot.server.put_idle(connection, keep_alive(&headers));
+            if echoes_attempt(request, &headers) || !plan.is_direct() {
+                slot.server.put_idle(connection, keep_alive(&headers));
+            }
             if request.slice.is_some() && plan.is_direct() {
                 let id = &slot.server.instance.id;
                 state.loads.record_response(&request.service, id, latency);
--- a/goldcrestramp-entry/tests/daemon/orders.rs
+++ b/goldcrestramp-entry/tests/daemon/orders.rs
@@ -1,5 +1,6 @@
 //! Orders run at most once, and a response that states "not run" is true.
 
+use futures_util::future::join_all;
 use reqwest::Method;
 
 use crate::{
@@ -84,3 +85,27 @@
     assert_eq!(response.status(), 200);
     assert_eq!(cluster.executions_of(&attempt), 1);
 }
+
+/// Guards against an order that runs twice: a second copy of a refusal without
+/// an id arrives where the response to another order is expected.
+#[tokio::test]
+async fn a_repeated_refusal_without_an_id_ends_no_other_order() {
+    const ORDERS: usize = 6;
+    let cluster = Cluster::start(POOLED, 1, 1).await;
+    let repeats = ServerBehavior::RepeatsRefusals { echoes: false };
+    cluster.servers[0].set_behavior(repeats);
+    let attempts: Vec<String> =
+        (0..ORDERS).map(|_| cluster.next_attempt()).collect();
+
+    let orders = attempts.iter().map(|attempt| {
+        cluster.request(0, Method::POST, "/order/1", attempt).send()
+    });
+    let responses = join_all(orders).await;
+
+    for (attempt, response) in attempts.iter().zip(responses) {
+        let status = response.expect("response arrives").status();
+        let executions = cluster.executions_of(attempt);
+        assert!(executions <= 1, "{attempt} ran {executions} times");
+        assert!(status != 503 || executions == 0, "{attempt} has run");
+    }
+}
