Check that a response belongs to its order

The holder, which was leaving, sent a second copy of its response to a grant where the response to the release of its keys was expected.

Cause: responses to orders have no id, and any 200 to a release proved that the holder had stopped. In the same way any 421 proved that the server had ended.

Evidence: on this code the log names responses that don't count.

A release is now carried out only if its response has a handover. Connections of orders are kept after successful grants alone, so none carries a copy of a release's response or of a denial, and a 421 counts only as the first response on its connection.

The stand-in of the daemon tests sent no handover and does now, as servers do.

--- a/goldcrestramp-entry/src/control/order.rs
+++ b/goldcrestramp-entry/src/control/order.rs
@@ -14,6 +14,7 @@
 use goldcrestramp_assignment::{OrderKind, OrderOutcome, ServerOrder};
 use goldcrestramp_types::{ClockSource, FastMap, LocalTime, MonotonicClock};
 use http::{HeaderMap, HeaderValue, Method, StatusCode, header::CONTENT_TYPE};
+use tokio::time::sleep;
 use xtra::Address;
 
 use crate::{
@@ -168,9 +169,14 @@
         headers: order_headers(&order.instance.id),
         body,
     };
-    match pool.call(request, reuse, timeout).await {
+    let is_grant = matches!(order.kind, OrderKind::Grant { .. });
+    let keeps = |response: &CallResponse| {
+        is_grant && response.status == StatusCode::OK
+    };
+    let limit = async { sleep(timeout).await };
+    match pool.call_keeping(request, reuse, limit, keeps).await {
         Ok(response) => OrderReply {
-            outcome: outcome(response.status, &response.headers),
+            outcome: outcome(&order.kind, &response),
             leaving: is_leaving(&order.instance.id, &response),
         },
         Err(CallFailure::NotSent) => OrderOutcome::NotSent.into(),
@@ -201,18 +207,43 @@
     map
 }
 
-fn outcome(status: StatusCode, map: &HeaderMap) -> OrderOutcome {
-    match status {
-        StatusCode::OK => {
-            let handover = map.get(headers::HANDOVER);
-            let handover = handover.and_then(|text| text.to_str().ok());
-            OrderOutcome::Done { handover: handover.map(Arc::from) }
+/// What a response says about its order.
+///
+/// Responses to orders have no id, and a second copy of an earlier one may
+/// arrive in place of the response. A connection is kept only after the
+/// response to a successful grant, so nothing else can be a copy:
+///
+/// - The response to a release has a handover, that to a grant has none.
+/// - On a connection with an earlier response, a denial (421) may belong to
+///   another order, so it does not prove that the server has ended. The order
+///   is sent again on another connection.
+///
+/// A copy of the response to a grant may stand for that to the next one; the
+/// next renewal shows whether the server accepted it.
+fn outcome(kind: &OrderKind, response: &CallResponse) -> OrderOutcome {
+    let CallResponse { status, headers: map, is_first, .. } = response;
+    match (*status, kind) {
+        (StatusCode::OK, OrderKind::Grant { .. }) => {
+            OrderOutcome::Done { handover: None }
+        }
+        (StatusCode::OK, OrderKind::Release) => {
+            let Some(handover) = map.get(headers::HANDOVER) else {
+                log::warn!(
+                    "[orders] The response to a release has no handover."
+                );
+                return OrderOutcome::Unknown;
+            };
+            let handover = handover.to_str().ok().map(Arc::from);
+            OrderOutcome::Done { handover }
+        }
+        (StatusCode::CONFLICT, _) => OrderOutcome::Outdated,
+        (StatusCode::MISDIRECTED_REQUEST, _) if *is_first => {
+            OrderOutcome::Ended
         }
-        StatusCode::CONFLICT => OrderOutcome::Outdated,
-        StatusCode::MISDIRECTED_REQUEST => OrderOutcome::Ended,
-        status => {
+        (status, _) => {
             log::warn!(
-                "[control] The response to an order has status {status}."
+                first = *is_first;
+                "[orders] The response to an order has status {status}."
             );
             OrderOutcome::Unknown
         }
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -91,6 +91,9 @@
     pub headers: HeaderMap,
     /// The complete body, without trailers.
     pub body: Bytes,
+    /// Whether it is the first response on its connection, so that it can't be
+    /// a second copy of an earlier one.
+    pub is_first: bool,
 }
 
 /// Opens a connection to `address`; `close_mode` decides what happens to bytes
@@ -241,43 +244,50 @@
         reuse: ConnectionReuse,
         limit: Duration,
     ) -> Result<CallResponse, CallFailure> {
-        self.call_until(request, reuse, async { sleep(limit).await }).await
+        let limit = async { sleep(limit).await };
+        self.call_keeping(request, reuse, limit, |_response| true).await
     }
 
     /// Makes a call as [`Self::call`] does. The limit passes when `limit`
-    /// ends; it starts when the connection is open.
+    /// ends; it starts when the connection is open. The connection is kept for
+    /// further calls only if `keeps` accepts the response: a second copy of a
+    /// response could otherwise be taken for that to a later call.
     ///
     /// # Errors
     ///
     /// A [`CallFailure`] when no complete response arrived.
-    pub async fn call_until(
+    pub async fn call_keeping(
         &self,
         request: CallRequest,
         reuse: ConnectionReuse,
         limit: impl Future<Output = ()>,
+        keeps: impl FnOnce(&CallResponse) -> bool,
     ) -> Result<CallResponse, CallFailure> {
         let address = request.address;
-        let sender = match self.take_idle(address).await {
-            Some(sender) => sender,
+        let connection = match self.take_idle(address).await {
+            Some(sender) => CallConnection { sender, is_new: false },
             None if reuse == ConnectionReuse::Kept => {
                 return Err(CallFailure::NotSent);
             }
-            None => dial(address, self.close_mode)
-                .await
-                .map_err(|_error| CallFailure::NotSent)?,
+            None => {
+                let dialed = dial(address, self.close_mode).await;
+                let sender = dialed.map_err(|_error| CallFailure::NotSent)?;
+                CallConnection { sender, is_new: true }
+            }
         };
         let progress = CallProgress::begin();
         let max_bytes = self.max_response_bytes;
         let outcome = match self.scope {
             TimeoutScope::ResponseHead => {
-                exchange(sender, request, limit, max_bytes, &progress).await
+                exchange(connection, request, limit, max_bytes, &progress)
+                    .await
             }
             TimeoutScope::FullResponse => {
                 let unlimited = std::future::pending();
                 tokio::select! {
                     biased;
                     outcome = exchange(
-                        sender, request, unlimited, max_bytes, &progress,
+                        connection, request, unlimited, max_bytes, &progress,
                     ) => outcome,
                     () = limit => Err(CallFailure::TimedOut),
                 }
@@ -289,7 +299,9 @@
             }
         })?;
         progress.log_if_large(address);
-        self.put_idle(address, sender);
+        if keeps(&response) {
+            self.put_idle(address, sender);
+        }
         Ok(response)
     }
 
@@ -388,13 +400,21 @@
     }
 }
 
+/// The connection of one call.
+struct CallConnection {
+    sender: ConnectionSender,
+    /// Whether it has carried no call yet.
+    is_new: bool,
+}
+
 async fn exchange(
-    mut sender: ConnectionSender,
+    connection: CallConnection,
     request: CallRequest,
     limit: impl Future<Output = ()>,
     max_response_bytes: usize,
     progress: &CallProgress,
 ) -> Result<(ConnectionSender, CallResponse), CallFailure> {
+    let CallConnection { mut sender, is_new } = connection;
     let timed_out = |_elapsed| CallFailure::TimedOut;
     let sent = sender.try_send_request(http_request(request));
     let sent = tokio::select! {
@@ -421,8 +441,12 @@
         }
     }
     let body = bytes.freeze();
-    let response =
-        CallResponse { status: parts.status, headers: parts.headers, body };
+    let response = CallResponse {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        is_first: is_new,
+    };
     Ok((sender, response))
 }
 
--- a/goldcrestramp-entry/src/peers/client.rs
+++ b/goldcrestramp-entry/src/peers/client.rs
@@ -103,7 +103,7 @@
         };
         let response = self
             .pool
-            .call_until(request, ConnectionReuse::Any, limit)
+            .call_keeping(request, ConnectionReuse::Any, limit, |_reply| true)
             .await
             .ok()?;
         postcard::from_bytes(&response.body).ok()
--- a/goldcrestramp-entry/tests/calls.rs
+++ b/goldcrestramp-entry/tests/calls.rs
@@ -1,4 +1,4 @@
-//! Tests of the timeouts of calls.
+//! Tests of the timeouts and the connections of calls.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -43,14 +43,41 @@
     address
 }
 
-async fn call(scope: TimeoutScope) -> Result<usize, CallFailure> {
-    let request = CallRequest {
-        address: slow_server().await,
+/// Starts a server that responds to any number of calls on each connection.
+async fn prompt_server() -> SocketAddr {
+    let listener =
+        TcpListener::bind("127.0.0.1:0").await.expect("listener binds");
+    let address = listener.local_addr().expect("listener has an address");
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _) =
+                listener.accept().await.expect("caller connects");
+            tokio::spawn(async move {
+                let mut request = [0; 1_024];
+                while stream.read(&mut request).await.is_ok_and(|n| n > 0) {
+                    let response = b"HTTP/1.1 200 OK\r\n\
+                        content-length: 0\r\n\r\n";
+                    // The caller may have closed the connection.
+                    let _sent = stream.write_all(response).await;
+                }
+            });
+        }
+    });
+    address
+}
+
+fn request_to(address: SocketAddr) -> CallRequest {
+    CallRequest {
+        address,
         method: Method::GET,
         path: "/".into(),
         headers: HeaderMap::new(),
         body: "".into(),
-    };
+    }
+}
+
+async fn call(scope: TimeoutScope) -> Result<usize, CallFailure> {
+    let request = request_to(slow_server().await);
     let pool = CallPool::open(CloseMode::Close, scope, 1_024);
     let response =
         pool.call(request, ConnectionReuse::Any, CALL_TIMEOUT).await;
@@ -71,3 +98,25 @@
 async fn a_response_whose_head_arrived_is_not_given_up() {
     assert_eq!(call(TimeoutScope::ResponseHead).await, Ok(RESPONSE_BYTES));
 }
+
+/// Guards against a second copy of a response that counts for a later call.
+#[tokio::test]
+async fn a_connection_that_is_not_kept_carries_no_other_call() {
+    let address = prompt_server().await;
+    let pool =
+        CallPool::open(CloseMode::Close, TimeoutScope::FullResponse, 1_024);
+    let mut first = Vec::new();
+
+    for keeps in [true, true, false, false] {
+        let request = request_to(address);
+        let called = pool.call_keeping(
+            request,
+            ConnectionReuse::Any,
+            tokio::time::sleep(CALL_TIMEOUT),
+            |_response| keeps,
+        );
+        first.push(called.await.expect("server responds").is_first);
+    }
+
+    assert_eq!(first, [true, false, false, true]);
+}
--- a/goldcrestramp-entry/tests/daemon/ownership.rs
+++ b/goldcrestramp-entry/tests/daemon/ownership.rs
@@ -135,6 +135,44 @@
     assert!(stays, "no key of its own is left");
 }
 
+/// Starts a cluster whose first server drains, and sends another response
+/// before that to a release; checks that its keys stay until it has responded.
+async fn drain_with_extra_responses(denies: bool) {
+    const OBSERVED: Duration = Duration::from_secs(2);
+    let cluster = Cluster::start(SHARDED, 2, 1).await;
+    let key = key_of_first_server(&cluster).await;
+    cluster.wait_served(0, key).await;
+    let precedes = ServerBehavior::PrecedesReleases { denies };
+    cluster.servers[0].set_behavior(precedes);
+
+    let draining = entry(&cluster.servers[0], SHARDED, "draining");
+    cluster.store.put("servers/server-0", &draining);
+
+    eventually(async || !cluster.servers[0].owns(key)).await;
+    let end = Instant::now() + OBSERVED;
+    while Instant::now() < end {
+        assert!(!cluster.servers[1].owns(key), "key {key} is not released");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let responds = ServerBehavior::Responds(Duration::ZERO);
+    cluster.servers[0].set_behavior(responds);
+    wait_moved(&cluster, key).await;
+}
+
+/// Guards against keys that are granted while their holder is at work on them:
+/// a second copy of the response to a grant arrives before that to a release.
+#[tokio::test]
+async fn a_repeated_response_to_a_grant_ends_no_release() {
+    drain_with_extra_responses(false).await;
+}
+
+/// Guards against keys that are granted while their holder is at work on them:
+/// a denial that belongs to another order arrives before the response.
+#[tokio::test]
+async fn a_denial_after_other_responses_ends_no_server() {
+    drain_with_extra_responses(true).await;
+}
+
 /// Guards against keys that stay with a server whose address now belongs to
 /// another one.
 #[tokio::test]
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -50,6 +50,10 @@
     /// next request on the connection is expected, it first sends the refusal
     /// again, if it echoes ids only to the same attempt.
     RepeatsRefusals { echoes: bool },
+    /// It withholds the responses to releases. On a connection that has
+    /// carried an order, it first sends another response: that to the order
+    /// again, or a denial.
+    PrecedesReleases { denies: bool },
     /// It is overloaded: it neither runs them nor ever responds on their
     /// connection.
     Hangs,
@@ -435,6 +439,20 @@
     body: Vec<u8>,
 }
 
+impl ReadRequest {
+    fn attempt(&self) -> String {
+        self.headers.get("x-attempt-id").cloned().unwrap_or_default()
+    }
+
+    fn is_order(&self) -> bool {
+        self.path.starts_with("/v1/")
+    }
+
+    fn is_release(&self) -> bool {
+        self.path == "/v1/release"
+    }
+}
+
 async fn read(
     stream: &mut BufReader<TcpStream>,
 ) -> std::io::Result<Option<ReadRequest>> {
@@ -466,7 +484,7 @@
     id: &str,
 ) -> std::io::Result<()> {
     let mut stream = BufReader::new(stream);
-    let mut last_refusal = LastRefusal::default();
+    let mut last = LastResponse::default();
     while let Some(request) = read(&mut stream).await? {
         if is_reset(state, &request) {
             let socket = SockRef::from(stream.get_ref());
@@ -485,13 +503,14 @@
         if state.lock().expect("lock is not poisoned").ended {
             return std::future::pending().await;
         }
-        if let Some(refusal) = last_refusal.take_for(&request) {
-            stream.get_mut().write_all(refusal.as_bytes()).await?;
+        if let Some(extra) = last.extra(state, &request) {
+            stream.get_mut().write_all(extra.as_bytes()).await?;
         }
-        last_refusal.record(state, &request, &head);
         tokio::time::sleep(wait).await;
-        wait_released(&mut stream, state).await?;
+        wait_released(&mut stream, state, &request).await?;
         stream.get_mut().write_all(head.as_bytes()).await?;
+        let attempt = request.attempt();
+        last = LastResponse { attempt, is_order: request.is_order(), head };
         if close {
             return Ok(());
         }
@@ -499,37 +518,37 @@
     Ok(())
 }
 
-/// The refusal that is sent again on a connection.
+/// The last response on a connection.
 #[derive(Default)]
-struct LastRefusal {
-    /// The refusal, and the attempt whose next response it precedes; any if
-    /// the refusal has no id.
-    refusal: Option<(String, Option<String>)>,
+struct LastResponse {
+    /// The attempt id of its request.
+    attempt: String,
+    is_order: bool,
+    head: String,
 }
 
-impl LastRefusal {
-    /// Takes the refusal if it is sent before the response to a request.
-    fn take_for(&mut self, request: &ReadRequest) -> Option<String> {
-        let (head, refused) = self.refusal.take()?;
-        let attempt = request.headers.get("x-attempt-id");
-        let fits = refused.is_none() || refused.as_ref() == attempt;
-        fits.then_some(head)
-    }
-
-    fn record(
-        &mut self,
+impl LastResponse {
+    /// What is sent before the response to a request, if anything is.
+    fn extra(
+        &self,
         state: &Mutex<ServerState>,
         request: &ReadRequest,
-        head: &str,
-    ) {
+    ) -> Option<String> {
         let state = state.lock().expect("lock is not poisoned");
-        let ServerBehavior::RepeatsRefusals { echoes } = state.behavior else {
-            return;
-        };
-        if head.contains("X-Not-Executed") {
-            let attempt = request.headers.get("x-attempt-id").cloned();
-            let refused = attempt.filter(|_attempt| echoes);
-            self.refusal = Some((head.to_owned(), refused));
+        let copy = || Some(self.head.clone());
+        match state.behavior {
+            ServerBehavior::RepeatsRefusals { echoes } => {
+                let fits = !echoes || self.attempt == request.attempt();
+                let refused = self.head.contains("X-Not-Executed");
+                copy().filter(|_head| refused && fits)
+            }
+            ServerBehavior::PrecedesReleases { denies } => {
+                let fits = self.is_order && request.is_release();
+                let denial = "421 Misdirected Request";
+                let denied = denies.then(|| response(denial, "", ""));
+                denied.or_else(copy).filter(|_head| fits)
+            }
+            _ => None,
         }
     }
 }
@@ -538,8 +557,8 @@
 /// never reset.
 fn is_reset(state: &Mutex<ServerState>, request: &ReadRequest) -> bool {
     let mut state = state.lock().expect("lock is not poisoned");
-    let resets = state.behavior == ServerBehavior::Resets
-        && !request.path.starts_with("/v1/");
+    let resets =
+        state.behavior == ServerBehavior::Resets && !request.is_order();
     if resets {
         state.resets += 1;
     }
@@ -549,8 +568,7 @@
 /// Whether a request is never to get a response. Orders always get one.
 fn hangs(state: &Mutex<ServerState>, request: &ReadRequest) -> bool {
     let mut state = state.lock().expect("lock is not poisoned");
-    let hangs = state.behavior == ServerBehavior::Hangs
-        && !request.path.starts_with("/v1/");
+    let hangs = state.behavior == ServerBehavior::Hangs && !request.is_order();
     if hangs {
         state.hung += 1;
     }
@@ -561,10 +579,15 @@
 async fn wait_released(
     stream: &mut BufReader<TcpStream>,
     state: &Mutex<ServerState>,
+    request: &ReadRequest,
 ) -> std::io::Result<()> {
     let withholds = || {
         let state = state.lock().expect("lock is not poisoned");
-        state.behavior == ServerBehavior::Withholds
+        match state.behavior {
+            ServerBehavior::Withholds => true,
+            ServerBehavior::PrecedesReleases { .. } => request.is_release(),
+            _ => false,
+        }
     };
     while withholds() {
         let pause = Duration::from_millis(10);
@@ -587,10 +610,10 @@
 ) -> (String, Duration, bool) {
     let mut state = state.lock().expect("lock is not poisoned");
     let header = |name: &str| request.headers.get(name).cloned();
-    let attempt = header("x-attempt-id").unwrap_or_default();
+    let attempt = request.attempt();
     let echo = format!("X-Attempt-Id: {attempt}\r\n");
     let refusal = "X-Not-Executed: 1\r\n";
-    let order = request.path.starts_with("/v1/");
+    let order = request.is_order();
     // A server of a service that is not sharded accepts no orders.
     if order && !state.sharded {
         let head = response("400 Bad Request", "", "");
@@ -614,10 +637,11 @@
         state.seen_tokens.push((first, last, token));
         if grant {
             state.grant(&order);
-        } else {
-            state.release(&order);
+            return (response("200 OK", "", ""), Duration::ZERO, false);
         }
-        return (response("200 OK", "", ""), Duration::ZERO, false);
+        state.release(&order);
+        let handover = format!("X-Handover: {id}-{token}\r\n");
+        return (response("200 OK", &handover, ""), Duration::ZERO, false);
     }
     let now = Instant::now();
     state.arrived_at.push(now);
@@ -672,7 +696,10 @@
             (response("200 OK", &headers, id), Duration::ZERO, false)
         }
         ServerBehavior::Responds(wait) => (complete, wait, false),
-        ServerBehavior::Withholds => (complete, Duration::ZERO, false),
+        ServerBehavior::Withholds
+        | ServerBehavior::PrecedesReleases { .. } => {
+            (complete, Duration::ZERO, false)
+        }
         ServerBehavior::RepeatsRefusals { .. } => (complete, WORK_TIME, false),
         ServerBehavior::Sheds
         | ServerBehavior::ShedsUnmarked
