Break off responses that do not end

A body without end was passed on for as long as its server sent and its caller read. It held the caller, a slot and a connection of the server, and the link; the timeout of its route ended none.

Cause: the deadline bounds the wait for the head of a response and for bodies up to 256 KiB. Larger ones are streamed, and nothing bounds a stream.

A server stops at the deadline that it was given, so what arrives later was on its way. A stream is now given up when its caller has waited 5 s for more bytes since the deadline, where the time in which the caller reads does not count, or, if its end is not known, when 16 MiB have arrived since then: more than the buffers of a connection hold. Its caller's connection is closed before the response looks complete.

Tests with a server that sends heads and bodies without end: chunks, unframed bytes, an unreachable length and a drip did not end within 15 s before and end now. A header, headers, interim responses and a chunk extension without end failed their requests before, too, with true statuses. The VM stays below 64 MiB. Complete bodies that are sent or read slowly arrive, as before.

--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -44,6 +44,7 @@
 - [`BulkWindow`]: limits the downloads that a VM requests from another region.
 - [`WorkEstimate`]: how long a server works on a request.
 - [`HeldBytes`]: bounds the bytes that a VM holds for slow readers.
+- [`LateResponse`]: how long a response may go on after its deadline.
 - [`denial_action`]: whether a request is retried at an owner that denied
   its key.
 - [`WeightedRoundRobin`]: splits a route by weight.
@@ -67,6 +68,7 @@
 mod denial;
 mod gateway;
 mod held_bytes;
+mod late_response;
 mod limit;
 mod link;
 mod load;
@@ -114,6 +116,7 @@
     denial::{DenialAction, DenialHistory, OwnerDenial, denial_action},
     gateway::GatewayLimit,
     held_bytes::{HeldBytes, ReaderId, SMALL_BODY_BYTES, STREAM_BYTES},
+    late_response::LateResponse,
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSignal},
     link::{LINK_CHUNK_BYTES, LinkFlow, LinkSettings, LinkShare, LinkVolume},
     load::{LoadReport, REPORTED_SLICES, ServerLoad},
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -99,6 +99,8 @@
     pub memory_refusals: Counter,
     /// The number of slow readers that were closed.
     pub closed_readers: Counter,
+    /// The number of responses that were given up after their deadline.
+    pub late_responses: Counter,
     /// 1 while this VM plans assignments, else 0.
     pub planning: Gauge,
     /// The number of key ranges that servers released.
@@ -144,6 +146,7 @@
             held_bytes: Gauge::default(),
             memory_refusals: Counter::default(),
             closed_readers: Counter::default(),
+            late_responses: Counter::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
             admission_refusals: Counter::default(),
@@ -195,6 +198,11 @@
             "1 while this VM plans assignments",
             self.planning.clone(),
         );
+        registry.register(
+            "late_responses",
+            "Responses given up because they did not end in time",
+            self.late_responses.clone(),
+        );
         registry.register(
             "moves",
             "Runs of keys that servers gave back",
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -493,7 +493,13 @@
         }
         Ok(Ok(ReadResponse::Partial(prefix, rest))) => {
             state.record_response(request, &slot, now);
-            let source = StreamSource::new(rest, slot, connection);
+            let source = StreamSource::open(
+                rest,
+                slot,
+                connection,
+                request.deadline,
+                &state.metrics,
+            );
             let stream = state.memory.active();
             let response =
                 streamed_response(status, headers, prefix, source, stream);
--- a/goldcrestramp-entry/src/traffic/response.rs
+++ b/goldcrestramp-entry/src/traffic/response.rs
@@ -2,27 +2,33 @@
 
 use std::{
     collections::VecDeque,
+    fmt,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
 };
 
 use bytes::Bytes;
-use goldcrestramp_decisions::STREAM_BYTES;
-use goldcrestramp_types::TimeSpan;
+use goldcrestramp_decisions::{LateResponse, STREAM_BYTES};
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{
     HeaderMap, HeaderValue, Response, StatusCode, header::RETRY_AFTER,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::{Instant, Sleep, sleep_until};
 
-use crate::traffic::{
-    headers::strip_connection,
-    memory::{
-        ActiveAccount, ChunkWriter, HeldCharge, MAX_CHUNK_BYTES, MemoryAccount,
+use crate::{
+    metrics::EntryMetrics,
+    traffic::{
+        headers::strip_connection,
+        memory::{
+            ActiveAccount, ChunkWriter, HeldCharge, MAX_CHUNK_BYTES,
+            MemoryAccount,
+        },
+        reason::EndReason,
+        server::{ServerConnection, ServerSlot},
     },
-    reason::EndReason,
-    server::{ServerConnection, ServerSlot},
 };
 
 /// Responses up to this size are buffered before the caller gets a byte. Then
@@ -55,21 +61,112 @@
     }
 }
 
+/// Why the body of a response broke off. The caller's connection is closed
+/// before the response looks complete.
+#[derive(Debug)]
+pub(crate) enum BodyError {
+    /// The server's connection failed.
+    Server(hyper::Error),
+    /// The server went on for too long after the deadline.
+    Late,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Server(_) => f.write_str("the server's connection failed"),
+            Self::Late => f.write_str("the response did not end in time"),
+        }
+    }
+}
+
+impl std::error::Error for BodyError {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Server(error) => Some(error),
+            Self::Late => None,
+        }
+    }
+}
+
 /// Where the rest of a streamed response comes from.
 #[derive(Debug)]
 pub(crate) struct StreamSource {
     rest: Incoming,
-    _slot: ServerSlot,
+    slot: ServerSlot,
     _connection: ServerConnection,
+    limit: LateResponse,
+    /// Wakes the stream when it is to be given up.
+    timer: Option<Pin<Box<Sleep>>>,
+    metrics: Arc<EntryMetrics>,
 }
 
 impl StreamSource {
-    pub(crate) const fn new(
+    pub(crate) fn open(
         rest: Incoming,
         slot: ServerSlot,
         connection: ServerConnection,
+        deadline: LocalTime,
+        metrics: &Arc<EntryMetrics>,
     ) -> Self {
-        Self { rest, _slot: slot, _connection: connection }
+        let length = rest.size_hint().exact();
+        let now = MonotonicClock.now();
+        Self {
+            rest,
+            slot,
+            _connection: connection,
+            limit: LateResponse::open(deadline, length, now),
+            timer: None,
+            metrics: Arc::clone(metrics),
+        }
+    }
+
+    /// Polls for the next frame, as long as the response may go on.
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let now = MonotonicClock.now();
+        self.limit.record_demand(now);
+        let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(cx)
+        else {
+            ready!(self.poll_given_up(cx, now));
+            return Poll::Ready(Some(Err(self.give_up())));
+        };
+        let frame = frame.transpose().map_err(BodyError::Server);
+        let data = frame.as_ref().ok().and_then(Option::as_ref);
+        let bytes = data.and_then(Frame::data_ref).map_or(0, Bytes::len);
+        if !self.limit.record_bytes(now, bytes as u64) {
+            return Poll::Ready(Some(Err(self.give_up())));
+        }
+        Poll::Ready(frame.transpose())
+    }
+
+    fn poll_given_up(
+        &mut self,
+        cx: &mut Context<'_>,
+        now: LocalTime,
+    ) -> Poll<()> {
+        let left = self.limit.given_up_at().since(now);
+        // A timer that is set to the present elapses only after it.
+        if left == TimeSpan::ZERO {
+            return Poll::Ready(());
+        }
+        let end = Instant::now() + left.to_std();
+        let timer =
+            self.timer.get_or_insert_with(|| Box::pin(sleep_until(end)));
+        timer.as_mut().reset(end);
+        timer.as_mut().poll(cx)
+    }
+
+    fn give_up(&self) -> BodyError {
+        log::warn!(
+            "[gateway] A response of server {} was given up: it did not end \
+             in time.",
+            self.slot.server.instance.id
+        );
+        self.metrics.late_responses.inc();
+        BodyError::Late
     }
 }
 
@@ -93,19 +190,27 @@
     fn poll_data(
         &mut self,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = ready!(self.poll_offer(cx));
+        self.source.limit.record_offer(MonotonicClock.now());
+        Poll::Ready(frame)
+    }
+
+    /// Polls for the next bytes that the caller is offered.
+    fn poll_offer(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let Some(stream) = &self.stream else {
             if let Some(prefix) = self.prefix.pop_front() {
                 return Poll::Ready(Some(Ok(Frame::data(prefix))));
             }
-            // An error closes the caller's connection before the response
-            // looks complete.
-            return Pin::new(&mut self.source.rest).poll_frame(cx);
+            return self.source.poll_frame(cx);
         };
         if let Some(chunk) = next_chunk(&mut self.prefix) {
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
-        let frame = ready!(Pin::new(&mut self.source.rest).poll_frame(cx));
+        let frame = ready!(self.source.poll_frame(cx));
         let Some(Ok(frame)) = frame else { return Poll::Ready(frame) };
         Poll::Ready(Some(Ok(match frame.into_data() {
             Ok(data) => {
@@ -133,12 +238,12 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Full(body) => {
                 Pin::new(body).poll_frame(cx).map_err(|never| match never {})
--- a/goldcrestramp-entry/tests/calls.rs
+++ b/goldcrestramp-entry/tests/calls.rs
@@ -66,6 +66,24 @@
     address
 }
 
+/// Starts a server that sends a head and then these bytes without end.
+async fn endless_server(piece: &'static [u8]) -> SocketAddr {
+    let listener =
+        TcpListener::bind("127.0.0.1:0").await.expect("listener binds");
+    let address = listener.local_addr().expect("listener has an address");
+    tokio::spawn(async move {
+        let (mut stream, _) =
+            listener.accept().await.expect("caller connects");
+        let mut request = [0; 1_024];
+        let _read = stream.read(&mut request).await.expect("request is read");
+        let head = b"HTTP/1.1 200 OK\r\n";
+        stream.write_all(head).await.expect("head is sent");
+        // It ends when the caller disconnects.
+        while stream.write_all(piece).await.is_ok() {}
+    });
+    address
+}
+
 fn request_to(address: SocketAddr) -> CallRequest {
     CallRequest {
         address,
@@ -120,3 +138,21 @@
 
     assert_eq!(first, [true, false, false, true]);
 }
+
+/// Guards against a call that reads a response without end for as long as it
+/// is sent.
+#[tokio::test]
+async fn a_response_without_end_fails_its_call() {
+    let body = b"\r\nbytes of a body that ends with its connection";
+    for piece in [&body[..], b"x-endless: x\r\n"] {
+        let request = request_to(endless_server(piece).await);
+        let scope = TimeoutScope::ResponseHead;
+        let pool = CallPool::open(CloseMode::Reset, scope, 1_024);
+
+        let called =
+            pool.call(request, ConnectionReuse::Any, CALL_TIMEOUT).await;
+
+        let failure = called.expect_err("the response does not end");
+        assert_eq!(failure, CallFailure::Unknown);
+    }
+}
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -10,6 +10,7 @@
 mod configuration;
 mod crashes;
 mod domains;
+mod endless;
 mod leases;
 mod leaving;
 mod limits;
