Play entries and responses that are not what they seem in the soak

The soak now also lists the address of a running server under an unknown service, repeats refusals and responses to orders, denies releases and sends bodies without end. These faults are drawn apart from the others, so that the faults of a seed stay the same; the kept seeds run with the faults that they had.

--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -27,6 +27,10 @@
 /// requests at the same time use several connections.
 const WORK_TIME: Duration = Duration::from_millis(50);
 
+/// The end of the head of a response without end, and one chunk of its body.
+const ENDLESS_FRAMING: &str = "Transfer-Encoding: chunked\r\n\r\n";
+const ENDLESS_PIECE: &[u8] = b"10\r\nbytes of no end.\r\n";
+
 /// How a server handles requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ServerBehavior {
@@ -50,6 +54,9 @@
     /// next request on the connection is expected, it first sends the refusal
     /// again, if it echoes ids only to the same attempt.
     RepeatsRefusals { echoes: bool },
+    /// It runs them and sends bodies without end.
+    #[allow(dead_code, reason = "not every test binary uses it")]
+    NeverEnds,
     /// It withholds the responses to releases. On a connection that has
     /// carried an order, it first sends another response: that to the order
     /// again, or a denial.
@@ -399,6 +406,26 @@
         header
     }
 
+    /// Carries out an order and returns the response.
+    fn execute_order(&mut self, id: &str, request: &ReadRequest) -> String {
+        let order =
+            serde_json::from_slice(&request.body).expect("order is JSON");
+        let is_grant = !request.is_release();
+        if is_grant && self.is_outdated(&order) {
+            return response("409 Conflict", "", "");
+        }
+        let (first, last) = bounds(&order);
+        let token = order["fence"].as_u64().expect("order has a token");
+        self.seen_tokens.push((first, last, token));
+        if is_grant {
+            self.grant(&order);
+            return response("200 OK", "", "");
+        }
+        self.release(&order);
+        let handover = format!("X-Handover: {id}-{token}\r\n");
+        response("200 OK", &handover, "")
+    }
+
     fn grant(&mut self, order: &Value) {
         let (first, last) = bounds(order);
         let duration =
@@ -509,6 +536,11 @@
         tokio::time::sleep(wait).await;
         wait_released(&mut stream, state, &request).await?;
         stream.get_mut().write_all(head.as_bytes()).await?;
+        // The write fails when the caller disconnects.
+        while head.ends_with(ENDLESS_FRAMING) {
+            stream.get_mut().write_all(ENDLESS_PIECE).await?;
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
         let attempt = request.attempt();
         last = LastResponse { attempt, is_order: request.is_order(), head };
         if close {
@@ -625,23 +657,8 @@
         return (head, Duration::ZERO, false);
     }
     if order {
-        let order =
-            serde_json::from_slice(&request.body).expect("order is JSON");
-        let grant = request.path == "/v1/grant";
-        if grant && state.is_outdated(&order) {
-            let head = response("409 Conflict", "", "");
-            return (head, Duration::ZERO, false);
-        }
-        let (first, last) = bounds(&order);
-        let token = order["fence"].as_u64().expect("order has a token");
-        state.seen_tokens.push((first, last, token));
-        if grant {
-            state.grant(&order);
-            return (response("200 OK", "", ""), Duration::ZERO, false);
-        }
-        state.release(&order);
-        let handover = format!("X-Handover: {id}-{token}\r\n");
-        return (response("200 OK", &handover, ""), Duration::ZERO, false);
+        let head = state.execute_order(id, request);
+        return (head, Duration::ZERO, false);
     }
     let now = Instant::now();
     state.arrived_at.push(now);
@@ -695,6 +712,12 @@
             let headers = format!("X-Attempt-Id: another\r\n{stamp}");
             (response("200 OK", &headers, id), Duration::ZERO, false)
         }
+        ServerBehavior::NeverEnds => {
+            let headers = format!("{echo}{stamp}");
+            let head =
+                format!("HTTP/1.1 200 OK\r\n{headers}{ENDLESS_FRAMING}");
+            (head, Duration::ZERO, false)
+        }
         ServerBehavior::Responds(wait) => (complete, wait, false),
         ServerBehavior::Withholds
         | ServerBehavior::PrecedesReleases { .. } => {
--- a/goldcrestramp-entry/tests/soak/harness.rs
+++ b/goldcrestramp-entry/tests/soak/harness.rs
@@ -20,7 +20,7 @@
     cluster::{POOLED, SHARDED, configuration, entry_at},
     node::NodeProcess,
     oracle::{Disturbed, Oracle, OrderOutcome, SentRequest},
-    plan::{Fault, PlannedFault, plan, plan_notices},
+    plan::{Fault, PlannedFault, plan, plan_imitations, plan_notices},
     relay::{Relay, RelayBehavior},
     server::{ServerBehavior, ServerStandin},
     store::StoreStandin,
@@ -76,12 +76,22 @@
     seed: u64,
 }
 
-/// Runs a seed and returns the number of successes, or the violations. Servers
-/// state backoffs and that they are leaving if `with_notices` is true.
+/// Which faults a run has.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum FaultScope {
+    /// Those of processes, links and servers.
+    Basic,
+    /// Servers also state backoffs and that they are leaving.
+    Notices,
+    /// Besides, entries and responses are not what they seem.
+    Imitations,
+}
+
+/// Runs a seed and returns the number of successes, or the violations.
 pub async fn run_seed(
     seed: u64,
     run_duration: Duration,
-    with_notices: bool,
+    scope: FaultScope,
 ) -> Result<u64, Vec<String>> {
     let harness = Arc::new(SoakHarness::start(seed).await);
     harness.wait_served().await;
@@ -93,14 +103,16 @@
     tasks.push(tokio::spawn(end_servers(Arc::clone(&harness))));
     tasks.push(tokio::spawn(replace_ended(Arc::clone(&harness))));
     let faults = plan(seed, run_duration, NODES, SERVERS);
-    let notices = if with_notices {
-        plan_notices(seed, run_duration, SERVERS)
-    } else {
-        Vec::new()
+    let drawn = |from: FaultScope, plan: fn(u64, Duration, usize) -> _| {
+        let plan = (scope >= from).then(|| plan(seed, run_duration, SERVERS));
+        plan.unwrap_or_default()
     };
+    let notices = drawn(FaultScope::Notices, plan_notices);
+    let imitations = drawn(FaultScope::Imitations, plan_imitations);
     tokio::join!(
         inject_all(Arc::clone(&harness), faults),
         inject_all(Arc::clone(&harness), notices),
+        inject_all(Arc::clone(&harness), imitations),
     );
     harness.wait_served().await;
     harness.is_over.store(true, Ordering::Relaxed);
@@ -282,6 +294,16 @@
                 self.backends.read().await[server].server.set_behavior(normal);
             }
             Fault::Configure => self.configure(),
+            Fault::ForeignEntry { server, duration } => {
+                let address = self.backends.read().await[server].relay.address;
+                let mut entry = entry_at(address, "agent", "ready");
+                // It started later than all servers.
+                entry["born"] = json!(1_800_000_000_000_u64);
+                let key = format!("servers/agent-{server}");
+                self.store.put(&key, &entry);
+                sleep(duration).await;
+                self.store.remove(&key);
+            }
         }
     }
 
--- a/goldcrestramp-entry/tests/soak/main.rs
+++ b/goldcrestramp-entry/tests/soak/main.rs
@@ -4,8 +4,9 @@
 //! of the store and the servers delay and reset connections, and discard what
 //! they receive from one side or both. Processes are killed, stopped, paused
 //! and restarted; servers drop, truncate and mismatch responses and shed
-//! requests, ask for backoffs and say that they are leaving; configurations
-//! change. An oracle checks what callers and servers
+//! requests, ask for backoffs and say that they are leaving; they repeat
+//! responses and send some without end; another writer lists their addresses;
+//! configurations change. An oracle checks what callers and servers
 //! saw against the guarantees.
 //!
 //! The daemons of every second seed have load control and little memory, and
@@ -41,19 +42,31 @@
 
 use std::time::Duration;
 
-use crate::harness::run_seed;
+use crate::harness::{FaultScope, run_seed};
 
 /// The number of seeds run at a time. Each has three daemon processes and some
 /// hundred connections.
 const MAX_CONCURRENT_RUNS: usize = 6;
 
-/// Seeds that once violated a guarantee, whether servers stated backoffs and
-/// that they are leaving, and the fault that the seed found.
-const REGRESSION_SEEDS: [(u64, bool, &str); 4] = [
-    (7, false, "SIGHUP during the start terminated the process"),
-    (37, false, "after a planner claim with a lost response nobody planned"),
-    (4_929, true, "a VM that had restarted refused a frequent lookup"),
-    (4_933, true, "a VM that had restarted refused a frequent lookup"),
+/// Seeds that once violated a guarantee, the faults that runs had then, and
+/// the fault that the seed found.
+const REGRESSION_SEEDS: [(u64, FaultScope, &str); 4] = [
+    (7, FaultScope::Basic, "SIGHUP during the start ended the process"),
+    (
+        37,
+        FaultScope::Basic,
+        "after a planner claim with a lost response nobody planned",
+    ),
+    (
+        4_929,
+        FaultScope::Notices,
+        "a VM that had restarted refused a frequent lookup",
+    ),
+    (
+        4_933,
+        FaultScope::Notices,
+        "a VM that had restarted refused a frequent lookup",
+    ),
 ];
 
 /// The duration of fault injection, in CI and in a manual run.
@@ -67,7 +80,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn guarantees_hold_while_faults_overlap() {
     let Some(seeds) = number("GOLDCRESTRAMP_SOAK_SEEDS") else {
-        run_seed(1, CI_DURATION, true)
+        run_seed(1, CI_DURATION, FaultScope::Imitations)
             .await
             .expect("seed 1 violates no guarantee");
         return;
@@ -75,15 +88,15 @@
     let first = number("GOLDCRESTRAMP_SOAK_FIRST").unwrap_or(1);
     let mut violations = Vec::new();
     let regressions = REGRESSION_SEEDS.iter();
-    let regressions =
-        regressions.map(|(seed, with_notices, _what)| (*seed, *with_notices));
-    let drawn = (first..first + seeds).map(|seed| (seed, true));
-    let all: Vec<(u64, bool)> = regressions.chain(drawn).collect();
+    let regressions = regressions.map(|(seed, scope, _what)| (*seed, *scope));
+    let drawn = first..first + seeds;
+    let drawn = drawn.map(|seed| (seed, FaultScope::Imitations));
+    let all: Vec<(u64, FaultScope)> = regressions.chain(drawn).collect();
     for chunk in all.chunks(MAX_CONCURRENT_RUNS) {
         let runs: Vec<_> = chunk
             .iter()
-            .map(|&(seed, with_notices)| {
-                let run = run_seed(seed, MANUAL_DURATION, with_notices);
+            .map(|&(seed, scope)| {
+                let run = run_seed(seed, MANUAL_DURATION, scope);
                 (seed, tokio::spawn(run))
             })
             .collect();
--- a/goldcrestramp-entry/tests/soak/plan.rs
+++ b/goldcrestramp-entry/tests/soak/plan.rs
@@ -32,6 +32,8 @@
     /// A server says in its responses only that it is leaving, and another one
     /// replaces it.
     Leave { server: usize },
+    /// For this time, an entry of an unknown service has a server's address.
+    ForeignEntry { server: usize, duration: Duration },
 }
 
 /// A fault, and its delay after the previous one.
@@ -141,3 +143,36 @@
     }
     plan
 }
+
+/// Returns the faults by which entries and responses are not what they seem:
+/// entries of other writers, repeated responses, and responses without end.
+/// They are drawn apart as well.
+pub fn plan_imitations(
+    seed: u64,
+    run_duration: Duration,
+    servers: usize,
+) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(32));
+    let mut passed = Duration::ZERO;
+    let mut plan = Vec::new();
+    while passed < run_duration {
+        let after = millis(&mut rng, 300..1_500);
+        passed += after;
+        let server = rng.random_range(0..servers);
+        let duration = millis(&mut rng, 300..2_500);
+        let echoes = rng.random();
+        let denies = rng.random();
+        let behavior = match rng.random_range(0..4) {
+            0 => Some(ServerBehavior::RepeatsRefusals { echoes }),
+            1 => Some(ServerBehavior::PrecedesReleases { denies }),
+            2 => Some(ServerBehavior::NeverEnds),
+            _ => None,
+        };
+        let fault = match behavior {
+            Some(behavior) => Fault::Server { server, behavior, duration },
+            None => Fault::ForeignEntry { server, duration },
+        };
+        plan.push(PlannedFault { after, fault });
+    }
+    plan
+}
