Share the servers of the tests of calls, and say what proves a stop

The tests of responses without end play their shapes side by side; all shapes and checks are as before. The doc of an order's outcome names what proves that a holder has stopped.

--- a/goldcrestramp-entry/src/control/order.rs
+++ b/goldcrestramp-entry/src/control/order.rs
@@ -210,15 +210,16 @@
 /// What a response says about its order.
 ///
 /// Responses to orders have no id, and a second copy of an earlier one may
-/// arrive in place of the response. A connection is kept only after the
-/// response to a successful grant, so nothing else can be a copy:
+/// arrive in place of the response. Connections are kept after successful
+/// grants only, so no other response can be copied. What proves that a holder
+/// has stopped is checked:
 ///
-/// - The response to a release has a handover, that to a grant has none.
-/// - On a connection with an earlier response, a denial (421) may belong to
-///   another order, so it does not prove that the server has ended. The order
-///   is sent again on another connection.
+/// - A release needs a handover, which the response to a grant does not have.
+/// - A denial (421) ends the server only as the first response on its
+///   connection. A later one may belong to another order; the order is sent
+///   again on another connection.
 ///
-/// A copy of the response to a grant may stand for that to the next one; the
+/// A copy of the response to a grant may stand for that to the next grant; the
 /// next renewal shows whether the server accepted it.
 fn outcome(kind: &OrderKind, response: &CallResponse) -> OrderOutcome {
     let CallResponse { status, headers: map, is_first, .. } = response;
--- a/goldcrestramp-entry/tests/calls.rs
+++ b/goldcrestramp-entry/tests/calls.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, Method};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    net::{TcpListener, TcpStream},
 };
 
 /// The size of the server's response, and the delay before each byte.
@@ -19,69 +19,62 @@
 /// The timeout of a call: half of the time that the response takes.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Starts a server that sends its response byte by byte.
-async fn slow_server() -> SocketAddr {
+/// Starts a server that handles each connection by `serve`.
+async fn spawn_server<Serve>(
+    serve: impl Fn(TcpStream) -> Serve + Send + 'static,
+) -> SocketAddr
+where
+    Serve: Future<Output = ()> + Send + 'static,
+{
     let listener =
         TcpListener::bind("127.0.0.1:0").await.expect("listener binds");
     let address = listener.local_addr().expect("listener has an address");
     tokio::spawn(async move {
-        let (mut stream, _) =
-            listener.accept().await.expect("caller connects");
-        let mut request = [0; 1_024];
-        let _read = stream.read(&mut request).await.expect("request is read");
-        let head = format!(
-            "HTTP/1.1 200 OK\r\ncontent-length: {RESPONSE_BYTES}\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).await.expect("head is sent");
-        for _ in 0..RESPONSE_BYTES {
-            tokio::time::sleep(BYTE_DELAY).await;
-            if stream.write_all(b"x").await.is_err() {
-                return;
-            }
+        loop {
+            let accepted = listener.accept().await;
+            let (stream, _) = accepted.expect("caller connects");
+            tokio::spawn(serve(stream));
         }
     });
     address
 }
 
-/// Starts a server that responds to any number of calls on each connection.
-async fn prompt_server() -> SocketAddr {
-    let listener =
-        TcpListener::bind("127.0.0.1:0").await.expect("listener binds");
-    let address = listener.local_addr().expect("listener has an address");
-    tokio::spawn(async move {
-        loop {
-            let (mut stream, _) =
-                listener.accept().await.expect("caller connects");
-            tokio::spawn(async move {
-                let mut request = [0; 1_024];
-                while stream.read(&mut request).await.is_ok_and(|n| n > 0) {
-                    let response = b"HTTP/1.1 200 OK\r\n\
-                        content-length: 0\r\n\r\n";
-                    // The caller may have closed the connection.
-                    let _sent = stream.write_all(response).await;
-                }
-            });
+/// Whether another request arrives on a connection.
+async fn read_request(stream: &mut TcpStream) -> bool {
+    let mut request = [0; 1_024];
+    stream.read(&mut request).await.is_ok_and(|bytes| bytes > 0)
+}
+
+/// Sends its response byte by byte.
+async fn respond_slowly(mut stream: TcpStream) {
+    read_request(&mut stream).await;
+    let head =
+        format!("HTTP/1.1 200 OK\r\ncontent-length: {RESPONSE_BYTES}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("head is sent");
+    for _ in 0..RESPONSE_BYTES {
+        tokio::time::sleep(BYTE_DELAY).await;
+        if stream.write_all(b"x").await.is_err() {
+            return;
         }
-    });
-    address
+    }
 }
 
-/// Starts a server that sends a head and then these bytes without end.
-async fn endless_server(piece: &'static [u8]) -> SocketAddr {
-    let listener =
-        TcpListener::bind("127.0.0.1:0").await.expect("listener binds");
-    let address = listener.local_addr().expect("listener has an address");
-    tokio::spawn(async move {
-        let (mut stream, _) =
-            listener.accept().await.expect("caller connects");
-        let mut request = [0; 1_024];
-        let _read = stream.read(&mut request).await.expect("request is read");
-        let head = b"HTTP/1.1 200 OK\r\n";
-        stream.write_all(head).await.expect("head is sent");
-        // It ends when the caller disconnects.
-        while stream.write_all(piece).await.is_ok() {}
-    });
-    address
+/// Responds to any number of calls.
+async fn respond_promptly(mut stream: TcpStream) {
+    while read_request(&mut stream).await {
+        let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        // The caller may have closed the connection.
+        let _sent = stream.write_all(response).await;
+    }
+}
+
+/// Sends the start of a response, and then `piece` until the caller
+/// disconnects.
+async fn respond_without_end(mut stream: TcpStream, piece: &[u8]) {
+    read_request(&mut stream).await;
+    let start = b"HTTP/1.1 200 OK\r\n";
+    stream.write_all(start).await.expect("start is sent");
+    while stream.write_all(piece).await.is_ok() {}
 }
 
 fn request_to(address: SocketAddr) -> CallRequest {
@@ -95,7 +88,7 @@
 }
 
 async fn call(scope: TimeoutScope) -> Result<usize, CallFailure> {
-    let request = request_to(slow_server().await);
+    let request = request_to(spawn_server(respond_slowly).await);
     let pool = CallPool::open(CloseMode::Close, scope, 1_024);
     let response =
         pool.call(request, ConnectionReuse::Any, CALL_TIMEOUT).await;
@@ -120,7 +113,7 @@
 /// Guards against a second copy of a response that counts for a later call.
 #[tokio::test]
 async fn a_connection_that_is_not_kept_carries_no_other_call() {
-    let address = prompt_server().await;
+    let address = spawn_server(respond_promptly).await;
     let pool =
         CallPool::open(CloseMode::Close, TimeoutScope::FullResponse, 1_024);
     let mut first = Vec::new();
@@ -143,9 +136,11 @@
 /// is sent.
 #[tokio::test]
 async fn a_response_without_end_fails_its_call() {
-    let body = b"\r\nbytes of a body that ends with its connection";
-    for piece in [&body[..], b"x-endless: x\r\n"] {
-        let request = request_to(endless_server(piece).await);
+    const BODY: &[u8] = b"\r\nbytes of a body that ends with its connection";
+    const HEADER: &[u8] = b"x-endless: x\r\n";
+    for piece in [BODY, HEADER] {
+        let serve = |stream| respond_without_end(stream, piece);
+        let request = request_to(spawn_server(serve).await);
         let scope = TimeoutScope::ResponseHead;
         let pool = CallPool::open(CloseMode::Reset, scope, 1_024);
 
--- a/goldcrestramp-entry/tests/daemon/endless.rs
+++ b/goldcrestramp-entry/tests/daemon/endless.rs
@@ -402,18 +402,12 @@
 }
 
 #[tokio::test]
-async fn a_header_without_end_fails_its_request() {
-    survives_endless_head(ResponseShape::EndlessHeader).await;
-}
-
-#[tokio::test]
-async fn headers_without_end_fail_their_request() {
-    survives_endless_head(ResponseShape::EndlessHeaders).await;
-}
-
-#[tokio::test]
-async fn interim_responses_without_end_fail_their_request() {
-    survives_endless_head(ResponseShape::EndlessInterim).await;
+async fn heads_without_end_fail_their_requests() {
+    tokio::join!(
+        survives_endless_head(ResponseShape::EndlessHeader),
+        survives_endless_head(ResponseShape::EndlessHeaders),
+        survives_endless_head(ResponseShape::EndlessInterim),
+    );
 }
 
 /// Guards against a VM that passes a body without end on for as long as its
@@ -432,35 +426,21 @@
 }
 
 #[tokio::test]
-async fn chunks_without_end_are_broken_off() {
-    survives_endless_body(ResponseShape::EndlessChunks).await;
-}
-
-#[tokio::test]
-async fn an_unframed_body_without_end_is_broken_off() {
-    survives_endless_body(ResponseShape::EndlessUnframed).await;
-}
-
-#[tokio::test]
-async fn a_body_that_never_reaches_its_length_is_broken_off() {
-    survives_endless_body(ResponseShape::EndlessLength).await;
-}
-
-#[tokio::test]
-async fn an_extension_without_end_is_broken_off() {
-    survives_endless_body(ResponseShape::EndlessExtension).await;
-}
-
-#[tokio::test]
-async fn a_body_that_drips_without_end_is_broken_off() {
-    survives_endless_body(ResponseShape::EndlessDrip).await;
+async fn bodies_without_end_are_broken_off() {
+    tokio::join!(
+        survives_endless_body(ResponseShape::EndlessChunks),
+        survives_endless_body(ResponseShape::EndlessUnframed),
+        survives_endless_body(ResponseShape::EndlessLength),
+        survives_endless_body(ResponseShape::EndlessExtension),
+        survives_endless_body(ResponseShape::EndlessDrip),
+    );
 }
 
 /// Guards against breaking off a complete response that arrives late because
 /// its server or the link to it is slow.
 async fn delivers_slow_body(has_length: bool) {
-    let cluster = EndlessCluster::start(ResponseShape::Slow { has_length });
-    let cluster = cluster.await;
+    let shape = ResponseShape::Slow { has_length };
+    let cluster = EndlessCluster::start(shape).await;
 
     let request = cluster.request(Method::GET, "/file/1", "slow");
     let response = request.send().await.expect("response arrives");
@@ -470,13 +450,8 @@
 }
 
 #[tokio::test]
-async fn a_slow_body_with_a_length_is_complete() {
-    delivers_slow_body(true).await;
-}
-
-#[tokio::test]
-async fn a_slow_chunked_body_is_complete() {
-    delivers_slow_body(false).await;
+async fn slow_bodies_are_complete() {
+    tokio::join!(delivers_slow_body(true), delivers_slow_body(false));
 }
 
 /// Guards against breaking off a complete response whose caller reads it long
@@ -485,7 +460,7 @@
 async fn a_body_that_is_read_slowly_is_complete() {
     /// Longer than a late response may take if its caller waits for it.
     const READ_TIME: Duration = Duration::from_secs(8);
-    const PARTS: usize = 160;
+    const PARTS: u32 = 160;
     let shape = ResponseShape::Large { has_length: true };
     let cluster = EndlessCluster::start(shape).await;
     let stream = TcpStream::connect(cluster.node.traffic).await;
@@ -500,12 +475,12 @@
         stream.read_line(&mut line).await.expect("head arrives");
     }
 
-    let mut part = vec![0; LARGE_BYTES / PARTS];
+    let mut part = vec![0; LARGE_BYTES / PARTS as usize];
     for _ in 0..PARTS {
-        tokio::time::sleep(READ_TIME / 160).await;
+        tokio::time::sleep(READ_TIME / PARTS).await;
         stream.read_exact(&mut part).await.expect("body arrives");
     }
-    let rest = LARGE_BYTES - part.len() * PARTS;
+    let rest = LARGE_BYTES - part.len() * PARTS as usize;
     stream.read_exact(&mut part[..rest]).await.expect("body is complete");
 
     assert!(cluster.node.peak_memory() < MAX_MEMORY);
