Log what is open in each phase of a stop, and how connections end

A stop said when it began and when it had ended. Nothing told whether a caller lost its response to a closed connection, to the end of the grace period, or to a response of the VM's own, which are the three hypotheses in docs/incidents/requests-ended-while-servers-worked.md.

Each phase now logs the open connections, the requests without a response (the oldest by id) and the attempts in flight. A caller's connection that ends while responses are due has a line and a counter by how it ended. The line of a request that ends without a server's response counts the attempts that were given up, and a counter adds up those that had time left.

The routing of requests is unchanged.

--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -101,6 +101,10 @@
     pub closed_readers: Counter,
     /// The number of responses that were given up after their deadline.
     pub late_responses: Counter,
+    /// The number of requests that ended before their deadline with a response
+    /// of this VM after an attempt at a server was given up.
+    pub early_ends: Counter,
+    connection_ends: Family<ReasonLabel, Counter>,
     /// 1 while this VM plans assignments, else 0.
     pub planning: Gauge,
     /// The number of key ranges that servers released.
@@ -147,6 +151,8 @@
             memory_refusals: Counter::default(),
             closed_readers: Counter::default(),
             late_responses: Counter::default(),
+            early_ends: Counter::default(),
+            connection_ends: Family::default(),
             planning: Gauge::default(),
             moves: Counter::default(),
             admission_refusals: Counter::default(),
@@ -218,6 +224,16 @@
             "Requests by how they ended",
             self.ends.clone(),
         );
+        registry.register(
+            "early_request_ends",
+            "Requests ended before their deadline after a given-up attempt",
+            self.early_ends.clone(),
+        );
+        registry.register(
+            "connection_ends",
+            "Callers' connections by how they ended",
+            self.connection_ends.clone(),
+        );
         registry.register(
             "attempts",
             "Sends to servers by what came of them",
@@ -310,6 +326,11 @@
         self.ends.get_or_create(&ReasonLabel { reason }).inc();
     }
 
+    /// Counts a caller's connection that ended in this way.
+    pub fn record_connection_end(&self, reason: &'static str) {
+        self.connection_ends.get_or_create(&ReasonLabel { reason }).inc();
+    }
+
     /// Counts an attempt at a server that ended with this outcome.
     pub fn record_attempt(&self, reason: &'static str) {
         self.attempts.get_or_create(&ReasonLabel { reason }).inc();
--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -59,6 +59,18 @@
     Expired,
 }
 
+impl StopPhase {
+    /// The stable code in logs.
+    pub(crate) const fn code(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Draining => "draining",
+            Self::Closing => "closing",
+            Self::Expired => "expired",
+        }
+    }
+}
+
 /// The reason why a VM could not be started.
 #[derive(Debug)]
 pub enum RunError {
@@ -153,7 +165,7 @@
     let deadline = start + grace.saturating_sub(GRACE_MARGIN);
     let close_at = start + DRAIN_TIME.min(grace / 2);
     log::info!("[stop] Received SIGTERM or SIGINT; this VM drains.");
-    phases.send_replace(StopPhase::Draining);
+    begin_phase(phases, traffic, StopPhase::Draining);
     // The store may not respond. Without this timeout the close would be
     // delayed, and requests would be accepted that cannot complete within
     // the grace period.
@@ -161,21 +173,32 @@
         log::warn!("[stop] Timed out while the lease was being ended.");
     }
     sleep_until(close_at).await;
-    phases.send_replace(StopPhase::Closing);
+    begin_phase(phases, traffic, StopPhase::Closing);
     tokio::select! {
         () = traffic.wait_empty() => {}
         () = sleep_until(deadline) => {
             log::warn!("[stop] The grace period ends with open connections.");
-            phases.send_replace(StopPhase::Expired);
+            begin_phase(phases, traffic, StopPhase::Expired);
             let last = deadline + LAST_RESPONSE_TIME;
             // Callers whose responses are not delivered by then lose them.
             let _in_time = timeout_at(last, traffic.wait_empty()).await;
         }
     }
+    traffic.log_open("exit");
     log::info!("[stop] This VM has shut down.");
     log::logger().flush();
 }
 
+/// Logs what is open, and begins a phase.
+fn begin_phase(
+    phases: &watch::Sender<StopPhase>,
+    traffic: &TrafficHandle,
+    phase: StopPhase,
+) {
+    traffic.log_open(phase.code());
+    phases.send_replace(phase);
+}
+
 /// The signals that the process handles.
 ///
 /// Without a handler SIGHUP terminates the process. If one arrives during the
--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -8,7 +8,7 @@
 //! the order of the requests.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::VecDeque,
     io,
     pin::Pin,
@@ -63,6 +63,8 @@
 pub(crate) struct CallerConnection {
     traffic: Rc<TrafficState>,
     state: RefCell<ConnectionState>,
+    /// Whether the library waits for a response.
+    responding: Cell<bool>,
     /// Notified when the library has read some bytes.
     space_freed: Notify,
     /// Notified when the response to a request has been returned to the
@@ -112,6 +114,7 @@
         Rc::new(Self {
             traffic,
             state: RefCell::default(),
+            responding: Cell::new(false),
             space_freed: Notify::new(),
             caught_up: Notify::new(),
         })
@@ -162,6 +165,7 @@
         request: Request<Incoming>,
     ) -> Response<ResponseBody> {
         let next = self.state.borrow_mut().pending.pop_front();
+        self.responding.set(true);
         let response = if let Some(task) = next.flatten() {
             task.finish().await
         } else {
@@ -169,11 +173,18 @@
             let head = Request::from_parts(head, ());
             serve(&self.traffic, head, Some(body)).await
         };
+        self.responding.set(false);
         self.state.borrow_mut().gate.record_response();
         self.caught_up.notify_waiters();
         response
     }
 
+    /// The number of requests on this connection that have no response.
+    pub(crate) fn due(&self) -> usize {
+        let pending = self.state.borrow().pending.len();
+        pending + usize::from(self.responding.get())
+    }
+
     /// Whether a request is being served early.
     ///
     /// Its response would be lost if an earlier response closed the
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -19,8 +19,8 @@
 use crate::{
     run::StopPhase,
     traffic::{
-        ConnectionCount, ConnectionGuard,
         connection::{CallerConnection, ConnectionReader},
+        in_flight::{ConnectionCount, ConnectionEnd, ConnectionGuard},
         memory::{CallerWriter, wait_closed},
         state::TrafficState,
     },
@@ -134,7 +134,7 @@
     let reading = state.memory.open_reader(&stream).map(Rc::new);
     let (reader, writer) = stream.into_split();
     let writer = CallerWriter::new(writer, reading.clone());
-    let caller = CallerConnection::open(state);
+    let caller = CallerConnection::open(Rc::clone(&state));
     let response_reader = reading.clone();
     let responder = Rc::clone(&caller);
     let request_phase = phase.clone();
@@ -164,23 +164,51 @@
     pin!(connection, received);
     let stalled = wait_closed(reading.as_deref());
     pin!(stalled);
-    let ended = tokio::select! {
+    let end = tokio::select! {
         biased;
-        () = received.as_mut() => return,
-        ended = connection.as_mut() => ended,
+        () = received.as_mut() => ConnectionEnd::Left,
+        ended = connection.as_mut() => end_of(ended),
         // The response is not complete, so its caller sees that it breaks off.
-        () = stalled.as_mut() => return,
+        () = stalled.as_mut() => ConnectionEnd::Stalled,
         () = wait_to_close(&mut phase, &caller) => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
-                ended = connection => ended,
-                () = received => return,
-                () = stalled => return,
+                ended = connection.as_mut() => end_of(ended),
+                () = received => ConnectionEnd::Left,
+                () = stalled => ConnectionEnd::Stalled,
             }
         }
     };
-    if let Err(error) = ended {
-        log::debug!("[gateway] A connection ended: {error}.");
+    log_connection(&state, end, caller.due(), *phase.borrow());
+}
+
+fn end_of(ended: hyper::Result<()>) -> ConnectionEnd {
+    match ended {
+        Ok(()) => ConnectionEnd::Completed,
+        Err(error) => {
+            log::debug!("[gateway] A connection ended: {error}.");
+            ConnectionEnd::Failed
+        }
+    }
+}
+
+/// Counts a connection that has ended, and logs it if requests on it have no
+/// response.
+fn log_connection(
+    state: &TrafficState,
+    end: ConnectionEnd,
+    due: usize,
+    phase: StopPhase,
+) {
+    let code = end.code(due > 0);
+    state.metrics.record_connection_end(code);
+    if due > 0 {
+        log::info!(
+            end = code,
+            requests = due,
+            phase = phase.code();
+            "[gateway] A connection ended before its responses."
+        );
     }
 }
 
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -15,6 +15,7 @@
 mod connection;
 mod crash;
 mod headers;
+mod in_flight;
 mod listener;
 mod memory;
 mod notice;
@@ -37,16 +38,13 @@
 use std::{rc::Rc, sync::Arc};
 
 use goldcrestramp_adapter::NodeSettings;
-use tokio::{
-    net::TcpListener,
-    sync::{Notify, watch},
-    task::spawn_local,
-};
+use tokio::{net::TcpListener, sync::watch, task::spawn_local};
 
 use crate::{
     run::StopPhase,
     shared::SharedState,
     traffic::{
+        in_flight::ConnectionCount,
         listener::{serve_caller, serve_listener},
         memory::close_stalled_readers,
         relay_connection::serve_vm,
@@ -59,44 +57,25 @@
 #[derive(Clone, Debug)]
 pub struct TrafficHandle {
     connections: Rc<ConnectionCount>,
-}
-
-/// The number of open callers' connections.
-#[derive(Debug, Default)]
-pub(crate) struct ConnectionCount {
-    open: std::cell::Cell<usize>,
-    changed: Notify,
-}
-
-impl ConnectionCount {
-    /// Counts a connection until the guard is dropped.
-    pub(crate) fn enter(self: &Rc<Self>) -> ConnectionGuard {
-        self.open.set(self.open.get() + 1);
-        ConnectionGuard(Rc::clone(self))
-    }
-}
-
-/// One open connection; dropping it decrements the count.
-#[derive(Debug)]
-pub(crate) struct ConnectionGuard(Rc<ConnectionCount>);
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.changed.notify_waiters();
-    }
+    state: Rc<TrafficState>,
 }
 
 impl TrafficHandle {
-    /// Waits until no caller is connected.
+    /// Waits until no caller and no other VM is connected.
     pub async fn wait_empty(&self) {
-        loop {
-            let changed = self.connections.changed.notified();
-            if self.connections.open.get() == 0 {
-                return;
-            }
-            changed.await;
-        }
+        self.connections.wait_empty().await;
+    }
+
+    /// Logs what is open in a phase of the process's shutdown.
+    pub fn log_open(&self, phase: &'static str) {
+        log::info!(
+            phase = phase,
+            connections = self.connections.open(),
+            requests = self.state.due.len(),
+            attempts = self.state.attempts_in_flight();
+            "[stop] Open in this phase."
+        );
+        self.state.due.log_oldest();
     }
 }
 
@@ -121,7 +100,10 @@
         TrafficState::open(settings, views.clone(), phase.clone(), shared);
     let state = Rc::new(state);
     let connections = Rc::<ConnectionCount>::default();
-    let handle = TrafficHandle { connections: Rc::clone(&connections) };
+    let handle = TrafficHandle {
+        connections: Rc::clone(&connections),
+        state: Rc::clone(&state),
+    };
     spawn_local(follow_views(Rc::clone(&state), views));
     spawn_local(follow_reach(Rc::clone(&state)));
     if state.settings.load_control {
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -12,7 +12,9 @@
     sync::Arc,
 };
 
-use goldcrestramp_adapter::{AllowedRegions, RequestRoute, RouteEffect};
+use goldcrestramp_adapter::{
+    AllowedRegions, RequestRoute, RouteEffect, headers as names,
+};
 use goldcrestramp_assignment::ServerInstance;
 use goldcrestramp_decisions::{DenialHistory, OwnerDenial, QueuePosition};
 use goldcrestramp_types::{
@@ -27,6 +29,7 @@
     notices::InstanceKey,
     traffic::{
         choose::AttemptHistory,
+        headers::text,
         memory::MemoryAccount,
         reason::EndReason,
         request::{
@@ -246,6 +249,8 @@
 ) -> Response<ResponseBody> {
     let arrived = MonotonicClock.now();
     let (parts, body) = request.into_parts();
+    let attempt = text(&parts.headers, names::ATTEMPT_ID);
+    let _due = state.due.enter(attempt.unwrap_or(""));
     let envelope = parts.headers.get(&ENVELOPE);
     let envelope: Option<RelayEnvelope> = envelope
         .and_then(|value| serde_json::from_slice(value.as_bytes()).ok());
--- a/goldcrestramp-entry/src/traffic/relay_connection.rs
+++ b/goldcrestramp-entry/src/traffic/relay_connection.rs
@@ -13,7 +13,7 @@
     peers::BUSY_PATH,
     run::StopPhase,
     traffic::{
-        ConnectionGuard,
+        in_flight::ConnectionGuard,
         listener::wait_for_last_read,
         relay::{ENVELOPE, serve_passed},
         response::ResponseBody,
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -9,7 +9,7 @@
 use goldcrestramp_adapter::{RouteEffect, headers as names};
 use goldcrestramp_decisions::{QueuePosition, TimeoutInputs, attempt_timeout};
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
-use http::{HeaderValue, Request, Response};
+use http::{Request, Response};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
@@ -48,6 +48,8 @@
     permit_wait_since: Option<LocalTime>,
     /// Whether one of the attempts may have run the request.
     may_have_run: bool,
+    /// The attempts that were given up without a response.
+    given_up: u32,
     /// An error response of a server; returned if no better response arrives.
     failure: Option<Response<ResponseBody>>,
 }
@@ -66,10 +68,13 @@
     body: Option<Incoming>,
 ) -> Response<ResponseBody> {
     let attempt = head.headers().get(names::ATTEMPT_ID).cloned();
+    let attempt = attempt.as_ref().and_then(|id| id.to_str().ok());
+    let attempt = attempt.unwrap_or("");
+    let _due = state.due.enter(attempt);
     let mut request = match read(state, head, body).await {
         Ok(request) => request,
         Err(reason) => {
-            log_unrouted(state, attempt.as_ref(), reason);
+            log_unrouted(state, attempt, reason);
             state.metrics.record_end(reason.code());
             return state.end_unread(reason).caller_response();
         }
@@ -127,6 +132,11 @@
         return Ok(failure);
     }
     log_end(request, &progress, &end);
+    if progress.given_up > 0
+        && request.remaining(MonotonicClock.now()) > TimeSpan::ZERO
+    {
+        state.metrics.early_ends.inc();
+    }
     Err(LocalEnd {
         reason: end.reason,
         may_have_run: progress.may_have_run,
@@ -136,16 +146,11 @@
 
 /// Logs a request that ends before it has a route, with the version of the
 /// configuration that decided it.
-fn log_unrouted(
-    state: &TrafficState,
-    attempt: Option<&HeaderValue>,
-    reason: EndReason,
-) {
-    let attempt = attempt.and_then(|id| id.to_str().ok());
+fn log_unrouted(state: &TrafficState, attempt: &str, reason: EndReason) {
     let view = state.view();
     let version = view.routes.as_ref().map_or(0, |table| table.version);
     log::info!(
-        request = attempt.unwrap_or(""),
+        request = attempt,
         reason = reason.code(),
         configuration = version,
         news_age_ms = state.clock.age(MonotonicClock.now()).as_millis();
@@ -167,6 +172,7 @@
         key = key,
         reason = end.reason.code(),
         sends = progress.history.attempts,
+        given_up = progress.given_up,
         may_have_run = progress.may_have_run,
         held_ms = now.since(request.arrived).as_millis(),
         left_ms = request.remaining(now).as_millis(),
@@ -527,6 +533,13 @@
     progress: &mut RequestProgress,
     outcome: AttemptOutcome,
 ) -> Result<Option<Response<ResponseBody>>, RequestEnd> {
+    let given_up = matches!(
+        outcome,
+        AttemptOutcome::TimedOut
+            | AttemptOutcome::OwnerChanged
+            | AttemptOutcome::Partitioned
+    );
+    progress.given_up += u32::from(given_up);
     match outcome {
         AttemptOutcome::Responded(response) => Ok(Some(response)),
         AttemptOutcome::Failed(response) => {
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -34,6 +34,7 @@
         bulk::{BulkRegion, BulkRegions},
         cold::FleetMembers,
         crash::SuspectSet,
+        in_flight::RequestBoard,
         memory::MemoryAccount,
         relay_vms::RelayVms,
         request::{RoutedRequest, retry_class},
@@ -128,6 +129,8 @@
     pub(super) activity: ControlActivity,
     /// The bytes that are held for callers and servers.
     pub(super) memory: MemoryAccount,
+    /// The requests that are due a response.
+    pub(super) due: Rc<RequestBoard>,
     views: watch::Receiver<Arc<FleetView>>,
     phase: watch::Receiver<StopPhase>,
     pub(super) servers: RefCell<FastMap<ServerInstance, Rc<ServerState>>>,
@@ -168,6 +171,7 @@
             suspects: SuspectSet::default(),
             reach: shared.reach,
             activity: shared.activity,
+            due: Rc::default(),
             views,
             phase,
             servers: RefCell::default(),
@@ -291,6 +295,12 @@
         });
     }
 
+    /// The number of attempts that are in flight at servers.
+    pub(super) fn attempts_in_flight(&self) -> usize {
+        let servers = self.servers.borrow();
+        servers.values().map(|server| server.in_flight()).sum()
+    }
+
     /// The state of a server instance, created if it is new.
     pub(crate) fn server(
         &self,
--- a/goldcrestramp-entry/tests/metrics.rs
+++ b/goldcrestramp-entry/tests/metrics.rs
@@ -30,6 +30,7 @@
     let metrics = EntryMetrics::default();
     metrics.record_end("answered");
     metrics.record_attempt("answered");
+    metrics.record_connection_end("completed");
     metrics.record_passed("answered");
     metrics.record_denied_retry("idempotent");
     metrics.news("peer");
