Test that an attempt is not given up for one that is not made

Callers of long lookups get 502 or 504 with time left, while a server works on the lookup: the attempt is given up after the target latency, and only then is it decided that the other server is too slow, refuses, or can't be sent a body that is gone. The log of the first test:

silent, server near, took_ms 1001 reason too-late, given_up 1, left_ms 2797

--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -15,6 +15,7 @@
 mod leaving;
 mod limits;
 mod link;
+mod long_work;
 mod node;
 mod orders;
 mod ownership;
