Keep an overdue attempt in flight until another one has a response

Callers of long lookups got 502, 503 or 504 with time left although a server was at work on the lookup, most often within seconds of their VM's start.

Cause: giving an attempt up and choosing what follows were two decisions. The first asked for the retry budget and for no stop; the second could then find that the other server is too slow, full, in a backoff or refuses, that no attempt is left, or that the body is gone, and ended the request. A VM that has just started knows no response times, so it gives up after the target latency. The class: what is due is let go before its replacement is certain.

Change: an overdue attempt stays in flight. Another one is made beside it when a server takes the request now, and the first response counts; a refused replacement is tried again later. So a request ends without a response only when no attempt is in flight, at its deadline, or at the end of the grace period. The server's limit and the detection of lost servers learn of an overdue attempt when it is overdue, as before, so a frozen server is still seen and another one responds for it. A changed owner and a partition take the same way. Requests that leave a queue early no longer stay listed in it. The loop of attempts moves to a module of its own.

--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -102,7 +102,7 @@
     /// The number of responses that were given up after their deadline.
     pub late_responses: Counter,
     /// The number of requests that ended before their deadline with a response
-    /// of this VM after an attempt at a server was given up.
+    /// of this VM after an attempt at a server was overdue.
     pub early_ends: Counter,
     connection_ends: Family<ReasonLabel, Counter>,
     /// 1 while this VM plans assignments, else 0.
@@ -226,7 +226,7 @@
         );
         registry.register(
             "early_request_ends",
-            "Requests ended before their deadline after a given-up attempt",
+            "Requests ended before their deadline after an overdue attempt",
             self.early_ends.clone(),
         );
         registry.register(
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -10,9 +10,10 @@
     header::CONTENT_ENCODING, response::Parts,
 };
 use hyper::body::{Body, Incoming};
-use tokio::time::{error::Elapsed, timeout};
+use tokio::time::{error::Elapsed, sleep, timeout};
 
 use crate::traffic::{
+    attempt_set::{OverdueCause, OverdueSignal},
     bulk::BulkRegion,
     choose::has_other_owner,
     crash::is_refused,
@@ -102,11 +103,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct AttemptPlan {
     pub(crate) proximity: ServerProximity,
-    /// The timeout for the head of the response.
-    pub(crate) response_timeout: TimeSpan,
-    /// Whether the attempt is abandoned for the key's next owner when the
-    /// owner changes, and for another VM when this one is partitioned.
+    /// The time without a response after which the attempt is overdue, if
+    /// another server can serve the request.
+    pub(crate) response_timeout: Option<TimeSpan>,
+    /// Whether the attempt is overdue when the key's owner changes, or when
+    /// this VM is partitioned.
     pub(crate) is_replaceable: bool,
+    /// Reports that the attempt is overdue.
+    pub(crate) signal: OverdueSignal,
     /// Describes the request to the VM to which it is passed; `None` if it is
     /// sent to a server.
     pub(crate) envelope: Option<HeaderValue>,
@@ -131,7 +135,7 @@
 /// server's work.
 pub(crate) async fn send(
     state: &Rc<TrafficState>,
-    request: &mut RoutedRequest,
+    request: &RoutedRequest,
     slot: ServerSlot,
     plan: AttemptPlan,
 ) -> AttemptOutcome {
@@ -170,7 +174,7 @@
         slot.end(now, ServerSignal::Cancelled);
         return AttemptOutcome::NotSent;
     };
-    request.connections.push(connection.key);
+    request.connections.borrow_mut().push(connection.key);
     exchange(state, request, slot, connection, outgoing, plan).await
 }
 
@@ -189,9 +193,8 @@
     let began_at = MonotonicClock.now();
     let is_sample = slot.transfer.is_some()
         && plan.region.as_ref().is_some_and(|r| r.needs_sample(began_at));
-    if !is_sample
-        && let Some(idle) = server.take_idle(&request.connections).await
-    {
+    let used = request.connections.borrow().clone();
+    if !is_sample && let Some(idle) = server.take_idle(&used).await {
         return Ok(idle);
     }
     let began_at = MonotonicClock.now();
@@ -229,23 +232,8 @@
         }
     };
     let sent = connection.sender.try_send_request(outgoing);
-    let response = wait_for_response(state, request, sent, &plan);
-    // A previous owner completes all requests that it ran before the next
-    // owner is granted the key, so no response can follow from it.
-    let response = tokio::select! {
-        biased;
-        response = response => response,
-        () = wait_for_next_owner(state, request, &slot.server),
-            if plan.is_replaceable =>
-        {
-            slot.end(MonotonicClock.now(), ServerSignal::Cancelled);
-            return AttemptOutcome::OwnerChanged;
-        }
-        () = wait_for_partition(state, request), if plan.is_replaceable => {
-            slot.end(MonotonicClock.now(), ServerSignal::Cancelled);
-            return AttemptOutcome::Partitioned;
-        }
-    };
+    let response = wait_for_response(state, request, &slot, sent, &plan);
+    let response = response.await;
     let now = MonotonicClock.now();
     let response = match response {
         Err(_elapsed) => {
@@ -312,23 +300,59 @@
     }
 }
 
-/// Waits for the head of the response.
+/// Waits for the head of the response. An attempt that is overdue is reported
+/// and waited for further.
 async fn wait_for_response<Sent: Future>(
     state: &TrafficState,
     request: &RoutedRequest,
+    slot: &ServerSlot,
     sent: Sent,
     plan: &AttemptPlan,
 ) -> Result<Sent::Output, Elapsed> {
+    let began_at = MonotonicClock.now();
+    let sent = timeout(full_timeout(request, began_at).to_std(), sent);
     let mut sent = pin!(sent);
-    let response = timeout(plan.response_timeout.to_std(), &mut sent).await;
-    // The server may still be working. If no other server can take the
-    // request, giving up now would fail the caller while the response is in
-    // flight.
-    if response.is_err() && !state.may_replace(request) {
-        let rest = full_timeout(request, MonotonicClock.now());
-        return timeout(rest.to_std(), &mut sent).await;
+    let cause = tokio::select! {
+        biased;
+        response = sent.as_mut() => return response,
+        cause = wait_overdue(state, request, &slot.server, plan) => cause,
+    };
+    let signal = match cause {
+        OverdueCause::Silent => ServerSignal::Broken,
+        OverdueCause::OwnerChanged | OverdueCause::Partitioned => {
+            ServerSignal::Cancelled
+        }
+    };
+    slot.end(MonotonicClock.now(), signal);
+    plan.signal.report(cause);
+    sent.await
+}
+
+/// Waits until another server should get the request and the budget allows
+/// it.
+async fn wait_overdue(
+    state: &TrafficState,
+    request: &RoutedRequest,
+    server: &ServerState,
+    plan: &AttemptPlan,
+) -> OverdueCause {
+    let silent = async {
+        match plan.response_timeout {
+            Some(timeout) => sleep(timeout.to_std()).await,
+            None => std::future::pending().await,
+        }
+        if !state.may_replace(request) {
+            std::future::pending::<()>().await;
+        }
+    };
+    tokio::select! {
+        biased;
+        () = silent => OverdueCause::Silent,
+        () = wait_for_next_owner(state, request, server),
+            if plan.is_replaceable => OverdueCause::OwnerChanged,
+        () = wait_for_partition(state, request),
+            if plan.is_replaceable => OverdueCause::Partitioned,
     }
-    response
 }
 
 /// Waits until another server owns the request's key and the budget allows an
@@ -481,7 +505,7 @@
                 let id = &slot.server.instance.id;
                 state.loads.record_response(&request.service, id, latency);
             }
-            let sent = request.body.buffered_bytes();
+            let sent = request.body.borrow().buffered_bytes();
             let size = body.size_hint().exact().unwrap_or(0);
             state.record_bytes(request, sent + size);
             let response = full_response(status, headers, body);
@@ -521,14 +545,15 @@
 
 /// Builds the request for the server; `None` if it can't be sent.
 fn outgoing(
-    request: &mut RoutedRequest,
+    request: &RoutedRequest,
     slot: &ServerSlot,
     plan: &AttemptPlan,
     now: LocalTime,
 ) -> Option<Request<crate::http::SendBody>> {
     let round_trip = round_trip(plan.proximity);
     let remaining = request.remaining(now).minus(round_trip).as_millis();
-    let body = (remaining > 0).then(|| request.body.for_send())??;
+    let body =
+        (remaining > 0).then(|| request.body.borrow_mut().for_send())??;
     let mut sent = Request::new(body);
     *sent.method_mut() = request.method.clone();
     *sent.uri_mut() = request.uri.clone();
--- a/goldcrestramp-entry/src/traffic/choose.rs
+++ b/goldcrestramp-entry/src/traffic/choose.rs
@@ -104,6 +104,8 @@
 pub(crate) struct AttemptHistory {
     /// The servers that the request has reached.
     pub(crate) tried: Vec<Arc<str>>,
+    /// The servers of overdue attempts, which may still respond.
+    pub(crate) at_work: Vec<Arc<str>>,
     /// The VMs that the request was passed to.
     pub(crate) passed_to: Vec<Arc<str>>,
     /// The responses of owners that they do not own the key.
@@ -114,6 +116,13 @@
     pub(crate) admitted: bool,
 }
 
+impl AttemptHistory {
+    /// Whether an overdue attempt at a server is in flight.
+    pub(crate) fn is_at_work(&self, server: &str) -> bool {
+        self.at_work.iter().any(|id| **id == *server)
+    }
+}
+
 /// Chooses the destination of a request.
 pub(crate) fn choose(
     state: &TrafficState,
@@ -127,9 +136,17 @@
     }
     match request.slice {
         Some(slice) => {
-            choose_owner(state, view, request, now, slice, &history.denials)
+            let denials = &history.denials;
+            match choose_owner(state, view, request, now, slice, denials) {
+                Destination::Server(chosen)
+                    if history.is_at_work(&chosen.server.instance.id) =>
+                {
+                    Destination::Refused(EndReason::AttemptsUsed.into())
+                }
+                destination => destination,
+            }
         }
-        None => choose_pooled(state, view, request, now, &history.tried),
+        None => choose_pooled(state, view, request, now, history),
     }
 }
 
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -9,6 +9,7 @@
 
 mod admission;
 mod attempt;
+mod attempt_set;
 mod bulk;
 mod choose;
 mod cold;
@@ -27,6 +28,7 @@
 mod relay_connection;
 mod relay_vms;
 mod request;
+mod respond;
 mod response;
 mod retry;
 mod serve;
--- a/goldcrestramp-entry/src/traffic/pool.rs
+++ b/goldcrestramp-entry/src/traffic/pool.rs
@@ -11,7 +11,7 @@
 use crate::{
     traffic::{
         bulk::{BulkRegion, KeepReason},
-        choose::{ChosenServer, Destination, QueueKind},
+        choose::{AttemptHistory, ChosenServer, Destination, QueueKind},
         reason::EndReason,
         request::RoutedRequest,
         server::ServerState,
@@ -40,14 +40,14 @@
     now: LocalTime,
 }
 
-/// Chooses the best server of a service; the request was sent to those in
-/// `tried` already.
+/// Chooses the best server of a service for a request with these earlier
+/// attempts.
 pub(super) fn choose_pooled(
     state: &TrafficState,
     view: &FleetView,
     request: &RoutedRequest,
     now: LocalTime,
-    tried: &[Arc<str>],
+    history: &AttemptHistory,
 ) -> Destination {
     let service = state.service(&request.service);
     let pool = PoolRequest { state, view, service: &service, request, now };
@@ -65,8 +65,12 @@
         let ends_in = first.unwrap_or(now).since(now);
         return Destination::Refused(RequestEnd::in_backoff(ends_in));
     }
+    usable.retain(|server| !history.is_at_work(&server.server.instance.id));
+    if usable.is_empty() {
+        return Destination::Refused(EndReason::AttemptsUsed.into());
+    }
     let untried = |server: &&ServerCandidate| {
-        !tried.contains(&server.server.instance.id)
+        !history.tried.contains(&server.server.instance.id)
     };
     if usable.iter().any(untried) {
         usable.retain(untried);
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -7,7 +7,7 @@
 //! retries. It never passes the request on again.
 
 use std::{
-    cell::{Cell, OnceCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
     sync::Arc,
 };
@@ -295,17 +295,17 @@
         method: parts.method,
         uri: parts.uri,
         headers: forwarded_headers(parts.headers),
-        body,
+        body: RefCell::new(body),
         arrived: arrived - envelope.elapsed,
         deadline,
         origin: RequestOrigin::Vm,
         counted: true,
-        reserved: None,
+        reserved: RefCell::default(),
         fingerprint: OnceCell::new(),
-        connections: Vec::new(),
+        connections: RefCell::default(),
         kept: Cell::new(false),
     };
-    serve_relayed(state, request, history).await
+    serve_relayed(state, &request, history).await
 }
 
 impl TrafficState {
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -1,7 +1,7 @@
 //! A request as it was read, with its route and its deadline.
 
 use std::{
-    cell::{Cell, OnceCell},
+    cell::{Cell, OnceCell, RefCell},
     sync::Arc,
 };
 
@@ -103,7 +103,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: RequestBody,
+    pub(crate) body: RefCell<RequestBody>,
     pub(crate) arrived: LocalTime,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: LocalTime,
@@ -111,11 +111,11 @@
     /// Whether the retry budget of some VM counts it.
     pub(crate) counted: bool,
     /// The memory that is reserved for its streamed bodies.
-    pub(super) reserved: Option<HeldCharge>,
+    pub(super) reserved: RefCell<Option<HeldCharge>>,
     /// Its fingerprint, once it was needed.
     pub(super) fingerprint: OnceCell<Option<RequestFingerprint>>,
     /// The connections that it was sent over.
-    pub(crate) connections: Vec<ConnectionKey>,
+    pub(crate) connections: RefCell<Vec<ConnectionKey>>,
     /// Whether it was counted as a download that was kept in its region.
     pub(super) kept: Cell<bool>,
 }
@@ -135,18 +135,29 @@
     /// first sent: its own, if it is large, and that of a download. Requests
     /// that wait to be sent hold none of it.
     pub(super) fn reserve(
-        &mut self,
+        &self,
         memory: &MemoryAccount,
     ) -> Result<(), EndReason> {
-        if self.reserved.is_none() {
-            let is_streamed = matches!(self.body, RequestBody::Streamed(_));
+        let mut reserved = self.reserved.borrow_mut();
+        if reserved.is_none() {
             let is_download = self.route.effect == RouteEffect::Download;
-            let streams = u64::from(is_streamed) + u64::from(is_download);
-            self.reserved = memory.reserve_streams(streams)?;
+            let streams =
+                u64::from(self.is_streamed()) + u64::from(is_download);
+            *reserved = memory.reserve_streams(streams)?;
         }
         Ok(())
     }
 
+    /// Whether its body is streamed, so that only one attempt can carry it.
+    pub(super) fn is_streamed(&self) -> bool {
+        matches!(*self.body.borrow(), RequestBody::Streamed(_))
+    }
+
+    /// Whether its streamed body was taken by an attempt.
+    pub(super) fn is_body_taken(&self) -> bool {
+        matches!(*self.body.borrow(), RequestBody::Streamed(None))
+    }
+
     /// The class by which response times of servers are learnt.
     pub(crate) fn class(&self) -> RequestClass {
         match self.route.effect {
@@ -161,7 +172,8 @@
     /// buffered.
     pub(crate) fn fingerprint(&self) -> Option<RequestFingerprint> {
         *self.fingerprint.get_or_init(|| {
-            let RequestBody::Full(body) = &self.body else { return None };
+            let body = self.body.borrow();
+            let RequestBody::Full(body) = &*body else { return None };
             let host = self.headers.get(HOST);
             let host = host.map_or(&b""[..], |host| host.as_bytes());
             let key = self.slice.map(SliceIndex::get);
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -1,13 +1,13 @@
 //! Handles one request from its arrival to its response.
 
 use std::{
-    cell::{Cell, OnceCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
     sync::Arc,
 };
 
 use goldcrestramp_adapter::{RouteEffect, headers as names};
-use goldcrestramp_decisions::{QueuePosition, TimeoutInputs, attempt_timeout};
+use goldcrestramp_decisions::QueuePosition;
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -15,52 +15,20 @@
 
 use crate::traffic::{
     admission::admit,
-    attempt::{AttemptOutcome, AttemptPlan, full_timeout, send},
-    choose::{AttemptHistory, ChosenServer, Destination, choose},
-    crash::SuspectAdmission,
-    permit::wait_for_permit,
+    choose::AttemptHistory,
     reason::EndReason,
-    relay::{LocalEnd, envelope, name_leaving_server, take_leaving_server},
-    relay_vms::ChosenVm,
+    relay::LocalEnd,
     request::{
-        RequestBody, RequestOrigin, RoutedRequest, deadline_of, find_route,
+        RequestOrigin, RoutedRequest, deadline_of, find_route,
         forwarded_headers, read_body, slice_of,
     },
+    respond::{RequestProgress, respond},
     response::ResponseBody,
-    server::{ServerSlot, ServerState},
+    server::ServerSlot,
     state::TrafficState,
-    wait::{
-        RequestEnd, back_off, wait_for_owner, wait_for_suspect, wait_in_queue,
-    },
+    wait::RequestEnd,
 };
 
-/// The maximum number of attempts of one request, including those that no
-/// server has run or will run. More of them mean that a fault lasts longer
-/// than the caller waits. A route's `max_attempts` bounds the servers that are
-/// tried.
-const MAX_TOTAL_ATTEMPTS: u32 = 6;
-
-/// The progress of a request.
-#[derive(Debug, Default)]
-struct RequestProgress {
-    history: AttemptHistory,
-    /// Since when the request has waited for a permit to be sent.
-    permit_wait_since: Option<LocalTime>,
-    /// Whether one of the attempts may have run the request.
-    may_have_run: bool,
-    /// The attempts that were given up without a response.
-    given_up: u32,
-    /// An error response of a server; returned if no better response arrives.
-    failure: Option<Response<ResponseBody>>,
-}
-
-impl RequestProgress {
-    /// Whether an attempt at a server or through another VM has begun.
-    const fn has_been_sent(&self) -> bool {
-        self.history.attempts > 0 || !self.history.passed_to.is_empty()
-    }
-}
-
 /// Serves a request; `body` is `None` if it has none.
 pub(crate) async fn serve(
     state: &Rc<TrafficState>,
@@ -71,7 +39,7 @@
     let attempt = attempt.as_ref().and_then(|id| id.to_str().ok());
     let attempt = attempt.unwrap_or("");
     let _due = state.due.enter(attempt);
-    let mut request = match read(state, head, body).await {
+    let request = match read(state, head, body).await {
         Ok(request) => request,
         Err(reason) => {
             log_unrouted(state, attempt, reason);
@@ -80,7 +48,7 @@
         }
     };
     let progress = RequestProgress::default();
-    match serve_routed(state, &mut request, progress).await {
+    match serve_routed(state, &request, progress).await {
         Ok(response) => {
             state.metrics.record_end("answered");
             let elapsed = MonotonicClock.now().since(request.arrived);
@@ -91,7 +59,7 @@
             state.metrics.record_end(end.reason.code());
             // Bounded bytes in flight make such refusals frequent.
             if state.memory.active().is_some() {
-                request.body.discard();
+                request.body.borrow_mut().discard();
             }
             end.caller_response()
         }
@@ -101,18 +69,18 @@
 /// Serves a request that another VM passed on after these attempts.
 pub(crate) async fn serve_relayed(
     state: &Rc<TrafficState>,
-    mut request: RoutedRequest,
+    request: &RoutedRequest,
     history: AttemptHistory,
 ) -> Response<ResponseBody> {
-    let progress = RequestProgress { history, ..RequestProgress::default() };
-    let served = serve_routed(state, &mut request, progress).await;
+    let progress = RequestProgress::resume(history);
+    let served = serve_routed(state, request, progress).await;
     served.unwrap_or_else(LocalEnd::response)
 }
 
 /// Serves a request until it ends, or until the process does.
 async fn serve_routed(
     state: &Rc<TrafficState>,
-    request: &mut RoutedRequest,
+    request: &RoutedRequest,
     mut progress: RequestProgress,
 ) -> Result<Response<ResponseBody>, LocalEnd> {
     let responded = tokio::select! {
@@ -132,7 +100,7 @@
         return Ok(failure);
     }
     log_end(request, &progress, &end);
-    if progress.given_up > 0
+    if progress.overdue > 0
         && request.remaining(MonotonicClock.now()) > TimeSpan::ZERO
     {
         state.metrics.early_ends.inc();
@@ -172,7 +140,7 @@
         key = key,
         reason = end.reason.code(),
         sends = progress.history.attempts,
-        given_up = progress.given_up,
+        overdue = progress.overdue,
         may_have_run = progress.may_have_run,
         held_ms = now.since(request.arrived).as_millis(),
         left_ms = request.remaining(now).as_millis(),
@@ -229,367 +197,18 @@
         method: parts.method,
         uri: parts.uri,
         headers: forwarded_headers(parts.headers),
-        body,
+        body: RefCell::new(body),
         arrived,
         deadline,
         origin: RequestOrigin::Caller,
         counted,
-        reserved: None,
+        reserved: RefCell::default(),
         fingerprint: OnceCell::new(),
-        connections: Vec::new(),
+        connections: RefCell::default(),
         kept: Cell::new(false),
     })
 }
 
-/// Tries servers until there is a response or none can arrive.
-async fn respond(
-    state: &Rc<TrafficState>,
-    request: &mut RoutedRequest,
-    progress: &mut RequestProgress,
-) -> Result<Response<ResponseBody>, RequestEnd> {
-    state.admit_to_owner(request, &mut progress.history)?;
-    loop {
-        let now = MonotonicClock.now();
-        if request.remaining(now) == TimeSpan::ZERO {
-            let reason = if progress.may_have_run {
-                EndReason::Timeout
-            } else {
-                EndReason::TooLate
-            };
-            return Err(reason.into());
-        }
-        state.check_quarantine(request, now)?;
-        let view = state.view();
-        match choose(state, &view, request, now, &progress.history) {
-            Destination::Server(chosen) => {
-                let end = try_server(state, request, progress, chosen).await?;
-                if let Some(response) = end {
-                    return Ok(response);
-                }
-            }
-            Destination::Wait { queue, slots, latency } => {
-                wait_in_queue(request, &queue, slots, latency).await?;
-            }
-            Destination::Vm(chosen) => {
-                let end = try_vm(state, request, progress, chosen).await?;
-                if let Some(response) = end {
-                    return Ok(response);
-                }
-            }
-            Destination::Permit(server) => {
-                let since = &mut progress.permit_wait_since;
-                wait_for_permit(state, request, &server, since).await?;
-            }
-            Destination::AwaitOwner(max_wait) => {
-                wait_for_owner(state, request, max_wait).await?;
-            }
-            Destination::Refused(end) => return Err(end),
-        }
-    }
-}
-
-/// Sends one attempt to a server; `None` if the request is to be tried again.
-async fn try_server(
-    state: &Rc<TrafficState>,
-    request: &mut RoutedRequest,
-    progress: &mut RequestProgress,
-    chosen: ChosenServer,
-) -> Result<Option<Response<ResponseBody>>, RequestEnd> {
-    let ChosenServer { server, proximity, replaceable, token } = chosen;
-    let now = MonotonicClock.now();
-    let was_tried = progress.history.tried.contains(&server.instance.id);
-    let max_attempts = request.route.max_attempts as usize;
-    if !was_tried && progress.history.tried.len() >= max_attempts {
-        return Err(EndReason::AttemptsUsed.into());
-    }
-    if progress.history.attempts >= MAX_TOTAL_ATTEMPTS {
-        return Err(EndReason::AttemptsUsed.into());
-    }
-    let suspect = match state.admit_suspect(request) {
-        SuspectAdmission::Admitted(suspect) => suspect,
-        SuspectAdmission::InFlight => {
-            wait_for_suspect(request).await;
-            return Ok(None);
-        }
-    };
-    state.reserve(request)?;
-    if !progress.history.tried.is_empty() && !state.take_retry(request) {
-        return Err(state.deny_retry(request));
-    }
-    if !state.take_permit(now, &server) {
-        return Ok(None);
-    }
-    progress.permit_wait_since = None;
-    if request.slice.is_none() {
-        server.record_cold_send(now, &state.view());
-    }
-    let service = state.service(&request.service);
-    let queue = request.slice.is_none().then(|| Rc::clone(&service.queue));
-    let mut slot = server.enter(now, request, queue);
-    let region = state.bulk_region(&server);
-    if let Some(region) = &region
-        && request.is_download()
-    {
-        slot.transfer = Some(region.start(now, &request.route.name));
-    }
-    let response_timeout = attempt_timeout(TimeoutInputs {
-        typical: server.times.borrow().typical_for(&request.route.name),
-        target_latency: request.route.target_latency,
-        remaining: full_timeout(request, now),
-        replaceable: request.may_repeat()
-            && replaceable
-            && progress.history.tried.len() + 1 < max_attempts,
-    });
-    if progress.history.attempts == 0 {
-        let waited = now.since(request.arrived);
-        state.metrics.record_time(&request.service, "waiting", waited);
-    }
-    progress.history.attempts += 1;
-    // The next owner would be one more server and one more attempt.
-    let servers_used = progress.history.tried.len() + usize::from(!was_tried);
-    let is_replaceable = request.may_repeat()
-        && servers_used < max_attempts
-        && progress.history.attempts < MAX_TOTAL_ATTEMPTS;
-    let plan = AttemptPlan {
-        proximity,
-        response_timeout,
-        is_replaceable,
-        envelope: None,
-        region,
-    };
-    let mut outcome = send(state, request, slot, plan).await;
-    state.record_outcome(request, &server, now, &outcome);
-    drop(suspect);
-    if request.origin == RequestOrigin::Vm
-        && state.notices.is_leaving(&server.instance)
-        && let Some(response) = outcome.response_mut()
-    {
-        name_leaving_server(response, &server.instance);
-    }
-    record_attempt(state, request, &server, token, now, &outcome);
-    let was_sent = !matches!(
-        outcome,
-        AttemptOutcome::NotSent | AttemptOutcome::NotListening
-    );
-    if was_sent && !was_tried {
-        progress.history.tried.push(Arc::clone(&server.instance.id));
-    }
-    // An owner at whose address nothing listens has ended: like one that
-    // denies the key, it serves nothing under this assignment.
-    let denied = matches!(
-        outcome,
-        AttemptOutcome::Misdirected | AttemptOutcome::NotListening
-    );
-    if denied && let Some(token) = token {
-        progress.history.denials.record(MonotonicClock.now(), token);
-    }
-    let not_run = !was_sent || matches!(outcome, AttemptOutcome::NotRun);
-    // The next choice sends it elsewhere or refuses it, without a delay.
-    if not_run && state.is_declined(request, &server) {
-        return Ok(None);
-    }
-    let retryable = matches!(
-        outcome,
-        AttemptOutcome::NotRun | AttemptOutcome::Misdirected
-    );
-    // Fails before the backoff delay: the budget is already known to be used
-    // up, and waiting would only delay the caller's retry.
-    if retryable && !state.has_retry_budget(request) {
-        return Err(state.deny_retry(request));
-    }
-    after_attempt(request, progress, outcome).await
-}
-
-/// Passes the request to another VM; `None` if it is to be tried again.
-async fn try_vm(
-    state: &Rc<TrafficState>,
-    request: &mut RoutedRequest,
-    progress: &mut RequestProgress,
-    chosen: ChosenVm,
-) -> Result<Option<Response<ResponseBody>>, RequestEnd> {
-    let ChosenVm { relay, proximity } = chosen;
-    let max_attempts = request.route.max_attempts as usize;
-    if progress.history.tried.len() >= max_attempts {
-        return Err(EndReason::AttemptsUsed.into());
-    }
-    if matches!(request.body, RequestBody::Streamed(None)) {
-        return Err(EndReason::Unreachable.into());
-    }
-    let now = MonotonicClock.now();
-    let envelope = envelope(state, request, &progress.history);
-    state.reserve(request)?;
-    let plan = AttemptPlan {
-        proximity,
-        response_timeout: full_timeout(request, now),
-        is_replaceable: false,
-        envelope: Some(envelope.ok_or(EndReason::Unreachable)?),
-        region: None,
-    };
-    let vm = Arc::clone(&relay.server.instance.id);
-    progress.history.passed_to.push(Arc::clone(&vm));
-    let slot = relay.server.enter(now, request, None);
-    let outcome = send(state, request, slot, plan).await;
-    state.metrics.record_passed(outcome.code());
-    log_passed(request, &vm, now, &outcome);
-    match outcome {
-        AttemptOutcome::Responded(mut response)
-        | AttemptOutcome::Failed(mut response) => {
-            let now = MonotonicClock.now();
-            relay.record_served(now);
-            if let Some(server) = take_leaving_server(&mut response) {
-                state.notices.record_leaving(now, server);
-            }
-            Ok(Some(response))
-        }
-        AttemptOutcome::RelayEnded(end)
-            if end.reason == EndReason::Unreachable && !end.may_have_run =>
-        {
-            relay.record_unreachable(MonotonicClock.now(), &request.service);
-            Ok(None)
-        }
-        AttemptOutcome::NotSent | AttemptOutcome::NotListening => Ok(None),
-        AttemptOutcome::RelayEnded(LocalEnd {
-            reason,
-            may_have_run,
-            retry_after,
-        }) => {
-            progress.may_have_run |= may_have_run;
-            Err(RequestEnd { reason, retry_after })
-        }
-        // The other VM may have sent it to as many servers as are allowed.
-        outcome => {
-            progress.may_have_run = true;
-            let timed_out = matches!(outcome, AttemptOutcome::TimedOut);
-            let reason =
-                if timed_out { EndReason::Timeout } else { EndReason::Broken };
-            Err(reason.into())
-        }
-    }
-}
-
-fn log_passed(
-    request: &RoutedRequest,
-    vm: &str,
-    passed_at: LocalTime,
-    outcome: &AttemptOutcome,
-) {
-    if matches!(outcome, AttemptOutcome::Responded(_)) {
-        return;
-    }
-    let reason = match outcome {
-        AttemptOutcome::RelayEnded(end) => end.reason.code(),
-        _ => "",
-    };
-    log::info!(
-        request = request.attempt_id(),
-        service = &*request.service,
-        vm = vm,
-        outcome = outcome.code(),
-        reason = reason,
-        took_ms = MonotonicClock.now().since(passed_at).as_millis();
-        "[relay] A request that was passed on did not succeed."
-    );
-}
-
-/// Counts an attempt, and logs it unless it succeeded.
-///
-/// `token` is that of the assignment by which the server was chosen.
-fn record_attempt(
-    state: &TrafficState,
-    request: &RoutedRequest,
-    server: &ServerState,
-    token: Option<u64>,
-    sent_at: LocalTime,
-    outcome: &AttemptOutcome,
-) {
-    let metrics = &state.metrics;
-    metrics.record_attempt(outcome.code());
-    let elapsed = MonotonicClock.now().since(sent_at);
-    metrics.record_time(&request.service, "server", elapsed);
-    if matches!(outcome, AttemptOutcome::Responded(_)) {
-        return;
-    }
-    let since = token.and_then(|t| state.token_since(&request.service, t));
-    let known_for = since.map(|since| sent_at.since(since));
-    let connection = request.connections.last().map_or(0, |key| key.get());
-    log::info!(
-        request = request.attempt_id(),
-        service = &*request.service,
-        server = &*server.instance.id,
-        outcome = outcome.code(),
-        took_ms = elapsed.as_millis(),
-        last_connection = connection,
-        in_flight = server.in_flight(),
-        token = token.unwrap_or(0),
-        assignment_age_ms = known_for.map_or(0, TimeSpan::as_millis),
-        news_age_ms = state.clock.age(sent_at).as_millis();
-        "[send] An attempt did not succeed."
-    );
-}
-
-/// Decides what follows an attempt.
-async fn after_attempt(
-    request: &RoutedRequest,
-    progress: &mut RequestProgress,
-    outcome: AttemptOutcome,
-) -> Result<Option<Response<ResponseBody>>, RequestEnd> {
-    let given_up = matches!(
-        outcome,
-        AttemptOutcome::TimedOut
-            | AttemptOutcome::OwnerChanged
-            | AttemptOutcome::Partitioned
-    );
-    progress.given_up += u32::from(given_up);
-    match outcome {
-        AttemptOutcome::Responded(response) => Ok(Some(response)),
-        AttemptOutcome::Failed(response) => {
-            // The owner of a key would fail again; another server of a pool
-            // may not.
-            let retryable = request.may_repeat() && request.slice.is_none();
-            if !retryable || progress.failure.is_some() {
-                return Ok(Some(response));
-            }
-            progress.may_have_run = true;
-            progress.failure = Some(response);
-            Ok(None)
-        }
-        AttemptOutcome::NotSent => {
-            back_off(request, progress.history.attempts).await;
-            Ok(None)
-        }
-        AttemptOutcome::NotListening if request.slice.is_none() => {
-            back_off(request, progress.history.attempts).await;
-            Ok(None)
-        }
-        // The choice of the next attempt says when its owner may be asked.
-        AttemptOutcome::NotListening | AttemptOutcome::Misdirected => Ok(None),
-        AttemptOutcome::NotRun => {
-            if request.slice.is_some() {
-                back_off(request, progress.history.attempts).await;
-            }
-            Ok(None)
-        }
-        AttemptOutcome::OwnerChanged | AttemptOutcome::Partitioned => {
-            progress.may_have_run = true;
-            Ok(None)
-        }
-        AttemptOutcome::Broken
-        | AttemptOutcome::TimedOut
-        | AttemptOutcome::RelayEnded(_) => {
-            progress.may_have_run = true;
-            let timed_out = matches!(outcome, AttemptOutcome::TimedOut);
-            let reason =
-                if timed_out { EndReason::Timeout } else { EndReason::Broken };
-            let body_taken =
-                matches!(request.body, RequestBody::Streamed(None));
-            if !request.may_repeat() || body_taken {
-                return Err(reason.into());
-            }
-            Ok(None)
-        }
-    }
-}
-
 impl TrafficState {
     /// The reason for ending a request that no route matches.
     ///
@@ -615,7 +234,7 @@
     ///
     /// This is decided once per request, before its first attempt. A request
     /// that another VM has admitted is not decided on again.
-    fn admit_to_owner(
+    pub(super) fn admit_to_owner(
         &self,
         request: &RoutedRequest,
         history: &mut AttemptHistory,
@@ -638,7 +257,10 @@
     }
 
     /// Reserves the memory that a request needs when it is sent.
-    fn reserve(&self, request: &mut RoutedRequest) -> Result<(), RequestEnd> {
+    pub(super) fn reserve(
+        &self,
+        request: &RoutedRequest,
+    ) -> Result<(), RequestEnd> {
         request.reserve(&self.memory).map_err(|reason| {
             let end = self.end_unread(reason);
             RequestEnd { reason, retry_after: end.retry_after }
@@ -656,14 +278,15 @@
         end
     }
 
-    /// Whether an attempt in flight may be given up for another server: this
-    /// VM is not draining, and the budget has an attempt left.
+    /// Whether a request with an attempt in flight may be sent to another
+    /// server, too: this VM is not draining, and the budget has an attempt
+    /// left.
     pub(crate) fn may_replace(&self, request: &RoutedRequest) -> bool {
         self.is_serving() && self.has_retry_budget(request)
     }
 
     /// Whether the budget allows an attempt beyond the first.
-    fn has_retry_budget(&self, request: &RoutedRequest) -> bool {
+    pub(super) fn has_retry_budget(&self, request: &RoutedRequest) -> bool {
         let (now, vms) = (MonotonicClock.now(), self.view().vms.len());
         let service = self.service(&request.service);
         let budget = &mut *service.budget.borrow_mut();
@@ -674,7 +297,7 @@
     }
 
     /// Takes an attempt beyond the first from the budget, if one is left.
-    fn take_retry(&self, request: &RoutedRequest) -> bool {
+    pub(super) fn take_retry(&self, request: &RoutedRequest) -> bool {
         let (now, vms) = (MonotonicClock.now(), self.view().vms.len());
         let service = self.service(&request.service);
         let budget = &mut *service.budget.borrow_mut();
@@ -685,7 +308,7 @@
     }
 
     /// The end of a request that may not be retried for lack of budget.
-    fn deny_retry(&self, request: &RoutedRequest) -> RequestEnd {
+    pub(super) fn deny_retry(&self, request: &RoutedRequest) -> RequestEnd {
         let service = self.service(&request.service);
         let reason = EndReason::RetryBudget;
         let Some(retries) = &service.retries else { return reason.into() };
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -145,7 +145,7 @@
     ) -> ServerSlot {
         let class = request.class();
         self.in_flight.set(self.in_flight.get() + 1);
-        let bytes = request.body.size();
+        let bytes = request.body.borrow().size();
         self.request_bytes.set(self.request_bytes.get() + bytes);
         self.limit.borrow_mut().started(now, class);
         ServerSlot {
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -442,7 +442,7 @@
         limit: usize,
     ) -> usize {
         let in_flight = server.request_bytes.get();
-        if self.memory.allows_send(in_flight, request.body.size()) {
+        if self.memory.allows_send(in_flight, request.body.borrow().size()) {
             limit
         } else {
             limit.min(server.in_flight())
--- a/goldcrestramp-entry/src/traffic/wait.rs
+++ b/goldcrestramp-entry/src/traffic/wait.rs
@@ -1,6 +1,9 @@
 //! Queues and delays of requests, and when a request is refused instead.
 
-use goldcrestramp_types::{ClockSource, MonotonicClock, TimeSpan};
+use std::rc::Rc;
+
+use goldcrestramp_decisions::QueuePosition;
+use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use tokio::{sync::oneshot, time::timeout};
 
 use crate::traffic::{
@@ -93,14 +96,56 @@
     tokio::time::sleep(shorter(SUSPECT_RECHECK, remaining).to_std()).await;
 }
 
-/// Waits with exponential backoff and jitter before the same server gets a
-/// retry.
-pub(crate) async fn back_off(request: &RoutedRequest, attempts: u32) {
+/// The end of an exponential backoff with jitter, before which the same
+/// server gets no retry.
+pub(crate) fn back_off_until(
+    request: &RoutedRequest,
+    attempts: u32,
+) -> LocalTime {
     let max_delay = OWNER_RETRY_DELAY.percent(100 << attempts.min(4));
-    let half = max_delay.percent(50).to_std();
-    let delay = half + half.mul_f64(rand::random_range(0.0..1.0));
-    let remaining = request.remaining(MonotonicClock.now()).to_std();
-    tokio::time::sleep(delay.min(remaining)).await;
+    let delay = max_delay.percent(rand::random_range(50..100));
+    let now = MonotonicClock.now();
+    now + shorter(delay, request.remaining(now))
+}
+
+/// Waits until a backoff ends.
+pub(crate) async fn wait_until(end: LocalTime) {
+    let left = end.since(MonotonicClock.now());
+    if left > TimeSpan::ZERO {
+        tokio::time::sleep(left.to_std()).await;
+    }
+}
+
+/// Waits before a refused replacement of an overdue attempt is tried again.
+pub(crate) async fn wait_for_recheck() {
+    tokio::time::sleep(RECHECK_INTERVAL.to_std()).await;
+}
+
+/// The place of a request in a queue; dropping it leaves the queue.
+struct QueuePlace<'a> {
+    queue: &'a QueueKind,
+    position: QueuePosition,
+    woken: oneshot::Receiver<()>,
+}
+
+impl<'a> QueuePlace<'a> {
+    fn enter(queue: &'a QueueKind, position: QueuePosition) -> Self {
+        let (waker, woken) = oneshot::channel();
+        queue.with(|queue| queue.join(position, waker));
+        Self { queue, position, woken }
+    }
+
+    /// Waits until the request is woken, at most this long. Either way the
+    /// caller of this function checks the state again.
+    async fn wait(mut self, max_wait: TimeSpan) {
+        let _woken = timeout(max_wait.to_std(), &mut self.woken).await;
+    }
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.queue.with(|queue| queue.leave(self.position));
+    }
 }
 
 /// Waits for a free slot, or refuses the request if the slot would be free too
@@ -124,13 +169,9 @@
         let retry_after = shorter(retry_after, MAX_QUEUE_RETRY_AFTER);
         return Err(RequestEnd { reason: EndReason::Full, retry_after });
     }
-    let (waker, woken) = oneshot::channel();
-    queue.with(|queue| queue.join(position, waker));
     let remaining =
         shorter(request.remaining(now).minus(latency), RECHECK_INTERVAL);
-    // Woken or timed out, the caller of this function checks the state again.
-    let _woken = timeout(remaining.to_std(), woken).await;
-    queue.with(|queue| queue.leave(position));
+    QueuePlace::enter(queue, position).wait(remaining).await;
     Ok(())
 }
 
@@ -142,11 +183,8 @@
 ) -> Result<(), RequestEnd> {
     let remaining = request.remaining(MonotonicClock.now());
     let service = state.service(&request.service);
-    let (waker, woken) = oneshot::channel();
-    let position = request.position;
-    service.queue.borrow_mut().join(position, waker);
-    // Woken or timed out, the caller of this function checks the state again.
-    let _woken = timeout(shorter(max_wait, remaining).to_std(), woken).await;
-    service.queue.borrow_mut().leave(position);
+    let queue = QueueKind::Service(Rc::clone(&service.queue));
+    let place = QueuePlace::enter(&queue, request.position);
+    place.wait(shorter(max_wait, remaining)).await;
     Ok(())
 }
