Accept queued connections before a process exits

A caller whose connection waits in the listener's queue when the drain ends, with its order sent, gets a reset if no other connection is open: the process counts no open connection and exits before the listener's task has run. The caller of an order can't know whether it ran.

Change: the wait for the last connection first waits until the listeners are closed, which accept what is queued before.

Measured: a_connection_in_the_queue_is_served_before_the_exit got a reset in 1 of 1 runs before and passes in 2 of 2; the tests of stops pass.

--- a/goldcrestramp-entry/src/traffic/in_flight.rs
+++ b/goldcrestramp-entry/src/traffic/in_flight.rs
@@ -13,7 +13,7 @@
 /// The maximum number of requests that a phase of a stop logs by name.
 const MAX_NAMED: usize = 16;
 
-/// The number of open connections of callers and other VMs.
+/// The number of open connections, or of open listeners.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionCount {
     open: Cell<usize>,
@@ -21,7 +21,7 @@
 }
 
 impl ConnectionCount {
-    /// Counts a connection until the guard is dropped.
+    /// Counts one until the guard is dropped.
     pub(crate) fn enter(self: &Rc<Self>) -> ConnectionGuard {
         self.open.set(self.open.get() + 1);
         ConnectionGuard(Rc::clone(self))
@@ -31,7 +31,7 @@
         self.open.get()
     }
 
-    /// Waits until no connection is open.
+    /// Waits until none is open.
     pub(super) async fn wait_empty(&self) {
         loop {
             let changed = self.changed.notified();
@@ -43,7 +43,7 @@
     }
 }
 
-/// One open connection; dropping it decrements the count.
+/// One open connection or listener; dropping it decrements the count.
 #[derive(Debug)]
 pub(crate) struct ConnectionGuard(Rc<ConnectionCount>);
 
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -46,7 +46,7 @@
     run::StopPhase,
     shared::SharedState,
     traffic::{
-        in_flight::ConnectionCount,
+        in_flight::{ConnectionCount, ConnectionGuard},
         listener::{serve_caller, serve_listener},
         memory::close_stalled_readers,
         relay_connection::serve_vm,
@@ -58,13 +58,17 @@
 /// A handle of the running traffic thread.
 #[derive(Clone, Debug)]
 pub struct TrafficHandle {
+    listeners: Rc<ConnectionCount>,
     connections: Rc<ConnectionCount>,
     state: Rc<TrafficState>,
 }
 
 impl TrafficHandle {
-    /// Waits until no caller and no other VM is connected.
+    /// Waits until the listeners are closed and no caller and no other VM is
+    /// connected.
     pub async fn wait_empty(&self) {
+        // A listener accepts what waits in its queue before it is closed.
+        self.listeners.wait_empty().await;
         self.connections.wait_empty().await;
     }
 
@@ -101,8 +105,10 @@
     let state =
         TrafficState::open(settings, views.clone(), phase.clone(), shared);
     let state = Rc::new(state);
+    let open = Rc::<ConnectionCount>::default();
     let connections = Rc::<ConnectionCount>::default();
     let handle = TrafficHandle {
+        listeners: Rc::clone(&open),
         connections: Rc::clone(&connections),
         state: Rc::clone(&state),
     };
@@ -119,21 +125,25 @@
             serve_vm(Rc::clone(&state), stop.clone(), stream, guard)
         };
         let connections = Rc::clone(&connections);
-        spawn_local(serve_listener(
-            relayed,
-            phase.clone(),
-            connections,
-            serve,
-        ));
+        let accepting = open.enter();
+        let served =
+            serve_listener(relayed, phase.clone(), connections, serve);
+        spawn_local(hold(accepting, served));
     }
     let stop = phase.clone();
     let serve = move |stream, guard| {
         serve_caller(Rc::clone(&state), stop.clone(), stream, guard)
     };
-    spawn_local(serve_listener(callers, phase, connections, serve));
+    let served = serve_listener(callers, phase, connections, serve);
+    spawn_local(hold(open.enter(), served));
     handle
 }
 
+/// Holds a guard while `work` runs.
+async fn hold(_guard: ConnectionGuard, work: impl Future<Output = ()>) {
+    work.await;
+}
+
 /// Applies the begin and the end of each partition.
 async fn follow_reach(state: Rc<TrafficState>) {
     let mut changes = state.reach.changes();
--- a/goldcrestramp-entry/tests/daemon/pipeline.rs
+++ b/goldcrestramp-entry/tests/daemon/pipeline.rs
@@ -14,24 +14,24 @@
 };
 
 /// A caller's connection on which a test sends arbitrary bytes.
-struct RawCaller {
+pub struct RawCaller {
     stream: TcpStream,
 }
 
 impl RawCaller {
-    async fn connect(cluster: &Cluster) -> Self {
+    pub async fn connect(cluster: &Cluster) -> Self {
         let address = cluster.nodes[0].traffic;
         let stream = TcpStream::connect(address).await;
         Self { stream: stream.expect("connection succeeds") }
     }
 
-    async fn send(&mut self, bytes: &str) {
+    pub async fn send(&mut self, bytes: &str) {
         let sent = self.stream.write_all(bytes.as_bytes()).await;
         sent.expect("daemon reads");
     }
 
     /// Reads until `count` responses have arrived or the connection ends.
-    async fn read_responses(&mut self, count: usize) -> Vec<String> {
+    pub async fn read_responses(&mut self, count: usize) -> Vec<String> {
         let mut text = String::new();
         let mut bytes = [0; 4_096];
         while complete_responses(&text).len() < count {
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -15,11 +15,21 @@
 
 use crate::{
     cluster::{Cluster, POOLED, configuration, eventually},
+    pipeline::RawCaller,
     relay::{Relay, RelayBehavior},
     server::ServerBehavior,
     store::StoreStandin,
 };
 
+/// The bytes of an order.
+fn order(attempt: &str) -> String {
+    format!(
+        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n\
+         X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n\
+         X-Attempt-Id: {attempt}\r\n\r\n"
+    )
+}
+
 /// Sends a request, stops the first VM while a server runs it, and returns the
 /// response.
 async fn stop_while_running(
@@ -147,8 +157,6 @@
     const DRAINING: Duration = Duration::from_secs(2);
     /// Lasts beyond the end of the drain.
     const PAUSE: Duration = Duration::from_millis(1_200);
-    const ORDER: &str = "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n\
-        X-Deadline-Ms: 3000\r\nContent-Length: 0\r\n";
     let mut cluster = Cluster::start(POOLED, 1, 1).await;
     let traffic = cluster.nodes[0].traffic;
     let connect = async || {
@@ -163,7 +171,7 @@
     let mut attempts = Vec::new();
     for caller in &mut callers {
         let attempt = cluster.next_attempt();
-        let order = format!("{ORDER}X-Attempt-Id: {attempt}\r\n\r\n");
+        let order = order(&attempt);
         caller.write_all(order.as_bytes()).await.expect("order is sent");
         attempts.push(attempt);
     }
@@ -181,6 +189,30 @@
     assert!(cluster.nodes[0].wait_for_exit().await.success());
 }
 
+/// Guards against a process that exits while a caller's connection still waits
+/// to be accepted, as no other one is open.
+#[tokio::test]
+async fn a_connection_in_the_queue_is_served_before_the_exit() {
+    const DRAINING: Duration = Duration::from_secs(2);
+    /// Lasts beyond the end of the drain.
+    const PAUSE: Duration = Duration::from_millis(1_200);
+    let mut cluster = Cluster::start(POOLED, 1, 1).await;
+    let attempt = cluster.next_attempt();
+    cluster.nodes[0].signal(Signal::TERM);
+    tokio::time::sleep(DRAINING).await;
+    cluster.nodes[0].signal(Signal::STOP);
+    let mut caller = RawCaller::connect(&cluster).await;
+    caller.send(&order(&attempt)).await;
+    tokio::time::sleep(PAUSE).await;
+
+    cluster.nodes[0].signal(Signal::CONT);
+
+    let responses = caller.read_responses(1).await;
+    assert_eq!(responses.len(), 1);
+    assert!(responses[0].starts_with("200"), "{responses:?}");
+    assert!(cluster.nodes[0].wait_for_exit().await.success());
+}
+
 /// Guards against callers whose connection is closed without a response: a
 /// server that is overloaded never responds, and the VM's grace period ends
 /// before their deadline.
