Serve the requests behind a response before a stop closes the connection

A caller that pipelines loses the requests behind a response that a draining VM sends: that response says Connection: close, and the requests that were read and not started are dropped with the connection. Only requests that had been started early were waited for.

Change: a response closes the connection only if no request waits behind it. When the drain ends, no further request is taken from a connection, and it is closed after the last one that was taken.

--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -67,8 +67,7 @@
     responding: Cell<bool>,
     /// Notified when the library has read some bytes.
     space_freed: Notify,
-    /// Notified when the response to a request has been returned to the
-    /// library.
+    /// Notified when the library has reached a request.
     caught_up: Notify,
 }
 
@@ -81,6 +80,8 @@
     body_remaining: u64,
     /// Whether the ends of requests are no longer known.
     opaque: bool,
+    /// Whether no further request is taken.
+    is_closing: bool,
     reader: Option<Waker>,
     gate: PipelineGate,
     /// The requests that were found and that the library has not reached, with
@@ -166,6 +167,7 @@
     ) -> Response<ResponseBody> {
         let next = self.state.borrow_mut().pending.pop_front();
         self.responding.set(true);
+        self.caught_up.notify_waiters();
         let response = if let Some(task) = next.flatten() {
             task.finish().await
         } else {
@@ -175,7 +177,6 @@
         };
         self.responding.set(false);
         self.state.borrow_mut().gate.record_response();
-        self.caught_up.notify_waiters();
         response
     }
 
@@ -185,17 +186,19 @@
         pending + usize::from(self.responding.get())
     }
 
-    /// Whether a request is being served early.
+    /// Whether requests wait behind the one that the library has reached.
     ///
-    /// Its response would be lost if an earlier response closed the
+    /// Their responses would be lost if an earlier response closed the
     /// connection.
-    pub(crate) fn is_ahead(&self) -> bool {
-        self.state.borrow().pending.iter().any(Option::is_some)
+    pub(crate) fn has_pending(&self) -> bool {
+        !self.state.borrow().pending.is_empty()
     }
 
-    /// Waits until no request is being served early.
-    pub(crate) async fn wait_caught_up(&self) {
-        while self.is_ahead() {
+    /// Takes no further request, and waits until the library has reached the
+    /// last one.
+    pub(crate) async fn finish_pending(&self) {
+        self.state.borrow_mut().is_closing = true;
+        while self.has_pending() {
             self.caught_up.notified().await;
         }
     }
@@ -216,8 +219,8 @@
     fn enqueue(&self, request: Box<FramedRequest>) {
         let effect = self.effect_of(&request);
         let start = self.state.borrow_mut().gate.arrived(effect);
-        // A draining VM asks callers to connect elsewhere with its next
-        // response, so no other response may follow it.
+        // A draining VM starts nothing early: the connection is to end with
+        // the responses that are due.
         let starts_now =
             start == PipelineStart::Now && self.traffic.is_serving();
         let head = request.head.filter(|_head| starts_now);
@@ -254,7 +257,8 @@
     fn next_request(&mut self) -> Option<Box<FramedRequest>> {
         self.release_body();
         let unread = &self.received[self.released..];
-        if unread.is_empty() || self.body_remaining > 0 {
+        let awaits_body = self.body_remaining > 0;
+        if unread.is_empty() || awaits_body || self.is_closing {
             return None;
         }
         match frame_request(unread) {
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -148,7 +148,7 @@
                 reader.begin_response(response.body().held_bytes());
             }
             let is_draining = *request_phase.borrow() != StopPhase::Serving;
-            if is_draining && !caller.is_ahead() {
+            if is_draining && !caller.has_pending() {
                 request_close(response.headers_mut());
             }
             Ok::<_, Infallible>(response)
@@ -219,7 +219,7 @@
     caller: &CallerConnection,
 ) {
     wait_for_last_read(phase).await;
-    caller.wait_caught_up().await;
+    caller.finish_pending().await;
 }
 
 /// Makes the caller open a new connection, which the balancer sends to another
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -213,6 +213,30 @@
     assert!(cluster.nodes[0].wait_for_exit().await.success());
 }
 
+/// Guards against pipelined requests that are dropped by the close after the
+/// response ahead of them.
+#[tokio::test]
+async fn a_stopped_daemon_serves_the_requests_behind_a_response() {
+    let mut cluster = Cluster::start(POOLED, 1, 1).await;
+    let work = Duration::from_secs(1);
+    cluster.servers[0].set_behavior(ServerBehavior::Responds(work));
+    let attempts = [cluster.next_attempt(), cluster.next_attempt()];
+    let mut caller = RawCaller::connect(&cluster).await;
+    caller.send(&order(&attempts[0])).await;
+    eventually(async || cluster.executions_of(&attempts[0]) == 1).await;
+
+    cluster.nodes[0].signal(Signal::TERM);
+    caller.send(&order(&attempts[1])).await;
+
+    let responses = caller.read_responses(2).await;
+    assert_eq!(responses.len(), 2, "{responses:?}");
+    for (response, attempt) in responses.iter().zip(&attempts) {
+        assert!(response.starts_with("200"), "{response:?}");
+        assert_eq!(cluster.executions_of(attempt), 1);
+    }
+    assert!(cluster.nodes[0].wait_for_exit().await.success());
+}
+
 /// Guards against callers whose connection is closed without a response: a
 /// server that is overloaded never responds, and the VM's grace period ends
 /// before their deadline.
