Open the listeners for callers before the one for readiness

A caller that a balancer sends to a VM as soon as it reports its state is refused: the control thread opens the readiness port, and may report a configuration, before the main thread has bound the callers' port.

Change: the listeners for callers and for other VMs are bound before the control thread starts. What connects waits in their queues until they are served.

Measured: a_starting_daemon_accepts_callers_before_it_reports failed before in its first run and passes; the ten tests of stops pass.

--- a/goldcrestramp-entry/src/run.rs
+++ b/goldcrestramp-entry/src/run.rs
@@ -123,6 +123,9 @@
     let (views, view) = watch::channel(Arc::<FleetView>::default());
     let (phases, phase) = watch::channel(StopPhase::Serving);
     let shared = SharedState::open(&settings);
+    // Nothing says that this VM is ready before its listeners are open.
+    let listeners = runtime.block_on(async { open_listeners(&settings) });
+    let listeners = listeners.map_err(RunError::Start)?;
     let control = start_control(
         &settings,
         shared.clone(),
@@ -132,13 +135,6 @@
     )?;
     let local = LocalSet::new();
     local.block_on(&runtime, async {
-        let callers =
-            bind(settings.traffic_address).map_err(RunError::Start)?;
-        let relayed = relay_address(&settings).map(bind).transpose();
-        let listeners = TrafficListeners {
-            callers,
-            relayed: relayed.map_err(RunError::Start)?,
-        };
         let traffic = spawn_traffic(
             Arc::clone(&settings),
             listeners,
@@ -283,6 +279,12 @@
     started.map_err(RunError::Start)
 }
 
+fn open_listeners(settings: &NodeSettings) -> io::Result<TrafficListeners> {
+    let callers = bind(settings.traffic_address)?;
+    let relayed = relay_address(settings).map(bind).transpose()?;
+    Ok(TrafficListeners { callers, relayed })
+}
+
 /// The address for requests of other VMs: the last inner port, as the first
 /// one is for their calls. `None` if there is only one port.
 fn relay_address(settings: &NodeSettings) -> Option<SocketAddr> {
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -93,6 +93,21 @@
     }
 }
 
+/// Guards against a VM that reports its state before it accepts callers.
+#[tokio::test]
+async fn a_starting_daemon_accepts_callers_before_it_reports() {
+    let mut cluster = Cluster::start(POOLED, 1, 1).await;
+    for _turn in 0..30 {
+        cluster.nodes[0].restart();
+        let node = &cluster.nodes[0];
+        while std::net::TcpStream::connect(node.ready).is_err() {}
+
+        let caller = std::net::TcpStream::connect(node.traffic);
+
+        assert!(caller.is_ok(), "{caller:?}");
+    }
+}
+
 /// Guards against a draining VM that abandons a slow attempt for one at
 /// another server: the work is done twice, and the request fails if the other
 /// server has too little time. The VM waits for the response in flight.
