Stop VMs in series under long lookups in the soak

The soak had short lookups, callers with kept connections only, and at most one stop per VM at a time among many other faults, so a request that was ended while its server worked could not be told from one that a fault excused.

The new run has nothing but stops: VMs get SIGTERM 0.2 to 0.8 s apart and start right after their exit, while servers take 0.15 to 0.45 s and sometimes 1.5 s. Half of the callers keep their connections, half open one per lookup. A lookup that a server has begun must not end before its timeout without a server's response.

--- a/goldcrestramp-entry/tests/soak/main.rs
+++ b/goldcrestramp-entry/tests/soak/main.rs
@@ -9,6 +9,8 @@
 //! configurations change. An oracle checks what callers and servers
 //! saw against the guarantees.
 //!
+//! Each seed also stops VMs in series under long lookups.
+//!
 //! The daemons of every second seed have load control and little memory, and
 //! half of the callers' requests are for one key.
 //!
@@ -33,6 +35,7 @@
 #[path = "../daemon/port.rs"]
 mod port;
 mod relay;
+mod series;
 #[path = "../daemon/server.rs"]
 #[allow(dead_code, reason = "shared with the tests of single faults")]
 mod server;
@@ -42,7 +45,10 @@
 
 use std::time::Duration;
 
-use crate::harness::{FaultScope, run_seed};
+use crate::{
+    harness::{FaultScope, run_seed},
+    series::{SeriesSize, run_series},
+};
 
 /// The number of seeds run at a time. Each has three daemon processes and some
 /// hundred connections.
@@ -108,3 +114,25 @@
     }
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+/// The size of the runs of stops in series, in CI and by hand.
+const CI_SERIES: SeriesSize =
+    SeriesSize { vms: 3, callers_per_vm: 4, rounds: 1 };
+const MANUAL_SERIES: SeriesSize =
+    SeriesSize { vms: 9, callers_per_vm: 6, rounds: 4 };
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn lookups_get_responses_while_vms_stop_in_series() {
+    let Some(seeds) = number("GOLDCRESTRAMP_SOAK_SEEDS") else {
+        run_series(1, CI_SERIES).await.expect("seed 1 loses no lookup");
+        return;
+    };
+    let first = number("GOLDCRESTRAMP_SOAK_FIRST").unwrap_or(1);
+    let mut violations = Vec::new();
+    for seed in first..first + seeds {
+        let result = run_series(seed, MANUAL_SERIES).await;
+        println!("series {seed}: {result:?}");
+        violations.extend(result.err().map(|what| (seed, what)));
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
