Test further signals during a stop, and responses read after the exit

Two places where a process could end a response that is due: a reload or a second SIGTERM while a request is in flight, and the exit before the caller has read its response. Both were safe by reading and had no test.

--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -73,6 +73,45 @@
     }
 }
 
+/// Guards against requests in flight that SIGHUP or repeated signals interrupt.
+#[tokio::test]
+async fn further_signals_interrupt_no_request_in_flight() {
+    let mut cluster = Cluster::start(POOLED, 1, 1).await;
+    let work = Duration::from_millis(1_500);
+    cluster.servers[0].set_behavior(ServerBehavior::Responds(work));
+    let attempt = cluster.next_attempt();
+    let request = cluster.request(0, Method::POST, "/order/1", &attempt);
+    let sent = tokio::spawn(request.send());
+    eventually(async || cluster.executions_of(&attempt) == 1).await;
+
+    for signal in [Signal::HUP, Signal::TERM, Signal::HUP, Signal::TERM] {
+        cluster.nodes[0].signal(signal);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+
+    let response = sent.await.expect("request task does not panic");
+    assert_eq!(response.expect("response arrives").status(), 200);
+    assert!(cluster.nodes[0].wait_for_exit().await.success());
+}
+
+/// Guards against responses that are lost because their callers read them only
+/// after the process has exited.
+#[tokio::test]
+async fn a_response_can_be_read_after_the_exit() {
+    let mut cluster = Cluster::start(POOLED, 1, 1).await;
+    let attempt = cluster.next_attempt();
+    let mut caller = RawCaller::connect(&cluster).await;
+    caller.send(&order(&attempt)).await;
+    eventually(async || cluster.executions_of(&attempt) == 1).await;
+
+    cluster.nodes[0].signal(Signal::TERM);
+    assert!(cluster.nodes[0].wait_for_exit().await.success());
+
+    let responses = caller.read_responses(1).await;
+    assert_eq!(responses.len(), 1);
+    assert!(responses[0].starts_with("200"), "{responses:?}");
+}
+
 /// Guards against a SIGHUP that terminates a starting process. This happens
 /// if the signal arrives before its handler is installed; the VM then serves
 /// nobody until it is restarted.
