Give a new connection time for its first request before a stop closes it

A caller whose connection is accepted as the drain ends, and whose request is a round trip behind, gets the end of its connection after 10 ms. Callers that open a connection per request meet this at each stop of a VM in another region.

Change: a connection on which nothing has arrived is read for 300 ms more before it is closed. One that has carried a request, or a part of one, is closed as before.

Measured: a_new_connection_gets_time_for_its_request got no response in 1 of 1 runs before and passes; the tests of stops, pipelines and callers pass (27 of 27, one run).

--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -65,6 +65,8 @@
     state: RefCell<ConnectionState>,
     /// Whether the library waits for a response.
     responding: Cell<bool>,
+    /// Notified when the first bytes have arrived.
+    begun: Notify,
     /// Notified when the library has read some bytes.
     space_freed: Notify,
     /// Notified when the library has reached a request.
@@ -80,6 +82,8 @@
     body_remaining: u64,
     /// Whether the ends of requests are no longer known.
     opaque: bool,
+    /// Whether bytes have arrived on the connection.
+    has_begun: bool,
     /// Whether no further request is taken.
     is_closing: bool,
     reader: Option<Waker>,
@@ -116,6 +120,7 @@
             traffic,
             state: RefCell::default(),
             responding: Cell::new(false),
+            begun: Notify::new(),
             space_freed: Notify::new(),
             caught_up: Notify::new(),
         })
@@ -132,7 +137,11 @@
             }
             match self.read(&stream) {
                 Ok(0) => return,
-                Ok(_bytes) => self.find_requests(),
+                Ok(_bytes) => {
+                    self.state.borrow_mut().has_begun = true;
+                    self.begun.notify_waiters();
+                    self.find_requests();
+                }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => {
                     log::debug!("[gateway] Read from caller failed: {error}.");
@@ -194,6 +203,13 @@
         !self.state.borrow().pending.is_empty()
     }
 
+    /// Waits until the first bytes have arrived.
+    pub(crate) async fn wait_begun(&self) {
+        if !self.state.borrow().has_begun {
+            self.begun.notified().await;
+        }
+    }
+
     /// Takes no further request, and waits until the library has reached the
     /// last one.
     pub(crate) async fn finish_pending(&self) {
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -14,6 +14,7 @@
     pin,
     sync::watch,
     task::spawn_local,
+    time::timeout,
 };
 
 use crate::{
@@ -45,6 +46,10 @@
 /// whose bytes have arrived is served.
 const LAST_READ_TIME: Duration = Duration::from_millis(10);
 
+/// How long a connection without any byte is still read before it is closed:
+/// its caller has just opened it, and the request is a round trip behind.
+const FIRST_READ_TIME: Duration = Duration::from_millis(300);
+
 /// Accepts connections until the process closes, and serves each in a task of
 /// its own.
 pub(crate) async fn serve_listener<Served>(
@@ -218,6 +223,9 @@
     phase: &mut watch::Receiver<StopPhase>,
     caller: &CallerConnection,
 ) {
+    wait_for_close(phase).await;
+    // Either way the connection may be closed.
+    let _begun = timeout(FIRST_READ_TIME, caller.wait_begun()).await;
     wait_for_last_read(phase).await;
     caller.finish_pending().await;
 }
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -267,6 +267,31 @@
     assert!(cluster.nodes[0].wait_for_exit().await.success());
 }
 
+/// Guards against a new connection that is closed before the first request on
+/// it can have arrived.
+#[tokio::test]
+async fn a_new_connection_gets_time_for_its_request() {
+    const DRAINING: Duration = Duration::from_secs(2);
+    /// Lasts beyond the end of the drain.
+    const PAUSE: Duration = Duration::from_millis(1_200);
+    const ROUND_TRIP: Duration = Duration::from_millis(60);
+    let cluster = Cluster::start(POOLED, 1, 1).await;
+    let attempt = cluster.next_attempt();
+    cluster.nodes[0].signal(Signal::TERM);
+    tokio::time::sleep(DRAINING).await;
+    cluster.nodes[0].signal(Signal::STOP);
+    let mut caller = RawCaller::connect(&cluster).await;
+    tokio::time::sleep(PAUSE).await;
+    cluster.nodes[0].signal(Signal::CONT);
+
+    tokio::time::sleep(ROUND_TRIP).await;
+    caller.send(&order(&attempt)).await;
+
+    let responses = caller.read_responses(1).await;
+    assert_eq!(responses.len(), 1);
+    assert!(responses[0].starts_with("200"), "{responses:?}");
+}
+
 /// Guards against pipelined requests that are dropped by the close after the
 /// response ahead of them.
 #[tokio::test]
