Name what counts connections and listeners, and share the pause of three tests

Wording only: OpenCount counts both, and the tests that pause a VM in its drain take the pause from one function. Their checks are the same.

--- a/goldcrestramp-entry/src/traffic/in_flight.rs
+++ b/goldcrestramp-entry/src/traffic/in_flight.rs
@@ -15,16 +15,16 @@
 
 /// The number of open connections, or of open listeners.
 #[derive(Debug, Default)]
-pub(crate) struct ConnectionCount {
+pub(crate) struct OpenCount {
     open: Cell<usize>,
     changed: Notify,
 }
 
-impl ConnectionCount {
+impl OpenCount {
     /// Counts one until the guard is dropped.
-    pub(crate) fn enter(self: &Rc<Self>) -> ConnectionGuard {
+    pub(crate) fn enter(self: &Rc<Self>) -> OpenGuard {
         self.open.set(self.open.get() + 1);
-        ConnectionGuard(Rc::clone(self))
+        OpenGuard(Rc::clone(self))
     }
 
     pub(super) const fn open(&self) -> usize {
@@ -45,9 +45,9 @@
 
 /// One open connection or listener; dropping it decrements the count.
 #[derive(Debug)]
-pub(crate) struct ConnectionGuard(Rc<ConnectionCount>);
+pub(crate) struct OpenGuard(Rc<OpenCount>);
 
-impl Drop for ConnectionGuard {
+impl Drop for OpenGuard {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
         self.0.changed.notify_waiters();
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -21,7 +21,7 @@
     run::StopPhase,
     traffic::{
         connection::{CallerConnection, ConnectionReader},
-        in_flight::{ConnectionCount, ConnectionEnd, ConnectionGuard},
+        in_flight::{ConnectionEnd, OpenCount, OpenGuard},
         memory::{CallerWriter, wait_closed},
         state::TrafficState,
     },
@@ -55,8 +55,8 @@
 pub(crate) async fn serve_listener<Served>(
     listener: TcpListener,
     mut phase: watch::Receiver<StopPhase>,
-    connections: Rc<ConnectionCount>,
-    serve: impl Fn(TcpStream, ConnectionGuard) -> Served,
+    connections: Rc<OpenCount>,
+    serve: impl Fn(TcpStream, OpenGuard) -> Served,
 ) where
     Served: Future<Output = ()> + 'static,
 {
@@ -124,7 +124,7 @@
     state: Rc<TrafficState>,
     mut phase: watch::Receiver<StopPhase>,
     stream: TcpStream,
-    _guard: ConnectionGuard,
+    _guard: OpenGuard,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("[gateway] Setting TCP_NODELAY failed: {error}.");
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -46,7 +46,7 @@
     run::StopPhase,
     shared::SharedState,
     traffic::{
-        in_flight::{ConnectionCount, ConnectionGuard},
+        in_flight::{OpenCount, OpenGuard},
         listener::{serve_caller, serve_listener},
         memory::close_stalled_readers,
         relay_connection::serve_vm,
@@ -58,8 +58,8 @@
 /// A handle of the running traffic thread.
 #[derive(Clone, Debug)]
 pub struct TrafficHandle {
-    listeners: Rc<ConnectionCount>,
-    connections: Rc<ConnectionCount>,
+    listeners: Rc<OpenCount>,
+    connections: Rc<OpenCount>,
     state: Rc<TrafficState>,
 }
 
@@ -105,10 +105,10 @@
     let state =
         TrafficState::open(settings, views.clone(), phase.clone(), shared);
     let state = Rc::new(state);
-    let open = Rc::<ConnectionCount>::default();
-    let connections = Rc::<ConnectionCount>::default();
+    let accepting = Rc::<OpenCount>::default();
+    let connections = Rc::<OpenCount>::default();
     let handle = TrafficHandle {
-        listeners: Rc::clone(&open),
+        listeners: Rc::clone(&accepting),
         connections: Rc::clone(&connections),
         state: Rc::clone(&state),
     };
@@ -125,22 +125,21 @@
             serve_vm(Rc::clone(&state), stop.clone(), stream, guard)
         };
         let connections = Rc::clone(&connections);
-        let accepting = open.enter();
         let served =
             serve_listener(relayed, phase.clone(), connections, serve);
-        spawn_local(hold(accepting, served));
+        spawn_local(hold(accepting.enter(), served));
     }
     let stop = phase.clone();
     let serve = move |stream, guard| {
         serve_caller(Rc::clone(&state), stop.clone(), stream, guard)
     };
     let served = serve_listener(callers, phase, connections, serve);
-    spawn_local(hold(open.enter(), served));
+    spawn_local(hold(accepting.enter(), served));
     handle
 }
 
 /// Holds a guard while `work` runs.
-async fn hold(_guard: ConnectionGuard, work: impl Future<Output = ()>) {
+async fn hold(_guard: OpenGuard, work: impl Future<Output = ()>) {
     work.await;
 }
 
--- a/goldcrestramp-entry/src/traffic/relay_connection.rs
+++ b/goldcrestramp-entry/src/traffic/relay_connection.rs
@@ -13,7 +13,7 @@
     peers::BUSY_PATH,
     run::StopPhase,
     traffic::{
-        in_flight::ConnectionGuard,
+        in_flight::OpenGuard,
         listener::wait_for_last_read,
         relay::{ENVELOPE, serve_passed},
         response::ResponseBody,
@@ -32,7 +32,7 @@
     state: Rc<TrafficState>,
     mut phase: watch::Receiver<StopPhase>,
     stream: TcpStream,
-    _guard: ConnectionGuard,
+    _guard: OpenGuard,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("[relay] Setting TCP_NODELAY failed: {error}.");
--- a/goldcrestramp-entry/tests/daemon/stop.rs
+++ b/goldcrestramp-entry/tests/daemon/stop.rs
@@ -21,6 +21,19 @@
     store::StoreStandin,
 };
 
+/// How long a VM drains before it is paused.
+const DRAINING: Duration = Duration::from_secs(2);
+
+/// A pause that lasts beyond the end of the drain.
+const PAUSE: Duration = Duration::from_millis(1_200);
+
+/// Stops the first VM, and pauses it before the end of its drain.
+async fn pause_in_drain(cluster: &Cluster) {
+    cluster.nodes[0].signal(Signal::TERM);
+    tokio::time::sleep(DRAINING).await;
+    cluster.nodes[0].signal(Signal::STOP);
+}
+
 /// The bytes of an order.
 fn order(attempt: &str) -> String {
     format!(
@@ -208,9 +221,6 @@
 /// connections, while a stopping process that is short of CPU time closes.
 #[tokio::test]
 async fn requests_that_arrive_before_the_close_are_served() {
-    const DRAINING: Duration = Duration::from_secs(2);
-    /// Lasts beyond the end of the drain.
-    const PAUSE: Duration = Duration::from_millis(1_200);
     let mut cluster = Cluster::start(POOLED, 1, 1).await;
     let traffic = cluster.nodes[0].traffic;
     let connect = async || {
@@ -218,9 +228,7 @@
         stream.expect("connection succeeds")
     };
     let mut callers = vec![connect().await];
-    cluster.nodes[0].signal(Signal::TERM);
-    tokio::time::sleep(DRAINING).await;
-    cluster.nodes[0].signal(Signal::STOP);
+    pause_in_drain(&cluster).await;
     callers.push(connect().await);
     let mut attempts = Vec::new();
     for caller in &mut callers {
@@ -247,14 +255,9 @@
 /// to be accepted, as no other one is open.
 #[tokio::test]
 async fn a_connection_in_the_queue_is_served_before_the_exit() {
-    const DRAINING: Duration = Duration::from_secs(2);
-    /// Lasts beyond the end of the drain.
-    const PAUSE: Duration = Duration::from_millis(1_200);
     let mut cluster = Cluster::start(POOLED, 1, 1).await;
     let attempt = cluster.next_attempt();
-    cluster.nodes[0].signal(Signal::TERM);
-    tokio::time::sleep(DRAINING).await;
-    cluster.nodes[0].signal(Signal::STOP);
+    pause_in_drain(&cluster).await;
     let mut caller = RawCaller::connect(&cluster).await;
     caller.send(&order(&attempt)).await;
     tokio::time::sleep(PAUSE).await;
@@ -271,15 +274,10 @@
 /// it can have arrived.
 #[tokio::test]
 async fn a_new_connection_gets_time_for_its_request() {
-    const DRAINING: Duration = Duration::from_secs(2);
-    /// Lasts beyond the end of the drain.
-    const PAUSE: Duration = Duration::from_millis(1_200);
     const ROUND_TRIP: Duration = Duration::from_millis(60);
     let cluster = Cluster::start(POOLED, 1, 1).await;
     let attempt = cluster.next_attempt();
-    cluster.nodes[0].signal(Signal::TERM);
-    tokio::time::sleep(DRAINING).await;
-    cluster.nodes[0].signal(Signal::STOP);
+    pause_in_drain(&cluster).await;
     let mut caller = RawCaller::connect(&cluster).await;
     tokio::time::sleep(PAUSE).await;
     cluster.nodes[0].signal(Signal::CONT);
