Show that an order waits behind a rejected body until its server is gone

Cause: a connection counts as idle once a response has been read, though the request's body is still being written.

--- a/review/standins-2/src/early.rs
+++ b/review/standins-2/src/early.rs
@@ -1,4 +1,161 @@
-use crate::{TrialResult, daemon::Places, record::Record};
-pub fn play(_: &Record, _: &Places, _: bool) -> TrialResult {
-    Err("unfinished".into())
+//! A server rejects long orders before their bodies are in, keeps the
+//! connections and reads on. Then it drains and exits.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use crate::{
+    TrialResult, Verdict,
+    client::{Body, Connection, Outcome, next_attempt},
+    configuration,
+    daemon::{Places, Vm, VmPlan},
+    record::Record,
+    server::{Plan, Server, Treatment},
+    store::Store,
+};
+
+/// The rule's bound, as the settings state it.
+const DRAIN: Duration = Duration::from_millis(2_000);
+
+/// How long the draining server serves: the bound and a little longer.
+const LEAVING_TIME: Duration = Duration::from_millis(3_500);
+
+/// The long orders that are sent, one after the other, until one is rejected.
+const LONG_ORDERS: usize = 6;
+const LONG: Body = Body::Long { bytes: 240_000, per_s: 100_000_000 };
+
+/// What the server reads of a rejected body in a second.
+const READ_PER_S: usize = 62_000;
+
+/// The receive buffer of a server's connection.
+const RECEIVE_BUFFER: usize = 96 * 1024;
+
+/// The short orders that are sent at once, and how often that is done before
+/// a long order is rejected.
+const SHORT_ORDERS: usize = 16;
+const WAVES: usize = 3;
+
+const WORK: Duration = Duration::from_millis(600);
+const DEADLINE: Duration = Duration::from_millis(5_000);
+
+/// A short order and how it ended for its client.
+type ShortOrder = (String, Outcome);
+
+pub fn play(
+    record: &Record,
+    places: &Places,
+    has_trouble: bool,
+) -> TrialResult {
+    let store = Store::open()?;
+    store.write("op/config", &configuration());
+    let left = usize::from(has_trouble);
+    let rejections = Arc::new(AtomicUsize::new(left));
+    let rejected = Arc::clone(&rejections);
+    let leaver: Plan = Arc::new(move |path| {
+        let is_long = path.starts_with("/long/");
+        let take = |left: usize| left.checked_sub(1);
+        let order = Ordering::SeqCst;
+        if is_long && rejections.fetch_update(order, order, take).is_ok() {
+            Treatment::RejectEarly { per_s: READ_PER_S }
+        } else {
+            Treatment::Work(WORK)
+        }
+    });
+    let stayer: Plan = Arc::new(|_path| Treatment::Work(WORK));
+    let open = |id: &str, plan: Plan| {
+        let buffer = Some(RECEIVE_BUFFER);
+        Server::open(record, &store, "orders", id, 8, buffer, plan)
+    };
+    let leaver = open("i-leaver", leaver)?;
+    let _stayer = open("i-stayer", stayer)?;
+    let place = VmPlan {
+        name: "front-north-a-1",
+        ip: "127.0.0.2",
+        zone: "north-a",
+        memory_mb: 260,
+    };
+    let vm = Vm::start(places, store.address, &place)?;
+    if !vm.wait_ready(Duration::from_secs(10)) {
+        return Err("the VM is not ready".into());
+    }
+    // `contact`: from here on the VM is in touch.
+    thread::sleep(Duration::from_millis(3_500));
+    let shorts: Arc<Mutex<Vec<ShortOrder>>> = Arc::default();
+    let send = |path: &'static str, body: Body| {
+        let (record, address) = (record.clone(), vm.callers);
+        let shorts = Arc::clone(&shorts);
+        let attempt = next_attempt();
+        thread::spawn(move || {
+            record.line(format!("client sends {attempt} ({path})"));
+            let outcome = match Connection::open(address) {
+                Ok(mut connection) => {
+                    connection.post(path, &attempt, DEADLINE, body)
+                }
+                Err(error) => Outcome::Closed(error.kind().to_string()),
+            };
+            record.line(format!("client of {attempt}: {outcome:?}"));
+            if body == Body::Short {
+                shorts.lock().expect("lock").push((attempt, outcome));
+            }
+        })
+    };
+    let send_shorts = || -> Vec<_> {
+        let order = |_| send("/short/", Body::Short);
+        (0..SHORT_ORDERS).map(order).collect()
+    };
+    record.line("short orders, so that connections to servers are kept");
+    for _ in 0..WAVES {
+        for sender in send_shorts() {
+            let _joined = sender.join();
+        }
+    }
+    record.line("long orders");
+    for _ in 0..LONG_ORDERS {
+        let _joined = send("/long/", LONG).join();
+        if has_trouble && rejected.load(Ordering::SeqCst) == 0 {
+            break;
+        }
+    }
+    record.line("short orders");
+    let senders = send_shorts();
+    thread::sleep(Duration::from_millis(100));
+    leaver.drain();
+    let accepted_at = record.elapsed();
+    record.line("the store has accepted that i-leaver drains");
+    thread::sleep(LEAVING_TIME);
+    leaver.exit();
+    for sender in senders {
+        let _joined = sender.join();
+    }
+    drop(vm);
+    let shorts = shorts.lock().expect("lock").clone();
+    let mut late = Vec::new();
+    for (attempt, arrival) in leaver.arrivals() {
+        let after = arrival.at.saturating_sub(accepted_at);
+        if after > DRAIN {
+            let short = shorts.iter().find(|(id, _)| *id == attempt);
+            let outcome = short.map(|(_, outcome)| outcome.clone());
+            late.push(format!(
+                "{attempt} ({}) {} ms after, for its client {outcome:?}",
+                arrival.path,
+                after.as_millis()
+            ));
+        }
+    }
+    let text = format!(
+        "requests that reached i-leaver more than {} ms after the store had \
+         accepted that it drains: {late:?}",
+        DRAIN.as_millis()
+    );
+    Ok(if late.is_empty() {
+        Verdict::Held(text)
+    } else {
+        Verdict::Broken(text)
+    })
 }
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -109,7 +109,7 @@
     mut remaining: u64,
     take: &mut impl FnMut(&[u8]),
 ) -> io::Result<()> {
-    let mut buffer = vec![0; 64 * 1024];
+    let mut buffer = vec![0; 8 * 1024];
     while remaining > 0 {
         let wanted = buffer.len().min(remaining as usize);
         let count = stream.read(&mut buffer[..wanted])?;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -75,10 +75,10 @@
 /// The operator's configuration: short orders and long ones, which go to one
 /// service.
 fn configuration() -> String {
-    let route = |path: &str, timeout: u32| {
+    let route = |path: &str| {
         format!(
             "{{\"host\":\"shop.example\",\"path_prefix\":\"{path}\",\
-             \"kind\":\"unsafe\",\"timeout\":\"{timeout}ms\",\
+             \"kind\":\"unsafe\",\"timeout\":\"5000ms\",\
              \"target_latency\":\"1000ms\",\"priority\":1,\
              \"service\":\"orders\",\"max_attempts\":2}}"
         )
@@ -90,7 +90,7 @@
          \"limits\":{{\"max_header_bytes\":16384,\
          \"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\
          \"idle_timeout\":\"15000ms\"}}}}",
-        route("/short/", 2_500),
-        route("/long/", 5_000)
+        route("/short/"),
+        route("/long/")
     )
 }
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -3,13 +3,13 @@
 use std::{
     collections::HashMap,
     io::{self, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Condvar, Mutex, MutexGuard,
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use crate::{http::Head, record::Record, store::Store};
@@ -25,9 +25,9 @@
 pub enum Treatment {
     /// It reads the body, works this long and answers.
     Work(Duration),
-    /// It rejects a long request before its body is in, keeps the connection,
-    /// and reads the body after this time.
-    RejectEarly(Duration),
+    /// It rejects a long request before its body is in, keeps the connection
+    /// and reads on, this many bytes a second.
+    RejectEarly { per_s: usize },
 }
 
 /// The plan of a server: what it does with a request of this path.
@@ -58,6 +58,8 @@
     slots: usize,
     plan: Plan,
     leaving: AtomicBool,
+    ended: AtomicBool,
+    streams: Mutex<Vec<TcpStream>>,
     arrivals: Mutex<HashMap<String, Arrival>>,
     load: Mutex<Load>,
     freed: Condvar,
@@ -93,6 +95,8 @@
             slots,
             plan,
             leaving: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
+            streams: Mutex::default(),
             arrivals: Mutex::default(),
             load: Mutex::default(),
             freed: Condvar::new(),
@@ -102,6 +106,12 @@
         let acceptor = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if acceptor.has_ended() {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    acceptor.streams().push(copy);
+                }
                 let server = acceptor.clone();
                 thread::spawn(move || {
                     // The caller has closed the connection.
@@ -112,6 +122,9 @@
         let beating = server.clone();
         thread::spawn(move || {
             for seq in 1.. {
+                if beating.has_ended() {
+                    return;
+                }
                 beating.beat(seq);
                 thread::sleep(BEAT_INTERVAL);
             }
@@ -126,6 +139,27 @@
         self.beat(1_000_000);
     }
 
+    /// Ends the server, as the exit of its process does.
+    pub fn exit(&self) {
+        self.shared.ended.store(true, Ordering::SeqCst);
+        self.shared.store.remove(&format!("servers/{}", self.id));
+        for stream in self.streams().drain(..) {
+            // The caller has closed it before.
+            let _closed = stream.shutdown(Shutdown::Both);
+        }
+        // Wakes the acceptor, which then closes the listener.
+        let _woken = TcpStream::connect(self.address);
+        self.shared.record.line(format!("server {} exits", self.id));
+    }
+
+    fn has_ended(&self) -> bool {
+        self.shared.ended.load(Ordering::SeqCst)
+    }
+
+    fn streams(&self) -> MutexGuard<'_, Vec<TcpStream>> {
+        self.shared.streams.lock().expect("no holder panicked")
+    }
+
     pub fn arrivals(&self) -> HashMap<String, Arrival> {
         self.locked_arrivals().clone()
     }
@@ -172,10 +206,16 @@
                 self.id
             ));
             match (self.shared.plan)(&path) {
-                Treatment::RejectEarly(pause) => {
+                Treatment::RejectEarly { per_s } => {
                     self.reject(stream, &attempt)?;
-                    thread::sleep(pause);
-                    head.read_body(&mut reader, false, |_| {})?;
+                    let began_at = Instant::now();
+                    let mut read = 0;
+                    head.read_body(&mut reader, false, |piece| {
+                        read += piece.len();
+                        let due = read as f64 / per_s as f64;
+                        let due = Duration::from_secs_f64(due);
+                        thread::sleep(due.saturating_sub(began_at.elapsed()));
+                    })?;
                     self.shared.record.line(format!(
                         "server {} has read the rest of {attempt}",
                         self.id
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -109,12 +109,6 @@
         self.shared.1.notify_all();
     }
 
-    /// The keys that begin with `prefix`.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        let contents = self.contents();
-        let keys = contents.items.keys();
-        keys.filter(|key| key.starts_with(prefix)).cloned().collect()
-    }
 
     fn contents(&self) -> MutexGuard<'_, Contents> {
         self.shared.0.lock().expect("no holder panicked")
