--- a/review/standins-2/src/early.rs
+++ b/review/standins-2/src/early.rs
@@ -53,7 +53,7 @@
     has_trouble: bool,
 ) -> TrialResult {
     let store = Store::open()?;
-    store.write("op/config", &configuration());
+    store.write("op/config", &configuration(7, "orders"));
     let left = usize::from(has_trouble);
     let rejections = Arc::new(AtomicUsize::new(left));
     let rejected = Arc::clone(&rejections);
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -13,6 +13,7 @@
 mod memory;
 mod record;
 mod server;
+mod silence;
 mod socket;
 mod store;
 
@@ -61,6 +62,7 @@
     let record = Record::open(&PathBuf::from(path))?;
     let played = match case.as_str() {
         "memory" => memory::play(&record, &places, has_trouble),
+        "silence" => silence::play(&record, &places, has_trouble),
         "early" => early::play(&record, &places, has_trouble),
         _ => Err("unknown case".into()),
     };
@@ -72,25 +74,24 @@
     played
 }
 
-/// The operator's configuration: short orders and long ones, which go to one
-/// service.
-fn configuration() -> String {
-    let route = |path: &str| {
+/// The operator's configuration: short orders go to `service`, long ones to the
+/// service `orders`.
+fn configuration(version: u32, service: &str) -> String {
+    let route = |path: &str, service: &str| {
         format!(
-            "{{\"host\":\"shop.example\",\"path_prefix\":\"{path}\",\
-             \"kind\":\"unsafe\",\"timeout\":\"5000ms\",\
-             \"target_latency\":\"1000ms\",\"priority\":1,\
-             \"service\":\"orders\",\"max_attempts\":2}}"
+            r#"{{"host":"shop.example","path_prefix":"{path}","kind":"unsafe",
+            "timeout":"5000ms","target_latency":"1000ms","priority":1,
+            "service":"{service}","max_attempts":2}}"#
         )
     };
+    let shape = r#"{"health_path":"/health","max_conns":120,
+        "protocol":"h1","tls":false}"#;
     format!(
-        "{{\"version\":7,\"routes\":{{\"short\":{},\"long\":{}}},\
-         \"services\":{{\"orders\":{{\"health_path\":\"/health\",\
-         \"max_conns\":120,\"protocol\":\"h1\",\"tls\":false}}}},\
-         \"limits\":{{\"max_header_bytes\":16384,\
-         \"max_body_bytes\":67108864,\"header_timeout\":\"3000ms\",\
-         \"idle_timeout\":\"15000ms\"}}}}",
-        route("/short/"),
-        route("/long/")
+        r#"{{"version":{version},"routes":{{"short":{},"long":{}}},
+        "services":{{"orders":{shape},"renewals":{shape}}},
+        "limits":{{"max_header_bytes":16384,"max_body_bytes":67108864,
+        "header_timeout":"3000ms","idle_timeout":"15000ms"}}}}"#,
+        route("/short/", service),
+        route("/long/", "orders")
     )
 }
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -61,7 +61,7 @@
     has_trouble: bool,
 ) -> TrialResult {
     let store = Store::open()?;
-    store.write("op/config", &configuration());
+    store.write("op/config", &configuration(7, "orders"));
     let plan: Plan = Arc::new(|path| {
         let is_short = path.starts_with("/short/");
         Treatment::Work(if is_short { SHORT_WORK } else { Duration::ZERO })
--- a/review/standins-2/src/server.rs
+++ b/review/standins-2/src/server.rs
@@ -171,7 +171,8 @@
     fn beat(&self, seq: u64) {
         let Shared { service, born, slots, leaving, .. } = &*self.shared;
         let leaves = leaving.load(Ordering::SeqCst);
-        if leaves && seq < 1_000_000 {
+        let unheard = self.shared.store.is_silent();
+        if unheard || leaves && seq < 1_000_000 {
             return;
         }
         let state = if leaves { "draining" } else { "ready" };
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -2,8 +2,8 @@
 
 use std::{
     collections::{BTreeMap, VecDeque},
-    io::{self, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    io::{self, BufReader, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
     time::{Duration, Instant},
@@ -53,6 +53,12 @@
     forgotten: u64,
     leases: BTreeMap<u64, Lease>,
     last_lease: u64,
+    /// Whether watches hear nothing.
+    is_hushed: bool,
+    /// Rises when waiting watches are cut.
+    cuts: u64,
+    /// Since when no call is answered, if none is.
+    silent_since: Option<Instant>,
 }
 
 /// A running store; a clone refers to the same one.
@@ -110,6 +116,43 @@
     }
 
 
+    /// Lets watches hear nothing until the history is dropped.
+    pub fn hush_watches(&self) {
+        self.contents().is_hushed = true;
+    }
+
+    /// Drops the history, and cuts the watches that wait.
+    pub fn drop_history(&self) {
+        let mut contents = self.contents();
+        contents.is_hushed = false;
+        contents.cuts += 1;
+        contents.events.clear();
+        contents.forgotten = contents.revision;
+        drop(contents);
+        self.shared.1.notify_all();
+    }
+
+    /// Answers no call any more; leases pause.
+    pub fn fall_silent(&self) {
+        self.contents().silent_since = Some(Instant::now());
+    }
+
+    /// Answers calls again, but for those on connections that were silent.
+    pub fn end_silence(&self) {
+        let mut contents = self.contents();
+        if let Some(since) = contents.silent_since.take() {
+            let paused = since.elapsed();
+            for lease in contents.leases.values_mut() {
+                lease.ends_at += paused;
+            }
+        }
+    }
+
+    /// Whether no call is answered now.
+    pub fn is_silent(&self) -> bool {
+        self.contents().silent_since.is_some()
+    }
+
     fn contents(&self) -> MutexGuard<'_, Contents> {
         self.shared.0.lock().expect("no holder panicked")
     }
@@ -120,7 +163,16 @@
         while let Some(head) = Head::read(&mut reader)? {
             let body = head.read_full_body(&mut reader, false)?;
             let body = String::from_utf8_lossy(&body).into_owned();
-            let (status, body) = self.respond(&head, &body);
+            if self.is_silent() {
+                return drain(&mut reader);
+            }
+            let Some((status, body)) = self.respond(&head, &body) else {
+                return stream.shutdown(Shutdown::Both);
+            };
+            // The answer of a watch that waited is lost as well.
+            if self.is_silent() {
+                return drain(&mut reader);
+            }
             let response = format!(
                 "HTTP/1.1 {status} Status\r\nContent-Type: application/json\
                  \r\nContent-Length: {}\r\n\r\n{body}",
@@ -131,14 +183,17 @@
         Ok(())
     }
 
-    fn respond(&self, head: &Head, body: &str) -> (u16, String) {
+    /// The answer to a call; `None` for a watch that is cut.
+    fn respond(&self, head: &Head, body: &str) -> Option<(u16, String)> {
         let target = head.word(1);
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query = Query::parse(query);
-        match (head.word(0), path) {
+        if (head.word(0), path) == ("GET", "/v1/kv-watch") {
+            return self.watch(&query);
+        }
+        Some(match (head.word(0), path) {
             ("GET", "/v1/kv-key") => self.contents().key(&query.text("key")),
             ("GET", "/v1/kv-range") => self.contents().range(&query),
-            ("GET", "/v1/kv-watch") => self.watch(&query),
             ("POST", "/v1/kv-txn") => {
                 let answer = self.contents().transact(body);
                 self.shared.1.notify_all();
@@ -158,18 +213,22 @@
                 self.shared.1.notify_all();
                 answer
             }
-        }
+        })
     }
 
-    fn watch(&self, query: &Query) -> (u16, String) {
+    fn watch(&self, query: &Query) -> Option<(u16, String)> {
         let prefix = query.text("path_prefix");
         let after: u64 = query.text("after").parse().unwrap_or(0);
         let wait: u64 = query.text("wait_ms").parse().unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(wait.min(30_000));
         let mut contents = self.contents();
+        let cuts = contents.cuts;
         loop {
+            if contents.cuts > cuts {
+                return None;
+            }
             if after < contents.forgotten {
-                return (410, "{}".into());
+                return Some((410, "{}".into()));
             }
             let events = contents.events.iter();
             let events: Vec<&str> = events
@@ -177,13 +236,19 @@
                 .map(|event| event.json.as_str())
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            if contents.is_hushed && left.is_zero() {
+                let body =
+                    format!("{{\"events\":[],\"current_rev\":{after}}}");
+                return Some((200, body));
+            }
+            let hears = !events.is_empty() && !contents.is_hushed;
+            if hears || left.is_zero() {
                 let body = format!(
                     "{{\"events\":[{}],\"current_rev\":{}}}",
                     events.join(","),
                     contents.revision
                 );
-                return (200, body);
+                return Some((200, body));
             }
             let waited = self.shared.1.wait_timeout(contents, left);
             contents = waited.expect("no holder panicked").0;
@@ -222,6 +287,9 @@
     }
 
     fn expire(&mut self) {
+        if self.silent_since.is_some() {
+            return;
+        }
         let now = Instant::now();
         let leases = self.leases.iter();
         let ended: Vec<u64> = leases
@@ -367,6 +435,11 @@
     }
 }
 
+/// Reads until the caller closes the connection; nothing is answered.
+fn drain(reader: &mut impl Read) -> io::Result<()> {
+    io::copy(reader, &mut io::sink()).map(drop)
+}
+
 struct Query(Vec<(String, String)>);
 
 impl Query {
