--- a/review/standins-2/src/early.rs
+++ b/review/standins-2/src/early.rs
@@ -39,9 +39,19 @@
 /// The short orders that are sent at once, and how often that is done before
 /// a long order is rejected.
 const SHORT_ORDERS: usize = 16;
-const WAVES: usize = 3;
+const WAVES: usize = 12;
 
-const WORK: Duration = Duration::from_millis(600);
+/// The time from the rejection to the last short orders.
+const AFTER_REJECTION: Duration = Duration::from_millis(600);
+
+/// The work of most orders, and of those that are sent just before the drain.
+const WORK: Duration = Duration::from_millis(50);
+const LAST_WORK: Duration = Duration::from_millis(600);
+
+/// The faulty server spoils one answer, after at least this many others within
+/// this time: a share of less than 0.02.
+const SOUND_ANSWERS: usize = 50;
+const FAULTY_TIME: Duration = Duration::from_millis(5_000);
 const DEADLINE: Duration = Duration::from_millis(5_000);
 
 /// A short order and how it ended for its client.
@@ -57,17 +67,30 @@
     let left = usize::from(has_trouble);
     let rejections = Arc::new(AtomicUsize::new(left));
     let rejected = Arc::clone(&rejections);
+    let spoilt = record.clone();
+    // When the leaving server got each request, all of which it answers.
+    let answers: Mutex<Vec<Duration>> = Mutex::default();
     let leaver: Plan = Arc::new(move |path| {
-        let is_long = path.starts_with("/long/");
+        let now = spoilt.elapsed();
+        let mut answers = answers.lock().expect("lock");
+        answers.retain(|at| *at + FAULTY_TIME > now);
+        let sound = answers.len();
+        answers.push(now);
         let take = |left: usize| left.checked_sub(1);
         let order = Ordering::SeqCst;
-        if is_long && rejections.fetch_update(order, order, take).is_ok() {
-            Treatment::RejectEarly { per_s: READ_PER_S }
-        } else {
-            Treatment::Work(WORK)
+        if path.starts_with("/long/")
+            && sound >= SOUND_ANSWERS
+            && rejections.fetch_update(order, order, take).is_ok()
+        {
+            spoilt.line(format!(
+                "i-leaver spoils 1 answer after {sound} sound ones in {} ms",
+                FAULTY_TIME.as_millis()
+            ));
+            return Treatment::RejectEarly { per_s: READ_PER_S };
         }
+        Treatment::Work(work_of(path))
     });
-    let stayer: Plan = Arc::new(|_path| Treatment::Work(WORK));
+    let stayer: Plan = Arc::new(|path| Treatment::Work(work_of(path)));
     let open = |id: &str, plan: Plan| {
         let buffer = Some(RECEIVE_BUFFER);
         Server::open(record, &store, "orders", id, 8, buffer, plan)
@@ -105,13 +128,13 @@
             }
         })
     };
-    let send_shorts = || -> Vec<_> {
-        let order = |_| send("/short/", Body::Short);
+    let send_shorts = |path: &'static str| -> Vec<_> {
+        let order = |_| send(path, Body::Short);
         (0..SHORT_ORDERS).map(order).collect()
     };
     record.line("short orders, so that connections to servers are kept");
     for _ in 0..WAVES {
-        for sender in send_shorts() {
+        for sender in send_shorts("/short/") {
             let _joined = sender.join();
         }
     }
@@ -126,8 +149,10 @@
     if rejected.load(Ordering::SeqCst) > 0 {
         return Err("i-leaver got no long order".into());
     }
+    // The VM sends less to a server that has just refused an order.
+    thread::sleep(AFTER_REJECTION);
     record.line("short orders");
-    let senders = send_shorts();
+    let senders = send_shorts("/short/last");
     thread::sleep(Duration::from_millis(100));
     leaver.drain();
     let accepted_at = record.elapsed();
@@ -163,3 +188,7 @@
         Verdict::Broken(text)
     })
 }
+
+fn work_of(path: &str) -> Duration {
+    if path == "/short/last" { LAST_WORK } else { WORK }
+}
