--- a/goldcrestramp-entry/tests/daemon/node.rs
+++ b/goldcrestramp-entry/tests/daemon/node.rs
@@ -126,6 +126,13 @@
         kilobytes.expect("status states the memory") * 1_024
     }
 
+    /// The descriptors that the process has open.
+    #[allow(dead_code, reason = "not every test binary counts them")]
+    pub fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        fs::read_dir(path).expect("process is running").count()
+    }
+
     /// Kills the process if it runs, and starts it again with the same
     /// settings.
     #[allow(dead_code, reason = "not every test binary restarts one")]
