Bound what callers and servers can make a VM hold on every deployment

What callers saw: a crowd of large bodies that stop short of their end, whole or in pieces, ended the process by its memory limit, and with it the requests of all other callers.

Cause: the account of held bytes acted with load control alone. Without it, bodies of up to 256 KiB were buffered for as many callers as came, and bodies without a length up to max_body_bytes. With it, slices of the HTTP library's buffers, growing buffers and double reservations were counted by the bytes in use and not by what they hold. A chunk of one byte took up 38 bytes (306 MB for 8 MB).

Change: the account is always there; without a stated limit the memory of the system counts. Bodies are copied into chunks of 16 KiB that are charged when they are allocated. Streamed bodies are charged until they end, downloads no longer twice. Large responses that reserved nothing are broken off from one and a half times the bound. While the bound acts, callers that leave a body unfinished and send less than 4 KiB in a second are closed, the slowest first. The limit of bytes in flight at one server remains a part of load control.

--- a/goldcrestramp-decisions/src/held_bytes.rs
+++ b/goldcrestramp-decisions/src/held_bytes.rs
@@ -1,11 +1,12 @@
-//! Bounds the bytes that a VM holds for slow readers.
+//! Bounds what callers and servers can make a VM hold.
 //!
-//! Callers and servers may read slowly. Until they have read them, the VM
-//! holds the bodies of requests, the responses that it has buffered and what
-//! the HTTP library has queued. Each body is small, but a thousand callers
-//! that stop reading downloads of 256 KiB hold more than twice the memory of
-//! the smallest VMs, and a process that exceeds its memory limit is killed
-//! with all of its requests.
+//! Callers and servers may read slowly, and callers may leave a request
+//! unfinished. Until they go on, the VM holds heads, the bodies of requests,
+//! the responses that it has buffered and what the HTTP library has queued.
+//! Each of these is small, but a thousand callers that stop within bodies or
+//! downloads of 256 KiB hold more than twice the memory of the smallest VMs,
+//! and a process that exceeds its memory limit is killed with all of its
+//! requests.
 //!
 //! One account sums these bytes over all connections:
 //!
@@ -15,9 +16,12 @@
 //! - At the bound, downloads and all requests with a body are refused.
 //! - Small responses are always held and delivered. Their number is bounded by
 //!   that of the connections.
-//! - While the bound acts, readers that have taken nothing for some seconds
-//!   are closed, the slowest first, until the account is down to half of the
-//!   bound. On a VM that has room, nobody is closed.
+//! - From one and a half times the bound, large responses to other requests
+//!   than downloads are broken off.
+//! - While the bound acts, callers that have read or sent nothing for some
+//!   seconds are closed, the slowest first, until the account is down to half
+//!   of the bound. On a VM that has room, nobody is closed.
+//!
 
 use std::collections::BTreeMap;
 
@@ -39,6 +43,10 @@
 /// The share of the bound from which large bodies are no longer held.
 const LARGE_PERCENT: u64 = 75;
 
+/// The share of the bound up to which large responses are delivered whose
+/// requests are not known to have large ones, and reserve nothing.
+const STREAMS_PERCENT: u64 = 150;
+
 /// The bound stops acting below this share of it. It is well below the share
 /// at which it begins, so that the state does not change with every body.
 const RELEASE_PERCENT: u64 = 50;
@@ -51,17 +59,42 @@
 /// switches networks is back within a few seconds.
 const MAX_STALL: TimeSpan = TimeSpan::from_millis(5_000);
 
+/// The same for a caller that is to send the rest of a request. Its request
+/// has not run, and those that are refused for it may be complete.
+const MAX_SEND_STALL: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// The delay after which a refused caller may try again if no reader is about
 /// to be closed: readers that make progress free some bytes all the time.
 const MIN_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(250);
 
-/// Identifies a reader, which is a connection of a caller.
+/// Identifies a connection of a caller.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ReaderId(pub u64);
 
-/// A reader that takes no bytes at the moment.
+/// What a VM waits for on a caller's connection.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum AwaitedStep {
+    /// That the caller reads.
+    Read,
+    /// That the caller sends the rest of a buffered body.
+    Send,
+    /// That the caller sends the rest of a body that is streamed to a server.
+    Stream,
+}
+
+impl AwaitedStep {
+    /// How long a VM waits while the bound of held bytes acts.
+    const fn max_wait(self) -> TimeSpan {
+        match self {
+            Self::Read => MAX_STALL,
+            Self::Send | Self::Stream => MAX_SEND_STALL,
+        }
+    }
+}
+
+/// A connection whose caller is waited for.
 #[derive(Debug)]
-struct BlockedReader<Closer> {
+struct AwaitedCaller<Closer> {
     since: LocalTime,
     /// The bytes that are held for it, at most.
     held: u64,
@@ -87,7 +120,7 @@
     bound: u64,
     held: u64,
     acting: bool,
-    blocked: BTreeMap<ReaderId, BlockedReader<Closer>>,
+    awaited: BTreeMap<(ReaderId, AwaitedStep), AwaitedCaller<Closer>>,
 }
 
 impl<Closer> HeldBytes<Closer> {
@@ -98,7 +131,7 @@
             bound: percent(memory_bytes, MEMORY_PERCENT),
             held: 0,
             acting: false,
-            blocked: BTreeMap::new(),
+            awaited: BTreeMap::new(),
         }
     }
 
@@ -157,6 +190,12 @@
         self.try_hold(STREAM_BYTES.saturating_mul(streams), self.bound)
     }
 
+    /// Holds what a streamed response takes up that was not reserved, if it
+    /// may still be delivered.
+    pub const fn try_hold_unreserved_stream(&mut self) -> bool {
+        self.try_hold(STREAM_BYTES, percent(self.bound, STREAMS_PERCENT))
+    }
+
     const fn request_limit(&self, total: u64) -> u64 {
         if total <= SMALL_BODY_BYTES {
             self.bound
@@ -193,63 +232,85 @@
             || in_flight.saturating_add(bytes) <= limit
     }
 
-    /// Records that a reader takes no more bytes for now. `held` is the size
-    /// of what is held for it, and `closer` closes it.
-    pub fn record_blocked(
+    /// Records that a caller is waited for. `held` is the size of what is held
+    /// for it, and `closer` closes its connection.
+    pub fn record_awaited(
         &mut self,
         now: LocalTime,
         reader: ReaderId,
+        step: AwaitedStep,
         held: u64,
         closer: Closer,
     ) {
-        let blocked = BlockedReader { since: now, held, closer };
-        self.blocked.entry(reader).or_insert(blocked);
+        let awaited = AwaitedCaller { since: now, held, closer };
+        let known = self.awaited.entry((reader, step)).or_insert(awaited);
+        known.held = held;
     }
 
-    /// Records that a reader has taken some bytes, or is closed.
-    pub fn record_progress(&mut self, reader: ReaderId) {
-        self.blocked.remove(&reader);
+    /// Records that a caller has taken this step, or is closed.
+    pub fn record_progress(&mut self, reader: ReaderId, step: AwaitedStep) {
+        self.awaited.remove(&(reader, step));
     }
 
-    /// Removes the readers that are to be closed, the slowest first: while the
+    /// Removes the callers that are to be closed, the slowest first: while the
     /// bound acts, those that have made no progress for some seconds, as many
     /// as have to be closed for the bound to stop acting.
     pub fn take_stalled(&mut self, now: LocalTime) -> Vec<Closer> {
+        let mut taken = Vec::new();
         if !self.acting {
-            return Vec::new();
+            return taken;
         }
-        let stalled = self.blocked.iter();
-        let stalled = stalled
-            .filter(|(_id, reader)| now.since(reader.since) >= MAX_STALL);
-        let mut stalled: Vec<(LocalTime, ReaderId)> =
-            stalled.map(|(id, reader)| (reader.since, *id)).collect();
-        stalled.sort_unstable();
         let target = percent(self.bound, RELEASE_PERCENT);
         let mut remaining = self.held;
-        let mut taken = Vec::new();
-        for (_since, id) in stalled {
+        for key in self.waiting(now, AwaitedStep::max_wait) {
             if remaining < target {
                 break;
             }
-            if let Some(reader) = self.blocked.remove(&id) {
-                remaining = remaining.saturating_sub(reader.held);
-                taken.push(reader.closer);
+            if let Some(awaited) = self.take(key) {
+                remaining = remaining.saturating_sub(awaited.held);
+                taken.push(awaited.closer);
             }
         }
         taken
     }
 
+    /// The callers that have been waited for too long, the longest first.
+    /// `max_wait` returns how long a step may take.
+    fn waiting(
+        &self,
+        now: LocalTime,
+        max_wait: impl Fn(AwaitedStep) -> TimeSpan,
+    ) -> Vec<(ReaderId, AwaitedStep)> {
+        let awaited = self.awaited.iter().filter(|((_id, step), awaited)| {
+            now.since(awaited.since) >= max_wait(*step)
+        });
+        let mut waiting: Vec<(LocalTime, (ReaderId, AwaitedStep))> =
+            awaited.map(|(key, awaited)| (awaited.since, *key)).collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(_since, key)| key).collect()
+    }
+
+    fn take(
+        &mut self,
+        key: (ReaderId, AwaitedStep),
+    ) -> Option<AwaitedCaller<Closer>> {
+        self.awaited.remove(&key)
+    }
+
     /// The time after which there is expected to be room: when the slowest
-    /// reader is closed at the latest.
+    /// caller is closed at the latest.
     #[must_use]
     pub fn room_expected_in(&self, now: LocalTime) -> TimeSpan {
-        let first = self.blocked.values().map(|reader| reader.since).min();
-        let closed_in = first.map(|since| (since + MAX_STALL).since(now));
+        let holding = self.awaited.iter().filter(|(_key, a)| a.held > 0);
+        let closed_at = holding
+            .map(|((_id, step), awaited)| awaited.since + step.max_wait());
+        let closed_in = closed_at.min().map(|end| end.since(now));
         closed_in.unwrap_or(MIN_RETRY_DELAY).max(MIN_RETRY_DELAY)
     }
 }
 
 /// A share of an amount, which may be any number from the settings.
 const fn percent(amount: u64, percent: u64) -> u64 {
-    amount / 100 * percent + amount % 100 * percent / 100
+    let hundredths = (amount / 100).saturating_mul(percent);
+    hundredths.saturating_add(amount % 100 * percent / 100)
 }
--- a/goldcrestramp-decisions/src/lib.rs
+++ b/goldcrestramp-decisions/src/lib.rs
@@ -43,7 +43,7 @@
   them.
 - [`BulkWindow`]: limits the downloads that a VM requests from another region.
 - [`WorkEstimate`]: how long a server works on a request.
-- [`HeldBytes`]: bounds the bytes that a VM holds for slow readers.
+- [`HeldBytes`]: bounds what callers and servers can make a VM hold.
 - [`LateResponse`]: how long a response may go on after its deadline.
 - [`denial_action`]: whether a request is retried at an owner that denied
   its key.
@@ -115,7 +115,9 @@
     deadline::{TransitEstimate, timeout_to_forward},
     denial::{DenialAction, DenialHistory, OwnerDenial, denial_action},
     gateway::GatewayLimit,
-    held_bytes::{HeldBytes, ReaderId, SMALL_BODY_BYTES, STREAM_BYTES},
+    held_bytes::{
+        AwaitedStep, HeldBytes, ReaderId, SMALL_BODY_BYTES, STREAM_BYTES,
+    },
     late_response::LateResponse,
     limit::{LimitVerdict, OwnerAdvice, ServerLimit, ServerSignal},
     link::{LINK_CHUNK_BYTES, LinkFlow, LinkSettings, LinkShare, LinkVolume},
--- a/goldcrestramp-decisions/tests/held_bytes.rs
+++ b/goldcrestramp-decisions/tests/held_bytes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use goldcrestramp_decisions::{
-    HeldBytes, ReaderId, SMALL_BODY_BYTES, STREAM_BYTES,
+    AwaitedStep, HeldBytes, ReaderId, SMALL_BODY_BYTES, STREAM_BYTES,
 };
 use goldcrestramp_types::{LocalTime, TimeSpan};
 
@@ -31,7 +31,8 @@
 /// Blocks a reader with a download.
 fn block(account: &mut HeldBytes<u64>, reader: u64, millis: u64) {
     let id = ReaderId(reader);
-    account.record_blocked(at(millis), id, DOWNLOAD_BYTES, reader);
+    let (now, step) = (at(millis), AwaitedStep::Read);
+    account.record_awaited(now, id, step, DOWNLOAD_BYTES, reader);
 }
 
 /// Guards against buffers that grow with the number of callers that have
@@ -56,7 +57,8 @@
             }
             held_for.insert(reader, bytes);
             let id = ReaderId(reader);
-            account.record_blocked(at(millis), id, bytes, reader);
+            let step = AwaitedStep::Read;
+            account.record_awaited(at(millis), id, step, bytes, reader);
         }
         for reader in account.take_stalled(at(millis)) {
             account.release(held_for[&reader]);
@@ -90,7 +92,7 @@
     let mut account = acting_account();
     block(&mut account, 1, 0);
     block(&mut account, 2, 0);
-    account.record_progress(ReaderId(1));
+    account.record_progress(ReaderId(1), AwaitedStep::Read);
     block(&mut account, 1, 4_900);
 
     let closed = account.take_stalled(at(5_000));
@@ -192,7 +194,7 @@
         account.room_expected_in(at(9_000)),
         TimeSpan::from_millis(250)
     );
-    account.record_progress(ReaderId(2));
+    account.record_progress(ReaderId(2), AwaitedStep::Read);
     assert_eq!(
         account.room_expected_in(at(3_000)),
         TimeSpan::from_millis(4_000)
@@ -230,3 +232,27 @@
         assert_eq!(account.held(), 0);
     }
 }
+
+/// Waits for a caller from this time on.
+fn await_step(
+    account: &mut HeldBytes<u64>,
+    reader: u64,
+    step: AwaitedStep,
+    millis: u64,
+) {
+    let (now, id) = (at(millis), ReaderId(reader));
+    account.record_awaited(now, id, step, DOWNLOAD_BYTES, reader);
+}
+
+/// Guards against unfinished bodies that hold the memory until their deadline.
+#[test]
+fn senders_that_stall_are_closed_before_readers() {
+    let mut account = acting_account();
+    await_step(&mut account, 1, AwaitedStep::Read, 0);
+    await_step(&mut account, 2, AwaitedStep::Send, 500);
+    await_step(&mut account, 3, AwaitedStep::Stream, 400);
+
+    assert!(account.take_stalled(at(1_300)).is_empty());
+    assert_eq!(account.take_stalled(at(1_500)), [3, 2]);
+    assert_eq!(account.take_stalled(at(5_000)), [1]);
+}
--- a/goldcrestramp-entry/src/fingerprint.rs
+++ b/goldcrestramp-entry/src/fingerprint.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::traffic::ChunkList;
+
 /// The number of bytes of a fingerprint.
 const BYTES: usize = 16;
 
@@ -23,7 +25,7 @@
         method: &Method,
         uri: &Uri,
         key: Option<u16>,
-        body: &[u8],
+        body: &ChunkList,
     ) -> Self {
         let path = uri.path_and_query().map_or("", |path| path.as_str());
         let key = key.map_or([0; 3], |key| {
@@ -31,14 +33,18 @@
             [1, high, low]
         });
         let mut hasher = Sha256::new();
-        let parts: [&[u8]; 5] =
-            [host, method.as_str().as_bytes(), path.as_bytes(), &key, body];
+        let parts: [&[u8]; 4] =
+            [host, method.as_str().as_bytes(), path.as_bytes(), &key];
+        // The lengths keep the end of a part from counting as the next one's
+        // beginning.
         for part in parts {
-            // The lengths keep the end of a part from counting as the next
-            // one's beginning.
             hasher.update((part.len() as u64).to_be_bytes());
             hasher.update(part);
         }
+        hasher.update(body.total_bytes().to_be_bytes());
+        for chunk in body.iter() {
+            hasher.update(chunk);
+        }
         let mut bytes = [0; BYTES];
         bytes.copy_from_slice(&hasher.finalize()[..BYTES]);
         Self(bytes)
--- a/goldcrestramp-entry/src/http.rs
+++ b/goldcrestramp-entry/src/http.rs
@@ -15,11 +15,10 @@
 use http::{
     HeaderMap, HeaderValue, Method, Request, StatusCode, header::HOST,
 };
-use http_body_util::{BodyExt, Either, Full, Limited};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
+use http_body_util::{
+    BodyExt, Either, Full, Limited, combinators::UnsyncBoxBody,
 };
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -27,9 +26,36 @@
     time::{sleep, timeout},
 };
 
-/// The body of a request: bytes in memory, or the body of an incoming request
-/// that is forwarded.
-pub type SendBody = Either<Full<Bytes>, Incoming>;
+/// Why a body that is sent ends before its end.
+#[derive(Debug)]
+pub enum BodyFailure {
+    /// The caller's connection failed.
+    Caller(hyper::Error),
+    /// It is larger than the limits allow.
+    TooLarge,
+}
+
+impl std::fmt::Display for BodyFailure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Caller(_) => f.write_str("the caller's connection failed"),
+            Self::TooLarge => f.write_str("the body is too large"),
+        }
+    }
+}
+
+impl std::error::Error for BodyFailure {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Caller(error) => Some(error),
+            Self::TooLarge => None,
+        }
+    }
+}
+
+/// The body of a request: bytes in memory, or a body in parts, such as that of
+/// an incoming request that is forwarded.
+pub type SendBody = Either<Full<Bytes>, UnsyncBoxBody<Bytes, BodyFailure>>;
 
 /// The request sender of one connection.
 pub type ConnectionSender = SendRequest<SendBody>;
--- a/goldcrestramp-entry/src/metrics.rs
+++ b/goldcrestramp-entry/src/metrics.rs
@@ -97,7 +97,7 @@
     pub held_bytes: Gauge,
     /// The number of requests refused for lack of memory.
     pub memory_refusals: Counter,
-    /// The number of slow readers that were closed.
+    /// The number of stalled callers that were closed.
     pub closed_readers: Counter,
     /// The number of responses that were given up after their deadline.
     pub late_responses: Counter,
@@ -160,6 +160,7 @@
             pipelined: Counter::default(),
         };
         metrics.register();
+        metrics.register_memory();
         metrics.register_load_control();
         metrics
     }
@@ -261,8 +262,8 @@
         );
     }
 
-    /// Registers the metrics of load control.
-    fn register_load_control(&mut self) {
+    /// Registers the metrics of what callers and servers make the VM hold.
+    fn register_memory(&mut self) {
         let registry = &mut self.registry;
         registry.register(
             "held_bytes",
@@ -276,9 +277,14 @@
         );
         registry.register(
             "closed_readers",
-            "Callers' connections closed because they were read too slowly",
+            "Callers' connections closed because they stalled",
             self.closed_readers.clone(),
         );
+    }
+
+    /// Registers the metrics of load control.
+    fn register_load_control(&mut self) {
+        let registry = &mut self.registry;
         registry.register(
             "slow_link_rounds",
             "Rounds of probes that failed while responses arrived",
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -18,12 +18,11 @@
     choose::has_other_owner,
     crash::is_refused,
     headers::text,
-    memory::MemoryAccount,
     relay::{ENVELOPE, LocalEnd},
     request::RoutedRequest,
     response::{
-        ReadResponse, ResponseBody, StreamSource, full_response,
-        read_response, streamed_response,
+        ReadResponse, ResponseBody, StreamSource, StreamedResponse,
+        full_response, read_response, streamed_response,
     },
     server::{ServerConnection, ServerSlot, ServerState},
     state::TrafficState,
@@ -63,6 +62,8 @@
     /// This VM is partitioned from the servers now, and no response has
     /// arrived.
     Partitioned,
+    /// There is no memory for the server's response.
+    NoRoom,
     /// The VM to which the request was passed ended it without a server's
     /// response.
     RelayEnded(LocalEnd),
@@ -94,6 +95,7 @@
             Self::TimedOut => "silent",
             Self::OwnerChanged => "owner-changed",
             Self::Partitioned => "partitioned",
+            Self::NoRoom => "no-room",
             Self::RelayEnded(_) => "refused",
         }
     }
@@ -247,6 +249,11 @@
                 slot.end(now, ServerSignal::Cancelled);
                 return AttemptOutcome::NotSent;
             }
+            // Nor is a body that its caller breaks off.
+            if error.error().is_user() {
+                slot.end(now, ServerSignal::Cancelled);
+                return AttemptOutcome::Broken;
+            }
             slot.end(now, ServerSignal::Broken);
             record_reach(ReachEvent::Broken);
             return AttemptOutcome::Broken;
@@ -258,7 +265,7 @@
     let (parts, body) = response.into_parts();
     if let Some(end) = plan.read_relay_end(&parts) {
         slot.end(now, ServerSignal::Cancelled);
-        finish_refusal(&slot, connection, parts, body).await;
+        finish_refusal(state, &slot, connection, parts, body).await;
         return AttemptOutcome::RelayEnded(end);
     }
     if plan.is_direct() {
@@ -282,7 +289,7 @@
             };
             slot.end(now, signal);
             if echoes_attempt(request, &parts.headers) {
-                finish_refusal(&slot, connection, parts, body).await;
+                finish_refusal(state, &slot, connection, parts, body).await;
             }
             if misdirected {
                 AttemptOutcome::Misdirected
@@ -440,6 +447,7 @@
 
 /// Reads the rest of a refusal, so that its connection can be reused.
 async fn finish_refusal(
+    state: &TrafficState,
     slot: &ServerSlot,
     connection: ServerConnection,
     parts: Parts,
@@ -447,11 +455,8 @@
 ) {
     /// A refusal is a few bytes that arrive with its head.
     const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(20);
-    let read = timeout(
-        REFUSAL_BODY_TIMEOUT,
-        read_response(&MemoryAccount::default(), body),
-    )
-    .await;
+    let read = read_response(&state.memory, body);
+    let read = timeout(REFUSAL_BODY_TIMEOUT, read).await;
     if matches!(read, Ok(Ok(ReadResponse::Full(_)))) {
         slot.server.put_idle(connection, keep_alive(&parts.headers));
     }
@@ -517,6 +522,10 @@
         }
         Ok(Ok(ReadResponse::Partial(prefix, rest))) => {
             state.record_response(request, &slot, now);
+            let Some(charge) = request.response_charge(&state.memory) else {
+                state.memory.refuse();
+                return AttemptOutcome::NoRoom;
+            };
             let source = StreamSource::open(
                 rest,
                 slot,
@@ -524,9 +533,9 @@
                 request.deadline,
                 &state.metrics,
             );
-            let stream = state.memory.active();
-            let response =
-                streamed_response(status, headers, prefix, source, stream);
+            let body =
+                StreamedResponse::open(prefix, source, &state.memory, charge);
+            let response = streamed_response(status, headers, body);
             AttemptOutcome::Responded(response)
         }
     }
@@ -552,8 +561,7 @@
 ) -> Option<Request<crate::http::SendBody>> {
     let round_trip = round_trip(plan.proximity);
     let remaining = request.remaining(now).minus(round_trip).as_millis();
-    let body =
-        (remaining > 0).then(|| request.body.borrow_mut().for_send())??;
+    let body = (remaining > 0).then(|| request.body_for_send())??;
     let mut sent = Request::new(body);
     *sent.method_mut() = request.method.clone();
     *sent.uri_mut() = request.uri.clone();
--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -32,6 +32,7 @@
 use crate::{
     framing::{FrameStep, FramedRequest, frame_request},
     traffic::{
+        caller::{CallerGuard, IncomingBody},
         reason::EndReason,
         request::find_route,
         response::{ResponseBody, local_response},
@@ -46,10 +47,8 @@
 /// buffers leave half of its memory free.
 const MAX_RECEIVED_BYTES: usize = 24 * 1024;
 
-/// The same for the rest of a body, where the memory is accounted for. The
-/// library's own buffers grow with what it reads at once. With 600 callers
-/// that sent 200 kB each, all of these buffers together took up 120 kB per
-/// connection.
+/// The same for the rest of a body. The library's own buffers grow with what
+/// it reads at once.
 const MAX_RECEIVED_BODY_BYTES: usize = 8 * 1024;
 
 /// Heads longer than this are subject to the library's own limits.
@@ -62,6 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
     traffic: Rc<TrafficState>,
+    guard: Rc<CallerGuard>,
     state: RefCell<ConnectionState>,
     /// Whether the library waits for a response.
     responding: Cell<bool>,
@@ -115,9 +115,13 @@
 }
 
 impl CallerConnection {
-    pub(crate) fn open(traffic: Rc<TrafficState>) -> Rc<Self> {
+    pub(crate) fn open(
+        traffic: Rc<TrafficState>,
+        guard: Rc<CallerGuard>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             traffic,
+            guard,
             state: RefCell::default(),
             responding: Cell::new(false),
             begun: Notify::new(),
@@ -153,13 +157,9 @@
 
     fn is_full(&self) -> bool {
         let state = self.state.borrow();
-        let accounted = self.traffic.memory.active().is_some();
         let is_body = state.opaque || state.body_remaining > 0;
-        let max_bytes = if accounted && is_body {
-            MAX_RECEIVED_BODY_BYTES
-        } else {
-            MAX_RECEIVED_BYTES
-        };
+        let max_bytes =
+            if is_body { MAX_RECEIVED_BODY_BYTES } else { MAX_RECEIVED_BYTES };
         state.received.len() >= max_bytes
     }
 
@@ -182,6 +182,8 @@
         } else {
             let (head, body) = request.into_parts();
             let head = Request::from_parts(head, ());
+            let sender = self.guard.watch_sender();
+            let body = IncomingBody::new(body, Some(sender));
             serve(&self.traffic, head, Some(body)).await
         };
         self.responding.set(false);
--- a/goldcrestramp-entry/src/traffic/crash.rs
+++ b/goldcrestramp-entry/src/traffic/crash.rs
@@ -113,7 +113,9 @@
         outcome: &AttemptOutcome,
     ) {
         match outcome {
-            AttemptOutcome::Responded(_) | AttemptOutcome::Failed(_) => {
+            AttemptOutcome::Responded(_)
+            | AttemptOutcome::Failed(_)
+            | AttemptOutcome::NoRoom => {
                 self.record_served(request);
             }
             AttemptOutcome::Broken => {
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -20,9 +20,9 @@
 use crate::{
     run::StopPhase,
     traffic::{
+        caller::{CallerGuard, CallerWriter},
         connection::{CallerConnection, ConnectionReader},
         in_flight::{ConnectionEnd, OpenCount, OpenGuard},
-        memory::{CallerWriter, wait_closed},
         state::TrafficState,
     },
 };
@@ -136,22 +136,20 @@
         limits.idle_timeout.to_std() * IDLE_FACTOR
     });
     let head = limits.map_or(MIN_HEAD_BYTES, |limits| limits.max_head_bytes);
-    let reading = state.memory.open_reader(&stream).map(Rc::new);
+    let guard = Rc::new(CallerGuard::open(&state.memory, &stream));
     let (reader, writer) = stream.into_split();
-    let writer = CallerWriter::new(writer, reading.clone());
-    let caller = CallerConnection::open(Rc::clone(&state));
-    let response_reader = reading.clone();
+    let writer = CallerWriter::new(writer, Rc::clone(&guard));
+    let caller = CallerConnection::open(Rc::clone(&state), Rc::clone(&guard));
+    let response_guard = Rc::clone(&guard);
     let responder = Rc::clone(&caller);
     let request_phase = phase.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (caller, request_phase) =
             (Rc::clone(&responder), request_phase.clone());
-        let reader = response_reader.clone();
+        let guard = Rc::clone(&response_guard);
         async move {
             let mut response = caller.respond(request).await;
-            if let Some(reader) = reader {
-                reader.begin_response(response.body().held_bytes());
-            }
+            guard.begin_response(response.body().held_bytes());
             let is_draining = *request_phase.borrow() != StopPhase::Serving;
             if is_draining && !caller.has_pending() {
                 request_close(response.headers_mut());
@@ -167,7 +165,7 @@
         .serve_connection(TokioIo::new(stream), service);
     let received = caller.receive(reader);
     pin!(connection, received);
-    let stalled = wait_closed(reading.as_deref());
+    let stalled = guard.wait_closed();
     pin!(stalled);
     let end = tokio::select! {
         biased;
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -10,8 +10,11 @@
 mod admission;
 mod attempt;
 mod attempt_set;
+mod body;
 mod bulk;
+mod caller;
 mod choose;
+mod chunks;
 mod cold;
 mod connection;
 mod crash;
@@ -42,13 +45,15 @@
 use goldcrestramp_adapter::NodeSettings;
 use tokio::{net::TcpListener, sync::watch, task::spawn_local};
 
+pub(crate) use crate::traffic::chunks::ChunkList;
+
 use crate::{
     run::StopPhase,
     shared::SharedState,
     traffic::{
+        caller::close_stalled_callers,
         in_flight::{OpenCount, OpenGuard},
         listener::{serve_caller, serve_listener},
-        memory::close_stalled_readers,
         relay_connection::serve_vm,
         state::TrafficState,
     },
@@ -117,7 +122,7 @@
     if state.settings.load_control {
         spawn_local(follow_wanted_retries(Rc::clone(&state)));
     }
-    spawn_local(close_stalled_readers(state.memory.clone()));
+    spawn_local(close_stalled_callers(state.memory.clone()));
     let TrafficListeners { callers, relayed } = listeners;
     if let Some(relayed) = relayed {
         let (state, stop) = (Rc::clone(&state), phase.clone());
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -28,13 +28,14 @@
 use crate::{
     notices::InstanceKey,
     traffic::{
+        body::{OversizeFlag, RequestBody, read_body},
+        caller::IncomingBody,
         choose::AttemptHistory,
         headers::text,
         memory::MemoryAccount,
         reason::EndReason,
         request::{
-            RequestBody, RequestOrigin, RoutedRequest, deadline_of,
-            forwarded_headers, read_body,
+            RequestOrigin, RoutedRequest, deadline_of, forwarded_headers,
         },
         response::{ResponseBody, local_response},
         serve::serve_relayed,
@@ -265,7 +266,8 @@
     state.record_relayed(arrived, &envelope.vm);
     let route = route_of(&envelope);
     let deadline = deadline_of(arrived, &parts.headers, &route);
-    let body = read_passed(&state.memory, body, arrived, deadline).await;
+    let body = IncomingBody::new(body, None);
+    let body = read_passed(&state.memory, Some(body), arrived, deadline).await;
     let body = match body {
         Ok(body) => body,
         Err(reason) => return state.end_unread(reason).response(),
@@ -296,6 +298,7 @@
         uri: parts.uri,
         headers: forwarded_headers(parts.headers),
         body: RefCell::new(body),
+        oversize: OversizeFlag::default(),
         arrived: arrived - envelope.elapsed,
         deadline,
         origin: RequestOrigin::Vm,
@@ -321,12 +324,13 @@
 
 async fn read_passed(
     memory: &MemoryAccount,
-    body: Incoming,
+    body: Option<IncomingBody>,
     arrived: LocalTime,
     deadline: LocalTime,
 ) -> Result<RequestBody, EndReason> {
-    // The other VM has checked the size.
-    let body = read_body(memory, Some(body), u64::MAX);
+    // The other VM checks the size.
+    let oversize = OversizeFlag::default();
+    let body = read_body(memory, body, u64::MAX, &oversize);
     let remaining = deadline.since(arrived).to_std();
     let body = timeout(remaining, body).await;
     body.map_err(|_elapsed| EndReason::BodyBroken)?
--- a/goldcrestramp-entry/src/traffic/relay_vms.rs
+++ b/goldcrestramp-entry/src/traffic/relay_vms.rs
@@ -52,18 +52,14 @@
 }
 
 impl RelayVm {
-    fn open(
-        now: LocalTime,
-        vm: &VmInstance,
-        buffer: Option<usize>,
-    ) -> Option<Self> {
+    fn open(now: LocalTime, vm: &VmInstance) -> Option<Self> {
         let instance = ServerInstance {
             id: Arc::clone(&vm.vm),
             started_ms: vm.start,
             address: vm.relay_address?,
         };
         let limit = ServerLimit::relay(now, MAX_PASSED);
-        let server = ServerState::open(instance, limit, MAX_PASSED, buffer);
+        let server = ServerState::open(instance, limit, MAX_PASSED);
         Some(Self {
             server: Rc::new(server),
             proven_until: Cell::default(),
@@ -123,16 +119,11 @@
         self.partitioned.retain(|_vm, until| *until > now);
     }
 
-    fn get(
-        &mut self,
-        now: LocalTime,
-        vm: &VmInstance,
-        buffer: Option<usize>,
-    ) -> Option<Rc<RelayVm>> {
+    fn get(&mut self, now: LocalTime, vm: &VmInstance) -> Option<Rc<RelayVm>> {
         if let Some(known) = self.known.get(&vm.start) {
             return Some(Rc::clone(known));
         }
-        let opened = Rc::new(RelayVm::open(now, vm, buffer)?);
+        let opened = Rc::new(RelayVm::open(now, vm)?);
         self.known.insert(vm.start, Rc::clone(&opened));
         Some(opened)
     }
@@ -160,10 +151,7 @@
         {
             continue;
         }
-        let Some(relay) = relays.get(now, vm, state.memory.server_buffer())
-        else {
-            continue;
-        };
+        let Some(relay) = relays.get(now, vm) else { continue };
         let candidate = RelayCandidate {
             proximity: state.proximity_of(&vm.domain),
             limit: relay.limit(now, &request.service),
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -5,23 +5,21 @@
     sync::Arc,
 };
 
-use bytes::Bytes;
 use goldcrestramp_adapter::{RequestRoute, RouteEffect, headers as names};
-use goldcrestramp_decisions::{QueuePosition, RetryClass};
+use goldcrestramp_decisions::{QueuePosition, RetryClass, STREAM_BYTES};
 use goldcrestramp_types::{LocalTime, RequestClass, SliceIndex, TimeSpan};
 use http::{
     HeaderMap, Method, Uri,
     header::{CONTENT_LENGTH, HOST},
 };
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
 
 use crate::{
     fingerprint::RequestFingerprint,
     http::SendBody,
     traffic::{
+        body::{OversizeFlag, RequestBody},
         headers::{strip_connection, text},
-        memory::{HeldCharge, MemoryAccount, discard},
+        memory::{HeldCharge, MemoryAccount},
         reason::EndReason,
         relay::ENVELOPE,
         server::ConnectionKey,
@@ -29,59 +27,6 @@
     view::RouteTable,
 };
 
-/// Bodies up to this size are buffered before a server is chosen, so that they
-/// can be sent again when the first attempt did not run. Larger bodies are
-/// streamed and sent once.
-const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
-
-/// The body of a request.
-#[derive(Debug)]
-pub(crate) enum RequestBody {
-    /// Read completely.
-    Full(Bytes),
-    /// Streamed; the first attempt takes it.
-    Streamed(Option<Incoming>),
-}
-
-impl RequestBody {
-    /// The size of a buffered body in bytes; 0 for a streamed one.
-    pub(crate) fn buffered_bytes(&self) -> u64 {
-        match self {
-            Self::Full(bytes) => bytes.len() as u64,
-            Self::Streamed(_) => 0,
-        }
-    }
-
-    /// The size of the body in bytes, as far as it is known.
-    pub(crate) fn size(&self) -> u64 {
-        match self {
-            Self::Full(bytes) => bytes.len() as u64,
-            Self::Streamed(body) => {
-                let body = body.as_ref();
-                body.map_or(0, |body| body.size_hint().lower())
-            }
-        }
-    }
-
-    /// Drops a body that is still to arrive and that no attempt has taken, so
-    /// that its caller gets the response.
-    pub(super) fn discard(&mut self) {
-        if let Self::Streamed(body) = self
-            && let Some(body) = body.take()
-        {
-            discard(body);
-        }
-    }
-
-    /// The body for an attempt; `None` if an earlier one has taken it.
-    pub(crate) fn for_send(&mut self) -> Option<SendBody> {
-        match self {
-            Self::Full(bytes) => Some(Either::Left(Full::new(bytes.clone()))),
-            Self::Streamed(body) => body.take().map(Either::Right),
-        }
-    }
-}
-
 /// Where a request comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RequestOrigin {
@@ -104,6 +49,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: RefCell<RequestBody>,
+    /// Whether its body has turned out to be larger than allowed.
+    pub(super) oversize: OversizeFlag,
     pub(crate) arrived: LocalTime,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: LocalTime,
@@ -148,6 +95,26 @@
         Ok(())
     }
 
+    /// The body for an attempt; `None` if an earlier one has taken it. What is
+    /// reserved for a streamed body is held until the body ends.
+    pub(super) fn body_for_send(&self) -> Option<SendBody> {
+        let mut reserved = self.reserved.borrow_mut();
+        let reserved = reserved.as_mut().filter(|_| self.is_streamed());
+        let charge = reserved.map(|reserved| reserved.split(STREAM_BYTES));
+        self.body.borrow_mut().for_send(charge)
+    }
+
+    /// What a streamed response is charged: what was reserved for a download,
+    /// or as much, if there is room.
+    pub(super) fn response_charge(
+        &self,
+        memory: &MemoryAccount,
+    ) -> Option<HeldCharge> {
+        let reserved = self.reserved.borrow_mut().take();
+        let reserved = reserved.filter(|_| self.is_download());
+        reserved.or_else(|| memory.charge_stream())
+    }
+
     /// Whether its body is streamed, so that only one attempt can carry it.
     pub(super) fn is_streamed(&self) -> bool {
         matches!(*self.body.borrow(), RequestBody::Streamed(_))
@@ -256,36 +223,6 @@
     stated.map(SliceIndex::from).ok_or(EndReason::BadKey)
 }
 
-/// Buffers the body, or leaves a large one to be streamed.
-pub(crate) async fn read_body(
-    memory: &MemoryAccount,
-    body: Option<Incoming>,
-    max_bytes: u64,
-) -> Result<RequestBody, EndReason> {
-    let Some(body) = body.filter(|body| !body.is_end_stream()) else {
-        return Ok(RequestBody::Full(Bytes::new()));
-    };
-    let stated = body.size_hint().exact();
-    if stated.is_some_and(|bytes| bytes > max_bytes) {
-        return Err(EndReason::BodyTooLarge);
-    }
-    if stated.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES) {
-        return Ok(RequestBody::Streamed(Some(body)));
-    }
-    if let Some(account) = memory.active() {
-        let read = account.read_request(body, stated, max_bytes);
-        return read.await.map(RequestBody::Full);
-    }
-    let body_limit = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    match Limited::new(body, body_limit).collect().await {
-        Ok(collected) => Ok(RequestBody::Full(collected.to_bytes())),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(EndReason::BodyTooLarge)
-        }
-        Err(_error) => Err(EndReason::BodyBroken),
-    }
-}
-
 /// The headers that are forwarded to a server.
 pub(crate) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     strip_connection(&mut headers);
--- a/goldcrestramp-entry/src/traffic/respond.rs
+++ b/goldcrestramp-entry/src/traffic/respond.rs
@@ -464,6 +464,11 @@
             }
             Ok(None)
         }
+        // Another server's response would find no room either.
+        AttemptOutcome::NoRoom => {
+            progress.may_have_run = true;
+            Err(EndReason::MemoryFull.into())
+        }
         AttemptOutcome::OwnerChanged
         | AttemptOutcome::Partitioned
         | AttemptOutcome::Broken
--- a/goldcrestramp-entry/src/traffic/response.rs
+++ b/goldcrestramp-entry/src/traffic/response.rs
@@ -1,7 +1,6 @@
 //! The responses that callers get.
 
 use std::{
-    collections::VecDeque,
     fmt,
     pin::Pin,
     sync::Arc,
@@ -21,11 +20,9 @@
 use crate::{
     metrics::EntryMetrics,
     traffic::{
+        chunks::{ChunkList, ChunkWriter},
         headers::strip_connection,
-        memory::{
-            ActiveAccount, ChunkWriter, HeldCharge, MAX_CHUNK_BYTES,
-            MemoryAccount,
-        },
+        memory::{HeldCharge, MemoryAccount},
         reason::EndReason,
         server::{ServerConnection, ServerSlot},
     },
@@ -42,7 +39,7 @@
     /// The complete body.
     Full(Full<Bytes>),
     /// The complete body, in chunks that are charged until they are sent.
-    Chunked(VecDeque<Bytes>),
+    Chunked(ChunkList),
     /// The part that was read, and the rest that is still to arrive.
     Streamed(Box<StreamedResponse>),
 }
@@ -52,11 +49,8 @@
     pub(crate) fn held_bytes(&self) -> u64 {
         match self {
             Self::Full(_) => 0,
-            Self::Chunked(chunks) => total_bytes(chunks),
-            Self::Streamed(body) => match body.stream {
-                Some(_) => total_bytes(&body.prefix) + STREAM_BYTES,
-                None => 0,
-            },
+            Self::Chunked(chunks) => chunks.total_bytes(),
+            Self::Streamed(body) => body.prefix.total_bytes() + STREAM_BYTES,
         }
     }
 }
@@ -170,23 +164,32 @@
     }
 }
 
-/// The account to which a streamed response is charged.
-#[derive(Debug)]
-struct StreamCharge {
-    account: Arc<ActiveAccount>,
-    _buffers: HeldCharge,
-}
-
 /// A response that is streamed; it occupies its slot at the server.
 #[derive(Debug)]
 pub(crate) struct StreamedResponse {
-    prefix: VecDeque<Bytes>,
+    prefix: ChunkList,
     size: Option<u64>,
     source: StreamSource,
-    stream: Option<StreamCharge>,
+    account: MemoryAccount,
+    /// What it takes up in the HTTP library.
+    _buffers: HeldCharge,
 }
 
 impl StreamedResponse {
+    /// Streams what was read and the rest, which is charged to `account`
+    /// beside `buffers`.
+    pub(crate) fn open(
+        prefix: ChunkList,
+        source: StreamSource,
+        account: &MemoryAccount,
+        buffers: HeldCharge,
+    ) -> Self {
+        let remaining = source.rest.size_hint().exact();
+        let size = remaining.map(|bytes| bytes + prefix.total_bytes());
+        let account = account.clone();
+        Self { prefix, size, source, account, _buffers: buffers }
+    }
+
     fn poll_data(
         &mut self,
         cx: &mut Context<'_>,
@@ -201,41 +204,21 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        let Some(stream) = &self.stream else {
-            if let Some(prefix) = self.prefix.pop_front() {
-                return Poll::Ready(Some(Ok(Frame::data(prefix))));
-            }
-            return self.source.poll_frame(cx);
-        };
-        if let Some(chunk) = next_chunk(&mut self.prefix) {
+        if let Some(chunk) = self.prefix.next_chunk() {
             return Poll::Ready(Some(Ok(Frame::data(chunk))));
         }
         let frame = ready!(self.source.poll_frame(cx));
         let Some(Ok(frame)) = frame else { return Poll::Ready(frame) };
         Poll::Ready(Some(Ok(match frame.into_data() {
             Ok(data) => {
-                self.prefix.push_back(stream.account.charge_data(data));
-                let chunk = next_chunk(&mut self.prefix);
-                Frame::data(chunk.unwrap_or_default())
+                self.prefix.push(self.account.charge_data(data));
+                Frame::data(self.prefix.next_chunk().unwrap_or_default())
             }
             Err(trailers) => trailers,
         })))
     }
 }
 
-/// Takes the next bytes for the HTTP library.
-fn next_chunk(chunks: &mut VecDeque<Bytes>) -> Option<Bytes> {
-    let mut chunk = chunks.pop_front()?;
-    if chunk.len() > MAX_CHUNK_BYTES {
-        chunks.push_front(chunk.split_off(MAX_CHUNK_BYTES));
-    }
-    Some(chunk)
-}
-
-fn total_bytes(chunks: &VecDeque<Bytes>) -> u64 {
-    chunks.iter().map(|chunk| chunk.len() as u64).sum()
-}
-
 impl Body for ResponseBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -249,8 +232,7 @@
                 Pin::new(body).poll_frame(cx).map_err(|never| match never {})
             }
             Self::Chunked(chunks) => {
-                let chunk = next_chunk(chunks);
-                Poll::Ready(chunk.map(|chunk| Ok(Frame::data(chunk))))
+                Pin::new(chunks).poll_frame(cx).map_err(|never| match never {})
             }
             Self::Streamed(body) => body.poll_data(cx),
         }
@@ -259,7 +241,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Full(body) => body.is_end_stream(),
-            Self::Chunked(chunks) => chunks.is_empty(),
+            Self::Chunked(chunks) => chunks.is_end_stream(),
             Self::Streamed(_) => false,
         }
     }
@@ -267,7 +249,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Full(body) => body.size_hint(),
-            Self::Chunked(chunks) => SizeHint::with_exact(total_bytes(chunks)),
+            Self::Chunked(chunks) => chunks.size_hint(),
             Self::Streamed(body) => match body.size {
                 Some(size) => SizeHint::with_exact(size),
                 None => SizeHint::default(),
@@ -282,54 +264,26 @@
     /// The complete body.
     Full(ResponseBody),
     /// The first bytes of a large body, and the rest.
-    Partial(VecDeque<Bytes>, Incoming),
+    Partial(ChunkList, Incoming),
 }
 
 /// Reads a server's response, completely unless it is large or there is no
 /// room to hold it.
 pub(crate) async fn read_response(
-    memory: &MemoryAccount,
-    mut body: Incoming,
-) -> Result<ReadResponse, hyper::Error> {
-    if let Some(account) = memory.active() {
-        return read_charged(account, body).await;
-    }
-    let mut buffered: Vec<u8> = Vec::new();
-    loop {
-        if buffered.len() > MAX_BUFFERED_BYTES {
-            let prefix = VecDeque::from([buffered.into()]);
-            return Ok(ReadResponse::Partial(prefix, body));
-        }
-        match body.frame().await {
-            None => {
-                let full = Full::new(buffered.into());
-                return Ok(ReadResponse::Full(ResponseBody::Full(full)));
-            }
-            Some(frame) => {
-                if let Ok(data) = frame?.into_data() {
-                    buffered.extend_from_slice(&data);
-                }
-            }
-        }
-    }
-}
-
-async fn read_charged(
-    account: &Arc<ActiveAccount>,
+    account: &MemoryAccount,
     mut body: Incoming,
 ) -> Result<ReadResponse, hyper::Error> {
-    let mut buffered = ChunkWriter::new(account);
+    let mut buffered = ChunkWriter::open(account, 0);
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else { continue };
-        let has_room = buffered.push(&data);
+        let has_room = buffered.push_response(&data);
         // A body that has arrived completely occupies no server any longer.
         let is_complete = body.is_end_stream();
         if !is_complete && (!has_room || buffered.len() > MAX_BUFFERED_BYTES) {
-            return Ok(ReadResponse::Partial(buffered.finish().into(), body));
+            return Ok(ReadResponse::Partial(buffered.finish(), body));
         }
     }
-    let chunks = buffered.finish().into();
-    Ok(ReadResponse::Full(ResponseBody::Chunked(chunks)))
+    Ok(ReadResponse::Full(ResponseBody::Chunked(buffered.finish())))
 }
 
 /// Builds the caller's response from a server's response, unchanged except for
@@ -343,21 +297,12 @@
 }
 
 /// Builds the caller's response from a server's large response, the rest of
-/// which is still to arrive. It is charged to `account`, if there is one.
+/// which is still to arrive.
 pub(crate) fn streamed_response(
     status: StatusCode,
     headers: HeaderMap,
-    prefix: VecDeque<Bytes>,
-    source: StreamSource,
-    account: Option<&Arc<ActiveAccount>>,
+    body: StreamedResponse,
 ) -> Response<ResponseBody> {
-    let remaining = source.rest.size_hint().exact();
-    let size = remaining.map(|remaining| remaining + total_bytes(&prefix));
-    let stream = account.map(|account| StreamCharge {
-        account: Arc::clone(account),
-        _buffers: account.charge_stream(),
-    });
-    let body = StreamedResponse { prefix, size, source, stream };
     forwarded(status, headers, ResponseBody::Streamed(Box::new(body)))
 }
 
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -10,17 +10,18 @@
 use goldcrestramp_decisions::QueuePosition;
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{Request, Response};
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use crate::traffic::{
     admission::admit,
+    body::{OversizeFlag, read_body},
+    caller::IncomingBody,
     choose::AttemptHistory,
     reason::EndReason,
     relay::LocalEnd,
     request::{
         RequestOrigin, RoutedRequest, deadline_of, find_route,
-        forwarded_headers, read_body, slice_of,
+        forwarded_headers, slice_of,
     },
     respond::{RequestProgress, respond},
     response::ResponseBody,
@@ -33,7 +34,7 @@
 pub(crate) async fn serve(
     state: &Rc<TrafficState>,
     head: Request<()>,
-    body: Option<Incoming>,
+    body: Option<IncomingBody>,
 ) -> Response<ResponseBody> {
     let attempt = head.headers().get(names::ATTEMPT_ID).cloned();
     let attempt = attempt.as_ref().and_then(|id| id.to_str().ok());
@@ -58,9 +59,7 @@
         Err(end) => {
             state.metrics.record_end(end.reason.code());
             // Bounded bytes in flight make such refusals frequent.
-            if state.memory.active().is_some() {
-                request.body.borrow_mut().discard();
-            }
+            request.body.borrow_mut().discard();
             end.caller_response()
         }
     }
@@ -99,6 +98,11 @@
     if let Some(failure) = progress.failure.take() {
         return Ok(failure);
     }
+    let end = if request.oversize.is_set() {
+        EndReason::BodyTooLarge.into()
+    } else {
+        end
+    };
     log_end(request, &progress, &end);
     if progress.overdue > 0
         && request.remaining(MonotonicClock.now()) > TimeSpan::ZERO
@@ -153,7 +157,7 @@
 async fn read(
     state: &Rc<TrafficState>,
     head: Request<()>,
-    body: Option<Incoming>,
+    body: Option<IncomingBody>,
 ) -> Result<RoutedRequest, EndReason> {
     let arrived = MonotonicClock.now();
     let view = state.view();
@@ -174,7 +178,8 @@
     let deadline = deadline_of(arrived, &parts.headers, &route);
     let max_bytes = table.limits.max_body_bytes;
     let remaining = deadline.since(arrived).to_std();
-    let body = read_body(&state.memory, body, max_bytes);
+    let oversize = OversizeFlag::default();
+    let body = read_body(&state.memory, body, max_bytes, &oversize);
     let body = timeout(remaining, body).await;
     let body = body.map_err(|_elapsed| EndReason::BodyBroken)??;
     // A request that is passed on counts where it is sent to servers.
@@ -198,6 +203,7 @@
         uri: parts.uri,
         headers: forwarded_headers(parts.headers),
         body: RefCell::new(body),
+        oversize,
         arrived,
         deadline,
         origin: RequestOrigin::Caller,
@@ -270,10 +276,8 @@
     /// The end of a request that was not read completely.
     pub(super) fn end_unread(&self, reason: EndReason) -> LocalEnd {
         let mut end = LocalEnd::from(reason);
-        if reason == EndReason::MemoryFull
-            && let Some(retry_after) = self.memory.retry_after()
-        {
-            end.retry_after = retry_after;
+        if reason == EndReason::MemoryFull {
+            end.retry_after = self.memory.retry_after();
         }
         end
     }
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -22,7 +22,10 @@
 
 use crate::{
     http::{CloseMode, ConnectionSender, dial_buffered, usable},
-    traffic::{bulk::BulkTransfer, request::RoutedRequest},
+    traffic::{
+        bulk::BulkTransfer, memory::SERVER_BUFFER_BYTES,
+        request::RoutedRequest,
+    },
 };
 
 /// A queue of requests; the sender wakes one of them.
@@ -93,8 +96,6 @@
     pub(crate) probe_due_at: Cell<LocalTime>,
     /// The bytes of the requests in flight there.
     pub(crate) request_bytes: Cell<u64>,
-    /// The buffer size of connections; `None` for the default.
-    buffer: Option<usize>,
 }
 
 impl ServerState {
@@ -102,7 +103,6 @@
         instance: ServerInstance,
         limit: ServerLimit,
         share: usize,
-        buffer: Option<usize>,
     ) -> Self {
         Self {
             instance,
@@ -118,7 +118,6 @@
             cold_position: Cell::default(),
             probe_due_at: Cell::default(),
             request_bytes: Cell::default(),
-            buffer,
         }
     }
 
@@ -183,8 +182,8 @@
     /// Opens a new connection to the server.
     pub(crate) async fn connect(&self) -> io::Result<ServerConnection> {
         let address = self.instance.address;
-        let sender =
-            dial_buffered(address, CloseMode::Close, self.buffer).await?;
+        let buffer = Some(SERVER_BUFFER_BYTES);
+        let sender = dial_buffered(address, CloseMode::Close, buffer).await?;
         Ok(ServerConnection { key: ConnectionKey::next(), sender })
     }
 
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -321,11 +321,8 @@
             } else {
                 ServerLimit::open(now, max_in_flight)
             };
-            let buffer = self.memory.server_buffer();
             let instance = instance.clone();
-            let server =
-                ServerState::open(instance, limit, max_in_flight, buffer);
-            Rc::new(server)
+            Rc::new(ServerState::open(instance, limit, max_in_flight))
         });
         server.share.set(share);
         Rc::clone(server)
@@ -433,8 +430,8 @@
         self.bulk.of_domain(&entry.domain).cloned()
     }
 
-    /// The limit of requests in flight at a server: no more than there are if
-    /// the bytes of this one can't be added.
+    /// The limit of requests in flight at a server: with load control, no more
+    /// than there are if the bytes of this one can't be added.
     pub(super) fn limit_bytes(
         &self,
         server: &ServerState,
@@ -442,11 +439,10 @@
         limit: usize,
     ) -> usize {
         let in_flight = server.request_bytes.get();
-        if self.memory.allows_send(in_flight, request.body.borrow().size()) {
-            limit
-        } else {
-            limit.min(server.in_flight())
-        }
+        let bytes = request.body.borrow().size();
+        let fits = !self.settings.load_control
+            || self.memory.allows_send(in_flight, bytes);
+        if fits { limit } else { limit.min(server.in_flight()) }
     }
 
     /// The proximity of a server to this VM.
