Bound callers' connections by the descriptors and the memory of a VM

What callers saw: with a crowd of connections that are idle, or whose requests are unfinished, a VM had no descriptor left for servers, the store and further callers, and the connections alone took up half of its memory.

Cause: connections had no bound of their own. A VM did not know its number of descriptors, and an accept that fails for lack of one is only tried again.

Change: callers' connections may take up 40% of limits.max_fds and of the memory, at 32 KiB each. Each connection records what it waits for: a request, the rest of one, or that its response is read. From nine tenths of the bound, each new connection closes the one that has waited for longest; a connection with a request at work is not closed.

--- a/goldcrestramp-decisions/src/held_bytes.rs
+++ b/goldcrestramp-decisions/src/held_bytes.rs
@@ -22,6 +22,9 @@
 //!   seconds are closed, the slowest first, until the account is down to half
 //!   of the bound. On a VM that has room, nobody is closed.
 //!
+//! What a connection takes up by itself is bounded by the number of
+//! connections. Close to that number, each new connection closes the one that
+//! has waited the longest for its caller.
 
 use std::collections::BTreeMap;
 
@@ -63,6 +66,23 @@
 /// has not run, and those that are refused for it may be complete.
 const MAX_SEND_STALL: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// How long a connection waits for a request before it may be closed for a
+/// new one: longer than a round trip.
+const MIN_IDLE_TIME: TimeSpan = TimeSpan::from_millis(250);
+
+/// What a connection takes up by itself: its buffers, tasks and timers.
+const CONNECTION_BYTES: u64 = 32 * 1024;
+
+/// The share of a process's memory that connections may take up.
+const CONNECTIONS_PERCENT: u64 = 40;
+
+/// The share of a process's descriptors that callers' connections may take
+/// up. Each may need another one to a server.
+const DESCRIPTORS_PERCENT: u64 = 40;
+
+/// The share of the connections from which idle ones are closed.
+const CROWDED_PERCENT: u64 = 90;
+
 /// The delay after which a refused caller may try again if no reader is about
 /// to be closed: readers that make progress free some bytes all the time.
 const MIN_RETRY_DELAY: TimeSpan = TimeSpan::from_millis(250);
@@ -80,6 +100,8 @@
     Send,
     /// That the caller sends the rest of a body that is streamed to a server.
     Stream,
+    /// A request, or the rest of its head.
+    Request,
 }
 
 impl AwaitedStep {
@@ -87,7 +109,15 @@
     const fn max_wait(self) -> TimeSpan {
         match self {
             Self::Read => MAX_STALL,
-            Self::Send | Self::Stream => MAX_SEND_STALL,
+            Self::Send | Self::Stream | Self::Request => MAX_SEND_STALL,
+        }
+    }
+
+    /// How long a VM waits while it has too many connections.
+    const fn max_crowded_wait(self) -> TimeSpan {
+        match self {
+            Self::Request => MIN_IDLE_TIME,
+            step => step.max_wait(),
         }
     }
 }
@@ -120,6 +150,7 @@
     bound: u64,
     held: u64,
     acting: bool,
+    max_connections: u64,
     awaited: BTreeMap<(ReaderId, AwaitedStep), AwaitedCaller<Closer>>,
 }
 
@@ -131,10 +162,27 @@
             bound: percent(memory_bytes, MEMORY_PERCENT),
             held: 0,
             acting: false,
+            max_connections: percent(memory_bytes, CONNECTIONS_PERCENT)
+                / CONNECTION_BYTES,
             awaited: BTreeMap::new(),
         }
     }
 
+    /// Returns the account for a process that may also open at most this
+    /// number of descriptors.
+    #[must_use]
+    pub fn with_descriptors(mut self, descriptors: u64) -> Self {
+        let connections = percent(descriptors, DESCRIPTORS_PERCENT);
+        self.max_connections = self.max_connections.min(connections);
+        self
+    }
+
+    /// The maximum number of callers' connections.
+    #[must_use]
+    pub const fn max_connections(&self) -> u64 {
+        self.max_connections
+    }
+
     /// The bound of the held bytes.
     #[must_use]
     pub const fn bound(&self) -> u64 {
@@ -266,7 +314,9 @@
             if remaining < target {
                 break;
             }
-            if let Some(awaited) = self.take(key) {
+            let is_idle = key.1 == AwaitedStep::Request
+                && self.awaited.get(&key).is_some_and(|a| a.held == 0);
+            if !is_idle && let Some(awaited) = self.take(key) {
                 remaining = remaining.saturating_sub(awaited.held);
                 taken.push(awaited.closer);
             }
@@ -274,6 +324,28 @@
         taken
     }
 
+    /// Whether a further connection may be accepted if so many are `open`.
+    #[must_use]
+    pub const fn allows_connection(&self, open: u64) -> bool {
+        open < self.max_connections
+    }
+
+    /// Removes the caller whose connection is to be closed for a new one: if
+    /// almost as many are `open` as may be, the one that is waited for the
+    /// longest.
+    pub fn take_longest(
+        &mut self,
+        now: LocalTime,
+        open: u64,
+    ) -> Option<Closer> {
+        if open < percent(self.max_connections, CROWDED_PERCENT) {
+            return None;
+        }
+        let waiting = self.waiting(now, AwaitedStep::max_crowded_wait);
+        let longest = waiting.into_iter().next()?;
+        self.take(longest).map(|awaited| awaited.closer)
+    }
+
     /// The callers that have been waited for too long, the longest first.
     /// `max_wait` returns how long a step may take.
     fn waiting(
--- a/goldcrestramp-entry/src/traffic/caller.rs
+++ b/goldcrestramp-entry/src/traffic/caller.rs
@@ -1,5 +1,5 @@
 //! Follows what a VM waits for on a caller's connection, and closes those that
-//! it waits for too long while its memory is scarce.
+//! it waits for too long while its memory or its descriptors are scarce.
 
 use std::{
     cell::Cell,
@@ -19,10 +19,13 @@
 use tokio::{
     io::AsyncWrite,
     net::{TcpStream, tcp::OwnedWriteHalf},
-    time::interval,
+    time::{interval, sleep},
 };
 
-use crate::traffic::memory::{ConnectionCloser, MemoryAccount};
+use crate::traffic::{
+    in_flight::OpenCount,
+    memory::{ConnectionCloser, MemoryAccount},
+};
 
 /// The bytes that the system queues for a caller beyond what the caller's
 /// receive window takes. The default of several megabytes would hide for long
@@ -32,6 +35,9 @@
 /// How often the stalled callers are looked for.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How often a connection is looked for that makes room for a new one.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
+
 /// What a caller has to send within the time that it may stall: a body that
 /// arrives byte by byte makes no progress.
 const MIN_PROGRESS_BYTES: usize = 4 * 1024;
@@ -42,26 +48,52 @@
     account: MemoryAccount,
     id: ReaderId,
     closer: ConnectionCloser,
+    /// The requests whose responses are not handed over completely.
+    requests: Cell<usize>,
     /// The bytes that are held for the response when it began.
     held: Cell<u64>,
     is_write_blocked: Cell<bool>,
 }
 
 impl CallerGuard {
-    /// Begins to follow a connection.
+    /// Begins to follow a connection, which waits for its first request.
     pub(super) fn open(account: &MemoryAccount, stream: &TcpStream) -> Self {
         let unsent =
             SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         if let Err(error) = unsent {
             log::debug!("[memory] Limiting unsent bytes failed: {error}.");
         }
-        Self {
+        let guard = Self {
             account: account.clone(),
             id: account.next_reader(),
             closer: Arc::default(),
+            requests: Cell::default(),
             held: Cell::default(),
             is_write_blocked: Cell::default(),
+        };
+        guard.await_request();
+        guard
+    }
+
+    /// Records that a request has begun. It ends when the returned guard is
+    /// dropped.
+    pub(super) fn begin_request(self: &Rc<Self>) -> RequestInProgress {
+        if self.requests.replace(self.requests.get() + 1) == 0 {
+            self.account.record_progress(self.id, AwaitedStep::Request);
         }
+        RequestInProgress(Rc::clone(self))
+    }
+
+    fn end_request(&self) {
+        self.requests.set(self.requests.get() - 1);
+        if self.requests.get() == 0 {
+            self.await_request();
+        }
+    }
+
+    fn await_request(&self) {
+        let step = AwaitedStep::Request;
+        self.account.record_awaited(self.id, step, 0, &self.closer);
     }
 
     /// Records the bytes that are held for the next response.
@@ -105,6 +137,50 @@
 impl Drop for CallerGuard {
     fn drop(&mut self) {
         self.account.record_progress(self.id, AwaitedStep::Read);
+        self.account.record_progress(self.id, AwaitedStep::Request);
+    }
+}
+
+/// A request of a connection, until its response is handed over.
+#[derive(Debug)]
+pub(super) struct RequestInProgress(Rc<CallerGuard>);
+
+impl Drop for RequestInProgress {
+    fn drop(&mut self) {
+        self.0.end_request();
+    }
+}
+
+/// The body of a response, until the HTTP library has taken all of it.
+#[derive(Debug)]
+pub(super) struct GuardedBody<Inner> {
+    body: Inner,
+    _request: RequestInProgress,
+}
+
+impl<Inner> GuardedBody<Inner> {
+    pub(super) const fn new(body: Inner, request: RequestInProgress) -> Self {
+        Self { body, _request: request }
+    }
+}
+
+impl<Inner: Body + Unpin> Body for GuardedBody<Inner> {
+    type Data = Inner::Data;
+    type Error = Inner::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -233,6 +309,23 @@
     }
 }
 
+/// Waits until a further connection may be accepted. If few are left, the one
+/// that waits the longest for its caller is closed.
+pub(super) async fn wait_for_room(account: &MemoryAccount, open: &OpenCount) {
+    loop {
+        let now = MonotonicClock.now();
+        let count = open.open() as u64;
+        let longest = account.lock().take_longest(now, count);
+        if let Some(closer) = longest {
+            closer.notify_one();
+        }
+        if account.lock().allows_connection(count) {
+            return;
+        }
+        sleep(ROOM_INTERVAL).await;
+    }
+}
+
 /// The side of a caller's connection that the HTTP library writes.
 #[derive(Debug)]
 pub(super) struct CallerWriter {
--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -32,7 +32,7 @@
 use crate::{
     framing::{FrameStep, FramedRequest, frame_request},
     traffic::{
-        caller::{CallerGuard, IncomingBody},
+        caller::{CallerGuard, IncomingBody, RequestInProgress},
         reason::EndReason,
         request::find_route,
         response::{ResponseBody, local_response},
@@ -43,8 +43,7 @@
 };
 
 /// The maximum number of bytes of a connection that are buffered before the
-/// library reads them. If a VM has as many connections as descriptors, their
-/// buffers leave half of its memory free.
+/// library reads them.
 const MAX_RECEIVED_BYTES: usize = 24 * 1024;
 
 /// The same for the rest of a body. The library's own buffers grow with what
@@ -88,9 +87,16 @@
     is_closing: bool,
     reader: Option<Waker>,
     gate: PipelineGate,
-    /// The requests that were found and that the library has not reached, with
-    /// the task of each that is served early.
-    pending: VecDeque<Option<EarlyTask>>,
+    /// The requests that were found and that the library has not reached.
+    pending: VecDeque<PendingRequest>,
+}
+
+/// A request that was found and that the library has not reached.
+#[derive(Debug)]
+struct PendingRequest {
+    /// Its task, if it is served early.
+    task: Option<EarlyTask>,
+    _in_progress: RequestInProgress,
 }
 
 /// The task of a request that is served early. It is aborted when its caller's
@@ -177,7 +183,7 @@
         let next = self.state.borrow_mut().pending.pop_front();
         self.responding.set(true);
         self.caught_up.notify_waiters();
-        let response = if let Some(task) = next.flatten() {
+        let response = if let Some(task) = next.and_then(|next| next.task) {
             task.finish().await
         } else {
             let (head, body) = request.into_parts();
@@ -243,7 +249,9 @@
             start == PipelineStart::Now && self.traffic.is_serving();
         let head = request.head.filter(|_head| starts_now);
         let task = head.map(|head| self.serve_ahead(head));
-        self.state.borrow_mut().pending.push_back(task);
+        let in_progress = self.guard.begin_request();
+        let request = PendingRequest { task, _in_progress: in_progress };
+        self.state.borrow_mut().pending.push_back(request);
     }
 
     fn serve_ahead(&self, head: Request<()>) -> EarlyTask {
--- a/goldcrestramp-entry/src/traffic/listener.rs
+++ b/goldcrestramp-entry/src/traffic/listener.rs
@@ -20,7 +20,7 @@
 use crate::{
     run::StopPhase,
     traffic::{
-        caller::{CallerGuard, CallerWriter},
+        caller::{CallerGuard, CallerWriter, GuardedBody},
         connection::{CallerConnection, ConnectionReader},
         in_flight::{ConnectionEnd, OpenCount, OpenGuard},
         state::TrafficState,
@@ -51,18 +51,23 @@
 const FIRST_READ_TIME: Duration = Duration::from_millis(300);
 
 /// Accepts connections until the process closes, and serves each in a task of
-/// its own.
+/// its own. Each is accepted when `room` is.
 pub(crate) async fn serve_listener<Served>(
     listener: TcpListener,
     mut phase: watch::Receiver<StopPhase>,
     connections: Rc<OpenCount>,
+    room: impl AsyncFn(),
     serve: impl Fn(TcpStream, OpenGuard) -> Served,
 ) where
     Served: Future<Output = ()> + 'static,
 {
     loop {
+        let next = async {
+            room().await;
+            listener.accept().await
+        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = next => accepted,
             () = wait_for_close(&mut phase) => break,
         };
         match accepted {
@@ -148,12 +153,15 @@
             (Rc::clone(&responder), request_phase.clone());
         let guard = Rc::clone(&response_guard);
         async move {
+            let in_progress = guard.begin_request();
             let mut response = caller.respond(request).await;
             guard.begin_response(response.body().held_bytes());
             let is_draining = *request_phase.borrow() != StopPhase::Serving;
             if is_draining && !caller.has_pending() {
                 request_close(response.headers_mut());
             }
+            let response =
+                response.map(|body| GuardedBody::new(body, in_progress));
             Ok::<_, Infallible>(response)
         }
     });
--- a/goldcrestramp-entry/src/traffic/memory.rs
+++ b/goldcrestramp-entry/src/traffic/memory.rs
@@ -51,11 +51,14 @@
         metrics: &Arc<EntryMetrics>,
     ) -> Self {
         let memory = settings.memory_bytes.unwrap_or_else(system_memory);
-        let held = HeldBytes::with_memory(memory);
+        let descriptors = settings.max_descriptors.unwrap_or(u64::MAX);
+        let held =
+            HeldBytes::with_memory(memory).with_descriptors(descriptors);
         log::info!(
             memory = memory,
-            bound = held.bound();
-            "[memory] The bound of what callers can make this VM hold."
+            bound = held.bound(),
+            connections = held.max_connections();
+            "[memory] The bounds of what callers can make this VM hold."
         );
         Self(Arc::new(AccountState {
             held: Mutex::new(held),
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -51,7 +51,7 @@
     run::StopPhase,
     shared::SharedState,
     traffic::{
-        caller::close_stalled_callers,
+        caller::{close_stalled_callers, wait_for_room},
         in_flight::{OpenCount, OpenGuard},
         listener::{serve_caller, serve_listener},
         relay_connection::serve_vm,
@@ -130,15 +130,23 @@
             serve_vm(Rc::clone(&state), stop.clone(), stream, guard)
         };
         let connections = Rc::clone(&connections);
-        let served =
-            serve_listener(relayed, phase.clone(), connections, serve);
+        // Other VMs open as many connections as they pass requests on.
+        let served = serve_listener(
+            relayed,
+            phase.clone(),
+            connections,
+            async || {},
+            serve,
+        );
         spawn_local(hold(accepting.enter(), served));
     }
+    let (account, open) = (state.memory.clone(), Rc::clone(&connections));
+    let room = async move || wait_for_room(&account, &open).await;
     let stop = phase.clone();
     let serve = move |stream, guard| {
         serve_caller(Rc::clone(&state), stop.clone(), stream, guard)
     };
-    let served = serve_listener(callers, phase, connections, serve);
+    let served = serve_listener(callers, phase, connections, room, serve);
     spawn_local(hold(accepting.enter(), served));
     handle
 }
