Charge large heads to the account of held bytes

What callers saw: a VM whose descriptors do not bound a crowd was ended by large heads alone. 1,200 callers with heads of 15 kB and unfinished bodies took it to 79 MB of 64 MB.

Cause: what a head takes up was not counted. The library's buffer doubles with what it reads, each header has entries in two maps, and a head that is not complete waits in a buffer of the connection.

Change: a head is charged above the 8 KiB that count as a part of its connection. Requests whose head finds no room are refused as memory-full; an incomplete head that finds none ends its connection, whose request has not been read.

--- a/goldcrestramp-entry/src/traffic/caller.rs
+++ b/goldcrestramp-entry/src/traffic/caller.rs
@@ -1,5 +1,6 @@
 //! Follows what a VM waits for on a caller's connection, and closes those that
-//! it waits for too long while its memory or its descriptors are scarce.
+//! it waits for too long while its memory, its descriptors or the slots of
+//! servers are scarce.
 
 use std::{
     cell::Cell,
@@ -52,6 +53,8 @@
     requests: Cell<usize>,
     /// The bytes that are held for the response when it began.
     held: Cell<u64>,
+    /// The bytes that are held for a head.
+    held_for_head: Cell<u64>,
     is_write_blocked: Cell<bool>,
 }
 
@@ -69,6 +72,7 @@
             closer: Arc::default(),
             requests: Cell::default(),
             held: Cell::default(),
+            held_for_head: Cell::default(),
             is_write_blocked: Cell::default(),
         };
         guard.await_request();
@@ -92,8 +96,16 @@
     }
 
     fn await_request(&self) {
-        let step = AwaitedStep::Request;
-        self.account.record_awaited(self.id, step, 0, &self.closer);
+        let (step, held) = (AwaitedStep::Request, self.held_for_head.get());
+        self.account.record_awaited(self.id, step, held, &self.closer);
+    }
+
+    /// Records the bytes that are held for a head.
+    pub(super) fn hold_head(&self, bytes: u64) {
+        self.held_for_head.set(bytes);
+        if self.requests.get() == 0 {
+            self.await_request();
+        }
     }
 
     /// Records the bytes that are held for the next response.
@@ -297,7 +309,7 @@
     }
 }
 
-/// Closes stalled callers while memory is scarce.
+/// Closes stalled callers while memory or slots are scarce.
 pub(super) async fn close_stalled_callers(account: MemoryAccount) {
     let mut checks = interval(CHECK_INTERVAL);
     loop {
--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -33,6 +33,7 @@
     framing::{FrameStep, FramedRequest, frame_request},
     traffic::{
         caller::{CallerGuard, IncomingBody, RequestInProgress},
+        memory::HeldCharge,
         reason::EndReason,
         request::find_route,
         response::{ResponseBody, local_response},
@@ -42,13 +43,13 @@
     },
 };
 
-/// The maximum number of bytes of a connection that are buffered before the
-/// library reads them.
+/// The maximum number of bytes of heads that are buffered before the library
+/// reads them.
 const MAX_RECEIVED_BYTES: usize = 24 * 1024;
 
-/// The same for the rest of a body. The library's own buffers grow with what
-/// it reads at once.
-const MAX_RECEIVED_BODY_BYTES: usize = 8 * 1024;
+/// The same for bodies, and the part that each connection may buffer without
+/// a charge. The library's own buffers grow with what it reads at once.
+const FREE_RECEIVED_BYTES: usize = 8 * 1024;
 
 /// Heads longer than this are subject to the library's own limits.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
@@ -56,6 +57,16 @@
 /// The buffer space reserved for one read.
 const READ_BYTES: usize = 4 * 1024;
 
+/// Whether more of what a caller sends can be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ReceiveSpace {
+    Free,
+    /// Only when the library has read some of it.
+    Full,
+    /// There is no memory for the rest of a head.
+    Refused,
+}
+
 /// One connection of a caller.
 #[derive(Debug)]
 pub(crate) struct CallerConnection {
@@ -75,6 +86,8 @@
 #[derive(Debug, Default)]
 struct ConnectionState {
     received: BytesMut,
+    /// What `received` takes up beyond what each connection may.
+    charge: Option<HeldCharge>,
     /// Bytes of `received` that the library may read: up to the end of a
     /// complete head, or the part of a body that has arrived.
     released: usize,
@@ -136,11 +149,16 @@
         })
     }
 
-    /// Reads what the caller sends, until the caller disconnects.
+    /// Reads what the caller sends, until the caller disconnects, or there is
+    /// no room for a head.
     pub(crate) async fn receive(&self, stream: OwnedReadHalf) {
         loop {
-            while self.is_full() {
-                self.space_freed.notified().await;
+            loop {
+                match self.space() {
+                    ReceiveSpace::Free => break,
+                    ReceiveSpace::Full => self.space_freed.notified().await,
+                    ReceiveSpace::Refused => return,
+                }
             }
             if stream.readable().await.is_err() {
                 return;
@@ -161,12 +179,30 @@
         }
     }
 
-    fn is_full(&self) -> bool {
-        let state = self.state.borrow();
+    fn space(&self) -> ReceiveSpace {
+        let state = &mut *self.state.borrow_mut();
+        let received = state.received.len();
+        if received < FREE_RECEIVED_BYTES {
+            return ReceiveSpace::Free;
+        }
         let is_body = state.opaque || state.body_remaining > 0;
-        let max_bytes =
-            if is_body { MAX_RECEIVED_BODY_BYTES } else { MAX_RECEIVED_BYTES };
-        state.received.len() >= max_bytes
+        if is_body || received >= MAX_RECEIVED_BYTES {
+            return ReceiveSpace::Full;
+        }
+        if state.charge.is_some() {
+            return ReceiveSpace::Free;
+        }
+        let mut charge = self.traffic.memory.charge();
+        if charge.try_hold_request(MAX_RECEIVED_BYTES, MAX_RECEIVED_BYTES) {
+            state.charge = Some(charge);
+            self.guard.hold_head(MAX_RECEIVED_BYTES as u64);
+            ReceiveSpace::Free
+        } else if state.released > 0 {
+            ReceiveSpace::Full
+        } else {
+            self.traffic.memory.refuse();
+            ReceiveSpace::Refused
+        }
     }
 
     fn read(&self, stream: &OwnedReadHalf) -> io::Result<usize> {
@@ -349,6 +385,10 @@
             return Poll::Pending;
         }
         state.take(buf);
+        if state.received.is_empty() && state.charge.take().is_some() {
+            state.received = BytesMut::new();
+            self.0.guard.hold_head(0);
+        }
         self.0.space_freed.notify_one();
         Poll::Ready(Ok(()))
     }
--- a/goldcrestramp-entry/src/traffic/relay.rs
+++ b/goldcrestramp-entry/src/traffic/relay.rs
@@ -267,7 +267,12 @@
     let route = route_of(&envelope);
     let deadline = deadline_of(arrived, &parts.headers, &route);
     let body = IncomingBody::new(body, None);
-    let body = read_passed(&state.memory, Some(body), arrived, deadline).await;
+    let charged = state.hold_head(&parts.headers, &parts.uri, Some(body));
+    let (head, body) = match charged {
+        Ok(charged) => charged,
+        Err(reason) => return state.end_unread(reason).response(),
+    };
+    let body = read_passed(&state.memory, body, arrived, deadline).await;
     let body = match body {
         Ok(body) => body,
         Err(reason) => return state.end_unread(reason).response(),
@@ -299,6 +304,7 @@
         headers: forwarded_headers(parts.headers),
         body: RefCell::new(body),
         oversize: OversizeFlag::default(),
+        _head: head,
         arrived: arrived - envelope.elapsed,
         deadline,
         origin: RequestOrigin::Vm,
--- a/goldcrestramp-entry/src/traffic/request.rs
+++ b/goldcrestramp-entry/src/traffic/request.rs
@@ -27,6 +27,13 @@
     view::RouteTable,
 };
 
+/// What a header takes up beside its text: one entry in the map of the request
+/// and one in that of an attempt.
+const HEADER_BYTES: usize = 256;
+
+/// The part of a head that counts as a part of its connection.
+const FREE_HEAD_BYTES: usize = 8 * 1024;
+
 /// Where a request comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RequestOrigin {
@@ -51,6 +58,8 @@
     pub(crate) body: RefCell<RequestBody>,
     /// Whether its body has turned out to be larger than allowed.
     pub(super) oversize: OversizeFlag,
+    /// The memory that its head takes up.
+    pub(super) _head: HeldCharge,
     pub(crate) arrived: LocalTime,
     /// The earlier of the caller's deadline and the route's timeout.
     pub(crate) deadline: LocalTime,
@@ -223,6 +232,17 @@
     stated.map(SliceIndex::from).ok_or(EndReason::BadKey)
 }
 
+/// What the head of a request takes up, beyond what each connection may.
+pub(crate) fn head_bytes(headers: &HeaderMap, uri: &Uri) -> usize {
+    let path = uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let fields = headers.iter();
+    let text: usize =
+        fields.map(|(name, value)| name.as_str().len() + value.len()).sum();
+    // The buffer that it was read into is twice as large at most.
+    let held = 2 * (path + text) + headers.len() * HEADER_BYTES;
+    held.saturating_sub(FREE_HEAD_BYTES)
+}
+
 /// The headers that are forwarded to a server.
 pub(crate) fn forwarded_headers(mut headers: HeaderMap) -> HeaderMap {
     strip_connection(&mut headers);
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -9,19 +9,20 @@
 use goldcrestramp_adapter::{RouteEffect, headers as names};
 use goldcrestramp_decisions::QueuePosition;
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response, Uri};
 use tokio::time::timeout;
 
 use crate::traffic::{
     admission::admit,
-    body::{OversizeFlag, read_body},
+    body::{OversizeFlag, discard, read_body},
     caller::IncomingBody,
     choose::AttemptHistory,
+    memory::HeldCharge,
     reason::EndReason,
     relay::LocalEnd,
     request::{
         RequestOrigin, RoutedRequest, deadline_of, find_route,
-        forwarded_headers, slice_of,
+        forwarded_headers, head_bytes, slice_of,
     },
     respond::{RequestProgress, respond},
     response::ResponseBody,
@@ -176,6 +177,7 @@
         None
     };
     let deadline = deadline_of(arrived, &parts.headers, &route);
+    let (head, body) = state.hold_head(&parts.headers, &parts.uri, body)?;
     let max_bytes = table.limits.max_body_bytes;
     let remaining = deadline.since(arrived).to_std();
     let oversize = OversizeFlag::default();
@@ -204,6 +206,7 @@
         headers: forwarded_headers(parts.headers),
         body: RefCell::new(body),
         oversize,
+        _head: head,
         arrived,
         deadline,
         origin: RequestOrigin::Caller,
@@ -262,6 +265,24 @@
         Ok(())
     }
 
+    /// Charges a head, if there is room for it, and returns the body.
+    pub(super) fn hold_head(
+        &self,
+        headers: &HeaderMap,
+        uri: &Uri,
+        body: Option<IncomingBody>,
+    ) -> Result<(HeldCharge, Option<IncomingBody>), EndReason> {
+        let bytes = head_bytes(headers, uri);
+        let mut charge = self.memory.charge();
+        if bytes > 0 && !charge.try_hold_request(bytes, bytes) {
+            if let Some(body) = body {
+                discard(body);
+            }
+            return Err(self.memory.refuse());
+        }
+        Ok((charge, body))
+    }
+
     /// Reserves the memory that a request needs when it is sent.
     pub(super) fn reserve(
         &self,
--- a/goldcrestramp-entry/tests/crowd/main.rs
+++ b/goldcrestramp-entry/tests/crowd/main.rs
@@ -120,6 +120,22 @@
     survives(UnfinishedRequest::LargeHead { bytes: 15_000 }, 1_200).await;
 }
 
+/// Guards against heads that no limit of descriptors bounds.
+#[tokio::test]
+async fn large_heads_of_many_connections_leave_memory_free() {
+    let _alone = vm::run_alone().await;
+    let mut vm = CrowdedVm::start_with(10_000).await;
+    let request = UnfinishedRequest::LargeHead { bytes: 15_000 };
+
+    let crowd = Crowd::connect(vm.address(), request, 1_200);
+    crowd.wait_read().await;
+    vm.wait_served().await;
+    drop(crowd);
+    vm.wait_served().await;
+
+    vm.assert_within_limits();
+}
+
 /// Guards against responses that are buffered for callers that do not read
 /// them.
 #[tokio::test]
--- a/goldcrestramp-entry/tests/crowd/vm.rs
+++ b/goldcrestramp-entry/tests/crowd/vm.rs
@@ -57,8 +57,8 @@
 }
 
 /// The settings of a VM, without load control.
-fn small_limits() -> Value {
-    json!({"memory_mb": MEMORY_MB, "max_fds": MAX_DESCRIPTORS})
+fn small_limits(descriptors: usize) -> Value {
+    json!({"memory_mb": MEMORY_MB, "max_fds": descriptors})
 }
 
 /// A VM, its backend servers and a client of its own.
@@ -68,12 +68,19 @@
     links: Vec<ServerLink>,
     http: Client,
     store: StoreStandin,
+    /// The descriptors that it may open, and the most that were seen open.
+    descriptors: usize,
     max_descriptors: usize,
 }
 
 impl CrowdedVm {
     /// Starts a VM that reaches its servers.
     pub async fn start() -> Self {
+        Self::start_with(MAX_DESCRIPTORS).await
+    }
+
+    /// Starts a VM that may open so many descriptors.
+    pub async fn start_with(descriptors: usize) -> Self {
         let store = StoreStandin::spawn().await;
         store.put("op/config", &patient_configuration());
         let mut backends = Vec::new();
@@ -86,8 +93,13 @@
             backends.push(backend);
         }
         let address = store.address;
-        let node = NodeProcess::spawn_sized("vm", address, &small_limits());
+        let node = NodeProcess::spawn_sized(
+            "vm",
+            address,
+            &small_limits(descriptors),
+        );
         let mut vm = Self::open(node, store);
+        vm.descriptors = descriptors;
         vm.backends = backends;
         vm.wait_served().await;
         vm
@@ -102,7 +114,7 @@
             store.replace_address(backend.address, link.address);
             links.push(link);
         }
-        let (domain, limits) = ("north-b", small_limits());
+        let (domain, limits) = ("north-b", small_limits(MAX_DESCRIPTORS));
         let node =
             NodeProcess::spawn_in("vm-2", domain, store.address, &limits);
         let mut vm = Self::open(node, store);
@@ -124,7 +136,15 @@
         let http = Client::builder().no_proxy().pool_max_idle_per_host(0);
         let http = http.build().expect("client builds");
         let (backends, links) = (Vec::new(), Vec::new());
-        Self { node, backends, links, http, store, max_descriptors: 0 }
+        Self {
+            node,
+            backends,
+            links,
+            http,
+            store,
+            descriptors: MAX_DESCRIPTORS,
+            max_descriptors: 0,
+        }
     }
 
     /// The address for callers.
@@ -216,6 +236,6 @@
         let descriptors = self.max_descriptors;
         println!("{memory} bytes, {descriptors} descriptors");
         assert!(memory < MEMORY_BYTES, "{memory} bytes");
-        assert!(descriptors < MAX_DESCRIPTORS, "{descriptors} descriptors");
+        assert!(descriptors < self.descriptors, "{descriptors} descriptors");
     }
 }
