Close callers that stall within streamed bodies while slots are scarce

What callers saw: with a crowd of large bodies that stop short of their end, a VM refused short orders as full until the routes' timeout, although no server was at work on anything.

Cause: a body of more than 256 KiB is sent to its server as it arrives, so an unfinished one occupies a slot there.

Change: a request that is refused as full makes the VM close, for a second, callers that send less than 4 KiB of a streamed body in 2 s. While no request is refused, nobody is closed for that.

--- a/goldcrestramp-decisions/src/held_bytes.rs
+++ b/goldcrestramp-decisions/src/held_bytes.rs
@@ -25,6 +25,9 @@
 //! What a connection takes up by itself is bounded by the number of
 //! connections. Close to that number, each new connection closes the one that
 //! has waited the longest for its caller.
+//!
+//! A body that is streamed occupies a slot of its server until it ends. While
+//! others are refused for lack of slots, senders that stall are closed, too.
 
 use std::collections::BTreeMap;
 
@@ -66,10 +69,17 @@
 /// has not run, and those that are refused for it may be complete.
 const MAX_SEND_STALL: TimeSpan = TimeSpan::from_millis(1_000);
 
+/// How long the sender of a streamed body may stall while others are refused
+/// for lack of slots. Lost packets are sent again within this time.
+const MAX_STREAM_STALL: TimeSpan = TimeSpan::from_millis(2_000);
+
 /// How long a connection waits for a request before it may be closed for a
 /// new one: longer than a round trip.
 const MIN_IDLE_TIME: TimeSpan = TimeSpan::from_millis(250);
 
+/// How long a refusal for lack of slots makes senders that stall be closed.
+const CONTENTION_TIME: TimeSpan = TimeSpan::from_millis(1_000);
+
 /// What a connection takes up by itself: its buffers, tasks and timers.
 const CONNECTION_BYTES: u64 = 32 * 1024;
 
@@ -151,6 +161,7 @@
     held: u64,
     acting: bool,
     max_connections: u64,
+    contended_until: LocalTime,
     awaited: BTreeMap<(ReaderId, AwaitedStep), AwaitedCaller<Closer>>,
 }
 
@@ -164,6 +175,7 @@
             acting: false,
             max_connections: percent(memory_bytes, CONNECTIONS_PERCENT)
                 / CONNECTION_BYTES,
+            contended_until: LocalTime::from_micros(0),
             awaited: BTreeMap::new(),
         }
     }
@@ -300,28 +312,43 @@
         self.awaited.remove(&(reader, step));
     }
 
+    /// Records that a request was refused because all slots are taken.
+    pub fn record_contention(&mut self, now: LocalTime) {
+        self.contended_until = now + CONTENTION_TIME;
+    }
+
     /// Removes the callers that are to be closed, the slowest first: while the
     /// bound acts, those that have made no progress for some seconds, as many
-    /// as have to be closed for the bound to stop acting.
+    /// as have to be closed for the bound to stop acting; while slots are
+    /// scarce, those that stall within a streamed body.
     pub fn take_stalled(&mut self, now: LocalTime) -> Vec<Closer> {
         let mut taken = Vec::new();
-        if !self.acting {
-            return taken;
+        if now < self.contended_until {
+            let streams = self.waiting(now, |step| match step {
+                AwaitedStep::Stream => Some(MAX_STREAM_STALL),
+                _ => None,
+            });
+            taken.extend(streams.into_iter().filter_map(|key| self.take(key)));
         }
-        let target = percent(self.bound, RELEASE_PERCENT);
-        let mut remaining = self.held;
-        for key in self.waiting(now, AwaitedStep::max_wait) {
-            if remaining < target {
-                break;
-            }
-            let is_idle = key.1 == AwaitedStep::Request
-                && self.awaited.get(&key).is_some_and(|a| a.held == 0);
-            if !is_idle && let Some(awaited) = self.take(key) {
+        if self.acting {
+            let mut remaining = self.held;
+            for awaited in &taken {
                 remaining = remaining.saturating_sub(awaited.held);
-                taken.push(awaited.closer);
+            }
+            let target = percent(self.bound, RELEASE_PERCENT);
+            for key in self.waiting(now, |step| Some(step.max_wait())) {
+                if remaining < target {
+                    break;
+                }
+                let is_idle = key.1 == AwaitedStep::Request
+                    && self.awaited.get(&key).is_some_and(|a| a.held == 0);
+                if !is_idle && let Some(awaited) = self.take(key) {
+                    remaining = remaining.saturating_sub(awaited.held);
+                    taken.push(awaited);
+                }
             }
         }
-        taken
+        taken.into_iter().map(|awaited| awaited.closer).collect()
     }
 
     /// Whether a further connection may be accepted if so many are `open`.
@@ -341,20 +368,20 @@
         if open < percent(self.max_connections, CROWDED_PERCENT) {
             return None;
         }
-        let waiting = self.waiting(now, AwaitedStep::max_crowded_wait);
+        let waiting = self.waiting(now, |step| Some(step.max_crowded_wait()));
         let longest = waiting.into_iter().next()?;
         self.take(longest).map(|awaited| awaited.closer)
     }
 
     /// The callers that have been waited for too long, the longest first.
-    /// `max_wait` returns how long a step may take.
+    /// `max_wait` returns how long a step may take, if it is limited.
     fn waiting(
         &self,
         now: LocalTime,
-        max_wait: impl Fn(AwaitedStep) -> TimeSpan,
+        max_wait: impl Fn(AwaitedStep) -> Option<TimeSpan>,
     ) -> Vec<(ReaderId, AwaitedStep)> {
         let awaited = self.awaited.iter().filter(|((_id, step), awaited)| {
-            now.since(awaited.since) >= max_wait(*step)
+            max_wait(*step).is_some_and(|max| now.since(awaited.since) >= max)
         });
         let mut waiting: Vec<(LocalTime, (ReaderId, AwaitedStep))> =
             awaited.map(|(key, awaited)| (awaited.since, *key)).collect();
--- a/goldcrestramp-decisions/tests/held_bytes.rs
+++ b/goldcrestramp-decisions/tests/held_bytes.rs
@@ -258,6 +258,22 @@
     assert_eq!(account.take_stalled(at(5_000)), [1]);
 }
 
+/// Guards against streamed bodies that occupy the slots of servers without
+/// using them, and against closing them while there are slots.
+#[test]
+fn senders_of_streams_are_closed_while_slots_are_scarce() {
+    let mut account = account();
+    await_step(&mut account, 1, AwaitedStep::Stream, 0);
+    await_step(&mut account, 2, AwaitedStep::Send, 0);
+    assert!(account.take_stalled(at(60_000)).is_empty());
+
+    account.record_contention(at(60_000));
+
+    assert_eq!(account.take_stalled(at(60_500)), [1]);
+    await_step(&mut account, 1, AwaitedStep::Stream, 60_600);
+    assert!(account.take_stalled(at(70_000)).is_empty());
+}
+
 /// Guards against connections that take all descriptors or the memory of
 /// requests, and against closing one that may have just been opened.
 #[test]
--- a/goldcrestramp-entry/src/traffic/memory.rs
+++ b/goldcrestramp-entry/src/traffic/memory.rs
@@ -120,6 +120,11 @@
         expected.percent(rand::random_range(100..150))
     }
 
+    /// Records that a request was refused because all slots are taken.
+    pub(super) fn record_contention(&self) {
+        self.lock().record_contention(MonotonicClock.now());
+    }
+
     /// Records that a caller is waited for; `held` is what is held for it.
     pub(super) fn record_awaited(
         &self,
--- a/goldcrestramp-entry/src/traffic/serve.rs
+++ b/goldcrestramp-entry/src/traffic/serve.rs
@@ -104,6 +104,9 @@
     } else {
         end
     };
+    if end.reason == EndReason::Full {
+        state.memory.record_contention();
+    }
     log_end(request, &progress, &end);
     if progress.overdue > 0
         && request.remaining(MonotonicClock.now()) > TimeSpan::ZERO
