Pass on no response whose status a final response can't have

What callers saw: a server in trouble that responds with status 101, 600 or 999 had its response passed on, directly and through another VM. A 101 would hand the connection over to another protocol. Statuses below 100 were not passed on: the HTTP library does not read them, and the caller got 502.

Cause: responses were checked for their id, their stamp and their encoding, but not for the class of their status.

Change: a status outside 200 to 599 makes a response one that does not belong to its request. A lookup is sent to another server, an order ends with 502, and the connection is not used again.

With the change both pass for 000, 001, 099, 101, 600 and 999.

--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends one attempt of a request to a server, or passes it to another VM.
 
-use std::{io, pin::pin, rc::Rc, time::Duration};
+use std::{io, ops::RangeInclusive, pin::pin, rc::Rc, time::Duration};
 
 use goldcrestramp_adapter::headers as names;
 use goldcrestramp_decisions::{ReachEvent, ServerProximity, ServerSignal};
@@ -28,6 +28,9 @@
     state::TrafficState,
 };
 
+/// The statuses that a final response can have (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How long past the deadline to wait for the head of a response: the server
 /// finishes by the deadline that it was given, so its response may still be in
 /// flight.
@@ -416,6 +419,9 @@
 /// A second response to an earlier request may arrive where the response to
 /// this one is expected. It carries a different attempt id. If it were
 /// accepted, one caller would get the response of another.
+///
+/// A status that no final response has is a server's fault. Callers could take
+/// it for a response, or for the start of another protocol.
 fn classify(request: &RoutedRequest, parts: &Parts) -> ResponseKind {
     let headers = &parts.headers;
     let expected = request.attempt_id();
@@ -423,6 +429,9 @@
     if echoed.is_some_and(|echoed| echoed != expected) {
         return ResponseKind::Foreign;
     }
+    if !FINAL_STATUSES.contains(&parts.status.as_u16()) {
+        return ResponseKind::Foreign;
+    }
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if misdirected || headers.contains_key(names::NOT_EXECUTED) {
         return ResponseKind::NotRun(misdirected);
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -28,5 +28,6 @@
 mod retries;
 mod server;
 mod slow_readers;
+mod statuses;
 mod stop;
 mod store;
--- a/goldcrestramp-entry/tests/daemon/partition.rs
+++ b/goldcrestramp-entry/tests/daemon/partition.rs
@@ -28,12 +28,12 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The VM whose links to the servers are cut, and one whose links stay up.
-const CUT: usize = 0;
+pub const CUT: usize = 0;
 const CONNECTED: usize = 1;
 
 /// A cluster in which one VM reaches the servers over links that can be cut.
-struct PartitionedCluster {
-    cluster: Cluster,
+pub struct PartitionedCluster {
+    pub cluster: Cluster,
     links: Vec<ServerLink>,
     /// The store as VMs with the links see it.
     store: StoreStandin,
@@ -42,7 +42,7 @@
 impl PartitionedCluster {
     /// Starts the VM with the links, which plans, and a VM of another failure
     /// domain, so that neither follows the other.
-    async fn start(service: &str) -> Self {
+    pub async fn start(service: &str) -> Self {
         let mut partitioned = Self::start_alone(service).await;
         partitioned.add_connected("vm-1", "north-b").await;
         partitioned
@@ -74,7 +74,7 @@
     }
 
     /// Cuts the links and waits until the VM passes requests on.
-    async fn cut(&self) {
+    pub async fn cut(&self) {
         self.set_links(LinkState::Reset);
         self.send_load(CUT, CONTACT).await;
         assert!(self.send(CUT, true).await, "a lookup is passed on");
--- a/goldcrestramp-entry/tests/daemon/server.rs
+++ b/goldcrestramp-entry/tests/daemon/server.rs
@@ -54,6 +54,8 @@
     /// next request on the connection is expected, it first sends the refusal
     /// again, if it echoes ids only to the same attempt.
     RepeatsRefusals { echoes: bool },
+    /// It runs them and responds with this status, which may be no valid one.
+    RespondsWith(&'static str),
     /// It runs them and sends bodies without end.
     #[allow(dead_code, reason = "not every test binary uses it")]
     NeverEnds,
@@ -719,6 +721,10 @@
             (head, Duration::ZERO, false)
         }
         ServerBehavior::Responds(wait) => (complete, wait, false),
+        ServerBehavior::RespondsWith(status) => {
+            let head = complete.replacen("200 OK", status, 1);
+            (head, Duration::ZERO, false)
+        }
         ServerBehavior::Withholds
         | ServerBehavior::PrecedesReleases { .. } => {
             (complete, Duration::ZERO, false)
