Let crowds of unfinished requests press on the daemons in the soak

One crowd after another connects to a daemon for 1.5 s: heads, bodies with a length, whole and in pieces, and chunked ones, most without their last byte. All daemons have 64 MB and 1,000 descriptors now, those without load control too, and none may exceed its memory. The seeds kept for earlier faults have the faults that they had.

--- a/goldcrestramp-entry/tests/soak/harness.rs
+++ b/goldcrestramp-entry/tests/soak/harness.rs
@@ -17,6 +17,7 @@
 };
 
 use crate::{
+    caller::{Crowd, UnfinishedRequest},
     cluster::{POOLED, SHARDED, configuration, entry_at},
     node::NodeProcess,
     oracle::{Disturbed, Oracle, OrderOutcome, SentRequest},
@@ -38,6 +39,13 @@
 /// The time after which the supervisor restarts an exited process.
 const SUPERVISION_DELAY: Duration = Duration::from_millis(100);
 
+/// The memory limit of each daemon, in megabytes.
+const MEMORY_MB: u64 = 64;
+
+/// The callers of a crowd, and how long one stays.
+const CROWD: usize = 80;
+const CROWD_TIME: Duration = Duration::from_millis(1_500);
+
 /// The path of a request that ends each server that runs it.
 const FATAL: &str = "/list/fatal";
 
@@ -85,6 +93,8 @@
     Notices,
     /// Besides, entries and responses are not what they seem.
     Imitations,
+    /// Besides, crowds of callers leave their requests unfinished.
+    Crowds,
 }
 
 /// Runs a seed and returns the number of successes, or the violations.
@@ -102,6 +112,9 @@
     tasks.push(tokio::spawn(watch_owners(Arc::clone(&harness))));
     tasks.push(tokio::spawn(end_servers(Arc::clone(&harness))));
     tasks.push(tokio::spawn(replace_ended(Arc::clone(&harness))));
+    if scope >= FaultScope::Crowds {
+        tasks.push(tokio::spawn(press_crowds(Arc::clone(&harness))));
+    }
     let faults = plan(seed, run_duration, NODES, SERVERS);
     let drawn = |from: FaultScope, plan: fn(u64, Duration, usize) -> _| {
         let plan = (scope >= from).then(|| plan(seed, run_duration, SERVERS));
@@ -119,6 +132,10 @@
     for task in tasks {
         task.await.expect("caller task does not panic");
     }
+    for (node, daemon) in harness.daemons.iter().enumerate() {
+        let memory = daemon.process.lock().await.peak_memory();
+        harness.oracle.check_memory(node, memory, MEMORY_MB * 1_000_000);
+    }
     let (current, previous) =
         (harness.backends.read().await, harness.previous.read().await);
     let all = current.iter().chain(previous.iter());
@@ -152,10 +169,10 @@
 
 /// The settings of a run's daemons.
 fn settings_of(seed: u64) -> Value {
-    if !has_load_control(seed) {
-        return json!({});
-    }
-    json!({"load_control": true, "limits": {"memory_mb": 64}})
+    json!({
+        "load_control": has_load_control(seed),
+        "limits": {"memory_mb": MEMORY_MB, "max_fds": 1_000}
+    })
 }
 
 impl SoakHarness {
@@ -471,6 +488,29 @@
     }
 }
 
+/// Lets one crowd after another press on the daemons.
+async fn press_crowds(harness: Arc<SoakHarness>) {
+    let bytes = 200_000;
+    let forms = [
+        UnfinishedRequest::Stated { bytes, piece: bytes },
+        UnfinishedRequest::Chunked { bytes, chunk: 50_000 },
+        UnfinishedRequest::LargeHead { bytes: 15_000 },
+        UnfinishedRequest::Stated { bytes, piece: 1_000 },
+        UnfinishedRequest::Chunked { bytes: 20_000, chunk: 1 },
+        UnfinishedRequest::Head { bytes: 15_000 },
+        UnfinishedRequest::None,
+    ];
+    for (number, form) in forms.into_iter().cycle().enumerate() {
+        if harness.is_over.load(Ordering::Relaxed) {
+            return;
+        }
+        let daemon = &harness.daemons[number % NODES];
+        let crowd = Crowd::connect(daemon.traffic, form, CROWD);
+        sleep(CROWD_TIME).await;
+        drop(crowd);
+    }
+}
+
 /// Replaces the servers that a request has ended.
 async fn replace_ended(harness: Arc<SoakHarness>) {
     /// How long the entry of a server outlives it.
--- a/goldcrestramp-entry/tests/soak/main.rs
+++ b/goldcrestramp-entry/tests/soak/main.rs
@@ -6,13 +6,13 @@
 //! and restarted; servers drop, truncate and mismatch responses and shed
 //! requests, ask for backoffs and say that they are leaving; they repeat
 //! responses and send some without end; another writer lists their addresses;
-//! configurations change. An oracle checks what callers and servers
+//! configurations change. Crowds of callers leave their requests unfinished. An oracle checks what callers and servers
 //! saw against the guarantees.
 //!
 //! Each seed also stops VMs in series under long lookups.
 //!
-//! The daemons of every second seed have load control and little memory, and
-//! half of the callers' requests are for one key.
+//! The daemons have little memory. Those of every second seed have load
+//! control, and half of the callers' requests are for one key.
 //!
 //! Seeds that once violated a guarantee run again with each manual run.
 //!
@@ -23,6 +23,9 @@
 //! soak` runs fleets that mix this build and the daemon at that path: every
 //! second start of a process takes the other one.
 
+#[path = "../crowd/caller.rs"]
+#[allow(dead_code, reason = "shared with the tests of crowds")]
+mod caller;
 #[path = "../daemon/cluster.rs"]
 #[allow(dead_code, reason = "shared with the tests of single faults")]
 mod cluster;
@@ -86,7 +89,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn guarantees_hold_while_faults_overlap() {
     let Some(seeds) = number("GOLDCRESTRAMP_SOAK_SEEDS") else {
-        run_seed(1, CI_DURATION, FaultScope::Imitations)
+        run_seed(1, CI_DURATION, FaultScope::Crowds)
             .await
             .expect("seed 1 violates no guarantee");
         return;
@@ -96,7 +99,7 @@
     let regressions = REGRESSION_SEEDS.iter();
     let regressions = regressions.map(|(seed, scope, _what)| (*seed, *scope));
     let drawn = first..first + seeds;
-    let drawn = drawn.map(|seed| (seed, FaultScope::Imitations));
+    let drawn = drawn.map(|seed| (seed, FaultScope::Crowds));
     let all: Vec<(u64, FaultScope)> = regressions.chain(drawn).collect();
     for chunk in all.chunks(MAX_CONCURRENT_RUNS) {
         let runs: Vec<_> = chunk
--- a/goldcrestramp-entry/tests/soak/oracle.rs
+++ b/goldcrestramp-entry/tests/soak/oracle.rs
@@ -191,6 +191,15 @@
         }
     }
 
+    /// Checks that a daemon has stayed within its memory.
+    pub fn check_memory(&self, node: usize, peak: u64, limit: u64) {
+        if peak > limit {
+            self.report_violation(format!(
+                "VM {node} had {peak} bytes resident of {limit}"
+            ));
+        }
+    }
+
     /// Checks that daemons send nothing to a server during its backoffs.
     pub fn check_backoffs(&self, servers: &[&ServerStandin]) {
         let sent = self.sent.lock().expect("lock is not poisoned");
