Bound pipelined requests that are served early, and idle connections to servers

What callers saw: 1,200 callers that pipeline nine lookups of 16 kB each and read nothing took a VM to 341 MB of 64 MB and to 6,783 descriptors. No issue reported it; it was found while every way to fill a VM's memory was listed.

Cause: up to eight requests of a connection are served before those ahead of them have their responses, however many connections do so. Each opens a connection to a server, which stays open idle for seconds. The HTTP library queues several responses of a connection whose caller does not read.

Change: early requests are charged as much as a connection and are at most a quarter as many; others wait their turn. While the bound acts, a connection whose caller does not read is served no further request, and connections to servers are not kept idle. A connection counts for 48 KiB: with a request in flight, it and the one to a server took up 45 to 50 KiB.

--- a/goldcrestramp-decisions/src/held_bytes.rs
+++ b/goldcrestramp-decisions/src/held_bytes.rs
@@ -26,6 +26,10 @@
 //! connections. Close to that number, each new connection closes the one that
 //! has waited the longest for its caller.
 //!
+//! Requests behind others on their connection are served early only within a
+//! share of the bounds, as each needs a connection to a server; the others wait
+//! their turn.
+//!
 //! A body that is streamed occupies a slot of its server until it ends. While
 //! others are refused for lack of slots, senders that stall are closed, too.
 
@@ -80,8 +84,9 @@
 /// How long a refusal for lack of slots makes senders that stall be closed.
 const CONTENTION_TIME: TimeSpan = TimeSpan::from_millis(1_000);
 
-/// What a connection takes up by itself: its buffers, tasks and timers.
-const CONNECTION_BYTES: u64 = 32 * 1024;
+/// What a connection takes up by itself: its buffers, tasks and timers, and
+/// those of a connection to a server for its request.
+const CONNECTION_BYTES: u64 = 48 * 1024;
 
 /// The share of a process's memory that connections may take up.
 const CONNECTIONS_PERCENT: u64 = 40;
@@ -90,6 +95,11 @@
 /// up. Each may need another one to a server.
 const DESCRIPTORS_PERCENT: u64 = 40;
 
+/// The requests that are served before those ahead of them on their
+/// connections, as a share of the connections. Each needs a connection to a
+/// server.
+const EARLY_PERCENT: u64 = 25;
+
 /// The share of the connections from which idle ones are closed.
 const CROWDED_PERCENT: u64 = 90;
 
@@ -161,6 +171,8 @@
     held: u64,
     acting: bool,
     max_connections: u64,
+    /// The pipelined requests that are served early.
+    early: u64,
     contended_until: LocalTime,
     awaited: BTreeMap<(ReaderId, AwaitedStep), AwaitedCaller<Closer>>,
 }
@@ -175,6 +187,7 @@
             acting: false,
             max_connections: percent(memory_bytes, CONNECTIONS_PERCENT)
                 / CONNECTION_BYTES,
+            early: 0,
             contended_until: LocalTime::from_micros(0),
             awaited: BTreeMap::new(),
         }
@@ -256,6 +269,27 @@
         self.try_hold(STREAM_BYTES, percent(self.bound, STREAMS_PERCENT))
     }
 
+    /// Holds what a pipelined request takes up that is served before those
+    /// ahead of it have their responses; otherwise it has to wait its turn.
+    pub const fn try_begin_early(&mut self) -> bool {
+        let limit = percent(self.bound, LARGE_PERCENT);
+        let max_early = percent(self.max_connections, EARLY_PERCENT);
+        // That a request waits its turn is no sign that memory is scarce.
+        let has_room = self.early < max_early
+            && self.held.saturating_add(CONNECTION_BYTES) <= limit;
+        if has_room {
+            self.early += 1;
+            self.hold(CONNECTION_BYTES);
+        }
+        has_room
+    }
+
+    /// Releases what a request that was served early has taken up.
+    pub const fn end_early(&mut self) {
+        self.early = self.early.saturating_sub(1);
+        self.release(CONNECTION_BYTES);
+    }
+
     const fn request_limit(&self, total: u64) -> u64 {
         if total <= SMALL_BODY_BYTES {
             self.bound
--- a/goldcrestramp-decisions/tests/held_bytes.rs
+++ b/goldcrestramp-decisions/tests/held_bytes.rs
@@ -292,11 +292,27 @@
     assert_eq!(account.take_longest(at(10_000), 400), None);
 }
 
+/// Guards against a crowd that pipelines requests: each that is served early
+/// needs a connection to a server.
+#[test]
+fn requests_that_are_served_early_are_bounded() {
+    let mut account = account().with_descriptors(1_000);
+
+    let early = (0..1_000).filter(|_| account.try_begin_early()).count();
+
+    assert_eq!(early, 100);
+    assert!(!account.is_acting());
+    account.end_early();
+    assert!(account.try_begin_early());
+    let mut full = acting_account();
+    assert!(!full.try_begin_early());
+}
+
 /// Guards against more connections than the memory of the smallest VMs bears.
 #[test]
 fn connections_take_up_less_than_half_of_the_memory() {
     let account = account().with_descriptors(u64::MAX);
 
-    let bytes = account.max_connections() * 32 * 1024;
+    let bytes = account.max_connections() * 48 * 1024;
     assert!(bytes <= MEMORY_BYTES / 2, "{bytes} bytes");
 }
--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -171,7 +171,7 @@
     let now = MonotonicClock.now();
     // The server may have said so while the connection was opened.
     if plan.is_direct() && state.is_declined(request, &slot.server) {
-        slot.server.put_idle(connection, None);
+        state.keep_connection(&slot.server, connection, None);
         slot.end(now, ServerSignal::Cancelled);
         return AttemptOutcome::NotSent;
     }
@@ -467,7 +467,8 @@
     let read = read_response(&state.memory, body);
     let read = timeout(REFUSAL_BODY_TIMEOUT, read).await;
     if matches!(read, Ok(Ok(ReadResponse::Full(_)))) {
-        slot.server.put_idle(connection, keep_alive(&parts.headers));
+        let stated = keep_alive(&parts.headers);
+        state.keep_connection(&slot.server, connection, stated);
     }
 }
 
@@ -513,7 +514,8 @@
         Ok(Ok(ReadResponse::Full(body))) => {
             let latency = state.record_response(request, &slot, now);
             if echoes_attempt(request, &headers) || !plan.is_direct() {
-                slot.server.put_idle(connection, keep_alive(&headers));
+                let stated = keep_alive(&headers);
+                state.keep_connection(&slot.server, connection, stated);
             }
             if request.slice.is_some() && plan.is_direct() {
                 let id = &slot.server.instance.id;
--- a/goldcrestramp-entry/src/traffic/caller.rs
+++ b/goldcrestramp-entry/src/traffic/caller.rs
@@ -20,12 +20,14 @@
 use tokio::{
     io::AsyncWrite,
     net::{TcpStream, tcp::OwnedWriteHalf},
-    time::{interval, sleep},
+    sync::Notify,
+    time::{interval, sleep, timeout},
 };
 
 use crate::traffic::{
     in_flight::OpenCount,
     memory::{ConnectionCloser, MemoryAccount},
+    state::TrafficState,
 };
 
 /// The bytes that the system queues for a caller beyond what the caller's
@@ -56,6 +58,8 @@
     /// The bytes that are held for a head.
     held_for_head: Cell<u64>,
     is_write_blocked: Cell<bool>,
+    /// Notified when the caller reads again.
+    unblocked: Notify,
 }
 
 impl CallerGuard {
@@ -74,6 +78,7 @@
             held: Cell::default(),
             held_for_head: Cell::default(),
             is_write_blocked: Cell::default(),
+            unblocked: Notify::new(),
         };
         guard.await_request();
         guard
@@ -113,6 +118,16 @@
         self.held.set(held);
     }
 
+    /// Waits until the caller reads, or there is memory for responses that it
+    /// does not read yet. The HTTP library would queue several of them.
+    pub(super) async fn wait_readable(&self) {
+        while self.is_write_blocked.get() && self.account.is_acting() {
+            // Whichever comes first, both are checked again.
+            let _unblocked =
+                timeout(CHECK_INTERVAL, self.unblocked.notified()).await;
+        }
+    }
+
     /// Follows the caller of a body that is about to be read.
     pub(super) fn watch_sender(&self) -> SenderWatch {
         SenderWatch {
@@ -142,6 +157,7 @@
             self.account.record_awaited(self.id, step, held, &self.closer);
         } else {
             self.account.record_progress(self.id, step);
+            self.unblocked.notify_waiters();
         }
     }
 }
@@ -309,15 +325,18 @@
     }
 }
 
-/// Closes stalled callers while memory or slots are scarce.
-pub(super) async fn close_stalled_callers(account: MemoryAccount) {
+/// Closes stalled callers while memory or slots are scarce, and connections to
+/// servers that no request uses.
+pub(super) async fn close_stalled(state: Rc<TrafficState>) {
     let mut checks = interval(CHECK_INTERVAL);
     loop {
         checks.tick().await;
-        let stalled = account.lock().take_stalled(MonotonicClock.now());
+        let now = MonotonicClock.now();
+        let stalled = state.memory.lock().take_stalled(now);
         for closer in stalled {
             closer.notify_one();
         }
+        state.close_idle_if_scarce();
     }
 }
 
--- a/goldcrestramp-entry/src/traffic/connection.rs
+++ b/goldcrestramp-entry/src/traffic/connection.rs
@@ -33,7 +33,7 @@
     framing::{FrameStep, FramedRequest, frame_request},
     traffic::{
         caller::{CallerGuard, IncomingBody, RequestInProgress},
-        memory::HeldCharge,
+        memory::{EarlyCharge, HeldCharge},
         reason::EndReason,
         request::find_route,
         response::{ResponseBody, local_response},
@@ -115,12 +115,15 @@
 /// The task of a request that is served early. It is aborted when its caller's
 /// connection closes.
 #[derive(Debug)]
-struct EarlyTask(JoinHandle<Response<ResponseBody>>);
+struct EarlyTask {
+    work: JoinHandle<Response<ResponseBody>>,
+    _charge: EarlyCharge,
+}
 
 impl EarlyTask {
     /// Waits for the response.
     async fn finish(mut self) -> Response<ResponseBody> {
-        (&mut self.0).await.unwrap_or_else(|error| {
+        (&mut self.work).await.unwrap_or_else(|error| {
             log::warn!("[gateway] A pipelined request failed: {error}.");
             local_response(EndReason::Broken, true, DEFAULT_RETRY_AFTER)
         })
@@ -129,7 +132,7 @@
 
 impl Drop for EarlyTask {
     fn drop(&mut self) {
-        self.0.abort();
+        self.work.abort();
     }
 }
 
@@ -219,6 +222,7 @@
         let next = self.state.borrow_mut().pending.pop_front();
         self.responding.set(true);
         self.caught_up.notify_waiters();
+        self.guard.wait_readable().await;
         let response = if let Some(task) = next.and_then(|next| next.task) {
             task.finish().await
         } else {
@@ -284,17 +288,24 @@
         let starts_now =
             start == PipelineStart::Now && self.traffic.is_serving();
         let head = request.head.filter(|_head| starts_now);
-        let task = head.map(|head| self.serve_ahead(head));
+        let task = head.and_then(|head| {
+            let charge = self.traffic.memory.begin_early()?;
+            Some(self.serve_ahead(head, charge))
+        });
         let in_progress = self.guard.begin_request();
         let request = PendingRequest { task, _in_progress: in_progress };
         self.state.borrow_mut().pending.push_back(request);
     }
 
-    fn serve_ahead(&self, head: Request<()>) -> EarlyTask {
+    fn serve_ahead(
+        &self,
+        head: Request<()>,
+        charge: EarlyCharge,
+    ) -> EarlyTask {
         self.traffic.metrics.pipelined.inc();
         let traffic = Rc::clone(&self.traffic);
         let work = async move { serve(&traffic, head, None).await };
-        EarlyTask(spawn_local(work))
+        EarlyTask { work: spawn_local(work), _charge: charge }
     }
 
     fn effect_of(&self, request: &FramedRequest) -> PipelineEffect {
--- a/goldcrestramp-entry/src/traffic/memory.rs
+++ b/goldcrestramp-entry/src/traffic/memory.rs
@@ -107,6 +107,19 @@
         out
     }
 
+    /// Whether the bound has been reached, and enough has not been released
+    /// since.
+    pub(super) fn is_acting(&self) -> bool {
+        self.lock().is_acting()
+    }
+
+    /// Charges a request that is served before those ahead of it have their
+    /// responses, if there is room for one.
+    pub(super) fn begin_early(&self) -> Option<EarlyCharge> {
+        let begins = self.update(HeldBytes::try_begin_early);
+        begins.then(|| EarlyCharge(self.clone()))
+    }
+
     /// Whether a request of `bytes` may be sent to a server at which requests
     /// of `in_flight` bytes are in flight.
     pub(super) fn allows_send(&self, in_flight: u64, bytes: u64) -> bool {
@@ -254,6 +267,16 @@
     }
 }
 
+/// A request that is served early, until its turn has come.
+#[derive(Debug)]
+pub(super) struct EarlyCharge(MemoryAccount);
+
+impl Drop for EarlyCharge {
+    fn drop(&mut self) {
+        self.0.update(HeldBytes::end_early);
+    }
+}
+
 /// A buffer that is charged until the last reference to it is dropped.
 struct ChargedBuffer<Buffer> {
     bytes: Buffer,
--- a/goldcrestramp-entry/src/traffic/mod.rs
+++ b/goldcrestramp-entry/src/traffic/mod.rs
@@ -51,7 +51,7 @@
     run::StopPhase,
     shared::SharedState,
     traffic::{
-        caller::{close_stalled_callers, wait_for_room},
+        caller::{close_stalled, wait_for_room},
         in_flight::{OpenCount, OpenGuard},
         listener::{serve_caller, serve_listener},
         relay_connection::serve_vm,
@@ -122,7 +122,7 @@
     if state.settings.load_control {
         spawn_local(follow_wanted_retries(Rc::clone(&state)));
     }
-    spawn_local(close_stalled_callers(state.memory.clone()));
+    spawn_local(close_stalled(Rc::clone(&state)));
     let TrafficListeners { callers, relayed } = listeners;
     if let Some(relayed) = relayed {
         let (state, stop) = (Rc::clone(&state), phase.clone());
--- a/goldcrestramp-entry/src/traffic/server.rs
+++ b/goldcrestramp-entry/src/traffic/server.rs
@@ -203,6 +203,11 @@
         self.idle.borrow_mut().push(IdleConnection { connection, until });
     }
 
+    /// Closes the idle connections.
+    pub(super) fn close_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Takes the connection that was used last, so that the others fall idle
     /// and expire.
     fn pop_idle(&self, used: &[ConnectionKey]) -> Option<ServerConnection> {
--- a/goldcrestramp-entry/src/traffic/state.rs
+++ b/goldcrestramp-entry/src/traffic/state.rs
@@ -39,7 +39,7 @@
         relay_vms::RelayVms,
         request::{RoutedRequest, retry_class},
         retry::{RetryBoards, ServiceRetries},
-        server::{RequestQueue, ServerState},
+        server::{RequestQueue, ServerConnection, ServerState},
         subset::SubsetCache,
     },
     view::FleetView,
@@ -430,6 +430,28 @@
         self.bulk.of_domain(&entry.domain).cloned()
     }
 
+    /// Keeps a connection to a server for further requests, unless memory is
+    /// scarce.
+    pub(super) fn keep_connection(
+        &self,
+        server: &ServerState,
+        connection: ServerConnection,
+        stated: Option<TimeSpan>,
+    ) {
+        if !self.memory.is_acting() {
+            server.put_idle(connection, stated);
+        }
+    }
+
+    /// Closes the idle connections to servers if memory is scarce.
+    pub(super) fn close_idle_if_scarce(&self) {
+        if self.memory.is_acting() {
+            for server in self.servers.borrow().values() {
+                server.close_idle();
+            }
+        }
+    }
+
     /// The limit of requests in flight at a server: with load control, no more
     /// than there are if the bytes of this one can't be added.
     pub(super) fn limit_bytes(
--- a/goldcrestramp-entry/tests/crowd/backend.rs
+++ b/goldcrestramp-entry/tests/crowd/backend.rs
@@ -14,6 +14,9 @@
 /// The size of a large response, which is buffered if there is room.
 const LARGE_BYTES: usize = 250_000;
 
+/// The size of a response that is buffered in any case.
+const SMALL_BYTES: usize = 16_000;
+
 /// A server in a thread of its own, so that a crowd does not delay it; the
 /// thread ends with its test process.
 pub struct CountingBackend {
@@ -80,10 +83,10 @@
             skip(&mut stream, length.unwrap_or(0)).await?
         };
         let attempt = header(&head, "x-attempt-id").unwrap_or_default();
-        let body = if head.starts_with("GET /list/large") {
-            "x".repeat(LARGE_BYTES)
-        } else {
-            bytes.to_string()
+        let body = match head.split(' ').nth(1) {
+            Some("/list/large") => "x".repeat(LARGE_BYTES),
+            Some("/list/small") => "x".repeat(SMALL_BYTES),
+            _ => bytes.to_string(),
         };
         let response = format!(
             "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n\
--- a/goldcrestramp-entry/tests/crowd/caller.rs
+++ b/goldcrestramp-entry/tests/crowd/caller.rs
@@ -36,11 +36,11 @@
     /// A body in chunks of this size, without the last byte of its framing.
     Chunked { bytes: usize, chunk: usize },
     /// A complete body for a server that does not read it.
-    Unread { bytes: usize },
+    Complete { bytes: usize },
     /// A complete head of this size, and a short body without its last byte.
     LargeHead { bytes: usize },
-    /// A request whose large response is not read.
-    UnreadResponse,
+    /// Requests, one behind the other, whose responses are not read.
+    Unread { line: &'static str, requests: usize },
 }
 
 impl UnfinishedRequest {
@@ -58,8 +58,8 @@
                 rest.extend(stated_body(10));
                 rest
             }
-            Self::UnreadResponse => b"\r\n".to_vec(),
-            Self::Stated { bytes, .. } | Self::Unread { bytes } => {
+            Self::Unread { .. } => b"\r\n".to_vec(),
+            Self::Stated { bytes, .. } | Self::Complete { bytes } => {
                 stated_body(bytes)
             }
             Self::Chunked { bytes, chunk } => chunked_body(bytes, chunk),
@@ -85,17 +85,19 @@
             return Ok(());
         }
         let is_whole =
-            matches!(self, Self::Unread { .. } | Self::UnreadResponse);
+            matches!(self, Self::Complete { .. } | Self::Unread { .. });
         let finishes = is_whole || number.is_multiple_of(FINISHING);
         let sent = rest.len() - usize::from(!finishes);
-        let line = match self {
-            Self::UnreadResponse => "GET /list/large",
-            _ => "POST /order/new",
+        let (line, requests) = match self {
+            Self::Unread { line, requests } => (line, requests),
+            _ => ("POST /order/new", 1),
         };
-        let head = head(line, &format!("crowd-{number}"));
-        stream.write_all(head.as_bytes()).await?;
-        for piece in rest[..sent].chunks(self.write_bytes()) {
-            stream.write_all(piece).await?;
+        for request in 0..requests {
+            let head = head(line, &format!("crowd-{number}-{request}"));
+            stream.write_all(head.as_bytes()).await?;
+            for piece in rest[..sent].chunks(self.write_bytes()) {
+                stream.write_all(piece).await?;
+            }
         }
         Ok(())
     }
--- a/goldcrestramp-entry/tests/crowd/main.rs
+++ b/goldcrestramp-entry/tests/crowd/main.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     caller::{Crowd, UnfinishedRequest},
-    vm::CrowdedVm,
+    vm::{CrowdedVm, DEPLOYED_MEMORY, SMALL_MEMORY, SMALL_VM, VmLimits},
 };
 
 /// The largest body that the configuration allows.
@@ -39,8 +39,17 @@
 
 /// Lets a crowd press on a VM, and checks the VM.
 async fn survives(request: UnfinishedRequest, callers: usize) {
+    survives_with(SMALL_VM, request, callers).await;
+}
+
+/// The same for a VM with these limits.
+async fn survives_with(
+    limits: VmLimits,
+    request: UnfinishedRequest,
+    callers: usize,
+) {
     let _alone = vm::run_alone().await;
-    let mut vm = CrowdedVm::start().await;
+    let mut vm = CrowdedVm::start_with(limits).await;
 
     let crowd = Crowd::connect(vm.address(), request, callers);
     crowd.wait_read().await;
@@ -103,14 +112,14 @@
 /// and no further caller can be connected.
 #[tokio::test]
 async fn idle_connections_leave_descriptors_free() {
-    survives(UnfinishedRequest::None, vm::MAX_DESCRIPTORS + 400).await;
+    survives(UnfinishedRequest::None, SMALL_VM.descriptors + 400).await;
 }
 
 /// Guards against short bodies that are not counted, as each is small.
 #[tokio::test]
 async fn short_bodies_leave_descriptors_free() {
     let (bytes, piece) = (1_000, 100);
-    let callers = vm::MAX_DESCRIPTORS + 400;
+    let callers = SMALL_VM.descriptors + 400;
     survives(UnfinishedRequest::Stated { bytes, piece }, callers).await;
 }
 
@@ -123,24 +132,25 @@
 /// Guards against heads that no limit of descriptors bounds.
 #[tokio::test]
 async fn large_heads_of_many_connections_leave_memory_free() {
-    let _alone = vm::run_alone().await;
-    let mut vm = CrowdedVm::start_with(10_000).await;
     let request = UnfinishedRequest::LargeHead { bytes: 15_000 };
-
-    let crowd = Crowd::connect(vm.address(), request, 1_200);
-    crowd.wait_read().await;
-    vm.wait_served().await;
-    drop(crowd);
-    vm.wait_served().await;
-
-    vm.assert_within_limits();
+    survives_with(SMALL_MEMORY, request, 1_200).await;
 }
 
 /// Guards against responses that are buffered for callers that do not read
 /// them.
 #[tokio::test]
 async fn unread_responses_leave_memory_free() {
-    survives(UnfinishedRequest::UnreadResponse, 400).await;
+    let line = "GET /list/large";
+    survives(UnfinishedRequest::Unread { line, requests: 1 }, 400).await;
+}
+
+/// Guards against small responses that are held for requests which wait behind
+/// others on their connection.
+#[tokio::test]
+async fn unread_pipelined_responses_leave_memory_free() {
+    let line = "GET /list/small";
+    let request = UnfinishedRequest::Unread { line, requests: 9 };
+    survives_with(DEPLOYED_MEMORY, request, 2_400).await;
 }
 
 /// Guards against complete bodies that are held for servers that do not read
@@ -150,7 +160,7 @@
     let _alone = vm::run_alone().await;
     let mut vm = CrowdedVm::start().await;
     vm.set_reading(false);
-    let request = UnfinishedRequest::Unread { bytes: BUFFERED_BYTES };
+    let request = UnfinishedRequest::Complete { bytes: BUFFERED_BYTES };
 
     let crowd = Crowd::connect(vm.address(), request, 400);
     crowd.wait_read().await;
--- a/goldcrestramp-entry/tests/crowd/vm.rs
+++ b/goldcrestramp-entry/tests/crowd/vm.rs
@@ -20,10 +20,30 @@
     store::StoreStandin,
 };
 
-/// The limits of each VM.
-const MEMORY_MB: u64 = 64;
-const MEMORY_BYTES: u64 = MEMORY_MB * 1_000_000;
-pub const MAX_DESCRIPTORS: usize = 800;
+/// The limits of a VM.
+#[derive(Clone, Copy, Debug)]
+pub struct VmLimits {
+    pub memory_mb: u64,
+    pub descriptors: usize,
+}
+
+/// A VM with little memory and few descriptors.
+pub const SMALL_VM: VmLimits = VmLimits { memory_mb: 64, descriptors: 800 };
+
+/// A VM with little memory whose descriptors limit nothing.
+pub const SMALL_MEMORY: VmLimits =
+    VmLimits { memory_mb: 64, descriptors: 10_000 };
+
+/// The same with the memory of the smallest VMs of a deployment.
+pub const DEPLOYED_MEMORY: VmLimits =
+    VmLimits { memory_mb: 120, descriptors: 10_000 };
+
+impl VmLimits {
+    /// The settings of the VM, without load control.
+    fn settings(self) -> Value {
+        json!({"memory_mb": self.memory_mb, "max_fds": self.descriptors})
+    }
+}
 
 /// The servers of each service. A VM that reaches none of several passes
 /// requests on.
@@ -56,11 +76,6 @@
     patient
 }
 
-/// The settings of a VM, without load control.
-fn small_limits(descriptors: usize) -> Value {
-    json!({"memory_mb": MEMORY_MB, "max_fds": descriptors})
-}
-
 /// A VM, its backend servers and a client of its own.
 pub struct CrowdedVm {
     node: NodeProcess,
@@ -68,19 +83,19 @@
     links: Vec<ServerLink>,
     http: Client,
     store: StoreStandin,
-    /// The descriptors that it may open, and the most that were seen open.
-    descriptors: usize,
+    limits: VmLimits,
+    /// The most descriptors that were seen open.
     max_descriptors: usize,
 }
 
 impl CrowdedVm {
     /// Starts a VM that reaches its servers.
     pub async fn start() -> Self {
-        Self::start_with(MAX_DESCRIPTORS).await
+        Self::start_with(SMALL_VM).await
     }
 
-    /// Starts a VM that may open so many descriptors.
-    pub async fn start_with(descriptors: usize) -> Self {
+    /// Starts a VM with these limits that reaches its servers.
+    pub async fn start_with(limits: VmLimits) -> Self {
         let store = StoreStandin::spawn().await;
         store.put("op/config", &patient_configuration());
         let mut backends = Vec::new();
@@ -93,13 +108,9 @@
             backends.push(backend);
         }
         let address = store.address;
-        let node = NodeProcess::spawn_sized(
-            "vm",
-            address,
-            &small_limits(descriptors),
-        );
+        let node = NodeProcess::spawn_sized("vm", address, &limits.settings());
         let mut vm = Self::open(node, store);
-        vm.descriptors = descriptors;
+        vm.limits = limits;
         vm.backends = backends;
         vm.wait_served().await;
         vm
@@ -114,7 +125,7 @@
             store.replace_address(backend.address, link.address);
             links.push(link);
         }
-        let (domain, limits) = ("north-b", small_limits(MAX_DESCRIPTORS));
+        let (domain, limits) = ("north-b", SMALL_VM.settings());
         let node =
             NodeProcess::spawn_in("vm-2", domain, store.address, &limits);
         let mut vm = Self::open(node, store);
@@ -142,7 +153,7 @@
             links,
             http,
             store,
-            descriptors: MAX_DESCRIPTORS,
+            limits: SMALL_VM,
             max_descriptors: 0,
         }
     }
@@ -235,7 +246,8 @@
         let memory = self.node.peak_memory();
         let descriptors = self.max_descriptors;
         println!("{memory} bytes, {descriptors} descriptors");
-        assert!(memory < MEMORY_BYTES, "{memory} bytes");
-        assert!(descriptors < self.descriptors, "{descriptors} descriptors");
+        let limits = self.limits;
+        assert!(memory < limits.memory_mb * 1_000_000, "{memory} bytes");
+        assert!(descriptors < limits.descriptors, "{descriptors} open");
     }
 }
