Keep no connection whose server may still be reading a rejected body

Cause: a connection was kept as soon as a response had been read, though the body of its request was still on the way. The next request was written behind it, and nothing looked at the server's state again.

Change: after a request with a body of more than 16 KiB a connection is kept only if the request was served, and never after a streamed one. The same holds for a VM that refuses a request which is passed to it.

--- a/goldcrestramp-entry/src/traffic/attempt.rs
+++ b/goldcrestramp-entry/src/traffic/attempt.rs
@@ -3,7 +3,9 @@
 use std::{io, ops::RangeInclusive, pin::pin, rc::Rc, time::Duration};
 
 use goldcrestramp_adapter::headers as names;
-use goldcrestramp_decisions::{ReachEvent, ServerProximity, ServerSignal};
+use goldcrestramp_decisions::{
+    ReachEvent, SMALL_BODY_BYTES, ServerProximity, ServerSignal,
+};
 use goldcrestramp_types::{ClockSource, LocalTime, MonotonicClock, TimeSpan};
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
@@ -14,6 +16,7 @@
 
 use crate::traffic::{
     attempt_set::{OverdueCause, OverdueSignal},
+    body::RequestBody,
     bulk::BulkRegion,
     choose::has_other_owner,
     crash::is_refused,
@@ -268,7 +271,9 @@
     let (parts, body) = response.into_parts();
     if let Some(end) = plan.read_relay_end(&parts) {
         slot.end(now, ServerSignal::Cancelled);
-        finish_refusal(state, &slot, connection, parts, body).await;
+        if has_read_body(request, parts.status) {
+            finish_refusal(state, &slot, connection, parts, body).await;
+        }
         return AttemptOutcome::RelayEnded(end);
     }
     if plan.is_direct() {
@@ -291,7 +296,9 @@
                 ServerSignal::Refused
             };
             slot.end(now, signal);
-            if echoes_attempt(request, &parts.headers) {
+            if echoes_attempt(request, &parts.headers)
+                && has_read_body(request, parts.status)
+            {
                 finish_refusal(state, &slot, connection, parts, body).await;
             }
             if misdirected {
@@ -454,6 +461,23 @@
     text(headers, names::ATTEMPT_ID).is_some_and(|echoed| echoed == expected)
 }
 
+/// Whether a server or a VM has read the body of a request to which it
+/// responded with this status.
+///
+/// A server may reject a request before it has read a long body, and read on
+/// later. The next request on the connection would wait behind the rest of the
+/// body, and could reach the server long after it was sent.
+fn has_read_body(request: &RoutedRequest, status: StatusCode) -> bool {
+    let body = request.body.borrow();
+    match &*body {
+        RequestBody::Full(_) => {
+            status.is_success() || body.size() <= SMALL_BODY_BYTES
+        }
+        // Its end may be on the way after any response.
+        RequestBody::Streamed(_) => false,
+    }
+}
+
 /// Reads the rest of a refusal, so that its connection can be reused.
 async fn finish_refusal(
     state: &TrafficState,
@@ -513,7 +537,9 @@
         }
         Ok(Ok(ReadResponse::Full(body))) => {
             let latency = state.record_response(request, &slot, now);
-            if echoes_attempt(request, &headers) || !plan.is_direct() {
+            let is_own = echoes_attempt(request, &headers);
+            if (is_own || !plan.is_direct()) && has_read_body(request, status)
+            {
                 let stated = keep_alive(&headers);
                 state.keep_connection(&slot.server, connection, stated);
             }
--- a/goldcrestramp-entry/tests/crowd/backend.rs
+++ b/goldcrestramp-entry/tests/crowd/backend.rs
@@ -11,6 +11,10 @@
 
 use crate::port::HeldPort;
 
+/// The path of a request that is rejected before its body is read. Nothing
+/// more is read on its connection.
+pub const EARLY_REJECTION: &str = "/order/rejected";
+
 /// The size of a large response, which is buffered if there is room.
 const LARGE_BYTES: usize = 250_000;
 
@@ -71,6 +75,15 @@
                 return Ok(());
             }
         }
+        if head.contains(EARLY_REJECTION) {
+            let attempt = header(&head, "x-attempt-id").unwrap_or_default();
+            let response = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n\
+                 X-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n"
+            );
+            stream.get_mut().write_all(response.as_bytes()).await?;
+            std::future::pending::<()>().await;
+        }
         let length = header(&head, "content-length");
         let is_chunked = header(&head, "transfer-encoding").is_some();
         if length.is_some() || is_chunked {
--- a/goldcrestramp-entry/tests/daemon/main.rs
+++ b/goldcrestramp-entry/tests/daemon/main.rs
@@ -2,6 +2,9 @@
 //! backend servers.
 
 mod admission;
+#[path = "../crowd/backend.rs"]
+#[allow(dead_code, reason = "shared with the tests of crowds")]
+mod backend;
 mod backoff;
 mod bulk;
 mod busy;
@@ -10,6 +13,7 @@
 mod configuration;
 mod crashes;
 mod domains;
+mod early_rejections;
 mod endless;
 mod leases;
 mod leaving;
