--- a/goldcrestramp-entry/tests/daemon/configuration.rs
+++ b/goldcrestramp-entry/tests/daemon/configuration.rs
@@ -5,7 +5,9 @@
 use serde_json::json;
 
 use crate::{
-    cluster::{Cluster, POOLED, eventually, large_configuration},
+    cluster::{
+        Cluster, POOLED, configuration, eventually, large_configuration,
+    },
     node::NodeProcess,
     relay::{Relay, RelayBehavior},
     store::StoreStandin,
@@ -59,6 +61,26 @@
     }
 }
 
+/// Guards against a VM that keeps an old configuration while it waits for a
+/// page that the store will never send.
+#[tokio::test]
+async fn a_page_is_read_again_when_its_response_is_lost() {
+    /// The time that a VM is given after the store responds again: it is in
+    /// touch with it by then.
+    const CONTACT: Duration = Duration::from_secs(3);
+    let cluster = Cluster::start(POOLED, 1, 1).await;
+    cluster.store.lose_reads(true);
+    cluster.store.block_watches();
+    eventually(async || cluster.store.blocked_watches() > 0).await;
+    cluster.store.put("op/config", &configuration(2, Some("/new/")));
+    eventually(async || cluster.store.lost_reads() > 0).await;
+
+    cluster.store.lose_reads(false);
+    tokio::time::sleep(CONTACT).await;
+
+    assert_eq!(cluster.get(0, "/new/list").await.status(), 200);
+}
+
 /// Guards against transfers that time out half way and restart forever.
 #[tokio::test]
 async fn a_large_configuration_takes_effect_over_a_throttled_link() {
--- a/goldcrestramp-entry/tests/daemon/store.rs
+++ b/goldcrestramp-entry/tests/daemon/store.rs
@@ -36,6 +36,10 @@
     /// Whether new watches see no change until their wait is over.
     watches_blocked: bool,
     blocked_watches: u32,
+    /// Whether first pages of the whole store get no response now, and how many
+    /// got none.
+    loses_reads: bool,
+    lost_reads: u32,
     /// The longest wait that a watch requested, in milliseconds.
     max_wait: u64,
     /// The number of planner claims whose response is to be lost, and of
@@ -157,6 +161,18 @@
         self.lock().blocked_watches
     }
 
+    /// Sets whether first pages of the whole store get no response from now on.
+    #[allow(dead_code, reason = "not every test binary loses one")]
+    pub fn lose_reads(&self, loses: bool) {
+        self.lock().loses_reads = loses;
+    }
+
+    /// The number of pages that got no response.
+    #[allow(dead_code, reason = "not every test binary loses one")]
+    pub fn lost_reads(&self) -> u32 {
+        self.lock().lost_reads
+    }
+
     /// The longest wait that a watch requested, in milliseconds.
     pub fn max_wait(&self) -> u64 {
         self.lock().max_wait
@@ -256,7 +272,18 @@
             .collect();
         let path = parts.uri.path().to_owned();
         match path.as_str() {
-            "/v1/kv-range" => self.lock().range(&query),
+            "/v1/kv-range" => {
+                let has = |name: &str| {
+                    query.get(name).is_some_and(|value| !value.is_empty())
+                };
+                let is_first = !has("path_prefix") && !has("after");
+                let is_lost = is_first && self.lock().loses_reads;
+                if is_lost {
+                    self.lock().lost_reads += 1;
+                    std::future::pending::<()>().await;
+                }
+                self.lock().range(&query)
+            }
             "/v1/kv-watch" => self.watch(&query).await,
             "/v1/kv-txn" => {
                 let response = self.lock().transact(body);
