Keep connections open whose callers still read the end of a response

Found by reading; no failure is known, and a test did not bring one about, as the system's buffers take what is left: when the HTTP library has taken the last bytes of a response, the connection counted as one that waits for a request, and could be closed for a new one before its caller had read them. It counts so only once nothing waits to be written.

--- a/goldcrestramp-entry/src/traffic/caller.rs
+++ b/goldcrestramp-entry/src/traffic/caller.rs
@@ -95,12 +95,15 @@
 
     fn end_request(&self) {
         self.requests.set(self.requests.get() - 1);
-        if self.requests.get() == 0 {
-            self.await_request();
-        }
+        self.await_request();
     }
 
+    /// Records that a request is waited for, unless one is in progress or the
+    /// end of its response is still to be read.
     fn await_request(&self) {
+        if self.requests.get() > 0 || self.is_write_blocked.get() {
+            return;
+        }
         let (step, held) = (AwaitedStep::Request, self.held_for_head.get());
         self.account.record_awaited(self.id, step, held, &self.closer);
     }
@@ -108,9 +111,7 @@
     /// Records the bytes that are held for a head.
     pub(super) fn hold_head(&self, bytes: u64) {
         self.held_for_head.set(bytes);
-        if self.requests.get() == 0 {
-            self.await_request();
-        }
+        self.await_request();
     }
 
     /// Records the bytes that are held for the next response.
@@ -154,9 +155,11 @@
         }
         let (step, held) = (AwaitedStep::Read, self.held.get());
         if is_blocked {
+            self.account.record_progress(self.id, AwaitedStep::Request);
             self.account.record_awaited(self.id, step, held, &self.closer);
         } else {
             self.account.record_progress(self.id, step);
+            self.await_request();
             self.unblocked.notify_waiters();
         }
     }
