Give each run of the planted tests a loopback host of its own

Cause: the addresses of a run are free ports of a loopback host that its id names. The host is to be this run's alone, but the five tests of the file run at the same time with the same ids, so one could be given a port that another had found free and not yet bound. Now each run has an id of its own.

--- a/goldcrestramp-node/tests/planted.rs
+++ b/goldcrestramp-node/tests/planted.rs
@@ -128,9 +128,9 @@
     let faults =
         ServerFaults { crossed: FAULTY_RESPONSES, ..ServerFaults::default() };
 
-    let without_fault = run(2, None, &faults, &ORDERS).await;
+    let without_fault = run(5, None, &faults, &ORDERS).await;
     let with_fault =
-        run(3, Some(PlantedFault::StartedRetried), &faults, &ORDERS).await;
+        run(6, Some(PlantedFault::StartedRetried), &faults, &ORDERS).await;
 
     assert!(without_fault.is_empty(), "{without_fault:?}");
     assert!(with_fault.violations.doubled > 0, "{with_fault:?}");
@@ -144,9 +144,9 @@
     let faults =
         ServerFaults { crossed: FAULTY_RESPONSES, ..ServerFaults::default() };
 
-    let without_fault = run(2, None, &faults, &ORDERS).await;
+    let without_fault = run(7, None, &faults, &ORDERS).await;
     let with_fault =
-        run(3, Some(PlantedFault::UnknownDenied), &faults, &ORDERS).await;
+        run(8, Some(PlantedFault::UnknownDenied), &faults, &ORDERS).await;
 
     assert!(without_fault.is_empty(), "{without_fault:?}");
     assert!(with_fault.violations.not_run_but_ran > 0, "{with_fault:?}");
@@ -160,9 +160,9 @@
     let faults =
         ServerFaults { crossed: FAULTY_RESPONSES, ..ServerFaults::default() };
 
-    let without_fault = run(2, None, &faults, &ALL).await;
+    let without_fault = run(9, None, &faults, &ALL).await;
     let with_fault =
-        run(3, Some(PlantedFault::CrossedPassed), &faults, &ALL).await;
+        run(10, Some(PlantedFault::CrossedPassed), &faults, &ALL).await;
 
     assert!(without_fault.is_empty(), "{without_fault:?}");
     assert!(with_fault.violations.wrong_answers > 0, "{with_fault:?}");
@@ -177,9 +177,9 @@
         ..ServerFaults::default()
     };
 
-    let without_fault = run(2, None, &faults, &ALL).await;
+    let without_fault = run(11, None, &faults, &ALL).await;
     let with_fault =
-        run(3, Some(PlantedFault::CutPassed), &faults, &ALL).await;
+        run(12, Some(PlantedFault::CutPassed), &faults, &ALL).await;
 
     assert!(without_fault.is_empty(), "{without_fault:?}");
     assert!(with_fault.violations.cut_answers > 0, "{with_fault:?}");
